Lay out the workspace, its checks and the shared types

Cause: there is no product yet; every part needs one place for names, configuration, platform messages and the reasons for refusals.

Change: four crates (decisions, daemons, stand-ins, command line), the named checks behind ./check, and the shared types. A refusal's status and run state follow from its reason, so that the two cannot disagree.

--- /dev/null
+++ b/crates/cornelpoint-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The edges of the daemons: settings, HTTP, threads, logs and metrics.
--- /dev/null
+++ b/crates/cornelpoint-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems around cornelpoint, with faults on request.
--- /dev/null
+++ b/crates/cornelpoint/src/configuration/generation.rs
@@ -0,0 +1,31 @@
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Number of an accepted configuration; it only grows.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Generation(pub u64);
+
+impl Generation {
+    /// The generation that follows.
+    ///
+    /// ```
+    /// use cornelpoint::configuration::Generation;
+    ///
+    /// assert_eq!(Generation(4).next(), Generation(5));
+    /// ```
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Generation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/lib.rs
@@ -0,0 +1,10 @@
+//! Coordination parts for a fleet of instances that serve requests.
+//!
+//! Every part is a plain state machine: events and the time go in, actions
+//! come out. Nothing here opens a socket, starts a thread, reads a clock or
+//! writes a log, so each part can be embedded and tested by itself.
+
+pub mod configuration;
+pub mod name;
+pub mod platform;
+pub mod request;
--- /dev/null
+++ b/crates/cornelpoint/src/request/refusal.rs
@@ -0,0 +1,161 @@
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::run_state::RunState;
+
+/// Why the caller does not get an endpoint's answer.
+///
+/// The status and the run state follow from the reason, so that the two
+/// cannot disagree.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Refusal {
+    /// The request is not well-formed HTTP or uses a form that is not taken.
+    BadRequest,
+    /// The deadline header is not a number of milliseconds in range.
+    BadDeadline,
+    /// The idempotency key has a bad length or character.
+    BadKey,
+    /// The key was used before with another method, path or body.
+    KeyReused,
+    /// No configuration names the service.
+    UnknownService,
+    /// The method is not taken.
+    BadMethod,
+    /// The caller was too slow to send its request.
+    SlowCaller,
+    /// The body is larger than the service takes.
+    BodyTooLarge,
+    /// The headers are larger than is taken.
+    HeadersTooLarge,
+    /// The gateway holds as many connections or requests as it may.
+    Overloaded,
+    /// The service's queue is full.
+    QueueFull,
+    /// The request could not have been done by its deadline.
+    DeadlineTooNear,
+    /// No endpoint of the service takes requests.
+    NoEndpoint,
+    /// The gateway has no configuration yet.
+    NotReady,
+    /// The gateway is stopping.
+    Stopping,
+    /// The claim for the key could not be recorded.
+    ClaimUnavailable,
+    /// Another try of the same key has not answered in time, or never will.
+    ClaimUnresolved,
+    /// The endpoint did not answer in time.
+    AnswerLate,
+    /// The connection to the endpoint broke, or its answer was cut short.
+    AnswerCut,
+    /// The answer is larger than is taken.
+    AnswerTooLarge,
+    /// The answer is not well-formed HTTP.
+    AnswerMalformed,
+}
+
+impl Refusal {
+    /// Name of the response header that carries the reason.
+    pub const HEADER: &'static str = "cornelpoint-reason";
+
+    /// Whether the request ran.
+    ///
+    /// ```
+    /// use cornelpoint::request::Refusal;
+    /// use cornelpoint::request::RunState;
+    ///
+    /// assert_eq!(Refusal::QueueFull.run_state(), RunState::No);
+    /// assert_eq!(Refusal::AnswerLate.run_state(), RunState::Unknown);
+    /// ```
+    #[must_use]
+    pub fn run_state(self) -> RunState {
+        match self {
+            Self::BadRequest
+            | Self::BadDeadline
+            | Self::BadKey
+            | Self::KeyReused
+            | Self::UnknownService
+            | Self::BadMethod
+            | Self::SlowCaller
+            | Self::BodyTooLarge
+            | Self::HeadersTooLarge
+            | Self::Overloaded
+            | Self::QueueFull
+            | Self::DeadlineTooNear
+            | Self::NoEndpoint
+            | Self::NotReady
+            | Self::Stopping
+            | Self::ClaimUnavailable => RunState::No,
+            Self::ClaimUnresolved
+            | Self::AnswerLate
+            | Self::AnswerCut
+            | Self::AnswerTooLarge
+            | Self::AnswerMalformed => RunState::Unknown,
+        }
+    }
+
+    /// The HTTP status that goes with the reason.
+    ///
+    /// ```
+    /// use cornelpoint::request::Refusal;
+    ///
+    /// assert_eq!(Refusal::UnknownService.status(), 404);
+    /// ```
+    #[must_use]
+    pub fn status(self) -> u16 {
+        match self {
+            Self::BadRequest | Self::BadDeadline | Self::BadKey => 400,
+            Self::UnknownService => 404,
+            Self::BadMethod => 405,
+            Self::SlowCaller => 408,
+            Self::BodyTooLarge => 413,
+            Self::KeyReused => 422,
+            Self::HeadersTooLarge => 431,
+            Self::Overloaded
+            | Self::QueueFull
+            | Self::DeadlineTooNear
+            | Self::NoEndpoint
+            | Self::NotReady
+            | Self::Stopping
+            | Self::ClaimUnavailable => 503,
+            Self::AnswerCut | Self::AnswerTooLarge | Self::AnswerMalformed => 502,
+            Self::AnswerLate | Self::ClaimUnresolved => 504,
+        }
+    }
+
+    /// The reason as it stands in the header.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad-request",
+            Self::BadDeadline => "bad-deadline",
+            Self::BadKey => "bad-key",
+            Self::KeyReused => "key-reused",
+            Self::UnknownService => "unknown-service",
+            Self::BadMethod => "bad-method",
+            Self::SlowCaller => "slow-caller",
+            Self::BodyTooLarge => "body-too-large",
+            Self::HeadersTooLarge => "headers-too-large",
+            Self::Overloaded => "overloaded",
+            Self::QueueFull => "queue-full",
+            Self::DeadlineTooNear => "deadline-too-near",
+            Self::NoEndpoint => "no-endpoint",
+            Self::NotReady => "not-ready",
+            Self::Stopping => "stopping",
+            Self::ClaimUnavailable => "claim-unavailable",
+            Self::ClaimUnresolved => "claim-unresolved",
+            Self::AnswerLate => "answer-late",
+            Self::AnswerCut => "answer-cut",
+            Self::AnswerTooLarge => "answer-too-large",
+            Self::AnswerMalformed => "answer-malformed",
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
