Add membership, spread of facts, rendezvous and the daemons' clients

Cause: the processes need to agree on who is up, what is accepted and which keeper holds a pool's slots without any coordination service.

Change: library parts `membership` (probes, indirect probes, incarnations, news on probes), `spread` (facts ordered by numbers that only grow) and `rendezvous`; daemon edges for the platform, other processes and time.

Ruled out: one order for all marks of an endpoint. A list entry of a lower epoch could then overrule an operator's drain, so each source orders its own marks and any of them can stop work.

Measured: nothing yet; the examples pass.

--- /dev/null
+++ b/crates/cornelpoint-daemon/src/control/control_client.rs
@@ -0,0 +1,116 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use ureq::Agent;
+
+use super::control_error::ControlError;
+
+/// Largest answer that is read, in bytes.
+const ANSWER_LIMIT_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Client of other processes' control interfaces.
+#[derive(Clone, Debug)]
+pub struct ControlClient {
+    agent: Agent,
+}
+
+impl ControlClient {
+    /// Makes a client whose every call ends within the timeout.
+    #[must_use]
+    pub fn new(timeout: Duration) -> Self {
+        let agent = Agent::config_builder()
+            .timeout_global(Some(timeout))
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .build()
+            .new_agent();
+        Self { agent }
+    }
+
+    /// Sends a message and reads the answer.
+    ///
+    /// # Errors
+    ///
+    /// When the process does not answer in time, refuses, or answers what
+    /// cannot be read.
+    pub fn call<Q: Serialize + ?Sized, A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        question: &Q,
+    ) -> Result<A, ControlError> {
+        let body = rmp_serde::to_vec_named(question).map_err(malformed)?;
+        let answer = self.send(&format!("http://{address}{path}"), &body)?;
+        rmp_serde::from_slice(&answer).map_err(malformed)
+    }
+
+    /// Sends an operator's action as JSON and reads the answer.
+    ///
+    /// # Errors
+    ///
+    /// As for `call`.
+    pub fn call_json<Q: Serialize + ?Sized, A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        question: &Q,
+    ) -> Result<A, ControlError> {
+        let body = serde_json::to_vec(question).map_err(malformed)?;
+        let answer = self.send(&format!("http://{address}{path}"), &body)?;
+        serde_json::from_slice(&answer).map_err(malformed)
+    }
+
+    /// Reads a JSON page, for example `/dump`.
+    ///
+    /// # Errors
+    ///
+    /// As for `call`.
+    pub fn get_json<A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<A, ControlError> {
+        let answer = self
+            .agent
+            .get(format!("http://{address}{path}"))
+            .call()
+            .map_err(not_reached)?;
+        serde_json::from_slice(&read(answer)?).map_err(malformed)
+    }
+
+    fn send(&self, url: &str, body: &[u8]) -> Result<Vec<u8>, ControlError> {
+        let answer = self.agent.post(url).send(body).map_err(not_reached)?;
+        read(answer)
+    }
+}
+
+fn read(mut answer: ureq::http::Response<ureq::Body>) -> Result<Vec<u8>, ControlError> {
+    let status = answer.status();
+    let body = answer
+        .body_mut()
+        .with_config()
+        .limit(ANSWER_LIMIT_BYTES)
+        .read_to_vec()
+        .map_err(not_reached)?;
+    if status.is_success() {
+        return Ok(body);
+    }
+    Err(ControlError::Refused {
+        status: status.as_u16(),
+        found: String::from_utf8_lossy(&body).into_owned(),
+    })
+}
+
+fn malformed(error: impl std::error::Error) -> ControlError {
+    ControlError::Malformed {
+        found: error.to_string(),
+    }
+}
+
+fn not_reached(error: impl std::error::Error) -> ControlError {
+    ControlError::NotReached {
+        found: error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/control/mod.rs
@@ -0,0 +1,18 @@
+//! HTTP between the system's own processes and towards operators.
+//!
+//! Messages between processes are `MessagePack` with named fields; operators
+//! and dumps get JSON.
+
+mod control_client;
+mod control_error;
+mod control_server;
+mod reply;
+
+pub use self::control_client::ControlClient;
+pub use self::control_error::ControlError;
+pub use self::control_server::ControlServer;
+pub use self::reply::json_body;
+pub use self::reply::json_reply;
+pub use self::reply::packed_body;
+pub use self::reply::packed_reply;
+pub use self::reply::text_reply;
--- a/crates/cornelpoint-daemon/src/lib.rs
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -1,1 +1,8 @@
 //! The edges of the daemons: settings, HTTP, threads, logs and metrics.
+//!
+//! The policy stands in the `cornelpoint` library; here it is carried to
+//! sockets and clocks.
+
+pub mod clock;
+pub mod control;
+pub mod platform_client;
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/platform_client/client.rs
@@ -0,0 +1,174 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cornelpoint::platform::InstanceList;
+use cornelpoint::platform::Key;
+use cornelpoint::platform::Row;
+use cornelpoint::platform::Scan;
+use cornelpoint::platform::Transaction;
+use cornelpoint::platform::TransactionOutcome;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use ureq::Agent;
+
+use super::platform_error::PlatformError;
+
+/// Largest answer that is read, in bytes.
+const ANSWER_LIMIT_BYTES: u64 = 64 * 1024 * 1024;
+/// Lowest status of a server's error.
+const SERVER_ERROR: u16 = 500;
+/// Status of a missing object.
+const NOT_FOUND: u16 = 404;
+
+/// A connection to the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformClient {
+    agent: Agent,
+    base: String,
+}
+
+impl PlatformClient {
+    /// Makes a client whose every call ends within the timeout.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use cornelpoint_daemon::platform_client::PlatformClient;
+    ///
+    /// let client = PlatformClient::new(([127, 0, 0, 1], 9).into(), Duration::from_millis(200));
+    /// assert!(client.instances().is_err());
+    /// ```
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        let agent = Agent::config_builder()
+            .timeout_global(Some(timeout))
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .build()
+            .new_agent();
+        Self {
+            agent,
+            base: format!("http://{address}"),
+        }
+    }
+
+    /// Makes a transaction. After an error that may have taken effect, read
+    /// the rows back to learn what became of it.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the transaction may have taken effect.
+    pub fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome, PlatformError> {
+        self.post("/table/transact", transaction)
+    }
+
+    /// Reads rows; those that do not exist are left out.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not answer.
+    pub fn read(&self, keys: &[Key]) -> Result<Vec<Row>, PlatformError> {
+        self.post("/table/read", keys)
+    }
+
+    /// Reads the rows of a table whose names start with a prefix.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not answer.
+    pub fn scan(&self, scan: &Scan) -> Result<Vec<Row>, PlatformError> {
+        self.post("/table/scan", scan)
+    }
+
+    /// Reads the list of instances, which may lag.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not answer.
+    pub fn instances(&self) -> Result<InstanceList, PlatformError> {
+        let url = format!("{}/instances", self.base);
+        let answer = self.agent.get(&url).call().map_err(classify)?;
+        decode(&read_body(answer)?)
+    }
+
+    /// Stores an object under a name.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the object may have been stored.
+    pub fn put_object(&self, name: &str, content: &[u8]) -> Result<(), PlatformError> {
+        let url = format!("{}/objects/{name}", self.base);
+        let answer = self.agent.put(&url).send(content).map_err(classify)?;
+        read_body(answer).map(drop)
+    }
+
+    /// Reads an object; `None` when there is none of that name.
+    ///
+    /// # Errors
+    ///
+    /// When the platform does not answer.
+    pub fn get_object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        let url = format!("{}/objects/{name}", self.base);
+        let answer = self.agent.get(&url).call().map_err(classify)?;
+        match read_body(answer) {
+            Ok(content) => Ok(Some(content)),
+            Err(PlatformError::Refused { status: NOT_FOUND }) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn post<Q: Serialize + ?Sized, A: DeserializeOwned>(
+        &self,
+        path: &str,
+        question: &Q,
+    ) -> Result<A, PlatformError> {
+        let url = format!("{}{path}", self.base);
+        let body =
+            rmp_serde::to_vec_named(question).map_err(|error| PlatformError::NotReached {
+                found: error.to_string(),
+            })?;
+        let answer = self.agent.post(&url).send(&body[..]).map_err(classify)?;
+        decode(&read_body(answer)?)
+    }
+}
+
+/// A server's error may come after the effect; other statuses come before.
+fn read_body(mut answer: ureq::http::Response<ureq::Body>) -> Result<Vec<u8>, PlatformError> {
+    let status = answer.status().as_u16();
+    if status >= SERVER_ERROR {
+        return Err(PlatformError::AnswerLost {
+            found: format!("status {status}"),
+        });
+    }
+    if !answer.status().is_success() {
+        return Err(PlatformError::Refused { status });
+    }
+    answer
+        .body_mut()
+        .with_config()
+        .limit(ANSWER_LIMIT_BYTES)
+        .read_to_vec()
+        .map_err(|error| PlatformError::AnswerLost {
+            found: error.to_string(),
+        })
+}
+
+fn decode<A: DeserializeOwned>(body: &[u8]) -> Result<A, PlatformError> {
+    rmp_serde::from_slice(body).map_err(|error| PlatformError::Malformed {
+        found: error.to_string(),
+    })
+}
+
+/// Only a failure to connect is sure to come before the first byte.
+fn classify(error: ureq::Error) -> PlatformError {
+    let found = error.to_string();
+    match error {
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::Timeout(ureq::Timeout::Connect) => PlatformError::NotReached { found },
+        ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            PlatformError::NotReached { found }
+        }
+        _ => PlatformError::AnswerLost { found },
+    }
+}
--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -5,6 +5,9 @@
 //! writes a log, so each part can be embedded and tested by itself.
 
 pub mod configuration;
+pub mod membership;
 pub mod name;
 pub mod platform;
+pub mod rendezvous;
 pub mod request;
+pub mod spread;
--- /dev/null
+++ b/crates/cornelpoint/src/spread/mod.rs
@@ -0,0 +1,18 @@
+//! What keepers tell each other so that news is in force everywhere: the
+//! newest configuration, and which endpoints take no new work.
+//!
+//! Each fact is ordered by a number that only grows, so facts may arrive in
+//! any order, twice, or late, and nothing goes back.
+
+mod digest;
+mod endpoint_mark;
+mod facts;
+mod update;
+
+pub use self::digest::Digest;
+pub use self::digest::MarkVersion;
+pub use self::endpoint_mark::EndpointMark;
+pub use self::endpoint_mark::MarkCause;
+pub use self::facts::Facts;
+pub use self::update::Adoption;
+pub use self::update::Update;
