Add the request queue with early refusal

A gateway needs one queue a service: earliest deadline first, bounded in count and bytes, and refusing on arrival what cannot be done in time.

The wait is estimated from the rank among deadlines (Fenwick tree over deadline buckets) and the fading rate of requests taken out while some waited. Refusing at exactly the estimate was ruled out: when slots come over from elsewhere the rate rises, so a request is refused only when twice the learnt rate would still be too slow.

--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod configuration;
 pub mod name;
 pub mod platform;
+pub mod queue;
 pub mod request;
