--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod membership;
 pub mod name;
 pub mod platform;
+pub mod queue;
 pub mod rendezvous;
 pub mod request;
 pub mod spread;
