Add the retry rule and the retry budget

Cause: idempotent requests may be sent again, others only when they did not run, and retries must not multiply an outage's load. Change: retry::Attempts counts the tries of one request and decides; retry::RetryBudget bounds retries to a share of first tries over two seconds. A try that did not run costs no budget but counts towards six tries in all; at most three sends of one request may run. A whole failed answer is kept, so that a later failed retry still passes it on.

--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod name;
 pub mod platform;
 pub mod request;
+pub mod retry;
--- /dev/null
+++ b/crates/cornelpoint/src/retry/mod.rs
@@ -0,0 +1,12 @@
+//! When a request is sent again: the rule for one request and the budget that
+//! all requests of a service share.
+
+mod attempts;
+mod budget;
+mod decision;
+mod send_result;
+
+pub use self::attempts::Attempts;
+pub use self::budget::RetryBudget;
+pub use self::decision::Decision;
+pub use self::send_result::SendResult;
