--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod rendezvous;
 pub mod request;
 pub mod spread;
+pub mod retry;
