--- /dev/null
+++ b/crates/cornelpoint-daemon/src/keeper/command.rs
@@ -0,0 +1,73 @@
+use std::net::SocketAddr;
+use std::sync::mpsc::SyncSender;
+
+use cornelpoint::membership::GossipMessage;
+use cornelpoint::membership::Member;
+use cornelpoint::name::InstanceId;
+use cornelpoint::platform::InstanceList;
+use cornelpoint::spread::Digest;
+use cornelpoint::spread::EndpointMark;
+use cornelpoint::spread::MarkCause;
+use cornelpoint::spread::Update;
+
+use super::keeper_dump::KeeperDump;
+use crate::message::DrainReport;
+use crate::message::EndpointSign;
+use crate::message::KeeperStatus;
+use crate::message::SlotExchange;
+use crate::message::SlotExchangeReply;
+use crate::message::View;
+use crate::message::ViewRequest;
+
+/// Answers a command; the asker waits with a bound.
+pub(super) type ReplyTo<A> = SyncSender<A>;
+
+/// What the other threads of a keeper ask of the thread that owns the state.
+#[derive(Debug)]
+pub(super) enum Command {
+    /// A datagram came.
+    Gossip(GossipMessage),
+    /// A gateway asks for news.
+    View(ViewRequest, ReplyTo<View>),
+    /// A gateway reports its slots.
+    Slots(SlotExchange, ReplyTo<SlotExchangeReply>),
+    /// Another keeper asks for news.
+    Sync(Digest, ReplyTo<Update>),
+    /// News came, from another keeper or from the platform.
+    Apply(Update),
+    /// The platform's list of instances came.
+    Listed(InstanceList),
+    /// An endpoint said whether it takes new work.
+    Sign(EndpointSign),
+    /// An operator drains or brings back an endpoint.
+    Mark(InstanceId, bool, ReplyTo<EndpointMark>),
+    /// The platform answered, or did not.
+    PlatformReachable(bool),
+    /// Asks how far a drain is; without an answer this keeper is not the holder.
+    Drained(InstanceId, ReplyTo<DrainAnswer>),
+    /// Asks for the digest.
+    Digest(ReplyTo<Digest>),
+    /// Asks for the present members, the own first.
+    Members(ReplyTo<Vec<Member>>),
+    /// Asks for the marks of one source.
+    Marks(MarkCause, ReplyTo<Vec<EndpointMark>>),
+    /// Asks for the status.
+    Status(ReplyTo<KeeperStatus>),
+    /// Asks for all that is known.
+    Dump(ReplyTo<Box<KeeperDump>>),
+    /// Leaves the membership; no slots are lent after it.
+    Leave(ReplyTo<()>),
+    /// Ends the thread.
+    End,
+}
+
+/// How far a drain is, or who knows.
+#[derive(Clone, Debug)]
+pub(super) enum DrainAnswer {
+    /// This keeper holds the endpoint's slots.
+    Report(DrainReport),
+    /// The keeper at this address holds them.
+    Ask(SocketAddr),
+    /// No configuration names the endpoint, or its zone has no keeper.
+    Unknown,
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/keeper/mod.rs
@@ -0,0 +1,23 @@
+//! The keeper: membership, spread of facts, slots of its zone's endpoints, and
+//! the operators' interface.
+//!
+//! One thread owns the state; every other thread does one duty and talks to
+//! it through a bounded ring.
+
+mod command;
+mod core;
+mod core_handle;
+mod gossip;
+mod keeper_dump;
+mod keeper_error;
+mod operator;
+mod peer_sync;
+mod platform_watch;
+mod routes;
+mod running;
+mod state;
+
+pub use self::keeper_dump::HolderEntry;
+pub use self::keeper_dump::KeeperDump;
+pub use self::keeper_error::KeeperError;
+pub use self::running::Keeper;
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/keeper/peer_sync.rs
@@ -0,0 +1,75 @@
+use std::net::SocketAddr;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::time::Duration;
+
+use cornelpoint::membership::Member;
+use cornelpoint::name::InstanceId;
+use cornelpoint::spread::Update;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+
+use super::command::Command;
+use super::core_handle::CoreHandle;
+use super::state::peer_addresses;
+use crate::control::ControlClient;
+
+/// Most peers that one piece of news is pushed to.
+const PUSH_FANOUT: usize = 8;
+
+/// Pushes news to peers as it comes, and asks one peer for news in between.
+#[derive(Debug)]
+pub(super) struct PeerSync {
+    pub(super) core: CoreHandle,
+    pub(super) own: InstanceId,
+    pub(super) client: ControlClient,
+    pub(super) news: Receiver<Update>,
+    pub(super) interval: Duration,
+    pub(super) generator: ChaCha8Rng,
+}
+
+impl PeerSync {
+    /// Runs until the thread that owns the state ends.
+    pub(super) fn run(mut self) {
+        loop {
+            match self.news.recv_timeout(self.interval) {
+                Ok(update) => self.push(&update),
+                Err(RecvTimeoutError::Timeout) => self.pull(),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn peers(&self) -> Vec<SocketAddr> {
+        let members: Vec<Member> = self.core.ask(Command::Members).unwrap_or_default();
+        peer_addresses(&members, &self.own)
+    }
+
+    fn push(&mut self, update: &Update) {
+        let peers = self.peers();
+        let chosen: Vec<SocketAddr> = peers
+            .sample(&mut self.generator, PUSH_FANOUT)
+            .copied()
+            .collect();
+        for peer in chosen {
+            // A peer that misses the push asks for it later.
+            let _ = self.client.call::<_, ()>(peer, "/peer/push", update);
+        }
+    }
+
+    fn pull(&mut self) {
+        let peers = self.peers();
+        let Some(&peer) = peers.choose(&mut self.generator) else {
+            return;
+        };
+        let Some(digest) = self.core.ask(Command::Digest) else {
+            return;
+        };
+        if let Ok(update) = self
+            .client
+            .call::<_, Update>(peer, "/peer/sync", &digest)
+        {
+            self.core.tell(Command::Apply(update));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/keeper/state.rs
@@ -0,0 +1,413 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cornelpoint::configuration::Configuration;
+use cornelpoint::configuration::Generation;
+use cornelpoint::configuration::Pool;
+use cornelpoint::membership::GossipMessage;
+use cornelpoint::membership::Member;
+use cornelpoint::membership::Membership;
+use cornelpoint::membership::OutgoingGossip;
+use cornelpoint::name::AvailabilityZone;
+use cornelpoint::name::InstanceId;
+use cornelpoint::name::PoolName;
+use cornelpoint::platform::InstanceList;
+use cornelpoint::platform::InstanceState;
+use cornelpoint::rendezvous::slot_holder;
+use cornelpoint::slots::Holder;
+use cornelpoint::slots::HolderEndpoint;
+use cornelpoint::slots::HolderSettings;
+use cornelpoint::slots::SlotRequest;
+use cornelpoint::spread::Adoption;
+use cornelpoint::spread::Digest;
+use cornelpoint::spread::EndpointMark;
+use cornelpoint::spread::Facts;
+use cornelpoint::spread::MarkCause;
+use cornelpoint::spread::Update;
+
+use super::command::DrainAnswer;
+use super::keeper_dump::HolderEntry;
+use super::keeper_dump::KeeperDump;
+use crate::message::DrainReport;
+use crate::message::EndpointSign;
+use crate::message::GatewayStatus;
+use crate::message::KeeperStatus;
+use crate::message::SlotAnswer;
+use crate::message::SlotExchange;
+use crate::message::SlotExchangeReply;
+use crate::message::View;
+use crate::message::ViewRequest;
+
+/// Longest deadline assumed while no configuration is known, in milliseconds.
+const DEFAULT_MAX_DEADLINE_MS: u64 = 30_000;
+/// Time after which a silent gateway is no longer shown, in milliseconds.
+const GATEWAY_RETENTION_MS: u64 = 60_000;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct HolderKey {
+    pool: PoolName,
+    availability_zone: AvailabilityZone,
+}
+
+#[derive(Clone, Debug)]
+struct GatewayReport {
+    applied: Generation,
+    seen_ms: u64,
+}
+
+/// The state of a keeper, without threads or sockets.
+#[derive(Debug)]
+pub(super) struct State {
+    membership: Membership,
+    facts: Facts,
+    holders: BTreeMap<HolderKey, Holder>,
+    gateways: BTreeMap<InstanceId, GatewayReport>,
+    slot_lease_ms: u64,
+    platform_reachable: bool,
+    leaving: bool,
+    pauses: u64,
+}
+
+impl State {
+    pub(super) fn new(membership: Membership, slot_lease_ms: u64) -> Self {
+        Self {
+            membership,
+            facts: Facts::default(),
+            holders: BTreeMap::new(),
+            gateways: BTreeMap::new(),
+            slot_lease_ms,
+            platform_reachable: false,
+            leaving: false,
+            pauses: 0,
+        }
+    }
+
+    // Queries.
+
+    pub(super) fn facts(&self) -> &Facts {
+        &self.facts
+    }
+
+    pub(super) fn newer_than(&self, digest: &Digest) -> Update {
+        self.facts.newer_than(digest)
+    }
+
+    pub(super) fn present_members(&self) -> Vec<Member> {
+        self.membership.present().cloned().collect()
+    }
+
+    pub(super) fn marks_of(&self, cause: MarkCause) -> Vec<EndpointMark> {
+        self.facts
+            .marks()
+            .filter(|mark| mark.cause == cause)
+            .cloned()
+            .collect()
+    }
+
+    pub(super) fn status(&self, now_ms: u64) -> KeeperStatus {
+        let own = self.membership.own();
+        KeeperStatus {
+            instance: own.instance.clone(),
+            availability_zone: own.availability_zone.clone(),
+            generation: self.facts.generation(),
+            platform_reachable: self.platform_reachable,
+            gateways: self.gateway_statuses(now_ms),
+            members: self.membership.members().cloned().collect(),
+            marks: self.facts.marks().cloned().collect(),
+        }
+    }
+
+    pub(super) fn dump(&self, now_ms: u64) -> KeeperDump {
+        KeeperDump {
+            instance: self.membership.own().instance.clone(),
+            now_ms,
+            platform_reachable: self.platform_reachable,
+            pauses: self.pauses,
+            configuration: self.facts.configuration().cloned(),
+            members: self.membership.members().cloned().collect(),
+            marks: self.facts.marks().cloned().collect(),
+            gateways: self.gateway_statuses(now_ms),
+            holders: self.holder_entries(now_ms),
+        }
+    }
+
+    pub(super) fn drained(&self, instance: &InstanceId, now_ms: u64) -> DrainAnswer {
+        let Some((pool, availability_zone)) = self.place_of(instance) else {
+            return DrainAnswer::Unknown;
+        };
+        let Some(member) = self.holder_member(&pool, &availability_zone) else {
+            return DrainAnswer::Unknown;
+        };
+        if member.instance != self.membership.own().instance {
+            return DrainAnswer::Ask(member.keeper_address);
+        }
+        let key = HolderKey {
+            pool,
+            availability_zone,
+        };
+        let accepts_work = self.facts.accepts_work(instance);
+        let idle = self
+            .holders
+            .get(&key)
+            .is_some_and(|holder| holder.is_drained(instance, now_ms));
+        DrainAnswer::Report(DrainReport {
+            instance: instance.clone(),
+            accepts_work,
+            drained: !accepts_work && idle,
+        })
+    }
+
+    // Commands.
+
+    /// Notices a pause of the process: what was lent before it is no longer
+    /// known to be so.
+    pub(super) fn wake(&mut self, now_ms: u64) {
+        if self.membership.was_paused(now_ms) {
+            self.pauses += 1;
+            self.holders.clear();
+        }
+    }
+
+    pub(super) fn tick(&mut self, now_ms: u64) -> Vec<OutgoingGossip> {
+        self.gateways
+            .retain(|_, report| now_ms.saturating_sub(report.seen_ms) < GATEWAY_RETENTION_MS);
+        if self.leaving {
+            return Vec::new();
+        }
+        self.membership.tick(now_ms)
+    }
+
+    pub(super) fn gossip(&mut self, message: GossipMessage, now_ms: u64) -> Vec<OutgoingGossip> {
+        if self.leaving {
+            return Vec::new();
+        }
+        self.membership.receive(message, now_ms)
+    }
+
+    pub(super) fn leave(&mut self) -> Vec<OutgoingGossip> {
+        self.leaving = true;
+        self.holders.clear();
+        self.membership.leave()
+    }
+
+    pub(super) fn set_platform_reachable(&mut self, reachable: bool) {
+        self.platform_reachable = reachable;
+    }
+
+    pub(super) fn apply(&mut self, update: Update, now_ms: u64) -> Adoption {
+        let adoption = self.facts.apply(update);
+        if !adoption.is_empty() {
+            self.refresh_holders(now_ms);
+        }
+        adoption
+    }
+
+    pub(super) fn listed(&mut self, list: InstanceList, now_ms: u64) -> Adoption {
+        let marks = list
+            .instances
+            .into_iter()
+            .filter(|listed| listed.keeper_address.is_none())
+            .map(|listed| EndpointMark {
+                instance: listed.instance,
+                epoch: listed.epoch,
+                accepts_work: listed.state == InstanceState::Live,
+                cause: MarkCause::InstanceList,
+            })
+            .collect();
+        self.apply(
+            Update {
+                configuration: None,
+                marks,
+            },
+            now_ms,
+        )
+    }
+
+    pub(super) fn sign(&mut self, sign: EndpointSign, now_ms: u64) -> Adoption {
+        let known = self.facts.mark(&sign.instance, MarkCause::Endpoint);
+        let accepts_now = known.is_none_or(|mark| mark.accepts_work);
+        if accepts_now == sign.accepts_work {
+            return Adoption::default();
+        }
+        self.mark(sign.instance, sign.accepts_work, MarkCause::Endpoint, now_ms)
+    }
+
+    pub(super) fn mark(
+        &mut self,
+        instance: InstanceId,
+        accepts_work: bool,
+        cause: MarkCause,
+        now_ms: u64,
+    ) -> Adoption {
+        let mark = EndpointMark {
+            epoch: self.facts.next_epoch(&instance, cause),
+            instance,
+            accepts_work,
+            cause,
+        };
+        self.apply(
+            Update {
+                configuration: None,
+                marks: vec![mark],
+            },
+            now_ms,
+        )
+    }
+
+    pub(super) fn view(&mut self, request: ViewRequest, now_ms: u64) -> View {
+        let update = self.facts.newer_than(&request.digest);
+        self.gateways.insert(
+            request.gateway,
+            GatewayReport {
+                applied: request.applied,
+                seen_ms: now_ms,
+            },
+        );
+        let members_version = self.membership.version();
+        let changed = request.members_version != Some(members_version);
+        View {
+            update,
+            members_version,
+            members: changed.then(|| self.present_members()),
+        }
+    }
+
+    pub(super) fn slots(&mut self, exchange: SlotExchange, now_ms: u64) -> SlotExchangeReply {
+        let answers = exchange
+            .requests
+            .iter()
+            .map(|request| self.slot_answer(request, now_ms))
+            .collect();
+        SlotExchangeReply { answers }
+    }
+
+    fn slot_answer(&mut self, request: &SlotRequest, now_ms: u64) -> SlotAnswer {
+        let holder = self
+            .holder_member(&request.pool, &request.availability_zone)
+            .map(|member| member.instance.clone());
+        if self.leaving || holder.as_ref() != Some(&self.membership.own().instance) {
+            return SlotAnswer::NotHolder { holder };
+        }
+        let key = HolderKey {
+            pool: request.pool.clone(),
+            availability_zone: request.availability_zone.clone(),
+        };
+        if !self.holders.contains_key(&key) {
+            let holder = self.new_holder(&key, now_ms);
+            self.holders.insert(key.clone(), holder);
+        }
+        match self.holders.get_mut(&key) {
+            Some(holder) => SlotAnswer::Lent(holder.exchange(request, now_ms)),
+            None => SlotAnswer::NotHolder { holder: None },
+        }
+    }
+
+    fn new_holder(&self, key: &HolderKey, now_ms: u64) -> Holder {
+        let settings = HolderSettings {
+            lease_ms: self.slot_lease_ms,
+            max_deadline_ms: self.max_deadline_ms(&key.pool),
+            ..HolderSettings::default()
+        };
+        let mut holder = Holder::new(settings, now_ms);
+        holder.set_endpoints(&self.holder_endpoints(key), now_ms);
+        holder
+    }
+
+    fn refresh_holders(&mut self, now_ms: u64) {
+        let keys: Vec<HolderKey> = self.holders.keys().cloned().collect();
+        for key in keys {
+            let endpoints = self.holder_endpoints(&key);
+            if let Some(holder) = self.holders.get_mut(&key) {
+                holder.set_endpoints(&endpoints, now_ms);
+            }
+        }
+    }
+
+    fn holder_endpoints(&self, key: &HolderKey) -> Vec<HolderEndpoint> {
+        self.pool(&key.pool)
+            .into_iter()
+            .flat_map(|pool| &pool.endpoints)
+            .filter(|endpoint| endpoint.availability_zone == key.availability_zone)
+            .map(|endpoint| HolderEndpoint {
+                instance: endpoint.instance.clone(),
+                slots: endpoint.slots,
+                accepts_work: self.facts.accepts_work(&endpoint.instance),
+            })
+            .collect()
+    }
+
+    fn max_deadline_ms(&self, pool: &PoolName) -> u64 {
+        self.facts
+            .configuration()
+            .into_iter()
+            .flat_map(|configuration| &configuration.services)
+            .filter(|service| &service.pool == pool)
+            .map(|service| service.max_deadline_ms)
+            .max()
+            .unwrap_or(DEFAULT_MAX_DEADLINE_MS)
+    }
+
+    fn pool(&self, name: &PoolName) -> Option<&Pool> {
+        let configuration: &Configuration = self.facts.configuration()?;
+        configuration.pools.iter().find(|pool| &pool.name == name)
+    }
+
+    fn place_of(&self, instance: &InstanceId) -> Option<(PoolName, AvailabilityZone)> {
+        let configuration = self.facts.configuration()?;
+        configuration.pools.iter().find_map(|pool| {
+            pool.endpoints
+                .iter()
+                .find(|endpoint| &endpoint.instance == instance)
+                .map(|endpoint| (pool.name.clone(), endpoint.availability_zone.clone()))
+        })
+    }
+
+    fn holder_member(
+        &self,
+        pool: &PoolName,
+        availability_zone: &AvailabilityZone,
+    ) -> Option<&Member> {
+        let candidates: Vec<&Member> = self
+            .membership
+            .present()
+            .filter(|member| &member.availability_zone == availability_zone)
+            .collect();
+        let instances = candidates.iter().map(|member| &member.instance);
+        let chosen = slot_holder(pool, availability_zone, instances)?;
+        candidates
+            .iter()
+            .copied()
+            .find(|member| &member.instance == chosen)
+    }
+
+    fn gateway_statuses(&self, now_ms: u64) -> Vec<GatewayStatus> {
+        self.gateways
+            .iter()
+            .map(|(instance, report)| GatewayStatus {
+                instance: instance.clone(),
+                applied: report.applied,
+                seen_ms_ago: now_ms.saturating_sub(report.seen_ms),
+            })
+            .collect()
+    }
+
+    fn holder_entries(&self, now_ms: u64) -> Vec<HolderEntry> {
+        self.holders
+            .iter()
+            .map(|(key, holder)| HolderEntry {
+                pool: key.pool.clone(),
+                availability_zone: key.availability_zone.clone(),
+                holder: holder.dump(now_ms),
+            })
+            .collect()
+    }
+}
+
+/// Addresses that news is pushed to: every present member but the own.
+pub(super) fn peer_addresses(members: &[Member], own: &InstanceId) -> Vec<SocketAddr> {
+    members
+        .iter()
+        .filter(|member| &member.instance != own)
+        .map(|member| member.keeper_address)
+        .collect()
+}
--- a/crates/cornelpoint/src/dispatch/mod.rs
+++ b/crates/cornelpoint/src/dispatch/mod.rs
@@ -23,6 +23,7 @@
 pub use self::dispatcher_dump::DispatcherDump;
 pub use self::dispatcher_dump::LaneDump;
 pub use self::dispatcher_dump::RouteDump;
+pub use self::dispatcher_dump::ZoneDump;
 pub use self::exchange::Exchange;
 pub use self::exchange::ExchangeResult;
 pub use self::new_request::NewRequest;
--- a/crates/cornelpoint/src/spread/facts.rs
+++ b/crates/cornelpoint/src/spread/facts.rs
@@ -84,6 +84,17 @@
         })
     }
 
+    /// Order of an endpoint's states over all sources: it grows with every
+    /// mark that can bring the endpoint back.
+    #[must_use]
+    pub fn work_epoch(&self, instance: &InstanceId) -> u64 {
+        CAUSES
+            .iter()
+            .filter_map(|&cause| self.mark(instance, cause))
+            .map(|mark| mark.epoch)
+            .sum()
+    }
+
     /// The epoch that a source's next mark of an endpoint gets.
     #[must_use]
     pub fn next_epoch(&self, instance: &InstanceId, cause: MarkCause) -> u64 {
