Lend slots of endpoints to gateways under short leases

Many gateways share endpoints that run a fixed number of requests, and any gateway or holder may be lost at any time.

A holder for each pool and zone lends slots; reports and answers state absolute limits, so that a lost, repeated or late message is repaired by the next. A lapsed slot is free only after the longest deadline too, and a newer incarnation does not shorten that: the older one may be frozen, not gone. A new holder lends only what it saw given back until one lease has passed. Shares follow demand (requests running and waiting).

Ruled out: taking slots back on the holder's word alone (the answer may be lost); freeing on a new incarnation at once.

--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod platform;
 pub mod queue;
 pub mod request;
+pub mod slots;
--- /dev/null
+++ b/crates/cornelpoint/src/slots/account.rs
@@ -0,0 +1,81 @@
+//! What a holder has lent to one incarnation of one gateway.
+
+use std::collections::BTreeMap;
+
+use crate::name::InstanceId;
+
+use super::slot_request::HeldSlots;
+use super::slot_request::SlotRequest;
+
+/// Slots of one gateway at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Holding {
+    /// Most requests that the gateway may be running there.
+    pub(super) count: u32,
+    /// Requests that ran there at its last report.
+    pub(super) in_use: u32,
+}
+
+/// The account of one incarnation of one gateway.
+#[derive(Clone, Debug)]
+pub(super) struct Account {
+    pub(super) sequence: u64,
+    pub(super) lease_end_ms: u64,
+    pub(super) queued: u32,
+    pub(super) holdings: BTreeMap<InstanceId, Holding>,
+}
+
+impl Account {
+    /// An account from a gateway's report, under a lease that ends at
+    /// `lease_end_ms`.
+    pub(super) fn from_report(request: &SlotRequest, lease_end_ms: u64) -> Self {
+        let holdings = request
+            .held
+            .iter()
+            .map(|held| (held.endpoint.clone(), holding(held)))
+            .collect();
+        Self {
+            sequence: request.sequence,
+            lease_end_ms,
+            queued: request.queued,
+            holdings,
+        }
+    }
+
+    /// Slots lent in all.
+    pub(super) fn held(&self) -> u32 {
+        self.holdings.values().map(|holding| holding.count).sum()
+    }
+
+    /// Slots that the gateway could fill now.
+    pub(super) fn demand(&self) -> u32 {
+        let in_use: u32 = self.holdings.values().map(|holding| holding.in_use).sum();
+        in_use.saturating_add(self.queued)
+    }
+
+    /// Slots lent at one endpoint.
+    pub(super) fn count_at(&self, endpoint: &InstanceId) -> u32 {
+        self.holdings
+            .get(endpoint)
+            .map_or(0, |holding| holding.count)
+    }
+
+    /// The holdings as a message states them.
+    pub(super) fn held_slots(&self) -> Vec<HeldSlots> {
+        self.holdings
+            .iter()
+            .map(|(endpoint, holding)| HeldSlots {
+                endpoint: endpoint.clone(),
+                count: holding.count,
+                in_use: holding.in_use,
+            })
+            .collect()
+    }
+}
+
+fn holding(held: &HeldSlots) -> Holding {
+    Holding {
+        count: held.count.max(held.in_use),
+        in_use: held.in_use,
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/slots/ledger.rs
@@ -0,0 +1,78 @@
+//! All accounts of one holder, with the sum lent at each endpoint.
+
+use std::collections::BTreeMap;
+
+use crate::name::InstanceId;
+
+use super::account::Account;
+
+/// Gateway and incarnation.
+pub(super) type AccountKey = (InstanceId, u64);
+
+/// The accounts, and what they add up to.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Ledger {
+    accounts: BTreeMap<AccountKey, Account>,
+    lent: BTreeMap<InstanceId, u32>,
+}
+
+impl Ledger {
+    /// Puts an account in place of the one before.
+    pub(super) fn replace(&mut self, key: AccountKey, account: Account) {
+        self.remove(&key);
+        for (endpoint, holding) in &account.holdings {
+            *self.lent.entry(endpoint.clone()).or_default() += holding.count;
+        }
+        self.accounts.insert(key, account);
+    }
+
+    /// Removes the accounts whose lease ended at or before a time.
+    pub(super) fn remove_ended(&mut self, lease_end_ms: u64) {
+        let ended: Vec<AccountKey> = self
+            .accounts
+            .iter()
+            .filter(|(_, account)| account.lease_end_ms <= lease_end_ms)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in &ended {
+            self.remove(key);
+        }
+    }
+
+    /// The newest incarnation of a gateway with an account.
+    pub(super) fn newest(&self, gateway: &InstanceId) -> Option<(u64, &Account)> {
+        self.accounts
+            .range((gateway.clone(), 0)..=(gateway.clone(), u64::MAX))
+            .next_back()
+            .map(|((_, incarnation), account)| (*incarnation, account))
+    }
+
+    /// Slots lent at an endpoint.
+    pub(super) fn lent(&self, endpoint: &InstanceId) -> u32 {
+        self.lent.get(endpoint).copied().unwrap_or(0)
+    }
+
+    /// All accounts, in the order of gateway and incarnation.
+    pub(super) fn accounts(&self) -> impl Iterator<Item = (&AccountKey, &Account)> {
+        self.accounts.iter()
+    }
+
+    fn remove(&mut self, key: &AccountKey) {
+        let Some(account) = self.accounts.remove(key) else {
+            return;
+        };
+        for (endpoint, holding) in &account.holdings {
+            self.subtract(endpoint, holding.count);
+        }
+    }
+
+    fn subtract(&mut self, endpoint: &InstanceId, count: u32) {
+        let Some(lent) = self.lent.get_mut(endpoint) else {
+            return;
+        };
+        *lent -= count;
+        if *lent == 0 {
+            self.lent.remove(endpoint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/slots/slot_use.rs
@@ -0,0 +1,13 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::name::InstanceId;
+
+/// The right to run one request at an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotUse {
+    /// The endpoint.
+    pub endpoint: InstanceId,
+    /// Number of the use, unique at its borrower.
+    pub id: u64,
+}
