--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod request;
 pub mod spread;
 pub mod retry;
+pub mod slots;
