Add ejection of bad endpoints by outcome

Cause: an endpoint that fails fast is the least loaded and draws all traffic; one that hangs holds requests until their deadlines. Change: ejection::EndpointHealth judges the latest 16 outcomes and the running requests of each endpoint against the pool's typical latency; ejects within limits for pool and zone; says when the service is at fault and then ejects nobody; re-admits by one trial with growing pauses; orders the signs of leaving by epoch. Ruled out: a share over five seconds for slow requests (three long ones running beside six outcomes condemned a healthy endpoint in the script); ejecting on evidence from before a service fault once it is over (it condemned endpoints that had recovered a moment later).

--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -5,6 +5,7 @@
 //! writes a log, so each part can be embedded and tested by itself.
 
 pub mod configuration;
+pub mod ejection;
 pub mod name;
 pub mod platform;
 pub mod request;
