--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod configuration;
 pub mod membership;
+pub mod ejection;
 pub mod name;
 pub mod platform;
 pub mod queue;
