Read and check templates and workspaces

Nothing could be configured yet. A document reader over the parser's tree collects every finding with file, line, column, field, what was expected and what was found. Templates have parameters and entries derived by `like`; a workspace gives the parameters and lists its endpoints. Both are checked together into a Configuration. The example files are the templates and workspaces of the two deployments, and the library can put other addresses into them.

Ruled out: serde on the parser's output, which stops at the first error.

--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -5,6 +5,11 @@
 //! writes a log, so each part can be embedded and tested by itself.
 
 pub mod configuration;
+pub mod deployment;
+pub mod document;
+pub mod finding;
 pub mod name;
 pub mod platform;
 pub mod request;
+pub mod template;
+pub mod workspace;
--- /dev/null
+++ b/crates/cornelpoint/src/template/substitution.rs
@@ -0,0 +1,96 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::parameter::Parameter;
+use crate::document::Field;
+use crate::document::Node;
+use crate::document::Value;
+use crate::finding::Findings;
+
+/// Name of the only field of a reference to a parameter.
+const REFERENCE: &str = "parameter";
+
+/// Puts values in place of references to parameters.
+pub(super) struct Substitution<'a> {
+    names: &'a [String],
+    values: BTreeMap<&'a str, &'a Node>,
+    used: BTreeSet<&'a str>,
+}
+
+impl<'a> Substitution<'a> {
+    /// A substitution of the values given; a parameter without a value takes
+    /// its default, and stays open when it has none.
+    pub(super) fn new(
+        parameters: &'a [Parameter],
+        names: &'a [String],
+        given: &'a [Field],
+    ) -> Self {
+        let defaults = parameters.iter().filter_map(|parameter| {
+            let node = parameter.default.as_ref()?;
+            Some((parameter.name.as_str(), node))
+        });
+        let mut values: BTreeMap<&str, &Node> = defaults.collect();
+        values.extend(given.iter().map(|field| (field.name.as_str(), &field.node)));
+        Self {
+            names,
+            values,
+            used: BTreeSet::new(),
+        }
+    }
+
+    /// Whether a reference named the parameter.
+    pub(super) fn is_used(&self, name: &str) -> bool {
+        self.used.contains(name)
+    }
+
+    /// The node with values in place of references.
+    ///
+    /// A value keeps the place where it was given, so that findings lead there.
+    pub(super) fn apply(&mut self, node: &Node, findings: &mut Findings) -> Node {
+        if let [field] = node.fields()
+            && field.name == REFERENCE
+        {
+            return self.resolve(node, &field.node, findings);
+        }
+        let value = match &node.value {
+            Value::Object(fields) => {
+                let fields = fields.iter().map(|field| Field {
+                    name: field.name.clone(),
+                    node: self.apply(&field.node, findings),
+                });
+                Value::Object(fields.collect())
+            }
+            Value::List(elements) => {
+                let elements = elements.iter().map(|element| self.apply(element, findings));
+                Value::List(elements.collect())
+            }
+            other => other.clone(),
+        };
+        Node {
+            value,
+            ..node.clone()
+        }
+    }
+
+    fn resolve(&mut self, node: &Node, name_node: &Node, findings: &mut Findings) -> Node {
+        let open = Node {
+            value: Value::Open,
+            ..node.clone()
+        };
+        let Value::Text(name) = &name_node.value else {
+            findings.push(name_node.finding("the name of a parameter", name_node.found()));
+            return open;
+        };
+        let names = self.names;
+        let Some(name) = names.iter().find(|known| *known == name) else {
+            let known: Vec<&str> = names.iter().map(String::as_str).collect();
+            findings.push(name_node.unknown_name("parameter", name, &known));
+            return open;
+        };
+        self.used.insert(name);
+        match self.values.get(name.as_str()) {
+            Some(value) => (*value).clone(),
+            None => open,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/workspace/check.rs
@@ -0,0 +1,207 @@
+use std::collections::BTreeMap;
+use std::fmt::Display;
+
+use super::draft::Draft;
+use super::draft_endpoint::DraftEndpoint;
+use super::fault_domain;
+use super::parameters;
+use crate::configuration::Configuration;
+use crate::configuration::Endpoint;
+use crate::configuration::Generation;
+use crate::configuration::Pool;
+use crate::document::Document;
+use crate::document::Source;
+use crate::finding::Findings;
+use crate::name::AvailabilityZone;
+use crate::template::FilledPool;
+use crate::template::FilledTemplate;
+use crate::template::Outline;
+
+/// Checks a template and a workspace together.
+///
+/// The configuration has generation 0: accepting it gives it its own.
+///
+/// # Errors
+///
+/// All findings in both files.
+///
+/// ```
+/// use cornelpoint::deployment::Deployment;
+/// use cornelpoint::workspace;
+///
+/// let deployment = Deployment::Futopalya;
+/// let configuration =
+///     workspace::check(deployment.template(), deployment.workspace()).unwrap();
+/// assert_eq!(configuration.pools.len(), 5);
+/// ```
+pub fn check(template: Source<'_>, workspace: Source<'_>) -> Result<Configuration, Findings> {
+    let mut findings = Findings::default();
+    let template = parse(template, &mut findings);
+    let workspace = parse(workspace, &mut findings);
+    let outline = template.map(|document| Outline::read(&document, &mut findings));
+    let draft = workspace.map(|document| Draft::read(&document, &mut findings));
+    let configuration = match (outline, draft) {
+        (Some(outline), Some(draft)) => check_together(&outline, &draft, &mut findings),
+        (Some(outline), None) => {
+            outline.fill(&[], &mut findings);
+            None
+        }
+        (None, _) => None,
+    };
+    findings.or_value(configuration)
+}
+
+fn parse(source: Source<'_>, findings: &mut Findings) -> Option<Document> {
+    match Document::parse(source) {
+        Ok(document) => Some(document),
+        Err(others) => {
+            findings.append(others);
+            None
+        }
+    }
+}
+
+fn check_together(
+    outline: &Outline,
+    draft: &Draft,
+    findings: &mut Findings,
+) -> Option<Configuration> {
+    let values = parameters::check(outline, draft, findings);
+    let filled = outline.fill(&values, findings);
+    check_template_name(outline, draft, findings);
+    check_endpoints(&filled, draft, findings);
+    if draft.is_whole {
+        check_empty_pools(&filled, draft, findings);
+        for service in &filled.services {
+            fault_domain::check_budget(service, &draft.endpoints, findings);
+        }
+    }
+    configuration(outline, draft, &filled)
+}
+
+fn check_template_name(outline: &Outline, draft: &Draft, findings: &mut Findings) {
+    let (Some(name), Some(named)) = (&outline.name, &draft.template) else {
+        return;
+    };
+    if name != named {
+        let place = draft.field("template");
+        findings.push(place.finding(format!("template `{name}`"), format!("`{named}`")));
+    }
+}
+
+fn check_endpoints(filled: &FilledTemplate, draft: &Draft, findings: &mut Findings) {
+    let pool_names: Vec<&str> = filled.pool_names.iter().map(String::as_str).collect();
+    for endpoint in &draft.endpoints {
+        check_known(
+            endpoint,
+            "pool",
+            endpoint.pool.as_str(),
+            &pool_names,
+            findings,
+        );
+    }
+    check_zones(draft, findings);
+    check_unique(
+        &draft.endpoints,
+        "instance",
+        |endpoint| &endpoint.instance,
+        findings,
+    );
+    check_unique(
+        &draft.endpoints,
+        "address",
+        |endpoint| &endpoint.address,
+        findings,
+    );
+    fault_domain::check_racks(&draft.endpoints, findings);
+}
+
+fn check_zones(draft: &Draft, findings: &mut Findings) {
+    let Some(zones) = &draft.availability_zones else {
+        return;
+    };
+    let names: Vec<&str> = zones.iter().map(AvailabilityZone::as_str).collect();
+    for endpoint in &draft.endpoints {
+        let zone = endpoint.availability_zone.as_str();
+        check_known(endpoint, "availability_zone", zone, &names, findings);
+    }
+}
+
+fn check_known(
+    endpoint: &DraftEndpoint,
+    field: &str,
+    name: &str,
+    known: &[&str],
+    findings: &mut Findings,
+) {
+    if !known.contains(&name) {
+        let what = field.replace('_', " ");
+        findings.push(endpoint.field(field).unknown_name(&what, name, known));
+    }
+}
+
+/// Records endpoints that share a value which each must have for itself.
+fn check_unique<'a, T: Ord + Display + 'a>(
+    endpoints: &'a [DraftEndpoint],
+    field: &str,
+    value: impl Fn(&'a DraftEndpoint) -> &'a T,
+    findings: &mut Findings,
+) {
+    let mut first_with: BTreeMap<&T, &DraftEndpoint> = BTreeMap::new();
+    for endpoint in endpoints {
+        let first = *first_with.entry(value(endpoint)).or_insert(endpoint);
+        if !std::ptr::eq(first, endpoint) {
+            findings.push(endpoint.field(field).finding(
+                format!("an {field} of its own"),
+                format!("{}, also at line {}", value(endpoint), first.node.line),
+            ));
+        }
+    }
+}
+
+fn check_empty_pools(filled: &FilledTemplate, draft: &Draft, findings: &mut Findings) {
+    let place = draft.field("endpoints");
+    for name in &filled.pool_names {
+        let mut endpoints = draft.endpoints.iter();
+        if !endpoints.any(|endpoint| endpoint.pool.as_str() == name) {
+            findings.push(place.finding(format!("an endpoint in pool {name}"), "none"));
+        }
+    }
+}
+
+fn configuration(
+    outline: &Outline,
+    draft: &Draft,
+    filled: &FilledTemplate,
+) -> Option<Configuration> {
+    let services = filled.services.iter();
+    let pools = filled.pools.iter();
+    Some(Configuration {
+        generation: Generation::default(),
+        workspace: draft.name.clone()?,
+        template: outline.name.clone()?,
+        services: services.map(|filled| filled.service.clone()).collect(),
+        pools: pools.map(|pool| with_endpoints(pool, draft)).collect(),
+        spare_pool: filled.spare_pool.clone(),
+    })
+}
+
+fn with_endpoints(pool: &FilledPool, draft: &Draft) -> Pool {
+    let endpoints = draft.endpoints.iter();
+    let in_pool = endpoints.filter(|endpoint| endpoint.pool == pool.name);
+    Pool {
+        name: pool.name.clone(),
+        endpoints: in_pool.map(|endpoint| checked(endpoint, pool)).collect(),
+    }
+}
+
+fn checked(endpoint: &DraftEndpoint, pool: &FilledPool) -> Endpoint {
+    Endpoint {
+        instance: endpoint.instance.clone(),
+        availability_zone: endpoint.availability_zone.clone(),
+        rack: endpoint.rack.clone(),
+        address: endpoint.address,
+        slots: pool.slots,
+        connections: pool.connections,
+    }
+}
