--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -5,6 +5,9 @@
 //! writes a log, so each part can be embedded and tested by itself.
 
 pub mod configuration;
+pub mod deployment;
+pub mod document;
+pub mod finding;
 pub mod membership;
 pub mod ejection;
 pub mod name;
@@ -15,3 +18,5 @@
 pub mod spread;
 pub mod retry;
 pub mod slots;
+pub mod template;
+pub mod workspace;
