Take callers' requests over a bounded HTTP/1.1 edge

Change: CallerEdge parses with httparse on the standard listener: one thread a connection up to a limit, small stacks, deadlines for head, body and idle time, a chunked decoder within the body limit, and refusals for every form that an endpoint could delimit in another way.

--- /dev/null
+++ b/crates/cornelpoint-daemon/src/caller_edge/chunked_decoder.rs
@@ -0,0 +1,148 @@
+use cornelpoint::request::Refusal;
+
+use super::rejection::Rejection;
+
+/// Longest line of a chunk's size with its extensions, or of a trailer.
+const MAX_LINE_BYTES: usize = 256;
+/// Most bytes of all trailers together.
+const MAX_TRAILER_BYTES: usize = 4 * 1024;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Size,
+    Data { left_bytes: u64 },
+    DataEnd,
+    Trailer,
+    Done,
+}
+
+/// Removes the chunked coding from a body, piece by piece, within a limit.
+#[derive(Debug)]
+pub(super) struct ChunkedDecoder {
+    state: State,
+    line: Vec<u8>,
+    body: Vec<u8>,
+    max_bytes: u64,
+    trailer_bytes: usize,
+}
+
+impl ChunkedDecoder {
+    /// A decoder for a body of at most `max_bytes` bytes.
+    pub(super) fn new(max_bytes: u64) -> Self {
+        Self {
+            state: State::Size,
+            line: Vec::new(),
+            body: Vec::new(),
+            max_bytes,
+            trailer_bytes: 0,
+        }
+    }
+
+    /// Whether the last chunk and the trailers were read.
+    pub(super) fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// The body read so far.
+    pub(super) fn into_body(self) -> Vec<u8> {
+        self.body
+    }
+
+    /// Takes bytes up to the end of the body; returns how many were taken.
+    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<usize, Rejection> {
+        let mut taken = 0;
+        while taken < bytes.len() && !self.is_done() {
+            taken += self.step(&bytes[taken..])?;
+        }
+        Ok(taken)
+    }
+
+    fn step(&mut self, bytes: &[u8]) -> Result<usize, Rejection> {
+        match self.state {
+            State::Data { left_bytes } => Ok(self.take_data(bytes, left_bytes)),
+            State::Size | State::DataEnd | State::Trailer => self.take_line(bytes),
+            State::Done => Ok(0),
+        }
+    }
+
+    fn take_data(&mut self, bytes: &[u8], left_bytes: u64) -> usize {
+        let wanted = usize::try_from(left_bytes).unwrap_or(usize::MAX);
+        let taken = wanted.min(bytes.len());
+        self.body.extend_from_slice(&bytes[..taken]);
+        let left_bytes = left_bytes - taken as u64;
+        self.state = match left_bytes {
+            0 => State::DataEnd,
+            _ => State::Data { left_bytes },
+        };
+        taken
+    }
+
+    fn take_line(&mut self, bytes: &[u8]) -> Result<usize, Rejection> {
+        let feed = bytes.iter().position(|byte| *byte == b'\n');
+        let taken = feed.map_or(bytes.len(), |at| at + 1);
+        self.line.extend_from_slice(&bytes[..taken]);
+        if self.line.len() > MAX_LINE_BYTES {
+            return refuse("expected shorter lines in the chunked body");
+        }
+        if feed.is_some() {
+            let line = std::mem::take(&mut self.line);
+            self.end_line(&line)?;
+        }
+        Ok(taken)
+    }
+
+    fn end_line(&mut self, line: &[u8]) -> Result<(), Rejection> {
+        let Some(text) = line.strip_suffix(b"\r\n") else {
+            return refuse("expected CR LF at the end of a line of the chunked body");
+        };
+        match self.state {
+            State::Size => self.start_chunk(text),
+            State::Trailer => self.take_trailer(text),
+            State::DataEnd if text.is_empty() => {
+                self.state = State::Size;
+                Ok(())
+            }
+            _ => refuse("expected the end of a chunk"),
+        }
+    }
+
+    fn start_chunk(&mut self, text: &[u8]) -> Result<(), Rejection> {
+        let size = chunk_size(text)?;
+        let total = (self.body.len() as u64).saturating_add(size);
+        if total > self.max_bytes {
+            let max_bytes = self.max_bytes;
+            let detail = format!("expected a body of at most {max_bytes} bytes, found more");
+            return Err(Rejection::new(Refusal::BodyTooLarge, &detail));
+        }
+        self.state = match size {
+            0 => State::Trailer,
+            left_bytes => State::Data { left_bytes },
+        };
+        Ok(())
+    }
+
+    fn take_trailer(&mut self, text: &[u8]) -> Result<(), Rejection> {
+        self.trailer_bytes += text.len();
+        if self.trailer_bytes > MAX_TRAILER_BYTES {
+            return refuse("expected fewer trailers after the chunked body");
+        }
+        if text.is_empty() {
+            self.state = State::Done;
+        }
+        Ok(())
+    }
+}
+
+fn refuse<T>(detail: &str) -> Result<T, Rejection> {
+    Err(Rejection::bad_request(detail))
+}
+
+fn chunk_size(text: &[u8]) -> Result<u64, Rejection> {
+    let digits = text.split(|byte| *byte == b';').next().unwrap_or_default();
+    let digits = str::from_utf8(digits).unwrap_or_default().trim_ascii_end();
+    let hexadecimal = !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
+    match u64::from_str_radix(digits, 16) {
+        Ok(size) if hexadecimal => Ok(size),
+        _ => refuse("expected a hexadecimal chunk size"),
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/caller_edge/drain.rs
@@ -0,0 +1,11 @@
+/// What a wait for the last connections came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Drain {
+    /// No connection is left.
+    Idle,
+    /// The deadline passed first.
+    Busy {
+        /// Connections that are left.
+        connections: usize,
+    },
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/caller_edge/request_head.rs
@@ -0,0 +1,36 @@
+use cornelpoint::request::Method;
+
+use super::header::Header;
+
+/// What stands before the body of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method.
+    pub method: Method,
+    /// Path with its query, as the caller sent it.
+    pub target: String,
+    /// Headers in the order in which they came.
+    pub headers: Vec<Header>,
+}
+
+impl RequestHead {
+    /// The value of the first header of this name; `name` is in lower case.
+    ///
+    /// ```
+    /// use cornelpoint::request::Method;
+    /// use cornelpoint_daemon::caller_edge::Header;
+    /// use cornelpoint_daemon::caller_edge::RequestHead;
+    ///
+    /// let head = RequestHead {
+    ///     method: Method::Get,
+    ///     target: "/quoting/1".to_owned(),
+    ///     headers: vec![Header::new("Host", "a")],
+    /// };
+    /// assert_eq!(head.header("host"), Some("a"));
+    /// ```
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|header| header.name == name)?;
+        Some(&found.value)
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/caller_edge/server.rs
@@ -0,0 +1,241 @@
+use std::fmt;
+use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::Ipv6Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use error_stack::Report;
+use error_stack::ResultExt;
+
+use super::caller_handler::CallerHandler;
+use super::connection::Connection;
+use super::connection_table::ConnectionId;
+use super::connection_table::ConnectionTable;
+use super::drain::Drain;
+use super::edge_error::EdgeError;
+use super::edge_settings::EdgeSettings;
+use super::turn_away;
+
+/// Pause after a failed accept, such as one for lack of file descriptors.
+const ACCEPT_PAUSE_MS: u64 = 10;
+/// Time for the connection that wakes the accepting thread.
+const WAKE_TIMEOUT_MS: u64 = 200;
+
+/// An HTTP/1.1 server for callers.
+///
+/// ```
+/// use std::io::Read;
+/// use std::io::Write;
+/// use std::net::TcpStream;
+/// use std::sync::Arc;
+///
+/// use cornelpoint_daemon::caller_edge::Answer;
+/// use cornelpoint_daemon::caller_edge::BodyLimit;
+/// use cornelpoint_daemon::caller_edge::CallerEdge;
+/// use cornelpoint_daemon::caller_edge::CallerHandler;
+/// use cornelpoint_daemon::caller_edge::CallerRequest;
+/// use cornelpoint_daemon::caller_edge::EdgeSettings;
+/// use cornelpoint_daemon::caller_edge::RequestHead;
+///
+/// struct Echo;
+///
+/// impl CallerHandler for Echo {
+///     fn admit(&self, _: &RequestHead) -> Result<BodyLimit, Answer> {
+///         Ok(BodyLimit { max_bytes: 100 })
+///     }
+///
+///     fn handle(&self, request: CallerRequest) -> Answer {
+///         Answer { status: 200, headers: vec![], body: request.body }
+///     }
+/// }
+///
+/// let settings = EdgeSettings::new("127.0.0.1:0".parse().unwrap());
+/// let edge = CallerEdge::start(settings, Arc::new(Echo)).unwrap();
+/// let mut stream = TcpStream::connect(edge.address()).unwrap();
+/// stream
+///     .write_all(b"POST / HTTP/1.0\r\ncontent-length: 2\r\n\r\nhi")
+///     .unwrap();
+/// let mut answer = String::new();
+/// stream.read_to_string(&mut answer).unwrap();
+/// assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"));
+/// assert!(answer.ends_with("\r\n\r\nhi"));
+/// ```
+pub struct CallerEdge {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    acceptor: Mutex<Option<JoinHandle<()>>>,
+}
+
+struct Shared {
+    settings: EdgeSettings,
+    handler: Arc<dyn CallerHandler>,
+    table: ConnectionTable,
+}
+
+impl CallerEdge {
+    /// Listens and serves; returns once the address is taken.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be taken or a thread can't be started.
+    pub fn start(
+        settings: EdgeSettings,
+        handler: Arc<dyn CallerHandler>,
+    ) -> Result<Self, Report<EdgeError>> {
+        let refused = EdgeError::Listen {
+            address: settings.listen,
+        };
+        let listener = TcpListener::bind(settings.listen).change_context(refused)?;
+        let address = listener.local_addr().change_context(refused)?;
+        let shared = Arc::new(Shared {
+            settings,
+            handler,
+            table: ConnectionTable::new(settings.max_connections),
+        });
+        let acceptor = start_threads(listener, &shared).change_context(EdgeError::Thread)?;
+        Ok(Self {
+            address,
+            shared,
+            acceptor: Mutex::new(Some(acceptor)),
+        })
+    }
+
+    /// The address that callers reach, with the port that was taken.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Number of open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.shared.table.len()
+    }
+
+    /// Takes no further connections. Those that wait for a request are closed;
+    /// those that serve one are closed after its answer. Returns once the
+    /// address is free; a repeat does nothing.
+    pub fn stop_accepting(&self) {
+        self.shared.table.stop();
+        let mut acceptor = self.acceptor.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(thread) = acceptor.take() else {
+            return;
+        };
+        let timeout = Duration::from_millis(WAKE_TIMEOUT_MS);
+        while !thread.is_finished() {
+            // The accepting thread looks at the stop after each connection.
+            let _ = TcpStream::connect_timeout(&reachable(self.address), timeout);
+            thread::sleep(Duration::from_millis(1));
+        }
+        // A panic there has been printed and leaves nothing to do.
+        let _ = thread.join();
+    }
+
+    /// Waits until the last connection is closed, after `stop_accepting`.
+    #[must_use]
+    pub fn wait_idle(&self, deadline: Instant) -> Drain {
+        self.shared.table.wait_idle(deadline)
+    }
+}
+
+impl fmt::Debug for CallerEdge {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("CallerEdge")
+            .field("address", &self.address)
+            .field("connections", &self.connections())
+            .finish_non_exhaustive()
+    }
+}
+
+/// An address that stands for all of an instance's is reached over loopback.
+fn reachable(address: SocketAddr) -> SocketAddr {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) if ip.is_unspecified() => IpAddr::V4(Ipv4Addr::LOCALHOST),
+        IpAddr::V6(ip) if ip.is_unspecified() => IpAddr::V6(Ipv6Addr::LOCALHOST),
+        ip => ip,
+    };
+    SocketAddr::new(ip, address.port())
+}
+
+fn start_threads(listener: TcpListener, shared: &Arc<Shared>) -> io::Result<JoinHandle<()>> {
+    let (sender, receiver) = sync_channel(turn_away::QUEUE_LENGTH);
+    let max_connections = shared.settings.max_connections;
+    thread::Builder::new()
+        .name("turn-away".to_owned())
+        .stack_size(shared.settings.stack_bytes)
+        .spawn(move || turn_away::run(&receiver, max_connections))?;
+    let shared = Arc::clone(shared);
+    thread::Builder::new()
+        .name("accept".to_owned())
+        .spawn(move || accept(&listener, &shared, &sender))
+}
+
+fn accept(listener: &TcpListener, shared: &Arc<Shared>, over_limit: &SyncSender<TcpStream>) {
+    while !shared.table.is_stopping() {
+        match listener.accept() {
+            Ok((stream, _)) => admit(stream, shared, over_limit),
+            Err(_) => thread::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)),
+        }
+    }
+}
+
+fn admit(stream: TcpStream, shared: &Arc<Shared>, over_limit: &SyncSender<TcpStream>) {
+    let Ok(watched) = stream.try_clone() else {
+        return;
+    };
+    if let Some(id) = shared.table.enter(watched) {
+        spawn(stream, id, shared);
+    } else if !shared.table.is_stopping() {
+        // When many are over the limit at once, the rest is closed unanswered.
+        let _ = over_limit.try_send(stream);
+    }
+}
+
+fn spawn(stream: TcpStream, id: ConnectionId, shared: &Arc<Shared>) {
+    let entry = TableEntry {
+        id,
+        shared: Arc::clone(shared),
+    };
+    let spawned = thread::Builder::new()
+        .name("caller".to_owned())
+        .stack_size(shared.settings.stack_bytes)
+        .spawn(move || entry.serve(stream));
+    // Without a thread, dropping the closure closes the connection and removes
+    // its entry.
+    drop(spawned);
+}
+
+/// Removes a connection from the table when its thread ends in any way.
+struct TableEntry {
+    id: ConnectionId,
+    shared: Arc<Shared>,
+}
+
+impl TableEntry {
+    fn serve(&self, stream: TcpStream) {
+        // Without it an answer may wait for the acknowledgement of the last.
+        let _ = stream.set_nodelay(true);
+        let shared = &self.shared;
+        let handler = shared.handler.as_ref();
+        Connection::new(stream, self.id, &shared.table, &shared.settings, handler).serve();
+    }
+}
+
+impl Drop for TableEntry {
+    fn drop(&mut self) {
+        self.shared.table.leave(self.id);
+    }
+}
