--- a/crates/cornelpoint-daemon/src/lib.rs
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -6,3 +6,5 @@
 pub mod clock;
 pub mod control;
 pub mod platform_client;
+
+pub mod caller_edge;
