--- a/crates/cornelpoint-daemon/src/keeper/state.rs
+++ b/crates/cornelpoint-daemon/src/keeper/state.rs
@@ -203,17 +203,20 @@
     }
 
     pub(super) fn listed(&mut self, list: InstanceList, now_ms: u64) -> Adoption {
-        let marks = list
-            .instances
-            .into_iter()
-            .filter(|listed| listed.keeper_address.is_none())
-            .map(|listed| EndpointMark {
+        let mut marks = Vec::new();
+        for listed in list.instances {
+            if listed.keeper_address.is_some() {
+                continue;
+            }
+            let mark = EndpointMark {
                 instance: listed.instance,
                 epoch: listed.epoch,
                 accepts_work: listed.state == InstanceState::Live,
                 cause: MarkCause::InstanceList,
-            })
-            .collect();
+            };
+            marks.extend(self.end_of_leaving(&mark));
+            marks.push(mark);
+        }
         self.apply(
             Update {
                 configuration: None,
@@ -223,6 +226,25 @@
         )
     }
 
+    /// A restart that the list shows ends what the endpoint said of itself
+    /// before it.
+    fn end_of_leaving(&self, listed: &EndpointMark) -> Option<EndpointMark> {
+        let restarted = self
+            .facts
+            .mark(&listed.instance, MarkCause::InstanceList)
+            .is_some_and(|known| listed.epoch > known.epoch);
+        let said = self.facts.mark(&listed.instance, MarkCause::Endpoint)?;
+        if !restarted || !listed.accepts_work || said.accepts_work {
+            return None;
+        }
+        Some(EndpointMark {
+            instance: listed.instance.clone(),
+            epoch: said.epoch + 1,
+            accepts_work: true,
+            cause: MarkCause::Endpoint,
+        })
+    }
+
     pub(super) fn sign(&mut self, sign: EndpointSign, now_ms: u64) -> Adoption {
         let known = self.facts.mark(&sign.instance, MarkCause::Endpoint);
         let accepts_now = known.is_none_or(|mark| mark.accepts_work);
@@ -305,8 +327,8 @@
     fn new_holder(&self, key: &HolderKey, now_ms: u64) -> Holder {
         let settings = HolderSettings {
             lease_ms: self.slot_lease_ms,
-            max_deadline_ms: self.max_deadline_ms(&key.pool),
-            ..HolderSettings::default()
+            adopt_ms: self.slot_lease_ms,
+            ..HolderSettings::for_max_deadline(self.max_deadline_ms(&key.pool))
         };
         let mut holder = Holder::new(settings, now_ms);
         holder.set_endpoints(&self.holder_endpoints(key), now_ms);
@@ -330,6 +352,7 @@
             .filter(|endpoint| endpoint.availability_zone == key.availability_zone)
             .map(|endpoint| HolderEndpoint {
                 instance: endpoint.instance.clone(),
+                epoch: self.facts.work_epoch(&endpoint.instance),
                 slots: endpoint.slots,
                 accepts_work: self.facts.accepts_work(&endpoint.instance),
             })
--- a/crates/cornelpoint/src/dispatch/dispatcher.rs
+++ b/crates/cornelpoint/src/dispatch/dispatcher.rs
@@ -135,13 +135,10 @@
                 .configure(pool, facts, &self.settings, now_ms);
         }
         for service in &configuration.services {
-            match self.lanes.get_mut(&service.name) {
-                Some(lane) => lane.update(service.clone()),
-                None => {
-                    let lane = Lane::new(service.clone());
-                    self.lanes.insert(service.name.clone(), lane);
-                }
-            }
+            self.lanes
+                .entry(service.name.clone())
+                .or_insert_with(|| Lane::new(service.clone()))
+                .update(service);
         }
         let named = |lane: &Lane| {
             configuration
@@ -409,9 +406,12 @@
         tried: &state.tried,
         may_try: state.idempotent,
     };
-    let better = match suits {
-        true => wish.may_try.then(|| route.acquire_due_trial(now_ms)).flatten(),
-        false => route.acquire(wish, now_ms),
+    let better = if !suits {
+        route.acquire(wish, now_ms)
+    } else if wish.may_try {
+        route.acquire_due_trial(now_ms)
+    } else {
+        None
     };
     match better {
         Some(better) => {
--- a/crates/cornelpoint/src/dispatch/lane.rs
+++ b/crates/cornelpoint/src/dispatch/lane.rs
@@ -30,15 +30,15 @@
 
     /// Takes a changed service in; a queue keeps its limits while it holds
     /// requests.
-    pub(super) fn update(&mut self, service: Service) {
-        if self.service == service {
+    pub(super) fn update(&mut self, service: &Service) {
+        if &self.service == service {
             return;
         }
         if self.queue.is_empty() {
-            self.queue = RequestQueue::new(limits(&service));
+            self.queue = RequestQueue::new(limits(service));
         }
         self.budget = RetryBudget::new(service.retry_percent, MIN_RETRIES_PER_S);
-        self.service = service;
+        self.service = service.clone();
     }
 
     pub(super) fn note_waiting(&mut self, now_ms: u64) {
--- a/crates/cornelpoint/src/dispatch/route.rs
+++ b/crates/cornelpoint/src/dispatch/route.rs
@@ -113,9 +113,10 @@
         self.accepting = 0;
         for instance in self.endpoints.keys() {
             let accepts = facts.accepts_work(instance);
-            let state = match accepts {
-                true => InstanceState::Live,
-                false => InstanceState::Leaving,
+            let state = if accepts {
+                InstanceState::Live
+            } else {
+                InstanceState::Leaving
             };
             self.accepting += usize::from(accepts);
             self.health
@@ -215,7 +216,11 @@
     fn add_zones(&mut self, settings: &DispatcherSettings, now_ms: u64) {
         for endpoint in self.endpoints.values() {
             let zone = &endpoint.availability_zone;
-            if self.zones.iter().any(|known| &known.availability_zone == zone) {
+            if self
+                .zones
+                .iter()
+                .any(|known| &known.availability_zone == zone)
+            {
                 continue;
             }
             let is_own = zone == &settings.availability_zone;
@@ -236,9 +241,10 @@
     pool: &PoolName,
     zone: &AvailabilityZone,
 ) -> BorrowerSettings {
-    let make = match zone == &settings.availability_zone {
-        true => BorrowerSettings::for_own_zone,
-        false => BorrowerSettings::for_other_zone,
+    let make = if zone == &settings.availability_zone {
+        BorrowerSettings::for_own_zone
+    } else {
+        BorrowerSettings::for_other_zone
     };
     make(
         settings.gateway.clone(),
--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -6,17 +6,18 @@
 
 pub mod configuration;
 pub mod deployment;
+pub mod dispatch;
 pub mod document;
+pub mod ejection;
 pub mod finding;
 pub mod membership;
-pub mod ejection;
 pub mod name;
 pub mod platform;
 pub mod queue;
 pub mod rendezvous;
 pub mod request;
-pub mod spread;
 pub mod retry;
 pub mod slots;
+pub mod spread;
 pub mod template;
 pub mod workspace;
