Add stand-ins of the platform and of an endpoint, with faults

Cause: the thin path needs a platform to talk to and endpoints to send to, and every promise about a request has to be tried under faults.

Change: a platform stand-in on rouille (transactional table whose versions grow over delete and create, objects, a lagging instance list, rate limits, faults) and an endpoint stand-in on plain TCP with httparse, so that it can misbehave down to single bytes. The endpoint runs a request only after reading it whole, records each run, and counts requests over its slots and connections over its limit.

A run ends before its answer is sent, so that a caller who reuses the slot at once is not counted as over the limit. A run whose connection closed is counted apart, as abandoned.

Ruled out: dropping the platform's connections for a lost answer, which rouille gives no hold on; a lost answer is a 504 after the commit, and a broken connection is the relay's job.

--- /dev/null
+++ b/crates/cornelpoint-standin/src/endpoint/http_request.rs
@@ -0,0 +1,47 @@
+/// A header of a request.
+#[derive(Clone, Debug)]
+pub(super) struct Header {
+    pub(super) name: String,
+    pub(super) value: String,
+}
+
+/// A request, read whole.
+#[derive(Clone, Debug)]
+pub(super) struct HttpRequest {
+    pub(super) method: String,
+    pub(super) target: String,
+    pub(super) headers: Vec<Header>,
+    pub(super) body: Vec<u8>,
+}
+
+impl HttpRequest {
+    pub(super) fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|header| header.name.eq_ignore_ascii_case(name))
+            .map(|header| header.value.as_str())
+    }
+
+    /// The target without its query.
+    pub(super) fn path(&self) -> &str {
+        self.target
+            .split_once('?')
+            .map_or(self.target.as_str(), |(path, _)| path)
+    }
+
+    /// A number in the query.
+    pub(super) fn query_number(&self, name: &str) -> Option<u64> {
+        let (_, query) = self.target.split_once('?')?;
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(found, _)| *found == name)
+            .and_then(|(_, value)| value.parse().ok())
+    }
+
+    /// Whether the caller asks for the connection to be closed.
+    pub(super) fn wants_close(&self) -> bool {
+        self.header("connection")
+            .is_some_and(|value| value.eq_ignore_ascii_case("close"))
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-standin/src/endpoint/work.rs
@@ -0,0 +1,88 @@
+use std::io::ErrorKind;
+use std::net::TcpStream;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use super::state::State;
+use crate::clock::now_ms;
+use crate::lock::lock;
+
+/// Runs shorter than this don't look whether the connection closed.
+const WATCHED_WORK_MS: u64 = 20;
+
+/// Coarseness of a read timeout.
+const READ_TIMEOUT_SLACK_MS: u64 = 8;
+
+/// Interval at which a hanging run looks for the end of its connection.
+const HANG_POLL_MS: u64 = 100;
+
+/// Whether the caller still waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Caller {
+    Waiting,
+    Gone,
+}
+
+/// Spends the service time of a run and ends the run.
+pub(super) fn run(state: &Mutex<State>, stream: &TcpStream, run_number: u64, work_ms: u64) {
+    let end_ms = now_ms() + work_ms;
+    let mut abandoned = false;
+    if work_ms >= WATCHED_WORK_MS && watch(stream, end_ms) == Caller::Gone {
+        lock(state).abandon(run_number);
+        abandoned = true;
+    }
+    sleep_until(end_ms);
+    wait_while_frozen(state);
+    lock(state).end(run_number, abandoned, now_ms());
+}
+
+/// Keeps a run going until its connection closes or the endpoint stops.
+pub(super) fn hang(state: &Mutex<State>, stream: &TcpStream, run_number: u64) {
+    while !lock(state).stopping && watch(stream, now_ms() + HANG_POLL_MS) == Caller::Waiting {
+        sleep_until(now_ms() + 1);
+    }
+    lock(state).end(run_number, false, now_ms());
+}
+
+/// Waits while the endpoint is frozen.
+pub(super) fn wait_while_frozen(state: &Mutex<State>) {
+    loop {
+        let until_ms = lock(state).frozen_until_ms();
+        if until_ms <= now_ms() || lock(state).stopping {
+            return;
+        }
+        sleep_until(until_ms.min(now_ms() + HANG_POLL_MS));
+    }
+}
+
+/// Waits until shortly before a time, or until the connection closes.
+fn watch(stream: &TcpStream, end_ms: u64) -> Caller {
+    let wait_ms = end_ms.saturating_sub(now_ms() + READ_TIMEOUT_SLACK_MS);
+    if wait_ms == 0 || set_read_timeout(stream, Some(wait_ms)).is_none() {
+        return Caller::Waiting;
+    }
+    let peeked = stream.peek(&mut [0]);
+    let restored = set_read_timeout(stream, None);
+    match peeked {
+        Ok(1..) => Caller::Waiting,
+        Err(error) if is_timeout(error.kind()) && restored.is_some() => Caller::Waiting,
+        Ok(0) | Err(_) => Caller::Gone,
+    }
+}
+
+fn is_timeout(kind: ErrorKind) -> bool {
+    kind == ErrorKind::WouldBlock || kind == ErrorKind::TimedOut || kind == ErrorKind::Interrupted
+}
+
+pub(super) fn set_read_timeout(stream: &TcpStream, timeout_ms: Option<u64>) -> Option<()> {
+    let timeout = timeout_ms.map(|ms| Duration::from_millis(ms.max(1)));
+    stream.set_read_timeout(timeout).ok()
+}
+
+fn sleep_until(end_ms: u64) {
+    let rest_ms = end_ms.saturating_sub(now_ms());
+    if rest_ms > 0 {
+        thread::sleep(Duration::from_millis(rest_ms));
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-standin/tests/support/mod.rs
@@ -0,0 +1,53 @@
+//! Clients for the tests of the stand-ins.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+
+use cornelpoint::name::InstanceId;
+use cornelpoint_standin::endpoint::EndpointFault;
+use cornelpoint_standin::endpoint::EndpointSettings;
+use cornelpoint_standin::endpoint::EndpointStandIn;
+use cornelpoint_standin::endpoint::FaultRule;
+use cornelpoint_standin::endpoint::FaultScope;
+
+/// Starts an endpoint that answers at once, with one fault on all requests.
+pub fn faulty_endpoint(fault: EndpointFault) -> EndpointStandIn {
+    let endpoint = EndpointStandIn::start(settings()).unwrap();
+    endpoint.set_faults(vec![FaultRule {
+        fault,
+        scope: FaultScope::UntilCleared,
+    }]);
+    endpoint
+}
+
+/// Settings of an endpoint with eight slots and five connections.
+pub fn settings() -> EndpointSettings {
+    let mut settings = EndpointSettings::new(InstanceId::try_from("quoting-1").unwrap());
+    settings.connections = 5;
+    settings
+}
+
+/// Sends bytes on a new connection and reads until its end.
+pub fn exchange(address: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    read_to_end(&mut stream)
+}
+
+/// Reads what comes until the end of the connection.
+pub fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    // A connection that the endpoint resets ends as well.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).replace('\r', "")
+}
+
+/// A request whose connection is closed after the answer.
+pub fn post(identity: &str, query: &str) -> String {
+    format!(
+        "POST /orders{query} HTTP/1.1\r\nhost: endpoint\r\nconnection: close\r\n\
+         cornelpoint-request: {identity}\r\ncontent-length: 5\r\n\r\nslab1"
+    )
+}
