--- a/crates/cornelpoint-daemon/src/keeper/command.rs
+++ b/crates/cornelpoint-daemon/src/keeper/command.rs
@@ -7,7 +7,6 @@
 use cornelpoint::platform::InstanceList;
 use cornelpoint::spread::Digest;
 use cornelpoint::spread::EndpointMark;
-use cornelpoint::spread::MarkCause;
 use cornelpoint::spread::Update;
 
 use super::keeper_dump::KeeperDump;
@@ -49,8 +48,6 @@
     Digest(ReplyTo<Digest>),
     /// Asks for the present members, the own first.
     Members(ReplyTo<Vec<Member>>),
-    /// Asks for the marks of one source.
-    Marks(MarkCause, ReplyTo<Vec<EndpointMark>>),
     /// Asks for the status.
     Status(ReplyTo<KeeperStatus>),
     /// Asks for all that is known.
--- a/crates/cornelpoint-daemon/src/keeper/core.rs
+++ b/crates/cornelpoint-daemon/src/keeper/core.rs
@@ -59,7 +59,7 @@
             }
             Command::View(request, to) => drop(to.try_send(self.state.view(request, now_ms))),
             Command::Slots(exchange, to) => {
-                drop(to.try_send(self.state.slots(exchange, now_ms)));
+                drop(to.try_send(self.state.slots(&exchange, now_ms)));
             }
             Command::Sync(digest, to) => drop(to.try_send(self.state.newer_than(&digest))),
             Command::Apply(update) => {
@@ -88,13 +88,12 @@
             }
             Command::Digest(to) => drop(to.try_send(self.state.facts().digest())),
             Command::Members(to) => drop(to.try_send(self.state.present_members())),
-            Command::Marks(cause, to) => drop(to.try_send(self.state.marks_of(cause))),
             Command::Status(to) => drop(to.try_send(self.state.status(now_ms))),
             Command::Dump(to) => drop(to.try_send(Box::new(self.state.dump(now_ms)))),
             Command::Leave(to) => {
                 let outgoing = self.state.leave();
                 self.send(outgoing);
-                drop(to.try_send(()));
+                let _ = to.try_send(());
             }
             Command::End => {}
         }
--- a/crates/cornelpoint-daemon/src/keeper/mod.rs
+++ b/crates/cornelpoint-daemon/src/keeper/mod.rs
@@ -20,4 +20,7 @@
 pub use self::keeper_dump::HolderEntry;
 pub use self::keeper_dump::KeeperDump;
 pub use self::keeper_error::KeeperError;
+pub use self::operator::AcceptReply;
+pub use self::operator::AcceptRequest;
+pub use self::operator::DrainRequest;
 pub use self::running::Keeper;
--- a/crates/cornelpoint-daemon/src/keeper/peer_sync.rs
+++ b/crates/cornelpoint-daemon/src/keeper/peer_sync.rs
@@ -65,10 +65,7 @@
         let Some(digest) = self.core.ask(Command::Digest) else {
             return;
         };
-        if let Ok(update) = self
-            .client
-            .call::<_, Update>(peer, "/peer/sync", &digest)
-        {
+        if let Ok(update) = self.client.call::<_, Update>(peer, "/peer/sync", &digest) {
             self.core.tell(Command::Apply(update));
         }
     }
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/keeper/platform_watch.rs
@@ -0,0 +1,144 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use cornelpoint::configuration::Configuration;
+use cornelpoint::configuration::Generation;
+use cornelpoint::configuration::Head;
+use cornelpoint::configuration::body_key;
+use cornelpoint::configuration::head_key;
+use cornelpoint::membership::Member;
+use cornelpoint::name::AvailabilityZone;
+use cornelpoint::name::InstanceId;
+use cornelpoint::name::WorkspaceName;
+use cornelpoint::platform::Row;
+use cornelpoint::rendezvous::choose_several;
+use cornelpoint::spread::Update;
+
+use super::command::Command;
+use super::core_handle::CoreHandle;
+use crate::platform_client::PlatformClient;
+use crate::platform_client::PlatformError;
+use crate::settings::KeeperSettings;
+
+/// Keepers of an availability zone that read the platform.
+const POLLERS_PER_ZONE: usize = 1;
+/// Longest wait after failures, as a multiple of the interval.
+const MAX_BACK_OFF: u32 = 16;
+/// Time between two looks at the stop flag.
+const STOP_CHECK: Duration = Duration::from_millis(50);
+
+/// Reads the newest generation and the instance list from the platform.
+///
+/// Few keepers of a zone do so; the others hear of it from them. While no
+/// configuration is known at all, each keeper reads for itself.
+#[derive(Debug)]
+pub(super) struct PlatformWatch {
+    core: CoreHandle,
+    platform: PlatformClient,
+    own: InstanceId,
+    availability_zone: AvailabilityZone,
+    workspace: WorkspaceName,
+    interval: Duration,
+    back_off: u32,
+    stop: Arc<AtomicBool>,
+}
+
+impl PlatformWatch {
+    pub(super) fn new(
+        core: CoreHandle,
+        platform: PlatformClient,
+        settings: &KeeperSettings,
+        stop: Arc<AtomicBool>,
+    ) -> Self {
+        Self {
+            core,
+            platform,
+            own: settings.instance.clone(),
+            availability_zone: settings.availability_zone.clone(),
+            workspace: settings.workspace.clone(),
+            interval: Duration::from_millis(settings.platform_poll_ms),
+            back_off: 1,
+            stop,
+        }
+    }
+
+    /// Runs until told to stop.
+    pub(super) fn run(mut self) {
+        while !self.stop.load(Ordering::Relaxed) {
+            if self.reads() {
+                let result = self.read();
+                self.core.tell(Command::PlatformReachable(result.is_ok()));
+                self.back_off = match result {
+                    Ok(()) => 1,
+                    Err(_) => (self.back_off * 2).min(MAX_BACK_OFF),
+                };
+            }
+            self.wait();
+        }
+    }
+
+    fn reads(&self) -> bool {
+        let Some(digest) = self.core.ask(Command::Digest) else {
+            return false;
+        };
+        if digest.generation == Generation(0) {
+            return true;
+        }
+        let members: Vec<Member> = self.core.ask(Command::Members).unwrap_or_default();
+        let in_zone = members
+            .iter()
+            .filter(|member| member.availability_zone == self.availability_zone)
+            .map(|member| &member.instance);
+        choose_several(0, in_zone, POLLERS_PER_ZONE).contains(&&self.own)
+    }
+
+    fn read(&self) -> Result<(), PlatformError> {
+        if let Some(configuration) = self.newer_configuration()? {
+            self.core.tell(Command::Apply(Update {
+                configuration: Some(configuration),
+                marks: Vec::new(),
+            }));
+        }
+        let list = self.platform.instances()?;
+        self.core.tell(Command::Listed(list));
+        Ok(())
+    }
+
+    fn newer_configuration(&self) -> Result<Option<Configuration>, PlatformError> {
+        let rows = self.platform.read(&[head_key(&self.workspace)])?;
+        let Some(head) = rows.first() else {
+            return Ok(None);
+        };
+        let head: Head = decode(head)?;
+        let known = self
+            .core
+            .ask(Command::Digest)
+            .map_or(Generation(0), |digest| digest.generation);
+        if head.generation <= known {
+            return Ok(None);
+        }
+        let rows = self
+            .platform
+            .read(&[body_key(&self.workspace, head.generation)])?;
+        rows.first().map(decode).transpose()
+    }
+
+    /// Waits one interval, longer after failures.
+    fn wait(&self) {
+        let mut left = self.interval * self.back_off;
+        while !left.is_zero() && !self.stop.load(Ordering::Relaxed) {
+            let step = left.min(STOP_CHECK);
+            thread::sleep(step);
+            left -= step;
+        }
+    }
+}
+
+fn decode<A: serde::de::DeserializeOwned>(row: &Row) -> Result<A, PlatformError> {
+    rmp_serde::from_slice(&row.value).map_err(|error| PlatformError::Malformed {
+        found: error.to_string(),
+    })
+}
--- a/crates/cornelpoint-daemon/src/keeper/state.rs
+++ b/crates/cornelpoint-daemon/src/keeper/state.rs
@@ -96,14 +96,6 @@
         self.membership.present().cloned().collect()
     }
 
-    pub(super) fn marks_of(&self, cause: MarkCause) -> Vec<EndpointMark> {
-        self.facts
-            .marks()
-            .filter(|mark| mark.cause == cause)
-            .cloned()
-            .collect()
-    }
-
     pub(super) fn status(&self, now_ms: u64) -> KeeperStatus {
         let own = self.membership.own();
         KeeperStatus {
@@ -251,7 +243,12 @@
         if accepts_now == sign.accepts_work {
             return Adoption::default();
         }
-        self.mark(sign.instance, sign.accepts_work, MarkCause::Endpoint, now_ms)
+        self.mark(
+            sign.instance,
+            sign.accepts_work,
+            MarkCause::Endpoint,
+            now_ms,
+        )
     }
 
     pub(super) fn mark(
@@ -294,7 +291,7 @@
         }
     }
 
-    pub(super) fn slots(&mut self, exchange: SlotExchange, now_ms: u64) -> SlotExchangeReply {
+    pub(super) fn slots(&mut self, exchange: &SlotExchange, now_ms: u64) -> SlotExchangeReply {
         let answers = exchange
             .requests
             .iter()
--- a/crates/cornelpoint-daemon/src/lib.rs
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -3,8 +3,10 @@
 //! The policy stands in the `cornelpoint` library; here it is carried to
 //! sockets and clocks.
 
+pub mod caller_edge;
 pub mod clock;
 pub mod control;
+pub mod keeper;
+pub mod message;
 pub mod platform_client;
-
-pub mod caller_edge;
+pub mod settings;
