--- /dev/null
+++ b/crates/cornelpoint-daemon/src/gateway/admission.rs
@@ -0,0 +1,79 @@
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use cornelpoint::configuration::Configuration;
+use cornelpoint::configuration::Generation;
+use cornelpoint::configuration::Service;
+
+/// What the callers' threads read: the configuration in force, and whether
+/// the gateway stops.
+#[derive(Debug, Default)]
+pub(super) struct Admission {
+    configuration: RwLock<Option<Arc<Configuration>>>,
+    stopping: AtomicBool,
+}
+
+impl Admission {
+    pub(super) fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration.read().ok()?.clone()
+    }
+
+    pub(super) fn generation(&self) -> Generation {
+        self.configuration()
+            .map_or(Generation(0), |configuration| configuration.generation)
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Takes a configuration in unless a newer one is in force.
+    pub(super) fn adopt(&self, configuration: &Configuration) {
+        let Ok(mut current) = self.configuration.write() else {
+            return;
+        };
+        let newer = current
+            .as_ref()
+            .is_none_or(|current| configuration.generation > current.generation);
+        if newer {
+            *current = Some(Arc::new(configuration.clone()));
+        }
+    }
+
+    pub(super) fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+}
+
+/// The service that a caller's path names.
+pub(super) fn service_of<'a>(
+    configuration: &'a Configuration,
+    target: &str,
+) -> Option<&'a Service> {
+    let name = service_segment(target);
+    configuration
+        .services
+        .iter()
+        .find(|service| service.name.as_str() == name)
+}
+
+/// First segment of a path.
+pub(super) fn service_segment(target: &str) -> &str {
+    let path = target.strip_prefix('/').unwrap_or(target);
+    let end = path.find(['/', '?']).unwrap_or(path.len());
+    path.split_at(end).0
+}
+
+/// The rest of a path, as the endpoint gets it.
+pub(super) fn endpoint_target(target: &str) -> String {
+    let path = target.strip_prefix('/').unwrap_or(target);
+    let end = path.find(['/', '?']).unwrap_or(path.len());
+    let rest = path.split_at(end).1;
+    if rest.starts_with('/') {
+        rest.to_owned()
+    } else {
+        format!("/{rest}")
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/gateway/decision_loop.rs
@@ -0,0 +1,181 @@
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+
+use cornelpoint::configuration::Generation;
+use cornelpoint::dispatch::Directed;
+use cornelpoint::dispatch::Dispatcher;
+use cornelpoint::dispatch::Exchange;
+use cornelpoint::dispatch::ExchangeResult;
+use cornelpoint::dispatch::Verdict;
+use cornelpoint::membership::Member;
+use cornelpoint::name::InstanceId;
+use cornelpoint::slots::SlotRequest;
+use cornelpoint::spread::Facts;
+
+use super::event::DecisionDump;
+use super::event::Event;
+use super::slot_exchanger::SlotExchanger;
+use crate::clock::MonotonicClock;
+
+/// Time between two looks at the clock while requests are held.
+const BUSY_TICK: Duration = Duration::from_millis(2);
+/// Time between two looks at the clock while none are.
+const IDLE_TICK: Duration = Duration::from_millis(20);
+/// Events taken before the next round of decisions.
+const EVENTS_PER_ROUND: usize = 256;
+
+/// The thread that owns a gateway's decisions.
+#[derive(Debug)]
+pub(super) struct DecisionLoop {
+    dispatcher: Dispatcher,
+    clock: MonotonicClock,
+    events: Receiver<Event>,
+    waiters: HashMap<u64, SyncSender<Verdict>>,
+    exchanger: SlotExchanger,
+    signs: SyncSender<InstanceId>,
+    members: Vec<Member>,
+    generation: Generation,
+    exchanges: u64,
+}
+
+impl DecisionLoop {
+    pub(super) fn new(
+        dispatcher: Dispatcher,
+        clock: MonotonicClock,
+        events: Receiver<Event>,
+        exchanger: SlotExchanger,
+        signs: SyncSender<InstanceId>,
+    ) -> Self {
+        Self {
+            dispatcher,
+            clock,
+            events,
+            waiters: HashMap::new(),
+            exchanger,
+            signs,
+            members: Vec::new(),
+            generation: Generation(0),
+            exchanges: 0,
+        }
+    }
+
+    pub(super) fn run(mut self) {
+        loop {
+            let tick = if self.dispatcher.requests() > 0 {
+                BUSY_TICK
+            } else {
+                IDLE_TICK
+            };
+            match self.events.recv_timeout(tick) {
+                Ok(Event::End) | Err(RecvTimeoutError::Disconnected) => return,
+                Ok(event) => self.take(event),
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            for _ in 0..EVENTS_PER_ROUND {
+                match self.events.try_recv() {
+                    Ok(Event::End) => return,
+                    Ok(event) => self.take(event),
+                    Err(_) => break,
+                }
+            }
+            self.decide();
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now_ms = self.clock.now_ms();
+        match event {
+            Event::Enqueue(request, waiter) => {
+                let id = request.id;
+                self.waiters.insert(id, waiter);
+                if let Err(refusal) = self.dispatcher.enqueue(request, now_ms) {
+                    self.direct(id, Verdict::Refuse(refusal));
+                }
+            }
+            Event::Complete(id, report) => {
+                if let Some(verdict) = self.dispatcher.complete(id, report, now_ms) {
+                    self.direct(id, verdict);
+                }
+            }
+            Event::Withdraw(id) => {
+                self.waiters.remove(&id);
+                self.dispatcher.withdraw(id, now_ms);
+            }
+            Event::Exchanged(results) => {
+                for result in &results {
+                    self.dispatcher.exchanged(result, now_ms);
+                }
+            }
+            Event::Facts(facts) => self.adopt(&facts, now_ms),
+            Event::Members(members) => {
+                self.dispatcher.set_members(&members);
+                self.exchanger.keep_only(&members);
+                self.members = members;
+            }
+            Event::Dump(to) => {
+                let _ = to.try_send(DecisionDump {
+                    dispatcher: self.dispatcher.dump(now_ms),
+                    exchanges: self.exchanges,
+                });
+            }
+            Event::End => {}
+        }
+    }
+
+    fn adopt(&mut self, facts: &Facts, now_ms: u64) {
+        let newer = facts
+            .configuration()
+            .filter(|configuration| configuration.generation > self.generation);
+        if let Some(configuration) = newer {
+            self.generation = configuration.generation;
+            self.dispatcher.configure(configuration, facts, now_ms);
+            self.dispatcher.set_members(&self.members);
+        }
+        self.dispatcher.mark(facts, now_ms);
+    }
+
+    fn decide(&mut self) {
+        let now_ms = self.clock.now_ms();
+        for Directed { id, verdict } in self.dispatcher.dispatch(now_ms) {
+            self.direct(id, verdict);
+        }
+        let mut by_holder: BTreeMap<SocketAddr, Vec<SlotRequest>> = BTreeMap::new();
+        for Exchange { holder, request } in self.dispatcher.exchanges_due(now_ms) {
+            by_holder.entry(holder).or_default().push(request);
+        }
+        for (holder, requests) in by_holder {
+            self.exchange(holder, requests, now_ms);
+        }
+        for sign in self.dispatcher.take_signs() {
+            let _ = self.signs.try_send(sign);
+        }
+    }
+
+    fn exchange(&mut self, holder: SocketAddr, requests: Vec<SlotRequest>, now_ms: u64) {
+        self.exchanges += 1;
+        for request in self.exchanger.hand_over(holder, requests) {
+            let failed = ExchangeResult {
+                pool: request.pool,
+                availability_zone: request.availability_zone,
+                reply: None,
+            };
+            self.dispatcher.exchanged(&failed, now_ms);
+        }
+    }
+
+    /// Hands a verdict over; a last one ends the waiting.
+    fn direct(&mut self, id: u64, verdict: Verdict) {
+        let last = !matches!(verdict, Verdict::Send(_));
+        if let Some(waiter) = self.waiters.get(&id) {
+            let _ = waiter.try_send(verdict);
+        }
+        if last {
+            self.waiters.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/gateway/news.rs
@@ -0,0 +1,141 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::time::Duration;
+use std::time::Instant;
+
+use cornelpoint::name::InstanceId;
+use cornelpoint::spread::Facts;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+
+use super::admission::Admission;
+use super::decisions::Decisions;
+use super::event::Event;
+use crate::control::ControlClient;
+use crate::control::ControlError;
+use crate::message::EndpointSign;
+use crate::message::View;
+use crate::message::ViewRequest;
+
+/// Asks a keeper for news, and passes on what endpoints say of themselves.
+#[derive(Debug)]
+pub(super) struct News {
+    pub(super) gateway: InstanceId,
+    /// The own entry instance's keeper first.
+    pub(super) keepers: Vec<SocketAddr>,
+    pub(super) client: ControlClient,
+    pub(super) interval: Duration,
+    pub(super) signs: Receiver<InstanceId>,
+    pub(super) decisions: Decisions,
+    pub(super) admission: Arc<Admission>,
+    pub(super) facts: Facts,
+    pub(super) members_from: Option<MembersFrom>,
+    pub(super) logger: Logger,
+}
+
+/// Which view of the members is in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct MembersFrom {
+    keeper: SocketAddr,
+    version: u64,
+}
+
+impl News {
+    /// Runs until the thread that decides ends.
+    pub(super) fn run(mut self) {
+        let mut next_ask = Instant::now();
+        loop {
+            let wait = next_ask.saturating_duration_since(Instant::now());
+            match self.signs.recv_timeout(wait) {
+                Ok(instance) => self.pass_on(&instance),
+                Err(RecvTimeoutError::Timeout) => {
+                    self.ask();
+                    next_ask = Instant::now() + self.interval;
+                }
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    /// Asks the first keeper that answers.
+    fn ask(&mut self) {
+        for keeper in self.keepers.clone() {
+            match self.ask_keeper(keeper) {
+                Ok(view) => {
+                    self.adopt(keeper, view);
+                    return;
+                }
+                Err(error) => {
+                    warn!(self.logger, "Keeper does not answer.";
+                        "keeper" => %keeper, "error" => %error);
+                }
+            }
+        }
+    }
+
+    fn ask_keeper(&self, keeper: SocketAddr) -> Result<View, ControlError> {
+        let members_version = self
+            .members_from
+            .filter(|from| from.keeper == keeper)
+            .map(|from| from.version);
+        let request = ViewRequest {
+            gateway: self.gateway.clone(),
+            applied: self.admission.generation(),
+            digest: self.facts.digest(),
+            members_version,
+        };
+        self.client.call(keeper, "/peer/view", &request)
+    }
+
+    fn adopt(&mut self, keeper: SocketAddr, view: View) {
+        let adoption = self.facts.apply(view.update);
+        if adoption.configuration
+            && let Some(configuration) = self.facts.configuration()
+        {
+            self.admission.adopt(configuration);
+            info!(self.logger, "Configuration in force.";
+                "generation" => %configuration.generation);
+        }
+        if !adoption.is_empty() {
+            self.decisions
+                .tell(Event::Facts(Arc::new(self.facts.clone())));
+        }
+        if let Some(members) = view.members {
+            self.members_from = Some(MembersFrom {
+                keeper,
+                version: view.members_version,
+            });
+            self.learn_keepers(&members);
+            self.decisions.tell(Event::Members(members));
+        }
+    }
+
+    /// Keepers that are not in the settings are asked when the others fail.
+    fn learn_keepers(&mut self, members: &[cornelpoint::membership::Member]) {
+        for member in members {
+            if !self.keepers.contains(&member.keeper_address) {
+                self.keepers.push(member.keeper_address);
+            }
+        }
+    }
+
+    fn pass_on(&self, instance: &InstanceId) {
+        let sign = EndpointSign {
+            instance: instance.clone(),
+            accepts_work: false,
+        };
+        info!(self.logger, "Endpoint says that it leaves."; "endpoint" => %instance);
+        for &keeper in &self.keepers {
+            if self
+                .client
+                .call::<_, ()>(keeper, "/peer/sign", &sign)
+                .is_ok()
+            {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/gateway/slot_exchanger.rs
@@ -0,0 +1,112 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+use std::time::Duration;
+
+use cornelpoint::dispatch::ExchangeResult;
+use cornelpoint::membership::Member;
+use cornelpoint::slots::SlotReply;
+use cornelpoint::slots::SlotRequest;
+
+use super::event::Event;
+use crate::control::ControlClient;
+use crate::message::SlotAnswer;
+use crate::message::SlotExchange;
+use crate::message::SlotExchangeReply;
+
+/// Batches of reports that may wait for one keeper.
+const BATCH_RING: usize = 8;
+
+/// Sends reports to holders, one thread for each keeper.
+#[derive(Debug)]
+pub(super) struct SlotExchanger {
+    rings: BTreeMap<SocketAddr, SyncSender<Vec<SlotRequest>>>,
+    events: SyncSender<Event>,
+    timeout: Duration,
+}
+
+impl SlotExchanger {
+    pub(super) fn new(events: SyncSender<Event>, timeout: Duration) -> Self {
+        Self {
+            rings: BTreeMap::new(),
+            events,
+            timeout,
+        }
+    }
+
+    /// Hands reports to a keeper's thread; those that it cannot take come
+    /// back.
+    pub(super) fn hand_over(
+        &mut self,
+        holder: SocketAddr,
+        requests: Vec<SlotRequest>,
+    ) -> Vec<SlotRequest> {
+        let ring = self.rings.entry(holder).or_insert_with(|| {
+            let (ring, batches) = sync_channel(BATCH_RING);
+            let events = self.events.clone();
+            let client = ControlClient::new(self.timeout);
+            thread::spawn(move || exchange_all(holder, &client, &batches, &events));
+            ring
+        });
+        match ring.try_send(requests) {
+            Ok(()) => Vec::new(),
+            Err(TrySendError::Full(requests) | TrySendError::Disconnected(requests)) => requests,
+        }
+    }
+
+    /// Ends the threads of keepers that are gone.
+    pub(super) fn keep_only(&mut self, members: &[Member]) {
+        self.rings
+            .retain(|address, _| members.iter().any(|m| &m.keeper_address == address));
+    }
+}
+
+fn exchange_all(
+    holder: SocketAddr,
+    client: &ControlClient,
+    batches: &Receiver<Vec<SlotRequest>>,
+    events: &SyncSender<Event>,
+) {
+    while let Ok(mut requests) = batches.recv() {
+        while let Ok(more) = batches.try_recv() {
+            requests.extend(more);
+        }
+        let results = exchange(holder, client, requests);
+        if events.send(Event::Exchanged(results)).is_err() {
+            return;
+        }
+    }
+}
+
+fn exchange(
+    holder: SocketAddr,
+    client: &ControlClient,
+    requests: Vec<SlotRequest>,
+) -> Vec<ExchangeResult> {
+    let exchange = SlotExchange { requests };
+    let answers = client
+        .call::<_, SlotExchangeReply>(holder, "/peer/slots", &exchange)
+        .map(|reply| reply.answers)
+        .unwrap_or_default();
+    let mut answers = answers.into_iter();
+    exchange
+        .requests
+        .into_iter()
+        .map(|request| ExchangeResult {
+            pool: request.pool,
+            availability_zone: request.availability_zone,
+            reply: answers.next().and_then(lent),
+        })
+        .collect()
+}
+
+fn lent(answer: SlotAnswer) -> Option<SlotReply> {
+    match answer {
+        SlotAnswer::Lent(reply) => Some(reply),
+        SlotAnswer::NotHolder { .. } => None,
+    }
+}
--- a/crates/cornelpoint-daemon/src/settings/gateway_settings.rs
+++ b/crates/cornelpoint-daemon/src/settings/gateway_settings.rs
@@ -38,6 +38,9 @@
     pub connect_timeout_ms: u64,
     /// Idle connections kept for each endpoint.
     pub max_idle_per_endpoint: u32,
+    /// Time in which a gateway that is told to stop still takes requests, so
+    /// that the balancer notices its health check, in milliseconds.
+    pub stop_notice_ms: u64,
     /// Longest wait for requests in work when told to stop, in milliseconds.
     pub stop_timeout_ms: u64,
 }
