Send requests to endpoints once, with truthful outcomes

Cause: the gateway must know whether a byte of a request can have left, must never send again by itself, and must not pass off part of an answer as whole.

Change: EndpointClient over ureq 3, one agent for each connection, over a socket that notes the first write and the end of the connection. Ruled out: one agent for all endpoints (its errors can't be tied to a connection), an own client. ureq alone takes close-delimited bodies, chunked bodies cut after the last chunk, and answers with two framings; these are refused here. The edge towards callers refuses the characters that no URI holds, so that each target which it takes can be sent.

--- a/crates/cornelpoint-daemon/src/caller_edge/target.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/target.rs
@@ -18,7 +18,7 @@
         return refuse("expected a path that starts with `/`");
     }
     if !target.bytes().all(is_target_byte) {
-        return refuse("expected visible ASCII characters without `#` and `\\` in the path");
+        return refuse("expected characters that a path may hold");
     }
     check_escapes(target.as_bytes())?;
     check_segments(path_of(target))
@@ -29,7 +29,7 @@
 }
 
 fn is_target_byte(byte: u8) -> bool {
-    byte.is_ascii_graphic() && byte != b'#' && byte != b'\\'
+    byte.is_ascii_graphic() && !b"\"#<>\\`".contains(&byte)
 }
 
 fn path_of(target: &str) -> &str {
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/endpoint_client/link.rs
@@ -0,0 +1,217 @@
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use cornelpoint::request::Method;
+use cornelpoint::request::Refusal;
+use cornelpoint::request::RunState;
+use ureq::Agent;
+use ureq::Body;
+use ureq::Error;
+use ureq::config::Config;
+use ureq::http::HeaderMap;
+use ureq::http::Response;
+
+use super::client_settings::ClientSettings;
+use super::connection_watch::ConnectionWatch;
+use super::dialer::Dialer;
+use super::dialer::FixedAddress;
+use super::endpoint_answer::EndpointAnswer;
+use super::outgoing_request::OutgoingRequest;
+use super::request_builder;
+use super::send_outcome::NotSent;
+use super::send_outcome::SendOutcome;
+use crate::caller_edge::Header;
+
+/// Room in a buffer beside the largest head.
+const BUFFER_SLACK_BYTES: usize = 1024;
+/// Status with which an endpoint says that it did not start a request.
+const NOT_STARTED_STATUS: u16 = 503;
+
+/// One connection to an endpoint, with the agent that drives it.
+#[derive(Debug)]
+pub(super) struct Link {
+    address: SocketAddr,
+    agent: Agent,
+    watch: Arc<ConnectionWatch>,
+    max_line_bytes: usize,
+}
+
+impl Link {
+    /// A link whose connection is made with its first request.
+    pub(super) fn new(address: SocketAddr, settings: &ClientSettings) -> Self {
+        let watch = Arc::new(ConnectionWatch::default());
+        let dialer = Dialer {
+            address,
+            watch: Arc::clone(&watch),
+        };
+        let agent = Agent::with_parts(agent_config(settings), dialer, FixedAddress(address));
+        Self {
+            address,
+            agent,
+            watch,
+            max_line_bytes: settings.max_header_bytes,
+        }
+    }
+
+    /// Whether the connection can take a further request.
+    pub(super) fn is_open(&self) -> bool {
+        self.watch.is_open()
+    }
+
+    /// Sends a request and waits for its answer.
+    pub(super) fn send(&self, outgoing: &OutgoingRequest<'_>, deadline: Instant) -> SendOutcome {
+        self.watch.start_request();
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return SendOutcome::NotSent(NotSent::DeadlinePassed);
+        }
+        match self.run(outgoing, left) {
+            None => SendOutcome::NotSent(NotSent::Unsendable),
+            Some(Err(error)) => self.failure(&error),
+            Some(Ok(response)) => self.read(response, outgoing),
+        }
+    }
+
+    fn run(
+        &self,
+        outgoing: &OutgoingRequest<'_>,
+        left: Duration,
+    ) -> Option<Result<Response<Body>, Error>> {
+        let request = request_builder::build(self.address, outgoing, self.max_line_bytes)?;
+        let bodiless = outgoing.body.is_empty() && !needs_length(outgoing.method);
+        let result = if bodiless {
+            let request = self.agent.configure_request(request);
+            self.agent.run(request.timeout_global(Some(left)).build())
+        } else {
+            let request = request.map(|()| outgoing.body);
+            let request = self.agent.configure_request(request);
+            self.agent.run(request.timeout_global(Some(left)).build())
+        };
+        Some(result)
+    }
+
+    fn read(&self, mut response: Response<Body>, outgoing: &OutgoingRequest<'_>) -> SendOutcome {
+        let Some(headers) = headers_of(response.headers()) else {
+            return SendOutcome::Broken(Refusal::AnswerMalformed);
+        };
+        let status = response.status().as_u16();
+        let head = EndpointAnswer {
+            status,
+            headers,
+            body: Vec::new(),
+        };
+        if let Some(refusal) = head_fault(&head, outgoing) {
+            return SendOutcome::Broken(refusal);
+        }
+        let limited = response
+            .body_mut()
+            .with_config()
+            .limit(outgoing.max_answer_bytes);
+        let body = limited.read_to_vec();
+        if says_not_started(&head) {
+            let leaving = head.header(OutgoingRequest::LEAVING_HEADER) == Some("yes");
+            return SendOutcome::NotStarted { leaving };
+        }
+        match body {
+            Err(error) => self.failure(&error),
+            Ok(_) if self.watch.has_ended() => SendOutcome::Broken(Refusal::AnswerCut),
+            Ok(body) => SendOutcome::Answered(whole(head, body)),
+        }
+    }
+
+    fn failure(&self, error: &Error) -> SendOutcome {
+        if self.watch.has_sent() {
+            SendOutcome::Broken(broken(error))
+        } else {
+            SendOutcome::NotSent(not_sent(error))
+        }
+    }
+}
+
+fn agent_config(settings: &ClientSettings) -> Config {
+    let buffer_bytes = settings.max_header_bytes + BUFFER_SLACK_BYTES;
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .proxy(None)
+        .user_agent("")
+        .accept("")
+        .accept_encoding("")
+        .max_response_header_size(settings.max_header_bytes)
+        .input_buffer_size(buffer_bytes)
+        .output_buffer_size(buffer_bytes)
+        .max_idle_connections(1)
+        .max_idle_connections_per_host(1)
+        .max_idle_age(Duration::from_millis(settings.idle_timeout_ms))
+        .timeout_connect(Some(Duration::from_millis(settings.connect_timeout_ms)))
+        .build()
+}
+
+/// Whether a request without a body says that its length is 0.
+fn needs_length(method: Method) -> bool {
+    matches!(method, Method::Patch | Method::Post | Method::Put)
+}
+
+fn headers_of(raw: &HeaderMap) -> Option<Vec<Header>> {
+    let mut headers = Vec::with_capacity(raw.len());
+    for (name, value) in raw {
+        let value = str::from_utf8(value.as_bytes()).ok()?;
+        headers.push(Header::new(name.as_str(), value));
+    }
+    Some(headers)
+}
+
+/// Why an answer is not taken, as far as its head shows.
+fn head_fault(head: &EndpointAnswer, outgoing: &OutgoingRequest<'_>) -> Option<Refusal> {
+    let echoed = head.header(OutgoingRequest::ID_HEADER);
+    let is_own = echoed.is_none_or(|id| id == outgoing.request_id);
+    let coding = head.header("transfer-encoding");
+    let is_plain = coding.is_none_or(|coding| coding.eq_ignore_ascii_case("chunked"));
+    let length = head.header("content-length");
+    let is_final = head.status >= 200;
+    if !is_own || !is_plain || !is_final || (coding.is_some() && length.is_some()) {
+        return Some(Refusal::AnswerMalformed);
+    }
+    let length_bytes: Option<u64> = length.and_then(|length| length.parse().ok());
+    let has_body = outgoing.method != Method::Head;
+    let is_too_large = length_bytes.is_some_and(|bytes| bytes > outgoing.max_answer_bytes);
+    (has_body && is_too_large).then_some(Refusal::AnswerTooLarge)
+}
+
+fn says_not_started(head: &EndpointAnswer) -> bool {
+    let run = head.header(RunState::HEADER);
+    head.status == NOT_STARTED_STATUS && run == Some(RunState::No.as_str())
+}
+
+fn whole(head: EndpointAnswer, body: Vec<u8>) -> EndpointAnswer {
+    let dropped = request_builder::connection_tokens(&head.headers);
+    let mut headers = head.headers;
+    headers.retain(|header| !header.is_hop_by_hop() && !dropped.contains(&header.name));
+    EndpointAnswer {
+        status: head.status,
+        headers,
+        body,
+    }
+}
+
+fn broken(error: &Error) -> Refusal {
+    match error {
+        Error::Timeout(_) => Refusal::AnswerLate,
+        Error::BodyExceedsLimit(_) | Error::LargeResponseHeader(_, _) => Refusal::AnswerTooLarge,
+        Error::Protocol(_) | Error::Http(_) => Refusal::AnswerMalformed,
+        _ => Refusal::AnswerCut,
+    }
+}
+
+fn not_sent(error: &Error) -> NotSent {
+    match error {
+        Error::Timeout(_) => NotSent::ConnectTimeout,
+        Error::Io(error) if error.kind() == ErrorKind::ConnectionRefused => NotSent::Refused,
+        Error::Protocol(_) | Error::Http(_) | Error::BadUri(_) => NotSent::Unsendable,
+        _ => NotSent::Unreachable,
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/endpoint_client/watched_transport.rs
@@ -0,0 +1,146 @@
+use std::fmt;
+use std::io;
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use ureq::Error;
+use ureq::unversioned::transport::Buffers;
+use ureq::unversioned::transport::LazyBuffers;
+use ureq::unversioned::transport::NextTimeout;
+use ureq::unversioned::transport::Transport;
+
+use super::connection_watch::ConnectionWatch;
+
+/// A TCP connection that notes what happens to it.
+pub(super) struct WatchedTransport {
+    stream: TcpStream,
+    buffers: LazyBuffers,
+    watch: Arc<ConnectionWatch>,
+}
+
+impl WatchedTransport {
+    /// Wraps a connection that was just made.
+    pub(super) fn new(
+        stream: TcpStream,
+        buffers: LazyBuffers,
+        watch: Arc<ConnectionWatch>,
+    ) -> Self {
+        watch.note_open();
+        Self {
+            stream,
+            buffers,
+            watch,
+        }
+    }
+
+    fn read(&mut self, timeout: NextTimeout) -> Result<usize, Error> {
+        let deadline = deadline_of(timeout);
+        loop {
+            let left = time_left(deadline, timeout)?;
+            self.stream.set_read_timeout(Some(left))?;
+            match self.stream.read(self.buffers.input_append_buf()) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(timeout_or(error, timeout)),
+                Ok(count) => return Ok(count),
+            }
+        }
+    }
+}
+
+impl Transport for WatchedTransport {
+    fn buffers(&mut self) -> &mut dyn Buffers {
+        &mut self.buffers
+    }
+
+    fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
+        if amount == 0 {
+            return Ok(());
+        }
+        self.watch.note_sent();
+        let deadline = deadline_of(timeout);
+        let mut written = 0;
+        while written < amount {
+            let left = time_left(deadline, timeout)?;
+            self.stream.set_write_timeout(Some(left))?;
+            match self.stream.write(&self.buffers.output()[written..amount]) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(timeout_or(error, timeout)),
+                Ok(0) => return Err(Error::Io(ErrorKind::WriteZero.into())),
+                Ok(count) => written += count,
+            }
+        }
+        Ok(())
+    }
+
+    fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
+        match self.read(timeout) {
+            Ok(0) => {
+                self.watch.note_ended();
+                Ok(false)
+            }
+            Ok(count) => {
+                self.buffers.input_appended(count);
+                Ok(true)
+            }
+            Err(error) => {
+                self.watch.note_ended();
+                Err(error)
+            }
+        }
+    }
+
+    /// Whether the connection is silent: neither closed nor with bytes which
+    /// no request asked for.
+    fn is_open(&mut self) -> bool {
+        if self.stream.set_nonblocking(true).is_err() {
+            return false;
+        }
+        let silent = match self.stream.read(&mut [0]) {
+            Err(error) => error.kind() == ErrorKind::WouldBlock,
+            Ok(_) => false,
+        };
+        silent && self.stream.set_nonblocking(false).is_ok()
+    }
+}
+
+impl Drop for WatchedTransport {
+    fn drop(&mut self) {
+        self.watch.note_closed();
+    }
+}
+
+impl fmt::Debug for WatchedTransport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("WatchedTransport")
+            .field("watch", &self.watch)
+            .finish_non_exhaustive()
+    }
+}
+
+fn deadline_of(timeout: NextTimeout) -> Option<Instant> {
+    let after = timeout.not_zero()?;
+    Instant::now().checked_add(*after)
+}
+
+fn time_left(deadline: Option<Instant>, timeout: NextTimeout) -> Result<Duration, Error> {
+    let expired = || Error::Timeout(timeout.reason);
+    let deadline = deadline.ok_or_else(expired)?;
+    let left = deadline.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return Err(expired());
+    }
+    Ok(left)
+}
+
+fn timeout_or(error: io::Error, timeout: NextTimeout) -> Error {
+    match error.kind() {
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => Error::Timeout(timeout.reason),
+        _ => Error::Io(error),
+    }
+}
--- a/crates/cornelpoint-daemon/tests/caller_edge.rs
+++ b/crates/cornelpoint-daemon/tests/caller_edge.rs
@@ -294,7 +294,7 @@
         bad-request: expected a path without `.` and `..` segments
         bad-request: expected a path without escaped NUL, `/` and `\`
         bad-request: expected two hexadecimal digits after `%` in the path
-        bad-request: expected visible ASCII characters without `#` and `\` in the path
+        bad-request: expected characters that a path may hold
         bad-request: expected an HTTP/1.1 request head, found invalid HTTP version
         bad-request: expected one host header, found 0
         bad-request: expected one host header, found 2
--- /dev/null
+++ b/crates/cornelpoint-daemon/tests/endpoint_client.rs
@@ -0,0 +1,607 @@
+//! The client towards endpoints, against endpoints that follow a script.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use cornelpoint::request::Method;
+use cornelpoint::request::Refusal;
+use cornelpoint_daemon::caller_edge::Header;
+use cornelpoint_daemon::endpoint_client::ClientSettings;
+use cornelpoint_daemon::endpoint_client::EndpointClient;
+use cornelpoint_daemon::endpoint_client::NotSent;
+use cornelpoint_daemon::endpoint_client::OutgoingRequest;
+use cornelpoint_daemon::endpoint_client::Reuse;
+use cornelpoint_daemon::endpoint_client::SendOutcome;
+use expect_test::Expect;
+use expect_test::expect;
+
+const MAX_ANSWER_BYTES: u64 = 10;
+/// Deadline of requests whose answer comes, so that a test which hangs ends.
+const LONG: Duration = Duration::from_secs(20);
+/// Deadline of requests whose answer is late.
+const SHORT: Duration = Duration::from_millis(400);
+
+/// One step of an endpoint's script.
+#[derive(Clone, Copy)]
+enum Step {
+    /// Takes a connection.
+    Accept,
+    /// Reads a request.
+    Read,
+    /// Writes bytes.
+    Write(&'static [u8]),
+    /// Writes a byte every few milliseconds until the client is gone.
+    Drip,
+    /// Waits until the client closed the connection.
+    AwaitClose,
+    /// Closes the connection.
+    Close,
+    /// Tells the test that the script came here.
+    Tell,
+    /// Waits for the test.
+    Wait,
+}
+
+/// An endpoint that follows a script and notes each request it reads.
+struct ScriptedEndpoint {
+    address: SocketAddr,
+    requests: Arc<Mutex<Vec<String>>>,
+    told: Receiver<()>,
+    go_on: Sender<()>,
+}
+
+impl ScriptedEndpoint {
+    fn start(steps: &'static [Step]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let (tell, told) = channel();
+        let (go_on, wait) = channel();
+        let noted = Arc::clone(&requests);
+        thread::spawn(move || {
+            let mut stream = None;
+            for step in steps {
+                play(*step, &listener, &mut stream, &noted, &tell, &wait);
+            }
+            // An endpoint whose script is over notes any further request.
+            while let Ok((mut further, _)) = listener.accept() {
+                noted.lock().unwrap().push(read_request(&mut further));
+            }
+        });
+        Self {
+            address,
+            requests,
+            told,
+            go_on,
+        }
+    }
+
+    fn reads(&self) -> usize {
+        self.requests.lock().unwrap().len()
+    }
+}
+
+fn play(
+    step: Step,
+    listener: &TcpListener,
+    stream: &mut Option<TcpStream>,
+    noted: &Mutex<Vec<String>>,
+    tell: &Sender<()>,
+    wait: &Receiver<()>,
+) {
+    match step {
+        Step::Accept => *stream = Some(listener.accept().unwrap().0),
+        Step::Read => {
+            let request = read_request(stream.as_mut().unwrap());
+            noted.lock().unwrap().push(request);
+        }
+        Step::Write(bytes) => stream.as_mut().unwrap().write_all(bytes).unwrap(),
+        Step::Drip => {
+            while stream.as_mut().unwrap().write_all(b"x").is_ok() {
+                thread::sleep(Duration::from_millis(5));
+            }
+        }
+        Step::AwaitClose => {
+            // A reset closes as well.
+            let _ = stream.as_mut().unwrap().read_to_end(&mut Vec::new());
+        }
+        Step::Close => *stream = None,
+        Step::Tell => tell.send(()).unwrap(),
+        Step::Wait => wait.recv().unwrap(),
+    }
+}
+
+/// Reads a head and the body that its content-length announces.
+fn read_request(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    let mut byte = [0];
+    while !text.ends_with("\r\n\r\n") && stream.read(&mut byte).unwrap() > 0 {
+        text.push(char::from(byte[0]));
+    }
+    let length = text
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    let mut body = vec![0; length.map_or(0, |length| length.parse().unwrap())];
+    stream.read_exact(&mut body).unwrap();
+    text.push_str(str::from_utf8(&body).unwrap());
+    text
+}
+
+fn client() -> EndpointClient {
+    EndpointClient::new(ClientSettings {
+        connect_timeout_ms: 20_000,
+        ..ClientSettings::default()
+    })
+}
+
+fn request(method: Method) -> OutgoingRequest<'static> {
+    OutgoingRequest {
+        method,
+        target: "/quoting/7?full=1",
+        headers: &[],
+        body: b"",
+        request_id: "id-1",
+        max_answer_bytes: MAX_ANSWER_BYTES,
+    }
+}
+
+fn send_get(client: &EndpointClient, endpoint: &ScriptedEndpoint, within: Duration) -> SendOutcome {
+    let deadline = Instant::now() + within;
+    client.send(
+        endpoint.address,
+        &request(Method::Get),
+        deadline,
+        Reuse::Pooled,
+    )
+}
+
+fn describe(outcome: &SendOutcome) -> String {
+    match outcome {
+        SendOutcome::Answered(answer) => {
+            let body = String::from_utf8_lossy(&answer.body);
+            let headers = answer.headers.iter();
+            let headers: Vec<String> = headers
+                .map(|header| format!("{}={}", header.name, header.value))
+                .collect();
+            format!(
+                "answered {} [{}] [{body}]",
+                answer.status,
+                headers.join(" ")
+            )
+        }
+        SendOutcome::NotSent(reason) => format!("not sent: {reason}"),
+        SendOutcome::NotStarted { leaving } => format!("not started, leaving: {leaving}"),
+        SendOutcome::Broken(refusal) => format!("broken: {refusal}"),
+    }
+}
+
+/// Runs one request against an endpoint that writes `bytes` and closes.
+fn outcome_of(bytes: &'static [u8], method: Method) -> String {
+    let steps: &'static [Step] = Box::leak(Box::new([
+        Step::Accept,
+        Step::Read,
+        Step::Write(bytes),
+        Step::Close,
+    ]));
+    let endpoint = ScriptedEndpoint::start(steps);
+    let client = client();
+    let deadline = Instant::now() + LONG;
+    let sent = client.send(endpoint.address, &request(method), deadline, Reuse::Fresh);
+    assert_eq!(endpoint.reads(), 1);
+    describe(&sent)
+}
+
+fn check(cases: &[&'static [u8]], expected: &Expect) {
+    let outcomes = cases
+        .iter()
+        .map(|bytes| outcome_of(bytes, Method::Post) + "\n");
+    expected.assert_eq(&outcomes.collect::<String>());
+}
+
+#[test]
+fn takes_whole_answers() {
+    check(
+        &[
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\nConnection: X, close\r\nx: 1\r\ny: 2\r\n\r\n0123456789",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nx: 1\r\n\r\nHTTP/1.1 201 Created\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 204 No Content\r\n\r\n",
+            b"HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nhi",
+            b"HTTP/1.1 302 Found\r\nlocation: /elsewhere\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 500 No\r\ncontent-encoding: gzip\r\ncontent-length: 2\r\n\r\nhi",
+            b"HTTP/1.1 503 No\r\ncontent-length: 0\r\ncornelpoint-request: id-1\r\n\r\n",
+        ],
+        &expect![[r"
+            answered 200 [content-length=2] [hi]
+            answered 200 [content-length=10 y=2] [0123456789]
+            answered 200 [] [hi]
+            answered 201 [content-length=0] []
+            answered 204 [] []
+            answered 200 [content-length=2] [hi]
+            answered 302 [location=/elsewhere content-length=0] []
+            answered 500 [content-encoding=gzip content-length=2] [hi]
+            answered 503 [content-length=0 cornelpoint-request=id-1] []
+        "]],
+    );
+}
+
+#[test]
+fn takes_the_answer_to_head_without_its_body() {
+    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 999\r\n\r\n";
+    expect!["answered 200 [content-length=999] []"].assert_eq(&outcome_of(answer, Method::Head));
+}
+
+#[test]
+fn tells_broken_answers() {
+    check(
+        &[
+            b"",
+            b"HTTP/1.1 200 OK\r\ncontent-le",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhi",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\nhi",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 11\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nB\r\n01234567890\r\n0\r\n\r\n",
+            b"garbage\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nhi\r\n",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 3\r\n\r\nhi!",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+            b"HTTP/1.1 101 Switching Protocols\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\ncornelpoint-request: id-2\r\ncontent-length: 2\r\n\r\nhi",
+            b"HTTP/1.1 503 No\r\ncornelpoint-request: id-2\r\ncornelpoint-run: no\r\ncontent-length: 0\r\n\r\n",
+        ],
+        &expect![[r"
+            broken: answer-cut
+            broken: answer-cut
+            broken: answer-cut
+            broken: answer-cut
+            broken: answer-cut
+            broken: answer-cut
+            broken: answer-too-large
+            broken: answer-too-large
+            broken: answer-malformed
+            broken: answer-malformed
+            broken: answer-malformed
+            broken: answer-malformed
+            broken: answer-malformed
+            broken: answer-malformed
+            broken: answer-malformed
+            broken: answer-malformed
+        "]],
+    );
+}
+
+#[test]
+fn tells_requests_that_were_not_started() {
+    check(
+        &[
+            b"HTTP/1.1 503 No\r\ncornelpoint-run: no\r\ncontent-length: 2\r\n\r\nno",
+            b"HTTP/1.1 503 No\r\ncornelpoint-run: no\r\ncornelpoint-leaving: yes\r\ncontent-length: 0\r\n\r\n",
+            b"HTTP/1.1 503 No\r\ncornelpoint-run: no\r\ncontent-length: 2\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\ncornelpoint-run: no\r\ncontent-length: 0\r\n\r\n",
+        ],
+        &expect![[r"
+            not started, leaving: false
+            not started, leaving: true
+            not started, leaving: false
+            answered 200 [cornelpoint-run=no content-length=0] []
+        "]],
+    );
+}
+
+#[test]
+fn gives_up_a_late_answer_and_closes_its_connection() {
+    let late: &[&'static [Step]] = &[
+        &[Step::Accept, Step::Read, Step::AwaitClose, Step::Tell],
+        &[
+            Step::Accept,
+            Step::Read,
+            Step::Write(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhi"),
+            Step::AwaitClose,
+            Step::Tell,
+        ],
+        &[
+            Step::Accept,
+            Step::Read,
+            Step::Write(b"HTTP/1.1 200 OK\r\nx: "),
+            Step::Drip,
+            Step::Tell,
+        ],
+    ];
+    for steps in late {
+        let endpoint = ScriptedEndpoint::start(steps);
+        let client = client();
+        let outcome = send_get(&client, &endpoint, SHORT);
+        assert_eq!(outcome, SendOutcome::Broken(Refusal::AnswerLate));
+        endpoint.told.recv_timeout(LONG).unwrap();
+        assert_eq!(endpoint.reads(), 1);
+        assert_eq!(client.idle_connections(endpoint.address), 0);
+    }
+}
+
+#[test]
+fn reuses_a_connection_only_for_pooled_requests() {
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n1";
+    let endpoint = ScriptedEndpoint::start(&[
+        Step::Accept,
+        Step::Read,
+        Step::Write(ANSWER),
+        Step::Read,
+        Step::Write(ANSWER),
+        Step::Accept,
+        Step::Read,
+        Step::Write(ANSWER),
+    ]);
+    let client = client();
+    for reuse in [Reuse::Fresh, Reuse::Pooled, Reuse::Fresh] {
+        let deadline = Instant::now() + LONG;
+        let sent = client.send(endpoint.address, &request(Method::Post), deadline, reuse);
+        expect!["answered 200 [content-length=1] [1]"].assert_eq(&describe(&sent));
+    }
+    assert_eq!(endpoint.reads(), 3);
+    assert_eq!(client.idle_connections(endpoint.address), 2);
+    client.forget(endpoint.address);
+    assert_eq!(client.idle_connections(endpoint.address), 0);
+}
+
+#[test]
+fn never_reuses_a_connection_with_surplus_bytes() {
+    const TWICE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n1\
+        HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n2";
+    const ONCE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n3";
+    let endpoint = ScriptedEndpoint::start(&[
+        Step::Accept,
+        Step::Read,
+        Step::Write(TWICE),
+        Step::Accept,
+        Step::Read,
+        Step::Write(ONCE),
+        Step::Wait,
+        Step::Write(TWICE),
+        Step::Tell,
+        Step::Accept,
+        Step::Read,
+        Step::Write(ONCE),
+    ]);
+    let client = client();
+    let first = describe(&send_get(&client, &endpoint, LONG));
+    let second = describe(&send_get(&client, &endpoint, LONG));
+    endpoint.go_on.send(()).unwrap();
+    endpoint.told.recv_timeout(LONG).unwrap();
+    let third = describe(&send_get(&client, &endpoint, LONG));
+    expect![[r"
+        answered 200 [content-length=1] [1]
+        answered 200 [content-length=1] [3]
+        answered 200 [content-length=1] [3]
+    "]]
+    .assert_eq(&format!("{first}\n{second}\n{third}\n"));
+    assert_eq!(endpoint.reads(), 3);
+}
+
+#[test]
+fn replaces_a_connection_that_was_closed_while_idle() {
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n1";
+    let endpoint = ScriptedEndpoint::start(&[
+        Step::Accept,
+        Step::Read,
+        Step::Write(ANSWER),
+        Step::Wait,
+        Step::Close,
+        Step::Tell,
+        Step::Accept,
+        Step::Read,
+        Step::Write(ANSWER),
+    ]);
+    let client = client();
+    send_get(&client, &endpoint, LONG);
+    assert_eq!(client.idle_connections(endpoint.address), 1);
+    endpoint.go_on.send(()).unwrap();
+    endpoint.told.recv_timeout(LONG).unwrap();
+    let second = describe(&send_get(&client, &endpoint, LONG));
+    expect!["answered 200 [content-length=1] [1]"].assert_eq(&second);
+    assert_eq!(endpoint.reads(), 2);
+}
+
+#[test]
+fn never_sends_again_when_a_reused_connection_breaks() {
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n1";
+    let endpoint = ScriptedEndpoint::start(&[
+        Step::Accept,
+        Step::Read,
+        Step::Write(ANSWER),
+        Step::Read,
+        Step::Close,
+    ]);
+    let client = client();
+    send_get(&client, &endpoint, LONG);
+    let second = send_get(&client, &endpoint, LONG);
+    assert_eq!(second, SendOutcome::Broken(Refusal::AnswerCut));
+    assert_eq!(endpoint.reads(), 2);
+}
+
+#[test]
+fn tells_requests_that_were_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let free = listener.local_addr().unwrap();
+    drop(listener);
+    let client = client();
+    let get = request(Method::Get);
+    let later = Instant::now() + LONG;
+    let long = "a".repeat(20_000);
+    let folded = [Header::new("x", "1\r\ny: 2")];
+    let endpoint = ScriptedEndpoint::start(&[]);
+    let cases = [
+        client.send(free, &get, later, Reuse::Fresh),
+        client.send(endpoint.address, &get, Instant::now(), Reuse::Fresh),
+        client.send(
+            endpoint.address,
+            &OutgoingRequest {
+                target: &long,
+                ..get
+            },
+            later,
+            Reuse::Fresh,
+        ),
+        client.send(
+            endpoint.address,
+            &OutgoingRequest {
+                target: "/a b",
+                ..get
+            },
+            later,
+            Reuse::Fresh,
+        ),
+        client.send(
+            endpoint.address,
+            &OutgoingRequest {
+                headers: &folded,
+                ..get
+            },
+            later,
+            Reuse::Fresh,
+        ),
+    ];
+    let outcomes = cases.map(|outcome| describe(&outcome) + "\n");
+    expect![[r"
+        not sent: connection refused
+        not sent: deadline passed
+        not sent: request not in a form that can be sent
+        not sent: request not in a form that can be sent
+        not sent: request not in a form that can be sent
+    "]]
+    .assert_eq(&outcomes.concat());
+    assert_eq!(endpoint.reads(), 0);
+}
+
+#[test]
+fn tells_a_connection_that_was_not_made_in_time() {
+    // A listener whose queue is full does not complete further connections.
+    let listener =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    listener.bind(&any.into()).unwrap();
+    listener.listen(0).unwrap();
+    let address = listener.local_addr().unwrap().as_socket().unwrap();
+    let _held = TcpStream::connect(address).unwrap();
+    let outcome = client().send(
+        address,
+        &request(Method::Get),
+        Instant::now() + SHORT,
+        Reuse::Fresh,
+    );
+    assert_eq!(outcome, SendOutcome::NotSent(NotSent::ConnectTimeout));
+}
+
+#[test]
+fn sends_the_request_unchanged_but_for_its_connection_headers() {
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let endpoint = ScriptedEndpoint::start(&[
+        Step::Accept,
+        Step::Read,
+        Step::Write(ANSWER),
+        Step::Read,
+        Step::Write(ANSWER),
+        Step::Read,
+        Step::Write(ANSWER),
+        Step::Read,
+        Step::Write(ANSWER),
+    ]);
+    let client = client();
+    let headers = [
+        ("Host", "quoting.example"),
+        ("Connection", "keep-alive, Mine"),
+        ("Keep-Alive", "5"),
+        ("Mine", "1"),
+        ("Content-Length", "99"),
+        ("Expect", "100-continue"),
+        ("TE", "trailers"),
+        ("Transfer-Encoding", "chunked"),
+        ("Cornelpoint-Request", "forged"),
+        ("Accept-Encoding", "br"),
+        ("Cookie", "a=1"),
+        ("X", "1"),
+        ("X", "2"),
+    ]
+    .map(|(name, value)| Header::new(name, value));
+    let bodies: [(Method, &[u8]); 4] = [
+        (Method::Post, b"hi"),
+        (Method::Post, b""),
+        (Method::Get, b"hi"),
+        (Method::Delete, b""),
+    ];
+    for (method, body) in bodies {
+        let outgoing = OutgoingRequest {
+            headers: &headers,
+            body,
+            target: "/a!$%22&'()*+,-./:;=@[]^_{|}~?a=b/?&c",
+            ..request(method)
+        };
+        let deadline = Instant::now() + LONG;
+        let sent = client.send(endpoint.address, &outgoing, deadline, Reuse::Pooled);
+        expect!["answered 200 [content-length=0] []"].assert_eq(&describe(&sent));
+    }
+    let seen = endpoint
+        .requests
+        .lock()
+        .unwrap()
+        .join("\n--\n")
+        .replace('\r', "");
+    expect![[r"
+        POST /a!$%22&'()*+,-./:;=@[]^_{|}~?a=b/?&c HTTP/1.1
+        content-length: 2
+        host: quoting.example
+        accept-encoding: br
+        cookie: a=1
+        x: 1
+        x: 2
+        cornelpoint-request: id-1
+
+        hi
+        --
+        POST /a!$%22&'()*+,-./:;=@[]^_{|}~?a=b/?&c HTTP/1.1
+        content-length: 0
+        host: quoting.example
+        accept-encoding: br
+        cookie: a=1
+        x: 1
+        x: 2
+        cornelpoint-request: id-1
+
+
+        --
+        GET /a!$%22&'()*+,-./:;=@[]^_{|}~?a=b/?&c HTTP/1.1
+        content-length: 2
+        host: quoting.example
+        accept-encoding: br
+        cookie: a=1
+        x: 1
+        x: 2
+        cornelpoint-request: id-1
+
+        hi
+        --
+        DELETE /a!$%22&'()*+,-./:;=@[]^_{|}~?a=b/?&c HTTP/1.1
+        host: quoting.example
+        accept-encoding: br
+        cookie: a=1
+        x: 1
+        x: 2
+        cornelpoint-request: id-1
+
+    "]]
+    .assert_eq(&seen);
+}
