--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -5,6 +5,19 @@
 //! writes a log, so each part can be embedded and tested by itself.
 
 pub mod configuration;
+pub mod deployment;
+pub mod dispatch;
+pub mod document;
+pub mod ejection;
+pub mod finding;
+pub mod membership;
 pub mod name;
 pub mod platform;
+pub mod queue;
+pub mod rendezvous;
 pub mod request;
+pub mod retry;
+pub mod slots;
+pub mod spread;
+pub mod template;
+pub mod workspace;
