--- a/crates/cornelpoint-daemon/src/lib.rs
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -10,3 +10,6 @@
 pub mod message;
 pub mod platform_client;
 pub mod settings;
+
+pub mod caller_edge;
+pub mod endpoint_client;
