--- /dev/null
+++ b/crates/cornelpoint-standin/src/bin/cornelpoint-platform-standin.rs
@@ -0,0 +1,9 @@
+//! The platform stand-in as a program.
+
+use cornelpoint_standin::program::ProgramError;
+use cornelpoint_standin::program::run_platform;
+use error_stack::Report;
+
+fn main() -> Result<(), Report<ProgramError>> {
+    run_platform()
+}
--- a/crates/cornelpoint-standin/src/lib.rs
+++ b/crates/cornelpoint-standin/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod endpoint;
 pub mod platform;
+pub mod program;
 
 mod lock;
 mod start_error;
