--- a/crates/cornelpoint/src/document/document.rs
+++ b/crates/cornelpoint/src/document/document.rs
@@ -53,8 +53,8 @@
     ///     .unwrap_err();
     /// assert_eq!(
     ///     findings.to_string(),
-    ///     "a.json:1:14: lease_ms: expected a whole number from 1 to 5000, found 0\n\
-    ///      a.json:1:1: port: expected a value, found none\n\
+    ///     "a.json:1:1: port: expected a value, found none\n\
+    ///      a.json:1:14: lease_ms: expected a whole number from 1 to 5000, found 0\n\
     ///      a.json:1:25: prot: expected field: one of lease_ms, port, \
     ///      found `prot` (did you mean `port`?)"
     /// );
--- a/crates/cornelpoint/src/finding/findings.rs
+++ b/crates/cornelpoint/src/finding/findings.rs
@@ -16,7 +16,7 @@
 }
 
 impl Findings {
-    /// The findings, in the order in which the check met them.
+    /// The findings.
     #[must_use]
     pub fn as_slice(&self) -> &[Finding] {
         &self.list
@@ -28,21 +28,18 @@
         self.list.is_empty()
     }
 
-    /// Adds a finding; one that is there already is not repeated.
+    /// Adds a finding.
     pub fn push(&mut self, finding: Finding) {
-        if !self.list.contains(&finding) {
-            self.list.push(finding);
-        }
+        self.list.push(finding);
     }
 
     /// Adds the findings of another check.
     pub fn append(&mut self, other: Findings) {
-        for finding in other.list {
-            self.push(finding);
-        }
+        self.list.extend(other.list);
     }
 
-    /// The value that was checked, or the findings if there are any.
+    /// The value that was checked, or the findings if there are any: by their
+    /// place, each once.
     ///
     /// # Errors
     ///
@@ -52,11 +49,15 @@
     ///
     /// When there is neither a value nor a finding: a reader gave up a value
     /// without saying why.
-    pub fn or_value<T>(self, value: Option<T>) -> Result<T, Findings> {
+    pub fn or_value<T>(mut self, value: Option<T>) -> Result<T, Findings> {
         match value {
             Some(value) if self.is_empty() => Ok(value),
             None if self.is_empty() => panic!("expected a finding for a missing value, found none"),
-            _ => Err(self),
+            _ => {
+                self.list.sort_by(|one, other| one.place.cmp(&other.place));
+                self.list.dedup();
+                Err(self)
+            }
         }
     }
 }
--- a/crates/cornelpoint/src/workspace/check.rs
+++ b/crates/cornelpoint/src/workspace/check.rs
@@ -113,7 +113,7 @@
         |endpoint| &endpoint.address,
         findings,
     );
-    fault_domain::check_racks(&draft.endpoints, findings);
+    fault_domain::check_racks(draft, findings);
 }
 
 fn check_zones(draft: &Draft, findings: &mut Findings) {
--- a/crates/cornelpoint/src/workspace/fault_domain.rs
+++ b/crates/cornelpoint/src/workspace/fault_domain.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 
+use super::draft::Draft;
 use super::draft_endpoint::DraftEndpoint;
 use crate::configuration::Service;
 use crate::document::Node;
@@ -68,17 +69,21 @@
 }
 
 /// Checks that endpoints of one rack stand in one availability zone.
-pub(super) fn check_racks(endpoints: &[DraftEndpoint], findings: &mut Findings) {
+pub(super) fn check_racks(draft: &Draft, findings: &mut Findings) {
     let mut first_in_rack: BTreeMap<&Rack, &DraftEndpoint> = BTreeMap::new();
-    for endpoint in endpoints {
-        let first = first_in_rack.entry(&endpoint.rack).or_insert(endpoint);
+    let in_known_zones = draft.endpoints.iter().filter(|endpoint| {
+        let zones = draft.availability_zones.as_ref();
+        zones.is_none_or(|zones| zones.contains(&endpoint.availability_zone))
+    });
+    for endpoint in in_known_zones {
+        let first = *first_in_rack.entry(&endpoint.rack).or_insert(endpoint);
         if first.availability_zone != endpoint.availability_zone {
             findings.push(endpoint.field("availability_zone").finding(
                 format!(
                     "availability zone {} as for the rest of rack {}",
                     first.availability_zone, endpoint.rack
                 ),
-                format!("{}", endpoint.availability_zone),
+                endpoint.availability_zone.as_str(),
             ));
         }
     }
