--- a/crates/cornelpoint-daemon/src/gateway/news.rs
+++ b/crates/cornelpoint-daemon/src/gateway/news.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cornelpoint::membership::Member;
 use cornelpoint::name::InstanceId;
 use cornelpoint::spread::Facts;
 use slog::Logger;
@@ -24,8 +25,10 @@
 #[derive(Debug)]
 pub(super) struct News {
     pub(super) gateway: InstanceId,
-    /// The own entry instance's keeper first.
+    /// Keepers of the settings, the own entry instance's first.
     pub(super) keepers: Vec<SocketAddr>,
+    /// Keepers that are asked when those fail.
+    pub(super) others: Vec<SocketAddr>,
     pub(super) client: ControlClient,
     pub(super) interval: Duration,
     pub(super) signs: Receiver<InstanceId>,
@@ -62,7 +65,7 @@
 
     /// Asks the first keeper that answers.
     fn ask(&mut self) {
-        for keeper in self.keepers.clone() {
+        for keeper in self.all_keepers() {
             match self.ask_keeper(keeper) {
                 Ok(view) => {
                     self.adopt(keeper, view);
@@ -113,13 +116,16 @@
         }
     }
 
-    /// Keepers that are not in the settings are asked when the others fail.
-    fn learn_keepers(&mut self, members: &[cornelpoint::membership::Member]) {
-        for member in members {
-            if !self.keepers.contains(&member.keeper_address) {
-                self.keepers.push(member.keeper_address);
-            }
-        }
+    fn learn_keepers(&mut self, members: &[Member]) {
+        self.others = members
+            .iter()
+            .map(|member| member.keeper_address)
+            .filter(|address| !self.keepers.contains(address))
+            .collect();
+    }
+
+    fn all_keepers(&self) -> Vec<SocketAddr> {
+        self.keepers.iter().chain(&self.others).copied().collect()
     }
 
     fn pass_on(&self, instance: &InstanceId) {
@@ -128,7 +134,7 @@
             accepts_work: false,
         };
         info!(self.logger, "Endpoint says that it leaves."; "endpoint" => %instance);
-        for &keeper in &self.keepers {
+        for keeper in self.all_keepers() {
             if self
                 .client
                 .call::<_, ()>(keeper, "/peer/sign", &sign)
--- a/crates/cornelpoint-daemon/src/lib.rs
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -6,10 +6,9 @@
 pub mod caller_edge;
 pub mod clock;
 pub mod control;
+pub mod endpoint_client;
+pub mod gateway;
 pub mod keeper;
 pub mod message;
 pub mod platform_client;
 pub mod settings;
-
-pub mod caller_edge;
-pub mod endpoint_client;
