Run the thin whole path in the demo

Cause: a caller's request has to go through gateway and endpoint and back, with the configuration accepted by an operator.

Found: a holder was made at the first report, so that the first second's requests were refused (1754 of 1977 answered). Holders are now made when the slots fall to a keeper.

--- /dev/null
+++ b/crates/cornelpoint-cli/src/demo/demo_arguments.rs
@@ -0,0 +1,20 @@
+use clap::Args;
+use cornelpoint::deployment::Deployment;
+
+/// What the demo runs.
+#[derive(Clone, Copy, Debug, Args)]
+pub struct DemoArguments {
+    /// Deployment whose size and configuration are used: futopalya or kandy.
+    #[arg(long, default_value = "futopalya", value_parser = read_deployment)]
+    pub deployment: Deployment,
+    /// Print the checks as JSON.
+    #[arg(long)]
+    pub json: bool,
+    /// Seed of the traffic.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+}
+
+fn read_deployment(text: &str) -> Result<Deployment, String> {
+    Deployment::try_from(text).map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/crates/cornelpoint-cli/src/demo/mod.rs
@@ -0,0 +1,58 @@
+//! The demo: a deployment of the brief's size in one process, driven through
+//! its main job, with one check a line.
+
+mod caller;
+mod check;
+mod demo_arguments;
+mod judge;
+mod outcome;
+mod report;
+mod steps;
+mod traffic;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+
+pub use self::check::Check;
+pub use self::demo_arguments::DemoArguments;
+pub use self::report::Report;
+
+use crate::fleet::Fleet;
+use crate::fleet::FleetSettings;
+
+/// Time that a request runs at an endpoint, in milliseconds.
+const WORK_MS: u64 = 200;
+
+#[derive(Debug, Parser)]
+#[command(name = "cornelpoint")]
+enum Command {
+    /// Run a deployment in one process and check what it promises.
+    Demo(DemoArguments),
+}
+
+/// Runs the demo as the command line says.
+#[must_use]
+pub fn run_from_arguments() -> ExitCode {
+    let Command::Demo(arguments) = Command::parse();
+    run(&arguments)
+}
+
+/// Runs the demo; success when every check passed.
+#[must_use]
+pub fn run(arguments: &DemoArguments) -> ExitCode {
+    let mut report = Report::new(arguments);
+    let settings = FleetSettings {
+        seed: arguments.seed,
+        ..FleetSettings::new(arguments.deployment, WORK_MS)
+    };
+    let logger = Logger::root(Discard, o!());
+    match Fleet::start(&settings, &logger) {
+        Ok(fleet) => steps::run(fleet, arguments, &mut report),
+        Err(error) => report.add(Check::failed("start", &error)),
+    }
+    report.finish()
+}
--- /dev/null
+++ b/crates/cornelpoint-cli/src/fleet/running.rs
@@ -0,0 +1,362 @@
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use cornelpoint::configuration::Configuration;
+use cornelpoint::configuration::Generation;
+use cornelpoint::document::Source;
+use cornelpoint::name::AvailabilityZone;
+use cornelpoint::name::InstanceId;
+use cornelpoint::platform::InstanceState;
+use cornelpoint::platform::ListedInstance;
+use cornelpoint::workspace;
+use cornelpoint_daemon::control::ControlClient;
+use cornelpoint_daemon::keeper::AcceptReply;
+use cornelpoint_daemon::keeper::AcceptRequest;
+use cornelpoint_daemon::keeper::DrainRequest;
+use cornelpoint_daemon::message::DrainReport;
+use cornelpoint_daemon::message::KeeperStatus;
+use cornelpoint_standin::endpoint::EndpointSettings;
+use cornelpoint_standin::endpoint::EndpointStandIn;
+use cornelpoint_standin::platform::PlatformSettings;
+use cornelpoint_standin::platform::PlatformStandIn;
+use slog::Logger;
+
+use super::entry::Entry;
+use super::entry::EntryPlan;
+use super::fleet_error::FleetError;
+use super::fleet_settings::FleetSettings;
+
+/// Longest wait for an operator's action.
+const OPERATOR_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time between two looks at something that is waited for.
+const POLL: Duration = Duration::from_millis(5);
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform's stand-in.
+    pub platform: PlatformStandIn,
+    /// The endpoints' stand-ins, in the order of the configuration.
+    pub endpoints: Vec<EndpointStandIn>,
+    /// The entry instances.
+    pub entries: Vec<Entry>,
+    /// The deployment's configuration with the endpoints' addresses; its
+    /// generation is zero until it is accepted.
+    pub configuration: Configuration,
+    operator: ControlClient,
+}
+
+impl Fleet {
+    /// Starts all processes of a fleet; nothing is accepted yet.
+    ///
+    /// # Errors
+    ///
+    /// When a part cannot start or the configuration is not sound.
+    pub fn start(settings: &FleetSettings, logger: &Logger) -> Result<Self, FleetError> {
+        let example = settings.deployment.configuration().map_err(unsound)?;
+        let endpoints = start_endpoints(&example, settings)?;
+        let addresses: Vec<SocketAddr> = endpoints.iter().map(EndpointStandIn::address).collect();
+        let configuration = place(settings, &addresses)?;
+        let platform = PlatformStandIn::start(&PlatformSettings {
+            instance_list_lag_ms: settings.instance_list_lag_ms,
+            instances: listed(&configuration),
+            seed: settings.seed,
+            ..PlatformSettings::default()
+        })
+        .map_err(stand_in)?;
+        let entries = start_entries(settings, &configuration, platform.address(), logger)?;
+        Ok(Self {
+            platform,
+            endpoints,
+            entries,
+            configuration,
+            operator: ControlClient::new(OPERATOR_TIMEOUT),
+        })
+    }
+
+    // Queries.
+
+    /// Addresses for callers of all gateways that run.
+    #[must_use]
+    pub fn gateways(&self) -> Vec<SocketAddr> {
+        self.entries
+            .iter()
+            .filter_map(Entry::caller_address)
+            .collect()
+    }
+
+    /// The stand-in of an endpoint.
+    #[must_use]
+    pub fn endpoint(&self, instance: &InstanceId) -> Option<&EndpointStandIn> {
+        let position = self
+            .configuration
+            .pools
+            .iter()
+            .flat_map(|pool| &pool.endpoints)
+            .position(|endpoint| &endpoint.instance == instance)?;
+        self.endpoints.get(position)
+    }
+
+    /// The lowest generation that a running gateway applies, as the keepers
+    /// know it.
+    #[must_use]
+    pub fn lowest_applied(&self) -> Generation {
+        let expected = self.gateways().len();
+        let mut seen = 0;
+        let mut lowest = None;
+        for keeper in self.entries.iter().filter_map(Entry::keeper_address) {
+            let status: Result<KeeperStatus, _> =
+                self.operator.get_json(keeper, "/operator/status");
+            for gateway in status.into_iter().flat_map(|status| status.gateways) {
+                seen += 1;
+                lowest = lowest.min(Some(gateway.applied)).or(Some(gateway.applied));
+            }
+        }
+        match lowest {
+            Some(lowest) if seen >= expected => lowest,
+            _ => Generation(0),
+        }
+    }
+
+    // Commands.
+
+    /// Accepts a configuration at the first keeper that runs.
+    ///
+    /// # Errors
+    ///
+    /// When the keeper refuses, or another operator was first.
+    pub fn accept(
+        &self,
+        configuration: &Configuration,
+        token: &str,
+    ) -> Result<Generation, FleetError> {
+        let request = AcceptRequest {
+            configuration: configuration.clone(),
+            token: token.to_owned(),
+        };
+        let reply: AcceptReply = self.operate("/operator/accept", &request)?;
+        Ok(reply.generation)
+    }
+
+    /// Waits until every gateway applies a generation and tells how long it
+    /// took.
+    ///
+    /// # Errors
+    ///
+    /// When the time is over.
+    pub fn wait_applied(
+        &self,
+        generation: Generation,
+        limit: Duration,
+    ) -> Result<Duration, FleetError> {
+        let start = Instant::now();
+        while self.lowest_applied() < generation {
+            if start.elapsed() > limit {
+                return Err(FleetError::Timeout {
+                    expected: "the generation to be in force everywhere",
+                });
+            }
+            thread::sleep(POLL);
+        }
+        Ok(start.elapsed())
+    }
+
+    /// Drains an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// When no keeper takes the action.
+    pub fn drain(&self, instance: &InstanceId) -> Result<(), FleetError> {
+        let request = DrainRequest {
+            instance: instance.clone(),
+        };
+        self.operate::<_, serde_json::Value>("/operator/drain", &request)
+            .map(drop)
+    }
+
+    /// Brings a drained endpoint back.
+    ///
+    /// # Errors
+    ///
+    /// When no keeper takes the action.
+    pub fn undrain(&self, instance: &InstanceId) -> Result<(), FleetError> {
+        let request = DrainRequest {
+            instance: instance.clone(),
+        };
+        self.operate::<_, serde_json::Value>("/operator/undrain", &request)
+            .map(drop)
+    }
+
+    /// Waits until the endpoint's own zone says that it is drained.
+    ///
+    /// # Errors
+    ///
+    /// When the time is over.
+    pub fn wait_drained(
+        &self,
+        instance: &InstanceId,
+        limit: Duration,
+    ) -> Result<Duration, FleetError> {
+        let start = Instant::now();
+        let request = DrainRequest {
+            instance: instance.clone(),
+        };
+        loop {
+            let report: Result<DrainReport, _> = self.operate("/operator/drained", &request);
+            if report.is_ok_and(|report| report.drained) {
+                return Ok(start.elapsed());
+            }
+            if start.elapsed() > limit {
+                return Err(FleetError::Timeout {
+                    expected: "the endpoint to be drained",
+                });
+            }
+            thread::sleep(POLL);
+        }
+    }
+
+    /// Stops everything.
+    pub fn stop(self) {
+        let stopping: Vec<_> = self
+            .entries
+            .into_iter()
+            .map(|entry| thread::spawn(move || stop_entry(entry)))
+            .collect();
+        for thread in stopping {
+            let _ = thread.join();
+        }
+        for endpoint in self.endpoints {
+            endpoint.stop();
+        }
+        self.platform.stop();
+    }
+
+    fn operate<Q: serde::Serialize, A: serde::de::DeserializeOwned>(
+        &self,
+        path: &str,
+        request: &Q,
+    ) -> Result<A, FleetError> {
+        let mut found = "no keeper runs".to_owned();
+        for keeper in self.entries.iter().filter_map(Entry::keeper_address) {
+            match self.operator.call_json(keeper, path, request) {
+                Ok(reply) => return Ok(reply),
+                Err(error) => found = error.to_string(),
+            }
+        }
+        Err(FleetError::Operator { found })
+    }
+}
+
+fn stop_entry(entry: Entry) {
+    if let Some(gateway) = entry.gateway {
+        gateway.stop();
+    }
+    if let Some(keeper) = entry.keeper {
+        keeper.stop();
+    }
+}
+
+fn start_endpoints(
+    configuration: &Configuration,
+    settings: &FleetSettings,
+) -> Result<Vec<EndpointStandIn>, FleetError> {
+    let configured = configuration.pools.iter().flat_map(|pool| &pool.endpoints);
+    configured
+        .zip(settings.seed..)
+        .map(|(endpoint, seed)| {
+            EndpointStandIn::start(EndpointSettings {
+                service_time: settings.service_time,
+                seed,
+                ..EndpointSettings::new(endpoint.instance.clone())
+            })
+            .map_err(stand_in)
+        })
+        .collect()
+}
+
+/// The deployment's own files, with the addresses of the stand-ins.
+fn place(settings: &FleetSettings, addresses: &[SocketAddr]) -> Result<Configuration, FleetError> {
+    let text = settings
+        .deployment
+        .workspace_text(addresses)
+        .map_err(unsound)?;
+    let source = Source {
+        text: &text,
+        ..settings.deployment.workspace()
+    };
+    workspace::check(settings.deployment.template(), source).map_err(unsound)
+}
+
+fn listed(configuration: &Configuration) -> Vec<ListedInstance> {
+    configuration
+        .pools
+        .iter()
+        .flat_map(|pool| &pool.endpoints)
+        .map(|endpoint| ListedInstance {
+            instance: endpoint.instance.clone(),
+            availability_zone: endpoint.availability_zone.clone(),
+            state: InstanceState::Live,
+            epoch: 1,
+            keeper_address: None,
+        })
+        .collect()
+}
+
+fn start_entries(
+    settings: &FleetSettings,
+    configuration: &Configuration,
+    platform: SocketAddr,
+    logger: &Logger,
+) -> Result<Vec<Entry>, FleetError> {
+    let zones = zones_of(configuration);
+    let mut entries: Vec<Entry> = Vec::new();
+    for (number, zone) in (1..=settings.entries()).zip(zones.iter().cycle()) {
+        let instance = InstanceId::try_from(format!("entry-{number}")).map_err(daemon_name)?;
+        let plan = EntryPlan {
+            instance,
+            availability_zone: zone.clone(),
+            workspace: configuration.workspace.clone(),
+            platform,
+            seeds: entries
+                .iter()
+                .take(2)
+                .filter_map(|entry| entry.keeper.as_ref())
+                .map(cornelpoint_daemon::keeper::Keeper::gossip_address)
+                .collect(),
+        };
+        entries.push(Entry::start(&plan, logger)?);
+    }
+    Ok(entries)
+}
+
+fn zones_of(configuration: &Configuration) -> Vec<AvailabilityZone> {
+    let mut zones: Vec<AvailabilityZone> = configuration
+        .pools
+        .iter()
+        .flat_map(|pool| &pool.endpoints)
+        .map(|endpoint| endpoint.availability_zone.clone())
+        .collect();
+    zones.sort();
+    zones.dedup();
+    zones
+}
+
+fn unsound(findings: impl std::fmt::Display) -> FleetError {
+    FleetError::Configuration {
+        found: findings.to_string(),
+    }
+}
+
+fn stand_in(error: impl std::fmt::Display) -> FleetError {
+    FleetError::StandIn {
+        found: error.to_string(),
+    }
+}
+
+fn daemon_name(error: impl std::fmt::Display) -> FleetError {
+    FleetError::Daemon {
+        found: error.to_string(),
+    }
+}
--- a/crates/cornelpoint-cli/src/main.rs
+++ b/crates/cornelpoint-cli/src/main.rs
@@ -1,3 +1,7 @@
 //! The operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cornelpoint_cli::demo::run_from_arguments()
+}
--- a/crates/cornelpoint-daemon/src/keeper/state.rs
+++ b/crates/cornelpoint-daemon/src/keeper/state.rs
@@ -166,7 +166,9 @@
         if self.leaving {
             return Vec::new();
         }
-        self.membership.tick(now_ms)
+        let outgoing = self.membership.tick(now_ms);
+        self.take_over(now_ms);
+        outgoing
     }
 
     pub(super) fn gossip(&mut self, message: GossipMessage, now_ms: u64) -> Vec<OutgoingGossip> {
@@ -311,16 +313,45 @@
             pool: request.pool.clone(),
             availability_zone: request.availability_zone.clone(),
         };
-        if !self.holders.contains_key(&key) {
-            let holder = self.new_holder(&key, now_ms);
-            self.holders.insert(key.clone(), holder);
-        }
+        self.ensure_holder(&key, now_ms);
         match self.holders.get_mut(&key) {
             Some(holder) => SlotAnswer::Lent(holder.exchange(request, now_ms)),
             None => SlotAnswer::NotHolder { holder: None },
         }
     }
 
+    /// Starts to hold the slots that fell to this keeper, and drops those that
+    /// fell to another, so that a holder that comes back starts anew.
+    fn take_over(&mut self, now_ms: u64) {
+        let own = self.membership.own();
+        let keys: Vec<HolderKey> = self
+            .facts
+            .configuration()
+            .into_iter()
+            .flat_map(|configuration| &configuration.pools)
+            .map(|pool| HolderKey {
+                pool: pool.name.clone(),
+                availability_zone: own.availability_zone.clone(),
+            })
+            .collect();
+        for key in keys {
+            let holder = self.holder_member(&key.pool, &key.availability_zone);
+            let is_own = holder.is_some_and(|member| &member.instance == self.own_instance());
+            if is_own {
+                self.ensure_holder(&key, now_ms);
+            } else {
+                self.holders.remove(&key);
+            }
+        }
+    }
+
+    fn ensure_holder(&mut self, key: &HolderKey, now_ms: u64) {
+        if !self.holders.contains_key(key) {
+            let holder = self.new_holder(key, now_ms);
+            self.holders.insert(key.clone(), holder);
+        }
+    }
+
     fn new_holder(&self, key: &HolderKey, now_ms: u64) -> Holder {
         let settings = HolderSettings {
             lease_ms: self.slot_lease_ms,
@@ -400,6 +431,10 @@
             .find(|member| &member.instance == chosen)
     }
 
+    fn own_instance(&self) -> &InstanceId {
+        &self.membership.own().instance
+    }
+
     fn gateway_statuses(&self, now_ms: u64) -> Vec<GatewayStatus> {
         self.gateways
             .iter()
