--- a/crates/cornelpoint/src/slots/borrower.rs
+++ b/crates/cornelpoint/src/slots/borrower.rs
@@ -145,6 +145,7 @@
     ///     count: 1,
     /// };
     /// let reply = SlotReply {
+    ///     incarnation: request.incarnation,
     ///     sequence: request.sequence,
     ///     lease_ms: 900,
     ///     lent: vec![lent],
@@ -208,7 +209,8 @@
         let Some(pending) = self.outstanding else {
             return;
         };
-        if pending.sequence != reply.sequence {
+        let expected = (self.settings.incarnation, pending.sequence);
+        if (reply.incarnation, reply.sequence) != expected {
             return;
         }
         if reply.lease_ms == 0 {
--- a/crates/cornelpoint/src/slots/endpoint_use.rs
+++ b/crates/cornelpoint/src/slots/endpoint_use.rs
@@ -72,6 +72,10 @@
         self.slots
     }
 
+    pub(super) fn left_ms(&self) -> Option<u64> {
+        self.left_ms
+    }
+
     pub(super) fn accepts_work(&self) -> bool {
         self.left_ms.is_none()
     }
--- a/crates/cornelpoint/src/slots/holder.rs
+++ b/crates/cornelpoint/src/slots/holder.rs
@@ -96,7 +96,7 @@
     pub fn exchange(&mut self, request: &SlotRequest, now_ms: u64) -> SlotReply {
         self.settle(now_ms);
         if self.is_out_of_date(request) {
-            return self.nothing_lent(request.sequence);
+            return self.nothing_lent(request);
         }
         let lease_end_ms = now_ms + self.settings.lease_ms;
         let mut account = Account::from_report(request, lease_end_ms);
@@ -111,20 +111,21 @@
         reply
     }
 
-    /// Whether an endpoint has every slot back and every request over, so
-    /// far as this holder can know.
+    /// Whether an endpoint has every slot back and every request over.
     ///
-    /// Never true until a request that a holder before let start must be
-    /// over.
+    /// Never true before a request must be over that another holder, or a
+    /// gateway that hears no holder, let start: both stop to start requests
+    /// within [`HolderSettings::leaving_known_ms`].
     #[must_use]
     pub fn is_drained(&self, endpoint: &InstanceId, now_ms: u64) -> bool {
-        let known_from_ms =
-            self.started_ms + self.settings.lease_ms + self.settings.max_deadline_ms;
-        let leaves = self
-            .endpoints
-            .get(endpoint)
-            .is_none_or(|known| !known.accepts_work());
-        leaves && now_ms >= known_from_ms && self.lent(endpoint, now_ms) == 0
+        let Some(known) = self.endpoints.get(endpoint) else {
+            return now_ms >= self.unknown_until_ms(self.started_ms);
+        };
+        let Some(left_ms) = known.left_ms() else {
+            return false;
+        };
+        let unknown_until_ms = self.unknown_until_ms(left_ms.max(self.started_ms));
+        now_ms >= unknown_until_ms && self.lent(endpoint, now_ms) == 0
     }
 
     /// Slots lent at an endpoint, those in lapsed leases with them until
@@ -194,6 +195,11 @@
         account.lease_end_ms + self.settings.max_deadline_ms <= now_ms
     }
 
+    /// Time until which requests may run that this holder does not know of.
+    fn unknown_until_ms(&self, since_ms: u64) -> u64 {
+        since_ms + self.settings.leaving_known_ms + self.settings.max_deadline_ms
+    }
+
     fn is_adopting(&self, now_ms: u64) -> bool {
         now_ms < self.started_ms + self.settings.adopt_ms
     }
@@ -206,9 +212,10 @@
         (request.incarnation, request.sequence) <= known
     }
 
-    fn nothing_lent(&self, sequence: u64) -> SlotReply {
+    fn nothing_lent(&self, request: &SlotRequest) -> SlotReply {
         SlotReply {
-            sequence,
+            incarnation: request.incarnation,
+            sequence: request.sequence,
             lease_ms: 0,
             lent: Vec::new(),
             leaving: self.leaving(),
@@ -346,6 +353,7 @@
         let total: u32 = limits.values().sum();
         let lacks = total < allotment.lower.min(account.demand());
         SlotReply {
+            incarnation: request.incarnation,
             sequence: request.sequence,
             lease_ms: self.settings.lease_ms,
             lent,
--- a/crates/cornelpoint/src/slots/holder_settings.rs
+++ b/crates/cornelpoint/src/slots/holder_settings.rs
@@ -13,6 +13,9 @@
     /// deadline, the endpoint's limit holds even when a gateway is lost
     /// together with the holder before.
     pub adopt_ms: u64,
+    /// Time in which every gateway and every other holder knows that an
+    /// endpoint leaves, in milliseconds. At least one lease.
+    pub leaving_known_ms: u64,
     /// Time after which a gateway that waits for slots in movement asks
     /// again, in milliseconds.
     pub ask_soon_ms: u64,
@@ -35,6 +38,7 @@
             lease_ms: 900,
             max_deadline_ms,
             adopt_ms: 900,
+            leaving_known_ms: 2_000,
             ask_soon_ms: 20,
             ask_later_ms: 100,
         }
--- a/crates/cornelpoint/src/slots/slot_reply.rs
+++ b/crates/cornelpoint/src/slots/slot_reply.rs
@@ -6,6 +6,8 @@
 /// The holder's answer to a [`SlotRequest`](super::SlotRequest).
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotReply {
+    /// Incarnation of the gateway that is answered.
+    pub incarnation: u64,
     /// Number of the request that is answered.
     pub sequence: u64,
     /// Length of the lease from when the request was sent, in milliseconds;
--- a/crates/cornelpoint/tests/slots.rs
+++ b/crates/cornelpoint/tests/slots/rules.rs
@@ -1,18 +1,17 @@
 //! Slots lent to gateways: one case for each rule.
 
-mod slots_support;
-
+use cornelpoint::name::InstanceId;
 use cornelpoint::slots::Holder;
 use cornelpoint::slots::HolderSettings;
 
-use self::slots_support::MAX_DEADLINE_MS;
-use self::slots_support::borrower;
-use self::slots_support::endpoint;
-use self::slots_support::exchange;
-use self::slots_support::instance;
-use self::slots_support::settings;
+use super::builder::MAX_DEADLINE_MS;
+use super::builder::borrower;
+use super::builder::endpoint;
+use super::builder::exchange;
+use super::builder::instance;
+use super::builder::settings;
 
-const ANY: fn(&cornelpoint::name::InstanceId) -> bool = |_| false;
+const ANY: fn(&InstanceId) -> bool = |_| false;
 
 /// A holder past its adoption, with `endpoints` of 8 slots.
 fn holder(endpoints: u32) -> (Holder, u64) {
@@ -109,7 +108,9 @@
     gateway.release(&slot, now_ms + 320);
     gateway.set_demand(0, None);
     exchange(&mut gateway, &mut holder, now_ms + 400);
-    assert!(holder.is_drained(&instance(0), now_ms + 400));
+    let known_ms = settings().leaving_known_ms + MAX_DEADLINE_MS;
+    assert!(!holder.is_drained(&instance(0), now_ms + known_ms));
+    assert!(holder.is_drained(&instance(0), now_ms + known_ms + 1));
 }
 
 #[test]
@@ -165,7 +166,7 @@
     let mut gateway = borrower(1, 1, now_ms);
     gateway.set_demand(2, None);
     exchange(&mut gateway, &mut holder, now_ms);
-    let not_first = |endpoint: &cornelpoint::name::InstanceId| *endpoint == instance(0);
+    let not_first = |endpoint: &InstanceId| *endpoint == instance(0);
     let slot = gateway.acquire(&not_first, now_ms).unwrap();
     assert_eq!(slot.endpoint, instance(1));
     assert!(gateway.acquire(&not_first, now_ms).is_none());
