--- /dev/null
+++ b/crates/cornelpoint/src/finding/findings.rs
@@ -0,0 +1,85 @@
+use std::error::Error;
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::finding::Finding;
+
+/// All findings of one check, reported together.
+///
+/// Displays one finding a line as `file:line:column: field: expected ..., found ...`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Findings {
+    list: Vec<Finding>,
+}
+
+impl Findings {
+    /// The findings.
+    #[must_use]
+    pub fn as_slice(&self) -> &[Finding] {
+        &self.list
+    }
+
+    /// Whether the check found nothing wrong.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// Adds a finding.
+    pub fn push(&mut self, finding: Finding) {
+        self.list.push(finding);
+    }
+
+    /// Adds the findings of another check.
+    pub fn append(&mut self, other: Findings) {
+        self.list.extend(other.list);
+    }
+
+    /// The value that was checked, or the findings if there are any: by their
+    /// place, each once.
+    ///
+    /// # Errors
+    ///
+    /// The findings, when there are any.
+    ///
+    /// # Panics
+    ///
+    /// When there is neither a value nor a finding: a reader gave up a value
+    /// without saying why.
+    pub fn or_value<T>(mut self, value: Option<T>) -> Result<T, Findings> {
+        match value {
+            Some(value) if self.is_empty() => Ok(value),
+            None if self.is_empty() => panic!("expected a finding for a missing value, found none"),
+            _ => {
+                self.list.sort_by(|one, other| one.place.cmp(&other.place));
+                self.list.dedup();
+                Err(self)
+            }
+        }
+    }
+}
+
+impl From<Finding> for Findings {
+    fn from(finding: Finding) -> Self {
+        Self {
+            list: vec![finding],
+        }
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.list.iter().enumerate() {
+            if index > 0 {
+                writeln!(formatter)?;
+            }
+            write!(formatter, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Error for Findings {}
