--- a/crates/cornelpoint/src/slots/borrower.rs
+++ b/crates/cornelpoint/src/slots/borrower.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 
+use crate::name::AvailabilityZone;
 use crate::name::InstanceId;
 
 use super::borrowed::BorrowedSlots;
@@ -7,8 +8,10 @@
 use super::borrower_dump::BorrowerDump;
 use super::borrower_settings::BorrowerSettings;
 use super::holder_endpoint::HolderEndpoint;
+use super::idle_window::IdleWindow;
 use super::known_endpoints::KnownEndpoints;
-use super::slot_reply::LentSlots;
+use super::pending_exchange::PendingExchange;
+use super::running_request::RunningRequest;
 use super::slot_reply::SlotReply;
 use super::slot_request::HeldSlots;
 use super::slot_request::SlotRequest;
@@ -17,14 +20,6 @@
 /// Messages in one lease when nothing else is to be said.
 const RENEWALS_PER_LEASE: u64 = 3;
 
-/// A request to the holder that has no answer yet.
-#[derive(Clone, Copy, Debug)]
-struct Pending {
-    sequence: u64,
-    since_ms: u64,
-    demand: u32,
-}
-
 /// One gateway's slots of one pool in one availability zone.
 ///
 /// The caller asks [`Borrower::request_due`] at each event and every few
@@ -35,12 +30,12 @@
     settings: BorrowerSettings,
     slots: BorrowedSlots,
     known: KnownEndpoints,
-    uses: BTreeMap<u64, Use>,
+    uses: BTreeMap<u64, RunningRequest>,
     last_use: u64,
     queued: u32,
     earliest_deadline_ms: Option<u64>,
     sequence: u64,
-    outstanding: Option<Pending>,
+    outstanding: Option<PendingExchange>,
     last_sent_ms: Option<u64>,
     reported_held: u32,
     reported_queued: u32,
@@ -51,15 +46,7 @@
     answered_short: bool,
     contended: bool,
     fallback: bool,
-    window_start_ms: u64,
-    window_peak: u32,
-}
-
-/// A request that runs.
-#[derive(Clone, Debug)]
-struct Use {
-    endpoint: InstanceId,
-    started_ms: u64,
+    idle_window: IdleWindow,
 }
 
 impl Borrower {
@@ -86,8 +73,7 @@
             answered_short: false,
             contended: false,
             fallback: false,
-            window_start_ms: now_ms,
-            window_peak: 0,
+            idle_window: IdleWindow::new(now_ms),
         }
     }
 
@@ -169,14 +155,15 @@
             .best(|endpoint| !excluded(endpoint), self.last_use);
         let endpoint = best?.clone();
         self.slots.start(&endpoint);
-        self.window_peak = self.window_peak.max(self.slots.in_use());
+        self.idle_window.note(self.slots.in_use());
         self.last_use += 1;
-        let running = Use {
+        let running = RunningRequest {
             endpoint: endpoint.clone(),
             started_ms: now_ms,
         };
         self.uses.insert(self.last_use, running);
         Some(SlotUse {
+            availability_zone: self.settings.availability_zone.clone(),
             endpoint,
             id: self.last_use,
         })
@@ -227,7 +214,7 @@
             self.known.leave(&leaving.endpoint, leaving.epoch, now_ms);
         }
         self.reported_held = self.reported_held.max(self.slots.held());
-        self.answered_short = lent_in_all(&reply.lent) < pending.demand;
+        self.answered_short = reply.lent_in_all() < pending.demand;
         self.ask_again_ms = now_ms;
         if self.answered_short {
             self.ask_again_ms += reply.ask_again_in_ms;
@@ -260,6 +247,22 @@
         self.answered_short && self.queued > self.slots.free()
     }
 
+    /// The availability zone whose endpoints are used.
+    #[must_use]
+    pub fn availability_zone(&self) -> &AvailabilityZone {
+        &self.settings.availability_zone
+    }
+
+    /// Whether nothing waits, runs or is lent, so that no message is due.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.queued == 0
+            && self.reported_queued == 0
+            && self.reported_held == 0
+            && self.slots.held() == 0
+            && self.outstanding.is_none()
+    }
+
     /// Requests that run.
     #[must_use]
     pub fn running(&self) -> u32 {
@@ -313,14 +316,16 @@
     }
 
     fn give_back_idle(&mut self, now_ms: u64) {
-        if self.fallback || now_ms < self.window_start_ms + self.idle_window_ms() {
+        if self.fallback {
             return;
         }
-        let needed = self.window_peak.max(self.slots.in_use() + self.queued);
+        let Some(peak) = self.idle_window.peak(self.idle_window_ms(), now_ms) else {
+            return;
+        };
+        let needed = peak.max(self.slots.in_use() + self.queued);
         let idle = self.slots.held().saturating_sub(needed);
         self.slots.give_up(idle);
-        self.window_start_ms = now_ms;
-        self.window_peak = self.slots.in_use();
+        self.idle_window.restart(self.slots.in_use(), now_ms);
     }
 
     fn idle_window_ms(&self) -> u64 {
@@ -357,7 +362,7 @@
         self.last_sent_ms = Some(now_ms);
         self.reported_held = self.slots.held();
         self.reported_queued = self.queued;
-        self.outstanding = Some(Pending {
+        self.outstanding = Some(PendingExchange {
             sequence: self.sequence,
             since_ms: now_ms,
             demand: self.slots.in_use().saturating_add(self.queued),
@@ -388,7 +393,3 @@
             .collect()
     }
 }
-
-fn lent_in_all(lent: &[LentSlots]) -> u32 {
-    lent.iter().map(|slots| slots.count).sum()
-}
--- a/crates/cornelpoint/src/slots/slot_reply.rs
+++ b/crates/cornelpoint/src/slots/slot_reply.rs
@@ -26,6 +26,14 @@
     pub ask_again_in_ms: u64,
 }
 
+impl SlotReply {
+    /// Slots lent at all endpoints.
+    #[must_use]
+    pub fn lent_in_all(&self) -> u32 {
+        self.lent.iter().map(|slots| slots.count).sum()
+    }
+}
+
 /// Slots lent at one endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LentSlots {
