Claim idempotency keys in batches, at most one run for each

Cause: a caller's repeat reaches another gateway; only a claim in the platform's table makes both one request, and the store can be down, slow, or lose its answer after the write. Change: claim::ClaimBatcher claims, settles and releases rows, many in one transaction; a lost outcome is read back and judged by claimant and nonce; a row that conflicts leaves the batch; a claim refused while its write may still arrive is released by the same conditions, which stops the late write. HeldClaim and SendPermit can't be copied: a claim is sent once, after a look at the clock, or released. AnswerWaiter lets a repeat wait for the first answer. Ruled out: one table for all claims (a scan has a prefix but no start, so cleaning would read young rows); deleting a released row (a late write would bring the claim back).

--- /dev/null
+++ b/crates/cornelpoint/src/claim/answer.rs
@@ -0,0 +1,52 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A header of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeaderField {
+    /// Name of the header.
+    pub name: String,
+    /// Value of the header.
+    pub value: String,
+}
+
+/// Body of a stored answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AnswerBody {
+    /// The body stands in the row.
+    Inline {
+        /// The body.
+        bytes: Vec<u8>,
+    },
+    /// The body stands in the object store.
+    Object {
+        /// Name of the object.
+        name: String,
+        /// Length of the body, in bytes.
+        length_bytes: u64,
+    },
+}
+
+/// An endpoint's whole answer, kept for repeats of the request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers, in their order.
+    pub headers: Vec<HeaderField>,
+    /// Body.
+    pub body: AnswerBody,
+}
+
+impl StoredAnswer {
+    /// Bytes that the answer adds to a row, about.
+    #[must_use]
+    pub fn row_bytes(&self) -> usize {
+        let body = match &self.body {
+            AnswerBody::Inline { bytes } => bytes.len(),
+            AnswerBody::Object { name, .. } => name.len(),
+        };
+        let headers = self.headers.iter().map(|h| h.name.len() + h.value.len());
+        body + headers.sum::<usize>()
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/claim/mod.rs
@@ -0,0 +1,56 @@
+//! Claims on idempotency keys: a request that must run at most once is claimed
+//! in the platform's table before it is sent.
+//!
+//! A row says who claimed the key, for which request, and what became of it.
+//! A claim that is not settled means that the request may have run; nobody
+//! runs it again. Claims, answers and releases travel in batches, one
+//! transaction for many rows.
+
+mod answer;
+mod answer_waiter;
+mod batch;
+mod batcher;
+mod claim_action;
+mod claim_request;
+mod claimant;
+mod cleaner;
+mod fingerprint;
+mod held_claim;
+mod judgement;
+mod key;
+mod pacing;
+mod period;
+mod place;
+mod queue;
+mod row;
+mod settings;
+mod store_request;
+mod update;
+
+pub use self::answer::AnswerBody;
+pub use self::answer::HeaderField;
+pub use self::answer::StoredAnswer;
+pub use self::answer_waiter::AnswerWaiter;
+pub use self::answer_waiter::WaitAction;
+pub use self::batcher::ClaimBatcher;
+pub use self::claim_action::ClaimAction;
+pub use self::claim_request::ClaimId;
+pub use self::claim_request::ClaimRequest;
+pub use self::claimant::Claimant;
+pub use self::cleaner::ClaimCleaner;
+pub use self::fingerprint::Fingerprint;
+pub use self::held_claim::HeldClaim;
+pub use self::held_claim::SendCheck;
+pub use self::held_claim::SendPermit;
+pub use self::held_claim::Settlement;
+pub use self::key::ClaimKey;
+pub use self::key::ClaimKeyError;
+pub use self::period::Period;
+pub use self::place::ClaimPlace;
+pub use self::row::ClaimRow;
+pub use self::row::ClaimRowError;
+pub use self::row::ClaimState;
+pub use self::settings::ClaimSettings;
+pub use self::store_request::StoreCall;
+pub use self::store_request::StoreRequest;
+pub use self::store_request::StoreRequestId;
--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -4,6 +4,7 @@
 //! come out. Nothing here opens a socket, starts a thread, reads a clock or
 //! writes a log, so each part can be embedded and tested by itself.
 
+pub mod claim;
 pub mod configuration;
 pub mod deployment;
 pub mod dispatch;
--- /dev/null
+++ b/crates/cornelpoint/tests/claim_world/gateway.rs
@@ -0,0 +1,300 @@
+use std::collections::BTreeMap;
+
+use cornelpoint::claim::AnswerBody;
+use cornelpoint::claim::AnswerWaiter;
+use cornelpoint::claim::ClaimAction;
+use cornelpoint::claim::ClaimBatcher;
+use cornelpoint::claim::ClaimId;
+use cornelpoint::claim::ClaimKey;
+use cornelpoint::claim::ClaimPlace;
+use cornelpoint::claim::ClaimRequest;
+use cornelpoint::claim::ClaimSettings;
+use cornelpoint::claim::Claimant;
+use cornelpoint::claim::Fingerprint;
+use cornelpoint::claim::HeldClaim;
+use cornelpoint::claim::SendCheck;
+use cornelpoint::claim::SendPermit;
+use cornelpoint::claim::Settlement;
+use cornelpoint::claim::StoreCall;
+use cornelpoint::claim::StoreRequest;
+use cornelpoint::claim::StoreRequestId;
+use cornelpoint::claim::StoredAnswer;
+use cornelpoint::claim::WaitAction;
+use cornelpoint::name::InstanceId;
+use cornelpoint::name::ServiceName;
+use cornelpoint::platform::TransactionOutcome;
+use cornelpoint::request::Method;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::EndpointEnd;
+use super::Event;
+use super::Mutant;
+use super::Reply;
+use super::Told;
+use super::Try;
+use super::World;
+
+/// Id under which the waiter's reads are reported.
+const WAITER_READ: StoreRequestId = StoreRequestId(u64::MAX);
+
+/// A gateway that claims, sends and settles.
+pub struct Gateway {
+    pub frozen_until_ms: u64,
+    number: usize,
+    seed: u64,
+    incarnation: u64,
+    batcher: ClaimBatcher,
+    waiter: AnswerWaiter,
+    waiting: BTreeMap<ClaimId, Try>,
+    held: BTreeMap<u64, HeldClaim>,
+    sent: BTreeMap<u64, SendPermit>,
+}
+
+impl Gateway {
+    pub fn new(number: usize, seed: u64) -> Self {
+        Self::start(number, seed, 1)
+    }
+
+    fn start(number: usize, seed: u64, incarnation: u64) -> Self {
+        let name = format!("entry-{number}");
+        let claimant = Claimant {
+            instance: InstanceId::try_from(name).expect("a name"),
+            incarnation,
+        };
+        let random = ChaCha8Rng::seed_from_u64(seed + incarnation);
+        Self {
+            frozen_until_ms: 0,
+            number,
+            seed,
+            incarnation,
+            batcher: ClaimBatcher::new(claimant, ClaimSettings::default(), random),
+            waiter: AnswerWaiter::new(),
+            waiting: BTreeMap::new(),
+            held: BTreeMap::new(),
+            sent: BTreeMap::new(),
+        }
+    }
+
+    pub fn handle(&mut self, event: Event, world: &mut World) {
+        let run = self.incarnation;
+        match event {
+            Event::Submit(_, request) => self.submit(request, world),
+            Event::Freeze(_, frozen_ms) => self.frozen_until_ms = world.now_ms + frozen_ms,
+            Event::Kill(_) => self.restart(world),
+            Event::Reply(_, of, id, reply) if of == run => self.on_reply(id, &reply, world),
+            Event::Send(_, of, number) if of == run => self.send(number, world),
+            Event::EndpointEnd(_, of, number, end) if of == run => self.end(number, end, world),
+            _ => {}
+        }
+    }
+
+    /// Carries out what is due.
+    pub fn work(&mut self, world: &mut World) {
+        let actions = self.batcher.expire(world.now_ms);
+        self.carry_out(actions, world);
+        let actions = self.waiter.expire(world.now_ms);
+        self.end_waits(actions, world);
+        while let Some(request) = self.batcher.next_request(world.now_ms) {
+            world.call_store(self.number, self.incarnation, request);
+        }
+        if let Some(keys) = self.waiter.next_read(world.now_ms) {
+            let call = StoreCall::Read(keys);
+            let id = WAITER_READ;
+            world.call_store(self.number, self.incarnation, StoreRequest { id, call });
+        }
+        let wakes = [self.batcher.next_wake_ms(), self.waiter.next_wake_ms()];
+        if let Some(wake_ms) = wakes.into_iter().flatten().min() {
+            let delay_ms = wake_ms.saturating_sub(world.now_ms).max(1);
+            world.wake(self.number, delay_ms);
+        }
+    }
+
+    fn restart(&mut self, world: &mut World) {
+        let waiting = std::mem::take(&mut self.waiting);
+        *self = Self::start(self.number, self.seed, self.incarnation + 1);
+        for request in waiting.into_values() {
+            world.try_again(request);
+        }
+    }
+
+    fn submit(&mut self, request: Try, world: &mut World) {
+        if world.mutant == Mutant::SendsBeforeClaim {
+            world.history.send(request.key, request.number);
+            world.history.run(request.key);
+        }
+        self.waiting.insert(ClaimId(request.number), request);
+        self.claim(request, world);
+    }
+
+    fn claim(&mut self, request: Try, world: &mut World) {
+        let claim = ClaimRequest {
+            id: ClaimId(request.number),
+            place: place(request),
+            fingerprint: Fingerprint::new(Method::Post, &service(), "/", b"on"),
+            decide_by_ms: request.deadline_ms,
+            deadline_ms: request.deadline_ms,
+        };
+        let refused = self.batcher.submit(claim, world.now_ms);
+        self.carry_out(refused, world);
+    }
+
+    fn on_reply(&mut self, id: StoreRequestId, reply: &Reply, world: &mut World) {
+        if id == WAITER_READ {
+            let actions = if let Reply::Rows(rows) = reply {
+                self.waiter.on_read(rows)
+            } else {
+                self.waiter.on_lost();
+                Vec::new()
+            };
+            self.end_waits(actions, world);
+            return;
+        }
+        let now_ms = world.now_ms;
+        let actions = match reply {
+            Reply::Transacted(TransactionOutcome::Committed) => {
+                self.batcher.on_committed(id, now_ms)
+            }
+            Reply::Transacted(TransactionOutcome::Conflict { current }) => {
+                self.batcher.on_conflict(id, current, now_ms)
+            }
+            Reply::Rows(rows) => self.batcher.on_read(id, rows, now_ms),
+            Reply::Lost if world.mutant == Mutant::TakesLostForGranted => {
+                self.batcher.on_committed(id, now_ms)
+            }
+            Reply::Lost => {
+                self.batcher.on_lost(id, now_ms);
+                Vec::new()
+            }
+            Reply::NotSent => {
+                self.batcher.on_not_sent(id, now_ms);
+                Vec::new()
+            }
+        };
+        self.carry_out(actions, world);
+    }
+
+    fn carry_out(&mut self, actions: impl IntoIterator<Item = ClaimAction>, world: &mut World) {
+        for action in actions {
+            match action {
+                ClaimAction::Granted { id, claim } => {
+                    self.held.insert(id.0, claim);
+                    let longest_ms = if world.chance(10) { 4000 } else { 50 };
+                    let send = Event::Send(self.number, self.incarnation, id.0);
+                    world.later_within(longest_ms, send);
+                }
+                ClaimAction::HeldByOther { id, row } => {
+                    let request = self.waiting[&id];
+                    let deadline_ms = request.deadline_ms;
+                    let end = self.waiter.wait(id, place(request), &row, deadline_ms);
+                    self.end_waits(end, world);
+                }
+                ClaimAction::KeyReused { .. } => panic!("every try has the same body"),
+                ClaimAction::Unavailable { id } => self.tell(id, Told::NotRun, world),
+            }
+        }
+    }
+
+    fn end_waits(&mut self, actions: impl IntoIterator<Item = WaitAction>, world: &mut World) {
+        for action in actions {
+            match action {
+                WaitAction::Answered { id, answer } => {
+                    let run = run_of(&answer);
+                    self.tell(id, Told::Answered { run }, world);
+                }
+                WaitAction::Unresolved { id } => self.tell(id, Told::Unknown, world),
+                WaitAction::Freed { id } => self.claim(self.waiting[&id], world),
+            }
+        }
+    }
+
+    fn send(&mut self, number: u64, world: &mut World) {
+        let Some(claim) = self.held.remove(&number) else {
+            return;
+        };
+        let id = claim.id();
+        let permit = match claim.begin_send(world.now_ms) {
+            SendCheck::Send(permit) => permit,
+            SendCheck::TooLate(claim) => {
+                self.batcher.release(claim, world.now_ms);
+                self.tell(id, Told::NotRun, world);
+                return;
+            }
+        };
+        self.sent.insert(number, permit);
+        let key = self.waiting[&id].key;
+        world.history.send(key, number);
+        let end = match world.random.random_range(0..100) {
+            0..15 => EndpointEnd::NotStarted,
+            15..25 => EndpointEnd::Lost,
+            25..35 => {
+                world.history.run(key);
+                EndpointEnd::Lost
+            }
+            _ => EndpointEnd::Answered(world.history.run(key)),
+        };
+        let end = Event::EndpointEnd(self.number, self.incarnation, number, end);
+        world.later_within(200, end);
+    }
+
+    fn end(&mut self, number: u64, end: EndpointEnd, world: &mut World) {
+        let Some(permit) = self.sent.remove(&number) else {
+            return;
+        };
+        let id = permit.id();
+        let now_ms = world.now_ms;
+        match end {
+            EndpointEnd::NotStarted => {
+                world.history.not_started(number);
+                self.batcher.release(permit.not_run(), now_ms);
+                self.tell(id, Told::NotRun, world);
+            }
+            EndpointEnd::Answered(run) => {
+                let answer = Settlement::Answered(answer_of(run));
+                self.batcher.settle(permit, answer, now_ms);
+                self.tell(id, Told::Answered { run }, world);
+            }
+            EndpointEnd::Lost => {
+                if world.mutant == Mutant::ReleasesAfterUnknown {
+                    self.batcher.release(permit.not_run(), now_ms);
+                } else {
+                    self.batcher.settle(permit, Settlement::Unresolved, now_ms);
+                }
+                self.tell(id, Told::Unknown, world);
+            }
+        }
+    }
+
+    fn tell(&mut self, id: ClaimId, told: Told, world: &mut World) {
+        let request = self.waiting.remove(&id).expect("a request that waits");
+        world.tell(request, told);
+    }
+}
+
+fn service() -> ServiceName {
+    ServiceName::try_from("controller").expect("a name")
+}
+
+fn place(request: Try) -> ClaimPlace {
+    let key = format!("key-{}", request.key);
+    let key = ClaimKey::try_from(key.as_str()).expect("a key");
+    ClaimPlace::new(&service(), &key)
+}
+
+fn answer_of(run: u64) -> StoredAnswer {
+    StoredAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: AnswerBody::Inline {
+            bytes: run.to_le_bytes().to_vec(),
+        },
+    }
+}
+
+fn run_of(answer: &StoredAnswer) -> u64 {
+    let AnswerBody::Inline { bytes } = &answer.body else {
+        panic!("expected the bytes, found {answer:?}");
+    };
+    u64::from_le_bytes(bytes.as_slice().try_into().expect("eight bytes"))
+}
