Add a relay between two sides, and identities in the query

Cause: partitions between availability zones and from the platform have to be brought about by tests. A gateway may set headers of its own, so a header is a weak place for the identity that histories are judged by.

Change: a TCP relay that swallows bytes in one direction or both, refuses connections, delays and heals; a connection that lost bytes is closed on healing. The listener that closes and opens again is shared with the endpoint. The endpoint takes a request's identity from its query first. A fast failure is answered with the same echo as a success, so that it can be checked as well.

Failed before: waking the listener at every change of faults left an idle connection behind; it is woken only when it is to close.

--- a/crates/cornelpoint-standin/src/endpoint/answer.rs
+++ b/crates/cornelpoint-standin/src/endpoint/answer.rs
@@ -84,7 +84,7 @@
 }
 
 fn run_body(request: &HttpRequest, instance: &InstanceId, run_number: u64) -> Vec<u8> {
-    let identity = request.header(REQUEST_HEADER);
+    let identity = request.identity();
     if let Some(size) = request.query_number("size") {
         let size = usize::try_from(size).unwrap_or(MAX_SIZE_BYTES);
         return pattern(identity.unwrap_or(request.path()), size.min(MAX_SIZE_BYTES));
--- a/crates/cornelpoint-standin/src/endpoint/echo.rs
+++ b/crates/cornelpoint-standin/src/endpoint/echo.rs
@@ -12,7 +12,7 @@
 pub struct EchoAnswer {
     /// The endpoint.
     pub instance: InstanceId,
-    /// Identity of the request, from its header.
+    /// Identity of the request: its query `request`, or else its header.
     pub request: Option<String>,
     /// Method as it came.
     pub method: String,
--- a/crates/cornelpoint-standin/src/endpoint/faulty_write.rs
+++ b/crates/cornelpoint-standin/src/endpoint/faulty_write.rs
@@ -37,7 +37,7 @@
             return Ok(Next::Close);
         }
         Some(EndpointFault::RefuseConnections | EndpointFault::Hang) => return Ok(Next::Close),
-        Some(EndpointFault::FailFast) => answer = Answer::new(request, 500, b"failed\n".to_vec()),
+        Some(EndpointFault::FailFast) => answer.status = 500,
         Some(EndpointFault::CutAnswer { after_bytes }) => {
             let bytes = answer.to_bytes();
             stream.write_all(&bytes[..bytes.len().min(*after_bytes)])?;
@@ -89,7 +89,10 @@
         name: REQUEST_HEADER.to_owned(),
         value: "another-request".to_owned(),
     });
-    other.target = format!("/another{}", request.target);
+    other.target = match request.query_number("size") {
+        Some(size) => format!("/another?size={size}"),
+        None => "/another".to_owned(),
+    };
     Answer::of_run(&other, &instance, 0)
 }
 
--- a/crates/cornelpoint-standin/src/endpoint/http_request.rs
+++ b/crates/cornelpoint-standin/src/endpoint/http_request.rs
@@ -1,3 +1,8 @@
+use super::REQUEST_HEADER;
+
+/// Name in the query that carries the identity of a request.
+pub(crate) const IDENTITY_QUERY: &str = "request";
+
 /// A header of a request.
 #[derive(Clone, Debug)]
 pub(super) struct Header {
@@ -29,14 +34,14 @@
             .map_or(self.target.as_str(), |(path, _)| path)
     }
 
+    /// Identity of the request: its query `request`, or else its header.
+    pub(super) fn identity(&self) -> Option<&str> {
+        query_value(&self.target, IDENTITY_QUERY).or_else(|| self.header(REQUEST_HEADER))
+    }
+
     /// A number in the query.
     pub(super) fn query_number(&self, name: &str) -> Option<u64> {
-        let (_, query) = self.target.split_once('?')?;
-        query
-            .split('&')
-            .filter_map(|pair| pair.split_once('='))
-            .find(|(found, _)| *found == name)
-            .and_then(|(_, value)| value.parse().ok())
+        query_value(&self.target, name)?.parse().ok()
     }
 
     /// Whether the caller asks for the connection to be closed.
@@ -45,3 +50,12 @@
             .is_some_and(|value| value.eq_ignore_ascii_case("close"))
     }
 }
+
+/// A value in the query of a target.
+pub(crate) fn query_value<'a>(target: &'a str, name: &str) -> Option<&'a str> {
+    let (_, query) = target.split_once('?')?;
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find_map(|(found, value)| (found == name).then_some(value))
+}
--- a/crates/cornelpoint-standin/src/endpoint/listener.rs
+++ b/crates/cornelpoint-standin/src/endpoint/listener.rs
@@ -11,13 +11,12 @@
 use super::state::State;
 use super::work;
 use crate::lock::lock;
+use crate::reopening_listener;
+use crate::reopening_listener::Gate;
 
 /// Stack of the thread of a connection.
 const STACK_BYTES: usize = 256 * 1024;
 
-/// Interval at which a closed listener looks whether it may open again.
-const REOPEN_POLL_MS: u64 = 10;
-
 /// Pause between looks whether a connection over the limit finds room.
 const ROOM_POLL_MS: u64 = 5;
 
@@ -26,37 +25,30 @@
 
 /// Accepts connections until the endpoint stops.
 pub(super) fn accept_all(state: &Arc<Mutex<State>>, listener: TcpListener, address: SocketAddr) {
-    let mut open = Some(listener);
-    while !lock(state).stopping {
-        if lock(state).rules.refuses_all() {
-            open = None;
-            pause(REOPEN_POLL_MS);
-            continue;
-        }
-        open = open.or_else(|| TcpListener::bind(address).ok());
-        match &open {
-            Some(listener) => accept_one(state, listener),
-            None => pause(REOPEN_POLL_MS),
-        }
-    }
+    reopening_listener::accept_all(
+        listener,
+        address,
+        || gate(state),
+        |stream| accept_one(state, stream),
+    );
 }
 
-fn accept_one(state: &Arc<Mutex<State>>, listener: &TcpListener) {
-    let Ok((stream, _)) = listener.accept() else {
-        pause(REOPEN_POLL_MS);
-        return;
-    };
-    work::wait_while_frozen(state);
-    let unwanted = {
-        let mut locked = lock(state);
-        locked.stopping || locked.rules.refuses_all() || locked.refuses_connection()
-    };
-    if !unwanted {
-        serve(state, stream);
+fn gate(state: &Mutex<State>) -> Gate {
+    let locked = lock(state);
+    if locked.stopping {
+        Gate::Stopping
+    } else if locked.rules.refuses_all() {
+        Gate::Closed
+    } else {
+        Gate::Open
     }
 }
 
-fn serve(state: &Arc<Mutex<State>>, stream: TcpStream) {
+fn accept_one(state: &Arc<Mutex<State>>, stream: TcpStream) {
+    work::wait_while_frozen(state);
+    if lock(state).refuses_connection() {
+        return;
+    }
     wait_for_room(state);
     let stream = Arc::new(stream);
     let Some(id) = lock(state).clients.add(Arc::clone(&stream)) else {
@@ -81,16 +73,6 @@
         if !lock(state).clients.is_full() {
             return;
         }
-        pause(ROOM_POLL_MS);
+        thread::sleep(Duration::from_millis(ROOM_POLL_MS));
     }
 }
-
-/// Makes a listener that waits for a connection look at its state.
-pub(super) fn wake(address: SocketAddr) {
-    // A listener that is closed doesn't wait.
-    let _ = TcpStream::connect(address);
-}
-
-fn pause(pause_ms: u64) {
-    thread::sleep(Duration::from_millis(pause_ms));
-}
--- a/crates/cornelpoint-standin/src/endpoint/mod.rs
+++ b/crates/cornelpoint-standin/src/endpoint/mod.rs
@@ -5,7 +5,8 @@
 //! misbehave down to single bytes, see [`EndpointFault`].
 //!
 //! Its answer is an [`EchoAnswer`]; the query `?size=N` asks for [`pattern`]
-//! of N bytes instead, and `?work_ms=N` sets the service time.
+//! of N bytes instead, `?work_ms=N` sets the service time, and `?request=TEXT`
+//! sets the identity under which the run is recorded.
 
 mod answer;
 mod clients;
--- a/crates/cornelpoint-standin/src/endpoint/run_record.rs
+++ b/crates/cornelpoint-standin/src/endpoint/run_record.rs
@@ -9,7 +9,7 @@
     pub instance: InstanceId,
     /// Number of the run at the endpoint, from 1.
     pub run_number: u64,
-    /// Identity of the request, from its header.
+    /// Identity of the request: its query `request`, or else its header.
     pub request: Option<String>,
     /// Idempotency key, from its header.
     pub idempotency_key: Option<String>,
--- a/crates/cornelpoint-standin/src/endpoint/stand_in.rs
+++ b/crates/cornelpoint-standin/src/endpoint/stand_in.rs
@@ -19,6 +19,7 @@
 use super::state::State;
 use crate::clock::now_ms;
 use crate::lock::lock;
+use crate::reopening_listener;
 use crate::start_error::StartError;
 
 /// Threads of the control server.
@@ -119,7 +120,9 @@
     /// Replaces the fault rules in force.
     pub fn set_faults(&self, rules: Vec<FaultRule>) {
         lock(&self.state).rules.set(rules);
-        listener::wake(self.address);
+        if lock(&self.state).rules.refuses_all() {
+            reopening_listener::wake(self.address);
+        }
     }
 
     /// Stops doing anything for a while, on all connections.
@@ -152,7 +155,7 @@
             return;
         };
         lock(&self.state).stopping = true;
-        listener::wake(self.address);
+        reopening_listener::wake(self.address);
         // A panic of the thread was printed by the thread itself.
         let _ = listener.join();
         lock(&self.state).clients.shut_down();
--- a/crates/cornelpoint-standin/src/endpoint/state.rs
+++ b/crates/cornelpoint-standin/src/endpoint/state.rs
@@ -2,7 +2,6 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::KEY_HEADER;
-use super::REQUEST_HEADER;
 use super::clients::Clients;
 use super::dump::EndpointDump;
 use super::echo::body_hash;
@@ -194,7 +193,7 @@
         self.history.push(RunRecord {
             instance: self.settings.instance.clone(),
             run_number: self.runs,
-            request: request.header(REQUEST_HEADER).map(str::to_owned),
+            request: request.identity().map(str::to_owned),
             idempotency_key: request.header(KEY_HEADER).map(str::to_owned),
             method: request.method.clone(),
             path: request.target.clone(),
--- a/crates/cornelpoint-standin/src/lib.rs
+++ b/crates/cornelpoint-standin/src/lib.rs
@@ -4,8 +4,10 @@
 pub mod endpoint;
 pub mod platform;
 pub mod program;
+pub mod relay;
 
 mod lock;
+mod reopening_listener;
 mod start_error;
 
 pub use self::start_error::StartError;
--- a/crates/cornelpoint-standin/tests/endpoint.rs
+++ b/crates/cornelpoint-standin/tests/endpoint.rs
@@ -15,11 +15,20 @@
 use expect_test::expect;
 
 use self::support::exchange;
-use self::support::faulty_endpoint;
 use self::support::post;
 use self::support::read_to_end;
 use self::support::settings;
 
+/// Starts an endpoint that answers at once, with one fault on all requests.
+fn faulty_endpoint(fault: EndpointFault) -> EndpointStandIn {
+    let endpoint = EndpointStandIn::start(settings()).unwrap();
+    endpoint.set_faults(vec![FaultRule {
+        fault,
+        scope: FaultScope::UntilCleared,
+    }]);
+    endpoint
+}
+
 /// Checks the answer to one request and how often it was recorded as run.
 fn check(fault: EndpointFault, runs: u64, expected: &Expect) {
     let endpoint = faulty_endpoint(fault);
@@ -102,15 +111,23 @@
     let mut settings = settings();
     settings.slots = 1;
     let endpoint = EndpointStandIn::start(settings).unwrap();
-    let address = endpoint.address();
-    let callers: Vec<_> = (0..2)
-        .map(|_| thread::spawn(move || exchange(address, &post("r1", "?work_ms=300"))))
+    endpoint.set_faults(vec![FaultRule {
+        fault: EndpointFault::Hang,
+        scope: FaultScope::UntilCleared,
+    }]);
+    let callers: Vec<_> = (1..=2)
+        .map(|running| {
+            let mut caller = TcpStream::connect(endpoint.address()).unwrap();
+            caller.write_all(post("r1", "").as_bytes()).unwrap();
+            while endpoint.dump().running < running {
+                thread::yield_now();
+            }
+            caller
+        })
         .collect();
-    for caller in callers {
-        caller.join().unwrap();
-    }
     let dump = endpoint.dump();
     assert_eq!((dump.runs, dump.over_slots, dump.peak_running), (2, 1, 2));
+    drop(callers);
 }
 
 #[test]
@@ -198,13 +215,14 @@
     check(
         EndpointFault::FailFast,
         1,
-        &expect![[r"
-        HTTP/1.1 500 Internal Server Error
-        cornelpoint-request: r1
-        content-length: 7
+        &expect![[r#"
+            HTTP/1.1 500 Internal Server Error
+            cornelpoint-request: r1
+            cornelpoint-body-hash: c34c33583432a196
+            cornelpoint-instance: quoting-1
+            content-length: 129
 
-        failed
-    "]],
+            {"instance":"quoting-1","request":"r1","method":"POST","path":"/orders?work_ms=0","body_hash":9437077191126090280,"run_number":1}"#]],
     );
 }
 
@@ -286,13 +304,13 @@
         EndpointFault::WrongAnswer,
         1,
         &expect![[r#"
-        HTTP/1.1 200 OK
-        cornelpoint-request: another-request
-        cornelpoint-body-hash: 4eef89bb5efc367e
-        cornelpoint-instance: quoting-1
-        content-length: 150
+            HTTP/1.1 200 OK
+            cornelpoint-request: another-request
+            cornelpoint-body-hash: 2da29f78725f3736
+            cornelpoint-instance: quoting-1
+            content-length: 133
 
-        {"instance":"quoting-1","request":"another-request","method":"POST","path":"/another/orders?work_ms=0","body_hash":9437077191126090280,"run_number":0}"#]],
+            {"instance":"quoting-1","request":"another-request","method":"POST","path":"/another","body_hash":9437077191126090280,"run_number":0}"#]],
     );
 }
 
@@ -302,19 +320,19 @@
         EndpointFault::StaleAnswerFirst,
         1,
         &expect![[r#"
-        HTTP/1.1 200 OK
-        cornelpoint-request: another-request
-        cornelpoint-body-hash: 4eef89bb5efc367e
-        cornelpoint-instance: quoting-1
-        content-length: 150
-
-        {"instance":"quoting-1","request":"another-request","method":"POST","path":"/another/orders?work_ms=0","body_hash":9437077191126090280,"run_number":0}HTTP/1.1 200 OK
-        cornelpoint-request: r1
-        cornelpoint-body-hash: c34c33583432a196
-        cornelpoint-instance: quoting-1
-        content-length: 129
-
-        {"instance":"quoting-1","request":"r1","method":"POST","path":"/orders?work_ms=0","body_hash":9437077191126090280,"run_number":1}"#]],
+            HTTP/1.1 200 OK
+            cornelpoint-request: another-request
+            cornelpoint-body-hash: 2da29f78725f3736
+            cornelpoint-instance: quoting-1
+            content-length: 133
+
+            {"instance":"quoting-1","request":"another-request","method":"POST","path":"/another","body_hash":9437077191126090280,"run_number":0}HTTP/1.1 200 OK
+            cornelpoint-request: r1
+            cornelpoint-body-hash: c34c33583432a196
+            cornelpoint-instance: quoting-1
+            content-length: 129
+
+            {"instance":"quoting-1","request":"r1","method":"POST","path":"/orders?work_ms=0","body_hash":9437077191126090280,"run_number":1}"#]],
     );
 }
 
--- a/crates/cornelpoint-standin/tests/support/mod.rs
+++ b/crates/cornelpoint-standin/tests/support/mod.rs
@@ -6,21 +6,7 @@
 use std::net::TcpStream;
 
 use cornelpoint::name::InstanceId;
-use cornelpoint_standin::endpoint::EndpointFault;
 use cornelpoint_standin::endpoint::EndpointSettings;
-use cornelpoint_standin::endpoint::EndpointStandIn;
-use cornelpoint_standin::endpoint::FaultRule;
-use cornelpoint_standin::endpoint::FaultScope;
-
-/// Starts an endpoint that answers at once, with one fault on all requests.
-pub fn faulty_endpoint(fault: EndpointFault) -> EndpointStandIn {
-    let endpoint = EndpointStandIn::start(settings()).unwrap();
-    endpoint.set_faults(vec![FaultRule {
-        fault,
-        scope: FaultScope::UntilCleared,
-    }]);
-    endpoint
-}
 
 /// Settings of an endpoint with eight slots and five connections.
 pub fn settings() -> EndpointSettings {
