Judge histories of concurrent runs by a checker

Cause: the promises about a request (true refusals, at most once, whole answers, limits, leaving, planned stops, generations) are to be proved on what callers saw and endpoints really ran.

Change: a recorder that many threads write to, a checker with a typed violation for each promise, and a caller that reads strictly: anything short of a whole answer is lost. A run is charged to a refused call only when no other call of the same request can explain it, so that a repeat that was refused as not run is no false alarm.

--- /dev/null
+++ b/crates/cornelpoint-standin/src/caller/call.rs
@@ -0,0 +1,76 @@
+use std::io;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
+
+use cornelpoint::request::Method;
+use cornelpoint::request::RunState;
+
+use super::answer_reader;
+use super::answer_reader::WholeAnswer;
+use super::caller_request::CallerRequest;
+use crate::history::AnswerBody;
+use crate::history::Outcome;
+use crate::history::Recorder;
+
+/// Sends a request, waits for its end and records both.
+///
+/// ```
+/// use cornelpoint::name::InstanceId;
+/// use cornelpoint::request::Method;
+/// use cornelpoint_standin::caller::CallerRequest;
+/// use cornelpoint_standin::caller::call;
+/// use cornelpoint_standin::history::Outcome;
+/// use cornelpoint_standin::history::Recorder;
+///
+/// let request = CallerRequest {
+///     gateway: InstanceId::try_from("gateway-1").unwrap(),
+///     address: "127.0.0.1:1".parse().unwrap(),
+///     request: "order-7".to_owned(),
+///     idempotency_key: None,
+///     method: Method::Post,
+///     path: "/quoting/orders".to_owned(),
+///     body: b"slab 1".to_vec(),
+///     size_bytes: None,
+///     work_ms: None,
+///     deadline_ms: None,
+///     patience_ms: 1000,
+/// };
+/// let outcome = call(&Recorder::default(), &request);
+/// assert!(matches!(outcome, Outcome::Lost { .. }));
+/// ```
+pub fn call(recorder: &Recorder, request: &CallerRequest) -> Outcome {
+    let id = recorder.invoke(request.invocation());
+    let outcome = match exchange(request) {
+        Ok(answer) => outcome(request, &answer),
+        Err(error) => Outcome::Lost {
+            found: error.to_string(),
+        },
+    };
+    recorder.complete(id, outcome.clone());
+    outcome
+}
+
+fn exchange(request: &CallerRequest) -> io::Result<WholeAnswer> {
+    let patience = Duration::from_millis(request.patience_ms);
+    let give_up = Instant::now() + patience;
+    let mut stream = TcpStream::connect_timeout(&request.address, patience)?;
+    stream.set_write_timeout(Some(patience))?;
+    stream.write_all(&request.to_bytes())?;
+    answer_reader::read(&stream, request.method != Method::Head, give_up)
+}
+
+fn outcome(request: &CallerRequest, answer: &WholeAnswer) -> Outcome {
+    let status = answer.head.status;
+    match answer.head.run {
+        Some(RunState::Yes) if !answer.head.is_refusal => Outcome::Answered {
+            status,
+            body: AnswerBody::read(&answer.body),
+        },
+        Some(run) => Outcome::Refused { status, run },
+        None => Outcome::Lost {
+            found: format!("{} {}: no run state", request.method, request.path),
+        },
+    }
+}
--- a/crates/cornelpoint-standin/src/lib.rs
+++ b/crates/cornelpoint-standin/src/lib.rs
@@ -1,7 +1,9 @@
 //! Stand-ins for the systems around cornelpoint, with faults on request.
 
+pub mod caller;
 pub mod clock;
 pub mod endpoint;
+pub mod history;
 pub mod platform;
 pub mod program;
 pub mod relay;
