--- a/crates/cornelpoint-standin/src/lib.rs
+++ b/crates/cornelpoint-standin/src/lib.rs
@@ -1,11 +1,16 @@
 //! Stand-ins for the systems around cornelpoint, with faults on request.
 
+pub mod caller;
 pub mod clock;
 pub mod endpoint;
+pub mod fault_plan;
+pub mod history;
 pub mod platform;
 pub mod program;
+pub mod relay;
 
 mod lock;
+mod reopening_listener;
 mod start_error;
 
 pub use self::start_error::StartError;
