Add logs with part prefixes, typed metrics and the shutdown flag

Cause: the daemons need one place for logs, metrics and planned stops.

Change: RootLog writes over a bounded queue whose overflow is counted, in terminal or JSON form, with a fixed prefix for each part. Metrics is a typed set over cadence; a test holds docs/METRICS.md to it. ShutdownFlag is raised by SIGTERM or SIGINT and can be waited for.

--- a/crates/cornelpoint-daemon/src/lib.rs
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -3,9 +3,11 @@
 //! The policy stands in the `cornelpoint` library; here it is carried to
 //! sockets and clocks.
 
+pub mod caller_edge;
 pub mod clock;
 pub mod control;
-pub mod platform_client;
-
-pub mod caller_edge;
 pub mod endpoint_client;
+pub mod log;
+pub mod metrics;
+pub mod platform_client;
+pub mod shutdown;
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/log/mod.rs
@@ -0,0 +1,17 @@
+//! Logs: short sentences, each with the prefix of the part that says it.
+//!
+//! Records pass a bounded queue to one thread that writes them; what does not
+//! fit is dropped and counted, so that a log that can't be written slows no
+//! request.
+
+mod bounded_drain;
+mod log_settings;
+mod part;
+mod part_drain;
+mod root_log;
+
+pub use self::log_settings::LogForm;
+pub use self::log_settings::LogLevel;
+pub use self::log_settings::LogSettings;
+pub use self::part::Part;
+pub use self::root_log::RootLog;
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/log/part_drain.rs
@@ -0,0 +1,36 @@
+use slog::Drain;
+use slog::Level;
+use slog::OwnedKVList;
+use slog::Record;
+use slog::RecordStatic;
+
+use super::part::Part;
+
+/// Puts the prefix of a part before each message.
+#[derive(Clone, Debug)]
+pub(super) struct PartDrain<D> {
+    /// The part.
+    pub(super) part: Part,
+    /// Where the records go.
+    pub(super) next: D,
+}
+
+impl<D: Drain> Drain for PartDrain<D> {
+    type Ok = D::Ok;
+    type Err = D::Err;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<D::Ok, D::Err> {
+        let unchanged = RecordStatic {
+            location: record.location(),
+            tag: record.tag(),
+            level: record.level(),
+        };
+        let message = format_args!("{}: {}", self.part, record.msg());
+        self.next
+            .log(&Record::new(&unchanged, &message, record.kv()), values)
+    }
+
+    fn is_enabled(&self, level: Level) -> bool {
+        self.next.is_enabled(level)
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/log/root_log.rs
@@ -0,0 +1,112 @@
+use std::fmt;
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use slog::Drain;
+use slog::Level;
+use slog::LevelFilter;
+use slog::Logger;
+use slog::Never;
+use slog::o;
+use slog_async::AsyncCore;
+use slog_async::AsyncGuard;
+use slog_json::Json;
+use slog_term::FullFormat;
+use slog_term::PlainDecorator;
+use slog_term::TermDecorator;
+
+use super::bounded_drain::BoundedDrain;
+use super::log_settings::LogForm;
+use super::log_settings::LogSettings;
+use super::part::Part;
+use super::part_drain::PartDrain;
+
+/// The log of a process; what waits is written when it is dropped.
+///
+/// ```
+/// use cornelpoint_daemon::log::LogSettings;
+/// use cornelpoint_daemon::log::Part;
+/// use cornelpoint_daemon::log::RootLog;
+/// use slog::info;
+///
+/// let log = RootLog::to_stderr(&LogSettings::default());
+/// let gateway = log.part(Part::Gateway);
+/// info!(gateway, "Configuration in force."; "generation" => 4);
+/// assert_eq!(log.dropped(), 0);
+/// ```
+pub struct RootLog {
+    drain: Arc<BoundedDrain>,
+    level: Level,
+    // Writes what waits when it is dropped, so it comes last.
+    _guard: AsyncGuard,
+}
+
+impl RootLog {
+    /// A log to the standard error stream.
+    #[must_use]
+    pub fn to_stderr(settings: &LogSettings) -> Self {
+        match settings.form {
+            LogForm::Json => Self::to_writer(settings, io::stderr()),
+            LogForm::Terminal => {
+                let decorator = TermDecorator::new().stderr().build();
+                let format = FullFormat::new(decorator).use_utc_timestamp().build();
+                Self::over(settings, format.ignore_res())
+            }
+        }
+    }
+
+    /// A log to any writer, without colours.
+    #[must_use]
+    pub fn to_writer<W: Write + Send + 'static>(settings: &LogSettings, writer: W) -> Self {
+        match settings.form {
+            LogForm::Json => {
+                let format = Json::new(writer).add_default_keys().set_flush(true).build();
+                Self::over(settings, Mutex::new(format).ignore_res())
+            }
+            LogForm::Terminal => {
+                let decorator = PlainDecorator::new(writer);
+                let format = FullFormat::new(decorator).use_utc_timestamp().build();
+                Self::over(settings, Mutex::new(format).ignore_res())
+            }
+        }
+    }
+
+    /// The logger of a part; each of its messages starts with the part's name.
+    pub fn part(&self, part: Part) -> Logger {
+        let next = LevelFilter::new(Arc::clone(&self.drain), self.level);
+        Logger::root(PartDrain { part, next }.ignore_res(), o!())
+    }
+
+    /// Records that were dropped because the writer lagged.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.drain.dropped()
+    }
+
+    fn over<D>(settings: &LogSettings, drain: D) -> Self
+    where
+        D: Drain<Ok = (), Err = Never> + Send + 'static,
+    {
+        let (core, guard) = AsyncCore::custom(drain)
+            .chan_size(settings.queue_length)
+            .thread_name("log".to_owned())
+            .build_with_guard();
+        Self {
+            drain: Arc::new(BoundedDrain::new(core)),
+            level: settings.level.level(),
+            _guard: guard,
+        }
+    }
+}
+
+impl fmt::Debug for RootLog {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("RootLog")
+            .field("drain", &self.drain)
+            .field("level", &self.level)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/metrics/metrics_sender.rs
@@ -0,0 +1,124 @@
+use std::fmt;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::Ipv6Addr;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+
+use cadence::BufferedUdpMetricSink;
+use cadence::Counted;
+use cadence::CountedExt;
+use cadence::Gauged;
+use cadence::NopMetricSink;
+use cadence::QueuingMetricSink;
+use cadence::StatsdClient;
+use cadence::Timed;
+use cornelpoint::request::Refusal;
+use cornelpoint::request::RunState;
+use error_stack::Report;
+use error_stack::ResultExt;
+
+use super::counter::Counter;
+use super::gauge::Gauge;
+use super::metrics_error::MetricsError;
+use super::timer::Timer;
+
+/// Metrics that wait to be sent at most.
+const QUEUE_LENGTH: usize = 4096;
+
+/// Sends the metrics of a process; clones send to the same address.
+///
+/// A metric that can't be sent is lost and slows nothing.
+///
+/// ```
+/// use cornelpoint_daemon::metrics::Counter;
+/// use cornelpoint_daemon::metrics::Metrics;
+///
+/// let metrics = Metrics::to_nowhere();
+/// metrics.count(Counter::Answered);
+/// ```
+#[derive(Clone)]
+pub struct Metrics {
+    client: Arc<StatsdClient>,
+}
+
+impl Metrics {
+    /// Metrics that are dropped.
+    #[must_use]
+    pub fn to_nowhere() -> Self {
+        Self {
+            client: Arc::new(StatsdClient::from_sink("cornelpoint", NopMetricSink)),
+        }
+    }
+
+    /// Metrics of a program, such as `gateway`, to an address.
+    ///
+    /// # Errors
+    ///
+    /// When no socket can be made.
+    pub fn to_address(program: &str, address: SocketAddr) -> Result<Self, Report<MetricsError>> {
+        let failed = MetricsError::Socket { address };
+        let socket = UdpSocket::bind(any_address(address)).change_context(failed)?;
+        socket.set_nonblocking(true).change_context(failed)?;
+        let sink = BufferedUdpMetricSink::from(address, socket).change_context(failed)?;
+        let queue = QueuingMetricSink::with_capacity(sink, QUEUE_LENGTH);
+        let prefix = format!("cornelpoint.{program}");
+        Ok(Self {
+            client: Arc::new(StatsdClient::from_sink(&prefix, queue)),
+        })
+    }
+
+    /// Counts one event.
+    pub fn count(&self, counter: Counter) {
+        // A metric that is lost is not sent again.
+        let _ = self.client.incr(counter.as_str());
+    }
+
+    /// Counts several events.
+    pub fn count_many(&self, counter: Counter, events: u64) {
+        let events = i64::try_from(events).unwrap_or(i64::MAX);
+        let _ = self.client.count(counter.as_str(), events);
+    }
+
+    /// Counts one request that ended with a refusal, under its run state.
+    pub fn count_refusal(&self, refusal: Refusal) {
+        let counter = match refusal.run_state() {
+            RunState::No => Counter::Refused,
+            RunState::Yes | RunState::Unknown => Counter::Unknown,
+        };
+        let tagged = self.client.incr_with_tags(counter.as_str());
+        tagged.with_tag("reason", refusal.as_str()).send();
+    }
+
+    /// Tells a level.
+    pub fn gauge(&self, gauge: Gauge, level: u64) {
+        let _ = self.client.gauge(gauge.as_str(), level);
+    }
+
+    /// Sends what waits for a datagram to fill; for a thread that tells the
+    /// levels at intervals.
+    pub fn flush(&self) {
+        let _ = self.client.flush();
+    }
+
+    /// Tells how long something took.
+    pub fn time_ms(&self, timer: Timer, time_ms: u64) {
+        let _ = self.client.time(timer.as_str(), time_ms);
+    }
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+/// Any own address of the same family.
+fn any_address(address: SocketAddr) -> SocketAddr {
+    let ip = match address.ip() {
+        IpAddr::V4(_) => IpAddr::V4(Ipv4Addr::UNSPECIFIED),
+        IpAddr::V6(_) => IpAddr::V6(Ipv6Addr::UNSPECIFIED),
+    };
+    SocketAddr::new(ip, 0)
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/metrics/mod.rs
@@ -0,0 +1,13 @@
+//! Metrics over the `StatsD` protocol; `docs/METRICS.md` lists them all.
+
+mod counter;
+mod gauge;
+mod metrics_error;
+mod metrics_sender;
+mod timer;
+
+pub use self::counter::Counter;
+pub use self::gauge::Gauge;
+pub use self::metrics_error::MetricsError;
+pub use self::metrics_sender::Metrics;
+pub use self::timer::Timer;
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/shutdown/mod.rs
@@ -0,0 +1,7 @@
+//! A planned stop: signals raise a flag that threads look at or wait for.
+
+mod shutdown_error;
+mod shutdown_flag;
+
+pub use self::shutdown_error::ShutdownError;
+pub use self::shutdown_flag::ShutdownFlag;
