--- a/crates/cornelpoint-daemon/src/lib.rs
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -11,3 +11,8 @@
 pub mod metrics;
 pub mod platform_client;
 pub mod shutdown;
+pub mod gateway;
+pub mod keeper;
+pub mod message;
+pub mod platform_client;
+pub mod settings;
