Accept configurations by one transaction and tell what differs

An operator's configuration had no way into the table. An accept is a state machine that reads the head and the next history row, writes head, body and history in one transaction under the version of the head that it read, and after a lost answer reads the history row back and compares the token. An operator who saw an older generation is told who accepted the newer one and what changed. A rollback is a new generation with old content.

Either condition of the transaction (version of the head, absent history row) keeps generations whole by itself; both stay, so that a damaged head is not enough to overwrite history.

--- /dev/null
+++ b/crates/cornelpoint/src/configuration/record/key.rs
@@ -0,0 +1,45 @@
+use crate::configuration::Generation;
+use crate::name::WorkspaceName;
+use crate::platform::Key;
+
+/// Table that holds configurations.
+pub const TABLE: &str = "configuration";
+
+/// Place of a workspace's head row.
+///
+/// ```
+/// use cornelpoint::configuration::head_key;
+/// use cornelpoint::name::WorkspaceName;
+///
+/// let workspace = WorkspaceName::try_from("hu-central").unwrap();
+/// assert_eq!(head_key(&workspace).row, "head/hu-central");
+/// ```
+#[must_use]
+pub fn head_key(workspace: &WorkspaceName) -> Key {
+    key(format!("head/{workspace}"))
+}
+
+/// Place of the configuration of a generation.
+#[must_use]
+pub fn body_key(workspace: &WorkspaceName, generation: Generation) -> Key {
+    key(format!("body/{workspace}/{:020}", generation.0))
+}
+
+/// Place of the history entry of a generation.
+#[must_use]
+pub fn history_key(workspace: &WorkspaceName, generation: Generation) -> Key {
+    key(format!("{}{:020}", history_prefix(workspace), generation.0))
+}
+
+/// Start of the names of a workspace's history rows.
+#[must_use]
+pub fn history_prefix(workspace: &WorkspaceName) -> String {
+    format!("history/{workspace}/")
+}
+
+fn key(row: String) -> Key {
+    Key {
+        table: TABLE.to_owned(),
+        row,
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/tests/accepting_support/mod.rs
@@ -0,0 +1,9 @@
+//! What the tests of accepting share.
+
+mod accepting;
+mod fake_table;
+
+pub use accepting::base;
+pub use accepting::request;
+pub use accepting::run;
+pub use fake_table::FakeTable;
