--- a/crates/cornelpoint-cli/src/fleet/running.rs
+++ b/crates/cornelpoint-cli/src/fleet/running.rs
@@ -3,6 +3,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cornelpoint::configuration::AcceptContent;
+use cornelpoint::configuration::AcceptOutcome;
+use cornelpoint::configuration::AcceptRequest;
+use cornelpoint::configuration::AcceptToken;
 use cornelpoint::configuration::Configuration;
 use cornelpoint::configuration::Generation;
 use cornelpoint::document::Source;
@@ -12,8 +16,6 @@
 use cornelpoint::platform::ListedInstance;
 use cornelpoint::workspace;
 use cornelpoint_daemon::control::ControlClient;
-use cornelpoint_daemon::keeper::AcceptReply;
-use cornelpoint_daemon::keeper::AcceptRequest;
 use cornelpoint_daemon::keeper::DrainRequest;
 use cornelpoint_daemon::message::DrainReport;
 use cornelpoint_daemon::message::KeeperStatus;
@@ -122,7 +124,8 @@
 
     // Commands.
 
-    /// Accepts a configuration at the first keeper that runs.
+    /// Accepts a configuration at the first keeper that runs; its generation
+    /// is the one that the operator saw.
     ///
     /// # Errors
     ///
@@ -130,14 +133,25 @@
     pub fn accept(
         &self,
         configuration: &Configuration,
-        token: &str,
+        token: AcceptToken,
     ) -> Result<Generation, FleetError> {
         let request = AcceptRequest {
-            configuration: configuration.clone(),
-            token: token.to_owned(),
+            workspace: configuration.workspace.clone(),
+            seen: configuration.generation,
+            token,
+            who: "demo".to_owned(),
+            why: "a step of the demo".to_owned(),
+            now_unix_ms: 0,
+            content: AcceptContent::Given(Box::new(configuration.clone())),
         };
-        let reply: AcceptReply = self.operate("/operator/accept", &request)?;
-        Ok(reply.generation)
+        match self.operate("/operator/accept", &request)? {
+            AcceptOutcome::Accepted { generation } | AcceptOutcome::Unchanged { generation } => {
+                Ok(generation)
+            }
+            outcome => Err(FleetError::Operator {
+                found: outcome.to_string(),
+            }),
+        }
     }
 
     /// Waits until every gateway applies a generation and tells how long it
