Set socket timeouts only when they change much

Cause: each read and write set the exact time left as the socket's timeout: about ten calls of setsockopt for each request through the gateway.

Change: timeouts are rounded down to a power of two milliseconds and cached; reads and writes that end early are repeated until the deadline, which stays exact to a millisecond.

--- a/crates/cornelpoint-daemon/src/caller_edge/body.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/body.rs
@@ -1,4 +1,3 @@
-use std::io::Write;
 use std::time::Instant;
 
 use cornelpoint::request::Refusal;
@@ -44,7 +43,7 @@
         return Ok(Vec::new());
     }
     if parsed.expects_continue && source.bytes().is_empty() {
-        send_continue(source)?;
+        send_continue(source, deadline)?;
     }
     match parsed.framing {
         Framing::Empty => Ok(Vec::new()),
@@ -62,9 +61,12 @@
     Err(Rejection::new(Refusal::BodyTooLarge, &detail))
 }
 
-fn send_continue(source: &ByteSource) -> Result<(), BodyFailure> {
-    let mut stream = source.stream();
-    stream.write_all(CONTINUE).map_err(|_| BodyFailure::Closed)
+fn send_continue(source: &mut ByteSource, deadline: Instant) -> Result<(), BodyFailure> {
+    if source.write_all(CONTINUE, deadline) {
+        Ok(())
+    } else {
+        Err(BodyFailure::Closed)
+    }
 }
 
 fn read_length(
--- a/crates/cornelpoint-daemon/src/caller_edge/byte_source.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/byte_source.rs
@@ -1,14 +1,23 @@
 use std::io::ErrorKind;
 use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
 use std::net::TcpStream;
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::socket_timeout::CachedTimeout;
+
 /// Bytes asked of a connection at once.
 const READ_BYTES: usize = 8 * 1024;
 /// Spare capacity that an idle connection may keep.
 const MAX_IDLE_CAPACITY_BYTES: usize = 32 * 1024;
 
+/// Time for a caller to take an error answer while it still sends.
+const LINGER_MS: u64 = 500;
+/// Most bytes thrown away in that time.
+const LINGER_BYTES: usize = 256 * 1024;
+
 /// What a read brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Fill {
@@ -25,7 +34,7 @@
 pub(super) struct ByteSource {
     stream: TcpStream,
     buffer: Vec<u8>,
-    read_timeout: Option<Duration>,
+    timeout: CachedTimeout,
 }
 
 impl ByteSource {
@@ -34,15 +43,10 @@
         Self {
             stream,
             buffer: Vec::new(),
-            read_timeout: None,
+            timeout: CachedTimeout::default(),
         }
     }
 
-    /// The connection.
-    pub(super) fn stream(&self) -> &TcpStream {
-        &self.stream
-    }
-
     /// The bytes not yet taken.
     pub(super) fn bytes(&self) -> &[u8] {
         &self.buffer
@@ -67,19 +71,54 @@
     pub(super) fn fill(&mut self, deadline: Instant) -> Fill {
         loop {
             let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() || !self.set_read_timeout(left) {
+            if left.is_zero() || self.timeout.limit_read(&self.stream, left).is_err() {
                 return Fill::Late;
             }
             match self.read() {
                 Ok(0) => return Fill::Closed,
                 Ok(_) => return Fill::Bytes,
-                Err(ErrorKind::Interrupted) => {}
-                Err(ErrorKind::WouldBlock | ErrorKind::TimedOut) => return Fill::Late,
+                Err(kind) if is_temporary(kind) => {}
                 Err(_) => return Fill::Closed,
             }
         }
     }
 
+    /// Writes all bytes by the deadline; false when the caller did not take
+    /// them.
+    pub(super) fn write_all(&mut self, bytes: &[u8], deadline: Instant) -> bool {
+        let mut written = 0;
+        while written < bytes.len() {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() || self.timeout.limit_write(&self.stream, left).is_err() {
+                return false;
+            }
+            match self.stream.write(&bytes[written..]) {
+                Ok(0) => return false,
+                Ok(count) => written += count,
+                Err(error) if is_temporary(error.kind()) => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    /// Ends the sending side and throws away what still comes, for a short
+    /// time, so that the caller gets the answer and not a reset.
+    pub(super) fn linger(&mut self) {
+        // A connection that is closed already needs no end.
+        let _ = self.stream.shutdown(Shutdown::Write);
+        let deadline = Instant::now() + Duration::from_millis(LINGER_MS);
+        let mut dropped = 0;
+        while dropped < LINGER_BYTES {
+            let taken = self.buffer.len();
+            self.consume(taken);
+            if self.fill(deadline) != Fill::Bytes {
+                return;
+            }
+            dropped += self.buffer.len();
+        }
+    }
+
     fn read(&mut self) -> Result<usize, ErrorKind> {
         let filled = self.buffer.len();
         self.buffer.resize(filled + READ_BYTES, 0);
@@ -88,13 +127,12 @@
         self.buffer.truncate(filled + count);
         result.map_err(|error| error.kind())
     }
+}
 
-    fn set_read_timeout(&mut self, left: Duration) -> bool {
-        if self.read_timeout == Some(left) {
-            return true;
-        }
-        let set = self.stream.set_read_timeout(Some(left)).is_ok();
-        self.read_timeout = set.then_some(left);
-        set
-    }
+/// Whether the call is to be repeated while there is time left.
+fn is_temporary(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::Interrupted | ErrorKind::WouldBlock | ErrorKind::TimedOut
+    )
 }
--- a/crates/cornelpoint-daemon/src/caller_edge/connection.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/connection.rs
@@ -1,7 +1,3 @@
-use std::io::ErrorKind;
-use std::io::Read;
-use std::io::Write;
-use std::net::Shutdown;
 use std::net::TcpStream;
 use std::time::Duration;
 use std::time::Instant;
@@ -28,11 +24,6 @@
 use super::head_parser::ParsedHead;
 use super::rejection::Rejection;
 
-/// Time for a caller to take an error answer while it still sends.
-const LINGER_MS: u64 = 500;
-/// Most bytes thrown away in that time.
-const LINGER_BYTES: usize = 256 * 1024;
-
 /// What a head came to.
 enum HeadOutcome {
     Parsed(ParsedHead),
@@ -158,25 +149,30 @@
         }
     }
 
-    fn refuse(&self, answer: &Answer, parsed: &ParsedHead, body: BodyForm) -> ConnectionForm {
+    fn refuse(&mut self, answer: &Answer, parsed: &ParsedHead, body: BodyForm) -> ConnectionForm {
         if parsed.framing == Framing::Empty {
             return self.send(answer, body, self.connection_after(parsed.connection));
         }
         self.send(answer, body, ConnectionForm::Close);
-        linger(self.source.stream());
+        self.source.linger();
         ConnectionForm::Close
     }
 
-    fn reject(&self, rejection: &Rejection, body: BodyForm) -> ConnectionForm {
+    fn reject(&mut self, rejection: &Rejection, body: BodyForm) -> ConnectionForm {
         self.send(&Answer::rejected(rejection), body, ConnectionForm::Close);
-        linger(self.source.stream());
+        self.source.linger();
         ConnectionForm::Close
     }
 
-    fn send(&self, answer: &Answer, body: BodyForm, connection: ConnectionForm) -> ConnectionForm {
+    fn send(
+        &mut self,
+        answer: &Answer,
+        body: BodyForm,
+        connection: ConnectionForm,
+    ) -> ConnectionForm {
         let bytes = answer.encode(AnswerForm { body, connection });
         let deadline = after(self.settings.body_timeout_ms);
-        if write_all(self.source.stream(), &bytes, deadline) {
+        if self.source.write_all(&bytes, deadline) {
             connection
         } else {
             ConnectionForm::Close
@@ -191,41 +187,3 @@
 fn slow_head() -> Rejection {
     Rejection::new(Refusal::SlowCaller, "expected the whole head in time")
 }
-
-/// Writes all bytes by the deadline; false when the caller did not take them.
-pub(super) fn write_all(mut stream: &TcpStream, bytes: &[u8], deadline: Instant) -> bool {
-    let mut written = 0;
-    while written < bytes.len() {
-        let left = deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() || stream.set_write_timeout(Some(left)).is_err() {
-            return false;
-        }
-        match stream.write(&bytes[written..]) {
-            Ok(0) => return false,
-            Ok(count) => written += count,
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            Err(_) => return false,
-        }
-    }
-    true
-}
-
-/// Ends the sending side and throws away what still comes, for a short time,
-/// so that the caller gets the answer and not a reset.
-pub(super) fn linger(mut stream: &TcpStream) {
-    // A connection that is closed already needs no end.
-    let _ = stream.shutdown(Shutdown::Write);
-    let deadline = after(LINGER_MS);
-    let mut scrap = [0; 4096];
-    let mut dropped = 0;
-    while dropped < LINGER_BYTES {
-        let left = deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() || stream.set_read_timeout(Some(left)).is_err() {
-            return;
-        }
-        match stream.read(&mut scrap) {
-            Ok(0) | Err(_) => return,
-            Ok(count) => dropped += count,
-        }
-    }
-}
--- a/crates/cornelpoint-daemon/src/caller_edge/turn_away.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/turn_away.rs
@@ -9,7 +9,7 @@
 use super::answer::AnswerForm;
 use super::answer::BodyForm;
 use super::answer::ConnectionForm;
-use super::connection;
+use super::byte_source::ByteSource;
 
 /// Connections that wait to be turned away; further ones are just closed.
 pub(super) const QUEUE_LENGTH: usize = 64;
@@ -25,8 +25,9 @@
     });
     for stream in connections {
         let deadline = Instant::now() + Duration::from_millis(WRITE_TIMEOUT_MS);
-        if connection::write_all(&stream, &bytes, deadline) {
-            connection::linger(&stream);
+        let mut source = ByteSource::new(stream);
+        if source.write_all(&bytes, deadline) {
+            source.linger();
         }
     }
 }
--- a/crates/cornelpoint-daemon/src/endpoint_client/watched_transport.rs
+++ b/crates/cornelpoint-daemon/src/endpoint_client/watched_transport.rs
@@ -15,6 +15,7 @@
 use ureq::unversioned::transport::Transport;
 
 use super::connection_watch::ConnectionWatch;
+use crate::socket_timeout::CachedTimeout;
 
 /// Output that is held back at most.
 const MAX_PENDING_BYTES: usize = 32 * 1024;
@@ -25,6 +26,7 @@
     buffers: LazyBuffers,
     /// Output that goes out together, such as a head with its body.
     pending: Vec<u8>,
+    timeout: CachedTimeout,
     watch: Arc<ConnectionWatch>,
 }
 
@@ -40,6 +42,7 @@
             stream,
             buffers,
             pending: Vec::new(),
+            timeout: CachedTimeout::default(),
             watch,
         }
     }
@@ -54,10 +57,10 @@
         let mut written = 0;
         while written < self.pending.len() {
             let left = time_left(deadline, timeout)?;
-            self.stream.set_write_timeout(Some(left))?;
+            self.timeout.limit_write(&self.stream, left)?;
             match self.stream.write(&self.pending[written..]) {
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return Err(timeout_or(error, timeout)),
+                Err(error) if is_temporary(&error) => {}
+                Err(error) => return Err(Error::Io(error)),
                 Ok(0) => return Err(Error::Io(ErrorKind::WriteZero.into())),
                 Ok(count) => written += count,
             }
@@ -70,10 +73,10 @@
         let deadline = deadline_of(timeout);
         loop {
             let left = time_left(deadline, timeout)?;
-            self.stream.set_read_timeout(Some(left))?;
+            self.timeout.limit_read(&self.stream, left)?;
             match self.stream.read(self.buffers.input_append_buf()) {
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return Err(timeout_or(error, timeout)),
+                Err(error) if is_temporary(&error) => {}
+                Err(error) => return Err(Error::Io(error)),
                 Ok(count) => return Ok(count),
             }
         }
@@ -156,9 +159,10 @@
     Ok(left)
 }
 
-fn timeout_or(error: io::Error, timeout: NextTimeout) -> Error {
-    match error.kind() {
-        ErrorKind::WouldBlock | ErrorKind::TimedOut => Error::Timeout(timeout.reason),
-        _ => Error::Io(error),
-    }
+/// Whether the call is to be repeated while there is time left.
+fn is_temporary(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::Interrupted | ErrorKind::WouldBlock | ErrorKind::TimedOut
+    )
 }
--- a/crates/cornelpoint-daemon/src/lib.rs
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod platform_client;
 pub mod settings;
 pub mod shutdown;
+pub mod socket_timeout;
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/socket_timeout/mod.rs
@@ -0,0 +1,5 @@
+//! Timeouts of sockets that are rarely set anew.
+
+mod cached_timeout;
+
+pub use self::cached_timeout::CachedTimeout;
