Measure ways of sharing slots on the same traces

The choice among slots lent, a grant for each request, a fixed split, two random choices and gossip of load had not been measured.

A replay in virtual time runs the same seeded traces through all of them, at both deployments' sizes, and gives goodput as a share of one dispatcher that knows all slots at once.

--- /dev/null
+++ b/crates/cornelpoint/benches/slot_sharing/main.rs
@@ -0,0 +1,133 @@
+//! Ways of sharing slots, on the same seeded traces in virtual time.
+//!
+//! Goodput is given as a share of what one dispatcher that knows all slots
+//! at once gets done on the same trace.
+
+#![expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "counts and times of a replay are small and not negative"
+)]
+
+mod central;
+mod fleet;
+mod granted;
+mod lent;
+mod local;
+mod outcome;
+mod replay;
+mod sharing;
+mod trace;
+
+use self::fleet::FLEETS;
+use self::fleet::Fleet;
+use self::outcome::Outcome;
+use self::replay::Outage;
+use self::sharing::WAYS;
+use self::sharing::Way;
+use self::trace::LENGTH_MS;
+use self::trace::Load;
+use self::trace::Shape;
+
+const SEEDS: std::ops::Range<u64> = 1..4;
+const OUTAGE: Outage = Outage {
+    pool: 2,
+    zone: 0,
+    from_ms: 9_000,
+    to_ms: 10_500,
+};
+
+struct Case {
+    name: &'static str,
+    load: Load,
+    outage: Option<Outage>,
+}
+
+const fn load(shape: Shape, heavy_gateway: bool) -> Load {
+    Load {
+        shape,
+        heavy_gateway,
+    }
+}
+
+const CASES: [Case; 4] = [
+    Case {
+        name: "surge of five times, going round",
+        load: load(Shape::Surge, false),
+        outage: None,
+    },
+    Case {
+        name: "the same, one gateway with triple load",
+        load: load(Shape::Surge, true),
+        outage: None,
+    },
+    Case {
+        name: "the same, holder of the surging pool lost in one zone",
+        load: load(Shape::Surge, false),
+        outage: Some(OUTAGE),
+    },
+    Case {
+        name: "steady load of 0.8, one gateway with triple load",
+        load: load(Shape::Steady(0.8), true),
+        outage: None,
+    },
+];
+
+fn main() {
+    for fleet in &FLEETS {
+        for case in &CASES {
+            report(fleet, case);
+        }
+    }
+}
+
+fn report(fleet: &Fleet, case: &Case) {
+    println!("\n{}: {}, seeds {SEEDS:?}", fleet.name, case.name);
+    println!(
+        "| way | goodput % | p99 wait ms | other services' p99 wait ms | late % | refused % \
+         | expired % | p50 wait of expired ms | over 8 | connections | messages/request | messages/s | peak messages/s |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    let mut best = 0;
+    for way in WAYS {
+        let outcome = run(fleet, case, way);
+        if way == Way::Central {
+            best = outcome.in_time;
+        }
+        print_row(way, &outcome, best);
+    }
+}
+
+fn run(fleet: &Fleet, case: &Case, way: Way) -> Outcome {
+    let mut sum = Outcome::new();
+    for seed in SEEDS {
+        let arrivals = trace::make(fleet, case.load, seed);
+        sum.add(&replay::run(fleet, way, &arrivals, case.outage));
+    }
+    sum
+}
+
+fn print_row(way: Way, outcome: &Outcome, best: u64) {
+    let seconds = (LENGTH_MS / 1_000 * SEEDS.count() as u64) as f64;
+    println!(
+        "| {} | {:.2} | {} | {} | {:.2} | {:.2} | {:.2} | {} | {} | {} | {:.2} | {:.0} | {} |",
+        way.name(),
+        percent(outcome.in_time, best),
+        outcome.wait_ms.value_at_quantile(0.99),
+        outcome.quiet_wait_ms.value_at_quantile(0.99),
+        percent(outcome.late, outcome.arrived),
+        percent(outcome.refused, outcome.arrived),
+        percent(outcome.expired, outcome.arrived),
+        outcome.refused_after_ms.value_at_quantile(0.5),
+        outcome.peak_over_slots,
+        outcome.peak_connections,
+        outcome.messages as f64 / outcome.arrived as f64,
+        outcome.messages as f64 / seconds,
+        outcome.peak_messages_per_s,
+    );
+}
+
+fn percent(part: u64, whole: u64) -> f64 {
+    100.0 * part as f64 / whole.max(1) as f64
+}
--- /dev/null
+++ b/crates/cornelpoint/benches/slot_sharing/trace.rs
@@ -0,0 +1,122 @@
+//! Seeded arrivals: a surge that goes round the pools, or a steady load.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::fleet::ENDPOINTS_PER_POOL;
+use super::fleet::Fleet;
+use super::fleet::POOLS;
+use super::fleet::SLOTS;
+
+pub const LENGTH_MS: u64 = 20_000;
+pub const MAX_DEADLINE_MS: u64 = 2_000;
+
+const TURN_MS: u64 = LENGTH_MS / POOLS as u64;
+const MEDIAN_SERVICE_MS: f64 = 45.0;
+const SERVICE_SIGMA: f64 = 0.5;
+const LEAST_SERVICE_MS: f64 = 5.0;
+const MOST_SERVICE_MS: f64 = 400.0;
+const HEAVY_FACTOR: f64 = 3.0;
+/// Mean load of a pool as a share of what its slots can do.
+const MEAN_LOAD: f64 = 0.3;
+const SURGE_FACTOR: f64 = 5.0;
+const QUIET_FACTOR: f64 = 0.05;
+
+/// One request of a trace.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub at_ms: u64,
+    pub gateway: usize,
+    pub pool: usize,
+    pub service_ms: u64,
+    pub deadline_ms: u64,
+}
+
+/// The shape of the load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Shape {
+    /// Each pool in turn has five times its mean, and a twentieth otherwise.
+    Surge,
+    /// All pools at this share of what their slots can do.
+    Steady(f64),
+}
+
+/// One load to replay.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    pub shape: Shape,
+    /// The first gateway has three times the load of each other one.
+    pub heavy_gateway: bool,
+}
+
+/// Makes the arrivals of one load from a seed.
+pub fn make(fleet: &Fleet, load: Load, seed: u64) -> Vec<Arrival> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut arrivals = Vec::new();
+    for at_ms in 0..LENGTH_MS {
+        for pool in 0..POOLS {
+            for _ in 0..poisson(&mut random, rate_per_ms(load.shape, pool, at_ms)) {
+                arrivals.push(arrival(&mut random, fleet, load, at_ms, pool));
+            }
+        }
+    }
+    arrivals
+}
+
+/// Whether a pool has its surge at a time.
+pub fn has_surge(pool: usize, at_ms: u64) -> bool {
+    (at_ms / TURN_MS) as usize == pool
+}
+
+fn rate_per_ms(shape: Shape, pool: usize, at_ms: u64) -> f64 {
+    let mean_service_ms = MEDIAN_SERVICE_MS * (SERVICE_SIGMA * SERVICE_SIGMA / 2.0).exp();
+    let slots = (ENDPOINTS_PER_POOL as f64) * f64::from(SLOTS);
+    let capacity_per_ms = slots / mean_service_ms;
+    let load = match shape {
+        Shape::Steady(load) => load,
+        Shape::Surge if has_surge(pool, at_ms) => MEAN_LOAD * SURGE_FACTOR,
+        Shape::Surge => MEAN_LOAD * QUIET_FACTOR,
+    };
+    capacity_per_ms * load
+}
+
+fn arrival(random: &mut ChaCha8Rng, fleet: &Fleet, load: Load, at_ms: u64, pool: usize) -> Arrival {
+    let heavy = if load.heavy_gateway {
+        HEAVY_FACTOR
+    } else {
+        1.0
+    };
+    let draw = random.random::<f64>() * (fleet.gateways as f64 - 1.0 + heavy);
+    let gateway = if draw < heavy {
+        0
+    } else {
+        (1 + (draw - heavy) as usize).min(fleet.gateways - 1)
+    };
+    let service_ms = (MEDIAN_SERVICE_MS * (SERVICE_SIGMA * normal(random)).exp())
+        .clamp(LEAST_SERVICE_MS, MOST_SERVICE_MS);
+    Arrival {
+        at_ms,
+        gateway,
+        pool,
+        service_ms: service_ms.round() as u64,
+        deadline_ms: at_ms + random.random_range(500..=MAX_DEADLINE_MS),
+    }
+}
+
+fn poisson(random: &mut ChaCha8Rng, mean: f64) -> u32 {
+    let limit = (-mean).exp();
+    let mut product = random.random::<f64>();
+    let mut count = 0;
+    while product > limit {
+        product *= random.random::<f64>();
+        count += 1;
+    }
+    count
+}
+
+fn normal(random: &mut ChaCha8Rng) -> f64 {
+    let radius = (-2.0 * (1.0 - random.random::<f64>()).ln()).sqrt();
+    let angle = std::f64::consts::TAU * random.random::<f64>();
+    radius * angle.cos()
+}
