Move slots between gateways only for a quarter of a share

Every report changed the shares a little, and each slot called back stands idle until the next gateway asks. And a gateway that waited asked every 100 ms whether the wait came from a short lack or from a long queue.

A gateway lacks slots only when more than a quarter of its share is missing; it asks again the later the more requests wait for each slot, up to 200 ms. Calling back to the share and a quarter was ruled out: a gateway with a third of the other's demand stayed at one slot of its four.

--- a/crates/cornelpoint/src/slots/allotment.rs
+++ b/crates/cornelpoint/src/slots/allotment.rs
@@ -2,6 +2,9 @@
 
 use std::iter;
 
+/// Part of a share by which a holding may differ from it.
+const TOLERANCE_DIVISOR: u32 = 4;
+
 /// Demand and holding of one gateway.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Claim {
@@ -16,6 +19,8 @@
     pub(super) upper: u32,
     /// Slots that it may be called back to.
     pub(super) lower: u32,
+    /// Slots under which it lacks some.
+    pub(super) least: u32,
     /// Slots that the others lack beyond those that are free.
     pub(super) others_lack: u32,
     /// Whether any other gateway waits for slots.
@@ -29,16 +34,26 @@
     let total: u64 = demands.map(|claim| u64::from(claim.demand)).sum();
     let lacking: u32 = others
         .iter()
-        .map(|claim| share_down(claim.demand, total, slots).saturating_sub(claim.held))
+        .map(|claim| least_due(claim.demand, total, slots).saturating_sub(claim.held))
         .sum();
     Allotment {
         upper: share_up(own.demand, total, slots),
+        least: least_due(own.demand, total, slots),
         lower: share_down(own.demand, total, slots),
         others_lack: lacking.saturating_sub(free),
         contended: others.iter().any(|claim| claim.demand > claim.held),
     }
 }
 
+/// The share of a demand, less what may be missing.
+fn least_due(demand: u32, total: u64, slots: u32) -> u32 {
+    if total <= u64::from(slots) {
+        return demand;
+    }
+    let share = share_down(demand, total, slots);
+    share - share / TOLERANCE_DIVISOR
+}
+
 fn share_up(demand: u32, total: u64, slots: u32) -> u32 {
     if total <= u64::from(slots) {
         return demand;
--- a/crates/cornelpoint/src/slots/holder.rs
+++ b/crates/cornelpoint/src/slots/holder.rs
@@ -351,7 +351,6 @@
             })
             .collect();
         let total: u32 = limits.values().sum();
-        let lacks = total < allotment.lower.min(account.demand());
         SlotReply {
             incarnation: request.incarnation,
             sequence: request.sequence,
@@ -359,13 +358,19 @@
             lent,
             leaving: self.leaving(),
             contended: allotment.contended,
-            ask_again_in_ms: if lacks {
-                self.settings.ask_soon_ms
-            } else {
-                self.settings.ask_later_ms
-            },
+            ask_again_in_ms: self.ask_again_in_ms(account.demand(), total, allotment),
         }
     }
+
+    /// Soon when slots are on their way, and the later the more requests
+    /// wait for each slot.
+    fn ask_again_in_ms(&self, demand: u32, lent: u32, allotment: Allotment) -> u64 {
+        if lent < allotment.least.max(1) {
+            return self.settings.ask_soon_ms;
+        }
+        let scaled_ms = self.settings.ask_soon_ms * u64::from(demand / lent);
+        scaled_ms.clamp(self.settings.ask_soon_ms, self.settings.ask_later_ms)
+    }
 }
 
 /// Takes slots away, from the endpoint with the most first.
--- a/crates/cornelpoint/src/slots/holder_settings.rs
+++ b/crates/cornelpoint/src/slots/holder_settings.rs
@@ -19,8 +19,8 @@
     /// Time after which a gateway that waits for slots in movement asks
     /// again, in milliseconds.
     pub ask_soon_ms: u64,
-    /// Time after which a gateway that has its share asks again, in
-    /// milliseconds.
+    /// Time after which a gateway that has its share, and many requests
+    /// waiting for each slot, asks again, in milliseconds.
     pub ask_later_ms: u64,
 }
 
@@ -40,7 +40,7 @@
             adopt_ms: 900,
             leaving_known_ms: 2_000,
             ask_soon_ms: 20,
-            ask_later_ms: 100,
+            ask_later_ms: 200,
         }
     }
 }
