Refuse a near deadline from a quarter above the learnt rate

With the margin at twice the learnt rate hardly anything was refused on arrival: under one and a half times the slots' load, what could not be served waited 1.2 s (median) and then expired.

At 1 and under, requests that could have been served are refused, so 1.25 is taken. The fault left: most of what cannot be served is still found out by waiting, because later arrivals with earlier deadlines overtake.

--- a/crates/cornelpoint/src/queue/request_queue.rs
+++ b/crates/cornelpoint/src/queue/request_queue.rs
@@ -17,7 +17,7 @@
 const SHORTEST_PERMILLE: u32 = 10;
 /// The queue may be drained this many times faster than learnt before a
 /// refusal for a near deadline turns out wrong.
-const SPEED_MARGIN: f64 = 2.0;
+const SPEED_MARGIN: f64 = 1.25;
 
 /// The waiting requests of one service at one gateway.
 ///
