--- a/crates/cornelpoint/benches/slot_sharing/main.rs
+++ b/crates/cornelpoint/benches/slot_sharing/main.rs
@@ -23,7 +23,9 @@
 use self::fleet::FLEETS;
 use self::fleet::Fleet;
 use self::outcome::Outcome;
+use self::replay::FullQueue;
 use self::replay::Outage;
+use self::replay::Setup;
 use self::sharing::WAYS;
 use self::sharing::Way;
 use self::trace::LENGTH_MS;
@@ -31,6 +33,7 @@
 use self::trace::Shape;
 
 const SEEDS: std::ops::Range<u64> = 1..4;
+const QUEUE_REQUESTS: usize = 2_000;
 const OUTAGE: Outage = Outage {
     pool: 2,
     zone: 0,
@@ -79,6 +82,7 @@
         for case in &CASES {
             report(fleet, case);
         }
+        report_full_queue(fleet);
     }
 }
 
@@ -91,7 +95,7 @@
     println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
     let mut best = 0;
     for way in WAYS {
-        let outcome = run(fleet, case, way);
+        let outcome = run(fleet, case.load, setup(way, case.outage));
         if way == Way::Central {
             best = outcome.in_time;
         }
@@ -99,11 +103,48 @@
     }
 }
 
-fn run(fleet: &Fleet, case: &Case, way: Way) -> Outcome {
+fn setup(way: Way, outage: Option<Outage>) -> Setup {
+    Setup {
+        way,
+        outage,
+        queue_requests: QUEUE_REQUESTS,
+        full_queue: FullQueue::RefuseNewcomer,
+    }
+}
+
+/// What to refuse when a queue is full.
+fn report_full_queue(fleet: &Fleet) {
+    println!(
+        "\n{}: full queue, slots lent, surge, seeds {SEEDS:?}",
+        fleet.name
+    );
+    println!(
+        "| queue | refused when full | served in time % | p50 wait ms | p50 wait of refused ms |"
+    );
+    println!("|---|---|---|---|---|");
+    for queue_requests in [50, 100, 200] {
+        for full_queue in [FullQueue::RefuseNewcomer, FullQueue::RefuseLast] {
+            let setup = Setup {
+                queue_requests,
+                full_queue,
+                ..setup(Way::Lent, None)
+            };
+            let outcome = run(fleet, load(Shape::Surge, false), setup);
+            println!(
+                "| {queue_requests} | {full_queue:?} | {:.2} | {} | {} |",
+                percent(outcome.in_time, outcome.arrived),
+                outcome.wait_ms.value_at_quantile(0.5),
+                outcome.refused_after_ms.value_at_quantile(0.5),
+            );
+        }
+    }
+}
+
+fn run(fleet: &Fleet, load: Load, setup: Setup) -> Outcome {
     let mut sum = Outcome::new();
     for seed in SEEDS {
-        let arrivals = trace::make(fleet, case.load, seed);
-        sum.add(&replay::run(fleet, way, &arrivals, case.outage));
+        let arrivals = trace::make(fleet, load, seed);
+        sum.add(&replay::run(fleet, &arrivals, setup));
     }
     sum
 }
--- a/crates/cornelpoint/benches/slot_sharing/replay.rs
+++ b/crates/cornelpoint/benches/slot_sharing/replay.rs
@@ -6,6 +6,7 @@
 use cornelpoint::queue::QueueLimits;
 use cornelpoint::queue::RequestEntry;
 use cornelpoint::queue::RequestQueue;
+use cornelpoint::request::Refusal;
 
 use super::fleet::ENDPOINTS_PER_POOL;
 use super::fleet::Fleet;
@@ -22,7 +23,6 @@
 
 pub const ONE_WAY_MS: u64 = 1;
 
-const QUEUE_REQUESTS: usize = 2_000;
 const BODY_BYTES: u64 = 1_000;
 const MS_PER_S: u64 = 1_000;
 
@@ -35,6 +35,25 @@
     pub to_ms: u64,
 }
 
+/// What goes when a queue is full.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FullQueue {
+    /// The newcomer.
+    RefuseNewcomer,
+    /// The request with the last deadline.
+    RefuseLast,
+}
+
+/// How one replay is set up.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    pub way: Way,
+    pub outage: Option<Outage>,
+    /// Most requests waiting at one gateway for one service.
+    pub queue_requests: usize,
+    pub full_queue: FullQueue,
+}
+
 enum Event {
     AtEndpoint(u64),
     Done(u64),
@@ -57,7 +76,7 @@
 
 struct Replay<'a> {
     fleet: &'a Fleet,
-    way: Way,
+    setup: Setup,
     arrivals: &'a [Arrival],
     sharing: Sharing,
     queues: Vec<Vec<RequestQueue>>,
@@ -68,12 +87,12 @@
 }
 
 /// Replays a trace through one way of sharing.
-pub fn run(fleet: &Fleet, way: Way, arrivals: &[Arrival], outage: Option<Outage>) -> Outcome {
-    let mut replay = Replay::new(fleet, way, arrivals);
+pub fn run(fleet: &Fleet, arrivals: &[Arrival], setup: Setup) -> Outcome {
+    let mut replay = Replay::new(fleet, arrivals, setup);
     let mut next = 0;
     let mut messages = 0;
     for now_ms in 0..LENGTH_MS + 2 * MAX_DEADLINE_MS {
-        replay.fail(outage, now_ms);
+        replay.fail(setup.outage, now_ms);
         replay.sharing.deliver(now_ms);
         replay.handle_events(now_ms);
         while arrivals
@@ -96,10 +115,10 @@
 }
 
 impl<'a> Replay<'a> {
-    fn new(fleet: &'a Fleet, way: Way, arrivals: &'a [Arrival]) -> Self {
-        let central = way == Way::Central;
+    fn new(fleet: &'a Fleet, arrivals: &'a [Arrival], setup: Setup) -> Self {
+        let central = setup.way == Way::Central;
         let queues = if central { 1 } else { fleet.gateways };
-        let max_requests = QUEUE_REQUESTS * fleet.gateways / queues;
+        let max_requests = setup.queue_requests * fleet.gateways / queues;
         let queue = RequestQueue::new(QueueLimits {
             max_requests,
             max_body_bytes: max_requests as u64 * BODY_BYTES,
@@ -107,9 +126,9 @@
         });
         Self {
             fleet,
-            way,
+            setup,
             arrivals,
-            sharing: Sharing::new(way, fleet),
+            sharing: Sharing::new(setup.way, fleet),
             queues: vec![vec![queue; POOLS]; queues],
             endpoints: vec![vec![Endpoint::default(); ENDPOINTS_PER_POOL]; POOLS],
             started: BTreeMap::new(),
@@ -132,7 +151,7 @@
     }
 
     fn queue_of(&self, arrival: &Arrival) -> usize {
-        if self.way == Way::Central {
+        if self.setup.way == Way::Central {
             return 0;
         }
         arrival.gateway
@@ -153,10 +172,28 @@
                 self.sharing
                     .arrive(gateway, arrival.pool, arrival.deadline_ms, now_ms);
             }
+            Err(Refusal::QueueFull) => self.full(gateway, arrival.pool, entry, now_ms),
             Err(_) => self.outcome.refused += 1,
         }
     }
 
+    /// Refuses the newcomer, or the request with the last deadline.
+    fn full(&mut self, gateway: usize, pool: usize, entry: RequestEntry, now_ms: u64) {
+        self.outcome.refused += 1;
+        let queue = &mut self.queues[gateway][pool];
+        let last = queue
+            .last()
+            .filter(|last| last.deadline_ms > entry.deadline_ms);
+        let Some(last) = last else {
+            return;
+        };
+        if self.setup.full_queue == FullQueue::RefuseLast && queue.remove(last.id) {
+            let waited_ms = now_ms - self.arrivals[last.id as usize].at_ms;
+            self.outcome.refused_after_ms.saturating_record(waited_ms);
+            self.outcome.refused += u64::from(queue.push(entry, now_ms).is_err());
+        }
+    }
+
     fn dispatch_all(&mut self, now_ms: u64) {
         for gateway in 0..self.queues.len() {
             for pool in 0..POOLS {
