Lend what no other gateway lacks beyond the share

A free slot stayed idle when only gateways at their share asked.

A gateway may now grow past its share by the free slots that the others do not lack.

--- a/crates/cornelpoint/src/slots/allotment.rs
+++ b/crates/cornelpoint/src/slots/allotment.rs
@@ -36,8 +36,9 @@
         .iter()
         .map(|claim| least_due(claim.demand, total, slots).saturating_sub(claim.held))
         .sum();
+    let spare = free.saturating_sub(lacking);
     Allotment {
-        upper: share_up(own.demand, total, slots),
+        upper: share_up(own.demand, total, slots).max(own.demand.min(own.held + spare)),
         least: least_due(own.demand, total, slots),
         lower: share_down(own.demand, total, slots),
         others_lack: lacking.saturating_sub(free),
