--- a/crates/cornelpoint/src/slots/borrower_settings.rs
+++ b/crates/cornelpoint/src/slots/borrower_settings.rs
@@ -43,7 +43,7 @@
             incarnation,
             pool,
             availability_zone,
-            min_interval_ms: 10,
+            min_interval_ms: 5,
             retry_interval_ms: 50,
             idle_return_ms: 50,
             fallback_slots: 1,
