Fall back on two slots at each endpoint

While a holder is lost, the gateways of its own zone, two or three of them, use the fallback; one slot each left most of the eight idle.

Two each stay within the eight with up to four gateways in a zone; with two holders and the fallback the bound is 16 + 2 for each of them.

--- a/crates/cornelpoint/src/slots/borrower_settings.rs
+++ b/crates/cornelpoint/src/slots/borrower_settings.rs
@@ -46,7 +46,7 @@
             min_interval_ms: 5,
             retry_interval_ms: 50,
             idle_return_ms: 50,
-            fallback_slots: 1,
+            fallback_slots: 2,
             fallback_after_ms: 900,
         }
     }
