Carry claims to the platform on threads of their own

Cause: callers' threads need a blocking call for a claim, and no library part may hold threads or clocks. Change: claim_store::ClaimStore claims, waits for an earlier try's answer, releases and settles; one thread decides, one each makes table calls, reads and object writes, joined by bounded rings. Large answers go to the object store. A stop writes what is left until its deadline; a drop ends the threads. docs/design/claims.md says what each failure leads to. Result: 5 tests over TCP with the platform stand-in pass (race with a 1 MB answer, all store answers lost, outage, reused key, stop).

--- /dev/null
+++ b/crates/cornelpoint-daemon/src/claim_store/claim_decision.rs
@@ -0,0 +1,17 @@
+use cornelpoint::claim::HeldClaim;
+use cornelpoint::request::Refusal;
+
+use super::whole_answer::WholeAnswer;
+
+/// What a gateway does with a request that carries a key.
+#[derive(Debug, PartialEq, Eq)]
+pub enum ClaimDecision {
+    /// Send the request; nobody else does.
+    Granted(HeldClaim),
+    /// Pass on the answer of an earlier try.
+    Answered(WholeAnswer),
+    /// Refuse: [`Refusal::ClaimUnavailable`] and [`Refusal::KeyReused`] when
+    /// this try did not run, [`Refusal::ClaimUnresolved`] when an earlier one
+    /// may have.
+    Refused(Refusal),
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/claim_store/mod.rs
@@ -0,0 +1,23 @@
+//! Claims on idempotency keys, carried to the platform.
+//!
+//! One thread owns the decisions, and one each carries calls of the table,
+//! reads of other claims, and large answers to the object store.
+
+mod claim_clock;
+mod claim_decision;
+mod claim_store_dump;
+mod claim_store_settings;
+mod event;
+mod object_thread;
+mod read_thread;
+mod store;
+mod store_loop;
+mod table_thread;
+mod whole_answer;
+
+pub use self::claim_decision::ClaimDecision;
+pub use self::claim_store_dump::ClaimStoreDump;
+pub use self::claim_store_settings::ClaimStoreSettings;
+pub use self::store::ClaimStore;
+pub use self::store::RunningClaimStore;
+pub use self::whole_answer::WholeAnswer;
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/claim_store/store_loop.rs
@@ -0,0 +1,331 @@
+use std::collections::HashMap;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
+use std::time::Duration;
+
+use cornelpoint::claim::AnswerWaiter;
+use cornelpoint::claim::ClaimAction;
+use cornelpoint::claim::ClaimBatcher;
+use cornelpoint::claim::ClaimCleaner;
+use cornelpoint::claim::ClaimId;
+use cornelpoint::claim::ClaimRequest;
+use cornelpoint::claim::SendPermit;
+use cornelpoint::claim::Settlement;
+use cornelpoint::claim::StoreCall;
+use cornelpoint::claim::StoreRequest;
+use cornelpoint::claim::StoreRequestId;
+use cornelpoint::claim::WaitAction;
+use cornelpoint::platform::TransactionOutcome;
+use cornelpoint::request::Refusal;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::claim_clock::ClaimClock;
+use super::claim_store_dump::ClaimStoreDump;
+use super::claim_store_settings::ClaimStoreSettings;
+use super::event::Decided;
+use super::event::Event;
+use super::event::ReadReply;
+use super::event::TableReply;
+use super::object_thread::ObjectCall;
+use super::read_thread::ReadCall;
+use super::whole_answer::WholeAnswer;
+
+/// Longest time without a look at the clock.
+const LONGEST_WAIT_MS: u64 = 500;
+/// Events taken before the next round of calls.
+const EVENTS_PER_ROUND: usize = 256;
+
+/// Ways to the threads that make calls.
+#[derive(Debug)]
+pub(super) struct Calls {
+    pub(super) table: SyncSender<StoreRequest>,
+    pub(super) read: SyncSender<ReadCall>,
+    pub(super) object: SyncSender<ObjectCall>,
+}
+
+/// A request whose claim is not decided.
+#[derive(Debug)]
+struct Undecided {
+    request: ClaimRequest,
+    reply: SyncSender<Decided>,
+}
+
+/// The thread that owns the claims' decisions.
+#[derive(Debug)]
+pub(super) struct StoreLoop {
+    batcher: ClaimBatcher,
+    waiter: AnswerWaiter,
+    cleaner: ClaimCleaner,
+    clock: ClaimClock,
+    events: Receiver<Event>,
+    calls: Calls,
+    undecided: HashMap<ClaimId, Undecided>,
+    name: String,
+    objects: u64,
+    open_objects: u64,
+    inline_body_bytes: usize,
+    stop_by_ms: Option<u64>,
+    counts: ClaimStoreDump,
+}
+
+impl StoreLoop {
+    pub(super) fn new(
+        settings: &ClaimStoreSettings,
+        clock: ClaimClock,
+        events: Receiver<Event>,
+        calls: Calls,
+    ) -> Self {
+        let random = ChaCha8Rng::seed_from_u64(settings.seed);
+        let claimant = &settings.claimant;
+        Self {
+            batcher: ClaimBatcher::new(claimant.clone(), settings.claim.clone(), random),
+            waiter: AnswerWaiter::new(),
+            cleaner: ClaimCleaner::new(),
+            clock,
+            events,
+            calls,
+            undecided: HashMap::new(),
+            name: format!("{}-{}", claimant.instance, claimant.incarnation),
+            objects: 0,
+            open_objects: 0,
+            inline_body_bytes: settings.inline_body_bytes,
+            stop_by_ms: None,
+            counts: ClaimStoreDump::default(),
+        }
+    }
+
+    pub(super) fn run(mut self) {
+        while !self.is_over() {
+            match self.events.recv_timeout(self.wait()) {
+                Ok(event) => self.take(event),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            for _ in 0..EVENTS_PER_ROUND {
+                let Ok(event) = self.events.try_recv() else {
+                    break;
+                };
+                self.take(event);
+            }
+            self.expire();
+            self.call();
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        let is_idle = self.batcher.is_idle() && self.undecided.is_empty() && self.open_objects == 0;
+        self.stop_by_ms
+            .is_some_and(|stop_by_ms| is_idle || self.clock.now_ms() >= stop_by_ms)
+    }
+
+    fn wait(&self) -> Duration {
+        let now_ms = self.clock.now_ms();
+        let wakes = [
+            self.batcher.next_wake_ms(),
+            self.waiter.next_wake_ms(),
+            Some(self.cleaner.next_wake_ms()),
+            Some(now_ms + LONGEST_WAIT_MS),
+        ];
+        let wake_ms = wakes.into_iter().flatten().min().unwrap_or(now_ms);
+        Duration::from_millis(wake_ms.saturating_sub(now_ms).max(1))
+    }
+
+    fn take(&mut self, event: Event) {
+        let now_ms = self.clock.now_ms();
+        match event {
+            Event::Claim(request, reply) => self.claim(request, reply, now_ms),
+            Event::Release(claim) => self.batcher.release(claim, now_ms),
+            Event::Answered(permit, answer) => self.store_answer(permit, answer, now_ms),
+            Event::Unresolved(permit) => {
+                self.batcher.settle(permit, Settlement::Unresolved, now_ms);
+            }
+            Event::Stored(permit, settlement) => {
+                self.open_objects -= 1;
+                self.batcher.settle(permit, settlement, now_ms);
+            }
+            Event::Table(id, reply) => self.take_table_reply(id, reply, now_ms),
+            Event::Read(reply) => self.take_read_reply(reply, now_ms),
+            Event::Dump(to) => {
+                // Whoever asked may have gone.
+                let _ = to.try_send(self.dump());
+            }
+            Event::Stop(stop_by_ms) => self.stop_by_ms = Some(stop_by_ms),
+        }
+    }
+
+    fn claim(&mut self, request: ClaimRequest, reply: SyncSender<Decided>, now_ms: u64) {
+        let undecided = Undecided {
+            request: request.clone(),
+            reply,
+        };
+        self.undecided.insert(request.id, undecided);
+        let refused = self.batcher.submit(request, now_ms);
+        self.apply(refused);
+    }
+
+    fn store_answer(&mut self, permit: SendPermit, answer: WholeAnswer, now_ms: u64) {
+        if answer.body.len() <= self.inline_body_bytes {
+            let settlement = Settlement::Answered(answer.into_stored());
+            self.batcher.settle(permit, settlement, now_ms);
+            return;
+        }
+        self.objects += 1;
+        self.open_objects += 1;
+        let call = ObjectCall {
+            permit,
+            name: format!("claim-{}-{}", self.name, self.objects),
+            answer,
+        };
+        if let Err(TrySendError::Full(call) | TrySendError::Disconnected(call)) =
+            self.calls.object.try_send(call)
+        {
+            self.open_objects -= 1;
+            self.batcher
+                .settle(call.permit, Settlement::Unresolved, now_ms);
+        }
+    }
+
+    fn take_table_reply(&mut self, id: StoreRequestId, reply: TableReply, now_ms: u64) {
+        let actions = match reply {
+            TableReply::Transacted(TransactionOutcome::Committed) => {
+                self.batcher.on_committed(id, now_ms)
+            }
+            TableReply::Transacted(TransactionOutcome::Conflict { current }) => {
+                self.batcher.on_conflict(id, &current, now_ms)
+            }
+            TableReply::Rows(rows) => self.batcher.on_read(id, &rows, now_ms),
+            TableReply::Lost => {
+                self.counts.lost_calls += 1;
+                self.batcher.on_lost(id, now_ms);
+                return;
+            }
+            TableReply::NotSent => {
+                self.batcher.on_not_sent(id, now_ms);
+                return;
+            }
+        };
+        self.apply(actions);
+    }
+
+    fn take_read_reply(&mut self, reply: ReadReply, now_ms: u64) {
+        match reply {
+            ReadReply::Claims(Some(rows)) => {
+                let actions = self.waiter.on_read(&rows);
+                self.end_waits(actions);
+            }
+            ReadReply::Claims(None) => self.waiter.on_lost(),
+            ReadReply::OldRows(Some(rows)) => {
+                if let Some(removal) = self.cleaner.on_rows(&rows, now_ms) {
+                    // A full ring drops the removal; the next scan finds it.
+                    let _ = self.calls.read.try_send(ReadCall::Remove(removal));
+                }
+            }
+            ReadReply::OldRows(None) => self.cleaner.on_lost(now_ms),
+        }
+    }
+
+    fn expire(&mut self) {
+        let now_ms = self.clock.now_ms();
+        let refused = self.batcher.expire(now_ms);
+        self.apply(refused);
+        let ended = self.waiter.expire(now_ms);
+        self.end_waits(ended);
+    }
+
+    fn call(&mut self) {
+        let now_ms = self.clock.now_ms();
+        while let Some(request) = self.batcher.next_request(now_ms) {
+            if matches!(request.call, StoreCall::Transact(_)) {
+                self.counts.transactions += 1;
+            }
+            if let Err(TrySendError::Full(request) | TrySendError::Disconnected(request)) =
+                self.calls.table.try_send(request)
+            {
+                self.batcher.on_not_sent(request.id, now_ms);
+            }
+        }
+        if let Some(keys) = self.waiter.next_read(now_ms)
+            && self.calls.read.try_send(ReadCall::Claims(keys)).is_err()
+        {
+            self.waiter.on_lost();
+        }
+        if let Some(scan) = self.cleaner.next_scan(now_ms)
+            && self.calls.read.try_send(ReadCall::OldRows(scan)).is_err()
+        {
+            self.cleaner.on_lost(now_ms);
+        }
+    }
+
+    fn apply(&mut self, actions: impl IntoIterator<Item = ClaimAction>) {
+        for action in actions {
+            match action {
+                ClaimAction::Granted { id, claim } => self.decide(id, Decided::Granted(claim)),
+                ClaimAction::HeldByOther { id, row } => {
+                    let Some(undecided) = self.undecided.get(&id) else {
+                        continue;
+                    };
+                    let request = &undecided.request;
+                    let place = request.place.clone();
+                    let end = self.waiter.wait(id, place, &row, request.deadline_ms);
+                    self.end_waits(end);
+                }
+                ClaimAction::KeyReused { id } => {
+                    self.decide(id, Decided::Refused(Refusal::KeyReused));
+                }
+                ClaimAction::Unavailable { id } => {
+                    self.decide(id, Decided::Refused(Refusal::ClaimUnavailable));
+                }
+            }
+        }
+    }
+
+    fn end_waits(&mut self, actions: impl IntoIterator<Item = WaitAction>) {
+        for action in actions {
+            match action {
+                WaitAction::Answered { id, answer } => self.decide(id, Decided::Answered(answer)),
+                WaitAction::Unresolved { id } => {
+                    self.decide(id, Decided::Refused(Refusal::ClaimUnresolved));
+                }
+                WaitAction::Freed { id } => self.claim_again(id),
+            }
+        }
+    }
+
+    fn claim_again(&mut self, id: ClaimId) {
+        let Some(undecided) = self.undecided.get(&id) else {
+            return;
+        };
+        let request = undecided.request.clone();
+        let refused = self.batcher.submit(request, self.clock.now_ms());
+        self.apply(refused);
+    }
+
+    /// Tells the caller's thread; a claim that nobody takes is released.
+    fn decide(&mut self, id: ClaimId, decided: Decided) {
+        match decided {
+            Decided::Granted(_) => self.counts.granted += 1,
+            Decided::Answered(_) => self.counts.repeats_answered += 1,
+            Decided::Refused(_) => self.counts.refused += 1,
+        }
+        let Some(undecided) = self.undecided.remove(&id) else {
+            return;
+        };
+        if let Err(TrySendError::Full(left) | TrySendError::Disconnected(left)) =
+            undecided.reply.try_send(decided)
+            && let Decided::Granted(claim) = left
+        {
+            self.batcher.release(claim, self.clock.now_ms());
+        }
+    }
+
+    fn dump(&self) -> ClaimStoreDump {
+        ClaimStoreDump {
+            undecided: self.undecided.len(),
+            open_rows: self.batcher.open_rows(),
+            ..self.counts
+        }
+    }
+}
--- a/crates/cornelpoint-daemon/src/lib.rs
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! sockets and clocks.
 
 pub mod caller_edge;
+pub mod claim_store;
 pub mod clock;
 pub mod control;
 pub mod endpoint_client;
--- a/crates/cornelpoint/src/claim/batcher.rs
+++ b/crates/cornelpoint/src/claim/batcher.rs
@@ -197,6 +197,12 @@
         [call, open, expiry].into_iter().flatten().min()
     }
 
+    /// Rows that wait to be written or whose write is not over.
+    #[must_use]
+    pub fn open_rows(&self) -> usize {
+        self.queue.len() + self.open.updates().count()
+    }
+
     /// Whether nothing waits and no call runs.
     #[must_use]
     pub fn is_idle(&self) -> bool {
--- a/crates/cornelpoint/src/claim/queue.rs
+++ b/crates/cornelpoint/src/claim/queue.rs
@@ -19,6 +19,10 @@
         self.waiting.is_empty()
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Whether an update waits whose row no call is changing.
     pub(super) fn has_ready(&self, open: &OpenBatches) -> bool {
         self.waiting.iter().any(|u| !open.holds(&u.place))
