--- a/crates/cornelpoint-cli/src/demo/steps.rs
+++ b/crates/cornelpoint-cli/src/demo/steps.rs
@@ -2,6 +2,7 @@
 use std::thread;
 use std::time::Duration;
 
+use cornelpoint::configuration::AcceptToken;
 use cornelpoint::configuration::Configuration;
 use cornelpoint::configuration::Generation;
 use cornelpoint::name::InstanceId;
@@ -90,7 +91,7 @@
         configuration: &Configuration,
     ) -> Result<Generation, FleetError> {
         self.report.progress("an operator accepts the template");
-        let generation = fleet.accept(configuration, "demo-first")?;
+        let generation = fleet.accept(configuration, AcceptToken(1))?;
         let took = fleet.wait_applied(generation, IN_FORCE_LIMIT)?;
         self.report.add(Check::at_most(
             "first configuration in force everywhere",
@@ -193,9 +194,9 @@
         self.report
             .progress("an operator accepts a change in mid-run");
         let (outcomes, result) = self.stretch(fleet, || -> Result<_, FleetError> {
-            let generation = fleet.accept(changed, "demo-change")?;
+            let generation = fleet.accept(changed, AcceptToken(2))?;
             let took = fleet.wait_applied(generation, IN_FORCE_LIMIT)?;
-            let raced = fleet.accept(changed, "demo-late-operator");
+            let raced = fleet.accept(changed, AcceptToken(3));
             Ok((generation, took, raced))
         });
         let (generation, took, raced) = result?;
@@ -228,7 +229,7 @@
         };
         let (outcomes, accepted) = self.stretch(fleet, || {
             fleet.platform.set_faults(down);
-            let accepted = fleet.accept(&next(changed, generation), "demo-outage");
+            let accepted = fleet.accept(&next(changed, generation), AcceptToken(4));
             thread::sleep(STRETCH / 2);
             accepted
         });
@@ -247,7 +248,7 @@
             generation_figure(generation),
             "",
         ));
-        let generation = fleet.accept(&next(changed, generation), "demo-after-outage")?;
+        let generation = fleet.accept(&next(changed, generation), AcceptToken(5))?;
         let took = fleet.wait_applied(generation, IN_FORCE_LIMIT)?;
         self.report.add(Check::at_most(
             "next configuration in force everywhere",
