Try the request path under seeded faults, judged by histories

Cause: the promises about a request were tested part by part, not through real gateways and keepers.

Change: two gateways and two keepers in two zones, four endpoints (two of them behind relays) and the platform behind a relay, 24 callers for 3 s under seeded faults of each family and of all together. An endpoint gives a run whose caller has gone up to 30 ms to be noticed before another request counts as over the slots. An endpoint that is back after leaving is listed by the platform with a higher epoch, as after a restart.

Seen: after the start of the first keepers no slot is lent for the length of a lease; a gateway's health check says ready and calls are refused as deadline-too-near (1378 of 3469 in 3 s at a lease of 1500 ms). The tests begin once each gateway has answered a call.

--- /dev/null
+++ b/crates/cornelpoint-cli/tests/request_path.rs
@@ -0,0 +1,208 @@
+//! Gateways and keepers against stand-ins with seeded faults, judged by the
+//! history checker: true refusals, at most once, whole answers.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+
+use cornelpoint::request::Method;
+use cornelpoint_standin::caller::CallerRequest;
+use cornelpoint_standin::caller::call;
+use cornelpoint_standin::clock::now_ms;
+use cornelpoint_standin::fault_plan::FaultDriver;
+use cornelpoint_standin::fault_plan::FaultKind;
+use cornelpoint_standin::fault_plan::FaultPlan;
+use cornelpoint_standin::fault_plan::PlanScope;
+use cornelpoint_standin::history::History;
+use cornelpoint_standin::history::Limits;
+use cornelpoint_standin::history::Outcome;
+use cornelpoint_standin::history::Recorder;
+use cornelpoint_standin::history::check;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::support::Fleet;
+use self::support::instance;
+
+/// Callers at once.
+const CALLERS: u64 = 24;
+
+/// Time in which callers make new calls.
+const LOAD_MS: u64 = 3000;
+
+/// Methods of the callers; the first is not idempotent and comes most.
+const METHODS: [Method; 5] = [
+    Method::Post,
+    Method::Post,
+    Method::Get,
+    Method::Put,
+    Method::Head,
+];
+
+fn seed() -> u64 {
+    std::env::var("CORNELPOINT_SEED").map_or(1, |text| text.parse().unwrap())
+}
+
+/// One caller that makes calls one after the other.
+struct Caller {
+    number: u64,
+    random: ChaCha8Rng,
+    gateways: Vec<SocketAddr>,
+    recorder: Arc<Recorder>,
+}
+
+impl Caller {
+    fn start(number: u64, seed: u64, fleet: &Fleet) -> JoinHandle<()> {
+        let caller = Self {
+            number,
+            random: ChaCha8Rng::seed_from_u64(seed * 1000 + number),
+            gateways: fleet.gateway_addresses(),
+            recorder: Arc::clone(&fleet.recorder),
+        };
+        thread::spawn(move || caller.run(now_ms() + LOAD_MS))
+    }
+
+    fn run(mut self, end_ms: u64) {
+        for count in 0.. {
+            if now_ms() >= end_ms {
+                return;
+            }
+            let request = self.draw(&format!("r{}-{count}", self.number));
+            call(&self.recorder, &request);
+        }
+    }
+
+    fn draw(&mut self, request: &str) -> CallerRequest {
+        let gateway = self.random.random_range(0..self.gateways.len());
+        CallerRequest {
+            gateway: instance(["gateway-a", "gateway-b"][gateway]),
+            address: self.gateways[gateway],
+            request: request.to_owned(),
+            idempotency_key: None,
+            method: METHODS[self.random.random_range(0..METHODS.len())],
+            path: "/quoting/orders".to_owned(),
+            body: request.repeat(10).into_bytes(),
+            size_bytes: self.random.random_bool(0.2).then_some(50_000),
+            work_ms: Some(self.random.random_range(0..30)),
+            deadline_ms: Some(self.random.random_range(200..1500)),
+            patience_ms: 10_000,
+        }
+    }
+}
+
+/// Runs callers against a fleet under faults of some kinds.
+fn run(seed: u64, kinds: &[FaultKind]) -> History {
+    let fleet = Fleet::start(seed);
+    let scope = PlanScope {
+        kinds,
+        endpoints: fleet.targets.endpoints.len(),
+        relays: fleet.targets.relays.len(),
+        duration_ms: LOAD_MS,
+    };
+    let plan = FaultPlan::from_seed(seed, scope);
+    let driver = FaultDriver::start(
+        plan,
+        Arc::clone(&fleet.targets),
+        Arc::clone(&fleet.recorder),
+    );
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| Caller::start(number, seed, &fleet))
+        .collect();
+    for caller in callers {
+        caller.join().unwrap();
+    }
+    driver.wait();
+    fleet.finish().into_history()
+}
+
+/// Runs under faults of some kinds and expects no violation.
+fn check_kinds(kinds: &[FaultKind]) {
+    let seed = seed();
+    let history = run(seed, kinds);
+    eprintln!("seed {seed}: {}", summary(&history));
+    let violations = check(&history, Limits::default());
+    let lines: Vec<_> = violations.iter().map(ToString::to_string).collect();
+    assert!(lines.is_empty(), "seed {seed}:\n{}", lines.join("\n"));
+}
+
+/// How often calls ended in each way.
+fn summary(history: &History) -> String {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for completion in history.completions.values() {
+        *counts.entry(end(&completion.outcome)).or_default() += 1;
+    }
+    let runs = history.runs.len();
+    format!("{runs} runs, ends {counts:?}")
+}
+
+fn end(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Answered { status, .. } => format!("answered {status}"),
+        Outcome::Refused { run, reason, .. } => format!("{reason} {}", run.as_str()),
+        Outcome::Lost { found } => format!("lost: {found}"),
+    }
+}
+
+#[test]
+fn without_faults_every_call_is_answered() {
+    let history = run(seed(), &[]);
+    eprintln!("{}", summary(&history));
+    assert_eq!(check(&history, Limits::default()), []);
+    let answered = |outcome: &Outcome| matches!(outcome, Outcome::Answered { status: 200, .. });
+    let other = history.completions.values().find(|c| !answered(&c.outcome));
+    assert_eq!(other, None);
+}
+
+#[test]
+fn promises_hold_while_endpoints_fail() {
+    check_kinds(&[
+        FaultKind::EndpointFailure,
+        FaultKind::EndpointHang,
+        FaultKind::EndpointSlow,
+        FaultKind::EndpointRefusal,
+        FaultKind::EndpointFreeze,
+    ]);
+}
+
+#[test]
+fn promises_hold_while_connections_and_answers_break() {
+    check_kinds(&[
+        FaultKind::ConnectionClosed,
+        FaultKind::BadAnswer,
+        FaultKind::SlowAnswer,
+    ]);
+}
+
+#[test]
+fn promises_hold_while_the_platform_fails() {
+    check_kinds(&[
+        FaultKind::PlatformDown,
+        FaultKind::PlatformSlow,
+        FaultKind::PlatformLostAnswer,
+        FaultKind::InstanceListFrozen,
+    ]);
+}
+
+#[test]
+fn promises_hold_while_relays_cut_and_delay() {
+    check_kinds(&[
+        FaultKind::RelayCut,
+        FaultKind::RelayRefusal,
+        FaultKind::RelayDelay,
+    ]);
+}
+
+#[test]
+fn promises_hold_while_endpoints_leave() {
+    check_kinds(&[FaultKind::EndpointLeaving]);
+}
+
+#[test]
+fn promises_hold_under_all_faults_together() {
+    check_kinds(&FaultKind::ALL);
+}
--- a/crates/cornelpoint-standin/src/caller/answer_reader.rs
+++ b/crates/cornelpoint-standin/src/caller/answer_reader.rs
@@ -21,7 +21,7 @@
 pub(super) struct AnswerHead {
     pub(super) status: u16,
     pub(super) run: Option<RunState>,
-    pub(super) is_refusal: bool,
+    pub(super) reason: Option<String>,
     content_length: Option<usize>,
     length: usize,
 }
@@ -90,7 +90,7 @@
     Ok(Some(AnswerHead {
         status: response.code.unwrap_or_default(),
         run: value(RunState::HEADER).and_then(|text| run_state(&text)),
-        is_refusal: value(Refusal::HEADER).is_some(),
+        reason: value(Refusal::HEADER),
         content_length: value("content-length").and_then(|text| text.parse().ok()),
         length,
     }))
--- a/crates/cornelpoint-standin/src/endpoint/connection.rs
+++ b/crates/cornelpoint-standin/src/endpoint/connection.rs
@@ -77,6 +77,7 @@
     mut stream: &TcpStream,
     request: &HttpRequest,
 ) -> io::Result<Next> {
+    work::wait_for_slot(state);
     let begun = lock(state).begin(request, now_ms());
     match begun {
         Begun::Run(run) => answer_run(state, stream, request, &run),
--- a/crates/cornelpoint-standin/src/endpoint/state.rs
+++ b/crates/cornelpoint-standin/src/endpoint/state.rs
@@ -131,6 +131,10 @@
         }
     }
 
+    pub(super) fn has_free_slot(&self) -> bool {
+        self.running < self.settings.slots
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving_since_ms.is_some()
     }
--- a/crates/cornelpoint-standin/src/endpoint/work.rs
+++ b/crates/cornelpoint-standin/src/endpoint/work.rs
@@ -17,6 +17,12 @@
 /// Interval at which a hanging run looks for the end of its connection.
 const HANG_POLL_MS: u64 = 100;
 
+/// Pause between looks whether a request over the slots finds a free one.
+const SLOT_POLL_MS: u64 = 3;
+
+/// Looks for a free slot before a request counts as over the slots.
+const SLOT_POLLS: u32 = 10;
+
 /// Whether the caller still waits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Caller {
@@ -45,6 +51,16 @@
     lock(state).end(run_number, false, now_ms());
 }
 
+/// Gives runs whose callers have gone the time to be noticed.
+pub(super) fn wait_for_slot(state: &Mutex<State>) {
+    for _ in 0..SLOT_POLLS {
+        if lock(state).has_free_slot() {
+            return;
+        }
+        sleep_until(now_ms() + SLOT_POLL_MS);
+    }
+}
+
 /// Waits while the endpoint is frozen.
 pub(super) fn wait_while_frozen(state: &Mutex<State>) {
     loop {
--- a/crates/cornelpoint-standin/src/fault_plan/targets.rs
+++ b/crates/cornelpoint-standin/src/fault_plan/targets.rs
@@ -1,6 +1,12 @@
+use std::sync::Mutex;
+
+use cornelpoint::platform::InstanceState;
+use cornelpoint::platform::ListedInstance;
+
 use super::planned_fault::FaultAction;
 use crate::endpoint::EndpointStandIn;
 use crate::history::Recorder;
+use crate::lock::lock;
 use crate::platform::PlatformFaults;
 use crate::platform::PlatformStandIn;
 use crate::relay::Relay;
@@ -10,6 +16,9 @@
 pub struct Targets {
     /// Endpoints.
     pub endpoints: Vec<EndpointStandIn>,
+    /// The endpoints as the platform lists them, in the same order; empty
+    /// when they are not listed.
+    pub listed: Mutex<Vec<ListedInstance>>,
     /// The platform.
     pub platform: Option<PlatformStandIn>,
     /// Relays.
@@ -53,9 +62,24 @@
         let instance = endpoint.dump().instance;
         if leaving {
             recorder.leaving(&instance);
+            self.list(index, InstanceState::Leaving);
         } else {
             recorder.returned(&instance);
+            self.list(index, InstanceState::Live);
         }
         endpoint.set_leaving(leaving);
     }
+
+    /// Changes an endpoint's entry in the instance list; an endpoint that is
+    /// back has started once more.
+    fn list(&self, index: usize, state: InstanceState) {
+        let mut listed = lock(&self.listed);
+        let (Some(entry), Some(platform)) = (listed.get_mut(index), &self.platform) else {
+            return;
+        };
+        let restarted = entry.state == InstanceState::Leaving && state == InstanceState::Live;
+        entry.epoch += u64::from(restarted);
+        entry.state = state;
+        platform.list_instance(entry.clone());
+    }
 }
--- a/crates/cornelpoint-standin/src/history/completion.rs
+++ b/crates/cornelpoint-standin/src/history/completion.rs
@@ -20,6 +20,8 @@
         status: u16,
         /// Whether the request ran, as the gateway says; no or unknown.
         run: RunState,
+        /// Why, as the gateway says.
+        reason: String,
     },
     /// No whole answer came.
     Lost {
