--- /dev/null
+++ b/crates/cornelpoint-daemon/src/keeper/operator/history.rs
@@ -0,0 +1,31 @@
+use cornelpoint::configuration::HistoryEntry;
+use cornelpoint::configuration::TABLE;
+use cornelpoint::configuration::history_prefix;
+use cornelpoint::platform::Scan;
+use rouille::Response;
+
+use super::operator::Operator;
+use crate::control::json_reply;
+use crate::control::text_reply;
+
+/// Most entries that one question reads.
+const HISTORY_LIMIT: u32 = 100_000;
+
+/// Answers with who accepted what, the newest generation first.
+pub(super) fn answer(operator: &Operator) -> Response {
+    let scan = Scan {
+        table: TABLE.to_owned(),
+        prefix: history_prefix(&operator.workspace),
+        limit: HISTORY_LIMIT,
+    };
+    let rows = match operator.platform.scan(&scan) {
+        Ok(rows) => rows,
+        Err(error) => return text_reply(503, &error.to_string()),
+    };
+    let entries: Result<Vec<HistoryEntry>, _> =
+        rows.iter().rev().map(HistoryEntry::decode).collect();
+    match entries {
+        Ok(entries) => json_reply(&entries),
+        Err(error) => text_reply(500, &error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/keeper/operator/operator.rs
@@ -0,0 +1,60 @@
+use cornelpoint::name::WorkspaceName;
+use rouille::Request;
+use rouille::Response;
+
+use super::accept;
+use super::drain;
+use super::history;
+use super::newest;
+use crate::control::json_reply;
+use crate::control::text_reply;
+use crate::keeper::command::Command;
+use crate::keeper::core_handle::CoreHandle;
+use crate::platform_client::PlatformClient;
+
+/// The operators' actions at a keeper.
+#[derive(Clone, Debug)]
+pub(in crate::keeper) struct Operator {
+    pub(super) core: CoreHandle,
+    pub(super) platform: PlatformClient,
+    pub(super) workspace: WorkspaceName,
+}
+
+impl Operator {
+    pub(in crate::keeper) fn new(
+        core: CoreHandle,
+        platform: PlatformClient,
+        workspace: WorkspaceName,
+    ) -> Self {
+        Self {
+            core,
+            platform,
+            workspace,
+        }
+    }
+
+    pub(in crate::keeper) fn answer(
+        &self,
+        method: &str,
+        path: &str,
+        request: &Request,
+    ) -> Response {
+        match (method, path) {
+            ("POST", "/operator/accept") => accept::answer(self, request),
+            ("GET", "/operator/configuration") => newest::answer(self),
+            ("GET", "/operator/history") => history::answer(self),
+            ("POST", "/operator/drain") => drain::mark(self, request, false),
+            ("POST", "/operator/undrain") => drain::mark(self, request, true),
+            ("POST", "/operator/drained") => drain::drained(self, request),
+            ("GET", "/operator/status") => self.status(),
+            _ => text_reply(404, &format!("no action for {method} {path}")),
+        }
+    }
+
+    fn status(&self) -> Response {
+        match self.core.ask(Command::Status) {
+            Some(status) => json_reply(&status),
+            None => text_reply(503, "the state does not answer"),
+        }
+    }
+}
--- a/crates/cornelpoint-daemon/src/keeper/state.rs
+++ b/crates/cornelpoint-daemon/src/keeper/state.rs
@@ -96,14 +96,6 @@
         self.membership.present().cloned().collect()
     }
 
-    pub(super) fn marks_of(&self, cause: MarkCause) -> Vec<EndpointMark> {
-        self.facts
-            .marks()
-            .filter(|mark| mark.cause == cause)
-            .cloned()
-            .collect()
-    }
-
     pub(super) fn status(&self, now_ms: u64) -> KeeperStatus {
         let own = self.membership.own();
         KeeperStatus {
@@ -174,7 +166,9 @@
         if self.leaving {
             return Vec::new();
         }
-        self.membership.tick(now_ms)
+        let outgoing = self.membership.tick(now_ms);
+        self.take_over(now_ms);
+        outgoing
     }
 
     pub(super) fn gossip(&mut self, message: GossipMessage, now_ms: u64) -> Vec<OutgoingGossip> {
@@ -203,17 +197,20 @@
     }
 
     pub(super) fn listed(&mut self, list: InstanceList, now_ms: u64) -> Adoption {
-        let marks = list
-            .instances
-            .into_iter()
-            .filter(|listed| listed.keeper_address.is_none())
-            .map(|listed| EndpointMark {
+        let mut marks = Vec::new();
+        for listed in list.instances {
+            if listed.keeper_address.is_some() {
+                continue;
+            }
+            let mark = EndpointMark {
                 instance: listed.instance,
                 epoch: listed.epoch,
                 accepts_work: listed.state == InstanceState::Live,
                 cause: MarkCause::InstanceList,
-            })
-            .collect();
+            };
+            marks.extend(self.end_of_leaving(&mark));
+            marks.push(mark);
+        }
         self.apply(
             Update {
                 configuration: None,
@@ -223,13 +220,37 @@
         )
     }
 
+    /// A restart that the list shows ends what the endpoint said of itself
+    /// before it.
+    fn end_of_leaving(&self, listed: &EndpointMark) -> Option<EndpointMark> {
+        let restarted = self
+            .facts
+            .mark(&listed.instance, MarkCause::InstanceList)
+            .is_some_and(|known| listed.epoch > known.epoch);
+        let said = self.facts.mark(&listed.instance, MarkCause::Endpoint)?;
+        if !restarted || !listed.accepts_work || said.accepts_work {
+            return None;
+        }
+        Some(EndpointMark {
+            instance: listed.instance.clone(),
+            epoch: said.epoch + 1,
+            accepts_work: true,
+            cause: MarkCause::Endpoint,
+        })
+    }
+
     pub(super) fn sign(&mut self, sign: EndpointSign, now_ms: u64) -> Adoption {
         let known = self.facts.mark(&sign.instance, MarkCause::Endpoint);
         let accepts_now = known.is_none_or(|mark| mark.accepts_work);
         if accepts_now == sign.accepts_work {
             return Adoption::default();
         }
-        self.mark(sign.instance, sign.accepts_work, MarkCause::Endpoint, now_ms)
+        self.mark(
+            sign.instance,
+            sign.accepts_work,
+            MarkCause::Endpoint,
+            now_ms,
+        )
     }
 
     pub(super) fn mark(
@@ -272,7 +293,7 @@
         }
     }
 
-    pub(super) fn slots(&mut self, exchange: SlotExchange, now_ms: u64) -> SlotExchangeReply {
+    pub(super) fn slots(&mut self, exchange: &SlotExchange, now_ms: u64) -> SlotExchangeReply {
         let answers = exchange
             .requests
             .iter()
@@ -292,21 +313,50 @@
             pool: request.pool.clone(),
             availability_zone: request.availability_zone.clone(),
         };
-        if !self.holders.contains_key(&key) {
-            let holder = self.new_holder(&key, now_ms);
-            self.holders.insert(key.clone(), holder);
-        }
+        self.ensure_holder(&key, now_ms);
         match self.holders.get_mut(&key) {
             Some(holder) => SlotAnswer::Lent(holder.exchange(request, now_ms)),
             None => SlotAnswer::NotHolder { holder: None },
         }
     }
 
+    /// Starts to hold the slots that fell to this keeper, and drops those that
+    /// fell to another, so that a holder that comes back starts anew.
+    fn take_over(&mut self, now_ms: u64) {
+        let own = self.membership.own();
+        let keys: Vec<HolderKey> = self
+            .facts
+            .configuration()
+            .into_iter()
+            .flat_map(|configuration| &configuration.pools)
+            .map(|pool| HolderKey {
+                pool: pool.name.clone(),
+                availability_zone: own.availability_zone.clone(),
+            })
+            .collect();
+        for key in keys {
+            let holder = self.holder_member(&key.pool, &key.availability_zone);
+            let is_own = holder.is_some_and(|member| &member.instance == self.own_instance());
+            if is_own {
+                self.ensure_holder(&key, now_ms);
+            } else {
+                self.holders.remove(&key);
+            }
+        }
+    }
+
+    fn ensure_holder(&mut self, key: &HolderKey, now_ms: u64) {
+        if !self.holders.contains_key(key) {
+            let holder = self.new_holder(key, now_ms);
+            self.holders.insert(key.clone(), holder);
+        }
+    }
+
     fn new_holder(&self, key: &HolderKey, now_ms: u64) -> Holder {
         let settings = HolderSettings {
             lease_ms: self.slot_lease_ms,
-            max_deadline_ms: self.max_deadline_ms(&key.pool),
-            ..HolderSettings::default()
+            adopt_ms: self.slot_lease_ms,
+            ..HolderSettings::for_max_deadline(self.max_deadline_ms(&key.pool))
         };
         let mut holder = Holder::new(settings, now_ms);
         holder.set_endpoints(&self.holder_endpoints(key), now_ms);
@@ -330,6 +380,7 @@
             .filter(|endpoint| endpoint.availability_zone == key.availability_zone)
             .map(|endpoint| HolderEndpoint {
                 instance: endpoint.instance.clone(),
+                epoch: self.facts.work_epoch(&endpoint.instance),
                 slots: endpoint.slots,
                 accepts_work: self.facts.accepts_work(&endpoint.instance),
             })
@@ -380,6 +431,10 @@
             .find(|member| &member.instance == chosen)
     }
 
+    fn own_instance(&self) -> &InstanceId {
+        &self.membership.own().instance
+    }
+
     fn gateway_statuses(&self, now_ms: u64) -> Vec<GatewayStatus> {
         self.gateways
             .iter()
--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod configuration;
 pub mod deployment;
+pub mod dispatch;
 pub mod document;
 pub mod ejection;
 pub mod finding;
