--- a/crates/cornelpoint-cli/src/fleet/running.rs
+++ b/crates/cornelpoint-cli/src/fleet/running.rs
@@ -124,8 +124,7 @@
 
     // Commands.
 
-    /// Accepts a configuration at the first keeper that runs; its generation
-    /// is the one that the operator saw.
+    /// Accepts a configuration at the first keeper that runs.
     ///
     /// # Errors
     ///
@@ -133,23 +132,24 @@
     pub fn accept(
         &self,
         configuration: &Configuration,
-        token: AcceptToken,
+        token: &str,
     ) -> Result<Generation, FleetError> {
         let request = AcceptRequest {
             workspace: configuration.workspace.clone(),
             seen: configuration.generation,
-            token,
-            who: "demo".to_owned(),
-            why: "a step of the demo".to_owned(),
+            token: AcceptToken::of(token),
+            who: "fleet".to_owned(),
+            why: "accepted by the fleet's driver".to_owned(),
             now_unix_ms: 0,
             content: AcceptContent::Given(Box::new(configuration.clone())),
         };
-        match self.operate("/operator/accept", &request)? {
+        let outcome: AcceptOutcome = self.operate("/operator/accept", &request)?;
+        match outcome {
             AcceptOutcome::Accepted { generation } | AcceptOutcome::Unchanged { generation } => {
                 Ok(generation)
             }
-            outcome => Err(FleetError::Operator {
-                found: outcome.to_string(),
+            other => Err(FleetError::Operator {
+                found: other.to_string(),
             }),
         }
     }
