Cap ejections by the pool alone

Cause: with at most half of a zone ejected, the fourth endpoint of a failing rack stayed in, failed fast and drew the traffic. Change: at most half of the pool, no limit for a zone. Ruled out: ejecting a zone beyond half only when all of it fails (that was the rule; a rack is four of five endpoints).

--- a/crates/cornelpoint/src/ejection/health.rs
+++ b/crates/cornelpoint/src/ejection/health.rs
@@ -10,7 +10,6 @@
 use super::standing::Condition;
 use super::verdict::Verdict;
 use crate::configuration::Endpoint;
-use crate::name::AvailabilityZone;
 use crate::name::InstanceId;
 use crate::platform::InstanceList;
 use crate::platform::InstanceState;
@@ -19,10 +18,9 @@
 ///
 /// An endpoint that fails, hangs or is much slower than its peers is ejected
 /// for a pause that grows, and re-admitted by one trial request. At most half
-/// of the pool is ejected, and at most half of one availability zone unless
-/// the whole zone fails. When more than half of the pool fails, the service
-/// is at fault: nobody is ejected, and [`EndpointHealth::service_fault`] says
-/// so. A refused connection or an endpoint's word that it is leaving takes
+/// of the pool is ejected. When more than half of it fails, the service is at
+/// fault: nobody is ejected, and [`EndpointHealth::service_fault`] says so. A
+/// refused connection or an endpoint's word that it is leaving takes
 /// effect at once and counts towards no limit.
 ///
 /// Memory is bounded: a fixed number of outcomes and running requests for
@@ -56,12 +54,8 @@
     pub fn set_endpoints(&mut self, endpoints: &[Endpoint]) {
         let mut records = BTreeMap::new();
         for endpoint in endpoints {
-            let zone = &endpoint.availability_zone;
-            let record = match self.records.remove(&endpoint.instance) {
-                Some(record) if record.availability_zone == *zone => record,
-                _ => EndpointRecord::new(zone.clone()),
-            };
-            records.insert(endpoint.instance.clone(), record);
+            let record = self.records.remove(&endpoint.instance);
+            records.insert(endpoint.instance.clone(), record.unwrap_or_default());
         }
         self.records = records;
     }
@@ -208,15 +202,12 @@
             .map(|(instance, _)| instance.clone())
             .collect();
         for instance in bad {
-            self.eject_within_limits(&instance, now_ms);
+            self.eject_within_limit(&instance, now_ms);
         }
     }
 
-    fn eject_within_limits(&mut self, instance: &InstanceId, now_ms: u64) {
-        let Some(zone) = self.records.get(instance).map(|r| &r.availability_zone) else {
-            return;
-        };
-        if !self.pool_allows() || !self.zone_allows(zone) {
+    fn eject_within_limit(&mut self, instance: &InstanceId, now_ms: u64) {
+        if !self.has_room() {
             return;
         }
         if let Some(record) = self.records.get_mut(instance) {
@@ -224,20 +215,10 @@
         }
     }
 
-    fn pool_allows(&self) -> bool {
+    fn has_room(&self) -> bool {
         let reachable = self.records.values().filter(|r| r.is_reachable()).count();
         let ejected = |r: &&EndpointRecord| r.condition() == Condition::Ejected;
         let ejected = self.records.values().filter(ejected).count();
         ejected < reachable / POOL_SHARE
     }
-
-    fn zone_allows(&self, zone: &AvailabilityZone) -> bool {
-        let in_zone = |r: &&EndpointRecord| r.availability_zone == *zone && r.is_reachable();
-        let records = || self.records.values().filter(in_zone);
-        let reachable = records().count();
-        let ejected = records()
-            .filter(|r| r.condition() == Condition::Ejected)
-            .count();
-        ejected < reachable.div_ceil(POOL_SHARE) || records().all(|r| r.suspect)
-    }
 }
--- a/crates/cornelpoint/src/ejection/record.rs
+++ b/crates/cornelpoint/src/ejection/record.rs
@@ -8,13 +8,11 @@
 use super::standing::Pause;
 use super::standing::Standing;
 use super::typical_latency::TypicalLatency;
-use crate::name::AvailabilityZone;
 use crate::platform::InstanceState;
 
 /// All that is remembered of one endpoint.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct EndpointRecord {
-    pub(super) availability_zone: AvailabilityZone,
     pub(super) epoch: u64,
     pub(super) standing: Standing,
     pub(super) suspect: bool,
@@ -25,19 +23,6 @@
 }
 
 impl EndpointRecord {
-    pub(super) fn new(availability_zone: AvailabilityZone) -> Self {
-        Self {
-            availability_zone,
-            epoch: 0,
-            standing: Standing::Admitted,
-            suspect: false,
-            latency: TypicalLatency::default(),
-            evidence: Evidence::default(),
-            ejections: 0,
-            admitted_ms: 0,
-        }
-    }
-
     pub(super) fn condition(&self) -> Condition {
         self.standing.condition()
     }
--- a/crates/cornelpoint/src/ejection/standing.rs
+++ b/crates/cornelpoint/src/ejection/standing.rs
@@ -22,9 +22,10 @@
 }
 
 /// Condition of an endpoint and, where it is avoided, when it is tried.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(super) enum Standing {
     /// It takes requests.
+    #[default]
     Admitted,
     /// It is avoided for its outcomes.
     Ejected(Pause),
