Try ejected endpoints with idempotent requests only

Cause: a trial that fails hurts its request, unless it can be sent elsewhere. Change: the replay gives trials to idempotent requests, and Verdict::Trial says so.

--- a/crates/cornelpoint/benches/retry_and_ejection/replay.rs
+++ b/crates/cornelpoint/benches/retry_and_ejection/replay.rs
@@ -42,6 +42,7 @@
 
 struct Request {
     gateway: usize,
+    is_idempotent: bool,
     arrived_ms: u64,
     attempts: Attempts,
     tried: Vec<usize>,
@@ -135,6 +136,7 @@
         self.next_number += 1;
         let request = Request {
             gateway,
+            is_idempotent,
             arrived_ms: self.now_ms,
             attempts: Attempts::new(is_idempotent, self.now_ms + DEADLINE_MS),
             tried: Vec::new(),
@@ -226,10 +228,12 @@
         let rule = &self.rules[request.gateway % self.setting.views];
         let first = self.random.random_range(0..ENDPOINTS);
         let in_turn = (0..ENDPOINTS).map(|step| (first + step) % ENDPOINTS);
-        let may_take = |endpoint: &usize| {
-            self.running[*endpoint] < SLOTS
-                && rule.verdict(*endpoint, self.now_ms) != Verdict::Avoid
+        let takes = |endpoint| match rule.verdict(endpoint, self.now_ms) {
+            Verdict::Take => true,
+            Verdict::Trial => request.is_idempotent,
+            Verdict::Avoid => false,
         };
+        let may_take = |endpoint: &usize| self.running[*endpoint] < SLOTS && takes(*endpoint);
         let free = in_turn.filter(may_take);
         free.min_by_key(|e| (request.tried.contains(e), self.running[*e]))
     }
--- a/crates/cornelpoint/src/ejection/verdict.rs
+++ b/crates/cornelpoint/src/ejection/verdict.rs
@@ -7,7 +7,8 @@
 pub enum Verdict {
     /// It may.
     Take,
-    /// It may have one request, to see whether it has recovered.
+    /// It may have one request, to see whether it has recovered: an idempotent
+    /// one, which can be sent elsewhere when the trial fails.
     Trial,
     /// It may not.
     Avoid,
