Judge a hanging endpoint by one request and the pool's long latencies

Cause: with one view for each of 8 gateways, a hanging endpoint of 8 slots holds about one request of each, and the rule wanted two. Change: one request that runs longer than four times the typical latency, 1.5 times the long one of late and 500 ms, with none ended well since it started, condemns. Until most endpoints have latencies of their own, those of all requests together count.

--- a/crates/cornelpoint/src/ejection/evidence.rs
+++ b/crates/cornelpoint/src/ejection/evidence.rs
@@ -1,12 +1,13 @@
 use std::collections::VecDeque;
 
+use super::latency_estimate::Latencies;
 use super::limits::FAILED_PERCENT;
 use super::limits::FAILURES_IN_A_ROW;
 use super::limits::FAILURES_ON_PROBATION;
 use super::limits::GOOD_IN_A_ROW;
 use super::limits::HANG_FACTOR;
+use super::limits::HANG_LONG_PERCENT;
 use super::limits::HANG_MIN_MS;
-use super::limits::HANGING_REQUESTS;
 use super::limits::HUNDRED_PERCENT;
 use super::limits::REMEMBERED_IN_FLIGHT;
 use super::limits::REMEMBERED_OUTCOMES;
@@ -30,26 +31,29 @@
 /// Latencies beyond which a request counts as slow or as hanging.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct LatencyLimits {
-    typical_us: Option<u64>,
+    pool: Option<Latencies>,
 }
 
 impl LatencyLimits {
-    /// Limits for a pool with this typical latency, in microseconds.
-    pub(super) fn new(typical_us: Option<u64>) -> Self {
-        Self { typical_us }
+    /// Limits for a pool with these latencies.
+    pub(super) fn new(pool: Option<Latencies>) -> Self {
+        Self { pool }
     }
 
     pub(super) fn is_slow(&self, latency_ms: u64) -> bool {
-        self.typical_us.is_some_and(|typical_us| {
-            let limit_us = (typical_us * SLOW_FACTOR).max(typical_us + SLOW_MARGIN_US);
+        self.pool.is_some_and(|pool| {
+            let by_factor_us = pool.typical_us * SLOW_FACTOR;
+            let limit_us = by_factor_us.max(pool.typical_us + SLOW_MARGIN_US);
             latency_ms * US_PER_MS > limit_us
         })
     }
 
     pub(super) fn is_hanging(&self, latency_ms: u64) -> bool {
-        self.typical_us.is_some_and(|typical_us| {
-            let limit_ms = (typical_us * HANG_FACTOR / US_PER_MS).max(HANG_MIN_MS);
-            latency_ms > limit_ms
+        self.pool.is_some_and(|pool| {
+            let by_factor_us = pool.typical_us * HANG_FACTOR;
+            let by_long_us = pool.long_us * HANG_LONG_PERCENT / HUNDRED_PERCENT as u64;
+            let limit_ms = by_factor_us.max(by_long_us) / US_PER_MS;
+            latency_ms > limit_ms.max(HANG_MIN_MS)
         })
     }
 }
@@ -129,14 +133,13 @@
         in_a_row >= needed || (total >= SHARE_OUTCOMES && is_share)
     }
 
+    /// Whether a request hangs and none has ended well since it started.
     fn hangs(&self, limits: &LatencyLimits, now_ms: u64) -> bool {
-        let is_hanging = |started: &&u64| limits.is_hanging(now_ms.saturating_sub(**started));
-        let hanging = self.in_flight_ms.iter().filter(is_hanging).count();
         let Some(oldest_ms) = self.in_flight_ms.iter().min() else {
             return false;
         };
         let good_since = self.last_good_ms.is_some_and(|good| good > *oldest_ms);
-        hanging >= HANGING_REQUESTS && !good_since
+        limits.is_hanging(now_ms.saturating_sub(*oldest_ms)) && !good_since
     }
 
     /// Judges the latest requests, those that run too long being the latest
--- a/crates/cornelpoint/src/ejection/health.rs
+++ b/crates/cornelpoint/src/ejection/health.rs
@@ -2,8 +2,11 @@
 
 use super::endpoint_status::EndpointStatus;
 use super::evidence::LatencyLimits;
+use super::latency_estimate::Latencies;
+use super::latency_estimate::LatencyEstimate;
 use super::limits::POOL_SHARE;
 use super::limits::REVIEW_MS;
+use super::limits::US_PER_MS;
 use super::outcome::Outcome;
 use super::record::EndpointRecord;
 use super::service_fault::ServiceFault;
@@ -28,6 +31,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointHealth {
     records: BTreeMap<InstanceId, EndpointRecord>,
+    latency: LatencyEstimate,
     limits: LatencyLimits,
     service_fault: Option<ServiceFault>,
     next_review_ms: u64,
@@ -103,6 +107,10 @@
         started_ms: u64,
         now_ms: u64,
     ) {
+        if outcome == Outcome::Succeeded {
+            let latency_ms = now_ms.saturating_sub(started_ms);
+            self.latency.record(latency_ms * US_PER_MS);
+        }
         if let Some(record) = self.records.get_mut(instance) {
             record.record(outcome, started_ms, &self.limits, now_ms);
             record.review(&self.limits, now_ms);
@@ -121,7 +129,7 @@
             return;
         }
         self.next_review_ms = now_ms + REVIEW_MS;
-        self.limits = LatencyLimits::new(self.typical_us());
+        self.limits = LatencyLimits::new(self.latencies());
         for record in self.records.values_mut() {
             record.review(&self.limits, now_ms);
         }
@@ -156,19 +164,25 @@
             condition: record.condition(),
             suspect: record.suspect,
             verdict: record.standing.verdict(now_ms),
-            typical_us: record.latency.estimate_us(),
+            typical_us: record.latency.latencies().map(|l| l.typical_us),
         };
         self.records.iter().map(status).collect()
     }
 
-    /// Median over the endpoints of their typical latencies, the lower one of
-    /// an even number.
-    fn typical_us(&self) -> Option<u64> {
+    /// Medians over the endpoints' latencies; as long as most endpoints have
+    /// none, the latencies of all their requests together.
+    fn latencies(&self) -> Option<Latencies> {
         let records = self.records.values();
-        let mut estimates: Vec<u64> = records.filter_map(|r| r.latency.estimate_us()).collect();
-        estimates.sort_unstable();
-        let middle = estimates.len().saturating_sub(1) / 2;
-        estimates.get(middle).copied()
+        let known: Vec<Latencies> = records.filter_map(|r| r.latency.latencies()).collect();
+        if known.len() * 2 < self.records.len() {
+            return self.latency.latencies();
+        }
+        let typical = known.iter().map(|l| l.typical_us).collect();
+        let long = known.iter().map(|l| l.long_us).collect();
+        Some(Latencies {
+            typical_us: lower_median(typical)?,
+            long_us: lower_median(long)?,
+        })
     }
 
     fn find_service_fault(&self) -> Option<ServiceFault> {
@@ -222,3 +236,9 @@
         ejected < reachable / POOL_SHARE
     }
 }
+
+fn lower_median(mut values: Vec<u64>) -> Option<u64> {
+    values.sort_unstable();
+    let middle = values.len().saturating_sub(1) / 2;
+    values.get(middle).copied()
+}
--- a/crates/cornelpoint/src/ejection/limits.rs
+++ b/crates/cornelpoint/src/ejection/limits.rs
@@ -21,10 +21,10 @@
 /// A slow request takes at least this much longer, in microseconds.
 pub(super) const SLOW_MARGIN_US: u64 = 10_000;
 
-/// Hanging requests that condemn an endpoint.
-pub(super) const HANGING_REQUESTS: usize = 2;
 /// A hanging request takes this many times the pool's typical latency.
-pub(super) const HANG_FACTOR: u64 = 8;
+pub(super) const HANG_FACTOR: u64 = 4;
+/// A hanging request takes this share of the pool's long latency.
+pub(super) const HANG_LONG_PERCENT: u64 = 150;
 /// A hanging request has run for at least this long, in milliseconds.
 pub(super) const HANG_MIN_MS: u64 = 500;
 
--- a/crates/cornelpoint/src/ejection/mod.rs
+++ b/crates/cornelpoint/src/ejection/mod.rs
@@ -3,12 +3,12 @@
 mod endpoint_status;
 mod evidence;
 mod health;
+mod latency_estimate;
 mod limits;
 mod outcome;
 mod record;
 mod service_fault;
 mod standing;
-mod typical_latency;
 mod verdict;
 
 pub use self::endpoint_status::EndpointStatus;
--- a/crates/cornelpoint/src/ejection/record.rs
+++ b/crates/cornelpoint/src/ejection/record.rs
@@ -1,13 +1,13 @@
 use super::evidence::Evidence;
 use super::evidence::LatencyLimits;
 use super::evidence::Mark;
+use super::latency_estimate::LatencyEstimate;
 use super::limits::FORGIVE_MS;
 use super::limits::US_PER_MS;
 use super::outcome::Outcome;
 use super::standing::Condition;
 use super::standing::Pause;
 use super::standing::Standing;
-use super::typical_latency::TypicalLatency;
 use crate::platform::InstanceState;
 
 /// All that is remembered of one endpoint.
@@ -16,7 +16,7 @@
     pub(super) epoch: u64,
     pub(super) standing: Standing,
     pub(super) suspect: bool,
-    pub(super) latency: TypicalLatency,
+    pub(super) latency: LatencyEstimate,
     evidence: Evidence,
     ejections: u32,
     admitted_ms: u64,
