Claim idempotency keys in the gateway, before the wait for a slot

Cause: a caller that repeats a request with its key on another gateway must not run it twice.

Change: a keyed request that is not idempotent is claimed after a check that it would be taken and before it waits; the claim is settled by what became of the send and given back when nothing was sent.

Ruled out: the claim after the slot is given. The slot is then idle for the length of a write, at 5 to 10 ms of 200 ms some 3 to 5% of the slots.

--- a/crates/cornelpoint-cli/src/demo/demo_arguments.rs
+++ b/crates/cornelpoint-cli/src/demo/demo_arguments.rs
@@ -10,6 +10,9 @@
     /// Print the checks as JSON.
     #[arg(long)]
     pub json: bool,
+    /// Write the daemons' logs to standard error.
+    #[arg(long)]
+    pub logs: bool,
     /// Seed of the traffic.
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
--- a/crates/cornelpoint-cli/src/demo/mod.rs
+++ b/crates/cornelpoint-cli/src/demo/mod.rs
@@ -13,6 +13,9 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use cornelpoint_daemon::log::LogSettings;
+use cornelpoint_daemon::log::Part;
+use cornelpoint_daemon::log::RootLog;
 use slog::Discard;
 use slog::Logger;
 use slog::o;
@@ -49,7 +52,12 @@
         seed: arguments.seed,
         ..FleetSettings::new(arguments.deployment, WORK_MS)
     };
-    let logger = Logger::root(Discard, o!());
+    let root = RootLog::to_stderr(&LogSettings::default());
+    let logger = if arguments.logs {
+        root.part(Part::Main)
+    } else {
+        Logger::root(Discard, o!())
+    };
     match Fleet::start(&settings, &logger) {
         Ok(fleet) => steps::run(fleet, arguments, &mut report),
         Err(error) => report.add(Check::failed("start", &error)),
--- a/crates/cornelpoint-cli/src/fleet/entry.rs
+++ b/crates/cornelpoint-cli/src/fleet/entry.rs
@@ -9,6 +9,7 @@
 use cornelpoint_daemon::settings::GatewaySettings;
 use cornelpoint_daemon::settings::KeeperSettings;
 use slog::Logger;
+use slog::o;
 
 use super::fleet_error::FleetError;
 
@@ -37,9 +38,10 @@
 
 impl Entry {
     pub(super) fn start(plan: &EntryPlan, logger: &Logger) -> Result<Self, FleetError> {
+        let logger = logger.new(o!("instance" => plan.instance.to_string()));
         let keeper = Keeper::start(&keeper_settings(plan), logger.clone()).map_err(daemon)?;
         let settings = gateway_settings(plan, keeper.address());
-        let gateway = Gateway::start(&settings, logger.clone()).map_err(daemon)?;
+        let gateway = Gateway::start(&settings, logger).map_err(daemon)?;
         Ok(Self {
             instance: plan.instance.clone(),
             availability_zone: plan.availability_zone.clone(),
--- a/crates/cornelpoint-cli/src/fleet/running.rs
+++ b/crates/cornelpoint-cli/src/fleet/running.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
@@ -18,6 +19,7 @@
 use cornelpoint_daemon::control::ControlClient;
 use cornelpoint_daemon::keeper::DrainRequest;
 use cornelpoint_daemon::message::DrainReport;
+use cornelpoint_daemon::message::GatewayStatus;
 use cornelpoint_daemon::message::KeeperStatus;
 use cornelpoint_standin::endpoint::EndpointSettings;
 use cornelpoint_standin::endpoint::EndpointStandIn;
@@ -101,25 +103,30 @@
         self.endpoints.get(position)
     }
 
-    /// The lowest generation that a running gateway applies, as the keepers
-    /// know it.
+    /// The lowest generation that a running gateway applies, by what each
+    /// gateway told a keeper last.
     #[must_use]
     pub fn lowest_applied(&self) -> Generation {
-        let expected = self.gateways().len();
-        let mut seen = 0;
-        let mut lowest = None;
+        let mut newest: BTreeMap<InstanceId, GatewayStatus> = BTreeMap::new();
         for keeper in self.entries.iter().filter_map(Entry::keeper_address) {
             let status: Result<KeeperStatus, _> =
                 self.operator.get_json(keeper, "/operator/status");
             for gateway in status.into_iter().flat_map(|status| status.gateways) {
-                seen += 1;
-                lowest = lowest.min(Some(gateway.applied)).or(Some(gateway.applied));
+                let known = newest.get(&gateway.instance);
+                if known.is_none_or(|known| gateway.seen_ms_ago < known.seen_ms_ago) {
+                    newest.insert(gateway.instance.clone(), gateway);
+                }
             }
         }
-        match lowest {
-            Some(lowest) if seen >= expected => lowest,
-            _ => Generation(0),
-        }
+        let running = self.entries.iter().filter(|entry| entry.gateway.is_some());
+        running
+            .map(|entry| {
+                newest
+                    .get(&entry.instance)
+                    .map_or(Generation(0), |gateway| gateway.applied)
+            })
+            .min()
+            .unwrap_or_default()
     }
 
     // Commands.
--- a/crates/cornelpoint-daemon/src/gateway/decision_loop.rs
+++ b/crates/cornelpoint-daemon/src/gateway/decision_loop.rs
@@ -90,6 +90,9 @@
     fn take(&mut self, event: Event) {
         let now_ms = self.clock.now_ms();
         match event {
+            Event::Check(request, to) => {
+                let _ = to.try_send(self.dispatcher.check(&request, now_ms));
+            }
             Event::Enqueue(request, waiter) => {
                 let id = request.id;
                 self.waiters.insert(id, waiter);
--- a/crates/cornelpoint-daemon/src/gateway/decisions.rs
+++ b/crates/cornelpoint-daemon/src/gateway/decisions.rs
@@ -7,6 +7,7 @@
 use cornelpoint::dispatch::NewRequest;
 use cornelpoint::dispatch::SendReport;
 use cornelpoint::dispatch::Verdict;
+use cornelpoint::request::Refusal;
 
 use super::event::DecisionDump;
 use super::event::Event;
@@ -27,6 +28,21 @@
         Self { ring }
     }
 
+    /// Asks whether a request would be taken now.
+    ///
+    /// # Errors
+    ///
+    /// Why it would be refused.
+    pub(super) fn check(&self, request: &NewRequest) -> Result<(), Refusal> {
+        let (reply_to, reply) = sync_channel(1);
+        self.ring
+            .try_send(Event::Check(request.clone(), reply_to))
+            .map_err(|_| Refusal::Overloaded)?;
+        reply
+            .recv_timeout(VERDICT_GRACE)
+            .unwrap_or(Err(Refusal::Overloaded))
+    }
+
     /// Hands in a request; `None` when the ring is full.
     pub(super) fn enqueue(&self, request: NewRequest, deadline: Instant) -> Option<Ticket> {
         let (sender, verdicts) = sync_channel(1);
--- a/crates/cornelpoint-daemon/src/gateway/event.rs
+++ b/crates/cornelpoint-daemon/src/gateway/event.rs
@@ -7,11 +7,14 @@
 use cornelpoint::dispatch::SendReport;
 use cornelpoint::dispatch::Verdict;
 use cornelpoint::membership::Member;
+use cornelpoint::request::Refusal;
 use cornelpoint::spread::Facts;
 
 /// What the other threads of a gateway tell the thread that decides.
 #[derive(Debug)]
 pub(super) enum Event {
+    /// Asks whether a request would be taken now.
+    Check(NewRequest, SyncSender<Result<(), Refusal>>),
     /// A request came; its verdicts go to the sender.
     Enqueue(NewRequest, SyncSender<Verdict>),
     /// A send ended.
--- a/crates/cornelpoint-daemon/src/gateway/mod.rs
+++ b/crates/cornelpoint-daemon/src/gateway/mod.rs
@@ -12,8 +12,11 @@
 mod gateway_error;
 mod handler;
 mod news;
+mod outgoing;
+mod request_claim;
 mod request_plan;
 mod running;
+mod sends;
 mod slot_exchanger;
 
 pub use self::gateway_dump::GatewayDump;
--- a/crates/cornelpoint-daemon/src/gateway/request_plan.rs
+++ b/crates/cornelpoint-daemon/src/gateway/request_plan.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cornelpoint::claim::ClaimKey;
 use cornelpoint::configuration::Service;
 use cornelpoint::request::Refusal;
 
@@ -11,11 +12,17 @@
 /// the request was sent.
 pub(super) const DEADLINE_HEADER: &str = "cornelpoint-deadline-ms";
 
+/// Header in which a caller names a request, so that a repeat of it does not
+/// run again.
+pub(super) const KEY_HEADER: &str = "idempotency-key";
+
 /// What a request's headers ask for, checked.
 #[derive(Clone, Debug)]
 pub(super) struct RequestPlan {
     pub(super) deadline: Instant,
     pub(super) idempotent: bool,
+    /// The caller's key, for a request that must run at most once.
+    pub(super) key: Option<ClaimKey>,
 }
 
 impl RequestPlan {
@@ -33,13 +40,21 @@
             Some(text) => read_deadline_ms(text, service.max_deadline_ms)?,
             None => service.deadline_ms,
         };
+        let idempotent = service.idempotent_methods.contains(&head.method);
+        let key = head.header(KEY_HEADER).map(read_key).transpose()?;
         Ok(Self {
             deadline: received_at + Duration::from_millis(deadline_ms),
-            idempotent: service.idempotent_methods.contains(&head.method),
+            idempotent,
+            key: key.filter(|_| !idempotent),
         })
     }
 }
 
+fn read_key(text: &str) -> Result<ClaimKey, Answer> {
+    ClaimKey::try_from(text)
+        .map_err(|error| Answer::refused(Refusal::BadKey, &format!("{KEY_HEADER}: {error}")))
+}
+
 fn read_deadline_ms(text: &str, max_deadline_ms: u64) -> Result<u64, Answer> {
     match text.parse::<u64>() {
         Ok(deadline_ms) if (1..=max_deadline_ms).contains(&deadline_ms) => Ok(deadline_ms),
--- a/crates/cornelpoint-daemon/src/gateway/running.rs
+++ b/crates/cornelpoint-daemon/src/gateway/running.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cornelpoint::claim::Claimant;
 use cornelpoint::dispatch::Dispatcher;
 use cornelpoint::dispatch::DispatcherSettings;
 use cornelpoint::spread::Facts;
@@ -30,6 +31,8 @@
 use crate::caller_edge::CallerEdge;
 use crate::caller_edge::Drain;
 use crate::caller_edge::EdgeSettings;
+use crate::claim_store::ClaimStoreSettings;
+use crate::claim_store::RunningClaimStore;
 use crate::clock::MonotonicClock;
 use crate::clock::unix_ms;
 use crate::control::ControlClient;
@@ -38,6 +41,7 @@
 use crate::control::text_reply;
 use crate::endpoint_client::ClientSettings;
 use crate::endpoint_client::EndpointClient;
+use crate::platform_client::PlatformClient;
 use crate::settings::GatewaySettings;
 
 /// Events that may wait for the thread that decides.
@@ -46,6 +50,8 @@
 const SIGN_RING: usize = 64;
 /// Threads that answer dumps and health checks.
 const CONTROL_THREADS: usize = 2;
+/// Longest wait for the claims' last writes at the end.
+const CLAIM_STOP: Duration = Duration::from_secs(2);
 /// Time in which idle slots go back to their holders before the end.
 const SLOT_RETURN: Duration = Duration::from_millis(150);
 
@@ -54,6 +60,7 @@
 pub struct Gateway {
     edge: Arc<CallerEdge>,
     control: ControlServer,
+    claims: RunningClaimStore,
     admission: Arc<Admission>,
     decisions: Decisions,
     threads: Vec<JoinHandle<()>>,
@@ -77,6 +84,11 @@
         let decisions = Decisions::new(ring.clone());
         let keeper_timeout = Duration::from_millis(settings.keeper_timeout_ms);
 
+        let platform = PlatformClient::new(
+            settings.platform,
+            Duration::from_millis(settings.platform_timeout_ms),
+        );
+        let claims = RunningClaimStore::start(&claim_settings(settings, incarnation), platform);
         let handler = Handler {
             instance: settings.instance.clone(),
             incarnation,
@@ -84,6 +96,7 @@
             admission: Arc::clone(&admission),
             decisions: decisions.clone(),
             client: EndpointClient::new(client_settings(settings)),
+            claims: claims.store(),
             next_id: AtomicU64::new(1),
         };
         let edge = CallerEdge::start(edge_settings(settings), Arc::new(handler))
@@ -133,6 +146,7 @@
         Ok(Self {
             edge,
             control,
+            claims,
             admission,
             decisions,
             threads,
@@ -166,10 +180,17 @@
             warn!(self.logger, "Stop timeout passed."; "connections" => connections);
         }
         thread::sleep(SLOT_RETURN);
-        self.end();
+        self.end(Instant::now() + CLAIM_STOP);
+    }
+
+    /// Ends at once, as a killed process would: nothing is finished.
+    pub fn kill(self) {
+        self.edge.stop_accepting();
+        self.end(Instant::now());
     }
 
-    fn end(self) {
+    fn end(self, claims_until: Instant) {
+        self.claims.stop(claims_until);
         self.decisions.tell(Event::End);
         self.control.stop();
         for thread in self.threads {
@@ -236,6 +257,14 @@
     }
 }
 
+fn claim_settings(settings: &GatewaySettings, incarnation: u64) -> ClaimStoreSettings {
+    let claimant = Claimant {
+        instance: settings.instance.clone(),
+        incarnation,
+    };
+    ClaimStoreSettings::new(claimant, incarnation)
+}
+
 fn client_settings(settings: &GatewaySettings) -> ClientSettings {
     ClientSettings {
         max_idle_per_endpoint: settings.max_idle_per_endpoint as usize,
--- a/crates/cornelpoint-daemon/src/keeper/core.rs
+++ b/crates/cornelpoint-daemon/src/keeper/core.rs
@@ -31,9 +31,17 @@
     pub(super) logger: Logger,
 }
 
+/// What was last logged of the members.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Logged {
+    present: usize,
+    pauses: u64,
+}
+
 impl Core {
     pub(super) fn run(mut self) {
         let mut last_tick_ms = self.clock.now_ms();
+        let mut logged = Logged::default();
         loop {
             let command = self.commands.recv_timeout(TICK);
             let now_ms = self.clock.now_ms();
@@ -47,10 +55,23 @@
                 last_tick_ms = now_ms;
                 let outgoing = self.state.tick(now_ms);
                 self.send(outgoing);
+                logged = self.log_members(logged);
             }
         }
     }
 
+    fn log_members(&self, logged: Logged) -> Logged {
+        let now = Logged {
+            present: self.state.present_members().len(),
+            pauses: self.state.pauses(),
+        };
+        if now != logged {
+            info!(self.logger, "Members changed.";
+                "present" => now.present, "pauses" => now.pauses);
+        }
+        now
+    }
+
     fn handle(&mut self, command: Command, now_ms: u64) {
         match command {
             Command::Gossip(message) => {
--- a/crates/cornelpoint-daemon/src/keeper/state.rs
+++ b/crates/cornelpoint-daemon/src/keeper/state.rs
@@ -96,6 +96,10 @@
         self.membership.present().cloned().collect()
     }
 
+    pub(super) fn pauses(&self) -> u64 {
+        self.pauses
+    }
+
     pub(super) fn status(&self, now_ms: u64) -> KeeperStatus {
         let own = self.membership.own();
         KeeperStatus {
--- a/crates/cornelpoint/src/dispatch/dispatcher.rs
+++ b/crates/cornelpoint/src/dispatch/dispatcher.rs
@@ -170,19 +170,8 @@
     ///
     /// The reason why the request is refused; it did not run.
     pub fn enqueue(&mut self, request: NewRequest, now_ms: u64) -> Result<(), Refusal> {
-        let lane = self
-            .lanes
-            .get_mut(&request.service)
-            .ok_or(Refusal::UnknownService)?;
-        let route = self.routes.get(&lane.service.pool);
-        if !route.is_some_and(Route::has_endpoint) {
-            return Err(Refusal::NoEndpoint);
-        }
-        let entry = RequestEntry {
-            id: request.id,
-            deadline_ms: request.deadline_ms,
-            body_bytes: request.body_bytes,
-        };
+        let entry = entry_of(&request);
+        let lane = self.open_lane(&request)?;
         lane.queue.push(entry, now_ms)?;
         lane.budget.record_first_try(now_ms);
         lane.note_waiting(now_ms);
@@ -200,6 +189,16 @@
         Ok(())
     }
 
+    /// Judges whether `enqueue` would take a request now.
+    ///
+    /// # Errors
+    ///
+    /// As for `enqueue`.
+    pub fn check(&mut self, request: &NewRequest, now_ms: u64) -> Result<(), Refusal> {
+        let entry = entry_of(request);
+        self.open_lane(request)?.queue.check(entry, now_ms)
+    }
+
     /// Assigns waiting requests to free slots, earliest deadline first, and
     /// refuses those whose time is over.
     pub fn dispatch(&mut self, now_ms: u64) -> Vec<Directed> {
@@ -288,6 +287,19 @@
         std::mem::take(&mut self.signs)
     }
 
+    fn open_lane(&mut self, request: &NewRequest) -> Result<&mut Lane, Refusal> {
+        let lane = self
+            .lanes
+            .get_mut(&request.service)
+            .ok_or(Refusal::UnknownService)?;
+        let route = self.routes.get(&lane.service.pool);
+        if route.is_some_and(Route::has_endpoint) {
+            Ok(lane)
+        } else {
+            Err(Refusal::NoEndpoint)
+        }
+    }
+
     fn expire(&mut self, now_ms: u64) -> Vec<Directed> {
         let mut directed = Vec::new();
         for lane in self.lanes.values_mut() {
@@ -399,6 +411,14 @@
     }
 }
 
+fn entry_of(request: &NewRequest) -> RequestEntry {
+    RequestEntry {
+        id: request.id,
+        deadline_ms: request.deadline_ms,
+        body_bytes: request.body_bytes,
+    }
+}
+
 /// Exchanges a slot for one that suits the request better, if there is one.
 fn improve(route: &mut Route, state: &RequestState, running: Running, now_ms: u64) -> Running {
     let suits = !state.tried.contains(&running.slot.endpoint);
--- a/crates/cornelpoint/src/queue/request_queue.rs
+++ b/crates/cornelpoint/src/queue/request_queue.rs
@@ -74,12 +74,18 @@
     /// taken, [`Refusal::DeadlineTooNear`] when the requests before it leave
     /// no time to run it by its deadline.
     pub fn push(&mut self, entry: RequestEntry, now_ms: u64) -> Result<(), Refusal> {
-        let entry = RequestEntry {
-            deadline_ms: entry
-                .deadline_ms
-                .min(now_ms.saturating_add(self.limits.max_deadline_ms)),
-            ..entry
-        };
+        self.check(entry, now_ms)?;
+        self.insert(self.cut(entry, now_ms));
+        Ok(())
+    }
+
+    /// Judges whether `push` would take a request now.
+    ///
+    /// # Errors
+    ///
+    /// As for `push`.
+    pub fn check(&mut self, entry: RequestEntry, now_ms: u64) -> Result<(), Refusal> {
+        let entry = self.cut(entry, now_ms);
         self.advance(now_ms);
         if self.is_too_near(entry.deadline_ms, now_ms) {
             return Err(Refusal::DeadlineTooNear);
@@ -87,10 +93,18 @@
         if !self.has_room(entry) {
             return Err(Refusal::QueueFull);
         }
-        self.insert(entry);
         Ok(())
     }
 
+    fn cut(&self, entry: RequestEntry, now_ms: u64) -> RequestEntry {
+        RequestEntry {
+            deadline_ms: entry
+                .deadline_ms
+                .min(now_ms.saturating_add(self.limits.max_deadline_ms)),
+            ..entry
+        }
+    }
+
     /// Takes out the request to run now, if there is one that can still be
     /// done in time.
     ///
