Let the long latency sink more slowly

Cause: between two long requests the estimate sank until the next long one counted as hanging. Change: it sinks by a 256th with each sample, and a hanging request takes five times the typical latency.

--- a/crates/cornelpoint/src/ejection/latency_estimate.rs
+++ b/crates/cornelpoint/src/ejection/latency_estimate.rs
@@ -3,7 +3,7 @@
 /// A sample moves the typical latency by this part of itself.
 const TYPICAL_STEP_PART: u64 = 16;
 /// A sample lets the long latency sink by this part of itself.
-const LONG_STEP_PART: u64 = 64;
+const LONG_STEP_PART: u64 = 256;
 
 /// A typical and a long latency, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,7 +16,7 @@
 ///
 /// The typical one follows the median: it moves by a sixteenth towards each
 /// sample, so that a few outliers do not move it far. The long one is the
-/// longest of late: it sinks by a 64th with each shorter sample.
+/// longest of late: it sinks by a 256th with each shorter sample.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LatencyEstimate {
     typical_us: u64,
--- a/crates/cornelpoint/src/ejection/limits.rs
+++ b/crates/cornelpoint/src/ejection/limits.rs
@@ -22,7 +22,7 @@
 pub(super) const SLOW_MARGIN_US: u64 = 10_000;
 
 /// A hanging request takes this many times the pool's typical latency.
-pub(super) const HANG_FACTOR: u64 = 4;
+pub(super) const HANG_FACTOR: u64 = 5;
 /// A hanging request takes this share of the pool's long latency.
 pub(super) const HANG_LONG_PERCENT: u64 = 150;
 /// A hanging request has run for at least this long, in milliseconds.
