Measure the demo's goodput by slot time

Cause: the count of answers over slots and nominal run time charges the endpoints' own overshoot to the gateways.

--- a/crates/cornelpoint-cli/src/demo/outcome.rs
+++ b/crates/cornelpoint-cli/src/demo/outcome.rs
@@ -8,10 +8,8 @@
     /// Path that no other request has.
     pub(super) path: String,
     pub(super) idempotent: bool,
-    /// When it was due, in milliseconds of the demo's clock.
+    /// When it was due, in milliseconds since 1970.
     pub(super) due_ms: u64,
-    /// When it ended, in milliseconds of the demo's clock.
-    pub(super) ended_ms: u64,
     pub(super) end: End,
 }
 
--- a/crates/cornelpoint-cli/src/demo/steps.rs
+++ b/crates/cornelpoint-cli/src/demo/steps.rs
@@ -5,9 +5,9 @@
 use cornelpoint::configuration::Configuration;
 use cornelpoint::configuration::Generation;
 use cornelpoint::name::InstanceId;
+use cornelpoint_standin::clock::now_ms;
 use cornelpoint_standin::platform::PlatformFaults;
 
-use super::WORK_MS;
 use super::check::Check;
 use super::demo_arguments::DemoArguments;
 use super::judge;
@@ -129,18 +129,13 @@
             let service = stream.service.clone();
             self.report
                 .progress(&format!("{service} surges to five times its mean"));
-            let begin_ms = self.traffic.now_ms();
+            let begin_ms = now_ms();
             self.traffic.run(&streams, &fleet.gateways(), SURGE);
-            let end_ms = self.traffic.now_ms();
+            let end_ms = now_ms();
             thread::sleep(Duration::from_millis(DEADLINE_MS));
             let outcomes = self.since(begin_ms);
-            let percent = judge::goodput_percent(
-                &outcomes,
-                &service,
-                begin_ms + SURGE_ONSET_MS..end_ms,
-                judge::slots_of(&fleet.configuration, &service),
-                WORK_MS,
-            );
+            let window_ms = begin_ms + SURGE_ONSET_MS..end_ms;
+            let percent = judge::goodput_percent(fleet, &outcomes, &service, &window_ms);
             worst_percent = worst_percent.min(percent);
             lulls.extend(outcomes.into_iter().filter(|o| o.service != service));
         }
@@ -160,7 +155,7 @@
         self.report
             .progress(&format!("{instance} is drained under load"));
         let (outcomes, drained) = self.stretch(fleet, || -> Result<_, FleetError> {
-            let told_ms = cornelpoint_standin::clock::now_ms();
+            let told_ms = now_ms();
             fleet.drain(&instance)?;
             let took = fleet.wait_drained(&instance, DRAIN_LIMIT)?;
             Ok((told_ms, took))
@@ -181,7 +176,7 @@
             " s",
         ));
         fleet.undrain(&instance)?;
-        let back_ms = cornelpoint_standin::clock::now_ms();
+        let back_ms = now_ms();
         let outcomes = self.stretch(fleet, || ()).0;
         self.add_all_answered("traffic answered after the return", &outcomes);
         let runs = judge::runs_after(fleet, &instance, back_ms);
@@ -271,7 +266,7 @@
         };
         let mut all = fleet.gateways();
         all.extend(entry.caller_address());
-        let begin_ms = self.traffic.now_ms();
+        let begin_ms = now_ms();
         let streams = streams(&fleet.configuration, |_| MEAN_PER_S);
         self.traffic.run(&streams, &all, LEAD);
         let gateway = entry.gateway.take();
@@ -298,7 +293,7 @@
         fleet: &Fleet,
         happening: impl FnOnce() -> A + Send,
     ) -> (Vec<Outcome>, A) {
-        let begin_ms = self.traffic.now_ms();
+        let begin_ms = now_ms();
         let streams = streams(&fleet.configuration, |_| MEAN_PER_S);
         let gateways: Vec<SocketAddr> = fleet.gateways();
         let traffic = &mut self.traffic;
--- a/crates/cornelpoint-cli/src/demo/traffic.rs
+++ b/crates/cornelpoint-cli/src/demo/traffic.rs
@@ -11,6 +11,7 @@
 use std::time::Instant;
 
 use cornelpoint::name::ServiceName;
+use cornelpoint_standin::clock::now_ms;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
@@ -46,7 +47,6 @@
 /// Callers that make requests at set times, whatever the answers.
 #[derive(Debug)]
 pub(super) struct Traffic {
-    start: Instant,
     jobs: SyncSender<Job>,
     outcomes: Arc<Mutex<Vec<Outcome>>>,
     threads: Vec<JoinHandle<()>>,
@@ -56,7 +56,6 @@
 
 impl Traffic {
     pub(super) fn new(seed: u64) -> Self {
-        let start = Instant::now();
         let (jobs, ring) = sync_channel(CALL_RING);
         let ring = Arc::new(Mutex::new(ring));
         let outcomes = Arc::new(Mutex::new(Vec::new()));
@@ -66,12 +65,11 @@
                 let outcomes = Arc::clone(&outcomes);
                 thread::Builder::new()
                     .stack_size(CALLER_STACK_BYTES)
-                    .spawn(move || make_calls(start, &ring, &outcomes))
+                    .spawn(move || make_calls(&ring, &outcomes))
                     .ok()
             })
             .collect();
         Self {
-            start,
             jobs,
             outcomes,
             threads,
@@ -80,11 +78,6 @@
         }
     }
 
-    /// Milliseconds since the traffic began.
-    pub(super) fn now_ms(&self) -> u64 {
-        millis(self.start)
-    }
-
     /// Outcomes so far.
     pub(super) fn outcomes(&self) -> Vec<Outcome> {
         self.outcomes
@@ -142,8 +135,7 @@
                 idempotent,
                 deadline_ms: stream.deadline_ms,
             },
-            due_ms: u64::try_from(due.saturating_duration_since(self.start).as_millis())
-                .unwrap_or(u64::MAX),
+            due_ms: unix_ms_of(due),
         };
         let _ = self.jobs.send(job);
     }
@@ -162,7 +154,7 @@
         .min_by(|(_, a), (_, b)| a.total_cmp(b))
 }
 
-fn make_calls(start: Instant, ring: &Mutex<Receiver<Job>>, outcomes: &Mutex<Vec<Outcome>>) {
+fn make_calls(ring: &Mutex<Receiver<Job>>, outcomes: &Mutex<Vec<Outcome>>) {
     let caller = Caller::new();
     loop {
         let job = ring.lock().unwrap_or_else(PoisonError::into_inner).recv();
@@ -175,7 +167,6 @@
             path: job.call.path,
             idempotent: job.call.idempotent,
             due_ms: job.due_ms,
-            ended_ms: millis(start),
             end,
         };
         outcomes
@@ -185,6 +176,8 @@
     }
 }
 
-fn millis(start: Instant) -> u64 {
-    u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
+/// When a request was due; a caller may be behind.
+fn unix_ms_of(due: Instant) -> u64 {
+    let late_ms = due.elapsed().as_millis();
+    now_ms().saturating_sub(u64::try_from(late_ms).unwrap_or(u64::MAX))
 }
