Say how the requests of each surge ended

Cause: on a busy machine the first surges' goodput fell to 22.7 to 54.9% (load average 19 on 10 cores), while the later ones held 98 to 99%; the figure alone does not show why.

Measured: in the worst surge 724 of 1230 refused as deadline-too-near, 75 late: requests are refused while slots are idle. Under investigation.

--- a/crates/cornelpoint-cli/src/demo/judge.rs
+++ b/crates/cornelpoint-cli/src/demo/judge.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::ops::Range;
@@ -68,6 +69,25 @@
     end_ms.saturating_sub(run.started_ms.max(window_ms.start))
 }
 
+/// How many requests ended in which way, in words.
+pub(super) fn summary(outcomes: &[Outcome]) -> String {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for outcome in outcomes {
+        let end = match &outcome.end {
+            End::Answered => "answered".to_owned(),
+            End::WrongAnswer => "wrong answer".to_owned(),
+            End::Refused(run, reason) => format!("{reason} (run {})", run.as_str()),
+            End::Lost(_) => "lost".to_owned(),
+        };
+        *counts.entry(end).or_default() += 1;
+    }
+    let words: Vec<String> = counts
+        .iter()
+        .map(|(end, count)| format!("{count} {end}"))
+        .collect();
+    words.join(", ")
+}
+
 /// Runs that an endpoint began after a time, in milliseconds since 1970.
 pub(super) fn runs_after(fleet: &Fleet, instance: &InstanceId, after_ms: u64) -> usize {
     fleet.endpoint(instance).map_or(0, |endpoint| {
--- a/crates/cornelpoint-cli/src/demo/steps.rs
+++ b/crates/cornelpoint-cli/src/demo/steps.rs
@@ -137,6 +137,10 @@
             let window_ms = begin_ms + SURGE_ONSET_MS..end_ms;
             let percent = judge::goodput_percent(fleet, &outcomes, &service, &window_ms);
             worst_percent = worst_percent.min(percent);
+            self.report.progress(&format!(
+                "goodput {percent:.1}%: {}",
+                judge::summary(&outcomes)
+            ));
             lulls.extend(outcomes.into_iter().filter(|o| o.service != service));
         }
         self.report.add(Check::at_least(
