--- /dev/null
+++ b/crates/cornelpoint-cli/src/demo/judge.rs
@@ -0,0 +1,160 @@
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::ops::Range;
+
+use cornelpoint::configuration::Configuration;
+use cornelpoint::configuration::Endpoint;
+use cornelpoint::name::InstanceId;
+use cornelpoint::name::ServiceName;
+use cornelpoint::request::RunState;
+use cornelpoint_standin::endpoint::EndpointStandIn;
+use cornelpoint_standin::endpoint::RunRecord;
+
+use super::check::Check;
+use super::outcome::End;
+use super::outcome::Outcome;
+use crate::fleet::Fleet;
+
+const PERCENT: f64 = 100.0;
+
+/// Slot time of runs whose answer came in time, as a share of all slot time
+/// of a service's endpoints in a window.
+pub(super) fn goodput_percent(
+    fleet: &Fleet,
+    outcomes: &[Outcome],
+    service: &ServiceName,
+    window_ms: &Range<u64>,
+) -> f64 {
+    let answered: HashSet<&str> = outcomes
+        .iter()
+        .filter(|outcome| outcome.is_answered())
+        .map(|outcome| outcome.path.as_str())
+        .collect();
+    let mut used_ms = 0;
+    let mut slots = 0;
+    for endpoint in endpoints_of(&fleet.configuration, service) {
+        slots += u64::from(endpoint.slots);
+        let runs = fleet
+            .endpoint(&endpoint.instance)
+            .map_or_else(Vec::new, EndpointStandIn::history);
+        used_ms += runs
+            .iter()
+            .filter(|run| answered.contains(run.path.as_str()))
+            .map(|run| overlap_ms(run, window_ms))
+            .sum::<u64>();
+    }
+    let possible_ms = slots * (window_ms.end - window_ms.start);
+    to_f64(used_ms) / to_f64(possible_ms) * PERCENT
+}
+
+fn endpoints_of<'a>(
+    configuration: &'a Configuration,
+    service: &ServiceName,
+) -> impl Iterator<Item = &'a Endpoint> {
+    let pool = configuration
+        .services
+        .iter()
+        .find(|candidate| &candidate.name == service)
+        .map(|found| &found.pool);
+    configuration
+        .pools
+        .iter()
+        .filter(move |candidate| Some(&candidate.name) == pool)
+        .flat_map(|pool| &pool.endpoints)
+}
+
+fn overlap_ms(run: &RunRecord, window_ms: &Range<u64>) -> u64 {
+    let end_ms = run.ended_ms.unwrap_or(window_ms.end).min(window_ms.end);
+    end_ms.saturating_sub(run.started_ms.max(window_ms.start))
+}
+
+/// How many requests ended in which way, in words.
+pub(super) fn summary(outcomes: &[Outcome]) -> String {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for outcome in outcomes {
+        let end = match &outcome.end {
+            End::Answered => "answered".to_owned(),
+            End::WrongAnswer => "wrong answer".to_owned(),
+            End::Refused(run, reason) => format!("{reason} (run {})", run.as_str()),
+            End::Lost(_) => "lost".to_owned(),
+        };
+        *counts.entry(end).or_default() += 1;
+    }
+    let words: Vec<String> = counts
+        .iter()
+        .map(|(end, count)| format!("{count} {end}"))
+        .collect();
+    words.join(", ")
+}
+
+/// Runs that an endpoint began after a time, in milliseconds since 1970.
+pub(super) fn runs_after(fleet: &Fleet, instance: &InstanceId, after_ms: u64) -> usize {
+    fleet.endpoint(instance).map_or(0, |endpoint| {
+        endpoint
+            .history()
+            .iter()
+            .filter(|run| run.started_ms > after_ms)
+            .count()
+    })
+}
+
+/// Compares what callers were told with what the endpoints ran.
+pub(super) fn histories(fleet: &Fleet, outcomes: &[Outcome]) -> Vec<Check> {
+    let runs = runs_by_path(fleet);
+    let runs_of = |outcome: &Outcome| runs.get(&outcome.path).copied().unwrap_or(0);
+    let count = |wrong: &dyn Fn(&Outcome) -> bool| outcomes.iter().filter(|o| wrong(o)).count();
+    let of = outcomes.len();
+    let doubled = count(&|o| !o.idempotent && runs_of(o) > 1);
+    let false_refusals = count(&|o| is_refused_not_run(o) && runs_of(o) > 0);
+    let unfounded = count(&|o| o.is_answered() && runs_of(o) == 0);
+    let wrong = count(&|o| o.end == End::WrongAnswer);
+    let lost = count(&|o| matches!(o.end, End::Lost(_)));
+    let over: u64 = fleet
+        .endpoints
+        .iter()
+        .map(EndpointStandIn::dump)
+        .map(|dump| dump.over_slots + dump.over_connections)
+        .sum();
+    vec![
+        Check::none("non-idempotent requests run twice", doubled, of, "requests"),
+        Check::none(
+            "refusals that say not run, but ran",
+            false_refusals,
+            of,
+            "requests",
+        ),
+        Check::none("answers without a run", unfounded, of, "requests"),
+        Check::none(
+            "answers not whole or of another request",
+            wrong,
+            of,
+            "requests",
+        ),
+        Check::none("requests without any answer", lost, of, "requests"),
+        Check::none(
+            "requests or connections over an endpoint's limit",
+            usize::try_from(over).unwrap_or(usize::MAX),
+            of,
+            "requests",
+        ),
+    ]
+}
+
+fn is_refused_not_run(outcome: &Outcome) -> bool {
+    matches!(outcome.end, End::Refused(RunState::No, _))
+}
+
+fn runs_by_path(fleet: &Fleet) -> HashMap<String, usize> {
+    let mut runs = HashMap::new();
+    for endpoint in &fleet.endpoints {
+        for run in endpoint.history() {
+            *runs.entry(run.path).or_insert(0) += 1;
+        }
+    }
+    runs
+}
+
+fn to_f64(number: u64) -> f64 {
+    u32::try_from(number).map_or(f64::INFINITY, f64::from)
+}
--- a/crates/cornelpoint-daemon/src/keeper/platform_watch.rs
+++ b/crates/cornelpoint-daemon/src/keeper/platform_watch.rs
@@ -7,13 +7,14 @@
 use cornelpoint::configuration::Configuration;
 use cornelpoint::configuration::Generation;
 use cornelpoint::configuration::Head;
+use cornelpoint::configuration::RecordError;
 use cornelpoint::configuration::body_key;
+use cornelpoint::configuration::decode_body;
 use cornelpoint::configuration::head_key;
 use cornelpoint::membership::Member;
 use cornelpoint::name::AvailabilityZone;
 use cornelpoint::name::InstanceId;
 use cornelpoint::name::WorkspaceName;
-use cornelpoint::platform::Row;
 use cornelpoint::rendezvous::choose_several;
 use cornelpoint::spread::Update;
 
@@ -112,7 +113,7 @@
         let Some(head) = rows.first() else {
             return Ok(None);
         };
-        let head: Head = decode(head)?;
+        let head = Head::decode(head).map_err(|error| malformed(&error))?;
         let known = self
             .core
             .ask(Command::Digest)
@@ -123,7 +124,8 @@
         let rows = self
             .platform
             .read(&[body_key(&self.workspace, head.generation)])?;
-        rows.first().map(decode).transpose()
+        let body = rows.first().map(decode_body).transpose();
+        body.map_err(|error| malformed(&error))
     }
 
     /// Waits one interval, longer after failures.
@@ -137,8 +139,8 @@
     }
 }
 
-fn decode<A: serde::de::DeserializeOwned>(row: &Row) -> Result<A, PlatformError> {
-    rmp_serde::from_slice(&row.value).map_err(|error| PlatformError::Malformed {
+fn malformed(error: &RecordError) -> PlatformError {
+    PlatformError::Malformed {
         found: error.to_string(),
-    })
+    }
 }
--- a/crates/cornelpoint-daemon/src/lib.rs
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -4,11 +4,15 @@
 //! sockets and clocks.
 
 pub mod caller_edge;
+pub mod claim_store;
 pub mod clock;
 pub mod control;
 pub mod endpoint_client;
 pub mod gateway;
 pub mod keeper;
+pub mod log;
 pub mod message;
+pub mod metrics;
 pub mod platform_client;
 pub mod settings;
+pub mod shutdown;
