Hold ejections back while most endpoints look bad

Cause: while a whole service failed, each view ejected half of the pool before the evidence against the other half was complete. Change: nobody is ejected while more than half of the endpoints look bad, by their latest outcome or by a request that has run for half of the time after which it hangs.

--- a/crates/cornelpoint/src/ejection/evidence.rs
+++ b/crates/cornelpoint/src/ejection/evidence.rs
@@ -119,6 +119,22 @@
         self.fails() || self.hangs(limits, now_ms) || self.is_slow(limits, now_ms)
     }
 
+    /// Whether the latest outcome is bad, or a request has run for half of the
+    /// time after which it hangs and none has ended well since it started.
+    pub(super) fn looks_bad(&self, limits: &LatencyLimits, now_ms: u64) -> bool {
+        let is_latest_bad = self.marks.back().is_some_and(|mark| *mark != Mark::Good);
+        let age_ms = self.age_without_good_ms(now_ms);
+        is_latest_bad || age_ms.is_some_and(|age_ms| limits.is_hanging(age_ms * 2))
+    }
+
+    /// Age of the oldest running request, if none has ended well since it
+    /// started.
+    fn age_without_good_ms(&self, now_ms: u64) -> Option<u64> {
+        let oldest_ms = *self.in_flight_ms.iter().min()?;
+        let good_since = self.last_good_ms.is_some_and(|good| good > oldest_ms);
+        (!good_since).then(|| now_ms.saturating_sub(oldest_ms))
+    }
+
     fn fails(&self) -> bool {
         let needed = if self.on_probation {
             FAILURES_ON_PROBATION
@@ -133,13 +149,9 @@
         in_a_row >= needed || (total >= SHARE_OUTCOMES && is_share)
     }
 
-    /// Whether a request hangs and none has ended well since it started.
     fn hangs(&self, limits: &LatencyLimits, now_ms: u64) -> bool {
-        let Some(oldest_ms) = self.in_flight_ms.iter().min() else {
-            return false;
-        };
-        let good_since = self.last_good_ms.is_some_and(|good| good > *oldest_ms);
-        limits.is_hanging(now_ms.saturating_sub(*oldest_ms)) && !good_since
+        let age_ms = self.age_without_good_ms(now_ms);
+        age_ms.is_some_and(|age_ms| limits.is_hanging(age_ms))
     }
 
     /// Judges the latest requests, those that run too long being the latest
--- a/crates/cornelpoint/src/ejection/health.rs
+++ b/crates/cornelpoint/src/ejection/health.rs
@@ -21,7 +21,7 @@
 ///
 /// An endpoint that fails, hangs or is much slower than its peers is ejected
 /// for a pause that grows, and re-admitted by one trial request. At most half
-/// of the pool is ejected. When more than half of it fails, the service is at
+/// of the pool is ejected, and none while more than half look bad. When more than half of it fails, the service is at
 /// fault: nobody is ejected, and [`EndpointHealth::service_fault`] says so. A
 /// refused connection or an endpoint's word that it is leaving takes
 /// effect at once and counts towards no limit.
@@ -221,7 +221,7 @@
     }
 
     fn eject_within_limit(&mut self, instance: &InstanceId, now_ms: u64) {
-        if !self.has_room() {
+        if !self.has_room() || !self.is_exception(now_ms) {
             return;
         }
         if let Some(record) = self.records.get_mut(instance) {
@@ -229,6 +229,14 @@
         }
     }
 
+    /// Whether at most half of the endpoints look bad; else the service is
+    /// likely to be at fault, and the evidence is waited for.
+    fn is_exception(&self, now_ms: u64) -> bool {
+        let reachable = || self.records.values().filter(|r| r.is_reachable());
+        let bad = reachable().filter(|r| r.looks_bad(&self.limits, now_ms));
+        bad.count() * 2 <= reachable().count()
+    }
+
     fn has_room(&self) -> bool {
         let reachable = self.records.values().filter(|r| r.is_reachable()).count();
         let ejected = |r: &&EndpointRecord| r.condition() == Condition::Ejected;
--- a/crates/cornelpoint/src/ejection/record.rs
+++ b/crates/cornelpoint/src/ejection/record.rs
@@ -175,6 +175,11 @@
         self.evidence.forget();
     }
 
+    /// Whether the endpoint is likely to be as bad as a suspect.
+    pub(super) fn looks_bad(&self, limits: &LatencyLimits, now_ms: u64) -> bool {
+        self.suspect || self.evidence.looks_bad(limits, now_ms)
+    }
+
     pub(super) fn is_bad(&self, limits: &LatencyLimits, now_ms: u64) -> bool {
         self.evidence.is_bad(limits, now_ms)
     }
