--- a/crates/cornelpoint-daemon/src/keeper/operator/accept.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/accept.rs
@@ -1,54 +1,114 @@
+use std::thread;
+use std::time::Duration;
+
 use cornelpoint::configuration::Accept;
 use cornelpoint::configuration::AcceptAction;
 use cornelpoint::configuration::AcceptEvent;
 use cornelpoint::configuration::AcceptOutcome;
 use cornelpoint::configuration::AcceptRequest;
+use cornelpoint::configuration::Generation;
+use cornelpoint::configuration::body_key;
+use cornelpoint::configuration::decode_body;
 use cornelpoint::platform::Key;
 use cornelpoint::platform::Transaction;
+use cornelpoint::spread::Update;
+use rouille::Request;
+use rouille::Response;
 
+use super::operator::Operator;
 use crate::clock::unix_ms;
-use crate::platform_client::PlatformClient;
-
-/// Carries an accept out on the platform's table, to its outcome.
-pub(super) fn carry_out(platform: &PlatformClient, request: AcceptRequest) -> AcceptOutcome {
-    let mut accept = Accept::new(AcceptRequest {
-        now_unix_ms: unix_ms(),
-        ..request
-    });
+use crate::control::json_body;
+use crate::control::json_reply;
+use crate::control::text_reply;
+use crate::keeper::command::Command;
+
+/// Wait before the platform is asked again after it did not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Highest generation that an operator can have seen.
+const MAX_GENERATION: Generation = Generation(u64::MAX / 2);
+
+/// Accepts a configuration and brings it into force from here.
+pub(super) fn answer(operator: &Operator, request: &Request) -> Response {
+    let accept: AcceptRequest = match json_body(request) {
+        Ok(accept) => accept,
+        Err(error) => return text_reply(400, &error.to_string()),
+    };
+    if accept.workspace != operator.workspace {
+        let text = format!(
+            "expected workspace {}, found {}",
+            operator.workspace, accept.workspace
+        );
+        return text_reply(400, &text);
+    }
+    if accept.seen > MAX_GENERATION {
+        let text = format!("expected a generation, found {}", accept.seen);
+        return text_reply(400, &text);
+    }
+    let outcome = run(
+        operator,
+        AcceptRequest {
+            now_unix_ms: unix_ms(),
+            ..accept
+        },
+    );
+    json_reply(&outcome)
+}
+
+fn run(operator: &Operator, request: AcceptRequest) -> AcceptOutcome {
+    let mut accept = Accept::new(request);
     let mut action = accept.start();
     loop {
         let event = match action {
-            AcceptAction::Read(keys) => read(platform, &keys),
-            AcceptAction::Transact(transaction) => transact(platform, &transaction),
-            AcceptAction::Finish(outcome) => return outcome,
+            AcceptAction::Read(keys) => read(operator, &keys),
+            AcceptAction::Transact(transaction) => transact(operator, &transaction),
+            AcceptAction::Finish(outcome) => {
+                bring_into_force(operator, &outcome);
+                return outcome;
+            }
         };
+        if is_failure(&event) {
+            thread::sleep(RETRY_PAUSE);
+        }
         action = accept.handle(event);
     }
 }
 
-/// HTTP status of an outcome.
-pub(super) fn status(outcome: &AcceptOutcome) -> u16 {
-    match outcome {
-        AcceptOutcome::Accepted { .. } | AcceptOutcome::Unchanged { .. } => 200,
-        AcceptOutcome::NoSuchGeneration { .. } => 404,
-        AcceptOutcome::Conflict { .. } => 409,
-        AcceptOutcome::Malformed { .. } => 500,
-        AcceptOutcome::Unavailable => 503,
-        AcceptOutcome::Unknown => 504,
-    }
-}
-
-fn read(platform: &PlatformClient, keys: &[Key]) -> AcceptEvent {
-    match platform.read(keys) {
+fn read(operator: &Operator, keys: &[Key]) -> AcceptEvent {
+    match operator.platform.read(keys) {
         Ok(rows) => AcceptEvent::Rows(rows),
         Err(_) => AcceptEvent::ReadFailed,
     }
 }
 
-fn transact(platform: &PlatformClient, transaction: &Transaction) -> AcceptEvent {
-    match platform.transact(transaction) {
+fn transact(operator: &Operator, transaction: &Transaction) -> AcceptEvent {
+    match operator.platform.transact(transaction) {
         Ok(outcome) => AcceptEvent::Transacted(outcome),
         Err(error) if error.may_have_taken_effect() => AcceptEvent::AnswerLost,
         Err(_) => AcceptEvent::NotTransacted,
     }
 }
+
+fn is_failure(event: &AcceptEvent) -> bool {
+    match event {
+        AcceptEvent::Rows(_) | AcceptEvent::Transacted(_) => false,
+        AcceptEvent::ReadFailed | AcceptEvent::NotTransacted | AcceptEvent::AnswerLost => true,
+    }
+}
+
+/// Spreads an accepted generation at once; when it cannot be read back, the
+/// keepers that watch the platform find it.
+fn bring_into_force(operator: &Operator, outcome: &AcceptOutcome) {
+    let AcceptOutcome::Accepted { generation } = outcome else {
+        return;
+    };
+    let key = body_key(&operator.workspace, *generation);
+    let Ok(rows) = operator.platform.read(&[key]) else {
+        return;
+    };
+    let configuration = rows.first().and_then(|row| decode_body(row).ok());
+    operator.core.tell(Command::Apply(Update {
+        configuration,
+        marks: Vec::new(),
+    }));
+}
--- a/crates/cornelpoint-daemon/src/keeper/operator/mod.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/mod.rs
@@ -1,7 +1,20 @@
-//! The operators' actions at a keeper.
+//! The operators' actions at a keeper, one file for each.
+//!
+//! | request | body | answer |
+//! |---|---|---|
+//! | `POST /operator/accept` | `AcceptRequest` | `AcceptOutcome` |
+//! | `GET /operator/configuration` | | the newest configuration in the table |
+//! | `GET /operator/history` | | list of `HistoryEntry`, the newest first |
+//! | `POST /operator/drain`, `POST /operator/undrain` | [`DrainRequest`] | `EndpointMark` |
+//! | `POST /operator/drained` | [`DrainRequest`] | `DrainReport` |
+//! | `GET /operator/status` | | `KeeperStatus` |
 
 mod accept;
-mod actions;
+mod drain;
+mod history;
+mod newest;
+#[expect(clippy::module_inception, reason = "the type gives the part its name")]
+mod operator;
 
-pub use self::actions::DrainRequest;
-pub(super) use self::actions::Operator;
+pub use self::drain::DrainRequest;
+pub(super) use self::operator::Operator;
--- a/crates/cornelpoint/src/configuration/record/token.rs
+++ b/crates/cornelpoint/src/configuration/record/token.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Mark of one accept, drawn at random by whoever asks for it.
 ///
@@ -11,6 +12,21 @@
 #[serde(transparent)]
 pub struct AcceptToken(pub u64);
 
+impl AcceptToken {
+    /// The token of an accept that the caller names, such as a build's number.
+    ///
+    /// ```
+    /// use cornelpoint::configuration::AcceptToken;
+    ///
+    /// assert_eq!(AcceptToken::of("build 12"), AcceptToken::of("build 12"));
+    /// assert_ne!(AcceptToken::of("build 12"), AcceptToken::of("build 13"));
+    /// ```
+    #[must_use]
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()))
+    }
+}
+
 impl fmt::Display for AcceptToken {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
