Give operators the command line

There was only the demo. An accept whose answer is lost is asked again with its token, and when its fate stays unknown the command to learn it is printed.

--- /dev/null
+++ b/crates/cornelpoint-cli/src/command_line/command.rs
@@ -0,0 +1,58 @@
+use std::net::SocketAddr;
+
+use clap::Args;
+use clap::Subcommand;
+use clap_complete::Shell;
+
+use super::target::Target;
+use super::template_command::TemplateCommand;
+use super::workspace_command::WorkspaceCommand;
+use crate::demo::DemoArguments;
+
+/// What to do.
+#[derive(Clone, Debug, Subcommand)]
+pub enum Command {
+    /// Check a template.
+    #[command(subcommand)]
+    Template(TemplateCommand),
+    /// Check, compare and accept a workspace's configuration.
+    #[command(subcommand)]
+    Workspace(WorkspaceCommand),
+    /// Show which generation is in force where, and which endpoints take no work.
+    Status(Target),
+    /// Print all that a process knows, as JSON.
+    Dump(DumpArguments),
+    /// Send an endpoint no new work.
+    Drain(DrainArguments),
+    /// Send a drained endpoint work again.
+    Undrain(DrainArguments),
+    /// Print completions for a shell.
+    Completions {
+        /// The shell.
+        shell: Shell,
+    },
+    /// Run a deployment in one process and check what it promises.
+    Demo(DemoArguments),
+}
+
+/// Which process to dump.
+#[derive(Clone, Debug, Args)]
+pub struct DumpArguments {
+    /// Address of the process for dumps, a keeper's or a gateway's; without it
+    /// the keeper is asked.
+    #[arg(long, value_name = "ADDRESS")]
+    pub process: Option<SocketAddr>,
+    /// The keeper to ask.
+    #[command(flatten)]
+    pub target: Target,
+}
+
+/// Which endpoint to drain or bring back.
+#[derive(Clone, Debug, Args)]
+pub struct DrainArguments {
+    /// The endpoint's instance.
+    pub instance: String,
+    /// The keeper to ask.
+    #[command(flatten)]
+    pub target: Target,
+}
--- /dev/null
+++ b/crates/cornelpoint-cli/src/command_line/mod.rs
@@ -0,0 +1,16 @@
+//! What can be typed.
+
+mod command;
+#[expect(clippy::module_inception, reason = "the type gives the part its name")]
+mod command_line;
+mod target;
+mod template_command;
+mod workspace_command;
+
+pub use self::command::Command;
+pub use self::command_line::CommandLine;
+pub use self::target::Change;
+pub use self::target::Target;
+pub use self::template_command::TemplateCommand;
+pub use self::workspace_command::Files;
+pub use self::workspace_command::WorkspaceCommand;
--- /dev/null
+++ b/crates/cornelpoint-cli/src/execution/accept.rs
@@ -0,0 +1,104 @@
+use std::net::SocketAddr;
+
+use cornelpoint::configuration::AcceptContent;
+use cornelpoint::configuration::AcceptOutcome;
+use cornelpoint::configuration::AcceptRequest;
+use cornelpoint::configuration::Configuration;
+use cornelpoint_daemon::control::ControlClient;
+use cornelpoint_daemon::control::ControlError;
+
+use super::diff;
+use super::failure::Failure;
+use super::files;
+use crate::output::Answer;
+use crate::output::Code;
+use crate::settings::AcceptSource;
+use crate::settings::ChangeSettings;
+
+/// Most tries of one accept; each carries the same token.
+const MAX_TRIES: usize = 3;
+
+/// Brings a new generation into force.
+pub(super) fn run(
+    source: &AcceptSource,
+    change: &ChangeSettings,
+    keeper: SocketAddr,
+) -> Result<Answer, Failure> {
+    let given = match source {
+        AcceptSource::Files(files) => Some(files::check(files)?),
+        AcceptSource::Generation(_) => None,
+    };
+    let newest = diff::newest(keeper)?;
+    let request = request(source, change, given, newest.as_ref())?;
+    let outcome = ask(&request, keeper);
+    Ok(answer(&request, outcome))
+}
+
+fn request(
+    source: &AcceptSource,
+    change: &ChangeSettings,
+    given: Option<Configuration>,
+    newest: Option<&Configuration>,
+) -> Result<AcceptRequest, Failure> {
+    let workspace = given
+        .as_ref()
+        .or(newest)
+        .map(|known| known.workspace.clone());
+    let workspace = workspace.ok_or(Failure::NothingAccepted)?;
+    let content = match (source, given) {
+        (AcceptSource::Generation(generation), _) => AcceptContent::Restored(*generation),
+        (AcceptSource::Files(_), Some(given)) => AcceptContent::Given(Box::new(given)),
+        (AcceptSource::Files(_), None) => unreachable!("files were checked"),
+    };
+    Ok(AcceptRequest {
+        workspace,
+        seen: change.seen.unwrap_or_else(|| diff::generation_of(newest)),
+        token: change.token,
+        who: change.who.clone(),
+        why: change.why.clone(),
+        now_unix_ms: 0,
+        content,
+    })
+}
+
+/// Asks until the outcome is known; a repeat with the same token is harmless.
+fn ask(request: &AcceptRequest, keeper: SocketAddr) -> Result<AcceptOutcome, ControlError> {
+    let client = ControlClient::new(diff::KEEPER_TIMEOUT);
+    let try_once = || client.call_json(keeper, "/operator/accept", request);
+    let mut last = try_once();
+    for _ in 1..MAX_TRIES {
+        match last {
+            Err(ControlError::NotReached { .. }) | Ok(AcceptOutcome::Unknown) => last = try_once(),
+            _ => return last,
+        }
+    }
+    last
+}
+
+fn answer(request: &AcceptRequest, outcome: Result<AcceptOutcome, ControlError>) -> Answer {
+    match outcome {
+        Ok(AcceptOutcome::Unknown) => unknown(request, &AcceptOutcome::Unknown.to_string()),
+        Ok(outcome) => Answer::new(code(&outcome), outcome.to_string(), &outcome),
+        Err(ControlError::NotReached { found }) => unknown(request, &found),
+        Err(error) => Failure::from(error).answer(),
+    }
+}
+
+/// Tells how to ask again for an accept whose fate is not known.
+fn unknown(request: &AcceptRequest, found: &str) -> Answer {
+    let text = format!(
+        "{found}\nthe accept may have taken effect; to learn its fate, repeat the command with \
+         --seen {} --token {}",
+        request.seen, request.token
+    );
+    Answer::failed(Code::NotReachable, text)
+}
+
+fn code(outcome: &AcceptOutcome) -> Code {
+    match outcome {
+        AcceptOutcome::Accepted { .. } | AcceptOutcome::Unchanged { .. } => Code::Done,
+        AcceptOutcome::Conflict { .. } => Code::Conflict,
+        AcceptOutcome::NoSuchGeneration { .. } | AcceptOutcome::Malformed { .. } => Code::Failed,
+        AcceptOutcome::Unavailable | AcceptOutcome::Unknown => Code::NotReachable,
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-cli/src/execution/check.rs
@@ -0,0 +1,44 @@
+use std::path::Path;
+
+use cornelpoint::document::Source;
+use cornelpoint::template;
+use serde_json::json;
+
+use super::failure::Failure;
+use super::files;
+use crate::command_line::Files;
+use crate::output::Answer;
+use crate::output::Code;
+
+/// Checks a template.
+pub(super) fn template(file: &Path) -> Result<Answer, Failure> {
+    let text = files::read(file)?;
+    let name = file.display().to_string();
+    let template = template::check(Source {
+        file: &name,
+        text: &text,
+    })?;
+    let text = format!(
+        "template {}: nothing wrong, {} parameters",
+        template.name,
+        template.parameters.len()
+    );
+    Ok(Answer::new(Code::Done, text, &json!({ "findings": [] })))
+}
+
+/// Checks a template and a workspace.
+pub(super) fn workspace(files: &Files) -> Result<Answer, Failure> {
+    let configuration = files::check(files)?;
+    let endpoints: usize = configuration
+        .pools
+        .iter()
+        .map(|pool| pool.endpoints.len())
+        .sum();
+    let text = format!(
+        "workspace {}: nothing wrong, {} services, {} pools, {endpoints} endpoints",
+        configuration.workspace,
+        configuration.services.len(),
+        configuration.pools.len(),
+    );
+    Ok(Answer::new(Code::Done, text, &json!({ "findings": [] })))
+}
--- /dev/null
+++ b/crates/cornelpoint-cli/src/execution/dump.rs
@@ -0,0 +1,16 @@
+use std::net::SocketAddr;
+
+use cornelpoint_daemon::control::ControlClient;
+use serde_json::Value;
+
+use super::diff::KEEPER_TIMEOUT;
+use super::failure::Failure;
+use crate::output::Answer;
+use crate::output::Code;
+
+/// Prints all that a process knows.
+pub(super) fn run(process: SocketAddr) -> Result<Answer, Failure> {
+    let client = ControlClient::new(KEEPER_TIMEOUT);
+    let dump: Value = client.get_json(process, "/dump")?;
+    Ok(Answer::new(Code::Done, format!("{dump:#}"), &dump))
+}
--- /dev/null
+++ b/crates/cornelpoint-cli/src/execution/mod.rs
@@ -0,0 +1,42 @@
+//! Carrying out a command, one file for each kind.
+
+mod accept;
+mod check;
+mod completions;
+mod diff;
+mod dump;
+mod failure;
+mod files;
+mod history;
+mod mark;
+mod status;
+
+use crate::output::Answer;
+use crate::settings::Action;
+use crate::settings::Settings;
+
+/// Carries out a command.
+#[must_use]
+pub fn run(settings: &Settings) -> Answer {
+    let answer = match &settings.action {
+        Action::CheckTemplate { file } => check::template(file),
+        Action::CheckWorkspace { files } => check::workspace(files),
+        Action::Diff { files, keeper } => diff::run(files, *keeper),
+        Action::Accept {
+            source,
+            change,
+            keeper,
+        } => accept::run(source, change, *keeper),
+        Action::History { keeper } => history::run(*keeper),
+        Action::Status { keeper } => status::run(*keeper),
+        Action::Dump { process } => dump::run(*process),
+        Action::Mark {
+            instance,
+            accepts_work,
+            keeper,
+        } => mark::run(instance, *accepts_work, *keeper),
+        Action::Completions { shell } => Ok(completions::run(*shell)),
+        Action::Demo => Ok(Answer::new(crate::output::Code::Done, "", &())),
+    };
+    answer.unwrap_or_else(|failure| failure.answer())
+}
--- a/crates/cornelpoint-cli/src/main.rs
+++ b/crates/cornelpoint-cli/src/main.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    cornelpoint_cli::demo::run_from_arguments()
+    cornelpoint_cli::run()
 }
--- /dev/null
+++ b/crates/cornelpoint-cli/src/run.rs
@@ -0,0 +1,26 @@
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use crate::command_line::Command;
+use crate::command_line::CommandLine;
+use crate::demo;
+use crate::execution;
+use crate::output::Answer;
+use crate::output::Printer;
+use crate::settings::Environment;
+use crate::settings::Settings;
+
+/// Runs the program as its arguments and environment say.
+#[must_use]
+pub fn run() -> ExitCode {
+    let command_line = CommandLine::parse();
+    if let Command::Demo(arguments) = &command_line.command {
+        return demo::run(arguments);
+    }
+    let printer = Printer::for_terminal(command_line.json);
+    match Settings::new(command_line, &Environment::of_process()) {
+        Ok(settings) => printer.print(&execution::run(&settings)),
+        Err(error) => printer.print(&Answer::usage(&error)),
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-cli/src/settings/mod.rs
@@ -0,0 +1,14 @@
+//! What the command line means, once checked.
+
+mod action;
+mod environment;
+#[expect(clippy::module_inception, reason = "the type gives the part its name")]
+mod settings;
+mod usage_error;
+
+pub use self::action::AcceptSource;
+pub use self::action::Action;
+pub use self::action::ChangeSettings;
+pub use self::environment::Environment;
+pub use self::settings::Settings;
+pub use self::usage_error::UsageError;
--- /dev/null
+++ b/crates/cornelpoint-cli/tests/command_line.rs
@@ -0,0 +1,299 @@
+//! What the command line answers: offline, and with one keeper and the platform's stand-in.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use clap::CommandFactory;
+use clap::Parser;
+use cornelpoint::name::AvailabilityZone;
+use cornelpoint::name::InstanceId;
+use cornelpoint::name::WorkspaceName;
+use cornelpoint_cli::command_line::CommandLine;
+use cornelpoint_cli::execution;
+use cornelpoint_cli::output::Answer;
+use cornelpoint_cli::output::Code;
+use cornelpoint_cli::settings::Environment;
+use cornelpoint_cli::settings::Settings;
+use cornelpoint_daemon::keeper::Keeper;
+use cornelpoint_daemon::settings::KeeperSettings;
+use cornelpoint_standin::platform::PlatformFaults;
+use cornelpoint_standin::platform::PlatformSettings;
+use cornelpoint_standin::platform::PlatformStandIn;
+use expect_test::expect;
+use slog::Discard;
+use slog::Logger;
+use slog::o;
+
+const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
+
+fn examples() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples")
+}
+
+/// Runs a command in the examples' folder; `FOLDER/` stands for it in the answer.
+fn answer(line: &str, environment: &Environment) -> Answer {
+    let folder = format!("{}/", examples().display());
+    let arguments = line
+        .split_whitespace()
+        .map(|word| word.replace("FOLDER/", &folder));
+    let command_line = CommandLine::parse_from(arguments);
+    let mut answer = match Settings::new(command_line, environment) {
+        Ok(settings) => execution::run(&settings),
+        Err(error) => Answer::usage(&error),
+    };
+    answer.text = answer.text.replace(&folder, "FOLDER/");
+    answer
+}
+
+fn report(lines: &[&str], environment: &Environment) -> String {
+    let mut report = String::new();
+    for line in lines {
+        let answer = answer(line, environment);
+        writeln!(report, "$ {line}\n{}\n[{:?}]", answer.text, answer.code).unwrap();
+    }
+    report
+}
+
+#[test]
+fn the_arguments_are_well_formed() {
+    CommandLine::command().debug_assert();
+}
+
+#[test]
+fn files_are_checked_without_a_keeper() {
+    let report = report(
+        &[
+            "cornelpoint template check FOLDER/futopalya.template.json",
+            "cornelpoint workspace check FOLDER/kandy.template.json FOLDER/lk-west.workspace.json",
+            "cornelpoint workspace check FOLDER/kandy.template.json FOLDER/none.json",
+            "cornelpoint template check FOLDER/lk-west.workspace.json",
+        ],
+        &Environment::default(),
+    );
+    expect![[r"
+        $ cornelpoint template check FOLDER/futopalya.template.json
+        template futopalya: nothing wrong, 7 parameters
+        [Done]
+        $ cornelpoint workspace check FOLDER/kandy.template.json FOLDER/lk-west.workspace.json
+        workspace lk-west: nothing wrong, 5 services, 5 pools, 50 endpoints
+        [Done]
+        $ cornelpoint workspace check FOLDER/kandy.template.json FOLDER/none.json
+        expected a readable file FOLDER/none.json, found: No such file or directory (os error 2)
+        [Failed]
+        $ cornelpoint template check FOLDER/lk-west.workspace.json
+        FOLDER/lk-west.workspace.json:1:1: services: expected a value, found none
+        FOLDER/lk-west.workspace.json:1:1: pools: expected a value, found none
+        FOLDER/lk-west.workspace.json:3:18: workspace: expected field: one of template, parameters, services, pools, spare_pool, found `workspace`
+        FOLDER/lk-west.workspace.json:8:28: parameters.desk_peak_per_s: expected an object, found 300
+        FOLDER/lk-west.workspace.json:8:28: parameters.desk_peak_per_s: expected a reference to the parameter, found none
+        FOLDER/lk-west.workspace.json:9:30: parameters.ledger_peak_per_s: expected an object, found 600
+        FOLDER/lk-west.workspace.json:9:30: parameters.ledger_peak_per_s: expected a reference to the parameter, found none
+        FOLDER/lk-west.workspace.json:12:27: availability_zones: expected field: one of template, parameters, services, pools, spare_pool, found `availability_zones`
+        FOLDER/lk-west.workspace.json:15:18: endpoints: expected field: one of template, parameters, services, pools, spare_pool, found `endpoints`
+        9 found
+        [Findings]
+    "]].assert_eq(&report);
+}
+
+#[test]
+fn what_a_command_lacks_is_named() {
+    let report = report(
+        &[
+            "cornelpoint status",
+            "cornelpoint drain Quoting --keeper 127.0.0.1:1",
+            "cornelpoint workspace rollback 1 --why late --keeper 127.0.0.1:1",
+            "cornelpoint workspace rollback 1 --why late --who nimal --seen 1 --token x --keeper 127.0.0.1:1",
+        ],
+        &Environment::default(),
+    );
+    expect![[r"
+        $ cornelpoint status
+        expected --keeper ADDRESS or CORNELPOINT_KEEPER, found neither
+        [Usage]
+        $ cornelpoint drain Quoting --keeper 127.0.0.1:1
+        expected the name of an instance, found `Quoting`
+        [Usage]
+        $ cornelpoint workspace rollback 1 --why late --keeper 127.0.0.1:1
+        expected --who NAME, CORNELPOINT_OPERATOR or USER, found none
+        [Usage]
+        $ cornelpoint workspace rollback 1 --why late --who nimal --seen 1 --token x --keeper 127.0.0.1:1
+        expected a token of 16 hexadecimal digits, found `x`
+        [Usage]
+    "]].assert_eq(&report);
+}
+
+#[test]
+fn a_mistyped_command_gets_a_suggestion() {
+    let error = CommandLine::try_parse_from(["cornelpoint", "workspace", "acept"]).unwrap_err();
+    expect![[r"
+        error: unrecognized subcommand 'acept'
+
+          tip: a similar subcommand exists: 'accept'
+
+        Usage: cornelpoint workspace [OPTIONS] <COMMAND>
+
+        For more information, try '--help'.
+    "]]
+    .assert_eq(&error.to_string());
+}
+
+struct Site {
+    platform: PlatformStandIn,
+    keeper: Keeper,
+}
+
+impl Site {
+    fn start() -> Self {
+        let platform = PlatformStandIn::start(&PlatformSettings::default()).unwrap();
+        let listen = SocketAddr::from(LOOPBACK);
+        let settings = KeeperSettings {
+            instance: InstanceId::try_from("entry-1").unwrap(),
+            availability_zone: AvailabilityZone::try_from("lk-west-a").unwrap(),
+            workspace: WorkspaceName::try_from("lk-west").unwrap(),
+            listen,
+            gossip_listen: listen,
+            seeds: Vec::new(),
+            platform: platform.address(),
+            platform_timeout_ms: 2_000,
+            platform_poll_ms: 100,
+            sync_interval_ms: 100,
+            slot_lease_ms: 1_000,
+            control_threads: 4,
+        };
+        let keeper = Keeper::start(&settings, Logger::root(Discard, o!())).unwrap();
+        Self { platform, keeper }
+    }
+
+    fn environment(&self, operator: &str, random: u64) -> Environment {
+        Environment {
+            keeper: Some(self.keeper.address().to_string()),
+            operator: Some(operator.to_owned()),
+            random,
+        }
+    }
+
+    fn stop(self) {
+        self.keeper.kill();
+        self.platform.stop();
+    }
+}
+
+#[test]
+fn operators_accept_and_roll_back() {
+    let site = Site::start();
+    let files = "FOLDER/kandy.template.json FOLDER/lk-west.workspace.json";
+    let mut report_text = String::new();
+    for (operator, random, line) in [
+        ("nimal", 1, format!("cornelpoint workspace diff {files}")),
+        (
+            "nimal",
+            2,
+            format!("cornelpoint workspace accept {files} --why first"),
+        ),
+        (
+            "nimal",
+            3,
+            format!("cornelpoint workspace accept {files} --why first --seen 0 --token 2"),
+        ),
+        (
+            "kamala",
+            4,
+            format!("cornelpoint workspace accept {files} --why late --seen 0"),
+        ),
+        (
+            "kamala",
+            5,
+            format!("cornelpoint workspace accept {files} --why again"),
+        ),
+        ("kamala", 6, format!("cornelpoint workspace diff {files}")),
+        (
+            "kamala",
+            7,
+            "cornelpoint workspace rollback 9 --why oops".to_owned(),
+        ),
+        (
+            "kamala",
+            8,
+            "cornelpoint workspace rollback 1 --why oops".to_owned(),
+        ),
+        ("kamala", 9, "cornelpoint drain galle-1".to_owned()),
+        ("kamala", 10, "cornelpoint undrain galle-1".to_owned()),
+    ] {
+        let environment = site.environment(operator, random);
+        let first_lines: Vec<String> = report(&[&line], &environment)
+            .lines()
+            .filter(|line| !line.starts_with("  ") && !line.starts_with("endpoint"))
+            .map(str::to_owned)
+            .collect();
+        writeln!(report_text, "{operator} {}", first_lines.join("\n")).unwrap();
+    }
+    let history = answer(
+        "cornelpoint workspace history",
+        &site.environment("nimal", 11),
+    );
+    let status = answer("cornelpoint status", &site.environment("nimal", 12));
+    site.stop();
+    expect![[r"
+        nimal $ cornelpoint workspace diff FOLDER/kandy.template.json FOLDER/lk-west.workspace.json
+        spare_pool: none -> ledger
+        service galle: added
+        service jaffna: added
+        service kandy: added
+        service ledger: added
+        service negombo: added
+        pool galle: added
+        pool jaffna: added
+        pool negombo: added
+        pool kandy: added
+        pool ledger: added
+        61 changes from generation 0
+        [Done]
+        nimal $ cornelpoint workspace accept FOLDER/kandy.template.json FOLDER/lk-west.workspace.json --why first
+        accepted as generation 1
+        [Done]
+        nimal $ cornelpoint workspace accept FOLDER/kandy.template.json FOLDER/lk-west.workspace.json --why first --seen 0 --token 2
+        accepted as generation 1
+        [Done]
+        kamala $ cornelpoint workspace accept FOLDER/kandy.template.json FOLDER/lk-west.workspace.json --why late --seen 0
+        conflict: expected generation 0, found 1, accepted by nimal: first
+        [Conflict]
+        kamala $ cornelpoint workspace accept FOLDER/kandy.template.json FOLDER/lk-west.workspace.json --why again
+        unchanged: already in force as generation 1
+        [Done]
+        kamala $ cornelpoint workspace diff FOLDER/kandy.template.json FOLDER/lk-west.workspace.json
+        nothing changes from generation 1
+        [Done]
+        kamala $ cornelpoint workspace rollback 9 --why oops
+        expected an accepted generation, found none numbered 9
+        [Failed]
+        kamala $ cornelpoint workspace rollback 1 --why oops
+        unchanged: already in force as generation 1
+        [Done]
+        kamala $ cornelpoint drain galle-1
+        galle-1 takes no new work
+        [Done]
+        kamala $ cornelpoint undrain galle-1
+        galle-1 takes new work
+        [Done]
+    "]].assert_eq(&report_text);
+    assert_eq!(history.data.as_array().map(Vec::len), Some(1));
+    assert_eq!(history.data[0]["who"], "nimal");
+    assert_eq!(status.data["newest_known"], 1);
+}
+
+#[test]
+fn without_the_platform_nothing_is_accepted() {
+    let site = Site::start();
+    site.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    let environment = site.environment("nimal", 1);
+    let line = "cornelpoint workspace accept FOLDER/kandy.template.json \
+                FOLDER/lk-west.workspace.json --why first";
+    let answer = answer(line, &environment);
+    site.stop();
+    assert_eq!(answer.code, Code::NotReachable);
+}
