--- a/crates/cornelpoint-cli/src/demo/steps.rs
+++ b/crates/cornelpoint-cli/src/demo/steps.rs
@@ -5,9 +5,9 @@
 use cornelpoint::configuration::Configuration;
 use cornelpoint::configuration::Generation;
 use cornelpoint::name::InstanceId;
+use cornelpoint_standin::clock::now_ms;
 use cornelpoint_standin::platform::PlatformFaults;
 
-use super::WORK_MS;
 use super::check::Check;
 use super::demo_arguments::DemoArguments;
 use super::judge;
@@ -26,6 +26,8 @@
 const LEAVING_TARGET_MS: u64 = 2_000;
 /// Longest wait for a drain.
 const DRAIN_LIMIT: Duration = Duration::from_secs(15);
+/// Time after the first configuration in which holders of slots take over.
+const WARM_UP: Duration = Duration::from_millis(1_500);
 /// Share of what the slots can do that a surge must still get, in percent.
 const GOODPUT_TARGET_PERCENT: f64 = 99.0;
 /// Mean demand of a service, in requests a second; a quarter of its slots.
@@ -36,14 +38,16 @@
 const LULL_DIVISOR: f64 = 20.0;
 /// Deadline of the demo's requests, in milliseconds.
 const DEADLINE_MS: u64 = 1_000;
+/// Longest deadline that the demo's configuration allows, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 2_000;
 /// Share of requests that are not idempotent, in percent.
 const POST_PERCENT: u32 = 40;
 /// Length of one service's surge.
-const SURGE: Duration = Duration::from_secs(3);
+const SURGE: Duration = Duration::from_millis(2_500);
 /// Time in which a surge fills the slots, in milliseconds.
 const SURGE_ONSET_MS: u64 = 1_000;
 /// Length of a stretch of steady traffic.
-const STRETCH: Duration = Duration::from_secs(4);
+const STRETCH: Duration = Duration::from_secs(3);
 /// Time from the start of a stretch to what happens in it.
 const LEAD: Duration = Duration::from_millis(700);
 /// Time in which the demo's balancer notices a failed health check.
@@ -72,7 +76,7 @@
 
 impl Steps<'_> {
     fn run_all(&mut self, fleet: &mut Fleet) -> Result<(), FleetError> {
-        let first = fleet.configuration.clone();
+        let first = shortened(&fleet.configuration);
         let generation = self.accept(fleet, &first)?;
         self.serve(fleet);
         self.surges(fleet);
@@ -98,6 +102,7 @@
             IN_FORCE_TARGET_S,
             " s",
         ));
+        thread::sleep(WARM_UP);
         Ok(generation)
     }
 
@@ -124,18 +129,13 @@
             let service = stream.service.clone();
             self.report
                 .progress(&format!("{service} surges to five times its mean"));
-            let begin_ms = self.traffic.now_ms();
+            let begin_ms = now_ms();
             self.traffic.run(&streams, &fleet.gateways(), SURGE);
-            let end_ms = self.traffic.now_ms();
+            let end_ms = now_ms();
             thread::sleep(Duration::from_millis(DEADLINE_MS));
             let outcomes = self.since(begin_ms);
-            let percent = judge::goodput_percent(
-                &outcomes,
-                &service,
-                begin_ms + SURGE_ONSET_MS..end_ms,
-                judge::slots_of(&fleet.configuration, &service),
-                WORK_MS,
-            );
+            let window_ms = begin_ms + SURGE_ONSET_MS..end_ms;
+            let percent = judge::goodput_percent(fleet, &outcomes, &service, &window_ms);
             worst_percent = worst_percent.min(percent);
             lulls.extend(outcomes.into_iter().filter(|o| o.service != service));
         }
@@ -155,7 +155,7 @@
         self.report
             .progress(&format!("{instance} is drained under load"));
         let (outcomes, drained) = self.stretch(fleet, || -> Result<_, FleetError> {
-            let told_ms = cornelpoint_standin::clock::now_ms();
+            let told_ms = now_ms();
             fleet.drain(&instance)?;
             let took = fleet.wait_drained(&instance, DRAIN_LIMIT)?;
             Ok((told_ms, took))
@@ -176,7 +176,7 @@
             " s",
         ));
         fleet.undrain(&instance)?;
-        let back_ms = cornelpoint_standin::clock::now_ms();
+        let back_ms = now_ms();
         let outcomes = self.stretch(fleet, || ()).0;
         self.add_all_answered("traffic answered after the return", &outcomes);
         let runs = judge::runs_after(fleet, &instance, back_ms);
@@ -266,7 +266,7 @@
         };
         let mut all = fleet.gateways();
         all.extend(entry.caller_address());
-        let begin_ms = self.traffic.now_ms();
+        let begin_ms = now_ms();
         let streams = streams(&fleet.configuration, |_| MEAN_PER_S);
         self.traffic.run(&streams, &all, LEAD);
         let gateway = entry.gateway.take();
@@ -293,7 +293,7 @@
         fleet: &Fleet,
         happening: impl FnOnce() -> A + Send,
     ) -> (Vec<Outcome>, A) {
-        let begin_ms = self.traffic.now_ms();
+        let begin_ms = now_ms();
         let streams = streams(&fleet.configuration, |_| MEAN_PER_S);
         let gateways: Vec<SocketAddr> = fleet.gateways();
         let traffic = &mut self.traffic;
@@ -348,6 +348,17 @@
         .collect()
 }
 
+/// The deployment's configuration with shorter longest deadlines: a drain is
+/// vouched for only when a request started before it must be over.
+fn shortened(configuration: &Configuration) -> Configuration {
+    let mut shortened = configuration.clone();
+    for service in &mut shortened.services {
+        service.max_deadline_ms = service.max_deadline_ms.min(MAX_DEADLINE_MS);
+        service.deadline_ms = service.deadline_ms.min(MAX_DEADLINE_MS);
+    }
+    shortened
+}
+
 fn first_endpoint(configuration: &Configuration) -> Option<InstanceId> {
     let pool = configuration.pools.first()?;
     pool.endpoints
