--- a/crates/cornelpoint-daemon/src/keeper/platform_watch.rs
+++ b/crates/cornelpoint-daemon/src/keeper/platform_watch.rs
@@ -124,10 +124,8 @@
         let rows = self
             .platform
             .read(&[body_key(&self.workspace, head.generation)])?;
-        rows.first()
-            .map(decode_body)
-            .transpose()
-            .map_err(|error| malformed(&error))
+        let body = rows.first().map(decode_body).transpose();
+        body.map_err(|error| malformed(&error))
     }
 
     /// Waits one interval, longer after failures.
--- a/crates/cornelpoint/src/ejection/evidence.rs
+++ b/crates/cornelpoint/src/ejection/evidence.rs
@@ -1,12 +1,13 @@
 use std::collections::VecDeque;
 
+use super::latency_estimate::Latencies;
 use super::limits::FAILED_PERCENT;
 use super::limits::FAILURES_IN_A_ROW;
 use super::limits::FAILURES_ON_PROBATION;
 use super::limits::GOOD_IN_A_ROW;
 use super::limits::HANG_FACTOR;
+use super::limits::HANG_LONG_PERCENT;
 use super::limits::HANG_MIN_MS;
-use super::limits::HANGING_REQUESTS;
 use super::limits::HUNDRED_PERCENT;
 use super::limits::REMEMBERED_IN_FLIGHT;
 use super::limits::REMEMBERED_OUTCOMES;
@@ -30,26 +31,29 @@
 /// Latencies beyond which a request counts as slow or as hanging.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct LatencyLimits {
-    typical_us: Option<u64>,
+    pool: Option<Latencies>,
 }
 
 impl LatencyLimits {
-    /// Limits for a pool with this typical latency, in microseconds.
-    pub(super) fn new(typical_us: Option<u64>) -> Self {
-        Self { typical_us }
+    /// Limits for a pool with these latencies.
+    pub(super) fn new(pool: Option<Latencies>) -> Self {
+        Self { pool }
     }
 
     pub(super) fn is_slow(&self, latency_ms: u64) -> bool {
-        self.typical_us.is_some_and(|typical_us| {
-            let limit_us = (typical_us * SLOW_FACTOR).max(typical_us + SLOW_MARGIN_US);
+        self.pool.is_some_and(|pool| {
+            let by_factor_us = pool.typical_us * SLOW_FACTOR;
+            let limit_us = by_factor_us.max(pool.typical_us + SLOW_MARGIN_US);
             latency_ms * US_PER_MS > limit_us
         })
     }
 
     pub(super) fn is_hanging(&self, latency_ms: u64) -> bool {
-        self.typical_us.is_some_and(|typical_us| {
-            let limit_ms = (typical_us * HANG_FACTOR / US_PER_MS).max(HANG_MIN_MS);
-            latency_ms > limit_ms
+        self.pool.is_some_and(|pool| {
+            let by_factor_us = pool.typical_us * HANG_FACTOR;
+            let by_long_us = pool.long_us * HANG_LONG_PERCENT / HUNDRED_PERCENT as u64;
+            let limit_ms = by_factor_us.max(by_long_us) / US_PER_MS;
+            latency_ms > limit_ms.max(HANG_MIN_MS)
         })
     }
 }
@@ -115,6 +119,22 @@
         self.fails() || self.hangs(limits, now_ms) || self.is_slow(limits, now_ms)
     }
 
+    /// Whether the latest outcome is bad, or a request has run for half of the
+    /// time after which it hangs and none has ended well since it started.
+    pub(super) fn looks_bad(&self, limits: &LatencyLimits, now_ms: u64) -> bool {
+        let is_latest_bad = self.marks.back().is_some_and(|mark| *mark != Mark::Good);
+        let age_ms = self.age_without_good_ms(now_ms);
+        is_latest_bad || age_ms.is_some_and(|age_ms| limits.is_hanging(age_ms * 2))
+    }
+
+    /// Age of the oldest running request, if none has ended well since it
+    /// started.
+    fn age_without_good_ms(&self, now_ms: u64) -> Option<u64> {
+        let oldest_ms = *self.in_flight_ms.iter().min()?;
+        let good_since = self.last_good_ms.is_some_and(|good| good > oldest_ms);
+        (!good_since).then(|| now_ms.saturating_sub(oldest_ms))
+    }
+
     fn fails(&self) -> bool {
         let needed = if self.on_probation {
             FAILURES_ON_PROBATION
@@ -130,13 +150,8 @@
     }
 
     fn hangs(&self, limits: &LatencyLimits, now_ms: u64) -> bool {
-        let is_hanging = |started: &&u64| limits.is_hanging(now_ms.saturating_sub(**started));
-        let hanging = self.in_flight_ms.iter().filter(is_hanging).count();
-        let Some(oldest_ms) = self.in_flight_ms.iter().min() else {
-            return false;
-        };
-        let good_since = self.last_good_ms.is_some_and(|good| good > *oldest_ms);
-        hanging >= HANGING_REQUESTS && !good_since
+        let age_ms = self.age_without_good_ms(now_ms);
+        age_ms.is_some_and(|age_ms| limits.is_hanging(age_ms))
     }
 
     /// Judges the latest requests, those that run too long being the latest
