Add cornelpoint load, an open-loop load generator

Cause: nothing could put a set rate of requests on gateways and count how each ended.

Change: 'cornelpoint load' sends Poisson streams at scheduled times (flat, surge, turns; method mix, keys, deadlines), seeded and bounded in threads. Times count from when a request was due; the generator's own lag is shown beside them. Endings are counted as answered, refused or unknown with their reasons, and connection lost.

--- a/crates/cornelpoint-cli/src/command_line/command.rs
+++ b/crates/cornelpoint-cli/src/command_line/command.rs
@@ -8,6 +8,7 @@
 use super::template_command::TemplateCommand;
 use super::workspace_command::WorkspaceCommand;
 use crate::demo::DemoArguments;
+use crate::load::LoadArguments;
 
 /// What to do.
 #[derive(Clone, Debug, Subcommand)]
@@ -33,6 +34,8 @@
     },
     /// Run a deployment in one process and check what it promises.
     Demo(DemoArguments),
+    /// Send load to gateways and tell how it ended.
+    Load(LoadArguments),
 }
 
 /// Which process to dump.
--- a/crates/cornelpoint-cli/src/lib.rs
+++ b/crates/cornelpoint-cli/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod execution;
 pub mod fleet;
+pub mod load;
 pub mod output;
 pub mod settings;
 
--- /dev/null
+++ b/crates/cornelpoint-cli/src/load/load_report.rs
@@ -0,0 +1,110 @@
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::ending::Ending;
+use super::shape::Shape;
+use super::times::Percentiles;
+use super::times::Times;
+
+/// Requests that ended alike.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct EndingCount {
+    /// The ending.
+    pub ending: Ending,
+    /// Number of requests.
+    pub requests: u64,
+}
+
+/// What became of a load.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct LoadReport {
+    /// Seed of the schedule.
+    pub seed: u64,
+    /// Shape of the demand.
+    pub shape: Shape,
+    /// Requests that were due.
+    pub requests: u64,
+    /// Endings, each with its number.
+    pub endings: Vec<EndingCount>,
+    /// Times of answered requests, from when they were due.
+    pub answered: Percentiles,
+    /// Times of all other requests, from when they were due.
+    pub unanswered: Percentiles,
+    /// How long after they were due requests were sent: the load generator's
+    /// own lag.
+    pub lag: Percentiles,
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "seed       {}", self.seed)?;
+        writeln!(formatter, "requests   {}", self.requests)?;
+        for count in &self.endings {
+            writeln!(formatter, "{:>10} {}", count.requests, count.ending)?;
+        }
+        writeln!(formatter, "answered   {}", self.answered)?;
+        writeln!(formatter, "unanswered {}", self.unanswered)?;
+        writeln!(formatter, "send lag   {}", self.lag)
+    }
+}
+
+/// Counts and times of one sender, or of all.
+#[derive(Clone, Debug)]
+pub(super) struct Tally {
+    endings: BTreeMap<Ending, u64>,
+    answered: Times,
+    unanswered: Times,
+    lag: Times,
+}
+
+impl Tally {
+    /// Nothing yet.
+    pub(super) fn new() -> Self {
+        Self {
+            endings: BTreeMap::new(),
+            answered: Times::new(),
+            unanswered: Times::new(),
+            lag: Times::new(),
+        }
+    }
+
+    /// Adds a request by its times from when it was due.
+    pub(super) fn record(&mut self, ending: Ending, lag: Duration, time: Duration) {
+        match ending {
+            Ending::Answered { .. } => self.answered.record(time),
+            _ => self.unanswered.record(time),
+        }
+        self.lag.record(lag);
+        *self.endings.entry(ending).or_default() += 1;
+    }
+
+    /// Adds another sender's tally.
+    pub(super) fn add(&mut self, other: Self) {
+        self.answered.add(&other.answered);
+        self.unanswered.add(&other.unanswered);
+        self.lag.add(&other.lag);
+        for (ending, requests) in other.endings {
+            *self.endings.entry(ending).or_default() += requests;
+        }
+    }
+
+    /// The report of a load.
+    pub(super) fn into_report(self, seed: u64, shape: Shape) -> LoadReport {
+        LoadReport {
+            seed,
+            shape,
+            requests: self.endings.values().sum(),
+            endings: self
+                .endings
+                .into_iter()
+                .map(|(ending, requests)| EndingCount { ending, requests })
+                .collect(),
+            answered: self.answered.percentiles(),
+            unanswered: self.unanswered.percentiles(),
+            lag: self.lag.percentiles(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-cli/src/load/mod.rs
@@ -0,0 +1,43 @@
+//! The load generator: requests at scheduled times, whatever the answers.
+//!
+//! The schedule follows from the seed alone. A time is counted from when a
+//! request was due, so that a slow answer is also charged to the requests that
+//! had to wait for a free sender (coordinated omission).
+
+mod ending;
+mod load_arguments;
+mod load_report;
+mod planned_request;
+mod schedule;
+mod sender;
+mod shape;
+mod times;
+
+use std::process::ExitCode;
+
+pub use self::ending::Ending;
+pub use self::load_arguments::LoadArguments;
+pub use self::load_report::EndingCount;
+pub use self::load_report::LoadReport;
+pub use self::planned_request::PlannedRequest;
+pub use self::schedule::Schedule;
+pub use self::shape::Shape;
+pub use self::times::Percentiles;
+
+/// Sends the load and prints its report.
+///
+/// The exit code says that the report was made, not that all was answered.
+#[must_use]
+pub fn run(arguments: &LoadArguments, json: bool) -> ExitCode {
+    eprintln!("seed {}", arguments.seed);
+    let report = sender::send_all(arguments);
+    if json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&report).unwrap_or_default()
+        );
+    } else {
+        print!("{report}");
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/cornelpoint-cli/src/load/sender.rs
@@ -0,0 +1,144 @@
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use cornelpoint::request::Method;
+use cornelpoint::request::Refusal;
+use cornelpoint::request::RunState;
+use ureq::Agent;
+use ureq::Body;
+use ureq::Error;
+use ureq::http::Response;
+
+use super::ending::Ending;
+use super::load_arguments::LoadArguments;
+use super::load_report::LoadReport;
+use super::load_report::Tally;
+use super::planned_request::PlannedRequest;
+use super::schedule::Schedule;
+
+/// Time that a sender waits for an answer after the deadline.
+const GRACE: Duration = Duration::from_secs(2);
+/// Age at which a sender closes an idle connection, below the gateway's.
+const MAX_IDLE: Duration = Duration::from_secs(5);
+/// Stack of a sender's thread, in bytes.
+const STACK_BYTES: usize = 256 * 1024;
+/// Buffers of a sender's connection, each, in bytes.
+const BUFFER_BYTES: usize = 16 * 1024;
+/// Largest answer that is taken, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+
+/// Sends a load and waits for all its answers.
+pub(super) fn send_all(load: &LoadArguments) -> LoadReport {
+    // A due request that finds all senders busy waits here and is late.
+    let (jobs, ring) = sync_channel(0);
+    let ring = Mutex::new(ring);
+    let mut tally = Tally::new();
+    let start = Instant::now();
+    thread::scope(|scope| {
+        let senders: Vec<_> = (0..load.senders)
+            .filter_map(|_| {
+                let builder = thread::Builder::new().stack_size(STACK_BYTES);
+                let sender = builder.spawn_scoped(scope, || send_jobs(load, start, &ring));
+                sender.ok()
+            })
+            .collect();
+        for planned in Schedule::new(load) {
+            let due = start + planned.due;
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+            if senders.is_empty() || jobs.send(planned).is_err() {
+                break;
+            }
+        }
+        drop(jobs);
+        for sender in senders {
+            if let Ok(own) = sender.join() {
+                tally.add(own);
+            }
+        }
+    });
+    tally.into_report(load.seed, load.shape)
+}
+
+fn send_jobs(
+    load: &LoadArguments,
+    start: Instant,
+    ring: &Mutex<Receiver<PlannedRequest>>,
+) -> Tally {
+    let agent = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .max_idle_age(MAX_IDLE)
+        .input_buffer_size(BUFFER_BYTES)
+        .output_buffer_size(BUFFER_BYTES)
+        .timeout_global(Some(Duration::from_millis(load.deadline_ms) + GRACE))
+        .build()
+        .new_agent();
+    let body = vec![b'x'; load.body_bytes];
+    let mut tally = Tally::new();
+    loop {
+        let job = ring.lock().unwrap_or_else(PoisonError::into_inner).recv();
+        let Ok(planned) = job else {
+            return tally;
+        };
+        let due = start + planned.due;
+        let lag = due.elapsed();
+        let ending = match send(&agent, load, &planned, &body) {
+            Ok(answer) => judge(answer),
+            Err(_) => Ending::Lost,
+        };
+        tally.record(ending, lag, due.elapsed());
+    }
+}
+
+fn send(
+    agent: &Agent,
+    load: &LoadArguments,
+    planned: &PlannedRequest,
+    body: &[u8],
+) -> Result<Response<Body>, Error> {
+    let gateway = load.gateways[planned.gateway];
+    let url = format!(
+        "http://{gateway}/{}/load/{}",
+        planned.service, planned.number
+    );
+    let deadline_ms = load.deadline_ms.to_string();
+    if planned.method == Method::Get {
+        let request = agent.get(&url);
+        return request
+            .header("cornelpoint-deadline-ms", deadline_ms)
+            .call();
+    }
+    let mut request = agent
+        .post(&url)
+        .header("cornelpoint-deadline-ms", deadline_ms);
+    if let Some(key) = &planned.key {
+        request = request.header("idempotency-key", key);
+    }
+    request.send(body)
+}
+
+fn judge(mut answer: Response<Body>) -> Ending {
+    let ending = Ending::told(
+        answer.status().as_u16(),
+        header(&answer, RunState::HEADER),
+        header(&answer, Refusal::HEADER),
+    );
+    let body = answer.body_mut().with_config().limit(MAX_ANSWER_BYTES);
+    match body.read_to_vec() {
+        Ok(_) => ending,
+        Err(_) => Ending::Lost,
+    }
+}
+
+fn header<'a>(answer: &'a Response<Body>, name: &str) -> &'a str {
+    let value = answer.headers().get(name);
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+}
--- a/crates/cornelpoint-cli/src/run.rs
+++ b/crates/cornelpoint-cli/src/run.rs
@@ -6,6 +6,7 @@
 use crate::command_line::CommandLine;
 use crate::demo;
 use crate::execution;
+use crate::load;
 use crate::output::Answer;
 use crate::output::Printer;
 use crate::settings::Environment;
@@ -18,6 +19,9 @@
     if let Command::Demo(arguments) = &command_line.command {
         return demo::run(arguments);
     }
+    if let Command::Load(arguments) = &command_line.command {
+        return load::run(arguments, command_line.json);
+    }
     let printer = Printer::for_terminal(command_line.json);
     match Settings::new(command_line, &Environment::of_process()) {
         Ok(settings) => printer.print(&execution::run(&settings)),
--- a/crates/cornelpoint-cli/src/settings/action.rs
+++ b/crates/cornelpoint-cli/src/settings/action.rs
@@ -66,7 +66,7 @@
         /// The shell.
         shell: Shell,
     },
-    /// Nothing: the demo has its own way of running.
+    /// Nothing: the demo and the load have their own way of running.
     Demo,
 }
 
--- a/crates/cornelpoint-cli/src/settings/settings.rs
+++ b/crates/cornelpoint-cli/src/settings/settings.rs
@@ -65,7 +65,7 @@
                 keeper: keeper(&drain.target)?,
             },
             Command::Completions { shell } => Action::Completions { shell },
-            Command::Demo(_) => Action::Demo,
+            Command::Demo(_) | Command::Load(_) => Action::Demo,
         };
         Ok(Self { action })
     }
