Test the release of a claim that was read back

Cause: a trial that broke the release of a lost claim in the waiting queue passed all tests. Change: a second script for a write that arrives late, after a read that found nothing.

--- a/crates/cornelpoint/tests/claim.rs
+++ b/crates/cornelpoint/tests/claim.rs
@@ -144,6 +144,33 @@
     .assert_eq(&gateway.decided());
 }
 
+/// The same, when the rows were read back before the time was over.
+#[test]
+fn a_late_write_finds_the_release_after_a_read_back() {
+    let mut table = FakeTable::default();
+    let mut gateway = ClaimScript::new("entry-1");
+    gateway.claim(1, "a", "on");
+    let late = gateway.call();
+    gateway.batcher.on_lost(late.id, gateway.now_ms);
+    gateway.pass(100);
+    let read = gateway.call();
+    let undecided = gateway.batcher.on_read(read.id, &[], gateway.now_ms);
+    assert_eq!(undecided, Vec::new());
+    gateway.pass(2000);
+    gateway.exchange(&mut table);
+    let StoreCall::Transact(transaction) = late.call else {
+        panic!("expected a transaction");
+    };
+    table.transact(&transaction);
+    gateway.claim(2, "a", "on");
+    gateway.pass(1000);
+    gateway.exchange(&mut table);
+    expect![[r"
+        1: unavailable
+        2: granted"]]
+    .assert_eq(&gateway.decided());
+}
+
 /// Claimed, paused for days, the table cleaned, the repeat granted: the first
 /// gateway must not send any more.
 #[test]
