--- a/crates/cornelpoint-cli/tests/request_path.rs
+++ b/crates/cornelpoint-cli/tests/request_path.rs
@@ -13,6 +13,7 @@
 use cornelpoint_standin::caller::CallerRequest;
 use cornelpoint_standin::caller::call;
 use cornelpoint_standin::clock::now_ms;
+use cornelpoint_standin::endpoint::EndpointFault;
 use cornelpoint_standin::fault_plan::FaultDriver;
 use cornelpoint_standin::fault_plan::FaultKind;
 use cornelpoint_standin::fault_plan::FaultPlan;
@@ -202,6 +203,72 @@
     check_kinds(&[FaultKind::EndpointLeaving]);
 }
 
+/// Makes one POST and one GET at each gateway while all endpoints have a
+/// fault, and returns the violations.
+fn violations_under(fleet: &Fleet, fault: &EndpointFault) -> Vec<String> {
+    fleet.set_fault_on_all_endpoints(fault);
+    let recorder = Recorder::default();
+    for (number, address) in fleet.gateway_addresses().into_iter().enumerate() {
+        for method in [Method::Post, Method::Get] {
+            call(&recorder, &order(number, address, method));
+        }
+    }
+    fleet.targets.clear();
+    fleet.record_runs(&recorder);
+    check(&recorder.into_history(), Limits::default())
+        .iter()
+        .map(|violation| format!("{fault:?}: {violation}"))
+        .collect()
+}
+
+fn order(number: usize, address: SocketAddr, method: Method) -> CallerRequest {
+    CallerRequest {
+        gateway: instance(["gateway-a", "gateway-b"][number]),
+        address,
+        request: format!("order-{number}-{method}-{}", now_ms()),
+        idempotency_key: None,
+        method,
+        path: "/quoting/orders".to_owned(),
+        body: b"slab 1".to_vec(),
+        size_bytes: None,
+        work_ms: Some(0),
+        deadline_ms: Some(700),
+        patience_ms: 10_000,
+    }
+}
+
+#[test]
+fn no_fault_of_an_answer_breaks_a_promise() {
+    let fleet = Fleet::start(seed());
+    let faults = [
+        EndpointFault::FailFast,
+        EndpointFault::Hang,
+        EndpointFault::CloseBeforeRun,
+        EndpointFault::CloseAfterRun,
+        EndpointFault::CutAnswer { after_bytes: 10 },
+        EndpointFault::CutAnswer { after_bytes: 200 },
+        EndpointFault::LengthTooLarge { excess_bytes: 5 },
+        EndpointFault::LengthTooSmall { excess_bytes: 5 },
+        EndpointFault::Drip { pause_ms: 1 },
+        EndpointFault::Drip { pause_ms: 20 },
+        EndpointFault::LateAnswer { late_ms: 1000 },
+        EndpointFault::AnswerTwice,
+        EndpointFault::StaleAnswerFirst,
+        EndpointFault::WrongAnswer,
+        EndpointFault::Garbage,
+        EndpointFault::HugeHeaders {
+            header_bytes: 200_000,
+        },
+        EndpointFault::CloseIdle { after_ms: 1 },
+    ];
+    let violations: Vec<_> = faults
+        .iter()
+        .flat_map(|fault| violations_under(&fleet, fault))
+        .collect();
+    drop(fleet.finish());
+    assert!(violations.is_empty(), "{}", violations.join("\n"));
+}
+
 #[test]
 fn promises_hold_under_all_faults_together() {
     check_kinds(&FaultKind::ALL);
