--- a/crates/cornelpoint/src/ejection/health.rs
+++ b/crates/cornelpoint/src/ejection/health.rs
@@ -2,15 +2,17 @@
 
 use super::endpoint_status::EndpointStatus;
 use super::evidence::LatencyLimits;
+use super::latency_estimate::Latencies;
+use super::latency_estimate::LatencyEstimate;
 use super::limits::POOL_SHARE;
 use super::limits::REVIEW_MS;
+use super::limits::US_PER_MS;
 use super::outcome::Outcome;
 use super::record::EndpointRecord;
 use super::service_fault::ServiceFault;
 use super::standing::Condition;
 use super::verdict::Verdict;
 use crate::configuration::Endpoint;
-use crate::name::AvailabilityZone;
 use crate::name::InstanceId;
 use crate::platform::InstanceList;
 use crate::platform::InstanceState;
@@ -19,10 +21,9 @@
 ///
 /// An endpoint that fails, hangs or is much slower than its peers is ejected
 /// for a pause that grows, and re-admitted by one trial request. At most half
-/// of the pool is ejected, and at most half of one availability zone unless
-/// the whole zone fails. When more than half of the pool fails, the service
-/// is at fault: nobody is ejected, and [`EndpointHealth::service_fault`] says
-/// so. A refused connection or an endpoint's word that it is leaving takes
+/// of the pool is ejected, and none while more than half look bad. When more than half of it fails, the service is at
+/// fault: nobody is ejected, and [`EndpointHealth::service_fault`] says so. A
+/// refused connection or an endpoint's word that it is leaving takes
 /// effect at once and counts towards no limit.
 ///
 /// Memory is bounded: a fixed number of outcomes and running requests for
@@ -30,6 +31,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointHealth {
     records: BTreeMap<InstanceId, EndpointRecord>,
+    latency: LatencyEstimate,
     limits: LatencyLimits,
     service_fault: Option<ServiceFault>,
     next_review_ms: u64,
@@ -56,12 +58,8 @@
     pub fn set_endpoints(&mut self, endpoints: &[Endpoint]) {
         let mut records = BTreeMap::new();
         for endpoint in endpoints {
-            let zone = &endpoint.availability_zone;
-            let record = match self.records.remove(&endpoint.instance) {
-                Some(record) if record.availability_zone == *zone => record,
-                _ => EndpointRecord::new(zone.clone()),
-            };
-            records.insert(endpoint.instance.clone(), record);
+            let record = self.records.remove(&endpoint.instance);
+            records.insert(endpoint.instance.clone(), record.unwrap_or_default());
         }
         self.records = records;
     }
@@ -109,6 +107,10 @@
         started_ms: u64,
         now_ms: u64,
     ) {
+        if outcome == Outcome::Succeeded {
+            let latency_ms = now_ms.saturating_sub(started_ms);
+            self.latency.record(latency_ms * US_PER_MS);
+        }
         if let Some(record) = self.records.get_mut(instance) {
             record.record(outcome, started_ms, &self.limits, now_ms);
             record.review(&self.limits, now_ms);
@@ -127,7 +129,7 @@
             return;
         }
         self.next_review_ms = now_ms + REVIEW_MS;
-        self.limits = LatencyLimits::new(self.typical_us());
+        self.limits = LatencyLimits::new(self.latencies());
         for record in self.records.values_mut() {
             record.review(&self.limits, now_ms);
         }
@@ -162,19 +164,25 @@
             condition: record.condition(),
             suspect: record.suspect,
             verdict: record.standing.verdict(now_ms),
-            typical_us: record.latency.estimate_us(),
+            typical_us: record.latency.latencies().map(|l| l.typical_us),
         };
         self.records.iter().map(status).collect()
     }
 
-    /// Median over the endpoints of their typical latencies, the lower one of
-    /// an even number.
-    fn typical_us(&self) -> Option<u64> {
+    /// Medians over the endpoints' latencies; as long as most endpoints have
+    /// none, the latencies of all their requests together.
+    fn latencies(&self) -> Option<Latencies> {
         let records = self.records.values();
-        let mut estimates: Vec<u64> = records.filter_map(|r| r.latency.estimate_us()).collect();
-        estimates.sort_unstable();
-        let middle = estimates.len().saturating_sub(1) / 2;
-        estimates.get(middle).copied()
+        let known: Vec<Latencies> = records.filter_map(|r| r.latency.latencies()).collect();
+        if known.len() * 2 < self.records.len() {
+            return self.latency.latencies();
+        }
+        let typical = known.iter().map(|l| l.typical_us).collect();
+        let long = known.iter().map(|l| l.long_us).collect();
+        Some(Latencies {
+            typical_us: lower_median(typical)?,
+            long_us: lower_median(long)?,
+        })
     }
 
     fn find_service_fault(&self) -> Option<ServiceFault> {
@@ -208,15 +216,12 @@
             .map(|(instance, _)| instance.clone())
             .collect();
         for instance in bad {
-            self.eject_within_limits(&instance, now_ms);
+            self.eject_within_limit(&instance, now_ms);
         }
     }
 
-    fn eject_within_limits(&mut self, instance: &InstanceId, now_ms: u64) {
-        let Some(zone) = self.records.get(instance).map(|r| &r.availability_zone) else {
-            return;
-        };
-        if !self.pool_allows() || !self.zone_allows(zone) {
+    fn eject_within_limit(&mut self, instance: &InstanceId, now_ms: u64) {
+        if !self.has_room() || !self.is_exception(now_ms) {
             return;
         }
         if let Some(record) = self.records.get_mut(instance) {
@@ -224,20 +229,24 @@
         }
     }
 
-    fn pool_allows(&self) -> bool {
+    /// Whether at most half of the endpoints look bad; else the service is
+    /// likely to be at fault, and the evidence is waited for.
+    fn is_exception(&self, now_ms: u64) -> bool {
+        let reachable = || self.records.values().filter(|r| r.is_reachable());
+        let bad = reachable().filter(|r| r.looks_bad(&self.limits, now_ms));
+        bad.count() * 2 <= reachable().count()
+    }
+
+    fn has_room(&self) -> bool {
         let reachable = self.records.values().filter(|r| r.is_reachable()).count();
         let ejected = |r: &&EndpointRecord| r.condition() == Condition::Ejected;
         let ejected = self.records.values().filter(ejected).count();
         ejected < reachable / POOL_SHARE
     }
+}
 
-    fn zone_allows(&self, zone: &AvailabilityZone) -> bool {
-        let in_zone = |r: &&EndpointRecord| r.availability_zone == *zone && r.is_reachable();
-        let records = || self.records.values().filter(in_zone);
-        let reachable = records().count();
-        let ejected = records()
-            .filter(|r| r.condition() == Condition::Ejected)
-            .count();
-        ejected < reachable.div_ceil(POOL_SHARE) || records().all(|r| r.suspect)
-    }
+fn lower_median(mut values: Vec<u64>) -> Option<u64> {
+    values.sort_unstable();
+    let middle = values.len().saturating_sub(1) / 2;
+    values.get(middle).copied()
 }
--- a/crates/cornelpoint/src/ejection/record.rs
+++ b/crates/cornelpoint/src/ejection/record.rs
@@ -1,43 +1,28 @@
 use super::evidence::Evidence;
 use super::evidence::LatencyLimits;
 use super::evidence::Mark;
+use super::latency_estimate::LatencyEstimate;
 use super::limits::FORGIVE_MS;
 use super::limits::US_PER_MS;
 use super::outcome::Outcome;
 use super::standing::Condition;
 use super::standing::Pause;
 use super::standing::Standing;
-use super::typical_latency::TypicalLatency;
-use crate::name::AvailabilityZone;
 use crate::platform::InstanceState;
 
 /// All that is remembered of one endpoint.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct EndpointRecord {
-    pub(super) availability_zone: AvailabilityZone,
     pub(super) epoch: u64,
     pub(super) standing: Standing,
     pub(super) suspect: bool,
-    pub(super) latency: TypicalLatency,
+    pub(super) latency: LatencyEstimate,
     evidence: Evidence,
     ejections: u32,
     admitted_ms: u64,
 }
 
 impl EndpointRecord {
-    pub(super) fn new(availability_zone: AvailabilityZone) -> Self {
-        Self {
-            availability_zone,
-            epoch: 0,
-            standing: Standing::Admitted,
-            suspect: false,
-            latency: TypicalLatency::default(),
-            evidence: Evidence::default(),
-            ejections: 0,
-            admitted_ms: 0,
-        }
-    }
-
     pub(super) fn condition(&self) -> Condition {
         self.standing.condition()
     }
@@ -190,6 +175,11 @@
         self.evidence.forget();
     }
 
+    /// Whether the endpoint is likely to be as bad as a suspect.
+    pub(super) fn looks_bad(&self, limits: &LatencyLimits, now_ms: u64) -> bool {
+        self.suspect || self.evidence.looks_bad(limits, now_ms)
+    }
+
     pub(super) fn is_bad(&self, limits: &LatencyLimits, now_ms: u64) -> bool {
         self.evidence.is_bad(limits, now_ms)
     }
