Start the daemons from settings files, and list every field

The settings were plain structs without a file, and nothing started a gateway or a keeper but the demo. Both are now read from JSON with comments, all findings reported together, by the programs cornelpoint-gateway and cornelpoint-keeper, which check settings on request and stop as planned on SIGTERM. docs/SETTINGS.md lists each field with type, unit, range and default; tests compare the page with what the readers know: fields by the finding of an unknown field, ranges by a value out of range, defaults by the example files, which give none of them.

--- /dev/null
+++ b/crates/cornelpoint-daemon/src/bin/cornelpoint-gateway.rs
@@ -0,0 +1,9 @@
+//! The gateway.
+
+use std::process::ExitCode;
+
+use cornelpoint_daemon::program;
+
+fn main() -> ExitCode {
+    program::run_gateway()
+}
--- a/crates/cornelpoint-daemon/src/lib.rs
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod message;
 pub mod metrics;
 pub mod platform_client;
+pub mod program;
 pub mod settings;
 pub mod shutdown;
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/program/arguments.rs
@@ -0,0 +1,33 @@
+use clap::Parser;
+
+use crate::log::LogForm;
+use crate::log::LogSettings;
+use crate::settings::SettingsArguments;
+
+/// Arguments of a daemon.
+///
+/// Exit codes: 0 stopped or settings right; 1 did not start; 2 wrong usage;
+/// 3 findings in the settings.
+#[derive(Clone, Debug, Parser)]
+#[command(version)]
+pub(super) struct Arguments {
+    #[command(flatten)]
+    pub(super) settings: SettingsArguments,
+    /// Write logs as JSON, one object a line.
+    #[arg(long)]
+    pub(super) json_logs: bool,
+}
+
+impl Arguments {
+    pub(super) fn log_settings(&self) -> LogSettings {
+        let form = if self.json_logs {
+            LogForm::Json
+        } else {
+            LogForm::Terminal
+        };
+        LogSettings {
+            form,
+            ..LogSettings::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/program/gateway.rs
@@ -0,0 +1,39 @@
+use std::process::ExitCode;
+
+use clap::Parser;
+use error_stack::Report;
+use error_stack::fmt::ColorMode;
+
+use super::arguments::Arguments;
+use super::exit;
+use crate::gateway::Gateway;
+use crate::log::Part;
+use crate::log::RootLog;
+use crate::settings::GatewaySettings;
+use crate::shutdown::ShutdownFlag;
+
+/// Runs a gateway until it is told to stop.
+#[must_use]
+pub fn run_gateway() -> ExitCode {
+    Report::set_color_mode(ColorMode::None);
+    let arguments = Arguments::parse();
+    match exit::settings(&arguments) {
+        Ok(settings) => run(&arguments, &settings),
+        Err(code) => code,
+    }
+}
+
+fn run(arguments: &Arguments, settings: &GatewaySettings) -> ExitCode {
+    let log = RootLog::to_stderr(&arguments.log_settings());
+    let shutdown = match ShutdownFlag::on_signals() {
+        Ok(shutdown) => shutdown,
+        Err(report) => return exit::failed(&report),
+    };
+    let gateway = match Gateway::start(settings, log.part(Part::Gateway)) {
+        Ok(gateway) => gateway,
+        Err(report) => return exit::failed(&report),
+    };
+    shutdown.wait();
+    gateway.stop();
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/settings/keeper_reader.rs
@@ -0,0 +1,48 @@
+use cornelpoint::document::Document;
+use cornelpoint::document::ObjectReader;
+use cornelpoint::document::Source;
+use cornelpoint::finding::Findings;
+
+use super::keeper_settings::KeeperSettings;
+use super::limits::MAX_TIMEOUT_MS;
+
+impl TryFrom<Source<'_>> for KeeperSettings {
+    type Error = Findings;
+
+    /// Reads a keeper's settings, JSON with comments.
+    fn try_from(source: Source<'_>) -> Result<Self, Findings> {
+        Document::parse(source)?.read(read)
+    }
+}
+
+fn read(reader: &mut ObjectReader<'_>) -> Option<KeeperSettings> {
+    let instance = reader.name("instance");
+    let availability_zone = reader.name("availability_zone");
+    let workspace = reader.name("workspace");
+    let listen = reader.address("listen");
+    let gossip_listen = reader.address("gossip_listen");
+    let seeds = match reader.optional("seeds") {
+        Some(value) => value.addresses(),
+        None => Some(Vec::new()),
+    };
+    let platform = reader.address("platform");
+    let platform_timeout_ms = reader.integer_or("platform_timeout_ms", 10..=MAX_TIMEOUT_MS, 500);
+    let platform_poll_ms = reader.integer_or("platform_poll_ms", 50..=10_000, 500);
+    let sync_interval_ms = reader.integer_or("sync_interval_ms", 50..=10_000, 500);
+    let slot_lease_ms = reader.integer_or("slot_lease_ms", 100..=2_000, 900);
+    let control_threads = reader.integer_u32_or("control_threads", 2..=256, 8);
+    Some(KeeperSettings {
+        instance: instance?,
+        availability_zone: availability_zone?,
+        workspace: workspace?,
+        listen: listen?,
+        gossip_listen: gossip_listen?,
+        seeds: seeds?,
+        platform: platform?,
+        platform_timeout_ms: platform_timeout_ms?,
+        platform_poll_ms: platform_poll_ms?,
+        sync_interval_ms: sync_interval_ms?,
+        slot_lease_ms: slot_lease_ms?,
+        control_threads: usize::try_from(control_threads?).ok()?,
+    })
+}
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/settings/limits.rs
@@ -0,0 +1,27 @@
+use cornelpoint::document::ObjectReader;
+use cornelpoint::document::Value;
+
+/// Longest timeout that settings may name, in milliseconds.
+pub(super) const MAX_TIMEOUT_MS: u64 = 60_000;
+
+/// Records two fields that must differ and do not.
+pub(super) fn check_distinct(reader: &mut ObjectReader<'_>, first: &str, second: &str) {
+    let (Some(one), Some(other)) = (reader.node().field(first), reader.node().field(second)) else {
+        return;
+    };
+    if one.value == other.value {
+        let finding = other.finding(format!("another value than {first}"), other.found());
+        reader.findings().push(finding);
+    }
+}
+
+/// Records a list without elements.
+pub(super) fn check_not_empty(reader: &mut ObjectReader<'_>, field: &str) {
+    let Some(node) = reader.node().field(field) else {
+        return;
+    };
+    if matches!(&node.value, Value::List(elements) if elements.is_empty()) {
+        let finding = node.finding("at least one element", "none");
+        reader.findings().push(finding);
+    }
+}
--- a/crates/cornelpoint-daemon/src/settings/mod.rs
+++ b/crates/cornelpoint-daemon/src/settings/mod.rs
@@ -1,7 +1,16 @@
-//! Settings of the daemons.
+//! Settings of the daemons: JSON with comments, checked as a whole.
+//!
+//! `docs/SETTINGS.md` lists every field.
 
+mod gateway_reader;
 mod gateway_settings;
+mod keeper_reader;
 mod keeper_settings;
+mod limits;
+mod settings_arguments;
+mod settings_error;
 
 pub use self::gateway_settings::GatewaySettings;
 pub use self::keeper_settings::KeeperSettings;
+pub use self::settings_arguments::SettingsArguments;
+pub use self::settings_error::SettingsError;
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/settings/settings_error.rs
@@ -0,0 +1,34 @@
+use std::error::Error;
+use std::fmt;
+use std::path::PathBuf;
+
+use cornelpoint::finding::Findings;
+
+/// Why settings cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    Unreadable {
+        /// The file.
+        file: PathBuf,
+    },
+    /// There are findings in the file.
+    Findings(Findings),
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreadable { file } => {
+                write!(
+                    formatter,
+                    "expected a readable settings file, found {}",
+                    file.display()
+                )
+            }
+            Self::Findings(findings) => findings.fmt(formatter),
+        }
+    }
+}
+
+impl Error for SettingsError {}
--- a/crates/cornelpoint/src/document/value_reader.rs
+++ b/crates/cornelpoint/src/document/value_reader.rs
@@ -101,6 +101,16 @@
         }
     }
 
+    /// A list of addresses.
+    #[must_use]
+    #[expect(
+        clippy::redundant_closure_for_method_calls,
+        reason = "the method is bound to one lifetime, each element has its own"
+    )]
+    pub fn addresses(self) -> Option<Vec<SocketAddr>> {
+        self.list(|element| element.address())
+    }
+
     /// One of a closed set of words.
     pub fn choice<T: Copy>(self, choices: &[(&str, T)]) -> Option<T> {
         let chosen = match &self.node.value {
