Join the dispatcher to the pool borrower; mend three faults of its waits

Cause, by tests that failed first: - slots lent at an ejected endpoint counted as free, so the gateway did not ask for others: of 24 requests fewer than 24 ran. Avoided endpoints' slots now go back and are not asked for. - requests were refused for a long wait while the holder's answer was on its way, which hid the demand that brings slots. The learnt rate now refuses only while every holder has given less than was asked for. - a retry went to the endpoint that had just failed it, whose slot was the only free one. It is now parked for up to 50 ms while a slot elsewhere is asked for.

Ruled out: avoiding a failed request's endpoints for all requests; one request that fails everywhere would then empty the pool.

--- a/crates/cornelpoint/src/dispatch/dispatcher.rs
+++ b/crates/cornelpoint/src/dispatch/dispatcher.rs
@@ -9,6 +9,7 @@
 use super::exchange::Exchange;
 use super::exchange::ExchangeResult;
 use super::lane::Lane;
+use super::lane::ParkedRetry;
 use super::new_request::NewRequest;
 use super::request_state::RequestState;
 use super::request_state::Running;
@@ -32,6 +33,10 @@
 /// gateway that was paused longer must not send.
 const SEND_WITHIN_MS: u64 = 200;
 
+/// Time for which a retry waits for an endpoint that has not failed it, in
+/// milliseconds.
+const PARK_MS: u64 = 50;
+
 /// Who a dispatcher works for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DispatcherSettings {
@@ -131,7 +136,7 @@
         for pool in &configuration.pools {
             self.routes
                 .entry(pool.name.clone())
-                .or_insert_with(|| Route::new(pool.name.clone()))
+                .or_insert_with(|| Route::new(pool.name.clone(), &self.settings, now_ms))
                 .configure(pool, facts, &self.settings, now_ms);
         }
         for service in &configuration.services {
@@ -203,8 +208,12 @@
     /// refuses those whose time is over.
     pub fn dispatch(&mut self, now_ms: u64) -> Vec<Directed> {
         let mut directed = self.expire(now_ms);
+        directed.extend(self.assign_parked(now_ms));
         let pools: Vec<PoolName> = self.routes.keys().cloned().collect();
         for pool in &pools {
+            if let Some(route) = self.routes.get_mut(pool) {
+                route.avoid_ejected(now_ms);
+            }
             while let Some(next) = self.assign(pool, now_ms) {
                 directed.push(next);
             }
@@ -227,7 +236,13 @@
         if decision != Decision::RetryElsewhere {
             return Some(verdict(decision));
         }
-        if lane.queue.push(state.entry, now_ms).is_err() {
+        let route = self.routes.get(&lane.service.pool);
+        if route.is_some_and(|route| route.has_untried(&state.tried, now_ms)) {
+            lane.parked.push(ParkedRetry {
+                id,
+                since_ms: now_ms,
+            });
+        } else if lane.queue.push(state.entry, now_ms).is_err() {
             return Some(verdict(state.attempts.end(now_ms)));
         }
         lane.note_waiting(now_ms);
@@ -243,6 +258,7 @@
         };
         if let Some(lane) = self.lanes.get_mut(&state.service) {
             lane.queue.remove(id);
+            lane.parked.retain(|parked| parked.id != id);
             lane.note_waiting(now_ms);
         }
         self.end_run(&mut state, Outcome::Withdrawn, now_ms);
@@ -252,13 +268,11 @@
     pub fn exchanges_due(&mut self, now_ms: u64) -> Vec<Exchange> {
         let mut due = Vec::new();
         for route in self.routes.values_mut() {
-            for zone in &mut route.zones {
-                let Some(request) = zone.borrower.request_due(now_ms) else {
-                    continue;
-                };
-                match zone.holder {
-                    Some(holder) => due.push(Exchange { holder, request }),
-                    None => zone.borrower.exchange_failed(now_ms),
+            for request in route.borrower.requests_due(now_ms) {
+                let zone = &request.availability_zone;
+                match route.holders.get(zone) {
+                    Some(&holder) => due.push(Exchange { holder, request }),
+                    None => route.borrower.exchange_failed(zone, now_ms),
                 }
             }
         }
@@ -267,18 +281,13 @@
 
     /// Takes in what became of a report.
     pub fn exchanged(&mut self, result: &ExchangeResult, now_ms: u64) {
-        let zone = self.routes.get_mut(&result.pool).and_then(|route| {
-            route
-                .zones
-                .iter_mut()
-                .find(|zone| zone.availability_zone == result.availability_zone)
-        });
-        let Some(zone) = zone else {
+        let Some(route) = self.routes.get_mut(&result.pool) else {
             return;
         };
+        let zone = &result.availability_zone;
         match &result.reply {
-            Some(reply) => zone.borrower.apply(reply, now_ms),
-            None => zone.borrower.exchange_failed(now_ms),
+            Some(reply) => route.borrower.apply(zone, reply, now_ms),
+            None => route.borrower.exchange_failed(zone, now_ms),
         }
     }
 
@@ -319,6 +328,41 @@
         directed
     }
 
+    /// Assigns retries to endpoints that have not failed them. One that finds
+    /// none soon waits with the others for any endpoint.
+    fn assign_parked(&mut self, now_ms: u64) -> Vec<Directed> {
+        let mut directed = Vec::new();
+        for lane in self.lanes.values_mut() {
+            let Some(route) = self.routes.get_mut(&lane.service.pool) else {
+                continue;
+            };
+            for parked in std::mem::take(&mut lane.parked) {
+                let Some(state) = self.requests.get_mut(&parked.id) else {
+                    continue;
+                };
+                if let Some(running) = route.acquire_healthy(&state.tried, now_ms) {
+                    lane.running += 1;
+                    directed.extend(start(route, state, running, now_ms));
+                    continue;
+                }
+                if now_ms < (parked.since_ms + PARK_MS).min(state.entry.deadline_ms) {
+                    lane.parked.push(parked);
+                    continue;
+                }
+                if lane.queue.push(state.entry, now_ms).is_err() {
+                    let decision = state.attempts.end(now_ms);
+                    self.requests.remove(&parked.id);
+                    directed.push(Directed {
+                        id: parked.id,
+                        verdict: verdict(decision),
+                    });
+                }
+            }
+            lane.note_waiting(now_ms);
+        }
+        directed
+    }
+
     fn assign(&mut self, pool: &PoolName, now_ms: u64) -> Option<Directed> {
         let service = self.most_urgent(pool)?;
         let route = self.routes.get_mut(pool)?;
@@ -345,18 +389,7 @@
         lane.running += 1;
         let state = self.requests.get_mut(&entry.id)?;
         let running = improve(route, state, running, now_ms);
-        let endpoint = route.endpoint(&running.slot.endpoint)?;
-        let assignment = Assignment {
-            endpoint: endpoint.instance.clone(),
-            address: endpoint.address,
-            start_by_ms: (now_ms + SEND_WITHIN_MS).min(entry.deadline_ms),
-        };
-        state.tried.push(endpoint.instance.clone());
-        state.running = Some(running);
-        Some(Directed {
-            id: entry.id,
-            verdict: Verdict::Send(assignment),
-        })
+        start(route, state, running, now_ms)
     }
 
     /// The pool's service whose first request has the earliest deadline.
@@ -371,17 +404,30 @@
 
     fn report_demand(&mut self, pool: &PoolName) {
         let mut queued = 0;
+        let mut parked = 0;
         let mut earliest_deadline_ms = None;
         for lane in self.lanes.values() {
             if &lane.service.pool != pool {
                 continue;
             }
             queued += u32::try_from(lane.queue.len()).unwrap_or(u32::MAX);
+            parked += u32::try_from(lane.parked.len()).unwrap_or(u32::MAX);
             let earliest = lane.queue.earliest_deadline_ms();
             earliest_deadline_ms = [earliest_deadline_ms, earliest].into_iter().flatten().min();
         }
-        if let Some(route) = self.routes.get_mut(pool) {
-            route.set_demand(queued, earliest_deadline_ms);
+        let Some(route) = self.routes.get_mut(pool) else {
+            return;
+        };
+        if parked > 0 {
+            // The free slots are at endpoints that failed the retries.
+            queued += parked + route.borrower.free();
+        }
+        route.borrower.set_demand(queued, earliest_deadline_ms);
+        let limited = route.borrower.is_short();
+        for lane in self.lanes.values_mut() {
+            if &lane.service.pool == pool {
+                lane.queue.set_limited(limited);
+            }
         }
     }
 
@@ -405,12 +451,33 @@
             .health
             .record(endpoint, outcome, running.started_ms, now_ms);
         if outcome == Outcome::Leaving {
-            route.endpoint_leaves(endpoint, now_ms);
+            route.borrower.endpoint_leaves(endpoint, now_ms);
             self.signs.push(endpoint.clone());
         }
     }
 }
 
+/// Gives a request its slot.
+fn start(
+    route: &Route,
+    state: &mut RequestState,
+    running: Running,
+    now_ms: u64,
+) -> Option<Directed> {
+    let endpoint = route.endpoint(&running.slot.endpoint)?;
+    let assignment = Assignment {
+        endpoint: endpoint.instance.clone(),
+        address: endpoint.address,
+        start_by_ms: (now_ms + SEND_WITHIN_MS).min(state.entry.deadline_ms),
+    };
+    state.tried.push(endpoint.instance.clone());
+    state.running = Some(running);
+    Some(Directed {
+        id: state.entry.id,
+        verdict: Verdict::Send(assignment),
+    })
+}
+
 fn entry_of(request: &NewRequest) -> RequestEntry {
     RequestEntry {
         id: request.id,
--- a/crates/cornelpoint/src/dispatch/dispatcher_dump.rs
+++ b/crates/cornelpoint/src/dispatch/dispatcher_dump.rs
@@ -4,7 +4,6 @@
 
 use crate::ejection::EndpointStatus;
 use crate::ejection::ServiceFault;
-use crate::name::AvailabilityZone;
 use crate::name::PoolName;
 use crate::name::ServiceName;
 use crate::slots::BorrowerDump;
@@ -53,8 +52,6 @@
 /// State of one pool's slots in one availability zone.
 #[derive(Clone, Debug, Serialize)]
 pub struct ZoneDump {
-    /// The zone.
-    pub availability_zone: AvailabilityZone,
     /// Address of the holder's keeper.
     pub holder: Option<SocketAddr>,
     /// Lent slots.
--- a/crates/cornelpoint/src/dispatch/lane.rs
+++ b/crates/cornelpoint/src/dispatch/lane.rs
@@ -6,6 +6,13 @@
 /// Retries a second that are allowed however few first tries there are.
 const MIN_RETRIES_PER_S: u32 = 2;
 
+/// A request that waits for an endpoint that has not failed it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ParkedRetry {
+    pub(super) id: u64,
+    pub(super) since_ms: u64,
+}
+
 /// One service at a gateway: its queue and its retry budget.
 #[derive(Debug)]
 pub(super) struct Lane {
@@ -13,6 +20,7 @@
     pub(super) queue: RequestQueue,
     pub(super) budget: RetryBudget,
     pub(super) running: u32,
+    pub(super) parked: Vec<ParkedRetry>,
     /// Since when requests have waited without a break.
     pub(super) waiting_since_ms: Option<u64>,
 }
@@ -23,6 +31,7 @@
             queue: RequestQueue::new(limits(&service)),
             budget: RetryBudget::new(service.retry_percent, MIN_RETRIES_PER_S),
             running: 0,
+            parked: Vec::new(),
             waiting_since_ms: None,
             service,
         }
--- a/crates/cornelpoint/src/dispatch/request_state.rs
+++ b/crates/cornelpoint/src/dispatch/request_state.rs
@@ -1,4 +1,3 @@
-use crate::name::AvailabilityZone;
 use crate::name::InstanceId;
 use crate::name::PoolName;
 use crate::name::ServiceName;
@@ -11,7 +10,6 @@
 pub(super) struct Running {
     pub(super) slot: SlotUse,
     pub(super) pool: PoolName,
-    pub(super) availability_zone: AvailabilityZone,
     pub(super) started_ms: u64,
 }
 
--- a/crates/cornelpoint/src/dispatch/route.rs
+++ b/crates/cornelpoint/src/dispatch/route.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use super::dispatcher::DispatcherSettings;
@@ -15,29 +16,20 @@
 use crate::name::PoolName;
 use crate::platform::InstanceState;
 use crate::rendezvous::slot_holder;
-use crate::slots::Borrower;
 use crate::slots::BorrowerSettings;
 use crate::slots::HolderEndpoint;
+use crate::slots::PoolBorrower;
 use crate::slots::SlotUse;
 use crate::spread::Facts;
 
-/// Slots of one pool in one availability zone.
-#[derive(Debug)]
-pub(super) struct ZoneRoute {
-    pub(super) availability_zone: AvailabilityZone,
-    pub(super) borrower: Borrower,
-    pub(super) holder: Option<SocketAddr>,
-    is_own: bool,
-}
-
 /// One pool at a gateway: its endpoints, their health, and the lent slots.
 #[derive(Debug)]
 pub(super) struct Route {
     pub(super) pool: PoolName,
     endpoints: BTreeMap<InstanceId, Endpoint>,
     pub(super) health: EndpointHealth,
-    /// The own zone first.
-    pub(super) zones: Vec<ZoneRoute>,
+    pub(super) borrower: PoolBorrower,
+    pub(super) holders: BTreeMap<AvailabilityZone, SocketAddr>,
     accepting: usize,
 }
 
@@ -51,12 +43,19 @@
 }
 
 impl Route {
-    pub(super) fn new(pool: PoolName) -> Self {
+    pub(super) fn new(pool: PoolName, settings: &DispatcherSettings, now_ms: u64) -> Self {
+        let own = BorrowerSettings::for_own_zone(
+            settings.gateway.clone(),
+            settings.incarnation,
+            pool.clone(),
+            settings.availability_zone.clone(),
+        );
         Self {
             pool,
             endpoints: BTreeMap::new(),
             health: EndpointHealth::new(),
-            zones: Vec::new(),
+            borrower: PoolBorrower::new(own, Vec::new(), now_ms),
+            holders: BTreeMap::new(),
             accepting: 0,
         }
     }
@@ -68,6 +67,13 @@
         self.accepting > 0
     }
 
+    /// Whether a healthy endpoint has not been tried.
+    pub(super) fn has_untried(&self, tried: &[InstanceId], now_ms: u64) -> bool {
+        self.endpoints.keys().any(|instance| {
+            !tried.contains(instance) && self.health.verdict(instance, now_ms) == Verdict::Take
+        })
+    }
+
     pub(super) fn endpoint(&self, instance: &InstanceId) -> Option<&Endpoint> {
         self.endpoints.get(instance)
     }
@@ -78,12 +84,12 @@
             endpoints: self.health.statuses(now_ms),
             service_fault: self.health.service_fault(),
             zones: self
-                .zones
-                .iter()
-                .map(|zone| ZoneDump {
-                    availability_zone: zone.availability_zone.clone(),
-                    holder: zone.holder,
-                    borrower: zone.borrower.dump(now_ms),
+                .borrower
+                .dump(now_ms)
+                .into_iter()
+                .map(|borrower| ZoneDump {
+                    holder: self.holders.get(&borrower.availability_zone).copied(),
+                    borrower,
                 })
                 .collect(),
         }
@@ -122,11 +128,11 @@
             self.health
                 .observe(instance, facts.work_epoch(instance), state);
         }
-        for zone in &mut self.zones {
+        for zone in self.zones() {
             let endpoints: Vec<HolderEndpoint> = self
                 .endpoints
                 .values()
-                .filter(|endpoint| endpoint.availability_zone == zone.availability_zone)
+                .filter(|endpoint| endpoint.availability_zone == zone)
                 .map(|endpoint| HolderEndpoint {
                     instance: endpoint.instance.clone(),
                     epoch: facts.work_epoch(&endpoint.instance),
@@ -134,37 +140,37 @@
                     accepts_work: facts.accepts_work(&endpoint.instance),
                 })
                 .collect();
-            zone.borrower.set_endpoints(&endpoints, now_ms);
+            self.borrower.set_endpoints(&zone, &endpoints, now_ms);
         }
     }
 
     pub(super) fn find_holders(&mut self, members: &[Member]) {
-        for zone in &mut self.zones {
+        self.holders.clear();
+        for zone in self.zones() {
             let candidates: Vec<&Member> = members
                 .iter()
-                .filter(|member| member.availability_zone == zone.availability_zone)
+                .filter(|member| member.availability_zone == zone)
                 .collect();
             let instances = candidates.iter().map(|member| &member.instance);
-            let chosen = slot_holder(&self.pool, &zone.availability_zone, instances);
-            zone.holder = candidates
+            let chosen = slot_holder(&self.pool, &zone, instances);
+            let holder = candidates
                 .iter()
-                .find(|member| Some(&member.instance) == chosen)
-                .map(|member| member.keeper_address);
+                .find(|member| Some(&member.instance) == chosen);
+            if let Some(holder) = holder {
+                self.holders.insert(zone, holder.keeper_address);
+            }
         }
     }
 
-    /// Asks the own zone first and the others when it gives less than is
-    /// wanted.
-    pub(super) fn set_demand(&mut self, queued: u32, earliest_deadline_ms: Option<u64>) {
-        let mut short = true;
-        for zone in &mut self.zones {
-            let wanted = if short { queued } else { 0 };
-            zone.borrower
-                .set_demand(wanted, earliest_deadline_ms.filter(|_| wanted > 0));
-            if zone.is_own {
-                short = zone.holder.is_none() || zone.borrower.is_short();
-            }
-        }
+    /// Slots of endpoints that are avoided go back to their holders.
+    pub(super) fn avoid_ejected(&mut self, now_ms: u64) {
+        let avoided: Vec<InstanceId> = self
+            .endpoints
+            .keys()
+            .filter(|instance| self.health.verdict(instance, now_ms) == Verdict::Avoid)
+            .cloned()
+            .collect();
+        self.borrower.set_avoided(&avoided);
     }
 
     /// Takes a slot: a trial first where one is due, then an endpoint that
@@ -180,93 +186,51 @@
     }
 
     pub(super) fn release(&mut self, running: &Running, now_ms: u64) {
-        let zone = self
-            .zones
-            .iter_mut()
-            .find(|zone| zone.availability_zone == running.availability_zone);
-        if let Some(zone) = zone {
-            zone.borrower.release(&running.slot, now_ms);
-        }
-    }
-
-    pub(super) fn endpoint_leaves(&mut self, instance: &InstanceId, now_ms: u64) {
-        for zone in &mut self.zones {
-            zone.borrower.endpoint_leaves(instance, now_ms);
-        }
+        self.borrower.release(&running.slot, now_ms);
     }
 
     pub(super) fn acquire_due_trial(&mut self, now_ms: u64) -> Option<Running> {
         let health = &self.health;
         let excluded = |instance: &InstanceId| health.verdict(instance, now_ms) != Verdict::Trial;
-        let running = acquire_in(&self.pool, &mut self.zones, &excluded, now_ms)?;
-        self.health.start_trial(&running.slot.endpoint, now_ms);
-        Some(running)
+        let slot = self.borrower.acquire(&excluded, now_ms)?;
+        self.health.start_trial(&slot.endpoint, now_ms);
+        Some(self.running(slot, now_ms))
     }
 
-    fn acquire_healthy(&mut self, tried: &[InstanceId], now_ms: u64) -> Option<Running> {
+    pub(super) fn acquire_healthy(&mut self, tried: &[InstanceId], now_ms: u64) -> Option<Running> {
         let health = &self.health;
         let excluded = |instance: &InstanceId| {
             tried.contains(instance) || health.verdict(instance, now_ms) != Verdict::Take
         };
-        let running = acquire_in(&self.pool, &mut self.zones, &excluded, now_ms)?;
-        self.health.record_start(&running.slot.endpoint, now_ms);
-        Some(running)
+        let slot = self.borrower.acquire(&excluded, now_ms)?;
+        self.health.record_start(&slot.endpoint, now_ms);
+        Some(self.running(slot, now_ms))
     }
 
-    fn add_zones(&mut self, settings: &DispatcherSettings, now_ms: u64) {
-        for endpoint in self.endpoints.values() {
-            let zone = &endpoint.availability_zone;
-            if self
-                .zones
-                .iter()
-                .any(|known| &known.availability_zone == zone)
-            {
-                continue;
-            }
-            let is_own = zone == &settings.availability_zone;
-            let new = ZoneRoute {
-                availability_zone: zone.clone(),
-                borrower: Borrower::new(borrower_settings(settings, &self.pool, zone), now_ms),
-                holder: None,
-                is_own,
-            };
-            self.zones.push(new);
+    fn running(&self, slot: SlotUse, now_ms: u64) -> Running {
+        Running {
+            slot,
+            pool: self.pool.clone(),
+            started_ms: now_ms,
         }
-        self.zones.sort_by_key(|zone| !zone.is_own);
     }
-}
 
-fn borrower_settings(
-    settings: &DispatcherSettings,
-    pool: &PoolName,
-    zone: &AvailabilityZone,
-) -> BorrowerSettings {
-    let make = if zone == &settings.availability_zone {
-        BorrowerSettings::for_own_zone
-    } else {
-        BorrowerSettings::for_other_zone
-    };
-    make(
-        settings.gateway.clone(),
-        settings.incarnation,
-        pool.clone(),
-        zone.clone(),
-    )
-}
+    fn zones(&self) -> BTreeSet<AvailabilityZone> {
+        self.endpoints
+            .values()
+            .map(|endpoint| endpoint.availability_zone.clone())
+            .collect()
+    }
 
-fn acquire_in(
-    pool: &PoolName,
-    zones: &mut [ZoneRoute],
-    excluded: &dyn Fn(&InstanceId) -> bool,
-    now_ms: u64,
-) -> Option<Running> {
-    zones.iter_mut().find_map(|zone| {
-        let slot: SlotUse = zone.borrower.acquire(excluded, now_ms)?;
-        Some(Running {
-            slot,
-            pool: pool.clone(),
-            availability_zone: zone.availability_zone.clone(),
-            started_ms: now_ms,
-        })
-    })
+    fn add_zones(&mut self, settings: &DispatcherSettings, now_ms: u64) {
+        for zone in self.zones() {
+            let zone = BorrowerSettings::for_other_zone(
+                settings.gateway.clone(),
+                settings.incarnation,
+                self.pool.clone(),
+                zone,
+            );
+            self.borrower.add_zone(zone, now_ms);
+        }
+    }
 }
--- a/crates/cornelpoint/src/queue/request_queue.rs
+++ b/crates/cornelpoint/src/queue/request_queue.rs
@@ -31,6 +31,7 @@
     counts: DeadlineCounts,
     body_bytes: u64,
     drain_rate: DrainRate,
+    limited: bool,
     service_time: ServiceTime,
 }
 
@@ -62,6 +63,7 @@
             counts: DeadlineCounts::new(limits.max_deadline_ms),
             body_bytes: 0,
             drain_rate: DrainRate::new(),
+            limited: true,
             service_time: ServiceTime::new(),
         }
     }
@@ -145,6 +147,15 @@
         expired
     }
 
+    /// Notes whether slots are known to be short.
+    ///
+    /// While they may still come, the rate at which the queue was drained
+    /// says nothing of the rate to come, and no request is refused for it:
+    /// a refusal would hide the demand that brings the slots.
+    pub fn set_limited(&mut self, limited: bool) {
+        self.limited = limited;
+    }
+
     /// Notes how long an endpoint took for a request of this service, in
     /// milliseconds.
     pub fn record_service(&mut self, service_ms: u64) {
@@ -199,6 +210,9 @@
         if deadline_ms <= hopeless_until_ms {
             return true;
         }
+        if !self.limited {
+            return false;
+        }
         let left_ms = (deadline_ms - hopeless_until_ms) as f64;
         let ahead = self.counts.count(hopeless_until_ms, deadline_ms);
         self.drain_rate.wait_ms(ahead) / SPEED_MARGIN > left_ms
--- a/crates/cornelpoint/src/slots/borrower.rs
+++ b/crates/cornelpoint/src/slots/borrower.rs
@@ -46,6 +46,7 @@
     answered_short: bool,
     contended: bool,
     fallback: bool,
+    avoided: Vec<InstanceId>,
     idle_window: IdleWindow,
 }
 
@@ -73,6 +74,7 @@
             answered_short: false,
             contended: false,
             fallback: false,
+            avoided: Vec::new(),
             idle_window: IdleWindow::new(now_ms),
         }
     }
@@ -102,6 +104,15 @@
         self.earliest_deadline_ms = earliest_deadline_ms;
     }
 
+    /// Sets the endpoints that get no requests for now though they accept
+    /// work. Unused slots there go back, and none are asked for.
+    pub fn set_avoided(&mut self, avoided: &[InstanceId]) {
+        if self.avoided != avoided {
+            self.avoided = avoided.to_vec();
+            self.drop_avoided();
+        }
+    }
+
     /// Takes a slot for one request, at an endpoint that is not excluded.
     ///
     /// The request must be started at once, and ended by its deadline.
@@ -221,6 +232,7 @@
         }
         self.contended = reply.contended;
         self.drop_leaving();
+        self.drop_avoided();
         self.lapse(now_ms);
     }
 
@@ -263,6 +275,12 @@
             && self.outstanding.is_none()
     }
 
+    /// Slots in which requests may be started.
+    #[must_use]
+    pub fn free(&self) -> u32 {
+        self.slots.free()
+    }
+
     /// Requests that run.
     #[must_use]
     pub fn running(&self) -> u32 {
@@ -283,6 +301,7 @@
             .collect();
         let first_started_ms = self.uses.values().map(|running| running.started_ms).min();
         BorrowerDump {
+            availability_zone: self.settings.availability_zone.clone(),
             sequence: self.sequence,
             lease_left_ms: self.lease_end_ms.saturating_sub(now_ms),
             fallback: self.fallback,
@@ -301,6 +320,13 @@
     fn use_fallback(&mut self) {
         let slots = self.known.equal_slots(self.settings.fallback_slots);
         self.slots.set_limits(&slots);
+        self.drop_avoided();
+    }
+
+    fn drop_avoided(&mut self) {
+        for endpoint in &self.avoided {
+            self.slots.clear_limit(endpoint);
+        }
     }
 
     fn drop_leaving(&mut self) {
@@ -378,6 +404,7 @@
                 .earliest_deadline_ms
                 .map(|deadline_ms| deadline_ms.saturating_sub(now_ms)),
             held: self.held(),
+            avoided: self.avoided.clone(),
         }
     }
 
--- a/crates/cornelpoint/src/slots/borrower_dump.rs
+++ b/crates/cornelpoint/src/slots/borrower_dump.rs
@@ -1,11 +1,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::name::AvailabilityZone;
 use crate::name::InstanceId;
 
 /// State of a [`Borrower`](super::Borrower), for operators.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BorrowerDump {
+    /// The availability zone whose endpoints are used.
+    pub availability_zone: AvailabilityZone,
     /// Number of the last message sent.
     pub sequence: u64,
     /// Time left to the lease, in milliseconds; zero when it has lapsed.
--- a/crates/cornelpoint/src/slots/holder.rs
+++ b/crates/cornelpoint/src/slots/holder.rs
@@ -89,6 +89,7 @@
     ///     queued: 3,
     ///     earliest_deadline_in_ms: Some(500),
     ///     held: Vec::new(),
+    ///     avoided: Vec::new(),
     /// };
     /// let reply = holder.exchange(&request, settings.adopt_ms);
     /// assert_eq!(reply.lent[0].count, 3);
@@ -104,7 +105,7 @@
         self.ledger.replace(key.clone(), account.clone());
         self.note_adopted(now_ms);
         let allotment = self.allotment(request, &account, now_ms);
-        let limits = self.limits(&account, allotment, now_ms);
+        let limits = self.limits(request, &account, allotment, now_ms);
         let reply = self.reply(request, &account, allotment, &limits);
         raise_to(&mut account, limits);
         self.ledger.replace(key, account);
@@ -280,6 +281,7 @@
 
     fn limits(
         &self,
+        request: &SlotRequest,
         account: &Account,
         allotment: Allotment,
         now_ms: u64,
@@ -287,7 +289,7 @@
         let mut limits = self.kept(account);
         let held: u32 = limits.values().sum();
         if held < allotment.upper {
-            self.grow(&mut limits, allotment.upper - held, now_ms);
+            self.grow(&mut limits, request, allotment.upper - held, now_ms);
         } else {
             let excess = held.saturating_sub(allotment.lower);
             shrink(&mut limits, excess.min(allotment.others_lack));
@@ -314,12 +316,18 @@
         limits
     }
 
-    fn grow(&self, limits: &mut BTreeMap<InstanceId, u32>, wanted: u32, now_ms: u64) {
+    fn grow(
+        &self,
+        limits: &mut BTreeMap<InstanceId, u32>,
+        request: &SlotRequest,
+        wanted: u32,
+        now_ms: u64,
+    ) {
         let mut free: Vec<(&InstanceId, u32)> = self
             .endpoints
             .iter()
             .map(|(instance, known)| (instance, self.free_at(instance, known, now_ms)))
-            .filter(|(_, free)| *free > 0)
+            .filter(|(instance, free)| *free > 0 && !request.avoided.contains(instance))
             .collect();
         for _ in 0..wanted {
             let best = free
--- a/crates/cornelpoint/src/slots/pool_borrower.rs
+++ b/crates/cornelpoint/src/slots/pool_borrower.rs
@@ -56,6 +56,28 @@
         }
     }
 
+    /// Sets the endpoints that get no requests for now, as for
+    /// [`Borrower::set_avoided`].
+    pub fn set_avoided(&mut self, avoided: &[InstanceId]) {
+        for borrower in self.all_mut() {
+            borrower.set_avoided(avoided);
+        }
+    }
+
+    /// Adds an availability zone, unless it is known.
+    pub fn add_zone(&mut self, settings: BorrowerSettings, now_ms: u64) {
+        if self.borrower_mut(&settings.availability_zone).is_none() {
+            self.others.push(Borrower::new(settings, now_ms));
+        }
+    }
+
+    /// Whether every holder has given less than was asked for and requests
+    /// still wait.
+    #[must_use]
+    pub fn is_short(&self) -> bool {
+        self.all().all(Borrower::is_short)
+    }
+
     /// Sets how many requests wait for a slot, and the earliest of their
     /// deadlines, in milliseconds.
     pub fn set_demand(&mut self, queued: u32, earliest_deadline_ms: Option<u64>) {
@@ -128,6 +150,12 @@
         }
     }
 
+    /// Slots in which requests may be started.
+    #[must_use]
+    pub fn free(&self) -> u32 {
+        self.all().map(Borrower::free).sum()
+    }
+
     /// Requests that run.
     #[must_use]
     pub fn running(&self) -> u32 {
--- a/crates/cornelpoint/src/slots/slot_request.rs
+++ b/crates/cornelpoint/src/slots/slot_request.rs
@@ -25,6 +25,8 @@
     /// The slots in which the gateway runs or may start requests until it
     /// has an answer to this message; endpoints without any are left out.
     pub held: Vec<HeldSlots>,
+    /// Endpoints of which the gateway wants no slots for now.
+    pub avoided: Vec<InstanceId>,
 }
 
 /// A gateway's slots at one endpoint.
--- /dev/null
+++ b/crates/cornelpoint/tests/dispatch/main.rs
@@ -0,0 +1,127 @@
+//! The dispatcher with a real holder, in virtual time: requests, sends and
+//! outcomes go in, verdicts come out.
+
+mod gateway;
+
+use cornelpoint::request::Refusal;
+use cornelpoint::retry::SendResult;
+
+use self::gateway::Gateway;
+
+const ANSWERED: SendResult = SendResult::Answered { status: 200 };
+const FAILED: SendResult = SendResult::Answered { status: 500 };
+
+#[test]
+fn a_request_runs_in_a_lent_slot_and_gets_its_answer() {
+    let mut gateway = Gateway::new(&["quoting-1"]);
+    gateway.enqueue(1, 1_000, true);
+    gateway.step_ms(10);
+    assert_eq!(gateway.sent(), [(1, "quoting-1")]);
+    gateway.complete(1, ANSWERED);
+    assert_eq!(gateway.answered(), [1]);
+}
+
+#[test]
+fn the_earliest_deadline_goes_first() {
+    let mut gateway = Gateway::new(&["quoting-1"]);
+    gateway.fill(8, 2_000);
+    for (id, deadline_ms) in [(21, 900), (22, 500), (23, 700)] {
+        gateway.enqueue(id, deadline_ms, true);
+    }
+    for id in 1..=8 {
+        gateway.complete(id, ANSWERED);
+    }
+    gateway.step_ms(10);
+    let order: Vec<u64> = gateway.sent().iter().skip(8).map(|(id, _)| *id).collect();
+    assert_eq!(order, [22, 23, 21]);
+}
+
+#[test]
+fn slots_of_an_ejected_endpoint_do_not_keep_requests_waiting() {
+    let mut gateway = Gateway::new(&["quoting-1", "quoting-2", "quoting-3", "quoting-4"]);
+    gateway.fail_until_avoided("quoting-1");
+    let before = gateway.sent().len();
+    for id in 1_000..1_024 {
+        gateway.enqueue(id, 60_000, false);
+    }
+    gateway.step_ms(200);
+    let sent: Vec<(u64, &str)> = gateway.sent().split_off(before);
+    assert_eq!(sent.len(), 24, "every slot of the other endpoints is used");
+    assert!(sent.iter().all(|(_, endpoint)| *endpoint != "quoting-1"));
+}
+
+#[test]
+fn no_request_is_refused_for_a_wait_while_slots_may_still_come() {
+    let mut gateway = Gateway::new(&["quoting-1", "quoting-2"]);
+    gateway.serve(64, 200);
+    gateway.delay_holder_ms(300);
+    for id in 2_000..2_030 {
+        gateway.enqueue(id, 1_000, true);
+        gateway.step_ms(10);
+    }
+    assert_eq!(gateway.refused(), []);
+}
+
+#[test]
+fn an_idempotent_request_is_tried_at_another_endpoint() {
+    let mut gateway = Gateway::new(&["quoting-1", "quoting-2"]);
+    gateway.serve(20, 10);
+    let before = gateway.sent().len();
+    gateway.enqueue(500, 1_000, true);
+    gateway.step_ms(10);
+    gateway.complete(500, SendResult::Broken);
+    gateway.step_ms(10);
+    let tries: Vec<&str> = gateway
+        .sent()
+        .iter()
+        .skip(before)
+        .map(|(_, endpoint)| *endpoint)
+        .collect();
+    assert_eq!(tries.len(), 2);
+    assert_ne!(tries.first(), tries.last());
+}
+
+#[test]
+fn a_request_that_may_have_run_is_not_sent_again() {
+    let mut gateway = Gateway::new(&["quoting-1", "quoting-2"]);
+    gateway.enqueue(1, 1_000, false);
+    gateway.step_ms(10);
+    gateway.complete(1, SendResult::Broken);
+    gateway.step_ms(10);
+    assert_eq!(gateway.sent().len(), 1);
+    assert_eq!(gateway.refused(), [(1, Refusal::AnswerCut)]);
+}
+
+#[test]
+fn a_failure_answer_of_a_request_that_is_not_idempotent_is_passed_on() {
+    let mut gateway = Gateway::new(&["quoting-1"]);
+    gateway.enqueue(1, 1_000, false);
+    gateway.step_ms(10);
+    gateway.complete(1, FAILED);
+    assert_eq!(gateway.answered(), [1]);
+}
+
+#[test]
+fn an_endpoint_that_says_it_leaves_gets_no_more() {
+    let mut gateway = Gateway::new(&["quoting-1", "quoting-2"]);
+    gateway.serve(16, 10);
+    gateway.say_leaving("quoting-1");
+    let before = gateway.sent().len();
+    gateway.serve(32, 10);
+    let endpoints: Vec<&str> = gateway
+        .sent()
+        .iter()
+        .skip(before)
+        .map(|(_, endpoint)| *endpoint)
+        .collect();
+    assert!(endpoints.iter().all(|endpoint| *endpoint == "quoting-2"));
+}
+
+#[test]
+fn a_request_that_cannot_be_done_in_time_is_refused_as_not_run() {
+    let mut gateway = Gateway::new(&["quoting-1"]);
+    gateway.fill(8, 5_000);
+    gateway.enqueue(50, 100, true);
+    gateway.step_ms(150);
+    assert_eq!(gateway.refused(), [(50, Refusal::DeadlineTooNear)]);
+}
