Keep operators' drains in the platform's table

A drain lived in the keepers' memory alone: when all keepers were replaced, the endpoint took work again, and nobody could tell who had drained it. A keeper reads the records at its start. Without the platform the mark is in force all the same, and the answer says that no record is kept.

Weighed: refusing drains while the platform is down, which would keep work flowing to an endpoint that an operator knows to be leaving.

--- a/crates/cornelpoint-cli/src/command_line/command.rs
+++ b/crates/cornelpoint-cli/src/command_line/command.rs
@@ -52,6 +52,15 @@
 pub struct DrainArguments {
     /// The endpoint's instance.
     pub instance: String,
+    /// Reason, kept in the table.
+    #[arg(long, value_name = "TEXT")]
+    pub why: String,
+    /// Operator, kept in the table; without it `CORNELPOINT_OPERATOR` or `USER` counts.
+    #[arg(long, value_name = "NAME")]
+    pub who: Option<String>,
+    /// Epoch of the mark that you saw; without it any.
+    #[arg(long, value_name = "EPOCH")]
+    pub seen: Option<u64>,
     /// The keeper to ask.
     #[command(flatten)]
     pub target: Target,
--- a/crates/cornelpoint-cli/src/command_line/mod.rs
+++ b/crates/cornelpoint-cli/src/command_line/mod.rs
@@ -8,6 +8,8 @@
 mod workspace_command;
 
 pub use self::command::Command;
+pub use self::command::DrainArguments;
+pub use self::command::DumpArguments;
 pub use self::command_line::CommandLine;
 pub use self::target::Change;
 pub use self::target::Target;
--- a/crates/cornelpoint-cli/src/execution/mark.rs
+++ b/crates/cornelpoint-cli/src/execution/mark.rs
@@ -1,9 +1,8 @@
 use std::net::SocketAddr;
 
-use cornelpoint::name::InstanceId;
-use cornelpoint::spread::EndpointMark;
 use cornelpoint_daemon::control::ControlClient;
-use cornelpoint_daemon::keeper::DrainRequest;
+use cornelpoint_daemon::keeper::MarkReply;
+use cornelpoint_daemon::keeper::MarkRequest;
 
 use super::diff::KEEPER_TIMEOUT;
 use super::failure::Failure;
@@ -12,7 +11,7 @@
 
 /// Drains an endpoint or brings it back.
 pub(super) fn run(
-    instance: &InstanceId,
+    request: &MarkRequest,
     accepts_work: bool,
     keeper: SocketAddr,
 ) -> Result<Answer, Failure> {
@@ -22,14 +21,28 @@
     } else {
         "/operator/drain"
     };
-    let request = DrainRequest {
-        instance: instance.clone(),
+    let reply: MarkReply = client.call_json(keeper, path, request)?;
+    let (code, text) = match &reply {
+        MarkReply::Marked { mark, recorded } => {
+            let work = if mark.accepts_work {
+                "new work"
+            } else {
+                "no new work"
+            };
+            let kept = if *recorded {
+                ""
+            } else {
+                "; the platform does not answer, so no record of it is kept"
+            };
+            (Code::Done, format!("{} takes {work}{kept}", mark.instance))
+        }
+        MarkReply::Conflict { current } => (
+            Code::Conflict,
+            format!(
+                "conflict: epoch {} is in force, set by {}: {}",
+                current.mark.epoch, current.who, current.why
+            ),
+        ),
     };
-    let mark: EndpointMark = client.call_json(keeper, path, &request)?;
-    let text = if mark.accepts_work {
-        format!("{} takes new work", mark.instance)
-    } else {
-        format!("{} takes no new work", mark.instance)
-    };
-    Ok(Answer::new(Code::Done, text, &mark))
+    Ok(Answer::new(code, text, &reply))
 }
--- a/crates/cornelpoint-cli/src/execution/mod.rs
+++ b/crates/cornelpoint-cli/src/execution/mod.rs
@@ -31,10 +31,10 @@
         Action::Status { keeper } => status::run(*keeper),
         Action::Dump { process } => dump::run(*process),
         Action::Mark {
-            instance,
+            request,
             accepts_work,
             keeper,
-        } => mark::run(instance, *accepts_work, *keeper),
+        } => mark::run(request, *accepts_work, *keeper),
         Action::Completions { shell } => Ok(completions::run(*shell)),
         Action::Demo => Ok(Answer::new(crate::output::Code::Done, "", &())),
     };
--- a/crates/cornelpoint-cli/src/settings/action.rs
+++ b/crates/cornelpoint-cli/src/settings/action.rs
@@ -4,7 +4,7 @@
 use clap_complete::Shell;
 use cornelpoint::configuration::AcceptToken;
 use cornelpoint::configuration::Generation;
-use cornelpoint::name::InstanceId;
+use cornelpoint_daemon::keeper::MarkRequest;
 
 use crate::command_line::Files;
 
@@ -54,8 +54,8 @@
     },
     /// Drain an endpoint, or bring it back.
     Mark {
-        /// The endpoint.
-        instance: InstanceId,
+        /// The endpoint, who, why, from what.
+        request: MarkRequest,
         /// Whether it is to take new work.
         accepts_work: bool,
         /// The keeper to ask.
--- a/crates/cornelpoint-cli/src/settings/settings.rs
+++ b/crates/cornelpoint-cli/src/settings/settings.rs
@@ -3,6 +3,7 @@
 use cornelpoint::configuration::AcceptToken;
 use cornelpoint::configuration::Generation;
 use cornelpoint::name::InstanceId;
+use cornelpoint_daemon::keeper::MarkRequest;
 
 use super::action::AcceptSource;
 use super::action::Action;
@@ -12,6 +13,7 @@
 use crate::command_line::Change;
 use crate::command_line::Command;
 use crate::command_line::CommandLine;
+use crate::command_line::DrainArguments;
 use crate::command_line::Target;
 use crate::command_line::TemplateCommand;
 use crate::command_line::WorkspaceCommand;
@@ -55,14 +57,14 @@
                 },
             },
             Command::Drain(drain) => Action::Mark {
-                instance: instance(&drain.instance)?,
-                accepts_work: false,
                 keeper: keeper(&drain.target)?,
+                request: mark_request(drain, environment)?,
+                accepts_work: false,
             },
             Command::Undrain(drain) => Action::Mark {
-                instance: instance(&drain.instance)?,
-                accepts_work: true,
                 keeper: keeper(&drain.target)?,
+                request: mark_request(drain, environment)?,
+                accepts_work: true,
             },
             Command::Completions { shell } => Action::Completions { shell },
             Command::Demo(_) => Action::Demo,
@@ -119,6 +121,19 @@
     })
 }
 
+fn mark_request(
+    drain: DrainArguments,
+    environment: &Environment,
+) -> Result<MarkRequest, UsageError> {
+    let who = drain.who.or_else(|| environment.operator.clone());
+    Ok(MarkRequest {
+        instance: instance(&drain.instance)?,
+        seen: drain.seen,
+        who: who.ok_or(UsageError::NoOperator)?,
+        why: drain.why,
+    })
+}
+
 fn change_settings(
     change: Change,
     environment: &Environment,
--- a/crates/cornelpoint-cli/tests/command_line.rs
+++ b/crates/cornelpoint-cli/tests/command_line.rs
@@ -26,6 +26,12 @@
 use slog::Logger;
 use slog::o;
 
+/// The files that operators accept.
+const FILES: &str = "FOLDER/kandy.template.json FOLDER/lk-west.workspace.json";
+
+/// Most questions until a new keeper has read the table.
+const MAX_QUESTIONS: usize = 100_000;
+
 const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
 
 fn examples() -> PathBuf {
@@ -102,7 +108,7 @@
     let report = report(
         &[
             "cornelpoint status",
-            "cornelpoint drain Quoting --keeper 127.0.0.1:1",
+            "cornelpoint drain Quoting --why fans --who nimal --keeper 127.0.0.1:1",
             "cornelpoint workspace rollback 1 --why late --keeper 127.0.0.1:1",
             "cornelpoint workspace rollback 1 --why late --who nimal --seen 1 --token x --keeper 127.0.0.1:1",
         ],
@@ -112,7 +118,7 @@
         $ cornelpoint status
         expected --keeper ADDRESS or CORNELPOINT_KEEPER, found neither
         [Usage]
-        $ cornelpoint drain Quoting --keeper 127.0.0.1:1
+        $ cornelpoint drain Quoting --why fans --who nimal --keeper 127.0.0.1:1
         expected the name of an instance, found `Quoting`
         [Usage]
         $ cornelpoint workspace rollback 1 --why late --keeper 127.0.0.1:1
@@ -147,25 +153,17 @@
 impl Site {
     fn start() -> Self {
         let platform = PlatformStandIn::start(&PlatformSettings::default()).unwrap();
-        let listen = SocketAddr::from(LOOPBACK);
-        let settings = KeeperSettings {
-            instance: InstanceId::try_from("entry-1").unwrap(),
-            availability_zone: AvailabilityZone::try_from("lk-west-a").unwrap(),
-            workspace: WorkspaceName::try_from("lk-west").unwrap(),
-            listen,
-            gossip_listen: listen,
-            seeds: Vec::new(),
-            platform: platform.address(),
-            platform_timeout_ms: 2_000,
-            platform_poll_ms: 100,
-            sync_interval_ms: 100,
-            slot_lease_ms: 1_000,
-            control_threads: 4,
-        };
-        let keeper = Keeper::start(&settings, Logger::root(Discard, o!())).unwrap();
+        let keeper = start_keeper(&platform);
         Self { platform, keeper }
     }
 
+    /// The site with a keeper that knows nothing in place of its own.
+    fn with_new_keeper(self) -> Self {
+        self.keeper.kill();
+        let keeper = start_keeper(&self.platform);
+        Self { keeper, ..self }
+    }
+
     fn environment(&self, operator: &str, random: u64) -> Environment {
         Environment {
             keeper: Some(self.keeper.address().to_string()),
@@ -180,55 +178,62 @@
     }
 }
 
+fn start_keeper(platform: &PlatformStandIn) -> Keeper {
+    let listen = SocketAddr::from(LOOPBACK);
+    let settings = KeeperSettings {
+        instance: InstanceId::try_from("entry-1").unwrap(),
+        availability_zone: AvailabilityZone::try_from("lk-west-a").unwrap(),
+        workspace: WorkspaceName::try_from("lk-west").unwrap(),
+        listen,
+        gossip_listen: listen,
+        seeds: Vec::new(),
+        platform: platform.address(),
+        platform_timeout_ms: 2_000,
+        platform_poll_ms: 100,
+        sync_interval_ms: 100,
+        slot_lease_ms: 1_000,
+        control_threads: 4,
+    };
+    Keeper::start(&settings, Logger::root(Discard, o!())).unwrap()
+}
+
+/// What each operator is answered, in turn; endpoints' lines and details left out.
+fn dialogue(site: &Site, lines: &[(&str, &str)]) -> String {
+    let mut text = String::new();
+    for (random, (operator, line)) in (1..).zip(lines) {
+        let line = line.replace("FILES", FILES);
+        let report = report(&[&line], &site.environment(operator, random));
+        let kept = report
+            .lines()
+            .filter(|line| !line.starts_with("  ") && !line.starts_with("endpoint"));
+        let kept: Vec<&str> = kept.collect();
+        writeln!(text, "{operator} {}", kept.join("\n")).unwrap();
+    }
+    text
+}
+
 #[test]
 fn operators_accept_and_roll_back() {
     let site = Site::start();
-    let files = "FOLDER/kandy.template.json FOLDER/lk-west.workspace.json";
-    let mut report_text = String::new();
-    for (operator, random, line) in [
-        ("nimal", 1, format!("cornelpoint workspace diff {files}")),
-        (
-            "nimal",
-            2,
-            format!("cornelpoint workspace accept {files} --why first"),
-        ),
-        (
-            "nimal",
-            3,
-            format!("cornelpoint workspace accept {files} --why first --seen 0 --token 2"),
-        ),
-        (
-            "kamala",
-            4,
-            format!("cornelpoint workspace accept {files} --why late --seen 0"),
-        ),
-        (
-            "kamala",
-            5,
-            format!("cornelpoint workspace accept {files} --why again"),
-        ),
-        ("kamala", 6, format!("cornelpoint workspace diff {files}")),
-        (
-            "kamala",
-            7,
-            "cornelpoint workspace rollback 9 --why oops".to_owned(),
-        ),
-        (
-            "kamala",
-            8,
-            "cornelpoint workspace rollback 1 --why oops".to_owned(),
-        ),
-        ("kamala", 9, "cornelpoint drain galle-1".to_owned()),
-        ("kamala", 10, "cornelpoint undrain galle-1".to_owned()),
-    ] {
-        let environment = site.environment(operator, random);
-        let first_lines: Vec<String> = report(&[&line], &environment)
-            .lines()
-            .filter(|line| !line.starts_with("  ") && !line.starts_with("endpoint"))
-            .map(str::to_owned)
-            .collect();
-        writeln!(report_text, "{operator} {}", first_lines.join("\n")).unwrap();
-    }
+    let dialogue = dialogue(
+        &site,
+        &[
+            ("nimal", "cornelpoint workspace diff FILES"),
+            ("nimal", "cornelpoint workspace accept FILES --why first"),
+            (
+                "nimal",
+                "cornelpoint workspace accept FILES --why first --seen 0 --token 2",
+            ),
+            (
+                "kamala",
+                "cornelpoint workspace accept FILES --why late --seen 0",
+            ),
+            ("kamala", "cornelpoint workspace accept FILES --why again"),
+            ("kamala", "cornelpoint workspace diff FILES"),
+            ("kamala", "cornelpoint workspace rollback 9 --why oops"),
+            ("kamala", "cornelpoint workspace rollback 1 --why oops"),
+        ],
+    );
     let history = answer(
         "cornelpoint workspace history",
         &site.environment("nimal", 11),
@@ -271,16 +276,75 @@
         kamala $ cornelpoint workspace rollback 1 --why oops
         unchanged: already in force as generation 1
         [Done]
-        kamala $ cornelpoint drain galle-1
+    "]].assert_eq(&dialogue);
+    assert_eq!(history.data.as_array().map(Vec::len), Some(1));
+    assert_eq!(history.data[0]["who"], "nimal");
+    assert_eq!(status.data["newest_known"], 1);
+}
+
+#[test]
+fn a_drain_outlives_all_keepers() {
+    let mut site = Site::start();
+    let mut dialogue = dialogue(
+        &site,
+        &[
+            ("kamala", "cornelpoint drain galle-1 --why fans"),
+            ("nimal", "cornelpoint drain galle-1 --why power --seen 0"),
+            ("nimal", "cornelpoint drain galle-2 --why power --seen 0"),
+            ("nimal", "cornelpoint undrain galle-1 --why fixed --seen 1"),
+        ],
+    );
+    site = site.with_new_keeper();
+    let environment = site.environment("nimal", 1);
+    let marks = std::iter::repeat_with(|| answer("cornelpoint status", &environment))
+        .take(MAX_QUESTIONS)
+        .map(|status| status.data["keepers"][0]["marks"].clone())
+        .find(|marks| marks.as_array().is_some_and(|marks| !marks.is_empty()));
+    for mark in marks.unwrap().as_array().unwrap() {
+        writeln!(
+            dialogue,
+            "{} accepts work: {}",
+            mark["instance"], mark["accepts_work"]
+        )
+        .unwrap();
+    }
+    site.stop();
+    expect![[r#"
+        kamala $ cornelpoint drain galle-1 --why fans
         galle-1 takes no new work
         [Done]
-        kamala $ cornelpoint undrain galle-1
+        nimal $ cornelpoint drain galle-1 --why power --seen 0
+        conflict: epoch 1 is in force, set by kamala: fans
+        [Conflict]
+        nimal $ cornelpoint drain galle-2 --why power --seen 0
+        galle-2 takes no new work
+        [Done]
+        nimal $ cornelpoint undrain galle-1 --why fixed --seen 1
         galle-1 takes new work
         [Done]
-    "]].assert_eq(&report_text);
-    assert_eq!(history.data.as_array().map(Vec::len), Some(1));
-    assert_eq!(history.data[0]["who"], "nimal");
-    assert_eq!(status.data["newest_known"], 1);
+        "galle-1" accepts work: true
+        "galle-2" accepts work: false
+    "#]]
+    .assert_eq(&dialogue);
+}
+
+#[test]
+fn a_drain_is_in_force_without_the_platform() {
+    let site = Site::start();
+    site.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    let dialogue = dialogue(&site, &[("nimal", "cornelpoint drain galle-1 --why fans")]);
+    let status = answer("cornelpoint status", &site.environment("nimal", 2));
+    site.stop();
+    expect![[r"
+        nimal $ cornelpoint drain galle-1 --why fans
+        galle-1 takes no new work; the platform does not answer, so no record of it is kept
+        [Done]
+    "]]
+    .assert_eq(&dialogue);
+    assert_eq!(status.data["keepers"][0]["marks"][0]["accepts_work"], false);
 }
 
 #[test]
--- a/crates/cornelpoint-daemon/src/keeper/command.rs
+++ b/crates/cornelpoint-daemon/src/keeper/command.rs
@@ -38,8 +38,8 @@
     Listed(InstanceList),
     /// An endpoint said whether it takes new work.
     Sign(EndpointSign),
-    /// An operator drains or brings back an endpoint.
-    Mark(InstanceId, bool, ReplyTo<EndpointMark>),
+    /// Asks for the operators' mark of an endpoint.
+    OperatorMark(InstanceId, ReplyTo<Option<EndpointMark>>),
     /// The platform answered, or did not.
     PlatformReachable(bool),
     /// Asks how far a drain is; without an answer this keeper is not the holder.
--- a/crates/cornelpoint-daemon/src/keeper/core.rs
+++ b/crates/cornelpoint-daemon/src/keeper/core.rs
@@ -95,13 +95,9 @@
                 let adoption = self.state.sign(sign, now_ms);
                 self.spread(adoption);
             }
-            Command::Mark(instance, accepts_work, to) => {
-                let cause = MarkCause::Operator;
-                let adoption = self.state.mark(instance, accepts_work, cause, now_ms);
-                if let Some(mark) = adoption.marks.first() {
-                    drop(to.try_send(mark.clone()));
-                }
-                self.spread(adoption);
+            Command::OperatorMark(instance, to) => {
+                let mark = self.state.facts().mark(&instance, MarkCause::Operator);
+                drop(to.try_send(mark.cloned()));
             }
             Command::PlatformReachable(reachable) => self.state.set_platform_reachable(reachable),
             Command::Drained(instance, to) => {
--- a/crates/cornelpoint-daemon/src/keeper/mod.rs
+++ b/crates/cornelpoint-daemon/src/keeper/mod.rs
@@ -21,4 +21,6 @@
 pub use self::keeper_dump::KeeperDump;
 pub use self::keeper_error::KeeperError;
 pub use self::operator::DrainRequest;
+pub use self::operator::MarkReply;
+pub use self::operator::MarkRequest;
 pub use self::running::Keeper;
--- a/crates/cornelpoint-daemon/src/keeper/operator/drain.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/drained.rs
@@ -8,33 +8,17 @@
 use crate::control::json_body;
 use crate::control::json_reply;
 use crate::control::text_reply;
-use crate::keeper::command::Command;
 use crate::keeper::routes::drain_report;
 
-/// An operator drains or brings back an endpoint.
+/// An operator asks how far a drain is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DrainRequest {
     /// The endpoint.
     pub instance: InstanceId,
 }
 
-/// Marks an endpoint and answers with the mark.
-pub(super) fn mark(operator: &Operator, request: &Request, accepts_work: bool) -> Response {
-    let drain: DrainRequest = match json_body(request) {
-        Ok(drain) => drain,
-        Err(error) => return text_reply(400, &error.to_string()),
-    };
-    let mark = operator
-        .core
-        .ask(|to| Command::Mark(drain.instance, accepts_work, to));
-    match mark {
-        Some(mark) => json_reply(&mark),
-        None => text_reply(503, "the state does not answer"),
-    }
-}
-
 /// Answers how far a drain is.
-pub(super) fn drained(operator: &Operator, request: &Request) -> Response {
+pub(super) fn answer(operator: &Operator, request: &Request) -> Response {
     let drain: DrainRequest = match json_body(request) {
         Ok(drain) => drain,
         Err(error) => return text_reply(400, &error.to_string()),
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/keeper/operator/mark.rs
@@ -0,0 +1,160 @@
+use cornelpoint::name::InstanceId;
+use cornelpoint::platform::Row;
+use cornelpoint::platform::TransactionOutcome;
+use cornelpoint::spread::DrainRecord;
+use cornelpoint::spread::EndpointMark;
+use cornelpoint::spread::MarkCause;
+use cornelpoint::spread::Update;
+use rouille::Request;
+use rouille::Response;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::operator::Operator;
+use crate::clock::unix_ms;
+use crate::control::json_body;
+use crate::control::json_reply;
+use crate::control::text_reply;
+use crate::keeper::command::Command;
+use crate::platform_client::PlatformError;
+
+/// An operator drains an endpoint or brings it back.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MarkRequest {
+    /// The endpoint.
+    pub instance: InstanceId,
+    /// Epoch of the mark that the operator saw; any when missing.
+    #[serde(default)]
+    pub seen: Option<u64>,
+    /// Operator who asks.
+    #[serde(default)]
+    pub who: String,
+    /// Reason that the operator gives.
+    #[serde(default)]
+    pub why: String,
+}
+
+/// What became of a mark.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "outcome", rename_all = "kebab-case")]
+pub enum MarkReply {
+    /// The mark is in force.
+    Marked {
+        /// The mark.
+        mark: EndpointMark,
+        /// Whether the platform's table keeps it. Without that it is lost
+        /// when all keepers are replaced before the next mark of the endpoint.
+        recorded: bool,
+    },
+    /// Another mark than the operator saw is in force; nothing changed.
+    Conflict {
+        /// The mark in force, with who set it and why.
+        current: DrainRecord,
+    },
+}
+
+/// What the table keeps of an endpoint.
+struct Stored {
+    row: Option<Row>,
+    record: Option<DrainRecord>,
+}
+
+/// Marks an endpoint. Without the platform the mark is in force all the same.
+pub(super) fn answer(operator: &Operator, request: &Request, accepts_work: bool) -> Response {
+    let request: MarkRequest = match json_body(request) {
+        Ok(request) => request,
+        Err(error) => return text_reply(400, &error.to_string()),
+    };
+    let stored = read(operator, &request.instance);
+    let asked = request.instance.clone();
+    let Some(known) = operator.core.ask(|to| Command::OperatorMark(asked, to)) else {
+        return text_reply(503, "the state does not answer");
+    };
+    if let Some(current) = conflict(&request, stored.as_ref().ok()) {
+        return json_reply(&MarkReply::Conflict { current });
+    }
+    let record = DrainRecord {
+        mark: next_mark(&request, accepts_work, known.as_ref(), stored.as_ref().ok()),
+        who: request.who,
+        why: request.why,
+        set_unix_ms: unix_ms(),
+    };
+    json_reply(&mark(operator, record, stored.as_ref().ok()))
+}
+
+fn mark(operator: &Operator, record: DrainRecord, stored: Option<&Stored>) -> MarkReply {
+    let written = stored.map(|stored| write(operator, &record, stored));
+    if let Some(Ok(Some(current))) = written {
+        return MarkReply::Conflict { current };
+    }
+    operator.core.tell(Command::Apply(Update {
+        configuration: None,
+        marks: vec![record.mark.clone()],
+    }));
+    MarkReply::Marked {
+        mark: record.mark,
+        recorded: matches!(written, Some(Ok(None))),
+    }
+}
+
+fn conflict(request: &MarkRequest, stored: Option<&Stored>) -> Option<DrainRecord> {
+    let record = stored?.record.as_ref()?;
+    let seen = request.seen?;
+    (record.mark.epoch != seen).then(|| record.clone())
+}
+
+/// A mark that is newer than all that the keeper and the table know.
+fn next_mark(
+    request: &MarkRequest,
+    accepts_work: bool,
+    known: Option<&EndpointMark>,
+    stored: Option<&Stored>,
+) -> EndpointMark {
+    let known_epoch = known.map_or(0, |mark| mark.epoch);
+    let stored = stored.and_then(|stored| stored.record.as_ref());
+    let stored_epoch = stored.map_or(0, |record| record.mark.epoch);
+    EndpointMark {
+        instance: request.instance.clone(),
+        epoch: known_epoch.max(stored_epoch) + 1,
+        accepts_work,
+        cause: MarkCause::Operator,
+    }
+}
+
+fn read(operator: &Operator, instance: &InstanceId) -> Result<Stored, PlatformError> {
+    let key = DrainRecord::key(&operator.workspace, instance);
+    let row = operator.platform.read(&[key])?.into_iter().next();
+    let record = row.as_ref().and_then(|row| DrainRecord::decode(row).ok());
+    Ok(Stored { row, record })
+}
+
+/// Stores the record; returns the one that stands there after a conflict.
+///
+/// An answer that was lost is resolved by reading the record back.
+fn write(
+    operator: &Operator,
+    record: &DrainRecord,
+    stored: &Stored,
+) -> Result<Option<DrainRecord>, PlatformError> {
+    let transaction = record.transaction(&operator.workspace, stored.row.as_ref());
+    match operator.platform.transact(&transaction) {
+        Ok(TransactionOutcome::Committed) => Ok(None),
+        Ok(TransactionOutcome::Conflict { .. }) => other_record(operator, record),
+        Err(error) if error.may_have_taken_effect() => {
+            let now = read(operator, &record.mark.instance)?;
+            if now.record.as_ref() == Some(record) {
+                return Ok(None);
+            }
+            Err(error)
+        }
+        Err(error) => Err(error),
+    }
+}
+
+fn other_record(
+    operator: &Operator,
+    record: &DrainRecord,
+) -> Result<Option<DrainRecord>, PlatformError> {
+    let now = read(operator, &record.mark.instance)?;
+    Ok(now.record.filter(|other| other != record))
+}
--- a/crates/cornelpoint-daemon/src/keeper/operator/mod.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/mod.rs
@@ -5,16 +5,19 @@
 //! | `POST /operator/accept` | `AcceptRequest` | `AcceptOutcome` |
 //! | `GET /operator/configuration` | | the newest configuration in the table |
 //! | `GET /operator/history` | | list of `HistoryEntry`, the newest first |
-//! | `POST /operator/drain`, `POST /operator/undrain` | [`DrainRequest`] | `EndpointMark` |
+//! | `POST /operator/drain`, `POST /operator/undrain` | [`MarkRequest`] | [`MarkReply`] |
 //! | `POST /operator/drained` | [`DrainRequest`] | `DrainReport` |
 //! | `GET /operator/status` | | `KeeperStatus` |
 
 mod accept;
-mod drain;
+mod drained;
 mod history;
+mod mark;
 mod newest;
 #[expect(clippy::module_inception, reason = "the type gives the part its name")]
 mod operator;
 
-pub use self::drain::DrainRequest;
+pub use self::drained::DrainRequest;
+pub use self::mark::MarkReply;
+pub use self::mark::MarkRequest;
 pub(super) use self::operator::Operator;
--- a/crates/cornelpoint-daemon/src/keeper/operator/operator.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/operator.rs
@@ -3,8 +3,9 @@
 use rouille::Response;
 
 use super::accept;
-use super::drain;
+use super::drained;
 use super::history;
+use super::mark;
 use super::newest;
 use crate::control::json_reply;
 use crate::control::text_reply;
@@ -43,9 +44,9 @@
             ("POST", "/operator/accept") => accept::answer(self, request),
             ("GET", "/operator/configuration") => newest::answer(self),
             ("GET", "/operator/history") => history::answer(self),
-            ("POST", "/operator/drain") => drain::mark(self, request, false),
-            ("POST", "/operator/undrain") => drain::mark(self, request, true),
-            ("POST", "/operator/drained") => drain::drained(self, request),
+            ("POST", "/operator/drain") => mark::answer(self, request, false),
+            ("POST", "/operator/undrain") => mark::answer(self, request, true),
+            ("POST", "/operator/drained") => drained::answer(self, request),
             ("GET", "/operator/status") => self.status(),
             _ => text_reply(404, &format!("no action for {method} {path}")),
         }
--- a/crates/cornelpoint-daemon/src/keeper/platform_watch.rs
+++ b/crates/cornelpoint-daemon/src/keeper/platform_watch.rs
@@ -15,7 +15,9 @@
 use cornelpoint::name::AvailabilityZone;
 use cornelpoint::name::InstanceId;
 use cornelpoint::name::WorkspaceName;
+use cornelpoint::platform::Scan;
 use cornelpoint::rendezvous::choose_several;
+use cornelpoint::spread::DrainRecord;
 use cornelpoint::spread::Update;
 
 use super::command::Command;
@@ -26,6 +28,8 @@
 
 /// Keepers of an availability zone that read the platform.
 const POLLERS_PER_ZONE: usize = 1;
+/// Most operators' marks that are read at the start.
+const MARKS_LIMIT: u32 = 100_000;
 /// Longest wait after failures, as a multiple of the interval.
 const MAX_BACK_OFF: u32 = 16;
 /// Time between two looks at the stop flag.
@@ -44,6 +48,7 @@
     workspace: WorkspaceName,
     interval: Duration,
     back_off: u32,
+    marks_loaded: bool,
     stop: Arc<AtomicBool>,
 }
 
@@ -62,6 +67,7 @@
             workspace: settings.workspace.clone(),
             interval: Duration::from_millis(settings.platform_poll_ms),
             back_off: 1,
+            marks_loaded: false,
             stop,
         }
     }
@@ -96,7 +102,8 @@
         choose_several(0, in_zone, POLLERS_PER_ZONE).contains(&&self.own)
     }
 
-    fn read(&self) -> Result<(), PlatformError> {
+    fn read(&mut self) -> Result<(), PlatformError> {
+        self.load_marks()?;
         if let Some(configuration) = self.newer_configuration()? {
             self.core.tell(Command::Apply(Update {
                 configuration: Some(configuration),
@@ -108,6 +115,25 @@
         Ok(())
     }
 
+    /// Reads the operators' marks once; later ones come from other keepers.
+    fn load_marks(&mut self) -> Result<(), PlatformError> {
+        if self.marks_loaded {
+            return Ok(());
+        }
+        let rows = self.platform.scan(&Scan {
+            table: DrainRecord::TABLE.to_owned(),
+            prefix: DrainRecord::prefix(&self.workspace),
+            limit: MARKS_LIMIT,
+        })?;
+        let records = rows.iter().filter_map(|row| DrainRecord::decode(row).ok());
+        self.core.tell(Command::Apply(Update {
+            configuration: None,
+            marks: records.map(|record| record.mark).collect(),
+        }));
+        self.marks_loaded = true;
+        Ok(())
+    }
+
     fn newer_configuration(&self) -> Result<Option<Configuration>, PlatformError> {
         let rows = self.platform.read(&[head_key(&self.workspace)])?;
         let Some(head) = rows.first() else {
--- a/crates/cornelpoint/src/spread/mod.rs
+++ b/crates/cornelpoint/src/spread/mod.rs
@@ -5,12 +5,15 @@
 //! any order, twice, or late, and nothing goes back.
 
 mod digest;
+mod drain_record;
 mod endpoint_mark;
 mod facts;
 mod update;
 
 pub use self::digest::Digest;
 pub use self::digest::MarkVersion;
+pub use self::drain_record::DrainRecord;
+pub use self::drain_record::DrainRecordError;
 pub use self::endpoint_mark::EndpointMark;
 pub use self::endpoint_mark::MarkCause;
 pub use self::facts::Facts;
