Answer a caller without waiting for the verdict on a final answer

Cause: after the endpoint's answer the connection's thread reported to the deciding thread and waited for its verdict, two more wakes for each request, although no retry can follow an answer that does not blame the endpoint.

Change: SendResult::is_final says so, in one place with the rule for retries; the report still goes to the deciding thread.

--- a/crates/cornelpoint-daemon/src/gateway/handler.rs
+++ b/crates/cornelpoint-daemon/src/gateway/handler.rs
@@ -139,6 +139,11 @@
                 Some(Verdict::Send(assignment)) => {
                     let report = self.send(&assignment, outgoing, claim, &mut sends);
                     ticket.complete(report);
+                    // The verdict on a final answer is known; the caller need
+                    // not wait for it.
+                    if report.result.is_final() {
+                        return sends.into_answer();
+                    }
                 }
                 Some(Verdict::Answer) => return sends.into_answer(),
                 Some(Verdict::Refuse(refusal)) => return sends.into_refusal(refusal),
--- a/crates/cornelpoint/src/retry/attempts.rs
+++ b/crates/cornelpoint/src/retry/attempts.rs
@@ -108,15 +108,10 @@
         }
         match result {
             SendResult::NotSent | SendResult::NotStarted => true,
-            SendResult::Answered { status } if !is_endpoint_failure(status) => false,
+            SendResult::Answered { .. } if result.is_final() => false,
             SendResult::Answered { .. } | SendResult::Broken | SendResult::Late => {
                 self.idempotent && self.sends < MAX_SENDS && budget.take_retry(now_ms)
             }
         }
     }
 }
-
-/// Statuses that say more of the endpoint than of the request.
-fn is_endpoint_failure(status: u16) -> bool {
-    matches!(status, 500 | 502 | 503 | 504)
-}
--- a/crates/cornelpoint/src/retry/send_result.rs
+++ b/crates/cornelpoint/src/retry/send_result.rs
@@ -32,4 +32,23 @@
             Self::NotSent | Self::NotStarted => false,
         }
     }
+
+    /// Whether the answer goes to the caller whatever else is known, so that
+    /// no retry can follow.
+    ///
+    /// ```
+    /// use cornelpoint::retry::SendResult;
+    ///
+    /// assert!(SendResult::Answered { status: 404 }.is_final());
+    /// assert!(!SendResult::Answered { status: 503 }.is_final());
+    /// ```
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Answered { status } if !is_endpoint_failure(status))
+    }
+}
+
+/// Statuses that say more of the endpoint than of the request.
+fn is_endpoint_failure(status: u16) -> bool {
+    matches!(status, 500 | 502 | 503 | 504)
 }
