--- a/crates/cornelpoint/src/slots/holder_settings.rs
+++ b/crates/cornelpoint/src/slots/holder_settings.rs
@@ -39,7 +39,7 @@
             max_deadline_ms,
             adopt_ms: 900,
             leaving_known_ms: 2_000,
-            ask_soon_ms: 20,
+            ask_soon_ms: 10,
             ask_later_ms: 200,
         }
     }
