--- a/crates/cornelpoint-daemon/src/endpoint_client/connection_watch.rs
+++ b/crates/cornelpoint-daemon/src/endpoint_client/connection_watch.rs
@@ -7,6 +7,7 @@
     open: AtomicBool,
     sent: AtomicBool,
     ended: AtomicBool,
+    surplus: AtomicBool,
 }
 
 impl ConnectionWatch {
@@ -14,6 +15,7 @@
     pub(super) fn start_request(&self) {
         self.sent.store(false, Ordering::SeqCst);
         self.ended.store(false, Ordering::SeqCst);
+        self.surplus.store(false, Ordering::SeqCst);
     }
 
     /// Notes that the connection was made.
@@ -36,6 +38,17 @@
         self.ended.store(true, Ordering::SeqCst);
     }
 
+    /// Notes that bytes came behind the end of the answer.
+    pub(super) fn note_surplus(&self) {
+        self.surplus.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether bytes came behind the end of the answer, so that its stated
+    /// length can't be believed.
+    pub(super) fn has_surplus(&self) -> bool {
+        self.surplus.load(Ordering::SeqCst)
+    }
+
     /// Whether the connection can take a further request.
     pub(super) fn is_open(&self) -> bool {
         self.open.load(Ordering::SeqCst)
--- a/crates/cornelpoint-daemon/src/endpoint_client/link.rs
+++ b/crates/cornelpoint-daemon/src/endpoint_client/link.rs
@@ -118,6 +118,7 @@
         match body {
             Err(error) => self.failure(&error),
             Ok(_) if self.watch.has_ended() => SendOutcome::Broken(Refusal::AnswerCut),
+            Ok(_) if self.watch.has_surplus() => SendOutcome::Broken(Refusal::AnswerMalformed),
             Ok(body) => SendOutcome::Answered(whole(head, body)),
         }
     }
--- a/crates/cornelpoint-daemon/src/endpoint_client/watched_transport.rs
+++ b/crates/cornelpoint-daemon/src/endpoint_client/watched_transport.rs
@@ -123,7 +123,11 @@
         }
         let silent = match self.stream.read(&mut [0]) {
             Err(error) => error.kind() == ErrorKind::WouldBlock,
-            Ok(_) => false,
+            Ok(0) => false,
+            Ok(_) => {
+                self.watch.note_surplus();
+                false
+            }
         };
         silent && self.stream.set_nonblocking(false).is_ok()
     }
@@ -131,6 +135,9 @@
 
 impl Drop for WatchedTransport {
     fn drop(&mut self) {
+        if !self.buffers.input().is_empty() {
+            self.watch.note_surplus();
+        }
         self.watch.note_closed();
     }
 }
--- a/crates/cornelpoint-daemon/src/gateway/gateway_dump.rs
+++ b/crates/cornelpoint-daemon/src/gateway/gateway_dump.rs
@@ -4,6 +4,8 @@
 use cornelpoint::name::InstanceId;
 use serde::Serialize;
 
+use crate::claim_store::ClaimStoreDump;
+
 /// All that a gateway knows, for `/dump`.
 #[derive(Clone, Debug, Serialize)]
 pub struct GatewayDump {
@@ -21,6 +23,8 @@
     pub connections: usize,
     /// Reports sent to holders since the start.
     pub exchanges: u64,
+    /// Claims on idempotency keys.
+    pub claims: Option<ClaimStoreDump>,
     /// Decisions.
     pub dispatcher: DispatcherDump,
 }
--- a/crates/cornelpoint-daemon/src/gateway/running.rs
+++ b/crates/cornelpoint-daemon/src/gateway/running.rs
@@ -31,6 +31,7 @@
 use crate::caller_edge::CallerEdge;
 use crate::caller_edge::Drain;
 use crate::caller_edge::EdgeSettings;
+use crate::claim_store::ClaimStore;
 use crate::claim_store::ClaimStoreSettings;
 use crate::claim_store::RunningClaimStore;
 use crate::clock::MonotonicClock;
@@ -107,6 +108,7 @@
             clock,
             admission: Arc::clone(&admission),
             decisions: decisions.clone(),
+            claims: claims.store(),
             edge: Arc::clone(&edge),
         };
         let control = ControlServer::start(settings.control_listen, CONTROL_THREADS, move |r| {
@@ -207,6 +209,7 @@
     clock: MonotonicClock,
     admission: Arc<Admission>,
     decisions: Decisions,
+    claims: ClaimStore,
     edge: Arc<CallerEdge>,
 }
 
@@ -241,6 +244,7 @@
             stopping: self.admission.is_stopping(),
             connections: self.edge.connections(),
             exchanges: decisions.exchanges,
+            claims: self.claims.dump(),
             dispatcher: decisions.dispatcher,
         })
     }
--- a/crates/cornelpoint-daemon/src/gateway/sends.rs
+++ b/crates/cornelpoint-daemon/src/gateway/sends.rs
@@ -26,6 +26,7 @@
             }
             SendOutcome::NotSent(reason) => SendReport {
                 refused: reason == NotSent::Refused,
+                unreachable: matches!(reason, NotSent::ConnectTimeout | NotSent::Unreachable),
                 ..report(SendResult::NotSent)
             },
             SendOutcome::NotStarted { leaving } => SendReport {
@@ -86,6 +87,7 @@
         result,
         leaving: false,
         refused: false,
+        unreachable: false,
     }
 }
 
--- a/crates/cornelpoint/src/dispatch/send_report.rs
+++ b/crates/cornelpoint/src/dispatch/send_report.rs
@@ -13,6 +13,8 @@
     pub leaving: bool,
     /// Whether the endpoint refused the connection.
     pub refused: bool,
+    /// Whether the endpoint could not be reached in time.
+    pub unreachable: bool,
 }
 
 impl SendReport {
@@ -28,6 +30,7 @@
             SendResult::Broken => Outcome::Failed,
             SendResult::Late => Outcome::TimedOut,
             SendResult::NotSent if self.refused => Outcome::Refused,
+            SendResult::NotSent if self.unreachable => Outcome::Failed,
             SendResult::NotSent | SendResult::NotStarted => Outcome::Withdrawn,
         }
     }
--- a/crates/cornelpoint/tests/dispatch/gateway.rs
+++ b/crates/cornelpoint/tests/dispatch/gateway.rs
@@ -185,6 +185,7 @@
             result,
             leaving,
             refused: false,
+            unreachable: false,
         };
         if let Some(verdict) = self.dispatcher.complete(id, report, self.now_ms) {
             self.take(id, verdict);
