--- /dev/null
+++ b/crates/cornelpoint-cli/src/execution/mark.rs
@@ -0,0 +1,48 @@
+use std::net::SocketAddr;
+
+use cornelpoint_daemon::control::ControlClient;
+use cornelpoint_daemon::keeper::MarkReply;
+use cornelpoint_daemon::keeper::MarkRequest;
+
+use super::diff::KEEPER_TIMEOUT;
+use super::failure::Failure;
+use crate::output::Answer;
+use crate::output::Code;
+
+/// Drains an endpoint or brings it back.
+pub(super) fn run(
+    request: &MarkRequest,
+    accepts_work: bool,
+    keeper: SocketAddr,
+) -> Result<Answer, Failure> {
+    let client = ControlClient::new(KEEPER_TIMEOUT);
+    let path = if accepts_work {
+        "/operator/undrain"
+    } else {
+        "/operator/drain"
+    };
+    let reply: MarkReply = client.call_json(keeper, path, request)?;
+    let (code, text) = match &reply {
+        MarkReply::Marked { mark, recorded } => {
+            let work = if mark.accepts_work {
+                "new work"
+            } else {
+                "no new work"
+            };
+            let kept = if *recorded {
+                ""
+            } else {
+                "; the platform does not answer, so no record of it is kept"
+            };
+            (Code::Done, format!("{} takes {work}{kept}", mark.instance))
+        }
+        MarkReply::Conflict { current } => (
+            Code::Conflict,
+            format!(
+                "conflict: epoch {} is in force, set by {}: {}",
+                current.mark.epoch, current.who, current.why
+            ),
+        ),
+    };
+    Ok(Answer::new(code, text, &reply))
+}
--- a/crates/cornelpoint/benches/slot_sharing/cost.rs
+++ b/crates/cornelpoint/benches/slot_sharing/cost.rs
@@ -72,6 +72,7 @@
 
 fn request(gateway: u32) -> SlotRequest {
     SlotRequest {
+        avoided: Vec::new(),
         gateway: InstanceId::try_from(format!("entry-{gateway}")).expect("name is good"),
         incarnation: 1,
         sequence: 0,
