Repeat keyed requests at all gateways in the seeded tests

Cause: a caller without an answer repeats its request, with its key, at another gateway; that has to end in one run at most.

Change: half of the callers' requests carry an idempotency key; one that was not answered is repeated at each gateway.

--- a/crates/cornelpoint-cli/tests/request_path.rs
+++ b/crates/cornelpoint-cli/tests/request_path.rs
@@ -48,6 +48,9 @@
 /// Deadlines that no call misses without a fault.
 const LONG_DEADLINES_MS: Range<u64> = 8000..9000;
 
+/// The gateways of the fleet, in their order.
+const GATEWAYS: [&str; 2] = ["gateway-a", "gateway-b"];
+
 /// Methods of the callers; the first is not idempotent and comes most.
 const METHODS: [Method; 5] = [
     Method::Post,
@@ -87,18 +90,32 @@
             if now_ms() >= end_ms {
                 return;
             }
-            let request = self.draw(&format!("r{}-{count}", self.number));
-            call(&self.recorder, &request);
+            let mut request = self.draw(&format!("r{}-{count}", self.number));
+            let outcome = call(&self.recorder, &request);
+            if request.idempotency_key.is_some() && !is_answered(&outcome) {
+                self.repeat(&mut request);
+            }
+        }
+    }
+
+    /// Repeats a keyed request at all gateways, as a caller does who got no
+    /// answer.
+    fn repeat(&self, request: &mut CallerRequest) {
+        for (index, address) in self.gateways.iter().enumerate() {
+            request.gateway = instance(GATEWAYS[index]);
+            request.address = *address;
+            call(&self.recorder, request);
         }
     }
 
     fn draw(&mut self, request: &str) -> CallerRequest {
         let gateway = self.random.random_range(0..self.gateways.len());
+        let is_keyed = self.random.random_bool(0.5);
         CallerRequest {
-            gateway: instance(["gateway-a", "gateway-b"][gateway]),
+            gateway: instance(GATEWAYS[gateway]),
             address: self.gateways[gateway],
             request: request.to_owned(),
-            idempotency_key: None,
+            idempotency_key: is_keyed.then(|| format!("key-{request}")),
             method: METHODS[self.random.random_range(0..METHODS.len())],
             path: "/quoting/orders".to_owned(),
             body: request.repeat(10).into_bytes(),
@@ -155,6 +172,10 @@
     format!("{runs} runs, ends {counts:?}")
 }
 
+fn is_answered(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Answered { .. })
+}
+
 fn end(outcome: &Outcome) -> String {
     match outcome {
         Outcome::Answered { status, .. } => format!("answered {status}"),
@@ -237,7 +258,7 @@
 
 fn order(number: usize, address: SocketAddr, method: Method) -> CallerRequest {
     CallerRequest {
-        gateway: instance(["gateway-a", "gateway-b"][number]),
+        gateway: instance(GATEWAYS[number]),
         address,
         request: format!("order-{number}-{method}-{}", now_ms()),
         idempotency_key: None,
