--- a/crates/cornelpoint-cli/src/settings/settings.rs
+++ b/crates/cornelpoint-cli/src/settings/settings.rs
@@ -67,7 +67,7 @@
                 accepts_work: true,
             },
             Command::Completions { shell } => Action::Completions { shell },
-            Command::Demo(_) => Action::Demo,
+            Command::Demo(_) | Command::Load(_) => Action::Demo,
         };
         Ok(Self { action })
     }
