--- a/crates/cornelpoint-cli/src/run.rs
+++ b/crates/cornelpoint-cli/src/run.rs
@@ -5,6 +5,7 @@
 use crate::command_line::Command;
 use crate::command_line::CommandLine;
 use crate::demo;
+use crate::demo::DemoArguments;
 use crate::execution;
 use crate::load;
 use crate::output::Answer;
@@ -17,7 +18,8 @@
 pub fn run() -> ExitCode {
     let command_line = CommandLine::parse();
     if let Command::Demo(arguments) = &command_line.command {
-        return demo::run(arguments);
+        let json = command_line.json || arguments.json;
+        return demo::run(&DemoArguments { json, ..*arguments });
     }
     if let Command::Load(arguments) = &command_line.command {
         return load::run(arguments, command_line.json);
--- a/crates/cornelpoint-cli/tests/command_line.rs
+++ b/crates/cornelpoint-cli/tests/command_line.rs
@@ -10,6 +10,7 @@
 use cornelpoint::name::AvailabilityZone;
 use cornelpoint::name::InstanceId;
 use cornelpoint::name::WorkspaceName;
+use cornelpoint_cli::command_line::Command;
 use cornelpoint_cli::command_line::CommandLine;
 use cornelpoint_cli::execution;
 use cornelpoint_cli::output::Answer;
@@ -67,6 +68,17 @@
     CommandLine::command().debug_assert();
 }
 
+#[test]
+fn json_may_stand_anywhere() {
+    for words in ["cornelpoint --json demo", "cornelpoint demo --json"] {
+        let command_line = CommandLine::parse_from(words.split(' '));
+        let Command::Demo(demo) = command_line.command else {
+            panic!("expected the demo");
+        };
+        assert!(command_line.json || demo.json, "{words}");
+    }
+}
+
 #[test]
 fn files_are_checked_without_a_keeper() {
     let report = report(
