Count surplus bytes of the connection in use only

Cause: bytes that came on an idle connection were charged to the next answer, which came on a new one.

--- a/crates/cornelpoint-daemon/src/endpoint_client/connection_watch.rs
+++ b/crates/cornelpoint-daemon/src/endpoint_client/connection_watch.rs
@@ -18,8 +18,10 @@
         self.surplus.store(false, Ordering::SeqCst);
     }
 
-    /// Notes that the connection was made.
+    /// Notes that the connection was made; what came on one before it no
+    /// longer counts.
     pub(super) fn note_open(&self) {
+        self.surplus.store(false, Ordering::SeqCst);
         self.open.store(true, Ordering::SeqCst);
     }
 
