--- a/crates/cornelpoint/src/membership/members.rs
+++ b/crates/cornelpoint/src/membership/members.rs
@@ -18,12 +18,21 @@
 use super::probe::RelayedProbe;
 use crate::name::InstanceId;
 
+/// Suspects that are asked again with each probe.
+const SUSPECTS_PER_PROBE: usize = 3;
+
 #[derive(Clone, Debug)]
 struct Known {
     member: Member,
     since_ms: u64,
 }
 
+/// A member that is not thought live is told so, and can refute it.
+fn doubt(known: &Known) -> Option<Member> {
+    let doubted = known.member.status != MemberStatus::Live;
+    doubted.then(|| known.member.clone())
+}
+
 /// One process's view of the members, and its probes.
 ///
 /// ```
@@ -295,6 +304,9 @@
         {
             outgoing.extend(self.try_absent());
         }
+        for suspect in self.suspects() {
+            outgoing.push(self.ping(suspect));
+        }
         if let Some(target) = self.next_target() {
             let sequence = self.take_sequence();
             let address = target.gossip_address;
@@ -310,6 +322,17 @@
         outgoing
     }
 
+    /// Suspects that are asked again, so that each hears of the suspicion and
+    /// can refute it though datagrams are lost.
+    fn suspects(&self) -> Vec<SocketAddr> {
+        self.known
+            .values()
+            .filter(|known| known.member.status == MemberStatus::Suspect)
+            .map(|known| known.member.gossip_address)
+            .take(SUSPECTS_PER_PROBE)
+            .collect()
+    }
+
     fn try_absent(&mut self) -> Option<OutgoingGossip> {
         let present: Vec<SocketAddr> = self.present().map(|member| member.gossip_address).collect();
         let absent = self
@@ -359,7 +382,12 @@
     }
 
     fn ping_with(&mut self, to: SocketAddr, sequence: u64) -> OutgoingGossip {
-        let news = self.news_for(None);
+        let mut news = self.news_for(None);
+        let target = self
+            .known
+            .values()
+            .find(|known| known.member.gossip_address == to);
+        news.extend(target.and_then(doubt));
         OutgoingGossip {
             to,
             message: GossipMessage::Ping {
@@ -372,11 +400,7 @@
 
     fn ack(&mut self, to: SocketAddr, sequence: u64, peer: &InstanceId) -> OutgoingGossip {
         let mut news = self.news_for(Some(peer));
-        // A member that is thought absent learns it, so that it can refute.
-        let known = self.known.get(peer);
-        if let Some(known) = known.filter(|known| known.member.status != MemberStatus::Live) {
-            news.push(known.member.clone());
-        }
+        news.extend(self.known.get(peer).and_then(doubt));
         OutgoingGossip {
             to,
             message: GossipMessage::Ack {
