--- a/crates/cornelpoint/src/slots/borrowed.rs
+++ b/crates/cornelpoint/src/slots/borrowed.rs
@@ -4,7 +4,9 @@
 
 use crate::name::InstanceId;
 
+use super::borrower_dump::BorrowedEndpoint;
 use super::slot_reply::LentSlots;
+use super::slot_request::HeldSlots;
 
 /// Limit and uses at one endpoint.
 #[derive(Clone, Copy, Debug, Default)]
@@ -129,6 +131,31 @@
         self.endpoints.values().map(|b| b.held()).sum()
     }
 
+    /// The limits and uses, for operators.
+    pub(super) fn dump(&self) -> Vec<BorrowedEndpoint> {
+        self.endpoints
+            .iter()
+            .map(|(endpoint, borrowed)| BorrowedEndpoint {
+                endpoint: endpoint.clone(),
+                limit: borrowed.limit,
+                in_use: borrowed.in_use,
+            })
+            .collect()
+    }
+
+    /// The slots in which requests run or may be started, for the holder.
+    pub(super) fn report(&self) -> Vec<HeldSlots> {
+        self.endpoints
+            .iter()
+            .filter(|(_, borrowed)| borrowed.held() > 0)
+            .map(|(endpoint, borrowed)| HeldSlots {
+                endpoint: endpoint.clone(),
+                count: borrowed.held(),
+                in_use: borrowed.in_use,
+            })
+            .collect()
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = (&InstanceId, &Borrowed)> {
         self.endpoints.iter()
     }
--- a/crates/cornelpoint/src/slots/borrower.rs
+++ b/crates/cornelpoint/src/slots/borrower.rs
@@ -4,7 +4,6 @@
 use crate::name::InstanceId;
 
 use super::borrowed::BorrowedSlots;
-use super::borrower_dump::BorrowedEndpoint;
 use super::borrower_dump::BorrowerDump;
 use super::borrower_settings::BorrowerSettings;
 use super::holder_endpoint::HolderEndpoint;
@@ -13,7 +12,6 @@
 use super::pending_exchange::PendingExchange;
 use super::running_request::RunningRequest;
 use super::slot_reply::SlotReply;
-use super::slot_request::HeldSlots;
 use super::slot_request::SlotRequest;
 use super::slot_use::SlotUse;
 
@@ -290,15 +288,6 @@
     /// The whole state.
     #[must_use]
     pub fn dump(&self, now_ms: u64) -> BorrowerDump {
-        let endpoints = self
-            .slots
-            .iter()
-            .map(|(endpoint, borrowed)| BorrowedEndpoint {
-                endpoint: endpoint.clone(),
-                limit: borrowed.limit,
-                in_use: borrowed.in_use,
-            })
-            .collect();
         let first_started_ms = self.uses.values().map(|running| running.started_ms).min();
         BorrowerDump {
             availability_zone: self.settings.availability_zone.clone(),
@@ -307,7 +296,7 @@
             fallback: self.fallback,
             queued: self.queued,
             longest_run_ms: now_ms - first_started_ms.unwrap_or(now_ms).min(now_ms),
-            endpoints,
+            endpoints: self.slots.dump(),
         }
     }
 
@@ -403,20 +392,8 @@
             earliest_deadline_in_ms: self
                 .earliest_deadline_ms
                 .map(|deadline_ms| deadline_ms.saturating_sub(now_ms)),
-            held: self.held(),
+            held: self.slots.report(),
             avoided: self.avoided.clone(),
         }
     }
-
-    fn held(&self) -> Vec<HeldSlots> {
-        self.slots
-            .iter()
-            .filter(|(_, borrowed)| borrowed.held() > 0)
-            .map(|(endpoint, borrowed)| HeldSlots {
-                endpoint: endpoint.clone(),
-                count: borrowed.held(),
-                in_use: borrowed.in_use,
-            })
-            .collect()
-    }
 }
