--- a/crates/cornelpoint-cli/tests/request_path.rs
+++ b/crates/cornelpoint-cli/tests/request_path.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
@@ -14,6 +15,8 @@
 use cornelpoint_standin::caller::call;
 use cornelpoint_standin::clock::now_ms;
 use cornelpoint_standin::endpoint::EndpointFault;
+use cornelpoint_standin::endpoint::FaultRule;
+use cornelpoint_standin::endpoint::FaultScope;
 use cornelpoint_standin::fault_plan::FaultDriver;
 use cornelpoint_standin::fault_plan::FaultKind;
 use cornelpoint_standin::fault_plan::FaultPlan;
@@ -33,9 +36,21 @@
 /// Callers at once.
 const CALLERS: u64 = 24;
 
+/// Small fleets that run side by side.
+const FLEETS_AT_ONCE: usize = 6;
+
 /// Time in which callers make new calls.
 const LOAD_MS: u64 = 3000;
 
+/// Deadlines that faults, and a busy machine, make some calls miss.
+const SHORT_DEADLINES_MS: Range<u64> = 200..1500;
+
+/// Deadlines that no call misses without a fault.
+const LONG_DEADLINES_MS: Range<u64> = 8000..9000;
+
+/// The gateways of the fleet, in their order.
+const GATEWAYS: [&str; 2] = ["gateway-a", "gateway-b"];
+
 /// Methods of the callers; the first is not idempotent and comes most.
 const METHODS: [Method; 5] = [
     Method::Post,
@@ -55,15 +70,17 @@
     random: ChaCha8Rng,
     gateways: Vec<SocketAddr>,
     recorder: Arc<Recorder>,
+    deadlines_ms: Range<u64>,
 }
 
 impl Caller {
-    fn start(number: u64, seed: u64, fleet: &Fleet) -> JoinHandle<()> {
+    fn start(number: u64, seed: u64, fleet: &Fleet, deadlines_ms: Range<u64>) -> JoinHandle<()> {
         let caller = Self {
             number,
             random: ChaCha8Rng::seed_from_u64(seed * 1000 + number),
             gateways: fleet.gateway_addresses(),
             recorder: Arc::clone(&fleet.recorder),
+            deadlines_ms,
         };
         thread::spawn(move || caller.run(now_ms() + LOAD_MS))
     }
@@ -73,31 +90,45 @@
             if now_ms() >= end_ms {
                 return;
             }
-            let request = self.draw(&format!("r{}-{count}", self.number));
-            call(&self.recorder, &request);
+            let mut request = self.draw(&format!("r{}-{count}", self.number));
+            let outcome = call(&self.recorder, &request);
+            if request.idempotency_key.is_some() && !is_answered(&outcome) {
+                self.repeat(&mut request);
+            }
+        }
+    }
+
+    /// Repeats a keyed request at all gateways, as a caller does who got no
+    /// answer.
+    fn repeat(&self, request: &mut CallerRequest) {
+        for (index, address) in self.gateways.iter().enumerate() {
+            request.gateway = instance(GATEWAYS[index]);
+            request.address = *address;
+            call(&self.recorder, request);
         }
     }
 
     fn draw(&mut self, request: &str) -> CallerRequest {
         let gateway = self.random.random_range(0..self.gateways.len());
+        let is_keyed = self.random.random_bool(0.5);
         CallerRequest {
-            gateway: instance(["gateway-a", "gateway-b"][gateway]),
+            gateway: instance(GATEWAYS[gateway]),
             address: self.gateways[gateway],
             request: request.to_owned(),
-            idempotency_key: None,
+            idempotency_key: is_keyed.then(|| format!("key-{request}")),
             method: METHODS[self.random.random_range(0..METHODS.len())],
             path: "/quoting/orders".to_owned(),
             body: request.repeat(10).into_bytes(),
             size_bytes: self.random.random_bool(0.2).then_some(50_000),
             work_ms: Some(self.random.random_range(0..30)),
-            deadline_ms: Some(self.random.random_range(200..1500)),
+            deadline_ms: Some(self.random.random_range(self.deadlines_ms.clone())),
             patience_ms: 10_000,
         }
     }
 }
 
 /// Runs callers against a fleet under faults of some kinds.
-fn run(seed: u64, kinds: &[FaultKind]) -> History {
+fn run(seed: u64, kinds: &[FaultKind], deadlines_ms: &Range<u64>) -> History {
     let fleet = Fleet::start(seed);
     let scope = PlanScope {
         kinds,
@@ -112,7 +143,7 @@
         Arc::clone(&fleet.recorder),
     );
     let callers: Vec<_> = (0..CALLERS)
-        .map(|number| Caller::start(number, seed, &fleet))
+        .map(|number| Caller::start(number, seed, &fleet, deadlines_ms.clone()))
         .collect();
     for caller in callers {
         caller.join().unwrap();
@@ -124,7 +155,7 @@
 /// Runs under faults of some kinds and expects no violation.
 fn check_kinds(kinds: &[FaultKind]) {
     let seed = seed();
-    let history = run(seed, kinds);
+    let history = run(seed, kinds, &SHORT_DEADLINES_MS);
     eprintln!("seed {seed}: {}", summary(&history));
     let violations = check(&history, Limits::default());
     let lines: Vec<_> = violations.iter().map(ToString::to_string).collect();
@@ -141,6 +172,10 @@
     format!("{runs} runs, ends {counts:?}")
 }
 
+fn is_answered(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Answered { .. })
+}
+
 fn end(outcome: &Outcome) -> String {
     match outcome {
         Outcome::Answered { status, .. } => format!("answered {status}"),
@@ -151,7 +186,7 @@
 
 #[test]
 fn without_faults_every_call_is_answered() {
-    let history = run(seed(), &[]);
+    let history = run(seed(), &[], &LONG_DEADLINES_MS);
     eprintln!("{}", summary(&history));
     assert_eq!(check(&history, Limits::default()), []);
     let answered = |outcome: &Outcome| matches!(outcome, Outcome::Answered { status: 200, .. });
@@ -203,19 +238,19 @@
     check_kinds(&[FaultKind::EndpointLeaving]);
 }
 
-/// Makes one POST and one GET at each gateway while all endpoints have a
-/// fault, and returns the violations.
-fn violations_under(fleet: &Fleet, fault: &EndpointFault) -> Vec<String> {
+/// Makes one POST and one GET at each gateway of a fleet whose endpoints all
+/// have a fault, and returns the violations.
+fn violations_under(fault: &EndpointFault) -> Vec<String> {
+    let fleet = Fleet::start(seed());
     fleet.set_fault_on_all_endpoints(fault);
-    let recorder = Recorder::default();
     for (number, address) in fleet.gateway_addresses().into_iter().enumerate() {
         for method in [Method::Post, Method::Get] {
-            call(&recorder, &order(number, address, method));
+            call(&fleet.recorder, &order(number, address, method));
         }
     }
-    fleet.targets.clear();
-    fleet.record_runs(&recorder);
-    check(&recorder.into_history(), Limits::default())
+    let history = fleet.finish().into_history();
+    eprintln!("{fault:?}: {}", summary(&history));
+    check(&history, Limits::default())
         .iter()
         .map(|violation| format!("{fault:?}: {violation}"))
         .collect()
@@ -223,7 +258,7 @@
 
 fn order(number: usize, address: SocketAddr, method: Method) -> CallerRequest {
     CallerRequest {
-        gateway: instance(["gateway-a", "gateway-b"][number]),
+        gateway: instance(GATEWAYS[number]),
         address,
         request: format!("order-{number}-{method}-{}", now_ms()),
         idempotency_key: None,
@@ -237,9 +272,30 @@
     }
 }
 
+/// One caller after the other, so that a gateway needs one slot at a time.
 #[test]
-fn no_fault_of_an_answer_breaks_a_promise() {
+fn one_failing_endpoint_does_not_stop_a_service_at_light_load() {
     let fleet = Fleet::start(seed());
+    fleet.targets.endpoints[0].set_faults(vec![FaultRule {
+        fault: EndpointFault::FailFast,
+        scope: FaultScope::UntilCleared,
+    }]);
+    let gateway = fleet.gateway_addresses()[0];
+    let one_call = || {
+        let request = order(0, gateway, Method::Get);
+        end(&call(&fleet.recorder, &request))
+    };
+    let avoided_by_ms = now_ms() + 3000;
+    while now_ms() < avoided_by_ms {
+        one_call();
+    }
+    let ends: Vec<_> = (0..5).map(|_| one_call()).collect();
+    drop(fleet.finish());
+    assert_eq!(ends, ["answered 200"; 5]);
+}
+
+#[test]
+fn no_fault_of_an_answer_breaks_a_promise() {
     let faults = [
         EndpointFault::FailFast,
         EndpointFault::Hang,
@@ -248,7 +304,6 @@
         EndpointFault::CutAnswer { after_bytes: 10 },
         EndpointFault::CutAnswer { after_bytes: 200 },
         EndpointFault::LengthTooLarge { excess_bytes: 5 },
-        EndpointFault::LengthTooSmall { excess_bytes: 5 },
         EndpointFault::Drip { pause_ms: 1 },
         EndpointFault::Drip { pause_ms: 20 },
         EndpointFault::LateAnswer { late_ms: 1000 },
@@ -261,14 +316,27 @@
         },
         EndpointFault::CloseIdle { after_ms: 1 },
     ];
-    let violations: Vec<_> = faults
-        .iter()
-        .flat_map(|fault| violations_under(&fleet, fault))
-        .collect();
-    drop(fleet.finish());
+    let mut violations = Vec::new();
+    for some in faults.chunks(FLEETS_AT_ONCE) {
+        thread::scope(|scope| {
+            let fleets: Vec<_> = some
+                .iter()
+                .map(|fault| scope.spawn(move || violations_under(fault)))
+                .collect();
+            for fleet in fleets {
+                violations.extend(fleet.join().unwrap());
+            }
+        });
+    }
     assert!(violations.is_empty(), "{}", violations.join("\n"));
 }
 
+#[test]
+fn an_answer_longer_than_it_states_is_not_passed_off_as_whole() {
+    let fault = EndpointFault::LengthTooSmall { excess_bytes: 5 };
+    assert_eq!(violations_under(&fault), Vec::<String>::new());
+}
+
 #[test]
 fn promises_hold_under_all_faults_together() {
     check_kinds(&FaultKind::ALL);
