Measure the slopes of capacity

Inputs are fixed by CORNELPOINT_SEED; times vary with the load of the machine.

Found while measuring: memory read after other state was freed came out as zero, so memory is measured first and everything measured is kept.

--- /dev/null
+++ b/crates/cornelpoint/benches/capacity/fit.rs
@@ -0,0 +1,53 @@
+//! Straight lines through measured points, by least squares.
+
+/// One measurement: a size and what was measured at it.
+#[derive(Clone, Copy, Debug)]
+pub struct Point {
+    pub size: f64,
+    pub value: f64,
+}
+
+/// Value at size zero, and growth for each unit of size.
+#[derive(Clone, Copy, Debug)]
+pub struct Line {
+    pub intercept: f64,
+    pub slope: f64,
+}
+
+impl Line {
+    /// The line with the least sum of squared distances.
+    pub fn through(points: &[Point]) -> Self {
+        let count = points.len() as f64;
+        let mean_size = points.iter().map(|point| point.size).sum::<f64>() / count;
+        let mean_value = points.iter().map(|point| point.value).sum::<f64>() / count;
+        let spread: f64 = points
+            .iter()
+            .map(|point| (point.size - mean_size).powi(2))
+            .sum();
+        let joint: f64 = points
+            .iter()
+            .map(|point| (point.size - mean_size) * (point.value - mean_value))
+            .sum();
+        let slope = joint / spread;
+        Self {
+            intercept: mean_value - slope * mean_size,
+            slope,
+        }
+    }
+}
+
+/// Prints one row of a table of lines.
+pub fn print_line(what: &str, unit: &str, size: &str, points: &[Point]) {
+    let line = Line::through(points);
+    println!(
+        "| {what} | {unit} | {size} | {:.4} | {:.2} |",
+        line.slope, line.intercept
+    );
+}
+
+/// Prints the head of a table of lines.
+pub fn print_line_head() {
+    println!();
+    println!("| least squares of | unit | for each | slope | intercept |");
+    println!("|---|---|---|---:|---:|");
+}
--- /dev/null
+++ b/crates/cornelpoint/benches/capacity/main.rs
@@ -0,0 +1,37 @@
+//! What each role spends as the fleet grows: measured at several sizes, with
+//! a straight line through the points.
+
+#![expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    reason = "counts and times are small and not negative"
+)]
+
+mod dispatching;
+mod duties;
+mod fit;
+mod inputs;
+mod membership;
+mod memory;
+mod resident;
+mod slots;
+mod spread;
+
+use std::env;
+
+const DEFAULT_SEED: u64 = 1;
+
+fn main() {
+    let seed = env::var("CORNELPOINT_SEED")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(DEFAULT_SEED);
+    println!("# Capacity, seed {seed}");
+    memory::print(seed);
+    duties::print();
+    spread::print_marks();
+    spread::print_configurations();
+    slots::print();
+    dispatching::print();
+    membership::print(seed);
+}
--- /dev/null
+++ b/crates/cornelpoint/benches/capacity/spread.rs
@@ -0,0 +1,282 @@
+//! Marks and configurations: bytes, and time to code, decode and apply.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use cornelpoint::configuration::Configuration;
+use cornelpoint::dispatch::Dispatcher;
+use cornelpoint::dispatch::DispatcherSettings;
+use cornelpoint::platform::InstanceList;
+use cornelpoint::platform::InstanceState;
+use cornelpoint::platform::ListedInstance;
+use cornelpoint::spread::Digest;
+use cornelpoint::spread::Facts;
+use cornelpoint::spread::Update;
+
+use super::fit::Point;
+use super::fit::print_line;
+use super::fit::print_line_head;
+use super::inputs::configuration;
+use super::inputs::encoded_bytes;
+use super::inputs::entry;
+use super::inputs::facts;
+use super::inputs::marks;
+use super::inputs::worker;
+use super::inputs::zone;
+
+const SIZES: [usize; 6] = [50, 500, 2_000, 5_000, 10_000, 19_000];
+const POOLS: usize = 29;
+const ZONES: usize = 11;
+const ROUNDS: usize = 20;
+const START_MS: u64 = 2_000;
+
+#[derive(Clone, Copy, Debug)]
+struct MarkCost {
+    digest_bytes: f64,
+    update_bytes: f64,
+    answer_us: f64,
+    apply_us: f64,
+    apply_again_us: f64,
+    encode_us: f64,
+    decode_us: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ConfigurationCost {
+    encoded_bytes: f64,
+    encode_us: f64,
+    decode_us: f64,
+    configure_us: f64,
+    list_bytes: f64,
+    list_decode_us: f64,
+}
+
+/// Prints the tables of marks.
+pub fn print_marks() {
+    println!("\n## Marks\n");
+    println!(
+        "| marks | digest bytes | bytes of one update with all | make and encode a digest, us | decode it, us | answer it, us | apply all, us | apply all again, us |"
+    );
+    println!("|---:|---:|---:|---:|---:|---:|---:|---:|");
+    let costs: Vec<MarkCost> = SIZES.iter().map(|&size| mark_cost(size)).collect();
+    for (size, cost) in SIZES.iter().zip(&costs) {
+        println!(
+            "| {size} | {} | {} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} |",
+            cost.digest_bytes,
+            cost.update_bytes,
+            cost.encode_us,
+            cost.decode_us,
+            cost.answer_us,
+            cost.apply_us,
+            cost.apply_again_us
+        );
+    }
+    let points = |value: fn(&MarkCost) -> f64| points(&costs, value);
+    print_line_head();
+    print_line("digest", "bytes", "mark", &points(|cost| cost.digest_bytes));
+    print_line("update", "bytes", "mark", &points(|cost| cost.update_bytes));
+    print_line(
+        "make and encode a digest",
+        "us",
+        "mark",
+        &points(|cost| cost.encode_us),
+    );
+    print_line(
+        "decode a digest",
+        "us",
+        "mark",
+        &points(|cost| cost.decode_us),
+    );
+    print_line(
+        "answer a digest",
+        "us",
+        "mark",
+        &points(|cost| cost.answer_us),
+    );
+    print_line("apply", "us", "mark", &points(|cost| cost.apply_us));
+    print_line(
+        "apply again",
+        "us",
+        "mark",
+        &points(|cost| cost.apply_again_us),
+    );
+}
+
+/// Prints the tables of configurations and instance lists.
+pub fn print_configurations() {
+    println!("\n## Configurations and instance lists\n");
+    println!(
+        "| endpoints | configuration bytes | encode, us | decode, us | put in force at a gateway, us | instance list bytes | decode it, us |"
+    );
+    println!("|---:|---:|---:|---:|---:|---:|---:|");
+    let costs: Vec<ConfigurationCost> =
+        SIZES.iter().map(|&size| configuration_cost(size)).collect();
+    for (size, cost) in SIZES.iter().zip(&costs) {
+        println!(
+            "| {size} | {} | {:.0} | {:.0} | {:.0} | {} | {:.0} |",
+            cost.encoded_bytes,
+            cost.encode_us,
+            cost.decode_us,
+            cost.configure_us,
+            cost.list_bytes,
+            cost.list_decode_us
+        );
+    }
+    let points = |value: fn(&ConfigurationCost) -> f64| points(&costs, value);
+    print_line_head();
+    print_line(
+        "configuration",
+        "bytes",
+        "endpoint",
+        &points(|cost| cost.encoded_bytes),
+    );
+    print_line("encode", "us", "endpoint", &points(|cost| cost.encode_us));
+    print_line("decode", "us", "endpoint", &points(|cost| cost.decode_us));
+    print_line(
+        "put in force",
+        "us",
+        "endpoint",
+        &points(|cost| cost.configure_us),
+    );
+    print_line(
+        "instance list",
+        "bytes",
+        "instance",
+        &points(|cost| cost.list_bytes),
+    );
+    print_line(
+        "decode an instance list",
+        "us",
+        "instance",
+        &points(|cost| cost.list_decode_us),
+    );
+}
+
+fn points<C>(costs: &[C], value: fn(&C) -> f64) -> Vec<Point> {
+    SIZES
+        .iter()
+        .zip(costs)
+        .map(|(&size, cost)| Point {
+            size: size as f64,
+            value: value(cost),
+        })
+        .collect()
+}
+
+fn mark_cost(size: usize) -> MarkCost {
+    let update = Update {
+        configuration: None,
+        marks: marks(size, 1),
+    };
+    let mut known = Facts::default();
+    known.apply(update.clone());
+    let digest: Digest = known.digest();
+    let encode_us = mean_us(|| {
+        black_box(encoded_bytes(&known.digest()));
+    });
+    let encoded = rmp_serde::to_vec_named(&digest).expect("plain data can be coded");
+    let decode_us = mean_us(|| {
+        let decoded: Digest = rmp_serde::from_slice(&encoded).expect("it was just coded");
+        black_box(decoded);
+    });
+    let answer_us = mean_us(|| {
+        black_box(known.newer_than(black_box(&digest)));
+    });
+    let apply_us = mean_us_with(
+        || (Facts::default(), update.clone()),
+        |(mut facts, update)| {
+            facts.apply(update);
+            facts
+        },
+    );
+    let apply_again_us = mean_us_with(
+        || (known.clone(), update.clone()),
+        |(mut facts, update)| {
+            facts.apply(update);
+            facts
+        },
+    );
+    MarkCost {
+        digest_bytes: encoded_bytes(&digest) as f64,
+        update_bytes: encoded_bytes(&update) as f64,
+        answer_us,
+        apply_us,
+        apply_again_us,
+        encode_us,
+        decode_us,
+    }
+}
+
+fn configuration_cost(size: usize) -> ConfigurationCost {
+    let configuration = configuration(size, POOLS, ZONES);
+    let encoded = rmp_serde::to_vec_named(&configuration).expect("plain data can be coded");
+    let encode_us = mean_us(|| {
+        black_box(encoded_bytes(black_box(&configuration)));
+    });
+    let decode_us = mean_us(|| {
+        let decoded: Configuration = rmp_serde::from_slice(&encoded).expect("it was just coded");
+        black_box(decoded);
+    });
+    let encoded_list =
+        rmp_serde::to_vec_named(&instance_list(size)).expect("plain data can be coded");
+    let list_decode_us = mean_us(|| {
+        let decoded: InstanceList =
+            rmp_serde::from_slice(&encoded_list).expect("it was just coded");
+        black_box(decoded);
+    });
+    ConfigurationCost {
+        encoded_bytes: encoded.len() as f64,
+        encode_us,
+        decode_us,
+        configure_us: configure_us(&facts(configuration)),
+        list_bytes: encoded_list.len() as f64,
+        list_decode_us,
+    }
+}
+
+/// Time that a gateway's dispatcher takes to take in a next configuration.
+fn configure_us(facts: &Facts) -> f64 {
+    let mut dispatcher = Dispatcher::new(DispatcherSettings {
+        gateway: entry(0),
+        incarnation: 1,
+        availability_zone: zone(0),
+    });
+    let configuration = facts.configuration().expect("it was just set");
+    mean_us(|| dispatcher.configure(configuration, facts, START_MS))
+}
+
+fn instance_list(size: usize) -> InstanceList {
+    InstanceList {
+        instances: (0..size)
+            .map(|number| ListedInstance {
+                instance: worker(number),
+                availability_zone: zone(number % ZONES),
+                state: InstanceState::Live,
+                epoch: 1,
+                keeper_address: None,
+            })
+            .collect(),
+    }
+}
+
+fn mean_us(mut run: impl FnMut()) -> f64 {
+    run();
+    let started = Instant::now();
+    for _ in 0..ROUNDS {
+        run();
+    }
+    started.elapsed().as_secs_f64() * 1e6 / ROUNDS as f64
+}
+
+/// Mean time of a run, without that of its preparation.
+fn mean_us_with<I, O>(prepare: impl Fn() -> I, run: impl Fn(I) -> O) -> f64 {
+    let mut total_s = 0.0;
+    for _ in 0..ROUNDS {
+        let input = prepare();
+        let started = Instant::now();
+        let output = run(input);
+        total_s += started.elapsed().as_secs_f64();
+        black_box(output);
+    }
+    total_s * 1e6 / ROUNDS as f64
+}
