--- a/crates/cornelpoint/benches/capacity/dispatching.rs
+++ b/crates/cornelpoint/benches/capacity/dispatching.rs
@@ -198,6 +198,7 @@
             result: SendResult::Answered { status: 200 },
             leaving: false,
             refused: false,
+            unreachable: false,
         };
         self.dispatcher.complete(id, report, self.now_ms);
     }
