Send what changed since a position in place of whole digests

Change: facts number their changes; a reader names the last change it read and the start of the process it read from, and gets what came since. A position of an earlier start gets everything.

--- a/crates/cornelpoint-daemon/src/gateway/news.rs
+++ b/crates/cornelpoint-daemon/src/gateway/news.rs
@@ -8,6 +8,7 @@
 use cornelpoint::membership::Member;
 use cornelpoint::name::InstanceId;
 use cornelpoint::spread::Facts;
+use cornelpoint::spread::Position;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -35,15 +36,16 @@
     pub(super) decisions: Decisions,
     pub(super) admission: Arc<Admission>,
     pub(super) facts: Facts,
-    pub(super) members_from: Option<MembersFrom>,
+    pub(super) read: Option<KeeperRead>,
     pub(super) logger: Logger,
 }
 
-/// Which view of the members is in force.
+/// How far a keeper's news was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct MembersFrom {
+pub(super) struct KeeperRead {
     keeper: SocketAddr,
-    version: u64,
+    position: Position,
+    members_version: u64,
 }
 
 impl News {
@@ -80,15 +82,12 @@
     }
 
     fn ask_keeper(&self, keeper: SocketAddr) -> Result<View, ControlError> {
-        let members_version = self
-            .members_from
-            .filter(|from| from.keeper == keeper)
-            .map(|from| from.version);
+        let read = self.read.filter(|read| read.keeper == keeper);
         let request = ViewRequest {
             gateway: self.gateway.clone(),
             applied: self.admission.generation(),
-            digest: self.facts.digest(),
-            members_version,
+            position: read.map(|read| read.position),
+            members_version: read.map(|read| read.members_version),
         };
         self.client.call(keeper, "/peer/view", &request)
     }
@@ -106,11 +105,12 @@
             self.decisions
                 .tell(Event::Facts(Arc::new(self.facts.clone())));
         }
+        self.read = Some(KeeperRead {
+            keeper,
+            position: view.position,
+            members_version: view.members_version,
+        });
         if let Some(members) = view.members {
-            self.members_from = Some(MembersFrom {
-                keeper,
-                version: view.members_version,
-            });
             self.learn_keepers(&members);
             self.decisions.tell(Event::Members(members));
         }
--- a/crates/cornelpoint-daemon/src/gateway/running.rs
+++ b/crates/cornelpoint-daemon/src/gateway/running.rs
@@ -137,7 +137,7 @@
             decisions: decisions.clone(),
             admission: Arc::clone(&admission),
             facts: Facts::default(),
-            members_from: None,
+            read: None,
             logger: logger.clone(),
         };
         let threads = vec![
--- a/crates/cornelpoint-daemon/src/keeper/command.rs
+++ b/crates/cornelpoint-daemon/src/keeper/command.rs
@@ -1,12 +1,13 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::SyncSender;
 
+use cornelpoint::configuration::Generation;
 use cornelpoint::membership::GossipMessage;
 use cornelpoint::membership::Member;
 use cornelpoint::name::InstanceId;
 use cornelpoint::platform::InstanceList;
-use cornelpoint::spread::Digest;
 use cornelpoint::spread::EndpointMark;
+use cornelpoint::spread::Position;
 use cornelpoint::spread::Update;
 
 use super::keeper_dump::KeeperDump;
@@ -15,6 +16,7 @@
 use crate::message::KeeperStatus;
 use crate::message::SlotExchange;
 use crate::message::SlotExchangeReply;
+use crate::message::SyncReply;
 use crate::message::View;
 use crate::message::ViewRequest;
 
@@ -31,7 +33,7 @@
     /// A gateway reports its slots.
     Slots(SlotExchange, ReplyTo<SlotExchangeReply>),
     /// Another keeper asks for news.
-    Sync(Digest, ReplyTo<Update>),
+    Sync(Option<Position>, ReplyTo<SyncReply>),
     /// News came, from another keeper or from the platform.
     Apply(Update),
     /// The platform's list of instances came.
@@ -44,8 +46,8 @@
     PlatformReachable(bool),
     /// Asks how far a drain is; without an answer this keeper is not the holder.
     Drained(InstanceId, ReplyTo<DrainAnswer>),
-    /// Asks for the digest.
-    Digest(ReplyTo<Digest>),
+    /// Asks for the newest generation known.
+    Generation(ReplyTo<Generation>),
     /// Asks for the present members, the own first.
     Members(ReplyTo<Vec<Member>>),
     /// Asks for the status.
--- a/crates/cornelpoint-daemon/src/keeper/core.rs
+++ b/crates/cornelpoint-daemon/src/keeper/core.rs
@@ -82,7 +82,7 @@
             Command::Slots(exchange, to) => {
                 drop(to.try_send(self.state.slots(&exchange, now_ms)));
             }
-            Command::Sync(digest, to) => drop(to.try_send(self.state.newer_than(&digest))),
+            Command::Sync(position, to) => drop(to.try_send(self.state.sync(position))),
             Command::Apply(update) => {
                 let adoption = self.state.apply(update, now_ms);
                 self.spread(adoption);
@@ -103,7 +103,9 @@
             Command::Drained(instance, to) => {
                 drop(to.try_send(self.state.drained(&instance, now_ms)));
             }
-            Command::Digest(to) => drop(to.try_send(self.state.facts().digest())),
+            Command::Generation(to) => {
+                let _ = to.try_send(self.state.facts().generation());
+            }
             Command::Members(to) => drop(to.try_send(self.state.present_members())),
             Command::Status(to) => drop(to.try_send(self.state.status(now_ms))),
             Command::Dump(to) => drop(to.try_send(Box::new(self.state.dump(now_ms)))),
--- a/crates/cornelpoint-daemon/src/keeper/peer_sync.rs
+++ b/crates/cornelpoint-daemon/src/keeper/peer_sync.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::RecvTimeoutError;
@@ -5,6 +6,7 @@
 
 use cornelpoint::membership::Member;
 use cornelpoint::name::InstanceId;
+use cornelpoint::spread::Position;
 use cornelpoint::spread::Update;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
@@ -13,6 +15,7 @@
 use super::core_handle::CoreHandle;
 use super::state::peer_addresses;
 use crate::control::ControlClient;
+use crate::message::SyncReply;
 
 /// Most peers that one piece of news is pushed to.
 const PUSH_FANOUT: usize = 8;
@@ -25,6 +28,8 @@
     pub(super) client: ControlClient,
     pub(super) news: Receiver<Update>,
     pub(super) interval: Duration,
+    /// How far each peer's facts were read.
+    pub(super) positions: BTreeMap<SocketAddr, Position>,
     pub(super) generator: ChaCha8Rng,
 }
 
@@ -62,11 +67,16 @@
         let Some(&peer) = peers.choose(&mut self.generator) else {
             return;
         };
-        let Some(digest) = self.core.ask(Command::Digest) else {
-            return;
-        };
-        if let Ok(update) = self.client.call::<_, Update>(peer, "/peer/sync", &digest) {
-            self.core.tell(Command::Apply(update));
+        let position = self.positions.get(&peer).copied();
+        let reply = self
+            .client
+            .call::<_, SyncReply>(peer, "/peer/sync", &position);
+        if let Ok(reply) = reply {
+            if !reply.update.is_empty() {
+                self.core.tell(Command::Apply(reply.update));
+            }
+            self.positions.insert(peer, reply.position);
+            self.positions.retain(|known, _| peers.contains(known));
         }
     }
 }
--- a/crates/cornelpoint-daemon/src/keeper/platform_watch.rs
+++ b/crates/cornelpoint-daemon/src/keeper/platform_watch.rs
@@ -88,10 +88,10 @@
     }
 
     fn reads(&self) -> bool {
-        let Some(digest) = self.core.ask(Command::Digest) else {
+        let Some(generation) = self.core.ask(Command::Generation) else {
             return false;
         };
-        if digest.generation == Generation(0) {
+        if generation == Generation(0) {
             return true;
         }
         let members: Vec<Member> = self.core.ask(Command::Members).unwrap_or_default();
@@ -140,10 +140,7 @@
             return Ok(None);
         };
         let head = Head::decode(head).map_err(|error| malformed(&error))?;
-        let known = self
-            .core
-            .ask(Command::Digest)
-            .map_or(Generation(0), |digest| digest.generation);
+        let known = self.core.ask(Command::Generation).unwrap_or_default();
         if head.generation <= known {
             return Ok(None);
         }
--- a/crates/cornelpoint-daemon/src/keeper/routes.rs
+++ b/crates/cornelpoint-daemon/src/keeper/routes.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use cornelpoint::name::InstanceId;
-use cornelpoint::spread::Digest;
+use cornelpoint::spread::Position;
 use cornelpoint::spread::Update;
 use rouille::Request;
 use rouille::Response;
@@ -45,7 +45,9 @@
             ("POST", "/peer/slots") => {
                 self.packed(request, |q: SlotExchange, to| Command::Slots(q, to))
             }
-            ("POST", "/peer/sync") => self.packed(request, |q: Digest, to| Command::Sync(q, to)),
+            ("POST", "/peer/sync") => {
+                self.packed(request, |q: Option<Position>, to| Command::Sync(q, to))
+            }
             ("POST", "/peer/push") => self.told(request, |q: Update| Command::Apply(q)),
             ("POST", "/peer/sign") => self.told(request, |q: EndpointSign| Command::Sign(q)),
             ("POST", "/peer/status") => self.packed(request, |(): (), to| Command::Status(to)),
@@ -61,10 +63,10 @@
     }
 
     fn health(&self) -> Response {
-        let Some(digest) = self.core.ask(Command::Digest) else {
+        let Some(generation) = self.core.ask(Command::Generation) else {
             return text_reply(503, "not healthy: the state does not answer");
         };
-        if digest.generation.0 == 0 {
+        if generation.0 == 0 {
             return text_reply(
                 503,
                 "not ready: no configuration from the platform or from peers",
--- a/crates/cornelpoint-daemon/src/keeper/running.rs
+++ b/crates/cornelpoint-daemon/src/keeper/running.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
@@ -109,6 +110,7 @@
             client: ControlClient::new(PEER_TIMEOUT),
             news,
             interval: Duration::from_millis(settings.sync_interval_ms),
+            positions: BTreeMap::new(),
             generator: ChaCha8Rng::seed_from_u64(unix_ms()),
         };
         let stop = Arc::new(AtomicBool::new(false));
--- a/crates/cornelpoint-daemon/src/keeper/state.rs
+++ b/crates/cornelpoint-daemon/src/keeper/state.rs
@@ -19,10 +19,10 @@
 use cornelpoint::slots::HolderSettings;
 use cornelpoint::slots::SlotRequest;
 use cornelpoint::spread::Adoption;
-use cornelpoint::spread::Digest;
 use cornelpoint::spread::EndpointMark;
 use cornelpoint::spread::Facts;
 use cornelpoint::spread::MarkCause;
+use cornelpoint::spread::Position;
 use cornelpoint::spread::Update;
 
 use super::command::DrainAnswer;
@@ -35,6 +35,7 @@
 use crate::message::SlotAnswer;
 use crate::message::SlotExchange;
 use crate::message::SlotExchangeReply;
+use crate::message::SyncReply;
 use crate::message::View;
 use crate::message::ViewRequest;
 
@@ -71,8 +72,8 @@
 impl State {
     pub(super) fn new(membership: Membership, slot_lease_ms: u64) -> Self {
         Self {
+            facts: Facts::new(membership.own().incarnation),
             membership,
-            facts: Facts::default(),
             holders: BTreeMap::new(),
             gateways: BTreeMap::new(),
             slot_lease_ms,
@@ -88,8 +89,11 @@
         &self.facts
     }
 
-    pub(super) fn newer_than(&self, digest: &Digest) -> Update {
-        self.facts.newer_than(digest)
+    pub(super) fn sync(&self, position: Option<Position>) -> SyncReply {
+        SyncReply {
+            update: self.facts.since(position),
+            position: self.facts.position(),
+        }
     }
 
     pub(super) fn present_members(&self) -> Vec<Member> {
@@ -283,7 +287,7 @@
     }
 
     pub(super) fn view(&mut self, request: ViewRequest, now_ms: u64) -> View {
-        let update = self.facts.newer_than(&request.digest);
+        let update = self.facts.since(request.position);
         self.gateways.insert(
             request.gateway,
             GatewayReport {
@@ -292,9 +296,13 @@
             },
         );
         let members_version = self.membership.version();
-        let changed = request.members_version != Some(members_version);
+        let same_start = request
+            .position
+            .is_some_and(|position| position.incarnation == self.facts.position().incarnation);
+        let changed = !same_start || request.members_version != Some(members_version);
         View {
             update,
+            position: self.facts.position(),
             members_version,
             members: changed.then(|| self.present_members()),
         }
--- a/crates/cornelpoint-daemon/src/message/mod.rs
+++ b/crates/cornelpoint-daemon/src/message/mod.rs
@@ -4,7 +4,7 @@
 //! |---|---|---|
 //! | `/peer/view` | [`ViewRequest`] | [`View`] |
 //! | `/peer/slots` | [`SlotExchange`] | [`SlotExchangeReply`] |
-//! | `/peer/sync` | `Digest` | `Update` |
+//! | `/peer/sync` | `Option<Position>` | [`SyncReply`] |
 //! | `/peer/push` | `Update` | nothing |
 //! | `/peer/sign` | [`EndpointSign`] | nothing |
 //! | `/peer/status` | nothing | [`KeeperStatus`] |
@@ -22,5 +22,6 @@
 pub use self::slot_exchange::SlotAnswer;
 pub use self::slot_exchange::SlotExchange;
 pub use self::slot_exchange::SlotExchangeReply;
+pub use self::view::SyncReply;
 pub use self::view::View;
 pub use self::view::ViewRequest;
--- a/crates/cornelpoint-daemon/src/message/view.rs
+++ b/crates/cornelpoint-daemon/src/message/view.rs
@@ -1,7 +1,7 @@
 use cornelpoint::configuration::Generation;
 use cornelpoint::membership::Member;
 use cornelpoint::name::InstanceId;
-use cornelpoint::spread::Digest;
+use cornelpoint::spread::Position;
 use cornelpoint::spread::Update;
 use serde::Deserialize;
 use serde::Serialize;
@@ -13,8 +13,8 @@
     pub gateway: InstanceId,
     /// Generation that the gateway applies.
     pub applied: Generation,
-    /// What the gateway knows.
-    pub digest: Digest,
+    /// How far the gateway has read this keeper's facts.
+    pub position: Option<Position>,
     /// Version of the membership that the gateway has from this keeper.
     pub members_version: Option<u64>,
 }
@@ -24,8 +24,19 @@
 pub struct View {
     /// Facts that the gateway lacks.
     pub update: Update,
+    /// Where the gateway is once it has taken the facts in.
+    pub position: Position,
     /// Version of the keeper's membership.
     pub members_version: u64,
     /// Present members, when the gateway's version is another.
     pub members: Option<Vec<Member>>,
 }
+
+/// What is new for another keeper, and where it is once it has taken it in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SyncReply {
+    /// Facts that changed since the position that was asked with.
+    pub update: Update,
+    /// Position after them.
+    pub position: Position,
+}
--- a/crates/cornelpoint/src/spread/facts.rs
+++ b/crates/cornelpoint/src/spread/facts.rs
@@ -4,6 +4,7 @@
 use super::digest::MarkVersion;
 use super::endpoint_mark::EndpointMark;
 use super::endpoint_mark::MarkCause;
+use super::position::Position;
 use super::update::Adoption;
 use super::update::Update;
 use crate::configuration::Configuration;
@@ -22,6 +23,12 @@
     cause: MarkCause,
 }
 
+#[derive(Clone, Debug)]
+struct StoredMark {
+    mark: EndpointMark,
+    change: u64,
+}
+
 /// The facts that one process knows.
 ///
 /// ```
@@ -47,11 +54,74 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Facts {
+    incarnation: u64,
+    changes: u64,
     configuration: Option<Configuration>,
-    marks: BTreeMap<MarkKey, EndpointMark>,
+    configuration_change: u64,
+    marks: BTreeMap<MarkKey, StoredMark>,
+    mark_changes: BTreeMap<u64, MarkKey>,
 }
 
 impl Facts {
+    /// No facts, in a process that started with this incarnation.
+    #[must_use]
+    pub fn new(incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            ..Self::default()
+        }
+    }
+
+    /// Where a reader is that has read all facts.
+    #[must_use]
+    pub fn position(&self) -> Position {
+        Position {
+            incarnation: self.incarnation,
+            change: self.changes,
+        }
+    }
+
+    /// What changed since a reader's position; all facts for a reader without
+    /// one, or with one of an earlier start of this process.
+    ///
+    /// ```
+    /// use cornelpoint::name::InstanceId;
+    /// use cornelpoint::spread::EndpointMark;
+    /// use cornelpoint::spread::Facts;
+    /// use cornelpoint::spread::MarkCause;
+    /// use cornelpoint::spread::Update;
+    ///
+    /// let mut facts = Facts::new(1);
+    /// let mark = EndpointMark {
+    ///     instance: InstanceId::try_from("quoting-1").unwrap(),
+    ///     epoch: 1,
+    ///     accepts_work: false,
+    ///     cause: MarkCause::Operator,
+    /// };
+    /// facts.apply(Update { configuration: None, marks: vec![mark] });
+    /// assert_eq!(facts.since(None).marks.len(), 1);
+    /// assert!(facts.since(Some(facts.position())).is_empty());
+    /// ```
+    #[must_use]
+    pub fn since(&self, position: Option<Position>) -> Update {
+        let read = position
+            .filter(|position| position.incarnation == self.incarnation)
+            .map_or(0, |position| position.change);
+        Update {
+            configuration: self
+                .configuration
+                .as_ref()
+                .filter(|_| self.configuration_change > read)
+                .cloned(),
+            marks: self
+                .mark_changes
+                .range(read + 1..)
+                .filter_map(|(_, key)| self.marks.get(key))
+                .map(|stored| stored.mark.clone())
+                .collect(),
+        }
+    }
+
     /// The newest configuration known.
     #[must_use]
     pub fn configuration(&self) -> Option<&Configuration> {
@@ -78,10 +148,11 @@
     /// The newest mark of an endpoint from one source.
     #[must_use]
     pub fn mark(&self, instance: &InstanceId, cause: MarkCause) -> Option<&EndpointMark> {
-        self.marks.get(&MarkKey {
+        let key = MarkKey {
             instance: instance.clone(),
             cause,
-        })
+        };
+        self.marks.get(&key).map(|stored| &stored.mark)
     }
 
     /// Order of an endpoint's states over all sources: it grows with every
@@ -103,7 +174,7 @@
 
     /// All marks, in the order of their endpoints.
     pub fn marks(&self) -> impl Iterator<Item = &EndpointMark> {
-        self.marks.values()
+        self.marks.values().map(|stored| &stored.mark)
     }
 
     /// What this process knows, in short.
@@ -111,7 +182,7 @@
     pub fn digest(&self) -> Digest {
         Digest {
             generation: self.generation(),
-            marks: self.marks.values().map(mark_version).collect(),
+            marks: self.marks().map(mark_version).collect(),
         }
     }
 
@@ -130,8 +201,7 @@
                 .filter(|configuration| configuration.generation > digest.generation)
                 .cloned(),
             marks: self
-                .marks
-                .values()
+                .marks()
                 .filter(|mark| {
                     known
                         .get(&mark_key(mark))
@@ -148,7 +218,7 @@
         let newer_mark = |mark: &MarkVersion| {
             self.marks
                 .get(&version_key(mark))
-                .is_none_or(|own| (mark.epoch, !mark.accepts_work) > own.order())
+                .is_none_or(|own| (mark.epoch, !mark.accepts_work) > own.mark.order())
         };
         digest.generation > self.generation() || digest.marks.iter().any(newer_mark)
     }
@@ -171,19 +241,29 @@
         if configuration.generation <= self.generation() {
             return false;
         }
+        self.changes += 1;
+        self.configuration_change = self.changes;
         self.configuration = Some(configuration);
         true
     }
 
     fn adopt_mark(&mut self, mark: &EndpointMark) -> bool {
-        let newer = self
-            .marks
-            .get(&mark_key(mark))
-            .is_none_or(|own| mark.supersedes(own));
-        if newer {
-            self.marks.insert(mark_key(mark), mark.clone());
+        let key = mark_key(mark);
+        let known = self.marks.get(&key);
+        if known.is_some_and(|known| !mark.supersedes(&known.mark)) {
+            return false;
         }
-        newer
+        if let Some(known) = known {
+            self.mark_changes.remove(&known.change);
+        }
+        self.changes += 1;
+        self.mark_changes.insert(self.changes, key.clone());
+        let stored = StoredMark {
+            mark: mark.clone(),
+            change: self.changes,
+        };
+        self.marks.insert(key, stored);
+        true
     }
 }
 
--- a/crates/cornelpoint/src/spread/mod.rs
+++ b/crates/cornelpoint/src/spread/mod.rs
@@ -8,6 +8,7 @@
 mod drain_record;
 mod endpoint_mark;
 mod facts;
+mod position;
 mod update;
 
 pub use self::digest::Digest;
@@ -17,5 +18,6 @@
 pub use self::endpoint_mark::EndpointMark;
 pub use self::endpoint_mark::MarkCause;
 pub use self::facts::Facts;
+pub use self::position::Position;
 pub use self::update::Adoption;
 pub use self::update::Update;
--- a/crates/cornelpoint/tests/spread.rs
+++ b/crates/cornelpoint/tests/spread.rs
@@ -105,6 +105,46 @@
     }
 }
 
+#[test]
+fn a_reader_that_asks_for_changes_knows_all_that_the_other_does() {
+    let mut generator = generator();
+    let mut facts = Facts::new(1);
+    let mut reader = Facts::new(2);
+    let mut position = None;
+    for _ in 0..500 {
+        let cause = match generator.random_range(0..2) {
+            0 => MarkCause::Operator,
+            _ => MarkCause::InstanceList,
+        };
+        facts.apply(mark(
+            generator.random_range(1..50),
+            generator.random(),
+            cause,
+        ));
+        if generator.random_range(0..20) == 0 {
+            facts.apply(configuration(generator.random_range(1..50)));
+        }
+        if generator.random_range(0..3) == 0 {
+            let update = facts.since(position);
+            assert!(update.marks.len() <= 2);
+            reader.apply(update);
+            position = Some(facts.position());
+            assert_eq!(reader.digest(), facts.digest());
+        }
+    }
+}
+
+#[test]
+fn a_position_of_an_earlier_start_gets_everything() {
+    let mut facts = Facts::new(2);
+    facts.apply(mark(1, false, MarkCause::Operator));
+    let earlier = cornelpoint::spread::Position {
+        incarnation: 1,
+        change: 99,
+    };
+    assert_eq!(facts.since(Some(earlier)).marks.len(), 1);
+}
+
 #[test]
 fn a_change_of_members_moves_only_the_keys_of_the_member_that_went() {
     let members: Vec<InstanceId> = (1..=9)
