Split the dispatcher and the membership by duty

Change: how slots are given to requests, and how members are probed, stand in files of their own; no behaviour changes.

--- /dev/null
+++ b/crates/cornelpoint/src/dispatch/assigning.rs
@@ -0,0 +1,237 @@
+//! How a dispatcher gives slots to requests.
+
+use super::assignment::Assignment;
+use super::assignment::Directed;
+use super::assignment::Verdict;
+use super::dispatcher::Dispatcher;
+use super::request_state::RequestState;
+use super::request_state::Running;
+use super::route::Route;
+use super::route::Wish;
+use crate::ejection::Outcome;
+use crate::name::PoolName;
+use crate::name::ServiceName;
+use crate::request::Refusal;
+use crate::retry::Decision;
+
+/// Longest time from an assignment to the first byte, in milliseconds: a
+/// gateway that was paused longer must not send.
+const SEND_WITHIN_MS: u64 = 200;
+
+/// Time for which a retry waits for an endpoint that has not failed it, in
+/// milliseconds.
+const PARK_MS: u64 = 50;
+
+impl Dispatcher {
+    pub(super) fn expire(&mut self, now_ms: u64) -> Vec<Directed> {
+        let mut directed = Vec::new();
+        for lane in self.lanes.values_mut() {
+            for entry in lane.queue.expired(now_ms) {
+                let state = self.requests.remove(&entry.id);
+                let decision = match state {
+                    Some(state) if state.attempts.tries() > 0 => state.attempts.end(now_ms),
+                    _ => Decision::RefuseNotRun(Refusal::DeadlineTooNear),
+                };
+                directed.push(Directed {
+                    id: entry.id,
+                    verdict: verdict(decision),
+                });
+            }
+            lane.note_waiting(now_ms);
+        }
+        directed
+    }
+
+    /// Assigns retries to endpoints that have not failed them. One that finds
+    /// none soon waits with the others for any endpoint.
+    pub(super) fn assign_parked(&mut self, now_ms: u64) -> Vec<Directed> {
+        let mut directed = Vec::new();
+        for lane in self.lanes.values_mut() {
+            let Some(route) = self.routes.get_mut(&lane.service.pool) else {
+                continue;
+            };
+            for parked in std::mem::take(&mut lane.parked) {
+                let Some(state) = self.requests.get_mut(&parked.id) else {
+                    continue;
+                };
+                if let Some(running) = route.acquire_healthy(&state.tried, now_ms) {
+                    lane.running += 1;
+                    directed.extend(start(route, state, running, now_ms));
+                    continue;
+                }
+                if now_ms < (parked.since_ms + PARK_MS).min(state.entry.deadline_ms) {
+                    lane.parked.push(parked);
+                    continue;
+                }
+                if lane.queue.push(state.entry, now_ms).is_err() {
+                    let decision = state.attempts.end(now_ms);
+                    self.requests.remove(&parked.id);
+                    directed.push(Directed {
+                        id: parked.id,
+                        verdict: verdict(decision),
+                    });
+                }
+            }
+            lane.note_waiting(now_ms);
+        }
+        directed
+    }
+
+    pub(super) fn assign(&mut self, pool: &PoolName, now_ms: u64) -> Option<Directed> {
+        let service = self.most_urgent(pool)?;
+        let route = self.routes.get_mut(pool)?;
+        // A slot is made sure of before the request leaves its queue.
+        let plain = Wish {
+            tried: &[],
+            may_try: false,
+        };
+        let running = route.acquire(plain, now_ms);
+        let lane = self.lanes.get_mut(&service)?;
+        let entry = match running {
+            Some(_) => lane.queue.pop(now_ms),
+            None => None,
+        };
+        lane.note_waiting(now_ms);
+        let (running, entry) = match (running, entry) {
+            (Some(running), Some(entry)) => (running, entry),
+            (Some(running), None) => {
+                withdraw_run(route, &running, now_ms);
+                return None;
+            }
+            (None, _) => return None,
+        };
+        lane.running += 1;
+        let state = self.requests.get_mut(&entry.id)?;
+        let running = improve(route, state, running, now_ms);
+        start(route, state, running, now_ms)
+    }
+
+    /// The pool's service whose first request has the earliest deadline.
+    fn most_urgent(&self, pool: &PoolName) -> Option<ServiceName> {
+        self.lanes
+            .values()
+            .filter(|lane| &lane.service.pool == pool)
+            .filter_map(|lane| Some((lane.queue.earliest_deadline_ms()?, &lane.service.name)))
+            .min()
+            .map(|(_, service)| service.clone())
+    }
+
+    pub(super) fn report_demand(&mut self, pool: &PoolName) {
+        let mut queued = 0;
+        let mut parked = 0;
+        let mut earliest_deadline_ms = None;
+        for lane in self.lanes.values() {
+            if &lane.service.pool != pool {
+                continue;
+            }
+            queued += u32::try_from(lane.queue.len()).unwrap_or(u32::MAX);
+            parked += u32::try_from(lane.parked.len()).unwrap_or(u32::MAX);
+            let earliest = lane.queue.earliest_deadline_ms();
+            earliest_deadline_ms = [earliest_deadline_ms, earliest].into_iter().flatten().min();
+        }
+        let Some(route) = self.routes.get_mut(pool) else {
+            return;
+        };
+        if parked > 0 {
+            // The free slots are at endpoints that failed the retries.
+            queued += parked + route.borrower.free();
+        }
+        route.borrower.set_demand(queued, earliest_deadline_ms);
+        let limited = route.borrower.is_short();
+        for lane in self.lanes.values_mut() {
+            if &lane.service.pool == pool {
+                lane.queue.set_limited(limited);
+            }
+        }
+    }
+
+    pub(super) fn end_run(&mut self, state: &mut RequestState, outcome: Outcome, now_ms: u64) {
+        let Some(running) = state.running.take() else {
+            return;
+        };
+        if let Some(lane) = self.lanes.get_mut(&state.service) {
+            lane.running -= 1;
+            if outcome == Outcome::Succeeded {
+                lane.queue
+                    .record_service(now_ms.saturating_sub(running.started_ms));
+            }
+        }
+        let Some(route) = self.routes.get_mut(&running.pool) else {
+            return;
+        };
+        route.release(&running, now_ms);
+        let endpoint = &running.slot.endpoint;
+        route
+            .health
+            .record(endpoint, outcome, running.started_ms, now_ms);
+        if outcome == Outcome::Leaving {
+            route.borrower.endpoint_leaves(endpoint, now_ms);
+            self.signs.push(endpoint.clone());
+        }
+    }
+}
+
+/// Gives a request its slot.
+fn start(
+    route: &Route,
+    state: &mut RequestState,
+    running: Running,
+    now_ms: u64,
+) -> Option<Directed> {
+    let endpoint = route.endpoint(&running.slot.endpoint)?;
+    let assignment = Assignment {
+        endpoint: endpoint.instance.clone(),
+        address: endpoint.address,
+        start_by_ms: (now_ms + SEND_WITHIN_MS).min(state.entry.deadline_ms),
+    };
+    state.tried.push(endpoint.instance.clone());
+    state.running = Some(running);
+    Some(Directed {
+        id: state.entry.id,
+        verdict: Verdict::Send(assignment),
+    })
+}
+
+/// Exchanges a slot for one that suits the request better, if there is one.
+fn improve(route: &mut Route, state: &RequestState, running: Running, now_ms: u64) -> Running {
+    let suits = !state.tried.contains(&running.slot.endpoint);
+    let wish = Wish {
+        tried: &state.tried,
+        may_try: state.idempotent,
+    };
+    let better = if !suits {
+        route.acquire(wish, now_ms)
+    } else if wish.may_try {
+        route.acquire_due_trial(now_ms)
+    } else {
+        None
+    };
+    match better {
+        Some(better) => {
+            withdraw_run(route, &running, now_ms);
+            better
+        }
+        None => running,
+    }
+}
+
+fn withdraw_run(route: &mut Route, running: &Running, now_ms: u64) {
+    route.release(running, now_ms);
+    route.health.record(
+        &running.slot.endpoint,
+        Outcome::Withdrawn,
+        running.started_ms,
+        now_ms,
+    );
+}
+
+pub(super) fn verdict(decision: Decision) -> Verdict {
+    match decision {
+        Decision::Answer => Verdict::Answer,
+        Decision::RefuseNotRun(refusal) | Decision::RefuseUnknown(refusal) => {
+            Verdict::Refuse(refusal)
+        }
+        // A retry is queued before a verdict is asked for.
+        Decision::RetryElsewhere => Verdict::Refuse(Refusal::NoEndpoint),
+    }
+}
--- a/crates/cornelpoint/src/dispatch/mod.rs
+++ b/crates/cornelpoint/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! the retry rule. It sends nothing itself: each event yields verdicts, and
 //! the gateway's threads act on them.
 
+mod assigning;
 mod assignment;
 mod dispatcher;
 mod dispatcher_dump;
--- a/crates/cornelpoint/src/membership/members.rs
+++ b/crates/cornelpoint/src/membership/members.rs
@@ -1,11 +1,8 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::ops::Bound::Excluded;
-use std::ops::Bound::Unbounded;
 
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
-use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 
 use super::gossip_message::GossipMessage;
@@ -18,19 +15,10 @@
 use super::probe::RelayedProbe;
 use crate::name::InstanceId;
 
-/// Suspects that are asked again with each probe.
-const SUSPECTS_PER_PROBE: usize = 3;
-
 #[derive(Clone, Debug)]
-struct Known {
-    member: Member,
-    since_ms: u64,
-}
-
-/// A member that is not thought live is told so, and can refute it.
-fn doubt(known: &Known) -> Option<Member> {
-    let doubted = known.member.status != MemberStatus::Live;
-    doubted.then(|| known.member.clone())
+pub(super) struct Known {
+    pub(super) member: Member,
+    pub(super) since_ms: u64,
 }
 
 /// One process's view of the members, and its probes.
@@ -63,21 +51,21 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct Membership {
-    own: Member,
-    seeds: Vec<SocketAddr>,
-    settings: MembershipSettings,
-    known: BTreeMap<InstanceId, Known>,
-    news: News,
-    round: Vec<InstanceId>,
-    fill_from: Option<InstanceId>,
-    probe: Option<Probe>,
-    relayed: Vec<RelayedProbe>,
-    next_sequence: u64,
-    probes: u64,
-    last_probe_ms: u64,
-    last_tick_ms: u64,
-    version: u64,
-    generator: ChaCha8Rng,
+    pub(super) own: Member,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) settings: MembershipSettings,
+    pub(super) known: BTreeMap<InstanceId, Known>,
+    pub(super) news: News,
+    pub(super) round: Vec<InstanceId>,
+    pub(super) fill_from: Option<InstanceId>,
+    pub(super) probe: Option<Probe>,
+    pub(super) relayed: Vec<RelayedProbe>,
+    pub(super) next_sequence: u64,
+    pub(super) probes: u64,
+    pub(super) last_probe_ms: u64,
+    pub(super) last_tick_ms: u64,
+    pub(super) version: u64,
+    pub(super) generator: ChaCha8Rng,
 }
 
 impl Membership {
@@ -243,248 +231,6 @@
             .retain(|relayed| now_ms.saturating_sub(relayed.sent_ms) < probe_timeout_ms);
     }
 
-    fn follow_probe(&mut self, now_ms: u64) -> Vec<OutgoingGossip> {
-        let Some(mut probe) = self.probe.take() else {
-            return Vec::new();
-        };
-        let age_ms = now_ms.saturating_sub(probe.sent_ms);
-        if age_ms >= self.settings.probe_timeout_ms {
-            self.suspect(&probe.target, now_ms);
-            return Vec::new();
-        }
-        let mut outgoing = Vec::new();
-        if age_ms >= self.settings.direct_timeout_ms && !probe.indirect_sent {
-            probe.indirect_sent = true;
-            outgoing = self.ask_others(&probe);
-        }
-        self.probe = Some(probe);
-        outgoing
-    }
-
-    fn ask_others(&mut self, probe: &Probe) -> Vec<OutgoingGossip> {
-        let others: Vec<SocketAddr> = self
-            .known
-            .values()
-            .filter(|known| known.member.status == MemberStatus::Live)
-            .filter(|known| known.member.instance != probe.target)
-            .map(|known| known.member.gossip_address)
-            .collect();
-        others
-            .sample(&mut self.generator, self.settings.indirect_probes)
-            .map(|&to| OutgoingGossip {
-                to,
-                message: GossipMessage::PingRequest {
-                    sequence: probe.sequence,
-                    from: self.own.clone(),
-                    target: probe.address,
-                },
-            })
-            .collect()
-    }
-
-    fn suspect(&mut self, instance: &InstanceId, now_ms: u64) {
-        let Some(known) = self.known.get(instance) else {
-            return;
-        };
-        if known.member.status != MemberStatus::Live {
-            return;
-        }
-        let mut member = known.member.clone();
-        member.status = MemberStatus::Suspect;
-        self.learn(member, now_ms);
-    }
-
-    fn start_probe(&mut self, now_ms: u64) -> Vec<OutgoingGossip> {
-        self.probes += 1;
-        let mut outgoing = Vec::new();
-        if self.known.is_empty()
-            || self
-                .probes
-                .is_multiple_of(self.settings.rejoin_every_probes)
-        {
-            outgoing.extend(self.try_absent());
-        }
-        for suspect in self.suspects() {
-            outgoing.push(self.ping(suspect));
-        }
-        if let Some(target) = self.next_target() {
-            let sequence = self.take_sequence();
-            let address = target.gossip_address;
-            self.probe = Some(Probe {
-                sequence,
-                target: target.instance,
-                address,
-                sent_ms: now_ms,
-                indirect_sent: false,
-            });
-            outgoing.push(self.ping_with(address, sequence));
-        }
-        outgoing
-    }
-
-    /// Suspects that are asked again, so that each hears of the suspicion and
-    /// can refute it though datagrams are lost.
-    fn suspects(&self) -> Vec<SocketAddr> {
-        self.known
-            .values()
-            .filter(|known| known.member.status == MemberStatus::Suspect)
-            .map(|known| known.member.gossip_address)
-            .take(SUSPECTS_PER_PROBE)
-            .collect()
-    }
-
-    fn try_absent(&mut self) -> Option<OutgoingGossip> {
-        let present: Vec<SocketAddr> = self.present().map(|member| member.gossip_address).collect();
-        let absent = self
-            .known
-            .values()
-            .filter(|known| known.member.status == MemberStatus::Failed)
-            .map(|known| known.member.gossip_address);
-        let candidates: Vec<SocketAddr> = self
-            .seeds
-            .iter()
-            .copied()
-            .chain(absent)
-            .filter(|address| !present.contains(address))
-            .collect();
-        let to = *candidates.choose(&mut self.generator)?;
-        Some(self.ping(to))
-    }
-
-    fn next_target(&mut self) -> Option<Member> {
-        if self.round.is_empty() {
-            self.round = self
-                .known
-                .values()
-                .filter(|known| known.member.is_present())
-                .map(|known| known.member.instance.clone())
-                .collect();
-            self.round.shuffle(&mut self.generator);
-        }
-        while let Some(instance) = self.round.pop() {
-            let known = self.known.get(&instance);
-            if let Some(known) = known.filter(|known| known.member.is_present()) {
-                return Some(known.member.clone());
-            }
-        }
-        None
-    }
-
-    fn take_sequence(&mut self) -> u64 {
-        let sequence = self.next_sequence;
-        self.next_sequence += 1;
-        sequence
-    }
-
-    fn ping(&mut self, to: SocketAddr) -> OutgoingGossip {
-        let sequence = self.take_sequence();
-        self.ping_with(to, sequence)
-    }
-
-    fn ping_with(&mut self, to: SocketAddr, sequence: u64) -> OutgoingGossip {
-        let mut news = self.news_for(None);
-        let target = self
-            .known
-            .values()
-            .find(|known| known.member.gossip_address == to);
-        news.extend(target.and_then(doubt));
-        OutgoingGossip {
-            to,
-            message: GossipMessage::Ping {
-                sequence,
-                from: self.own.clone(),
-                news,
-            },
-        }
-    }
-
-    fn ack(&mut self, to: SocketAddr, sequence: u64, peer: &InstanceId) -> OutgoingGossip {
-        let mut news = self.news_for(Some(peer));
-        news.extend(self.known.get(peer).and_then(doubt));
-        OutgoingGossip {
-            to,
-            message: GossipMessage::Ack {
-                sequence,
-                from: self.own.clone(),
-                news,
-            },
-        }
-    }
-
-    fn relay_probe(
-        &mut self,
-        asker: SocketAddr,
-        asker_sequence: u64,
-        target: SocketAddr,
-        now_ms: u64,
-    ) -> OutgoingGossip {
-        let sequence = self.take_sequence();
-        self.relayed.push(RelayedProbe {
-            sequence,
-            asker_sequence,
-            asker,
-            sent_ms: now_ms,
-        });
-        self.ping_with(target, sequence)
-    }
-
-    fn accept_ack(&mut self, sequence: u64, from: Member) -> Vec<OutgoingGossip> {
-        let own_probe = self
-            .probe
-            .as_ref()
-            .is_some_and(|probe| probe.sequence == sequence && probe.target == from.instance);
-        if own_probe {
-            self.probe = None;
-            return Vec::new();
-        }
-        let position = self
-            .relayed
-            .iter()
-            .position(|relayed| relayed.sequence == sequence);
-        let Some(position) = position else {
-            return Vec::new();
-        };
-        let relayed = self.relayed.swap_remove(position);
-        vec![OutgoingGossip {
-            to: relayed.asker,
-            message: GossipMessage::Ack {
-                sequence: relayed.asker_sequence,
-                from,
-                news: Vec::new(),
-            },
-        }]
-    }
-
-    /// News first, then members in turn, so that lost news is repaired.
-    fn news_for(&mut self, peer: Option<&InstanceId>) -> Vec<Member> {
-        let count = self.settings.news_per_message;
-        let mut news = self.news.take(count, peer);
-        for _ in 0..self.known.len().min(count - news.len()) {
-            let Some(member) = self.next_fill() else {
-                break;
-            };
-            let told = news.iter().any(|told| told.instance == member.instance);
-            if !told && peer != Some(&member.instance) {
-                news.push(member);
-            }
-        }
-        news
-    }
-
-    fn next_fill(&mut self) -> Option<Member> {
-        let after = self.fill_from.take();
-        let next = after
-            .and_then(|after| {
-                self.known
-                    .range((Excluded(after), Unbounded))
-                    .next()
-                    .map(|(_, known)| known)
-            })
-            .or_else(|| self.known.values().next())?;
-        self.fill_from = Some(next.member.instance.clone());
-        Some(next.member.clone())
-    }
-
     fn learn_all(&mut self, from: Member, news: Vec<Member>, now_ms: u64) {
         self.learn(from, now_ms);
         for member in news {
@@ -492,7 +238,7 @@
         }
     }
 
-    fn learn(&mut self, member: Member, now_ms: u64) {
+    pub(super) fn learn(&mut self, member: Member, now_ms: u64) {
         if member.instance == self.own.instance {
             self.refute(&member);
             return;
--- a/crates/cornelpoint/src/membership/mod.rs
+++ b/crates/cornelpoint/src/membership/mod.rs
@@ -10,6 +10,7 @@
 mod membership_settings;
 mod news;
 mod probe;
+mod probing;
 
 pub use self::gossip_message::GossipMessage;
 pub use self::gossip_message::OutgoingGossip;
