Measure news by position in the capacity bench

Gateways and keepers now ask with a position in place of a digest, so the bench measured what no longer runs. It now measures the question, the answer when nothing, 25 marks or all marks are new, and the times to find, decode and apply them, in messages with the daemons' fields.

--- a/crates/cornelpoint/benches/capacity/spread.rs
+++ b/crates/cornelpoint/benches/capacity/spread.rs
@@ -4,14 +4,18 @@
 use std::time::Instant;
 
 use cornelpoint::configuration::Configuration;
+use cornelpoint::configuration::Generation;
 use cornelpoint::dispatch::Dispatcher;
 use cornelpoint::dispatch::DispatcherSettings;
+use cornelpoint::membership::Member;
+use cornelpoint::name::InstanceId;
 use cornelpoint::platform::InstanceList;
 use cornelpoint::platform::InstanceState;
 use cornelpoint::platform::ListedInstance;
-use cornelpoint::spread::Digest;
 use cornelpoint::spread::Facts;
+use cornelpoint::spread::Position;
 use cornelpoint::spread::Update;
+use serde::Serialize;
 
 use super::fit::Point;
 use super::fit::print_line;
@@ -27,18 +31,40 @@
 const SIZES: [usize; 6] = [50, 500, 2_000, 5_000, 10_000, 19_000];
 const POOLS: usize = 29;
 const ZONES: usize = 11;
+/// Marks that change between two questions of a reader.
+const FEW_MARKS: usize = 25;
 const ROUNDS: usize = 20;
 const START_MS: u64 = 2_000;
 
+/// What a gateway asks its keeper, as in the daemons.
+#[derive(Debug, Serialize)]
+struct ViewRequest {
+    gateway: InstanceId,
+    applied: Generation,
+    position: Option<Position>,
+    members_version: Option<u64>,
+}
+
+/// What the keeper answers while the members stay the same.
+#[derive(Debug, Serialize)]
+struct View {
+    update: Update,
+    position: Position,
+    members_version: u64,
+    members: Option<Vec<Member>>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct MarkCost {
-    digest_bytes: f64,
-    update_bytes: f64,
-    answer_us: f64,
+    request_bytes: f64,
+    unchanged_bytes: f64,
+    few_bytes: f64,
+    all_bytes: f64,
+    unchanged_us: f64,
+    all_us: f64,
+    decode_us: f64,
     apply_us: f64,
     apply_again_us: f64,
-    encode_us: f64,
-    decode_us: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -55,44 +81,49 @@
 pub fn print_marks() {
     println!("\n## Marks\n");
     println!(
-        "| marks | digest bytes | bytes of one update with all | make and encode a digest, us | decode it, us | answer it, us | apply all, us | apply all again, us |"
+        "A gateway's news: bytes of the question, and of the answer when nothing, 25 marks or"
     );
-    println!("|---:|---:|---:|---:|---:|---:|---:|---:|");
+    println!("all marks are new to it.\n");
+    println!(
+        "| marks | question bytes | answer, nothing | answer, 25 | answer, all | find nothing, us | find and encode all, us | decode all, us | apply all, us | apply all again, us |"
+    );
+    println!("|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|");
     let costs: Vec<MarkCost> = SIZES.iter().map(|&size| mark_cost(size)).collect();
     for (size, cost) in SIZES.iter().zip(&costs) {
         println!(
-            "| {size} | {} | {} | {:.0} | {:.0} | {:.0} | {:.0} | {:.0} |",
-            cost.digest_bytes,
-            cost.update_bytes,
-            cost.encode_us,
+            "| {size} | {} | {} | {} | {} | {:.2} | {:.0} | {:.0} | {:.0} | {:.0} |",
+            cost.request_bytes,
+            cost.unchanged_bytes,
+            cost.few_bytes,
+            cost.all_bytes,
+            cost.unchanged_us,
+            cost.all_us,
             cost.decode_us,
-            cost.answer_us,
             cost.apply_us,
             cost.apply_again_us
         );
     }
     let points = |value: fn(&MarkCost) -> f64| points(&costs, value);
     print_line_head();
-    print_line("digest", "bytes", "mark", &points(|cost| cost.digest_bytes));
-    print_line("update", "bytes", "mark", &points(|cost| cost.update_bytes));
     print_line(
-        "make and encode a digest",
-        "us",
+        "answer, all",
+        "bytes",
         "mark",
-        &points(|cost| cost.encode_us),
+        &points(|cost| cost.all_bytes),
     );
     print_line(
-        "decode a digest",
+        "find nothing",
         "us",
         "mark",
-        &points(|cost| cost.decode_us),
+        &points(|cost| cost.unchanged_us),
     );
     print_line(
-        "answer a digest",
+        "find and encode all",
         "us",
         "mark",
-        &points(|cost| cost.answer_us),
+        &points(|cost| cost.all_us),
     );
+    print_line("decode all", "us", "mark", &points(|cost| cost.decode_us));
     print_line("apply", "us", "mark", &points(|cost| cost.apply_us));
     print_line(
         "apply again",
@@ -168,20 +199,20 @@
         configuration: None,
         marks: marks(size, 1),
     };
-    let mut known = Facts::default();
+    let mut known = Facts::new(1);
     known.apply(update.clone());
-    let digest: Digest = known.digest();
-    let encode_us = mean_us(|| {
-        black_box(encoded_bytes(&known.digest()));
+    let read = known.position();
+    let unchanged_us = mean_us(|| {
+        black_box(known.since(black_box(Some(read))));
     });
-    let encoded = rmp_serde::to_vec_named(&digest).expect("plain data can be coded");
+    let all_us = mean_us(|| {
+        black_box(encoded_bytes(&known.since(None)));
+    });
+    let encoded = rmp_serde::to_vec_named(&update).expect("plain data can be coded");
     let decode_us = mean_us(|| {
-        let decoded: Digest = rmp_serde::from_slice(&encoded).expect("it was just coded");
+        let decoded: Update = rmp_serde::from_slice(&encoded).expect("it was just coded");
         black_box(decoded);
     });
-    let answer_us = mean_us(|| {
-        black_box(known.newer_than(black_box(&digest)));
-    });
     let apply_us = mean_us_with(
         || (Facts::default(), update.clone()),
         |(mut facts, update)| {
@@ -196,17 +227,43 @@
             facts
         },
     );
+    let unchanged_bytes = view_bytes(&known, Some(read));
+    let all_bytes = view_bytes(&known, None);
+    known.apply(Update {
+        configuration: None,
+        marks: marks(FEW_MARKS, 2),
+    });
     MarkCost {
-        digest_bytes: encoded_bytes(&digest) as f64,
-        update_bytes: encoded_bytes(&update) as f64,
-        answer_us,
+        request_bytes: request_bytes(read),
+        unchanged_bytes,
+        few_bytes: view_bytes(&known, Some(read)),
+        all_bytes,
+        unchanged_us,
+        all_us,
+        decode_us,
         apply_us,
         apply_again_us,
-        encode_us,
-        decode_us,
     }
 }
 
+fn request_bytes(position: Position) -> f64 {
+    encoded_bytes(&ViewRequest {
+        gateway: entry(0),
+        applied: Generation(1),
+        position: Some(position),
+        members_version: Some(1),
+    }) as f64
+}
+
+fn view_bytes(facts: &Facts, position: Option<Position>) -> f64 {
+    encoded_bytes(&View {
+        update: facts.since(position),
+        position: facts.position(),
+        members_version: 1,
+        members: None,
+    }) as f64
+}
+
 fn configuration_cost(size: usize) -> ConfigurationCost {
     let configuration = configuration(size, POOLS, ZONES);
     let encoded = rmp_serde::to_vec_named(&configuration).expect("plain data can be coded");
