--- a/crates/cornelpoint-daemon/src/keeper/mod.rs
+++ b/crates/cornelpoint-daemon/src/keeper/mod.rs
@@ -8,6 +8,7 @@
 mod core;
 mod core_handle;
 mod gossip;
+mod holding;
 mod keeper_dump;
 mod keeper_error;
 mod operator;
