--- a/crates/cornelpoint-daemon/src/keeper/state.rs
+++ b/crates/cornelpoint-daemon/src/keeper/state.rs
@@ -41,7 +41,7 @@
     pub(super) membership: Membership,
     pub(super) facts: Facts,
     pub(super) holders: BTreeMap<HolderKey, Holder>,
-    pub(super) gateways: BTreeMap<InstanceId, GatewayReport>,
+    gateways: BTreeMap<InstanceId, GatewayReport>,
     pub(super) slot_lease_ms: u64,
     pub(super) platform_reachable: bool,
     pub(super) leaving: bool,
