--- a/crates/cornelpoint-cli/src/fleet/mod.rs
+++ b/crates/cornelpoint-cli/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod fleet_error;
 mod fleet_settings;
 mod running;
+mod starting;
 
 pub use self::entry::Entry;
 pub use self::fleet_error::FleetError;
--- a/crates/cornelpoint-cli/src/fleet/running.rs
+++ b/crates/cornelpoint-cli/src/fleet/running.rs
@@ -10,27 +10,26 @@
 use cornelpoint::configuration::AcceptToken;
 use cornelpoint::configuration::Configuration;
 use cornelpoint::configuration::Generation;
-use cornelpoint::document::Source;
-use cornelpoint::name::AvailabilityZone;
 use cornelpoint::name::InstanceId;
-use cornelpoint::platform::InstanceState;
-use cornelpoint::platform::ListedInstance;
-use cornelpoint::workspace;
 use cornelpoint_daemon::control::ControlClient;
 use cornelpoint_daemon::keeper::DrainRequest;
 use cornelpoint_daemon::message::DrainReport;
 use cornelpoint_daemon::message::GatewayStatus;
 use cornelpoint_daemon::message::KeeperStatus;
-use cornelpoint_standin::endpoint::EndpointSettings;
 use cornelpoint_standin::endpoint::EndpointStandIn;
 use cornelpoint_standin::platform::PlatformSettings;
 use cornelpoint_standin::platform::PlatformStandIn;
 use slog::Logger;
 
 use super::entry::Entry;
-use super::entry::EntryPlan;
 use super::fleet_error::FleetError;
 use super::fleet_settings::FleetSettings;
+use super::starting::listed;
+use super::starting::place;
+use super::starting::stand_in;
+use super::starting::start_endpoints;
+use super::starting::start_entries;
+use super::starting::unsound;
 
 /// Longest wait for an operator's action.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(3);
@@ -299,106 +298,3 @@
         keeper.stop();
     }
 }
-
-fn start_endpoints(
-    configuration: &Configuration,
-    settings: &FleetSettings,
-) -> Result<Vec<EndpointStandIn>, FleetError> {
-    let configured = configuration.pools.iter().flat_map(|pool| &pool.endpoints);
-    configured
-        .zip(settings.seed..)
-        .map(|(endpoint, seed)| {
-            EndpointStandIn::start(EndpointSettings {
-                service_time: settings.service_time,
-                seed,
-                ..EndpointSettings::new(endpoint.instance.clone())
-            })
-            .map_err(stand_in)
-        })
-        .collect()
-}
-
-/// The deployment's own files, with the addresses of the stand-ins.
-fn place(settings: &FleetSettings, addresses: &[SocketAddr]) -> Result<Configuration, FleetError> {
-    let text = settings
-        .deployment
-        .workspace_text(addresses)
-        .map_err(unsound)?;
-    let source = Source {
-        text: &text,
-        ..settings.deployment.workspace()
-    };
-    workspace::check(settings.deployment.template(), source).map_err(unsound)
-}
-
-fn listed(configuration: &Configuration) -> Vec<ListedInstance> {
-    configuration
-        .pools
-        .iter()
-        .flat_map(|pool| &pool.endpoints)
-        .map(|endpoint| ListedInstance {
-            instance: endpoint.instance.clone(),
-            availability_zone: endpoint.availability_zone.clone(),
-            state: InstanceState::Live,
-            epoch: 1,
-            keeper_address: None,
-        })
-        .collect()
-}
-
-fn start_entries(
-    settings: &FleetSettings,
-    configuration: &Configuration,
-    platform: SocketAddr,
-    logger: &Logger,
-) -> Result<Vec<Entry>, FleetError> {
-    let zones = zones_of(configuration);
-    let mut entries: Vec<Entry> = Vec::new();
-    for (number, zone) in (1..=settings.entries()).zip(zones.iter().cycle()) {
-        let instance = InstanceId::try_from(format!("entry-{number}")).map_err(daemon_name)?;
-        let plan = EntryPlan {
-            instance,
-            availability_zone: zone.clone(),
-            workspace: configuration.workspace.clone(),
-            platform,
-            seeds: entries
-                .iter()
-                .take(2)
-                .filter_map(|entry| entry.keeper.as_ref())
-                .map(cornelpoint_daemon::keeper::Keeper::gossip_address)
-                .collect(),
-        };
-        entries.push(Entry::start(&plan, logger)?);
-    }
-    Ok(entries)
-}
-
-fn zones_of(configuration: &Configuration) -> Vec<AvailabilityZone> {
-    let mut zones: Vec<AvailabilityZone> = configuration
-        .pools
-        .iter()
-        .flat_map(|pool| &pool.endpoints)
-        .map(|endpoint| endpoint.availability_zone.clone())
-        .collect();
-    zones.sort();
-    zones.dedup();
-    zones
-}
-
-fn unsound(findings: impl std::fmt::Display) -> FleetError {
-    FleetError::Configuration {
-        found: findings.to_string(),
-    }
-}
-
-fn stand_in(error: impl std::fmt::Display) -> FleetError {
-    FleetError::StandIn {
-        found: error.to_string(),
-    }
-}
-
-fn daemon_name(error: impl std::fmt::Display) -> FleetError {
-    FleetError::Daemon {
-        found: error.to_string(),
-    }
-}
