Start the real programs in tests, and kill, freeze and stop them

Cause: the request path was tested with all parts in one process only, so no test met SIGKILL, SIGSTOP or SIGTERM, an exit code, or a settings file on the way from start to stop.

Change: the test target `processes` starts two gateways, two keepers, the platform and two endpoints as processes, accepts a template and a workspace through the command line, and judges histories with the checker. Five tests: start, dump and stop; a gateway killed under keyed orders; a gateway frozen past deadlines; a gateway stopped under load; a keeper frozen, resumed and killed while generations grow.

--- /dev/null
+++ b/crates/cornelpoint-cli/tests/processes/main.rs
@@ -0,0 +1,276 @@
+//! The real programs, killed, frozen and stopped; histories judge them.
+
+mod fleet;
+mod orders;
+mod process;
+mod settings;
+mod zone;
+
+use std::collections::BTreeMap;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use cornelpoint::configuration::Generation;
+use cornelpoint::request::RunState;
+use cornelpoint_standin::clock::now_ms;
+use cornelpoint_standin::history::History;
+use cornelpoint_standin::history::Limits;
+use cornelpoint_standin::history::Outcome;
+use cornelpoint_standin::history::Recorder;
+use cornelpoint_standin::history::check;
+use serde_json::Value;
+
+use self::fleet::Fleet;
+use self::fleet::ZONES;
+use self::fleet::gateway_name;
+use self::fleet::wait_for;
+use self::orders::Order;
+use self::orders::is_answered;
+use self::orders::keep_ordering;
+use self::process::Signal;
+
+/// Orders in flight at a fault, fewer than the endpoints have slots.
+const ORDERS: usize = 12;
+
+/// Orders that run at least when the fault strikes.
+const RUNNING: usize = 4;
+
+/// Time between the orders that meet the kill of their gateway.
+const STAGGER: Duration = Duration::from_millis(60);
+
+/// Callers that make one order after the other.
+const CALLERS: usize = 8;
+
+/// Time after its deadline in which a request may still start.
+const LATE_START_MS: u64 = 1000;
+
+/// Ends the threads of a test when dropped, also by a failure.
+struct Ending<'a>(&'a AtomicBool);
+
+impl Drop for Ending<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
+fn assert_no_violation(history: &History) {
+    eprintln!("{}", summary(history));
+    let violations = check(history, Limits::default());
+    let lines: Vec<_> = violations.iter().map(ToString::to_string).collect();
+    assert!(lines.is_empty(), "{}", lines.join("\n"));
+}
+
+/// How often calls ended in each way.
+fn summary(history: &History) -> String {
+    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+    for completion in history.completions.values() {
+        let end = match &completion.outcome {
+            Outcome::Answered { status, .. } => format!("answered {status}"),
+            Outcome::Refused { run, reason, .. } => format!("{reason} {}", run.as_str()),
+            Outcome::Lost { found } => format!("lost: {found}"),
+        };
+        *counts.entry(end).or_default() += 1;
+    }
+    format!("{} runs, ends {counts:?}", history.runs.len())
+}
+
+#[test]
+fn programs_start_serve_show_their_state_and_stop() {
+    let fleet = Fleet::start();
+    let recorder = Recorder::default();
+    for number in 0..ZONES.len() {
+        let order = Order::keyed(format!("order-{number}"));
+        let outcome = order.call(&fleet, &recorder, number);
+        assert!(is_answered(&outcome), "{outcome:?}");
+    }
+    for zone in &fleet.zones {
+        for (process, name) in [(zone.gateway_control, "gateway"), (zone.keeper, "entry")] {
+            let output = fleet.command(&["dump", "--process", &process.to_string()]);
+            let dump: Value = serde_json::from_slice(&output.stdout).unwrap();
+            assert_eq!(dump["instance"], format!("{name}-{}", zone.name));
+        }
+    }
+    assert_no_violation(&fleet.finish(recorder));
+}
+
+#[test]
+fn a_killed_gateway_lets_no_key_run_twice() {
+    let mut fleet = Fleet::start();
+    let recorder = Recorder::default();
+    let orders: Vec<_> = (0..4 * ORDERS)
+        .map(|number| Order {
+            work_ms: 300,
+            deadline_ms: 4000,
+            ..Order::keyed(format!("order-{number}"))
+        })
+        .collect();
+    let mut killed = fleet.gateways.remove(0);
+    let (fleet_seen, seen) = (&fleet, &recorder);
+    let repeats: Vec<Outcome> = thread::scope(|scope| {
+        let callers: Vec<_> = orders
+            .iter()
+            .zip(0..)
+            .map(|(order, number)| {
+                scope.spawn(move || {
+                    thread::sleep(STAGGER * number);
+                    order.call(fleet_seen, seen, 0);
+                    order.call(fleet_seen, seen, 1)
+                })
+            })
+            .collect();
+        wait_for("ended and running orders", || {
+            fleet_seen.runs() > 2 * RUNNING && fleet_seen.running() >= RUNNING
+        });
+        killed.signal(Signal::Kill);
+        killed.wait();
+        callers.into_iter().map(|c| c.join().unwrap()).collect()
+    });
+    let history = fleet.finish(recorder);
+    assert_no_violation(&history);
+    let other = repeats.iter().find(|repeat| !is_whole_or_unknown(repeat));
+    assert_eq!(other, None);
+}
+
+fn is_whole_or_unknown(outcome: &Outcome) -> bool {
+    let unknown = RunState::Unknown;
+    is_answered(outcome) || matches!(outcome, Outcome::Refused { run, .. } if *run == unknown)
+}
+
+#[test]
+fn a_gateway_frozen_past_deadlines_runs_nothing_twice_or_late() {
+    const DEADLINE_MS: u64 = 4000;
+    let fleet = Fleet::start();
+    let recorder = Recorder::default();
+    let orders: Vec<_> = (0..ORDERS)
+        .map(|number| Order {
+            request: format!("order-{number}"),
+            is_keyed: number % 2 == 0,
+            work_ms: 1500,
+            deadline_ms: DEADLINE_MS,
+        })
+        .collect();
+    thread::scope(|scope| {
+        for order in &orders {
+            scope.spawn(|| order.call(&fleet, &recorder, 0));
+        }
+        let all = ORDERS as u64;
+        wait_for("orders in flight", || {
+            fleet.requests(0) == all && fleet.running() >= RUNNING
+        });
+        fleet.gateways[0].signal(Signal::Stop);
+        let frozen_ms = now_ms();
+        for order in orders.iter().filter(|order| order.is_keyed) {
+            scope.spawn(|| order.call(&fleet, &recorder, 1));
+        }
+        let thawed_ms = frozen_ms + DEADLINE_MS + 2 * LATE_START_MS;
+        wait_for("passed deadlines", || now_ms() > thawed_ms);
+        fleet.gateways[0].signal(Signal::Continue);
+    });
+    let history = fleet.finish(recorder);
+    assert_no_violation(&history);
+    assert_eq!(late_starts(&history, DEADLINE_MS), Vec::<String>::new());
+}
+
+/// Requests that started later than each of their calls allows.
+fn late_starts(history: &History, deadline_ms: u64) -> Vec<String> {
+    let mut late = Vec::new();
+    for run in &history.runs {
+        let calls = history.invocations.values();
+        let mut own = calls.filter(|call| Some(&call.request) == run.request.as_ref());
+        let last_ms = own.clone().map(|call| call.started_ms).max();
+        let limit_ms = last_ms.unwrap_or(u64::MAX / 2) + deadline_ms + LATE_START_MS;
+        if run.started_ms > limit_ms && own.next().is_some() {
+            late.push(format!("{:?}: {} ms", run.request, run.started_ms));
+        }
+    }
+    late
+}
+
+#[test]
+fn a_stopped_gateway_cuts_no_request() {
+    let mut fleet = Fleet::start();
+    let recorder = Recorder::default();
+    let end = AtomicBool::new(false);
+    let mut stopped = fleet.gateways.remove(0);
+    let (fleet_seen, seen, ended) = (&fleet, &recorder, &end);
+    let code = thread::scope(|scope| {
+        let _ending = Ending(ended);
+        for caller in 0..CALLERS {
+            scope.spawn(move || keep_ordering(fleet_seen, seen, caller, ended));
+        }
+        wait_for("running orders", || fleet_seen.running() > 0);
+        let gateway = gateway_name(0);
+        seen.planned_stop(&gateway.as_str().try_into().unwrap());
+        stopped.terminate()
+    });
+    assert_eq!(code, Some(0));
+    let history = fleet.finish(recorder);
+    assert_no_violation(&history);
+    let mut outcomes = history.completions.values().map(|c| &c.outcome);
+    assert_eq!(outcomes.find(|outcome| !is_answered(outcome)), None);
+}
+
+#[test]
+fn callers_are_served_while_a_keeper_is_frozen_or_killed() {
+    let mut fleet = Fleet::start();
+    let recorder = Recorder::default();
+    let end = AtomicBool::new(false);
+    let mut keeper = fleet.keepers.remove(1);
+    let (fleet_seen, seen, ended) = (&fleet, &recorder, &end);
+    thread::scope(|scope| {
+        let _ending = Ending(ended);
+        scope.spawn(move || watch_generations(fleet_seen, seen, ended));
+        keeper.signal(Signal::Stop);
+        wait_until_served(fleet_seen, seen, "frozen");
+        fleet_seen.accept(101);
+        wait_for_generation(fleet_seen, Generation(2));
+        keeper.signal(Signal::Continue);
+        wait_until_served(fleet_seen, seen, "resumed");
+        fleet_seen.accept(102);
+        wait_for_generation(fleet_seen, Generation(3));
+        keeper.signal(Signal::Kill);
+        keeper.wait();
+        wait_until_served(fleet_seen, seen, "killed");
+        fleet_seen.accept(103);
+        wait_for_generation(fleet_seen, Generation(4));
+    });
+    assert_no_violation(&fleet.finish(recorder));
+}
+
+/// Waits until each gateway answers several orders in turn.
+fn wait_until_served(fleet: &Fleet, recorder: &Recorder, phase: &str) {
+    let orders_in_turn = 5;
+    for gateway in 0..ZONES.len() {
+        wait_for("served callers", || {
+            (0..orders_in_turn).all(|count| {
+                let request = format!("{phase}-{gateway}-{count}-{}", now_ms());
+                let order = Order {
+                    deadline_ms: 2000,
+                    ..Order::keyed(request)
+                };
+                is_answered(&order.call(fleet, recorder, gateway))
+            })
+        });
+    }
+}
+
+fn wait_for_generation(fleet: &Fleet, generation: Generation) {
+    for gateway in 0..ZONES.len() {
+        let applied = || fleet.generation(gateway) >= Some(generation);
+        wait_for("the generation in force", applied);
+    }
+}
+
+/// Notes the generations of all gateways until told to end.
+fn watch_generations(fleet: &Fleet, recorder: &Recorder, end: &AtomicBool) {
+    while !end.load(Ordering::Relaxed) {
+        for gateway in 0..ZONES.len() {
+            if let Some(generation) = fleet.generation(gateway) {
+                recorder.generation(&gateway_name(gateway), generation);
+            }
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-cli/tests/processes/orders.rs
@@ -0,0 +1,75 @@
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use cornelpoint::request::Method;
+use cornelpoint_standin::caller::CallerRequest;
+use cornelpoint_standin::caller::call;
+use cornelpoint_standin::history::Outcome;
+use cornelpoint_standin::history::Recorder;
+
+use super::fleet::Fleet;
+use super::fleet::gateway_name;
+
+/// Time after which a caller gives up; only a hang reaches it.
+const PATIENCE_MS: u64 = 60_000;
+
+/// One non-idempotent request of a caller.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub request: String,
+    pub is_keyed: bool,
+    pub work_ms: u64,
+    pub deadline_ms: u64,
+}
+
+impl Order {
+    /// A keyed order that no call misses its deadline with.
+    pub fn keyed(request: String) -> Self {
+        Self {
+            request,
+            is_keyed: true,
+            work_ms: 20,
+            deadline_ms: 30_000,
+        }
+    }
+
+    /// Calls a gateway and notes the call.
+    pub fn call(&self, fleet: &Fleet, recorder: &Recorder, gateway: usize) -> Outcome {
+        let request = CallerRequest {
+            gateway: gateway_name(gateway).as_str().try_into().unwrap(),
+            address: fleet.zones[gateway].callers,
+            request: self.request.clone(),
+            idempotency_key: self.is_keyed.then(|| format!("key-{}", self.request)),
+            method: Method::Post,
+            path: "/quoting/orders".to_owned(),
+            body: self.request.repeat(10).into_bytes(),
+            size_bytes: None,
+            work_ms: Some(self.work_ms),
+            deadline_ms: Some(self.deadline_ms),
+            patience_ms: PATIENCE_MS,
+        };
+        call(recorder, &request)
+    }
+}
+
+/// Makes orders one after the other until told to end, each at the first
+/// gateway that is healthy, beginning with the caller's own.
+pub fn keep_ordering(fleet: &Fleet, recorder: &Recorder, caller: usize, end: &AtomicBool) {
+    for count in 0.. {
+        if end.load(Ordering::Relaxed) {
+            return;
+        }
+        let own = caller % 2;
+        let gateway = if fleet.is_healthy(own) { own } else { 1 - own };
+        let order = Order {
+            is_keyed: count % 2 == 0,
+            ..Order::keyed(format!("caller-{caller}-{count}"))
+        };
+        order.call(fleet, recorder, gateway);
+    }
+}
+
+/// Whether an order was answered with success.
+pub fn is_answered(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Answered { status: 200, .. })
+}
