Leave out configurations that a peer knows; ask beside a slot kept for a trial

And, by a test that failed first: a slot kept for an endpoint's trial counted as free, so that one of 24 requests that may not serve as a trial waited for it.

Change: the known generation goes beside the position; free slots at endpoints on trial are added to what is asked for. The walk over all endpoints for those to avoid is made every 20 ms, not at every decision.

--- a/crates/cornelpoint-daemon/src/keeper/command.rs
+++ b/crates/cornelpoint-daemon/src/keeper/command.rs
@@ -7,7 +7,6 @@
 use cornelpoint::name::InstanceId;
 use cornelpoint::platform::InstanceList;
 use cornelpoint::spread::EndpointMark;
-use cornelpoint::spread::Position;
 use cornelpoint::spread::Update;
 
 use super::keeper_dump::KeeperDump;
@@ -17,6 +16,7 @@
 use crate::message::SlotExchange;
 use crate::message::SlotExchangeReply;
 use crate::message::SyncReply;
+use crate::message::SyncRequest;
 use crate::message::View;
 use crate::message::ViewRequest;
 
@@ -33,7 +33,7 @@
     /// A gateway reports its slots.
     Slots(SlotExchange, ReplyTo<SlotExchangeReply>),
     /// Another keeper asks for news.
-    Sync(Option<Position>, ReplyTo<SyncReply>),
+    Sync(SyncRequest, ReplyTo<SyncReply>),
     /// News came, from another keeper or from the platform.
     Apply(Update),
     /// The platform's list of instances came.
--- a/crates/cornelpoint-daemon/src/keeper/core.rs
+++ b/crates/cornelpoint-daemon/src/keeper/core.rs
@@ -82,7 +82,7 @@
             Command::Slots(exchange, to) => {
                 drop(to.try_send(self.state.slots(&exchange, now_ms)));
             }
-            Command::Sync(position, to) => drop(to.try_send(self.state.sync(position))),
+            Command::Sync(request, to) => drop(to.try_send(self.state.sync(request))),
             Command::Apply(update) => {
                 let adoption = self.state.apply(update, now_ms);
                 self.spread(adoption);
--- a/crates/cornelpoint-daemon/src/keeper/peer_sync.rs
+++ b/crates/cornelpoint-daemon/src/keeper/peer_sync.rs
@@ -16,6 +16,7 @@
 use super::state::peer_addresses;
 use crate::control::ControlClient;
 use crate::message::SyncReply;
+use crate::message::SyncRequest;
 
 /// Most peers that one piece of news is pushed to.
 const PUSH_FANOUT: usize = 8;
@@ -67,10 +68,13 @@
         let Some(&peer) = peers.choose(&mut self.generator) else {
             return;
         };
-        let position = self.positions.get(&peer).copied();
+        let request = SyncRequest {
+            position: self.positions.get(&peer).copied(),
+            generation: self.core.ask(Command::Generation).unwrap_or_default(),
+        };
         let reply = self
             .client
-            .call::<_, SyncReply>(peer, "/peer/sync", &position);
+            .call::<_, SyncReply>(peer, "/peer/sync", &request);
         if let Ok(reply) = reply {
             if !reply.update.is_empty() {
                 self.core.tell(Command::Apply(reply.update));
--- a/crates/cornelpoint-daemon/src/keeper/routes.rs
+++ b/crates/cornelpoint-daemon/src/keeper/routes.rs
@@ -2,7 +2,6 @@
 use std::time::Duration;
 
 use cornelpoint::name::InstanceId;
-use cornelpoint::spread::Position;
 use cornelpoint::spread::Update;
 use rouille::Request;
 use rouille::Response;
@@ -22,6 +21,7 @@
 use crate::message::DrainReport;
 use crate::message::EndpointSign;
 use crate::message::SlotExchange;
+use crate::message::SyncRequest;
 use crate::message::ViewRequest;
 
 /// Longest wait for another keeper, asked on behalf of a caller.
@@ -46,7 +46,7 @@
                 self.packed(request, |q: SlotExchange, to| Command::Slots(q, to))
             }
             ("POST", "/peer/sync") => {
-                self.packed(request, |q: Option<Position>, to| Command::Sync(q, to))
+                self.packed(request, |q: SyncRequest, to| Command::Sync(q, to))
             }
             ("POST", "/peer/push") => self.told(request, |q: Update| Command::Apply(q)),
             ("POST", "/peer/sign") => self.told(request, |q: EndpointSign| Command::Sign(q)),
--- a/crates/cornelpoint-daemon/src/keeper/state.rs
+++ b/crates/cornelpoint-daemon/src/keeper/state.rs
@@ -14,7 +14,6 @@
 use cornelpoint::spread::EndpointMark;
 use cornelpoint::spread::Facts;
 use cornelpoint::spread::MarkCause;
-use cornelpoint::spread::Position;
 use cornelpoint::spread::Update;
 
 use super::holding::HolderKey;
@@ -23,6 +22,7 @@
 use crate::message::GatewayStatus;
 use crate::message::KeeperStatus;
 use crate::message::SyncReply;
+use crate::message::SyncRequest;
 use crate::message::View;
 use crate::message::ViewRequest;
 
@@ -68,9 +68,9 @@
         &self.facts
     }
 
-    pub(super) fn sync(&self, position: Option<Position>) -> SyncReply {
+    pub(super) fn sync(&self, request: SyncRequest) -> SyncReply {
         SyncReply {
-            update: self.facts.since(position),
+            update: self.facts.since(request.position, request.generation),
             position: self.facts.position(),
         }
     }
@@ -240,7 +240,7 @@
     }
 
     pub(super) fn view(&mut self, request: ViewRequest, now_ms: u64) -> View {
-        let update = self.facts.since(request.position);
+        let update = self.facts.since(request.position, request.applied);
         self.gateways.insert(
             request.gateway,
             GatewayReport {
--- a/crates/cornelpoint-daemon/src/message/mod.rs
+++ b/crates/cornelpoint-daemon/src/message/mod.rs
@@ -4,7 +4,7 @@
 //! |---|---|---|
 //! | `/peer/view` | [`ViewRequest`] | [`View`] |
 //! | `/peer/slots` | [`SlotExchange`] | [`SlotExchangeReply`] |
-//! | `/peer/sync` | `Option<Position>` | [`SyncReply`] |
+//! | `/peer/sync` | [`SyncRequest`] | [`SyncReply`] |
 //! | `/peer/push` | `Update` | nothing |
 //! | `/peer/sign` | [`EndpointSign`] | nothing |
 //! | `/peer/status` | nothing | [`KeeperStatus`] |
@@ -23,5 +23,6 @@
 pub use self::slot_exchange::SlotExchange;
 pub use self::slot_exchange::SlotExchangeReply;
 pub use self::view::SyncReply;
+pub use self::view::SyncRequest;
 pub use self::view::View;
 pub use self::view::ViewRequest;
--- a/crates/cornelpoint-daemon/src/message/view.rs
+++ b/crates/cornelpoint-daemon/src/message/view.rs
@@ -32,6 +32,15 @@
     pub members: Option<Vec<Member>>,
 }
 
+/// A keeper asks another for what is new.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SyncRequest {
+    /// How far the asking keeper has read the other's facts.
+    pub position: Option<Position>,
+    /// Newest generation that the asking keeper knows.
+    pub generation: Generation,
+}
+
 /// What is new for another keeper, and where it is once it has taken it in.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncReply {
--- a/crates/cornelpoint/benches/capacity/spread.rs
+++ b/crates/cornelpoint/benches/capacity/spread.rs
@@ -203,10 +203,10 @@
     known.apply(update.clone());
     let read = known.position();
     let unchanged_us = mean_us(|| {
-        black_box(known.since(black_box(Some(read))));
+        black_box(known.since(black_box(Some(read)), Generation(0)));
     });
     let all_us = mean_us(|| {
-        black_box(encoded_bytes(&known.since(None)));
+        black_box(encoded_bytes(&known.since(None, Generation(0))));
     });
     let encoded = rmp_serde::to_vec_named(&update).expect("plain data can be coded");
     let decode_us = mean_us(|| {
@@ -257,7 +257,7 @@
 
 fn view_bytes(facts: &Facts, position: Option<Position>) -> f64 {
     encoded_bytes(&View {
-        update: facts.since(position),
+        update: facts.since(position, Generation(0)),
         position: facts.position(),
         members_version: 1,
         members: None,
--- a/crates/cornelpoint/src/dispatch/assigning.rs
+++ b/crates/cornelpoint/src/dispatch/assigning.rs
@@ -116,7 +116,7 @@
             .map(|(_, service)| service.clone())
     }
 
-    pub(super) fn report_demand(&mut self, pool: &PoolName) {
+    pub(super) fn report_demand(&mut self, pool: &PoolName, now_ms: u64) {
         let mut queued = 0;
         let mut parked = 0;
         let mut earliest_deadline_ms = None;
@@ -134,7 +134,9 @@
         };
         if parked > 0 {
             // The free slots are at endpoints that failed the retries.
-            queued += parked + route.borrower.free();
+            queued += parked + route.borrower.free_at(&|_| true);
+        } else if queued > 0 {
+            queued += route.free_for_trial(now_ms);
         }
         route.borrower.set_demand(queued, earliest_deadline_ms);
         let limited = route.borrower.is_short();
--- a/crates/cornelpoint/src/dispatch/dispatcher.rs
+++ b/crates/cornelpoint/src/dispatch/dispatcher.rs
@@ -207,7 +207,7 @@
             while let Some(next) = self.assign(pool, now_ms) {
                 directed.push(next);
             }
-            self.report_demand(pool);
+            self.report_demand(pool, now_ms);
         }
         directed
     }
--- a/crates/cornelpoint/src/dispatch/route.rs
+++ b/crates/cornelpoint/src/dispatch/route.rs
@@ -22,6 +22,9 @@
 use crate::slots::SlotUse;
 use crate::spread::Facts;
 
+/// Time between two looks for endpoints to avoid, in milliseconds.
+const AVOID_INTERVAL_MS: u64 = 20;
+
 /// One pool at a gateway: its endpoints, their health, and the lent slots.
 #[derive(Debug)]
 pub(super) struct Route {
@@ -31,6 +34,7 @@
     pub(super) borrower: PoolBorrower,
     pub(super) holders: BTreeMap<AvailabilityZone, SocketAddr>,
     accepting: usize,
+    next_avoid_ms: u64,
 }
 
 /// What a request asks of a slot.
@@ -57,6 +61,7 @@
             borrower: PoolBorrower::new(own, Vec::new(), now_ms),
             holders: BTreeMap::new(),
             accepting: 0,
+            next_avoid_ms: 0,
         }
     }
 
@@ -67,6 +72,12 @@
         self.accepting > 0
     }
 
+    /// Free slots that are kept for a trial of their endpoint.
+    pub(super) fn free_for_trial(&self, now_ms: u64) -> u32 {
+        let trial = |instance: &InstanceId| self.health.verdict(instance, now_ms) != Verdict::Take;
+        self.borrower.free_at(&trial)
+    }
+
     /// Whether a healthy endpoint has not been tried.
     pub(super) fn has_untried(&self, tried: &[InstanceId], now_ms: u64) -> bool {
         self.endpoints.keys().any(|instance| {
@@ -162,8 +173,13 @@
         }
     }
 
-    /// Slots of endpoints that are avoided go back to their holders.
+    /// Slots of endpoints that are avoided go back to their holders. The walk
+    /// over all endpoints is made at intervals.
     pub(super) fn avoid_ejected(&mut self, now_ms: u64) {
+        if now_ms < self.next_avoid_ms {
+            return;
+        }
+        self.next_avoid_ms = now_ms + AVOID_INTERVAL_MS;
         let avoided: Vec<InstanceId> = self
             .endpoints
             .keys()
--- a/crates/cornelpoint/src/slots/borrower.rs
+++ b/crates/cornelpoint/src/slots/borrower.rs
@@ -273,10 +273,14 @@
             && self.outstanding.is_none()
     }
 
-    /// Slots in which requests may be started.
+    /// Slots in which requests may be started, at the endpoints chosen.
     #[must_use]
-    pub fn free(&self) -> u32 {
-        self.slots.free()
+    pub fn free_at(&self, chosen: &dyn Fn(&InstanceId) -> bool) -> u32 {
+        self.slots
+            .iter()
+            .filter(|(endpoint, _)| chosen(endpoint))
+            .map(|(_, borrowed)| borrowed.free())
+            .sum()
     }
 
     /// Requests that run.
--- a/crates/cornelpoint/src/slots/pool_borrower.rs
+++ b/crates/cornelpoint/src/slots/pool_borrower.rs
@@ -150,10 +150,10 @@
         }
     }
 
-    /// Slots in which requests may be started.
+    /// Slots in which requests may be started, at the endpoints chosen.
     #[must_use]
-    pub fn free(&self) -> u32 {
-        self.all().map(Borrower::free).sum()
+    pub fn free_at(&self, chosen: &dyn Fn(&InstanceId) -> bool) -> u32 {
+        self.all().map(|borrower| borrower.free_at(chosen)).sum()
     }
 
     /// Requests that run.
--- a/crates/cornelpoint/src/spread/facts.rs
+++ b/crates/cornelpoint/src/spread/facts.rs
@@ -82,9 +82,11 @@
     }
 
     /// What changed since a reader's position; all facts for a reader without
-    /// one, or with one of an earlier start of this process.
+    /// one, or with one of an earlier start of this process. A configuration
+    /// is left out when the reader knows its generation, from whomever.
     ///
     /// ```
+    /// use cornelpoint::configuration::Generation;
     /// use cornelpoint::name::InstanceId;
     /// use cornelpoint::spread::EndpointMark;
     /// use cornelpoint::spread::Facts;
@@ -99,11 +101,11 @@
     ///     cause: MarkCause::Operator,
     /// };
     /// facts.apply(Update { configuration: None, marks: vec![mark] });
-    /// assert_eq!(facts.since(None).marks.len(), 1);
-    /// assert!(facts.since(Some(facts.position())).is_empty());
+    /// assert_eq!(facts.since(None, Generation(0)).marks.len(), 1);
+    /// assert!(facts.since(Some(facts.position()), Generation(0)).is_empty());
     /// ```
     #[must_use]
-    pub fn since(&self, position: Option<Position>) -> Update {
+    pub fn since(&self, position: Option<Position>, known: Generation) -> Update {
         let read = position
             .filter(|position| position.incarnation == self.incarnation)
             .map_or(0, |position| position.change);
@@ -111,7 +113,9 @@
             configuration: self
                 .configuration
                 .as_ref()
-                .filter(|_| self.configuration_change > read)
+                .filter(|configuration| {
+                    self.configuration_change > read && configuration.generation > known
+                })
                 .cloned(),
             marks: self
                 .mark_changes
--- a/crates/cornelpoint/tests/spread.rs
+++ b/crates/cornelpoint/tests/spread.rs
@@ -125,7 +125,7 @@
             facts.apply(configuration(generator.random_range(1..50)));
         }
         if generator.random_range(0..3) == 0 {
-            let update = facts.since(position);
+            let update = facts.since(position, reader.generation());
             assert!(update.marks.len() <= 2);
             reader.apply(update);
             position = Some(facts.position());
@@ -134,6 +134,14 @@
     }
 }
 
+#[test]
+fn a_configuration_known_from_another_is_not_sent_again() {
+    let mut facts = Facts::new(1);
+    facts.apply(configuration(5));
+    assert!(facts.since(None, Generation(5)).is_empty());
+    assert!(facts.since(None, Generation(4)).configuration.is_some());
+}
+
 #[test]
 fn a_position_of_an_earlier_start_gets_everything() {
     let mut facts = Facts::new(2);
@@ -142,7 +150,7 @@
         incarnation: 1,
         change: 99,
     };
-    assert_eq!(facts.since(Some(earlier)).marks.len(), 1);
+    assert_eq!(facts.since(Some(earlier), Generation(0)).marks.len(), 1);
 }
 
 #[test]
