Read the newest configuration again when the platform's answer is lost

Cause: the process tests failed in one of seven runs: `cornelpoint workspace accept` ended with "found 503: expected an answer of the platform, found: timeout: global". The accept itself asks the platform again; the read of the newest configuration before it did not, so one lost answer failed the whole command.

Change: the keeper reads up to three times, with the pause that accept uses. A test runs a keeper against a platform that leaves every second read unanswered.

--- a/crates/cornelpoint-cli/tests/processes/fleet.rs
+++ b/crates/cornelpoint-cli/tests/processes/fleet.rs
@@ -171,6 +171,18 @@
     }
 }
 
+/// Starts a keeper alone and waits until it answers at its address.
+pub fn lone_keeper(platform: SocketAddr) -> (Process, SocketAddr) {
+    let zone = Zone::free(ZONES[0]);
+    let address = zone.keeper;
+    let path = new_folder().join("keeper.json");
+    let settings = settings::keeper(&[zone], 0, platform);
+    fs::write(&path, settings.to_string()).unwrap();
+    let keeper = Process::start("cornelpoint-keeper", &path);
+    wait_for("a keeper", || get(address, "/dump").is_some());
+    (keeper, address)
+}
+
 /// Waits until a condition holds.
 pub fn wait_for(expected: &str, condition: impl Fn() -> bool) {
     let start = Instant::now();
--- a/crates/cornelpoint-cli/tests/processes/main.rs
+++ b/crates/cornelpoint-cli/tests/processes/main.rs
@@ -1,5 +1,6 @@
 //! The real programs, killed, frozen and stopped; histories judge them.
 
+mod faulty_platform;
 mod fleet;
 mod orders;
 mod process;
@@ -274,3 +275,13 @@
         thread::sleep(Duration::from_millis(20));
     }
 }
+
+#[test]
+fn one_lost_answer_of_the_platform_fails_no_question_of_an_operator() {
+    let (keeper, address) = fleet::lone_keeper(faulty_platform::start());
+    for _ in 0..5 {
+        let newest = zone::get(address, "/operator/configuration");
+        assert_eq!(newest, Some(Value::Null));
+    }
+    drop(keeper);
+}
--- a/crates/cornelpoint-daemon/src/keeper/operator/accept.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/accept.rs
@@ -23,7 +23,7 @@
 use crate::keeper::command::Command;
 
 /// Wait before the platform is asked again after it did not answer.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
 /// Highest generation that an operator can have seen.
 const MAX_GENERATION: Generation = Generation(u64::MAX / 2);
--- a/crates/cornelpoint-daemon/src/keeper/operator/newest.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/newest.rs
@@ -1,3 +1,5 @@
+use std::thread;
+
 use cornelpoint::configuration::Configuration;
 use cornelpoint::configuration::Head;
 use cornelpoint::configuration::body_key;
@@ -5,19 +7,37 @@
 use cornelpoint::configuration::head_key;
 use rouille::Response;
 
+use super::accept::RETRY_PAUSE;
 use super::operator::Operator;
 use crate::control::json_reply;
 use crate::control::text_reply;
 
+/// Most reads of the table for one question.
+const MAX_TRIES: usize = 3;
+
 /// Answers with the newest configuration in the table, which may be newer
 /// than the one in force here; `null` when none was accepted.
 pub(super) fn answer(operator: &Operator) -> Response {
-    match read(operator) {
+    match read_with_retries(operator) {
         Ok(configuration) => json_reply(&configuration),
         Err(found) => text_reply(503, &found),
     }
 }
 
+/// Reads again after a failure, so that one lost answer of the platform does
+/// not fail an operator's command.
+fn read_with_retries(operator: &Operator) -> Result<Option<Configuration>, String> {
+    let mut last = read(operator);
+    for _ in 1..MAX_TRIES {
+        if last.is_ok() {
+            return last;
+        }
+        thread::sleep(RETRY_PAUSE);
+        last = read(operator);
+    }
+    last
+}
+
 fn read(operator: &Operator) -> Result<Option<Configuration>, String> {
     let platform = &operator.platform;
     let key = head_key(&operator.workspace);
