Stop the gateway under orders that outlast its notice

Cause: in the test of a planned stop the signal came with the first order, and each order took 20 ms, so hardly any was in work when the gateway stopped accepting after its notice of 2000 ms.

Change: the signal comes after 100 runs, and one order in 20 of a caller works 2800 ms, longer than the notice.

--- a/crates/cornelpoint-cli/tests/processes/main.rs
+++ b/crates/cornelpoint-cli/tests/processes/main.rs
@@ -44,6 +44,9 @@
 /// Callers that make one order after the other.
 const CALLERS: usize = 8;
 
+/// Runs of orders before a planned stop.
+const RUNS_BEFORE_STOP: usize = 100;
+
 /// Time after its deadline in which a request may still start.
 const LATE_START_MS: u64 = 1000;
 
@@ -179,10 +182,10 @@
     let mut late = Vec::new();
     for run in &history.runs {
         let calls = history.invocations.values();
-        let mut own = calls.filter(|call| Some(&call.request) == run.request.as_ref());
-        let last_ms = own.clone().map(|call| call.started_ms).max();
-        let limit_ms = last_ms.unwrap_or(u64::MAX / 2) + deadline_ms + LATE_START_MS;
-        if run.started_ms > limit_ms && own.next().is_some() {
+        let own = calls.filter(|call| Some(&call.request) == run.request.as_ref());
+        let limit_ms = |last_ms| last_ms + deadline_ms + LATE_START_MS;
+        let last_ms = own.map(|call| call.started_ms).max();
+        if last_ms.is_some_and(|last_ms| run.started_ms > limit_ms(last_ms)) {
             late.push(format!("{:?}: {} ms", run.request, run.started_ms));
         }
     }
@@ -201,7 +204,7 @@
         for caller in 0..CALLERS {
             scope.spawn(move || keep_ordering(fleet_seen, seen, caller, ended));
         }
-        wait_for("running orders", || fleet_seen.running() > 0);
+        wait_for("a steady load", || fleet_seen.runs() > RUNS_BEFORE_STOP);
         let gateway = gateway_name(0);
         seen.planned_stop(&gateway.as_str().try_into().unwrap());
         stopped.terminate()
--- a/crates/cornelpoint-cli/tests/processes/orders.rs
+++ b/crates/cornelpoint-cli/tests/processes/orders.rs
@@ -13,6 +13,14 @@
 /// Time after which a caller gives up; only a hang reaches it.
 const PATIENCE_MS: u64 = 60_000;
 
+const WORK_MS: u64 = 20;
+
+/// Work that outlasts the notice which a gateway gives before it stops.
+const LONG_WORK_MS: u64 = 2800;
+
+/// Of how many orders of a caller one is long.
+const LONG_EVERY: usize = 20;
+
 /// One non-idempotent request of a caller.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -28,7 +36,7 @@
         Self {
             request,
             is_keyed: true,
-            work_ms: 20,
+            work_ms: WORK_MS,
             deadline_ms: 30_000,
         }
     }
@@ -61,8 +69,10 @@
         }
         let own = caller % 2;
         let gateway = if fleet.is_healthy(own) { own } else { 1 - own };
+        let is_long = (count + caller).is_multiple_of(LONG_EVERY);
         let order = Order {
             is_keyed: count % 2 == 0,
+            work_ms: if is_long { LONG_WORK_MS } else { WORK_MS },
             ..Order::keyed(format!("caller-{caller}-{count}"))
         };
         order.call(fleet, recorder, gateway);
