--- a/crates/cornelpoint-daemon/src/gateway/running.rs
+++ b/crates/cornelpoint-daemon/src/gateway/running.rs
@@ -137,7 +137,7 @@
             decisions: decisions.clone(),
             admission: Arc::clone(&admission),
             facts: Facts::default(),
-            members_from: None,
+            read: None,
             logger: logger.clone(),
         };
         let threads = vec![
@@ -229,6 +229,9 @@
         if self.admission.configuration().is_none() {
             return text_reply(503, "not ready: no keeper gave a configuration yet");
         }
+        if !self.admission.is_ready() {
+            return text_reply(503, "not ready: no slots are lent yet");
+        }
         text_reply(200, "ready")
     }
 
--- a/crates/cornelpoint-daemon/src/keeper/state.rs
+++ b/crates/cornelpoint-daemon/src/keeper/state.rs
@@ -1,54 +1,34 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use cornelpoint::configuration::Configuration;
 use cornelpoint::configuration::Generation;
-use cornelpoint::configuration::Pool;
 use cornelpoint::membership::GossipMessage;
 use cornelpoint::membership::Member;
 use cornelpoint::membership::Membership;
 use cornelpoint::membership::OutgoingGossip;
-use cornelpoint::name::AvailabilityZone;
 use cornelpoint::name::InstanceId;
-use cornelpoint::name::PoolName;
 use cornelpoint::platform::InstanceList;
 use cornelpoint::platform::InstanceState;
-use cornelpoint::rendezvous::slot_holder;
 use cornelpoint::slots::Holder;
-use cornelpoint::slots::HolderEndpoint;
-use cornelpoint::slots::HolderSettings;
-use cornelpoint::slots::SlotRequest;
 use cornelpoint::spread::Adoption;
-use cornelpoint::spread::Digest;
 use cornelpoint::spread::EndpointMark;
 use cornelpoint::spread::Facts;
 use cornelpoint::spread::MarkCause;
+use cornelpoint::spread::Position;
 use cornelpoint::spread::Update;
 
-use super::command::DrainAnswer;
-use super::keeper_dump::HolderEntry;
+use super::holding::HolderKey;
 use super::keeper_dump::KeeperDump;
-use crate::message::DrainReport;
 use crate::message::EndpointSign;
 use crate::message::GatewayStatus;
 use crate::message::KeeperStatus;
-use crate::message::SlotAnswer;
-use crate::message::SlotExchange;
-use crate::message::SlotExchangeReply;
+use crate::message::SyncReply;
 use crate::message::View;
 use crate::message::ViewRequest;
 
-/// Longest deadline assumed while no configuration is known, in milliseconds.
-const DEFAULT_MAX_DEADLINE_MS: u64 = 30_000;
 /// Time after which a silent gateway is no longer shown, in milliseconds.
 const GATEWAY_RETENTION_MS: u64 = 60_000;
 
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct HolderKey {
-    pool: PoolName,
-    availability_zone: AvailabilityZone,
-}
-
 #[derive(Clone, Debug)]
 struct GatewayReport {
     applied: Generation,
@@ -58,21 +38,21 @@
 /// The state of a keeper, without threads or sockets.
 #[derive(Debug)]
 pub(super) struct State {
-    membership: Membership,
-    facts: Facts,
-    holders: BTreeMap<HolderKey, Holder>,
+    pub(super) membership: Membership,
+    pub(super) facts: Facts,
+    pub(super) holders: BTreeMap<HolderKey, Holder>,
     gateways: BTreeMap<InstanceId, GatewayReport>,
-    slot_lease_ms: u64,
-    platform_reachable: bool,
-    leaving: bool,
-    pauses: u64,
+    pub(super) slot_lease_ms: u64,
+    pub(super) platform_reachable: bool,
+    pub(super) leaving: bool,
+    pub(super) pauses: u64,
 }
 
 impl State {
     pub(super) fn new(membership: Membership, slot_lease_ms: u64) -> Self {
         Self {
+            facts: Facts::new(membership.own().incarnation),
             membership,
-            facts: Facts::default(),
             holders: BTreeMap::new(),
             gateways: BTreeMap::new(),
             slot_lease_ms,
@@ -88,8 +68,11 @@
         &self.facts
     }
 
-    pub(super) fn newer_than(&self, digest: &Digest) -> Update {
-        self.facts.newer_than(digest)
+    pub(super) fn sync(&self, position: Option<Position>) -> SyncReply {
+        SyncReply {
+            update: self.facts.since(position),
+            position: self.facts.position(),
+        }
     }
 
     pub(super) fn present_members(&self) -> Vec<Member> {
@@ -127,32 +110,6 @@
         }
     }
 
-    pub(super) fn drained(&self, instance: &InstanceId, now_ms: u64) -> DrainAnswer {
-        let Some((pool, availability_zone)) = self.place_of(instance) else {
-            return DrainAnswer::Unknown;
-        };
-        let Some(member) = self.holder_member(&pool, &availability_zone) else {
-            return DrainAnswer::Unknown;
-        };
-        if member.instance != self.membership.own().instance {
-            return DrainAnswer::Ask(member.keeper_address);
-        }
-        let key = HolderKey {
-            pool,
-            availability_zone,
-        };
-        let accepts_work = self.facts.accepts_work(instance);
-        let idle = self
-            .holders
-            .get(&key)
-            .is_some_and(|holder| holder.is_drained(instance, now_ms));
-        DrainAnswer::Report(DrainReport {
-            instance: instance.clone(),
-            accepts_work,
-            drained: !accepts_work && idle,
-        })
-    }
-
     // Commands.
 
     /// Notices a pause of the process: what was lent before it is no longer
@@ -244,6 +201,9 @@
     }
 
     pub(super) fn sign(&mut self, sign: EndpointSign, now_ms: u64) -> Adoption {
+        if self.facts.work_epoch(&sign.instance) > sign.work_epoch {
+            return Adoption::default();
+        }
         let known = self.facts.mark(&sign.instance, MarkCause::Endpoint);
         let accepts_now = known.is_none_or(|mark| mark.accepts_work);
         if accepts_now == sign.accepts_work {
@@ -280,7 +240,7 @@
     }
 
     pub(super) fn view(&mut self, request: ViewRequest, now_ms: u64) -> View {
-        let update = self.facts.newer_than(&request.digest);
+        let update = self.facts.since(request.position);
         self.gateways.insert(
             request.gateway,
             GatewayReport {
@@ -289,153 +249,19 @@
             },
         );
         let members_version = self.membership.version();
-        let changed = request.members_version != Some(members_version);
+        let same_start = request
+            .position
+            .is_some_and(|position| position.incarnation == self.facts.position().incarnation);
+        let changed = !same_start || request.members_version != Some(members_version);
         View {
             update,
+            position: self.facts.position(),
             members_version,
             members: changed.then(|| self.present_members()),
         }
     }
 
-    pub(super) fn slots(&mut self, exchange: &SlotExchange, now_ms: u64) -> SlotExchangeReply {
-        let answers = exchange
-            .requests
-            .iter()
-            .map(|request| self.slot_answer(request, now_ms))
-            .collect();
-        SlotExchangeReply { answers }
-    }
-
-    fn slot_answer(&mut self, request: &SlotRequest, now_ms: u64) -> SlotAnswer {
-        let holder = self
-            .holder_member(&request.pool, &request.availability_zone)
-            .map(|member| member.instance.clone());
-        if self.leaving || holder.as_ref() != Some(&self.membership.own().instance) {
-            return SlotAnswer::NotHolder { holder };
-        }
-        let key = HolderKey {
-            pool: request.pool.clone(),
-            availability_zone: request.availability_zone.clone(),
-        };
-        self.ensure_holder(&key, now_ms);
-        match self.holders.get_mut(&key) {
-            Some(holder) => SlotAnswer::Lent(holder.exchange(request, now_ms)),
-            None => SlotAnswer::NotHolder { holder: None },
-        }
-    }
-
-    /// Starts to hold the slots that fell to this keeper, and drops those that
-    /// fell to another, so that a holder that comes back starts anew.
-    fn take_over(&mut self, now_ms: u64) {
-        let own = self.membership.own();
-        let keys: Vec<HolderKey> = self
-            .facts
-            .configuration()
-            .into_iter()
-            .flat_map(|configuration| &configuration.pools)
-            .map(|pool| HolderKey {
-                pool: pool.name.clone(),
-                availability_zone: own.availability_zone.clone(),
-            })
-            .collect();
-        for key in keys {
-            let holder = self.holder_member(&key.pool, &key.availability_zone);
-            let is_own = holder.is_some_and(|member| &member.instance == self.own_instance());
-            if is_own {
-                self.ensure_holder(&key, now_ms);
-            } else {
-                self.holders.remove(&key);
-            }
-        }
-    }
-
-    fn ensure_holder(&mut self, key: &HolderKey, now_ms: u64) {
-        if !self.holders.contains_key(key) {
-            let holder = self.new_holder(key, now_ms);
-            self.holders.insert(key.clone(), holder);
-        }
-    }
-
-    fn new_holder(&self, key: &HolderKey, now_ms: u64) -> Holder {
-        let settings = HolderSettings {
-            lease_ms: self.slot_lease_ms,
-            adopt_ms: self.slot_lease_ms,
-            ..HolderSettings::for_max_deadline(self.max_deadline_ms(&key.pool))
-        };
-        let mut holder = Holder::new(settings, now_ms);
-        holder.set_endpoints(&self.holder_endpoints(key), now_ms);
-        holder
-    }
-
-    fn refresh_holders(&mut self, now_ms: u64) {
-        let keys: Vec<HolderKey> = self.holders.keys().cloned().collect();
-        for key in keys {
-            let endpoints = self.holder_endpoints(&key);
-            if let Some(holder) = self.holders.get_mut(&key) {
-                holder.set_endpoints(&endpoints, now_ms);
-            }
-        }
-    }
-
-    fn holder_endpoints(&self, key: &HolderKey) -> Vec<HolderEndpoint> {
-        self.pool(&key.pool)
-            .into_iter()
-            .flat_map(|pool| &pool.endpoints)
-            .filter(|endpoint| endpoint.availability_zone == key.availability_zone)
-            .map(|endpoint| HolderEndpoint {
-                instance: endpoint.instance.clone(),
-                epoch: self.facts.work_epoch(&endpoint.instance),
-                slots: endpoint.slots,
-                accepts_work: self.facts.accepts_work(&endpoint.instance),
-            })
-            .collect()
-    }
-
-    fn max_deadline_ms(&self, pool: &PoolName) -> u64 {
-        self.facts
-            .configuration()
-            .into_iter()
-            .flat_map(|configuration| &configuration.services)
-            .filter(|service| &service.pool == pool)
-            .map(|service| service.max_deadline_ms)
-            .max()
-            .unwrap_or(DEFAULT_MAX_DEADLINE_MS)
-    }
-
-    fn pool(&self, name: &PoolName) -> Option<&Pool> {
-        let configuration: &Configuration = self.facts.configuration()?;
-        configuration.pools.iter().find(|pool| &pool.name == name)
-    }
-
-    fn place_of(&self, instance: &InstanceId) -> Option<(PoolName, AvailabilityZone)> {
-        let configuration = self.facts.configuration()?;
-        configuration.pools.iter().find_map(|pool| {
-            pool.endpoints
-                .iter()
-                .find(|endpoint| &endpoint.instance == instance)
-                .map(|endpoint| (pool.name.clone(), endpoint.availability_zone.clone()))
-        })
-    }
-
-    fn holder_member(
-        &self,
-        pool: &PoolName,
-        availability_zone: &AvailabilityZone,
-    ) -> Option<&Member> {
-        let candidates: Vec<&Member> = self
-            .membership
-            .present()
-            .filter(|member| &member.availability_zone == availability_zone)
-            .collect();
-        let instances = candidates.iter().map(|member| &member.instance);
-        let chosen = slot_holder(pool, availability_zone, instances)?;
-        candidates
-            .iter()
-            .copied()
-            .find(|member| &member.instance == chosen)
-    }
-
-    fn own_instance(&self) -> &InstanceId {
+    pub(super) fn own_instance(&self) -> &InstanceId {
         &self.membership.own().instance
     }
 
@@ -449,17 +275,6 @@
             })
             .collect()
     }
-
-    fn holder_entries(&self, now_ms: u64) -> Vec<HolderEntry> {
-        self.holders
-            .iter()
-            .map(|(key, holder)| HolderEntry {
-                pool: key.pool.clone(),
-                availability_zone: key.availability_zone.clone(),
-                holder: holder.dump(now_ms),
-            })
-            .collect()
-    }
 }
 
 /// Addresses that news is pushed to: every present member but the own.
