Send metrics from gateways and keepers

Cause: the metrics stood as a typed set and a page, but no program sent one and no setting named a server.

Change: the setting `metrics` of gateways and keepers, an optional address; without it nothing is sent and no thread is started. Claims, sends, messages to keepers and to the platform are counted and timed where they are made. One thread tells the levels once a second and ends with its process.

Ruled out: a field for the reason in `Answer`, as the header holds it already and what endpoints put there is taken off; reading the levels from the threads that change them, as `/dump` has them all.

--- a/crates/cornelpoint-cli/tests/command_line.rs
+++ b/crates/cornelpoint-cli/tests/command_line.rs
@@ -200,6 +200,7 @@
         gossip_listen: listen,
         seeds: Vec::new(),
         platform: platform.address(),
+        metrics: None,
         platform_timeout_ms: 2_000,
         platform_poll_ms: 100,
         sync_interval_ms: 100,
--- a/crates/cornelpoint-cli/tests/support/mod.rs
+++ b/crates/cornelpoint-cli/tests/support/mod.rs
@@ -1,5 +1,7 @@
 //! A small fleet in one process: stand-ins, keepers and gateways.
 
+mod metrics_server;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -44,6 +46,8 @@
 use slog::Logger;
 use slog::o;
 
+pub use self::metrics_server::MetricsServer;
+
 /// Availability zones of the fleet; each has one entry instance.
 const ZONES: [&str; 2] = ["a", "b"];
 
@@ -65,6 +69,12 @@
 impl Fleet {
     /// Starts all parts and waits until each gateway answers calls.
     pub fn start(seed: u64) -> Self {
+        Self::start_with_metrics(seed, None)
+    }
+
+    /// Starts a fleet whose gateways and keepers send their metrics to an
+    /// address.
+    pub fn start_with_metrics(seed: u64, metrics: Option<SocketAddr>) -> Self {
         let listed = listed_endpoints();
         let platform = start_platform(&listed);
         let mut relays = vec![Relay::start(any_port(), platform.address()).unwrap()];
@@ -83,9 +93,9 @@
             }
         }
         let platform_address = relays[PLATFORM_RELAY].address();
-        let keepers = start_keepers(platform_address);
+        let keepers = start_keepers(platform_address, metrics);
         accept(&keepers[0], configuration(entries));
-        let gateways = start_gateways(platform_address, &keepers);
+        let gateways = start_gateways(platform_address, &keepers, metrics);
         gateways.iter().for_each(wait_until_serving);
         let targets = Targets {
             endpoints,
@@ -231,7 +241,7 @@
     WorkspaceName::try_from("hu-central").unwrap()
 }
 
-fn start_keepers(platform: SocketAddr) -> Vec<Keeper> {
+fn start_keepers(platform: SocketAddr, metrics: Option<SocketAddr>) -> Vec<Keeper> {
     let mut seeds = Vec::new();
     let mut keepers = Vec::new();
     for zone in ZONES {
@@ -243,6 +253,7 @@
             gossip_listen: any_port(),
             seeds: seeds.clone(),
             platform,
+            metrics,
             platform_timeout_ms: 500,
             platform_poll_ms: 200,
             sync_interval_ms: 200,
@@ -273,7 +284,11 @@
     assert_eq!(outcome, AcceptOutcome::Accepted { generation });
 }
 
-fn start_gateways(platform: SocketAddr, keepers: &[Keeper]) -> Vec<Gateway> {
+fn start_gateways(
+    platform: SocketAddr,
+    keepers: &[Keeper],
+    metrics: Option<SocketAddr>,
+) -> Vec<Gateway> {
     ZONES
         .iter()
         .zip(keepers)
@@ -285,6 +300,7 @@
                 control_listen: any_port(),
                 keepers: vec![keeper.address()],
                 platform,
+                metrics,
                 platform_timeout_ms: 500,
                 keeper_timeout_ms: 300,
                 view_interval_ms: 100,
--- a/crates/cornelpoint-daemon/src/caller_edge/answer.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/answer.rs
@@ -56,6 +56,22 @@
         }
     }
 
+    /// Why the request got no answer of an endpoint, if it got none.
+    ///
+    /// ```
+    /// use cornelpoint::request::Refusal;
+    /// use cornelpoint_daemon::caller_edge::Answer;
+    ///
+    /// let answer = Answer::refused(Refusal::QueueFull, "expected at most 9 requests, found 9");
+    /// assert_eq!(answer.refusal(), Some(Refusal::QueueFull));
+    /// ```
+    #[must_use]
+    pub fn refusal(&self) -> Option<Refusal> {
+        let reason = |header: &&Header| header.name == Refusal::HEADER;
+        let header = self.headers.iter().find(reason)?;
+        Refusal::from_header(&header.value)
+    }
+
     /// The answer to bytes that are not taken as a request.
     pub(super) fn rejected(rejection: &Rejection) -> Self {
         Self::refused(rejection.refusal, &rejection.detail)
--- a/crates/cornelpoint-daemon/src/caller_edge/caller_handler.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/caller_handler.rs
@@ -1,5 +1,7 @@
 use std::time::Instant;
 
+use cornelpoint::request::Refusal;
+
 use super::answer::Answer;
 use super::request_head::RequestHead;
 
@@ -32,4 +34,7 @@
 
     /// Answers a request; called on the thread of the caller's connection.
     fn handle(&self, request: CallerRequest) -> Answer;
+
+    /// Hears that the edge itself refused what a caller sent; for metrics.
+    fn note_rejection(&self, _refusal: Refusal) {}
 }
--- a/crates/cornelpoint-daemon/src/gateway/gateway_error.rs
+++ b/crates/cornelpoint-daemon/src/gateway/gateway_error.rs
@@ -8,6 +8,8 @@
     Edge,
     /// The address for dumps could not be listened on.
     Control,
+    /// Metrics could not be sent to their address.
+    Metrics,
 }
 
 impl fmt::Display for GatewayError {
@@ -15,6 +17,7 @@
         match self {
             Self::Edge => write!(formatter, "expected to listen for callers, found an error"),
             Self::Control => write!(formatter, "expected to listen for dumps, found an error"),
+            Self::Metrics => write!(formatter, "expected to send metrics, found an error"),
         }
     }
 }
--- a/crates/cornelpoint-daemon/src/gateway/handler.rs
+++ b/crates/cornelpoint-daemon/src/gateway/handler.rs
@@ -39,6 +39,10 @@
 use crate::endpoint_client::EndpointClient;
 use crate::endpoint_client::OutgoingRequest;
 use crate::endpoint_client::Reuse;
+use crate::endpoint_client::SendOutcome;
+use crate::metrics::Counter;
+use crate::metrics::Metrics;
+use crate::metrics::Timer;
 
 /// Serves callers' requests, each on the thread of its connection.
 #[derive(Debug)]
@@ -50,27 +54,51 @@
     pub(super) decisions: Decisions,
     pub(super) client: EndpointClient,
     pub(super) claims: ClaimStore,
+    pub(super) metrics: Metrics,
     pub(super) next_id: AtomicU64,
 }
 
 impl CallerHandler for Handler {
     fn admit(&self, head: &RequestHead) -> Result<BodyLimit, Answer> {
-        let configuration = self.configuration()?;
-        let service = find_service(&configuration, &head.target)?;
-        RequestPlan::read(head, service, Instant::now())?;
-        Ok(BodyLimit {
-            max_bytes: service.max_body_bytes,
-        })
+        let limit = self.body_limit(head);
+        if let Err(answer) = &limit {
+            self.count_end(answer);
+        }
+        limit
     }
 
     fn handle(&self, request: CallerRequest) -> Answer {
-        match self.serve(&request) {
+        self.metrics.count(Counter::Received);
+        let answer = match self.serve(&request) {
             Ok(answer) | Err(answer) => answer,
-        }
+        };
+        self.count_end(&answer);
+        self.metrics.time_since(Timer::Request, request.received_at);
+        answer
+    }
+
+    fn note_rejection(&self, refusal: Refusal) {
+        self.metrics.count_refusal(refusal);
     }
 }
 
 impl Handler {
+    fn count_end(&self, answer: &Answer) {
+        match answer.refusal() {
+            Some(refusal) => self.metrics.count_refusal(refusal),
+            None => self.metrics.count(Counter::Answered),
+        }
+    }
+
+    fn body_limit(&self, head: &RequestHead) -> Result<BodyLimit, Answer> {
+        let configuration = self.configuration()?;
+        let service = find_service(&configuration, &head.target)?;
+        RequestPlan::read(head, service, Instant::now())?;
+        Ok(BodyLimit {
+            max_bytes: service.max_body_bytes,
+        })
+    }
+
     fn configuration(&self) -> Result<Arc<Configuration>, Answer> {
         self.admission.configuration().ok_or_else(|| {
             Answer::refused(
@@ -121,16 +149,29 @@
         let head = &outgoing.request.head;
         let body = &outgoing.request.body;
         let fingerprint = Fingerprint::new(head.method, &new.service, &outgoing.target, body);
-        match self
+        let start = Instant::now();
+        let decision = self
             .claims
-            .claim(&place, fingerprint, outgoing.plan.deadline)
-        {
+            .claim(&place, fingerprint, outgoing.plan.deadline);
+        self.metrics.time_since(Timer::Claim, start);
+        self.count_claim(&decision);
+        match decision {
             ClaimDecision::Granted(claim) => Ok(RequestClaim::held(self.claims.clone(), claim)),
             ClaimDecision::Answered(answer) => Err(answered(answer.into())),
             ClaimDecision::Refused(refusal) => Err(refused(refusal)),
         }
     }
 
+    fn count_claim(&self, decision: &ClaimDecision) {
+        match decision {
+            ClaimDecision::Granted(_) => self.metrics.count(Counter::Claim),
+            ClaimDecision::Refused(Refusal::ClaimUnavailable) => {
+                self.metrics.count(Counter::ClaimFailure);
+            }
+            ClaimDecision::Answered(_) | ClaimDecision::Refused(_) => {}
+        }
+    }
+
     /// Acts on verdicts until the last one.
     fn follow(&self, ticket: &Ticket, outgoing: &Outgoing<'_>, claim: &mut RequestClaim) -> Answer {
         let mut sends = Sends::default();
@@ -178,12 +219,22 @@
             Reuse::Fresh
         };
         let deadline = outgoing.plan.deadline;
+        let start = Instant::now();
         let outcome = self
             .client
             .send(assignment.address, &request, deadline, reuse);
+        self.count_send(&outcome, start);
         claim.end_send(&outcome);
         sends.take(outcome)
     }
+
+    fn count_send(&self, outcome: &SendOutcome, start: Instant) {
+        match outcome {
+            SendOutcome::Answered(_) => self.metrics.time_since(Timer::Endpoint, start),
+            SendOutcome::NotStarted { .. } => self.metrics.count(Counter::NotStarted),
+            SendOutcome::NotSent(_) | SendOutcome::Broken(_) => {}
+        }
+    }
 }
 
 fn find_service<'a>(configuration: &'a Configuration, target: &str) -> Result<&'a Service, Answer> {
--- a/crates/cornelpoint-daemon/src/gateway/mod.rs
+++ b/crates/cornelpoint-daemon/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod gateway_dump;
 mod gateway_error;
 mod handler;
+mod levels;
 mod news;
 mod outgoing;
 mod request_claim;
--- a/crates/cornelpoint-daemon/src/gateway/news.rs
+++ b/crates/cornelpoint-daemon/src/gateway/news.rs
@@ -21,6 +21,8 @@
 use crate::message::EndpointSign;
 use crate::message::View;
 use crate::message::ViewRequest;
+use crate::metrics::Counter;
+use crate::metrics::Metrics;
 
 /// Asks a keeper for news, and passes on what endpoints say of themselves.
 #[derive(Debug)]
@@ -37,6 +39,7 @@
     pub(super) admission: Arc<Admission>,
     pub(super) facts: Facts,
     pub(super) read: Option<KeeperRead>,
+    pub(super) metrics: Metrics,
     pub(super) logger: Logger,
 }
 
@@ -74,6 +77,7 @@
                     return;
                 }
                 Err(error) => {
+                    self.metrics.count(Counter::KeeperFailure);
                     warn!(self.logger, "Keeper does not answer.";
                         "keeper" => %keeper, "error" => %error);
                 }
@@ -143,6 +147,7 @@
             {
                 return;
             }
+            self.metrics.count(Counter::KeeperFailure);
         }
     }
 }
--- a/crates/cornelpoint-daemon/src/gateway/running.rs
+++ b/crates/cornelpoint-daemon/src/gateway/running.rs
@@ -26,6 +26,7 @@
 use super::gateway_dump::GatewayDump;
 use super::gateway_error::GatewayError;
 use super::handler::Handler;
+use super::levels::Levels;
 use super::news::News;
 use super::slot_exchanger::SlotExchanger;
 use crate::caller_edge::CallerEdge;
@@ -42,6 +43,8 @@
 use crate::control::text_reply;
 use crate::endpoint_client::ClientSettings;
 use crate::endpoint_client::EndpointClient;
+use crate::metrics::GaugeThread;
+use crate::metrics::Metrics;
 use crate::platform_client::PlatformClient;
 use crate::settings::GatewaySettings;
 
@@ -65,6 +68,7 @@
     admission: Arc<Admission>,
     decisions: Decisions,
     threads: Vec<JoinHandle<()>>,
+    gauges: Option<GaugeThread>,
     stop_notice: Duration,
     stop_timeout: Duration,
     logger: Logger,
@@ -75,7 +79,7 @@
     ///
     /// # Errors
     ///
-    /// When an address cannot be listened on.
+    /// When an address cannot be listened on, or metrics cannot be sent.
     pub fn start(settings: &GatewaySettings, logger: Logger) -> Result<Self, Report<GatewayError>> {
         let clock = MonotonicClock::start();
         let incarnation = unix_ms();
@@ -83,12 +87,15 @@
         let (ring, events) = sync_channel(EVENT_RING);
         let (sign_ring, signs) = sync_channel(SIGN_RING);
         let decisions = Decisions::new(ring.clone());
+        let metrics = Metrics::from_settings("gateway", settings.metrics)
+            .change_context(GatewayError::Metrics)?;
         let keeper_timeout = Duration::from_millis(settings.keeper_timeout_ms);
 
         let platform = PlatformClient::new(
             settings.platform,
             Duration::from_millis(settings.platform_timeout_ms),
-        );
+        )
+        .with_metrics(metrics.clone());
         let claims = RunningClaimStore::start(&claim_settings(settings, incarnation), platform);
         let handler = Handler {
             instance: settings.instance.clone(),
@@ -98,6 +105,7 @@
             decisions: decisions.clone(),
             client: EndpointClient::new(client_settings(settings)),
             claims: claims.store(),
+            metrics: metrics.clone(),
             next_id: AtomicU64::new(1),
         };
         let edge = CallerEdge::start(edge_settings(settings), Arc::new(handler))
@@ -124,7 +132,7 @@
             }),
             clock,
             events,
-            SlotExchanger::new(ring, keeper_timeout),
+            SlotExchanger::new(ring, keeper_timeout, metrics.clone()),
             sign_ring,
         );
         let news = News {
@@ -138,12 +146,21 @@
             admission: Arc::clone(&admission),
             facts: Facts::default(),
             read: None,
+            metrics: metrics.clone(),
             logger: logger.clone(),
         };
         let threads = vec![
             thread::spawn(move || decision_loop.run()),
             thread::spawn(move || news.run()),
         ];
+        let levels = Levels {
+            admission: Arc::clone(&admission),
+            decisions: decisions.clone(),
+            edge: Arc::clone(&edge),
+        };
+        let gauges = settings
+            .metrics
+            .map(|_| GaugeThread::start(metrics, move |metrics| levels.tell(metrics)));
         info!(logger, "Gateway started."; "address" => %edge.address());
         Ok(Self {
             edge,
@@ -152,6 +169,7 @@
             admission,
             decisions,
             threads,
+            gauges,
             stop_notice: Duration::from_millis(settings.stop_notice_ms),
             stop_timeout: Duration::from_millis(settings.stop_timeout_ms),
             logger,
@@ -192,6 +210,9 @@
     }
 
     fn end(self, claims_until: Instant) {
+        if let Some(gauges) = self.gauges {
+            gauges.stop();
+        }
         self.claims.stop(claims_until);
         self.decisions.tell(Event::End);
         self.control.stop();
--- a/crates/cornelpoint-daemon/src/gateway/slot_exchanger.rs
+++ b/crates/cornelpoint-daemon/src/gateway/slot_exchanger.rs
@@ -17,6 +17,8 @@
 use crate::message::SlotAnswer;
 use crate::message::SlotExchange;
 use crate::message::SlotExchangeReply;
+use crate::metrics::Counter;
+use crate::metrics::Metrics;
 
 /// Batches of reports that may wait for one keeper.
 const BATCH_RING: usize = 8;
@@ -27,14 +29,16 @@
     rings: BTreeMap<SocketAddr, SyncSender<Vec<SlotRequest>>>,
     events: SyncSender<Event>,
     timeout: Duration,
+    metrics: Metrics,
 }
 
 impl SlotExchanger {
-    pub(super) fn new(events: SyncSender<Event>, timeout: Duration) -> Self {
+    pub(super) fn new(events: SyncSender<Event>, timeout: Duration, metrics: Metrics) -> Self {
         Self {
             rings: BTreeMap::new(),
             events,
             timeout,
+            metrics,
         }
     }
 
@@ -48,8 +52,12 @@
         let ring = self.rings.entry(holder).or_insert_with(|| {
             let (ring, batches) = sync_channel(BATCH_RING);
             let events = self.events.clone();
-            let client = ControlClient::new(self.timeout);
-            thread::spawn(move || exchange_all(holder, &client, &batches, &events));
+            let keeper = KeeperLink {
+                address: holder,
+                client: ControlClient::new(self.timeout),
+                metrics: self.metrics.clone(),
+            };
+            thread::spawn(move || exchange_all(&keeper, &batches, &events));
             ring
         });
         match ring.try_send(requests) {
@@ -65,9 +73,16 @@
     }
 }
 
+/// The way to one keeper.
+#[derive(Debug)]
+struct KeeperLink {
+    address: SocketAddr,
+    client: ControlClient,
+    metrics: Metrics,
+}
+
 fn exchange_all(
-    holder: SocketAddr,
-    client: &ControlClient,
+    keeper: &KeeperLink,
     batches: &Receiver<Vec<SlotRequest>>,
     events: &SyncSender<Event>,
 ) {
@@ -75,23 +90,23 @@
         while let Ok(more) = batches.try_recv() {
             requests.extend(more);
         }
-        let results = exchange(holder, client, requests);
+        let results = exchange(keeper, requests);
         if events.send(Event::Exchanged(results)).is_err() {
             return;
         }
     }
 }
 
-fn exchange(
-    holder: SocketAddr,
-    client: &ControlClient,
-    requests: Vec<SlotRequest>,
-) -> Vec<ExchangeResult> {
+fn exchange(keeper: &KeeperLink, requests: Vec<SlotRequest>) -> Vec<ExchangeResult> {
     let exchange = SlotExchange { requests };
-    let answers = client
-        .call::<_, SlotExchangeReply>(holder, "/peer/slots", &exchange)
-        .map(|reply| reply.answers)
-        .unwrap_or_default();
+    let reply =
+        keeper
+            .client
+            .call::<_, SlotExchangeReply>(keeper.address, "/peer/slots", &exchange);
+    if reply.is_err() {
+        keeper.metrics.count(Counter::KeeperFailure);
+    }
+    let answers = reply.map(|reply| reply.answers).unwrap_or_default();
     let mut answers = answers.into_iter();
     exchange
         .requests
--- a/crates/cornelpoint-daemon/src/keeper/keeper_error.rs
+++ b/crates/cornelpoint-daemon/src/keeper/keeper_error.rs
@@ -8,6 +8,8 @@
     Control,
     /// The address for probes could not be bound.
     Gossip,
+    /// Metrics could not be sent to their address.
+    Metrics,
 }
 
 impl fmt::Display for KeeperError {
@@ -15,6 +17,7 @@
         match self {
             Self::Control => write!(formatter, "expected to listen for HTTP, found an error"),
             Self::Gossip => write!(formatter, "expected to bind UDP for probes, found an error"),
+            Self::Metrics => write!(formatter, "expected to send metrics, found an error"),
         }
     }
 }
--- a/crates/cornelpoint-daemon/src/keeper/mod.rs
+++ b/crates/cornelpoint-daemon/src/keeper/mod.rs
@@ -10,6 +10,7 @@
 mod gossip;
 mod keeper_dump;
 mod keeper_error;
+mod levels;
 mod operator;
 mod peer_sync;
 mod platform_watch;
--- a/crates/cornelpoint-daemon/src/keeper/running.rs
+++ b/crates/cornelpoint-daemon/src/keeper/running.rs
@@ -25,6 +25,7 @@
 use super::core_handle::CoreHandle;
 use super::gossip;
 use super::keeper_error::KeeperError;
+use super::levels;
 use super::operator::Operator;
 use super::peer_sync::PeerSync;
 use super::platform_watch::PlatformWatch;
@@ -34,6 +35,8 @@
 use crate::clock::unix_ms;
 use crate::control::ControlClient;
 use crate::control::ControlServer;
+use crate::metrics::GaugeThread;
+use crate::metrics::Metrics;
 use crate::platform_client::PlatformClient;
 use crate::settings::KeeperSettings;
 
@@ -56,6 +59,7 @@
     core: CoreHandle,
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
+    gauges: Option<GaugeThread>,
     logger: Logger,
 }
 
@@ -64,9 +68,11 @@
     ///
     /// # Errors
     ///
-    /// When an address cannot be listened on.
+    /// When an address cannot be listened on, or metrics cannot be sent.
     pub fn start(settings: &KeeperSettings, logger: Logger) -> Result<Self, Report<KeeperError>> {
         let clock = MonotonicClock::start();
+        let metrics = Metrics::from_settings("keeper", settings.metrics)
+            .change_context(KeeperError::Metrics)?;
         let socket = UdpSocket::bind(settings.gossip_listen).change_context(KeeperError::Gossip)?;
         socket
             .set_read_timeout(Some(GOSSIP_WAIT))
@@ -78,7 +84,8 @@
         let platform = PlatformClient::new(
             settings.platform,
             Duration::from_millis(settings.platform_timeout_ms),
-        );
+        )
+        .with_metrics(metrics.clone());
 
         let routes = Routes {
             core: core.clone(),
@@ -126,6 +133,10 @@
             thread::spawn(move || watch.run()),
             receiver,
         ];
+        let gauges = settings.metrics.map(|_| {
+            let core = core.clone();
+            GaugeThread::start(metrics, move |metrics| levels::tell(&core, metrics))
+        });
         info!(logger, "Keeper started."; "address" => %control.address());
         Ok(Self {
             control,
@@ -133,6 +144,7 @@
             core,
             stop,
             threads,
+            gauges,
             logger,
         })
     }
@@ -163,6 +175,9 @@
     }
 
     fn end(self) {
+        if let Some(gauges) = self.gauges {
+            gauges.stop();
+        }
         self.stop.store(true, Ordering::Relaxed);
         self.core.tell(Command::End);
         self.control.stop();
--- a/crates/cornelpoint-daemon/src/metrics/gauge.rs
+++ b/crates/cornelpoint-daemon/src/metrics/gauge.rs
@@ -7,13 +7,11 @@
     EndpointsUsable,
     /// Generation of the configuration in force.
     Generation,
-    /// Idle connections to endpoints.
-    IdleConnections,
     /// Live keepers, as this process sees it.
     Members,
     /// Requests at endpoints.
     Running,
-    /// Slots lent to this gateway.
+    /// Slots that this gateway may use now.
     SlotsHeld,
     /// Requests that wait for a slot.
     Waiting,
@@ -27,7 +25,6 @@
         Self::CallerConnections,
         Self::EndpointsUsable,
         Self::Generation,
-        Self::IdleConnections,
         Self::Members,
         Self::Running,
         Self::SlotsHeld,
@@ -42,7 +39,6 @@
             Self::CallerConnections => "caller.connections",
             Self::EndpointsUsable => "endpoint.usable",
             Self::Generation => "configuration.generation",
-            Self::IdleConnections => "endpoint.idle_connections",
             Self::Members => "keeper.members",
             Self::Running => "request.running",
             Self::SlotsHeld => "slot.held",
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/metrics/gauge_thread.rs
@@ -0,0 +1,55 @@
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::sync_channel;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use super::metrics_sender::Metrics;
+
+/// Time between two messages with the levels.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// A thread that tells a process's levels once a second and sends what waits.
+///
+/// ```
+/// use cornelpoint_daemon::metrics::Gauge;
+/// use cornelpoint_daemon::metrics::GaugeThread;
+/// use cornelpoint_daemon::metrics::Metrics;
+///
+/// let thread = GaugeThread::start(Metrics::to_nowhere(), |metrics| {
+///     metrics.gauge(Gauge::Members, 3);
+/// });
+/// thread.stop();
+/// ```
+#[derive(Debug)]
+pub struct GaugeThread {
+    stop: SyncSender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl GaugeThread {
+    /// Starts the thread, which tells the levels by `tell`.
+    #[must_use]
+    pub fn start(metrics: Metrics, tell: impl Fn(&Metrics) + Send + 'static) -> Self {
+        let (stop, stopped) = sync_channel(0);
+        let thread = thread::spawn(move || run(&metrics, &stopped, tell));
+        Self { stop, thread }
+    }
+
+    /// Sends what waits and ends the thread.
+    pub fn stop(self) {
+        drop(self.stop);
+        // A panic there has been printed and leaves nothing to do.
+        let _ = self.thread.join();
+    }
+}
+
+fn run(metrics: &Metrics, stopped: &Receiver<()>, tell: impl Fn(&Metrics)) {
+    while stopped.recv_timeout(INTERVAL) == Err(RecvTimeoutError::Timeout) {
+        tell(metrics);
+        metrics.flush();
+    }
+    metrics.flush();
+}
--- a/crates/cornelpoint-daemon/src/metrics/metrics_sender.rs
+++ b/crates/cornelpoint-daemon/src/metrics/metrics_sender.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
+use std::time::Instant;
 
 use cadence::BufferedUdpMetricSink;
-use cadence::Counted;
 use cadence::CountedExt;
 use cadence::Gauged;
 use cadence::NopMetricSink;
@@ -69,18 +69,27 @@
         })
     }
 
+    /// Metrics of a program to the address of its settings, or to none.
+    ///
+    /// # Errors
+    ///
+    /// When no socket can be made.
+    pub fn from_settings(
+        program: &str,
+        address: Option<SocketAddr>,
+    ) -> Result<Self, Report<MetricsError>> {
+        match address {
+            Some(address) => Self::to_address(program, address),
+            None => Ok(Self::to_nowhere()),
+        }
+    }
+
     /// Counts one event.
     pub fn count(&self, counter: Counter) {
         // A metric that is lost is not sent again.
         let _ = self.client.incr(counter.as_str());
     }
 
-    /// Counts several events.
-    pub fn count_many(&self, counter: Counter, events: u64) {
-        let events = i64::try_from(events).unwrap_or(i64::MAX);
-        let _ = self.client.count(counter.as_str(), events);
-    }
-
     /// Counts one request that ended with a refusal, under its run state.
     pub fn count_refusal(&self, refusal: Refusal) {
         let counter = match refusal.run_state() {
@@ -106,6 +115,12 @@
     pub fn time_ms(&self, timer: Timer, time_ms: u64) {
         let _ = self.client.time(timer.as_str(), time_ms);
     }
+
+    /// Tells how long something took that ends now.
+    pub fn time_since(&self, timer: Timer, start: Instant) {
+        let time_ms = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.time_ms(timer, time_ms);
+    }
 }
 
 impl fmt::Debug for Metrics {
--- a/crates/cornelpoint-daemon/src/metrics/timer.rs
+++ b/crates/cornelpoint-daemon/src/metrics/timer.rs
@@ -3,25 +3,17 @@
 pub enum Timer {
     /// From the wish for a claim to its answer.
     Claim,
-    /// From the first byte sent to an endpoint to its whole answer.
+    /// From the start of a send to the endpoint's whole answer.
     Endpoint,
-    /// From a message to the platform to its answer.
+    /// From a message to the platform to its usable answer.
     Platform,
     /// From the first byte of a request to its answer.
     Request,
-    /// From the end of a request's body to its slot.
-    Wait,
 }
 
 impl Timer {
     /// All of them, in the order of `docs/METRICS.md`.
-    pub const ALL: &[Self] = &[
-        Self::Claim,
-        Self::Endpoint,
-        Self::Platform,
-        Self::Request,
-        Self::Wait,
-    ];
+    pub const ALL: &[Self] = &[Self::Claim, Self::Endpoint, Self::Platform, Self::Request];
 
     /// The name without the prefix.
     #[must_use]
@@ -31,7 +23,6 @@
             Self::Endpoint => "endpoint.time",
             Self::Platform => "platform.time",
             Self::Request => "request.time",
-            Self::Wait => "request.wait",
         }
     }
 }
--- a/crates/cornelpoint-daemon/src/platform_client/client.rs
+++ b/crates/cornelpoint-daemon/src/platform_client/client.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use cornelpoint::platform::InstanceList;
 use cornelpoint::platform::Key;
@@ -12,6 +13,9 @@
 use ureq::Agent;
 
 use super::platform_error::PlatformError;
+use crate::metrics::Counter;
+use crate::metrics::Metrics;
+use crate::metrics::Timer;
 
 /// Largest answer that is read, in bytes.
 const ANSWER_LIMIT_BYTES: u64 = 64 * 1024 * 1024;
@@ -25,6 +29,7 @@
 pub struct PlatformClient {
     agent: Agent,
     base: String,
+    metrics: Metrics,
 }
 
 impl PlatformClient {
@@ -49,9 +54,16 @@
         Self {
             agent,
             base: format!("http://{address}"),
+            metrics: Metrics::to_nowhere(),
         }
     }
 
+    /// The same client, which counts failures and tells times.
+    #[must_use]
+    pub fn with_metrics(self, metrics: Metrics) -> Self {
+        Self { metrics, ..self }
+    }
+
     /// Makes a transaction. After an error that may have taken effect, read
     /// the rows back to learn what became of it.
     ///
@@ -87,8 +99,10 @@
     /// When the platform does not answer.
     pub fn instances(&self) -> Result<InstanceList, PlatformError> {
         let url = format!("{}/instances", self.base);
-        let answer = self.agent.get(&url).call().map_err(classify)?;
-        decode(&read_body(answer)?)
+        self.measured(|| {
+            let answer = self.agent.get(&url).call().map_err(classify)?;
+            decode(&read_body(answer)?)
+        })
     }
 
     /// Stores an object under a name.
@@ -98,8 +112,10 @@
     /// Tells whether the object may have been stored.
     pub fn put_object(&self, name: &str, content: &[u8]) -> Result<(), PlatformError> {
         let url = format!("{}/objects/{name}", self.base);
-        let answer = self.agent.put(&url).send(content).map_err(classify)?;
-        read_body(answer).map(drop)
+        self.measured(|| {
+            let answer = self.agent.put(&url).send(content).map_err(classify)?;
+            read_body(answer).map(drop)
+        })
     }
 
     /// Reads an object; `None` when there is none of that name.
@@ -109,12 +125,14 @@
     /// When the platform does not answer.
     pub fn get_object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
         let url = format!("{}/objects/{name}", self.base);
-        let answer = self.agent.get(&url).call().map_err(classify)?;
-        match read_body(answer) {
-            Ok(content) => Ok(Some(content)),
-            Err(PlatformError::Refused { status: NOT_FOUND }) => Ok(None),
-            Err(error) => Err(error),
-        }
+        self.measured(|| {
+            let answer = self.agent.get(&url).call().map_err(classify)?;
+            match read_body(answer) {
+                Ok(content) => Ok(Some(content)),
+                Err(PlatformError::Refused { status: NOT_FOUND }) => Ok(None),
+                Err(error) => Err(error),
+            }
+        })
     }
 
     fn post<Q: Serialize + ?Sized, A: DeserializeOwned>(
@@ -127,8 +145,23 @@
             rmp_serde::to_vec_named(question).map_err(|error| PlatformError::NotReached {
                 found: error.to_string(),
             })?;
-        let answer = self.agent.post(&url).send(&body[..]).map_err(classify)?;
-        decode(&read_body(answer)?)
+        self.measured(|| {
+            let answer = self.agent.post(&url).send(&body[..]).map_err(classify)?;
+            decode(&read_body(answer)?)
+        })
+    }
+
+    fn measured<A>(
+        &self,
+        call: impl FnOnce() -> Result<A, PlatformError>,
+    ) -> Result<A, PlatformError> {
+        let start = Instant::now();
+        let result = call();
+        match &result {
+            Ok(_) => self.metrics.time_since(Timer::Platform, start),
+            Err(_) => self.metrics.count(Counter::PlatformFailure),
+        }
+        result
     }
 }
 
--- a/crates/cornelpoint-daemon/src/settings/gateway_reader.rs
+++ b/crates/cornelpoint-daemon/src/settings/gateway_reader.rs
@@ -25,6 +25,7 @@
     let control_listen = reader.address("control_listen");
     let keepers = reader.required("keepers").and_then(ValueReader::addresses);
     let platform = reader.address("platform");
+    let metrics = reader.optional("metrics").and_then(ValueReader::address);
     let platform_timeout_ms = reader.integer_or("platform_timeout_ms", 10..=MAX_TIMEOUT_MS, 500);
     let keeper_timeout_ms = reader.integer_or("keeper_timeout_ms", 10..=MAX_TIMEOUT_MS, 300);
     let view_interval_ms = reader.integer_or("view_interval_ms", 10..=10_000, 200);
@@ -46,6 +47,7 @@
         control_listen: control_listen?,
         keepers: keepers?,
         platform: platform?,
+        metrics,
         platform_timeout_ms: platform_timeout_ms?,
         keeper_timeout_ms: keeper_timeout_ms?,
         view_interval_ms: view_interval_ms?,
--- a/crates/cornelpoint-daemon/src/settings/gateway_settings.rs
+++ b/crates/cornelpoint-daemon/src/settings/gateway_settings.rs
@@ -18,6 +18,9 @@
     pub keepers: Vec<SocketAddr>,
     /// Address of the platform.
     pub platform: SocketAddr,
+    /// Address of the `StatsD` server that metrics go to, UDP; none are sent
+    /// without it.
+    pub metrics: Option<SocketAddr>,
     /// Longest wait for an answer of the platform, in milliseconds.
     pub platform_timeout_ms: u64,
     /// Longest wait for an answer of a keeper, in milliseconds.
--- a/crates/cornelpoint-daemon/src/settings/keeper_reader.rs
+++ b/crates/cornelpoint-daemon/src/settings/keeper_reader.rs
@@ -1,6 +1,7 @@
 use cornelpoint::document::Document;
 use cornelpoint::document::ObjectReader;
 use cornelpoint::document::Source;
+use cornelpoint::document::ValueReader;
 use cornelpoint::finding::Findings;
 
 use super::keeper_settings::KeeperSettings;
@@ -26,6 +27,7 @@
         None => Some(Vec::new()),
     };
     let platform = reader.address("platform");
+    let metrics = reader.optional("metrics").and_then(ValueReader::address);
     let platform_timeout_ms = reader.integer_or("platform_timeout_ms", 10..=MAX_TIMEOUT_MS, 500);
     let platform_poll_ms = reader.integer_or("platform_poll_ms", 50..=10_000, 500);
     let sync_interval_ms = reader.integer_or("sync_interval_ms", 50..=10_000, 500);
@@ -39,6 +41,7 @@
         gossip_listen: gossip_listen?,
         seeds: seeds?,
         platform: platform?,
+        metrics,
         platform_timeout_ms: platform_timeout_ms?,
         platform_poll_ms: platform_poll_ms?,
         sync_interval_ms: sync_interval_ms?,
--- a/crates/cornelpoint-daemon/src/settings/keeper_settings.rs
+++ b/crates/cornelpoint-daemon/src/settings/keeper_settings.rs
@@ -21,6 +21,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform.
     pub platform: SocketAddr,
+    /// Address of the `StatsD` server that metrics go to, UDP; none are sent
+    /// without it.
+    pub metrics: Option<SocketAddr>,
     /// Longest wait for an answer of the platform, in milliseconds.
     pub platform_timeout_ms: u64,
     /// Time between two reads of the newest generation, in milliseconds.
--- a/crates/cornelpoint-daemon/tests/keeper.rs
+++ b/crates/cornelpoint-daemon/tests/keeper.rs
@@ -46,6 +46,7 @@
             gossip_listen: any_port(),
             seeds: Vec::new(),
             platform: SocketAddr::from(([127, 0, 0, 1], 9)),
+            metrics: None,
             platform_timeout_ms: 100,
             platform_poll_ms: 100,
             sync_interval_ms: 100,
--- a/crates/cornelpoint-daemon/tests/log_and_metrics.rs
+++ b/crates/cornelpoint-daemon/tests/log_and_metrics.rs
@@ -132,7 +132,7 @@
         .unwrap();
     let metrics = Metrics::to_address("gateway", socket.local_addr().unwrap()).unwrap();
     metrics.count(Counter::Answered);
-    metrics.count_many(Counter::LogDropped, 7);
+    metrics.count(Counter::KeeperFailure);
     metrics.count_refusal(Refusal::QueueFull);
     metrics.count_refusal(Refusal::AnswerLate);
     metrics.gauge(Gauge::Waiting, 3);
@@ -143,7 +143,7 @@
     let count = socket.recv(&mut bytes).unwrap();
     expect![[r"
         cornelpoint.gateway.request.answered:1|c
-        cornelpoint.gateway.log.dropped:7|c
+        cornelpoint.gateway.keeper.failed:1|c
         cornelpoint.gateway.request.refused:1|c|#reason:queue-full
         cornelpoint.gateway.request.unknown:1|c|#reason:answer-late
         cornelpoint.gateway.request.waiting:3|g
--- a/crates/cornelpoint/src/request/refusal.rs
+++ b/crates/cornelpoint/src/request/refusal.rs
@@ -2,6 +2,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::value::Error;
+use serde::de::value::StrDeserializer;
 
 use super::run_state::RunState;
 
@@ -125,6 +127,19 @@
         }
     }
 
+    /// The reason that stands in the header, if it is one of these.
+    ///
+    /// ```
+    /// use cornelpoint::request::Refusal;
+    ///
+    /// assert_eq!(Refusal::from_header("queue-full"), Some(Refusal::QueueFull));
+    /// assert_eq!(Refusal::from_header("moon-full"), None);
+    /// ```
+    #[must_use]
+    pub fn from_header(value: &str) -> Option<Self> {
+        Self::deserialize(StrDeserializer::<Error>::new(value)).ok()
+    }
+
     /// The reason as it stands in the header.
     #[must_use]
     pub fn as_str(self) -> &'static str {
