--- a/crates/cornelpoint-daemon/src/keeper/mod.rs
+++ b/crates/cornelpoint-daemon/src/keeper/mod.rs
@@ -11,6 +11,7 @@
 mod holding;
 mod keeper_dump;
 mod keeper_error;
+mod levels;
 mod operator;
 mod peer_sync;
 mod platform_watch;
