--- a/crates/cornelpoint/src/slots/borrowed.rs
+++ b/crates/cornelpoint/src/slots/borrowed.rs
@@ -121,6 +121,15 @@
         self.endpoints.values().map(|b| b.free()).sum()
     }
 
+    /// Slots in which requests may be started, at the endpoints chosen.
+    pub(super) fn free_at(&self, chosen: &dyn Fn(&InstanceId) -> bool) -> u32 {
+        self.endpoints
+            .iter()
+            .filter(|(endpoint, _)| chosen(endpoint))
+            .map(|(_, borrowed)| borrowed.free())
+            .sum()
+    }
+
     /// Requests that run.
     pub(super) fn in_use(&self) -> u32 {
         self.endpoints.values().map(|b| b.in_use).sum()
--- a/crates/cornelpoint/src/slots/borrower.rs
+++ b/crates/cornelpoint/src/slots/borrower.rs
@@ -276,11 +276,7 @@
     /// Slots in which requests may be started, at the endpoints chosen.
     #[must_use]
     pub fn free_at(&self, chosen: &dyn Fn(&InstanceId) -> bool) -> u32 {
-        self.slots
-            .iter()
-            .filter(|(endpoint, _)| chosen(endpoint))
-            .map(|(_, borrowed)| borrowed.free())
-            .sum()
+        self.slots.free_at(chosen)
     }
 
     /// Requests that run.
