--- a/crates/cornelpoint-cli/tests/processes/main.rs
+++ b/crates/cornelpoint-cli/tests/processes/main.rs
@@ -177,6 +177,34 @@
     assert_eq!(late_starts(&history, DEADLINE_MS), Vec::<String>::new());
 }
 
+#[test]
+fn an_order_that_waits_at_a_frozen_gateway_past_its_deadline_does_not_run() {
+    const DEADLINE_MS: u64 = 1000;
+    let fleet = Fleet::start();
+    let recorder = Recorder::default();
+    let orders: Vec<_> = (0..ORDERS)
+        .map(|number| Order {
+            request: format!("order-{number}"),
+            is_keyed: number % 2 == 0,
+            work_ms: 100,
+            deadline_ms: DEADLINE_MS,
+        })
+        .collect();
+    thread::scope(|scope| {
+        fleet.gateways[0].signal(Signal::Stop);
+        let frozen_ms = now_ms();
+        for order in &orders {
+            scope.spawn(|| order.call(&fleet, &recorder, 0));
+        }
+        let thawed_ms = frozen_ms + DEADLINE_MS + 3 * LATE_START_MS;
+        wait_for("passed deadlines", || now_ms() > thawed_ms);
+        fleet.gateways[0].signal(Signal::Continue);
+    });
+    let history = fleet.finish(recorder);
+    assert_no_violation(&history);
+    assert_eq!(late_starts(&history, DEADLINE_MS), Vec::<String>::new());
+}
+
 /// Requests that started later than each of their calls allows.
 fn late_starts(history: &History, deadline_ms: u64) -> Vec<String> {
     let mut late = Vec::new();
--- a/crates/cornelpoint-daemon/src/gateway/handler.rs
+++ b/crates/cornelpoint-daemon/src/gateway/handler.rs
@@ -22,6 +22,7 @@
 use super::decisions::Decisions;
 use super::decisions::Ticket;
 use super::outgoing::Outgoing;
+use super::pause_watch::PauseWatch;
 use super::request_claim::RequestClaim;
 use super::request_plan::RequestPlan;
 use super::sends::Sends;
@@ -50,6 +51,7 @@
     pub(super) instance: InstanceId,
     pub(super) incarnation: u64,
     pub(super) clock: MonotonicClock,
+    pub(super) pauses: Arc<PauseWatch>,
     pub(super) admission: Arc<Admission>,
     pub(super) decisions: Decisions,
     pub(super) client: EndpointClient,
@@ -111,7 +113,9 @@
     fn serve(&self, request: &CallerRequest) -> Result<Answer, Answer> {
         let configuration = self.configuration()?;
         let service = find_service(&configuration, &request.head.target)?;
-        let plan = RequestPlan::read(&request.head, service, request.received_at)?;
+        let read_ms = self.clock.millis_of(request.received_at);
+        let sent_at = self.clock.instant_of(self.pauses.sent_ms(read_ms));
+        let plan = RequestPlan::read(&request.head, service, sent_at)?;
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let outgoing = Outgoing {
             target: endpoint_target(&request.head.target),
--- a/crates/cornelpoint-daemon/src/gateway/mod.rs
+++ b/crates/cornelpoint-daemon/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod levels;
 mod news;
 mod outgoing;
+mod pause_watch;
 mod request_claim;
 mod request_plan;
 mod running;
--- a/crates/cornelpoint-daemon/src/gateway/running.rs
+++ b/crates/cornelpoint-daemon/src/gateway/running.rs
@@ -28,6 +28,7 @@
 use super::handler::Handler;
 use super::levels::Levels;
 use super::news::News;
+use super::pause_watch::PauseWatch;
 use super::slot_exchanger::SlotExchanger;
 use crate::caller_edge::CallerEdge;
 use crate::caller_edge::Drain;
@@ -97,10 +98,14 @@
         )
         .with_metrics(metrics.clone());
         let claims = RunningClaimStore::start(&claim_settings(settings, incarnation), platform);
+        let pauses = Arc::new(PauseWatch::new(clock));
+        let watched = Arc::downgrade(&pauses);
+        thread::spawn(move || PauseWatch::run(&watched));
         let handler = Handler {
             instance: settings.instance.clone(),
             incarnation,
             clock,
+            pauses: Arc::clone(&pauses),
             admission: Arc::clone(&admission),
             decisions: decisions.clone(),
             client: EndpointClient::new(client_settings(settings)),
