--- a/crates/cornelpoint/src/slots/borrower.rs
+++ b/crates/cornelpoint/src/slots/borrower.rs
@@ -273,10 +273,10 @@
             && self.outstanding.is_none()
     }
 
-    /// Slots in which requests may be started.
+    /// Slots in which requests may be started, at the endpoints chosen.
     #[must_use]
-    pub fn free(&self) -> u32 {
-        self.slots.free()
+    pub fn free_at(&self, chosen: &dyn Fn(&InstanceId) -> bool) -> u32 {
+        self.slots.free_at(chosen)
     }
 
     /// Requests that run.
