--- a/crates/cornelpoint-cli/tests/processes/main.rs
+++ b/crates/cornelpoint-cli/tests/processes/main.rs
@@ -147,14 +147,7 @@
     const DEADLINE_MS: u64 = 4000;
     let fleet = Fleet::start();
     let recorder = Recorder::default();
-    let orders: Vec<_> = (0..ORDERS)
-        .map(|number| Order {
-            request: format!("order-{number}"),
-            is_keyed: number % 2 == 0,
-            work_ms: 1500,
-            deadline_ms: DEADLINE_MS,
-        })
-        .collect();
+    let orders = Order::several(ORDERS, 1500, DEADLINE_MS);
     thread::scope(|scope| {
         for order in &orders {
             scope.spawn(|| order.call(&fleet, &recorder, 0));
@@ -182,14 +175,7 @@
     const DEADLINE_MS: u64 = 1000;
     let fleet = Fleet::start();
     let recorder = Recorder::default();
-    let orders: Vec<_> = (0..ORDERS)
-        .map(|number| Order {
-            request: format!("order-{number}"),
-            is_keyed: number % 2 == 0,
-            work_ms: 100,
-            deadline_ms: DEADLINE_MS,
-        })
-        .collect();
+    let orders = Order::several(ORDERS, 100, DEADLINE_MS);
     thread::scope(|scope| {
         fleet.gateways[0].signal(Signal::Stop);
         let frozen_ms = now_ms();
--- a/crates/cornelpoint-cli/tests/processes/orders.rs
+++ b/crates/cornelpoint-cli/tests/processes/orders.rs
@@ -41,6 +41,18 @@
         }
     }
 
+    /// Orders of which every second one is keyed.
+    pub fn several(count: usize, work_ms: u64, deadline_ms: u64) -> Vec<Self> {
+        (0..count)
+            .map(|number| Self {
+                request: format!("order-{number}"),
+                is_keyed: number % 2 == 0,
+                work_ms,
+                deadline_ms,
+            })
+            .collect()
+    }
+
     /// Calls a gateway and notes the call.
     pub fn call(&self, fleet: &Fleet, recorder: &Recorder, gateway: usize) -> Outcome {
         let request = CallerRequest {
--- a/crates/cornelpoint-daemon/src/control/control_client.rs
+++ b/crates/cornelpoint-daemon/src/control/control_client.rs
@@ -6,6 +6,7 @@
 use ureq::Agent;
 
 use super::control_error::ControlError;
+use crate::http_agent::http_agent;
 
 /// Largest answer that is read, in bytes.
 const ANSWER_LIMIT_BYTES: u64 = 16 * 1024 * 1024;
@@ -20,12 +21,7 @@
     /// Makes a client whose every call ends within the timeout.
     #[must_use]
     pub fn new(timeout: Duration) -> Self {
-        let agent = Agent::config_builder()
-            .timeout_global(Some(timeout))
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .build()
-            .new_agent();
+        let agent = http_agent(timeout);
         Self { agent }
     }
 
--- a/crates/cornelpoint-daemon/src/lib.rs
+++ b/crates/cornelpoint-daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod endpoint_client;
 pub mod gateway;
+mod http_agent;
 pub mod keeper;
 pub mod log;
 pub mod message;
--- a/crates/cornelpoint-daemon/src/platform_client/client.rs
+++ b/crates/cornelpoint-daemon/src/platform_client/client.rs
@@ -13,6 +13,7 @@
 use ureq::Agent;
 
 use super::platform_error::PlatformError;
+use crate::http_agent::http_agent;
 use crate::metrics::Counter;
 use crate::metrics::Metrics;
 use crate::metrics::Timer;
@@ -45,12 +46,7 @@
     /// ```
     #[must_use]
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        let agent = Agent::config_builder()
-            .timeout_global(Some(timeout))
-            .http_status_as_error(false)
-            .max_redirects(0)
-            .build()
-            .new_agent();
+        let agent = http_agent(timeout);
         Self {
             agent,
             base: format!("http://{address}"),
