Start the gateway part by part

Cause: one function of 95 lines built every part of it.

Change: what the parts share stands in one type that makes each of them; the pages stand in a file of their own. No behaviour changes.

--- a/crates/cornelpoint-daemon/src/gateway/mod.rs
+++ b/crates/cornelpoint-daemon/src/gateway/mod.rs
@@ -14,6 +14,8 @@
 mod levels;
 mod news;
 mod outgoing;
+mod pages;
+mod parts;
 mod pause_watch;
 mod request_claim;
 mod request_plan;
--- /dev/null
+++ b/crates/cornelpoint-daemon/src/gateway/pages.rs
@@ -0,0 +1,65 @@
+use std::sync::Arc;
+
+use rouille::Request;
+use rouille::Response;
+
+use super::admission::Admission;
+use super::decisions::Decisions;
+use super::gateway_dump::GatewayDump;
+use crate::caller_edge::CallerEdge;
+use crate::claim_store::ClaimStore;
+use crate::clock::MonotonicClock;
+use crate::control::json_reply;
+use crate::control::text_reply;
+use crate::settings::GatewaySettings;
+
+/// The gateway's pages for operators and the balancer.
+#[derive(Debug)]
+pub(super) struct Pages {
+    pub(super) settings: GatewaySettings,
+    pub(super) clock: MonotonicClock,
+    pub(super) admission: Arc<Admission>,
+    pub(super) decisions: Decisions,
+    pub(super) claims: ClaimStore,
+    pub(super) edge: Arc<CallerEdge>,
+}
+
+impl Pages {
+    pub(super) fn answer(&self, request: &Request) -> Response {
+        match (request.method(), request.url().as_str()) {
+            ("GET", "/health") => self.health(),
+            ("GET", "/dump") => self.dump(),
+            (method, path) => text_reply(404, &format!("no page for {method} {path}")),
+        }
+    }
+
+    fn health(&self) -> Response {
+        if self.admission.is_stopping() {
+            return text_reply(503, "stopping");
+        }
+        if self.admission.configuration().is_none() {
+            return text_reply(503, "not ready: no keeper gave a configuration yet");
+        }
+        if !self.admission.is_ready() {
+            return text_reply(503, "not ready: no slots are lent yet");
+        }
+        text_reply(200, "ready")
+    }
+
+    fn dump(&self) -> Response {
+        let Some(decisions) = self.decisions.dump() else {
+            return text_reply(503, "the decisions do not answer");
+        };
+        json_reply(&GatewayDump {
+            instance: self.settings.instance.clone(),
+            availability_zone: self.settings.availability_zone.clone(),
+            now_ms: self.clock.now_ms(),
+            generation: self.admission.generation(),
+            stopping: self.admission.is_stopping(),
+            connections: self.edge.connections(),
+            exchanges: decisions.exchanges,
+            claims: self.claims.dump(),
+            dispatcher: decisions.dispatcher,
+        })
+    }
+}
