Serve control pages through the callers' server

Cause: the HTTP library's server shares threads between kept connections.

Change: ControlServer stands on the same bounded server as the callers' edge; a thread for each connection, 256 at most, idle ones ended at a stop. The setting control_threads became control_connections.

Ruled out: closing each connection after its answer; at 100 exchanges a second and gateway the ports of a minute would run short.

--- a/crates/cornelpoint-cli/benches/gateway_latency/fleet.rs
+++ b/crates/cornelpoint-cli/benches/gateway_latency/fleet.rs
@@ -111,7 +111,7 @@
         platform_poll_ms: 1_000,
         sync_interval_ms: 500,
         slot_lease_ms: 1_000,
-        control_threads: 8,
+        control_connections: 256,
     }
 }
 
--- a/crates/cornelpoint-cli/src/fleet/entry.rs
+++ b/crates/cornelpoint-cli/src/fleet/entry.rs
@@ -87,7 +87,7 @@
         platform_poll_ms: 500,
         sync_interval_ms: 500,
         slot_lease_ms: 900,
-        control_threads: 8,
+        control_connections: 256,
     }
 }
 
--- a/crates/cornelpoint-cli/tests/command_line.rs
+++ b/crates/cornelpoint-cli/tests/command_line.rs
@@ -205,7 +205,7 @@
         platform_poll_ms: 100,
         sync_interval_ms: 100,
         slot_lease_ms: 1_000,
-        control_threads: 4,
+        control_connections: 256,
     };
     Keeper::start(&settings, Logger::root(Discard, o!())).unwrap()
 }
--- a/crates/cornelpoint-cli/tests/support/mod.rs
+++ b/crates/cornelpoint-cli/tests/support/mod.rs
@@ -258,7 +258,7 @@
             platform_poll_ms: 200,
             sync_interval_ms: 200,
             slot_lease_ms: 1500,
-            control_threads: 8,
+            control_connections: 256,
         };
         let keeper = Keeper::start(&settings, logger()).unwrap();
         seeds.push(keeper.gossip_address());
--- a/crates/cornelpoint-daemon/src/control/control_server.rs
+++ b/crates/cornelpoint-daemon/src/control/control_server.rs
@@ -1,85 +1,98 @@
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
-use std::thread;
-use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
-use rouille::Request;
-use rouille::Response;
-use rouille::Server;
-
 use super::control_error::ControlError;
-use super::reply::text_reply;
+use super::control_request::ControlRequest;
+use crate::caller_edge::Answer;
+use crate::caller_edge::BodyLimit;
+use crate::caller_edge::CallerEdge;
+use crate::caller_edge::CallerHandler;
+use crate::caller_edge::CallerRequest;
+use crate::caller_edge::EdgeSettings;
+use crate::caller_edge::RequestHead;
 
-/// Longest pause between requests before the stop flag is looked at.
-const STOP_CHECK: Duration = Duration::from_millis(20);
+/// Largest message that is read, in bytes.
+const MESSAGE_LIMIT_BYTES: u64 = 16 * 1024 * 1024;
+/// Stack of the thread of a connection, in bytes.
+const STACK_BYTES: usize = 512 * 1024;
 /// Longest wait for the answers in work when told to stop.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
 
-/// A running control interface.
+/// A running control interface, one thread for each connection.
 ///
-/// The server's own stop waits for a whole second without a request, which
-/// never comes while others ask several times a second. Here requests that
-/// come after the stop are refused, and the wait has a bound.
-#[derive(Debug)]
+/// It stands on the same server as the callers' edge. The other library's
+/// server shares threads between kept connections: a new one could wait for as
+/// long as the others stayed, and its stop waits for a second without requests.
 pub struct ControlServer {
-    address: SocketAddr,
-    stopping: Arc<AtomicBool>,
-    thread: JoinHandle<()>,
+    edge: CallerEdge,
 }
 
 impl ControlServer {
-    /// Listens and answers with a bounded number of threads.
+    /// Listens and answers; connections over the limit are turned away.
     ///
     /// # Errors
     ///
     /// When the address cannot be listened on.
     pub fn start(
         listen: SocketAddr,
-        threads: usize,
-        handler: impl Fn(&Request) -> Response + Send + Sync + 'static,
+        max_connections: usize,
+        handler: impl Fn(&ControlRequest) -> Answer + Send + Sync + 'static,
     ) -> Result<Self, ControlError> {
-        let stopping = Arc::new(AtomicBool::new(false));
-        let refuses = Arc::clone(&stopping);
-        let server = Server::new(listen, move |request| {
-            if refuses.load(Ordering::Acquire) {
-                return text_reply(503, "stopping").with_unique_header("Connection", "close");
-            }
-            handler(request)
-        })
-        .map_err(|error| ControlError::Listen {
-            found: error.to_string(),
-        })?
-        .pool_size(threads);
-        let address = server.server_addr();
-        let stop = Arc::clone(&stopping);
-        let thread = thread::spawn(move || {
-            while !stop.load(Ordering::Acquire) {
-                server.poll_timeout(STOP_CHECK);
-            }
-        });
-        Ok(Self {
-            address,
-            stopping,
-            thread,
-        })
+        let settings = EdgeSettings {
+            max_connections,
+            stack_bytes: STACK_BYTES,
+            ..EdgeSettings::new(listen)
+        };
+        let handler = Arc::new(ControlHandler { handler });
+        let edge = CallerEdge::start(settings, handler).map_err(|report| ControlError::Listen {
+            found: format!("{report:?}"),
+        })?;
+        Ok(Self { edge })
     }
 
     /// Address that is listened on.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.edge.address()
     }
 
-    /// Refuses further requests and stops listening.
+    /// Stops listening, ends idle connections, and waits for the answers in
+    /// work, for two seconds at most.
     pub fn stop(self) {
-        self.stopping.store(true, Ordering::Release);
-        let limit = Instant::now() + STOP_LIMIT;
-        while !self.thread.is_finished() && Instant::now() < limit {
-            thread::sleep(STOP_CHECK);
-        }
+        self.edge.stop_accepting();
+        let _ = self.edge.wait_idle(Instant::now() + STOP_LIMIT);
+    }
+}
+
+impl fmt::Debug for ControlServer {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("ControlServer")
+            .field("address", &self.address())
+            .finish_non_exhaustive()
+    }
+}
+
+struct ControlHandler<F> {
+    handler: F,
+}
+
+impl<F: Fn(&ControlRequest) -> Answer + Send + Sync> CallerHandler for ControlHandler<F> {
+    fn admit(&self, _head: &RequestHead) -> Result<BodyLimit, Answer> {
+        Ok(BodyLimit {
+            max_bytes: MESSAGE_LIMIT_BYTES,
+        })
+    }
+
+    fn handle(&self, request: CallerRequest) -> Answer {
+        let request = ControlRequest {
+            method: request.head.method,
+            target: request.head.target,
+            body: request.body,
+        };
+        (self.handler)(&request)
     }
 }
--- a/crates/cornelpoint-daemon/src/control/mod.rs
+++ b/crates/cornelpoint-daemon/src/control/mod.rs
@@ -5,11 +5,13 @@
 
 mod control_client;
 mod control_error;
+mod control_request;
 mod control_server;
 mod reply;
 
 pub use self::control_client::ControlClient;
 pub use self::control_error::ControlError;
+pub use self::control_request::ControlRequest;
 pub use self::control_server::ControlServer;
 pub use self::reply::json_body;
 pub use self::reply::json_reply;
--- a/crates/cornelpoint-daemon/src/control/reply.rs
+++ b/crates/cornelpoint-daemon/src/control/reply.rs
@@ -1,22 +1,21 @@
-use std::io::Read;
-
-use rouille::Request;
-use rouille::Response;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use super::control_error::ControlError;
+use super::control_request::ControlRequest;
+use crate::caller_edge::Answer;
+use crate::caller_edge::Header;
 
-/// Largest message that is read, in bytes.
-const MESSAGE_LIMIT_BYTES: u64 = 16 * 1024 * 1024;
+/// Status of an answer to what was asked.
+const OK: u16 = 200;
 
 /// Reads a message of another process.
 ///
 /// # Errors
 ///
-/// When the body is missing, too large or not the message expected.
-pub fn packed_body<Q: DeserializeOwned>(request: &Request) -> Result<Q, ControlError> {
-    rmp_serde::from_slice(&body(request)?).map_err(|error| ControlError::Malformed {
+/// When the body is missing or not the message expected.
+pub fn packed_body<Q: DeserializeOwned>(request: &ControlRequest) -> Result<Q, ControlError> {
+    rmp_serde::from_slice(request.body()).map_err(|error| ControlError::Malformed {
         found: error.to_string(),
     })
 }
@@ -26,50 +25,46 @@
 /// # Errors
 ///
 /// As for `packed_body`.
-pub fn json_body<Q: DeserializeOwned>(request: &Request) -> Result<Q, ControlError> {
-    serde_json::from_slice(&body(request)?).map_err(|error| ControlError::Malformed {
+pub fn json_body<Q: DeserializeOwned>(request: &ControlRequest) -> Result<Q, ControlError> {
+    serde_json::from_slice(request.body()).map_err(|error| ControlError::Malformed {
         found: error.to_string(),
     })
 }
 
 /// Answers another process.
 #[must_use]
-pub fn packed_reply<A: Serialize>(answer: &A) -> Response {
+pub fn packed_reply<A: Serialize>(answer: &A) -> Answer {
     match rmp_serde::to_vec_named(answer) {
-        Ok(body) => Response::from_data("application/msgpack", body),
+        Ok(body) => with_body("application/msgpack", body),
         Err(error) => text_reply(500, &error.to_string()),
     }
 }
 
 /// Answers an operator.
 #[must_use]
-pub fn json_reply<A: Serialize>(answer: &A) -> Response {
+pub fn json_reply<A: Serialize>(answer: &A) -> Answer {
     match serde_json::to_vec_pretty(answer) {
-        Ok(body) => Response::from_data("application/json", body),
+        Ok(body) => with_body("application/json", body),
         Err(error) => text_reply(500, &error.to_string()),
     }
 }
 
 /// Answers with a status and one line of text.
 #[must_use]
-pub fn text_reply(status: u16, text: &str) -> Response {
-    Response::text(format!("{text}\n")).with_status_code(status)
+pub fn text_reply(status: u16, text: &str) -> Answer {
+    Answer {
+        status,
+        ..with_body(
+            "text/plain; charset=utf-8",
+            format!("{text}\n").into_bytes(),
+        )
+    }
 }
 
-fn body(request: &Request) -> Result<Vec<u8>, ControlError> {
-    let mut content = Vec::new();
-    let data = request.data().ok_or_else(|| ControlError::Malformed {
-        found: "no body".to_owned(),
-    })?;
-    data.take(MESSAGE_LIMIT_BYTES + 1)
-        .read_to_end(&mut content)
-        .map_err(|error| ControlError::Malformed {
-            found: error.to_string(),
-        })?;
-    if content.len() as u64 > MESSAGE_LIMIT_BYTES {
-        return Err(ControlError::Malformed {
-            found: format!("more than {MESSAGE_LIMIT_BYTES} bytes"),
-        });
+fn with_body(content_type: &str, body: Vec<u8>) -> Answer {
+    Answer {
+        status: OK,
+        headers: vec![Header::new("content-type", content_type)],
+        body,
     }
-    Ok(content)
 }
--- a/crates/cornelpoint-daemon/src/gateway/pages.rs
+++ b/crates/cornelpoint-daemon/src/gateway/pages.rs
@@ -1,14 +1,13 @@
 use std::sync::Arc;
 
-use rouille::Request;
-use rouille::Response;
-
 use super::admission::Admission;
 use super::decisions::Decisions;
 use super::gateway_dump::GatewayDump;
+use crate::caller_edge::Answer;
 use crate::caller_edge::CallerEdge;
 use crate::claim_store::ClaimStore;
 use crate::clock::MonotonicClock;
+use crate::control::ControlRequest;
 use crate::control::json_reply;
 use crate::control::text_reply;
 use crate::settings::GatewaySettings;
@@ -25,15 +24,15 @@
 }
 
 impl Pages {
-    pub(super) fn answer(&self, request: &Request) -> Response {
-        match (request.method(), request.url().as_str()) {
+    pub(super) fn answer(&self, request: &ControlRequest) -> Answer {
+        match (request.method(), request.path()) {
             ("GET", "/health") => self.health(),
             ("GET", "/dump") => self.dump(),
             (method, path) => text_reply(404, &format!("no page for {method} {path}")),
         }
     }
 
-    fn health(&self) -> Response {
+    fn health(&self) -> Answer {
         if self.admission.is_stopping() {
             return text_reply(503, "stopping");
         }
@@ -46,7 +45,7 @@
         text_reply(200, "ready")
     }
 
-    fn dump(&self) -> Response {
+    fn dump(&self) -> Answer {
         let Some(decisions) = self.decisions.dump() else {
             return text_reply(503, "the decisions do not answer");
         };
--- a/crates/cornelpoint-daemon/src/gateway/running.rs
+++ b/crates/cornelpoint-daemon/src/gateway/running.rs
@@ -32,8 +32,8 @@
 const EVENT_RING: usize = 8192;
 /// Signs of endpoints that may wait to be passed on.
 const SIGN_RING: usize = 64;
-/// Threads that answer dumps and health checks.
-const CONTROL_THREADS: usize = 2;
+/// Most connections for dumps and health checks.
+const CONTROL_CONNECTIONS: usize = 32;
 /// Longest wait for the claims' last writes at the end.
 const CLAIM_STOP: Duration = Duration::from_secs(2);
 /// Time in which idle slots go back to their holders before the end.
@@ -79,10 +79,11 @@
             CallerEdge::start(parts.edge_settings(), handler).change_context(GatewayError::Edge)?;
         let edge = Arc::new(edge);
         let pages = parts.pages(claims.store(), Arc::clone(&edge));
-        let control = ControlServer::start(settings.control_listen, CONTROL_THREADS, move |r| {
-            pages.answer(r)
-        })
-        .change_context(GatewayError::Control)?;
+        let control =
+            ControlServer::start(settings.control_listen, CONTROL_CONNECTIONS, move |r| {
+                pages.answer(r)
+            })
+            .change_context(GatewayError::Control)?;
         let decision_loop = parts.decision_loop(ring, events, sign_ring);
         let news = parts.news(signs);
         let threads = vec![
--- a/crates/cornelpoint-daemon/src/keeper/operator/accept.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/accept.rs
@@ -12,11 +12,11 @@
 use cornelpoint::platform::Key;
 use cornelpoint::platform::Transaction;
 use cornelpoint::spread::Update;
-use rouille::Request;
-use rouille::Response;
 
 use super::operator::Operator;
+use crate::caller_edge::Answer;
 use crate::clock::unix_ms;
+use crate::control::ControlRequest;
 use crate::control::json_body;
 use crate::control::json_reply;
 use crate::control::text_reply;
@@ -29,7 +29,7 @@
 const MAX_GENERATION: Generation = Generation(u64::MAX / 2);
 
 /// Accepts a configuration and brings it into force from here.
-pub(super) fn answer(operator: &Operator, request: &Request) -> Response {
+pub(super) fn answer(operator: &Operator, request: &ControlRequest) -> Answer {
     let accept: AcceptRequest = match json_body(request) {
         Ok(accept) => accept,
         Err(error) => return text_reply(400, &error.to_string()),
--- a/crates/cornelpoint-daemon/src/keeper/operator/drained.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/drained.rs
@@ -1,10 +1,10 @@
 use cornelpoint::name::InstanceId;
-use rouille::Request;
-use rouille::Response;
 use serde::Deserialize;
 use serde::Serialize;
 
 use super::operator::Operator;
+use crate::caller_edge::Answer;
+use crate::control::ControlRequest;
 use crate::control::json_body;
 use crate::control::json_reply;
 use crate::control::text_reply;
@@ -18,7 +18,7 @@
 }
 
 /// Answers how far a drain is.
-pub(super) fn answer(operator: &Operator, request: &Request) -> Response {
+pub(super) fn answer(operator: &Operator, request: &ControlRequest) -> Answer {
     let drain: DrainRequest = match json_body(request) {
         Ok(drain) => drain,
         Err(error) => return text_reply(400, &error.to_string()),
--- a/crates/cornelpoint-daemon/src/keeper/operator/history.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/history.rs
@@ -2,9 +2,9 @@
 use cornelpoint::configuration::TABLE;
 use cornelpoint::configuration::history_prefix;
 use cornelpoint::platform::Scan;
-use rouille::Response;
 
 use super::operator::Operator;
+use crate::caller_edge::Answer;
 use crate::control::json_reply;
 use crate::control::text_reply;
 
@@ -12,7 +12,7 @@
 const HISTORY_LIMIT: u32 = 100_000;
 
 /// Answers with who accepted what, the newest generation first.
-pub(super) fn answer(operator: &Operator) -> Response {
+pub(super) fn answer(operator: &Operator) -> Answer {
     let scan = Scan {
         table: TABLE.to_owned(),
         prefix: history_prefix(&operator.workspace),
--- a/crates/cornelpoint-daemon/src/keeper/operator/mark.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/mark.rs
@@ -5,13 +5,13 @@
 use cornelpoint::spread::EndpointMark;
 use cornelpoint::spread::MarkCause;
 use cornelpoint::spread::Update;
-use rouille::Request;
-use rouille::Response;
 use serde::Deserialize;
 use serde::Serialize;
 
 use super::operator::Operator;
+use crate::caller_edge::Answer;
 use crate::clock::unix_ms;
+use crate::control::ControlRequest;
 use crate::control::json_body;
 use crate::control::json_reply;
 use crate::control::text_reply;
@@ -60,7 +60,7 @@
 }
 
 /// Marks an endpoint. Without the platform the mark is in force all the same.
-pub(super) fn answer(operator: &Operator, request: &Request, accepts_work: bool) -> Response {
+pub(super) fn answer(operator: &Operator, request: &ControlRequest, accepts_work: bool) -> Answer {
     let request: MarkRequest = match json_body(request) {
         Ok(request) => request,
         Err(error) => return text_reply(400, &error.to_string()),
--- a/crates/cornelpoint-daemon/src/keeper/operator/newest.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/newest.rs
@@ -5,10 +5,10 @@
 use cornelpoint::configuration::body_key;
 use cornelpoint::configuration::decode_body;
 use cornelpoint::configuration::head_key;
-use rouille::Response;
 
 use super::accept::RETRY_PAUSE;
 use super::operator::Operator;
+use crate::caller_edge::Answer;
 use crate::control::json_reply;
 use crate::control::text_reply;
 
@@ -17,7 +17,7 @@
 
 /// Answers with the newest configuration in the table, which may be newer
 /// than the one in force here; `null` when none was accepted.
-pub(super) fn answer(operator: &Operator) -> Response {
+pub(super) fn answer(operator: &Operator) -> Answer {
     match read_with_retries(operator) {
         Ok(configuration) => json_reply(&configuration),
         Err(found) => text_reply(503, &found),
--- a/crates/cornelpoint-daemon/src/keeper/operator/operator.rs
+++ b/crates/cornelpoint-daemon/src/keeper/operator/operator.rs
@@ -1,12 +1,12 @@
 use cornelpoint::name::WorkspaceName;
-use rouille::Request;
-use rouille::Response;
 
 use super::accept;
 use super::drained;
 use super::history;
 use super::mark;
 use super::newest;
+use crate::caller_edge::Answer;
+use crate::control::ControlRequest;
 use crate::control::json_reply;
 use crate::control::text_reply;
 use crate::keeper::command::Command;
@@ -38,8 +38,8 @@
         &self,
         method: &str,
         path: &str,
-        request: &Request,
-    ) -> Response {
+        request: &ControlRequest,
+    ) -> Answer {
         match (method, path) {
             ("POST", "/operator/accept") => accept::answer(self, request),
             ("GET", "/operator/configuration") => newest::answer(self),
@@ -52,7 +52,7 @@
         }
     }
 
-    fn status(&self) -> Response {
+    fn status(&self) -> Answer {
         match self.core.ask(Command::Status) {
             Some(status) => json_reply(&status),
             None => text_reply(503, "the state does not answer"),
--- a/crates/cornelpoint-daemon/src/keeper/routes.rs
+++ b/crates/cornelpoint-daemon/src/keeper/routes.rs
@@ -3,8 +3,6 @@
 
 use cornelpoint::name::InstanceId;
 use cornelpoint::spread::Update;
-use rouille::Request;
-use rouille::Response;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -13,7 +11,9 @@
 use super::command::ReplyTo;
 use super::core_handle::CoreHandle;
 use super::operator::Operator;
+use crate::caller_edge::Answer;
 use crate::control::ControlClient;
+use crate::control::ControlRequest;
 use crate::control::json_reply;
 use crate::control::packed_body;
 use crate::control::packed_reply;
@@ -35,8 +35,8 @@
 }
 
 impl Routes {
-    pub(super) fn answer(&self, request: &Request) -> Response {
-        match (request.method(), request.url().as_str()) {
+    pub(super) fn answer(&self, request: &ControlRequest) -> Answer {
+        match (request.method(), request.path()) {
             ("GET", "/health") => self.health(),
             ("GET", "/dump") => self.dump(),
             ("POST", "/peer/view") => {
@@ -62,7 +62,7 @@
         }
     }
 
-    fn health(&self) -> Response {
+    fn health(&self) -> Answer {
         let Some(generation) = self.core.ask(Command::Generation) else {
             return text_reply(503, "not healthy: the state does not answer");
         };
@@ -75,7 +75,7 @@
         text_reply(200, "ready")
     }
 
-    fn dump(&self) -> Response {
+    fn dump(&self) -> Answer {
         match self.core.ask(Command::Dump) {
             Some(dump) => json_reply(&dump),
             None => not_answering(),
@@ -84,9 +84,9 @@
 
     fn packed<Q: DeserializeOwned, A: Serialize>(
         &self,
-        request: &Request,
+        request: &ControlRequest,
         command: impl FnOnce(Q, ReplyTo<A>) -> Command,
-    ) -> Response {
+    ) -> Answer {
         let question = match packed_body(request) {
             Ok(question) => question,
             Err(error) => return text_reply(400, &error.to_string()),
@@ -99,9 +99,9 @@
 
     fn told<Q: DeserializeOwned>(
         &self,
-        request: &Request,
+        request: &ControlRequest,
         command: impl FnOnce(Q) -> Command,
-    ) -> Response {
+    ) -> Answer {
         match packed_body(request) {
             Ok(question) => {
                 self.core.tell(command(question));
@@ -128,6 +128,6 @@
         .flatten()
 }
 
-fn not_answering() -> Response {
+fn not_answering() -> Answer {
     text_reply(503, "the state does not answer")
 }
--- a/crates/cornelpoint-daemon/src/keeper/running.rs
+++ b/crates/cornelpoint-daemon/src/keeper/running.rs
@@ -91,10 +91,11 @@
             core: core.clone(),
             operator: Operator::new(core.clone(), platform.clone(), settings.workspace.clone()),
         };
-        let control = ControlServer::start(settings.listen, settings.control_threads, move |r| {
-            routes.answer(r)
-        })
-        .change_context(KeeperError::Control)?;
+        let control =
+            ControlServer::start(settings.listen, settings.control_connections, move |r| {
+                routes.answer(r)
+            })
+            .change_context(KeeperError::Control)?;
 
         let membership = Membership::new(
             own_member(settings, control.address(), gossip_address),
--- a/crates/cornelpoint-daemon/src/settings/keeper_reader.rs
+++ b/crates/cornelpoint-daemon/src/settings/keeper_reader.rs
@@ -32,7 +32,7 @@
     let platform_poll_ms = reader.integer_or("platform_poll_ms", 50..=10_000, 500);
     let sync_interval_ms = reader.integer_or("sync_interval_ms", 50..=10_000, 500);
     let slot_lease_ms = reader.integer_or("slot_lease_ms", 100..=2_000, 900);
-    let control_threads = reader.integer_u32_or("control_threads", 2..=256, 8);
+    let control_connections = reader.integer_u32_or("control_connections", 8..=4096, 256);
     Some(KeeperSettings {
         instance: instance?,
         availability_zone: availability_zone?,
@@ -46,6 +46,6 @@
         platform_poll_ms: platform_poll_ms?,
         sync_interval_ms: sync_interval_ms?,
         slot_lease_ms: slot_lease_ms?,
-        control_threads: usize::try_from(control_threads?).ok()?,
+        control_connections: usize::try_from(control_connections?).ok()?,
     })
 }
--- a/crates/cornelpoint-daemon/src/settings/keeper_settings.rs
+++ b/crates/cornelpoint-daemon/src/settings/keeper_settings.rs
@@ -32,6 +32,6 @@
     pub sync_interval_ms: u64,
     /// Time that a lent slot may be used without renewal, in milliseconds.
     pub slot_lease_ms: u64,
-    /// Threads that answer HTTP.
-    pub control_threads: usize,
+    /// Most connections to the HTTP interface, a thread each.
+    pub control_connections: usize,
 }
--- a/crates/cornelpoint-daemon/tests/keeper.rs
+++ b/crates/cornelpoint-daemon/tests/keeper.rs
@@ -51,7 +51,7 @@
             platform_poll_ms: 100,
             sync_interval_ms: 100,
             slot_lease_ms: 900,
-            control_threads: 2,
+            control_connections: 256,
         };
         Self {
             keeper: Keeper::start(&settings, Logger::root(Discard, o!())).unwrap(),
