Record the load generator's times in a histogram that grows

Cause: the saturating record of a histogram that resizes itself does not resize it: every time over 2 ms counted as 2 us. A run against a real gateway showed p50 2 us for requests of 20 ms.

Change: the record that resizes; the test's gateway takes 5 ms and the median must not be less. It failed before.

--- a/crates/cornelpoint-cli/src/load/times.rs
+++ b/crates/cornelpoint-cli/src/load/times.rs
@@ -23,7 +23,9 @@
     /// Adds a time.
     pub(super) fn record(&mut self, time: Duration) {
         let time_us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-        self.histogram_us.saturating_record(time_us);
+        self.histogram_us
+            .record(time_us)
+            .expect("a histogram that resizes itself takes any time");
     }
 
     /// Adds the times of another sender.
--- a/crates/cornelpoint-cli/tests/load.rs
+++ b/crates/cornelpoint-cli/tests/load.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::process::Command;
 use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 use clap::Parser;
 use cornelpoint::request::Method;
@@ -21,6 +23,9 @@
 use cornelpoint_daemon::caller_edge::RequestHead;
 use expect_test::expect;
 
+/// Least time from a request to its answer.
+const WORK: Duration = Duration::from_millis(5);
+
 /// Answers by the last digit of the request's number.
 struct FakeGateway;
 
@@ -30,6 +35,7 @@
     }
 
     fn handle(&self, request: CallerRequest) -> Answer {
+        thread::sleep(WORK);
         match request.head.target.as_bytes().last() {
             Some(b'0') => Answer::refused(Refusal::QueueFull, "full"),
             Some(b'1') => Answer::refused(Refusal::AnswerLate, "late"),
@@ -129,6 +135,8 @@
     for times in ["answered", "unanswered", "lag"] {
         assert!(report[times]["p50_us"].as_u64() <= report[times]["p99_us"].as_u64());
     }
+    let work_us = u64::try_from(WORK.as_micros()).ok();
+    assert!(report["answered"]["p50_us"].as_u64() >= work_us, "{report}");
 }
 
 #[test]
