--- /dev/null
+++ b/crates/cornelpoint-manager/src/edge/callers.rs
@@ -0,0 +1,117 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::catalog::Queue;
+use cornelpoint::job::JobId;
+use cornelpoint_platform::callers;
+use hyper::Method;
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+
+use super::jobs;
+use super::peers::ask_owner;
+use crate::clock;
+use crate::http::Reply;
+use crate::http::read_body;
+use crate::http::reply;
+use crate::message::PoolRequest;
+use crate::message::PoolResponse;
+use crate::node::Node;
+
+/// Age up to which an owner's count of waiting jobs is passed on; callers are
+/// promised two seconds.
+const COUNT_AGE_MS: u64 = 1200;
+/// Time for an owner to count.
+const COUNT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Retry time where a configuration is still to come.
+const NO_CATALOG_RETRY_S: u64 = 1;
+
+/// Tells the balancer whether to send connections here.
+pub(crate) async fn answer_balancer(node: Rc<Node>, request: Request<Incoming>) -> Reply {
+    if request.uri().path() != callers::READY_PATH {
+        return reply(404, "");
+    }
+    let ready = node.catalog().is_some() && node.confirmed_ms.get() > 0 && !node.leaving.get();
+    reply(if ready { 200 } else { 503 }, "")
+}
+
+/// Answers a caller's request.
+pub(crate) async fn answer_caller(node: Rc<Node>, request: Request<Incoming>) -> Reply {
+    let Some(catalog) = node.catalog() else {
+        return refusal(503, NO_CATALOG_RETRY_S);
+    };
+    let host = request
+        .headers()
+        .get(HOST)
+        .and_then(|host| host.to_str().ok());
+    let path = request.uri().path().to_owned();
+    let queue = host.and_then(|host| catalog.queue_of(host, &path));
+    let Some(queue) = queue else {
+        return reply(404, "");
+    };
+    let deadline_ms = request
+        .headers()
+        .get(callers::DEADLINE_HEADER)
+        .and_then(|value| value.to_str().ok()?.parse().ok());
+    let deadline_ms: u64 = deadline_ms.unwrap_or(queue.timeout_ms);
+    let within = Duration::from_millis(deadline_ms.min(queue.timeout_ms.max(1)));
+    let rest = &path[queue.path_prefix.len()..];
+    let method = request.method().clone();
+    if rest.is_empty() {
+        return match method {
+            Method::GET => count(&node, queue).await,
+            _ => reply(405, ""),
+        };
+    }
+    let job = rest.parse::<JobId>();
+    match (method, job) {
+        (Method::POST, Err(error)) => reply(400, error.to_string()),
+        (Method::POST, Ok(job)) => {
+            let most_bytes = catalog.limits.max_body_bytes;
+            match read_body(request.into_body(), most_bytes).await {
+                Some(body) => jobs::submit(&node, queue, job, &body, within).await,
+                None => reply(413, ""),
+            }
+        }
+        (Method::GET, Ok(job)) => jobs::status(&node, queue, job, within).await,
+        (Method::DELETE, Ok(job)) => jobs::cancel(&node, queue, job, within).await,
+        (Method::GET | Method::DELETE, Err(_)) => reply(410, ""),
+        _ => reply(405, ""),
+    }
+}
+
+/// A refusal that tells when to come back.
+pub(super) fn refusal(status: u16, retry_after_s: u64) -> Reply {
+    let mut refusal = reply(status, "");
+    refusal
+        .headers_mut()
+        .insert(hyper::header::RETRY_AFTER, retry_after_s.into());
+    refusal
+}
+
+async fn count(node: &Rc<Node>, queue: &Queue) -> Reply {
+    let now_ms = clock::now().steady_ms;
+    let news = {
+        let all = node.pool_news.borrow();
+        let news = all.get(&queue.pool);
+        let fresh = news.filter(|news| news.heard_ms + COUNT_AGE_MS > now_ms);
+        fresh.and_then(|news| news.waiting.get(&queue.name).copied())
+    };
+    let counted = match node.host(&queue.pool) {
+        None if news.is_some() => news,
+        _ => {
+            let question = PoolRequest::Waiting {
+                queue: queue.name.clone(),
+            };
+            match ask_owner(node, &queue.pool, question, COUNT_TIMEOUT).await {
+                Ok(PoolResponse::Waiting(count)) => Some(count),
+                _ => None,
+            }
+        }
+    };
+    match counted {
+        Some(count) => reply(200, callers::waiting_body(count)),
+        None => refusal(503, 1),
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/edge/jobs.rs
@@ -0,0 +1,179 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::catalog::Queue;
+use cornelpoint::job::JobId;
+use cornelpoint::job::JobProgress;
+use cornelpoint::job::JobRecord;
+use cornelpoint::job::JobSpec;
+use cornelpoint::job::JobStatus;
+use cornelpoint_platform::callers;
+use cornelpoint_platform::store::RowKey;
+use cornelpoint_platform::store::Transaction;
+use slog::info;
+
+use super::callers::refusal;
+use super::peers::ask_owner;
+use crate::clock;
+use crate::http::CallError;
+use crate::http::Reply;
+use crate::http::reply;
+use crate::message::PoolRequest;
+use crate::message::PoolResponse;
+use crate::node::Node;
+use crate::store::INBOX_TABLE;
+use crate::store::JOB_TABLE;
+use crate::store::PROGRESS_TABLE;
+use crate::store::TransactionOutcome;
+use crate::store::decode;
+use crate::store::encode;
+
+/// Time for an owner to answer where the store need not be asked.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for an owner to answer once the store has.
+const OWNER_STORE_TIMEOUT: Duration = Duration::from_millis(1700);
+/// Retry time while the store is away: its usual outages last seconds.
+const STORE_AWAY_RETRY_S: u64 = 2;
+
+/// Hands a job in.
+pub(super) async fn submit(
+    node: &Rc<Node>,
+    queue: &Queue,
+    job: JobId,
+    body: &[u8],
+    within: Duration,
+) -> Reply {
+    let raw = match callers::job_of(body) {
+        Ok(raw) => raw,
+        Err(error) => return reply(400, error.to_string()),
+    };
+    if let Err(error) = JobSpec::try_from(raw.clone()) {
+        info!(node.edge_log, "Malformed job."; "job" => %job, "error" => %error);
+        return reply(400, error.to_string());
+    }
+    let record = JobRecord {
+        queue: queue.name.clone(),
+        pool: queue.pool.clone(),
+        accepted_unix_ms: clock::now().unix_ms,
+        priority: queue.priority,
+        max_attempts: queue.max_attempts,
+        job: raw,
+    };
+    let request = PoolRequest::Submit {
+        job,
+        record: Box::new(record.clone()),
+    };
+    let limit = within.min(OWNER_STORE_TIMEOUT);
+    match ask_owner(node, &queue.pool, request, limit).await {
+        Ok(PoolResponse::Accepted | PoolResponse::Status(_) | PoolResponse::Cancelled) => {
+            reply(200, "")
+        }
+        Ok(PoolResponse::Refused { retry_after_ms }) => refusal(429, retry_after_ms.div_ceil(1000)),
+        Ok(_) => reply(504, ""),
+        Err(error) => {
+            info!(node.edge_log, "Owner not reached; storing for it."; "job" => %job,
+                "pool" => &queue.pool, "error" => %error);
+            store_for_owner(node, job, &record, error).await
+        }
+    }
+}
+
+/// Stores a job for an owner that can't be reached.
+async fn store_for_owner(
+    node: &Rc<Node>,
+    job: JobId,
+    record: &JobRecord,
+    asked: CallError,
+) -> Reply {
+    let key = RowKey::new(INBOX_TABLE, &record.pool, format!("submit/{job}"));
+    let known = RowKey::new(JOB_TABLE, &record.pool, job.to_string());
+    let transaction = Transaction {
+        conditions: vec![(key.clone(), 0), (known, 0)],
+        writes: vec![(key, encode(record))],
+        ..Transaction::default()
+    };
+    match node.store.transact(&transaction).await {
+        TransactionOutcome::Committed { .. } | TransactionOutcome::Conflict(_) => reply(200, ""),
+        // The owner may have taken the job all the same.
+        TransactionOutcome::Refused if asked == CallError::NotSent => {
+            info!(node.edge_log, "Job not stored."; "job" => %job);
+            refusal(503, STORE_AWAY_RETRY_S)
+        }
+        TransactionOutcome::Refused | TransactionOutcome::Unknown => reply(504, ""),
+    }
+}
+
+/// Tells how far a job is.
+pub(super) async fn status(node: &Rc<Node>, queue: &Queue, job: JobId, within: Duration) -> Reply {
+    let request = PoolRequest::Status { job };
+    let limit = within.min(OWNER_TIMEOUT);
+    if let Ok(PoolResponse::Status(status)) = ask_owner(node, &queue.pool, request, limit).await {
+        return reply(200, callers::status_body(status));
+    }
+    match stored_status(node, queue, job).await {
+        Some(Some(status)) => reply(200, callers::status_body(status)),
+        Some(None) => reply(410, ""),
+        None => refusal(503, 1),
+    }
+}
+
+/// A job's status by the store alone; `None` when the store does not answer.
+async fn stored_status(node: &Rc<Node>, queue: &Queue, job: JobId) -> Option<Option<JobStatus>> {
+    let id = job.to_string();
+    let progress = node
+        .store
+        .read_row(PROGRESS_TABLE, &queue.pool, &id)
+        .await?;
+    let progress = progress.and_then(|row| decode::<JobProgress>(row.value.as_deref()?));
+    if let Some(progress) = progress {
+        let running = !progress.status.is_final();
+        return Some(Some(if running {
+            JobStatus::Running
+        } else {
+            progress.status
+        }));
+    }
+    if node
+        .store
+        .read_row(JOB_TABLE, &queue.pool, &id)
+        .await?
+        .is_some()
+    {
+        return Some(Some(JobStatus::Pending));
+    }
+    let inbox = format!("submit/{id}");
+    let waiting = node
+        .store
+        .read_row(INBOX_TABLE, &queue.pool, &inbox)
+        .await?;
+    Some(waiting.map(|_| JobStatus::Pending))
+}
+
+/// Cancels a job.
+pub(super) async fn cancel(node: &Rc<Node>, queue: &Queue, job: JobId, within: Duration) -> Reply {
+    let request = PoolRequest::Cancel { job };
+    let limit = within.min(OWNER_STORE_TIMEOUT);
+    match ask_owner(node, &queue.pool, request, limit).await {
+        Ok(PoolResponse::Cancelled | PoolResponse::Status(_)) => return reply(200, ""),
+        Ok(PoolResponse::UnknownJob) => {}
+        Ok(_) => return reply(504, ""),
+        Err(error) => info!(node.edge_log, "Owner not reached; storing for it."; "job" => %job,
+            "pool" => &queue.pool, "error" => %error),
+    }
+    match stored_status(node, queue, job).await {
+        Some(None) => return reply(410, ""),
+        Some(Some(status)) if status.is_final() => return reply(200, ""),
+        Some(Some(_)) => {}
+        None => return refusal(503, STORE_AWAY_RETRY_S),
+    }
+    let key = RowKey::new(INBOX_TABLE, &queue.pool, format!("cancel/{job}"));
+    let transaction = Transaction {
+        writes: vec![(key, Vec::new())],
+        ..Transaction::default()
+    };
+    match node.store.transact(&transaction).await {
+        TransactionOutcome::Committed { .. } => reply(200, ""),
+        TransactionOutcome::Refused => refusal(503, STORE_AWAY_RETRY_S),
+        TransactionOutcome::Conflict(_) | TransactionOutcome::Unknown => reply(504, ""),
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/edge/mod.rs
@@ -0,0 +1,9 @@
+//! Requests of callers, of the balancer and of peers.
+
+mod callers;
+mod jobs;
+mod peers;
+
+pub(crate) use self::callers::answer_balancer;
+pub(crate) use self::callers::answer_caller;
+pub(crate) use self::peers::answer_peer;
--- /dev/null
+++ b/crates/cornelpoint-manager/src/fleet_host/host.rs
@@ -0,0 +1,294 @@
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::fleet::FleetAction;
+use cornelpoint::fleet::FleetManager;
+use cornelpoint::fleet::FleetSettings;
+use cornelpoint::fleet::Machine;
+use cornelpoint::fleet::MachineAnswer;
+use cornelpoint::ownership::Claim;
+use cornelpoint_platform::fleet_api;
+use cornelpoint_platform::operator;
+use cornelpoint_platform::store::RowKey;
+use cornelpoint_platform::store::Transaction;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+use crate::clock;
+use crate::http::CallError;
+use crate::http::HttpEndpoint;
+use crate::node::Node;
+use crate::store::TransactionOutcome;
+use crate::store::WAVE_TABLE;
+use crate::store::decode;
+use crate::store::encode;
+use crate::store::owner_row_key;
+
+/// Shard of the machines; no pool's name begins so.
+pub(crate) const FLEET_SHARD: &str = "/fleet";
+/// Time between decisions: a surge passes in seconds.
+const TICK: Duration = Duration::from_millis(200);
+/// Time between listings while machines are under way.
+const BUSY_LISTING_MS: u64 = 400;
+/// Time between listings otherwise.
+const CALM_LISTING_MS: u64 = 1500;
+/// Time for an answer of the machine API.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Connections to the machine API.
+const CONNECTIONS: usize = 6;
+/// How long an owner acts without a sign from the store that it still is; the
+/// platform gives a successor's holder gap no longer.
+const UNCONFIRMED_MS: u64 = 3500;
+/// Pause before the store is asked again after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// The fleet's machines, owned by this process.
+pub(crate) struct FleetHost {
+    node: Rc<Node>,
+    fencing_token: u64,
+    owner_version: u64,
+    manager: RefCell<FleetManager>,
+    api: HttpEndpoint,
+    begun: RefCell<BTreeMap<u64, BTreeSet<String>>>,
+    last_vacate: RefCell<BTreeSet<String>>,
+    log: Logger,
+    stopped: Cell<bool>,
+    wake: Notify,
+}
+
+impl FleetHost {
+    /// Takes the fleet over.
+    pub(crate) async fn start(node: &Rc<Node>, claim: &Claim, owner_version: u64) {
+        let Some(address) = node.settings.fleet_address.clone() else {
+            return;
+        };
+        let settings = FleetSettings {
+            holder_gap_ms: node.settings.bounds.holder_gap_ms,
+            maintenance_ms: node.settings.bounds.upkeep_ms,
+            ..FleetSettings::default()
+        };
+        let begun = loop {
+            if !node.planner.borrow().is_mine(FLEET_SHARD) {
+                return;
+            }
+            if let Some(rows) = node.store.read_all(WAVE_TABLE, FLEET_SHARD).await {
+                let waves = rows.rows.iter().filter_map(|row| {
+                    let number = row.key.key.parse().ok()?;
+                    Some((number, decode(row.value.as_deref()?)?))
+                });
+                break waves.collect::<BTreeMap<u64, BTreeSet<String>>>();
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        };
+        let mut manager = FleetManager::new(clock::now().steady_ms, settings);
+        if claim.expected_version == 0 {
+            manager.skip_holder_gap();
+        }
+        let host = Rc::new(Self {
+            node: Rc::clone(node),
+            fencing_token: claim.fencing_token,
+            owner_version,
+            manager: RefCell::new(manager),
+            api: HttpEndpoint::new(&address, CONNECTIONS),
+            begun: RefCell::new(begun),
+            last_vacate: RefCell::default(),
+            log: node.pool_log.clone(),
+            stopped: Cell::new(false),
+            wake: Notify::new(),
+        });
+        if let Some(before) = node.fleet.replace(Some(Rc::clone(&host))) {
+            before.stop();
+        }
+        info!(host.log, "Managing machines."; "fencing_token" => claim.fencing_token);
+        spawn_local(Rc::clone(&host).follow_machines());
+        spawn_local(host.keep_time());
+    }
+
+    /// Gives the fleet up: nothing more is ordered.
+    pub(crate) fn stop(&self) {
+        self.stopped.set(true);
+        self.wake.notify_one();
+    }
+
+    /// Has something to decide at once.
+    pub(crate) fn wake(&self) {
+        self.wake.notify_one();
+    }
+
+    /// Workers that are to be emptied.
+    pub(crate) fn to_vacate(&self) -> BTreeSet<String> {
+        self.manager.borrow().to_vacate()
+    }
+
+    async fn keep_time(self: Rc<Self>) {
+        while !self.stopped.get() {
+            self.decide();
+            tokio::select! {
+                () = tokio::time::sleep(TICK) => {}
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    fn decide(self: &Rc<Self>) {
+        let now_ms = clock::now().steady_ms;
+        if now_ms >= self.node.confirmed_ms.get() + UNCONFIRMED_MS {
+            return;
+        }
+        let actions = {
+            let mut manager = self.manager.borrow_mut();
+            if let Some(catalog) = self.node.catalog() {
+                let spare = catalog.pools.values().find(|pool| pool.spare);
+                manager.set_spare_pool(spare.map(|pool| pool.name.as_str()));
+            }
+            for wave in self.node.waves.borrow().values() {
+                let begun = self.begun.borrow().get(&wave.number).cloned();
+                manager.wave_ordered(wave, &begun.unwrap_or_default(), now_ms);
+            }
+            for (pool, news) in &*self.node.pool_news.borrow() {
+                manager.pool_reported(pool, &news.report, news.heard_ms);
+            }
+            manager.tick(now_ms)
+        };
+        for action in actions {
+            spawn_local(Rc::clone(self).carry_out(action));
+        }
+        let vacate = self.to_vacate();
+        if *self.last_vacate.borrow() != vacate {
+            *self.last_vacate.borrow_mut() = vacate;
+            self.node.heartbeat_now.notify_one();
+        }
+    }
+
+    async fn carry_out(self: Rc<Self>, action: FleetAction) {
+        let holder = &self.node.settings.node;
+        let (machine, call) = match action {
+            FleetAction::Move { machine, pool } => {
+                info!(self.log, "Move."; "machine" => &machine, "pool" => &pool);
+                let call = fleet_api::move_call(holder, self.fencing_token, &machine, &pool);
+                (machine, call)
+            }
+            FleetAction::Maintain { machine, wave } => {
+                info!(self.log, "Maintain."; "machine" => &machine, "wave" => wave);
+                let call = fleet_api::maintenance_call(holder, self.fencing_token, &machine, wave);
+                (machine, call)
+            }
+            FleetAction::Progress {
+                wave,
+                begun,
+                completed,
+            } => {
+                self.keep_progress(wave, begun, completed).await;
+                return;
+            }
+        };
+        let answer = match self.api.send(&call, CALL_TIMEOUT).await {
+            Ok(answer) => fleet_api::answer_of(answer.status, &answer.body),
+            Err(CallError::NotSent) => MachineAnswer::Later,
+            Err(CallError::NoAnswer) => MachineAnswer::NoAnswer,
+        };
+        if answer != MachineAnswer::Done {
+            info!(self.log, "Order not confirmed."; "machine" => &machine, "answer" => ?answer);
+        }
+        let now_ms = clock::now().steady_ms;
+        let deposed = {
+            let mut manager = self.manager.borrow_mut();
+            manager.replied(&machine, answer, now_ms);
+            manager.is_deposed()
+        };
+        if deposed {
+            self.node.give_up(FLEET_SHARD, "fenced off");
+            self.stop();
+        }
+    }
+
+    /// Keeps which machines of a wave have begun, then tells the operator.
+    async fn keep_progress(&self, wave: u64, begun: BTreeSet<String>, completed: bool) {
+        self.begun.borrow_mut().insert(wave, begun.clone());
+        let key = RowKey::new(WAVE_TABLE, FLEET_SHARD, wave.to_string());
+        let kept = Transaction {
+            conditions: vec![(owner_row_key(FLEET_SHARD), self.owner_version)],
+            writes: vec![(key, encode(&begun))],
+            ..Transaction::default()
+        };
+        let status_key = RowKey::new(operator::STATUS_TABLE, "", operator::wave_status_key(wave));
+        let published = Transaction {
+            writes: vec![(status_key, operator::wave_status(completed))],
+            ..Transaction::default()
+        };
+        self.store_until_done(&kept).await;
+        if completed || begun.is_empty() {
+            info!(self.log, "Wave."; "wave" => wave, "begun" => begun.len(),
+                "completed" => completed);
+            self.store_until_done(&published).await;
+        }
+    }
+
+    async fn store_until_done(&self, transaction: &Transaction) {
+        while !self.stopped.get() {
+            match self.node.store.transact(transaction).await {
+                TransactionOutcome::Committed { .. } => return,
+                TransactionOutcome::Conflict(_) => {
+                    self.node.give_up(FLEET_SHARD, "another owner");
+                    return;
+                }
+                TransactionOutcome::Refused | TransactionOutcome::Unknown => {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Keeps the machines up to date.
+    async fn follow_machines(self: Rc<Self>) {
+        while !self.stopped.get() {
+            let asked_ms = clock::now().steady_ms;
+            match self.list().await {
+                Some(machines) => {
+                    self.manager.borrow_mut().machines_read(machines, asked_ms);
+                    self.decide();
+                }
+                None => info!(self.log, "Machines not listed."),
+            }
+            let busy = self.manager.borrow().is_busy();
+            let pause_ms = if busy {
+                BUSY_LISTING_MS
+            } else {
+                CALM_LISTING_MS
+            };
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    async fn list(&self) -> Option<Vec<Machine>> {
+        let mut all = Vec::new();
+        let mut page: Option<String> = None;
+        loop {
+            let call = fleet_api::list_call(page.as_deref());
+            let answer = self.api.send(&call, CALL_TIMEOUT).await.ok()?;
+            if answer.status != 200 {
+                return None;
+            }
+            match fleet_api::machines_of(&answer.body) {
+                Ok((machines, next)) => {
+                    all.extend(machines);
+                    page = next;
+                }
+                Err(error) => {
+                    warn!(self.log, "Unreadable machines."; "error" => %error);
+                    return None;
+                }
+            }
+            if page.is_none() {
+                return Some(all);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/http/endpoint.rs
@@ -0,0 +1,133 @@
+use std::cell::RefCell;
+use std::time::Duration;
+
+use cornelpoint_platform::call::Call;
+use cornelpoint_platform::call::Method;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::body::Bytes;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
+
+use super::call_error::CallError;
+
+/// Time to open a connection; one way within a region takes a millisecond, a
+/// lost first packet is sent again after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// An answer to a call.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) body: Bytes,
+}
+
+/// A server that is called over connections that are kept.
+#[derive(Debug)]
+pub(crate) struct HttpEndpoint {
+    address: String,
+    idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+    permits: Semaphore,
+}
+
+impl HttpEndpoint {
+    /// A server to which at most so many connections are open.
+    pub(crate) fn new(address: &str, most_connections: usize) -> Self {
+        Self {
+            address: address.to_owned(),
+            idle: RefCell::new(Vec::new()),
+            permits: Semaphore::new(most_connections),
+        }
+    }
+
+    /// Sends a call and waits for its whole answer.
+    pub(crate) async fn send(&self, call: &Call, within: Duration) -> Result<Answer, CallError> {
+        let deadline = Instant::now() + within;
+        let permit = timeout_at(deadline, self.permits.acquire()).await;
+        let Ok(Ok(_permit)) = permit else {
+            return Err(CallError::NotSent);
+        };
+        loop {
+            let (mut sender, reused) = match self.take_idle() {
+                Some(sender) => (sender, true),
+                None => (self.connect(deadline).await?, false),
+            };
+            match timeout_at(deadline, sender.send_request(self.request(call))).await {
+                Err(_) => return Err(CallError::NoAnswer),
+                Ok(Err(error)) if reused && error.is_canceled() => {}
+                Ok(Err(error)) if error.is_canceled() => return Err(CallError::NotSent),
+                Ok(Err(_)) => return Err(CallError::NoAnswer),
+                Ok(Ok(response)) => {
+                    let status = response.status().as_u16();
+                    let body = timeout_at(deadline, response.into_body().collect()).await;
+                    let Ok(Ok(body)) = body else {
+                        return Err(CallError::NoAnswer);
+                    };
+                    if !sender.is_closed() {
+                        self.idle.borrow_mut().push(sender);
+                    }
+                    return Ok(Answer {
+                        status,
+                        body: body.to_bytes(),
+                    });
+                }
+            }
+        }
+    }
+
+    fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(sender) = idle.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self, deadline: Instant) -> Result<SendRequest<Full<Bytes>>, CallError> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let opening = TcpStream::connect(&self.address);
+        let stream = timeout(left.min(CONNECT_TIMEOUT), opening).await;
+        let Ok(Ok(stream)) = stream else {
+            return Err(CallError::NotSent);
+        };
+        // Without it, small requests wait for an acknowledgement.
+        stream.set_nodelay(true).map_err(|_| CallError::NotSent)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| CallError::NotSent)?;
+        // Its end shows at the sender.
+        spawn_local(async move { drop(connection.await) });
+        Ok(sender)
+    }
+
+    fn request(&self, call: &Call) -> Request<Full<Bytes>> {
+        let method = match call.method {
+            Method::Get => "GET",
+            Method::Post => "POST",
+        };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(&call.path)
+            .header("host", &self.address);
+        if !call.body.is_empty() {
+            request = request.header("content-type", "application/json");
+        }
+        for (name, value) in &call.headers {
+            request = request.header(*name, value);
+        }
+        let body = Full::new(Bytes::from(call.body.clone()));
+        request
+            .body(body)
+            .unwrap_or_else(|error| unreachable!("a request of checked parts: {error}"))
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/http/mod.rs
@@ -0,0 +1,14 @@
+//! HTTP on the event loop: pooled connections out, a small server in.
+
+mod call_error;
+mod endpoint;
+mod server;
+
+pub(crate) use self::call_error::CallError;
+pub(crate) use self::endpoint::HttpEndpoint;
+pub(crate) use self::server::Reply;
+pub(crate) use self::server::ServerControl;
+pub(crate) use self::server::listen;
+pub(crate) use self::server::read_body;
+pub(crate) use self::server::reply;
+pub(crate) use self::server::serve;
--- /dev/null
+++ b/crates/cornelpoint-manager/src/http/server.rs
@@ -0,0 +1,122 @@
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+/// Time for a request's head, by the operator's usual limits.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause after a connection could not be taken, so that a lack of descriptors
+/// does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// An answer to a request.
+pub(crate) type Reply = Response<Full<Bytes>>;
+
+/// Tells a server's connections to end after their present request.
+#[derive(Debug, Default)]
+pub(crate) struct ServerControl {
+    closing: Cell<bool>,
+    changed: Notify,
+}
+
+impl ServerControl {
+    /// Ends all connections once what they hold is answered.
+    pub(crate) fn close(&self) {
+        self.closing.set(true);
+        self.changed.notify_waiters();
+    }
+}
+
+/// Serves connections until the task is dropped.
+pub(crate) async fn serve<H, F>(listener: TcpListener, control: Rc<ServerControl>, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Reply> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(serve_connection(
+                    stream,
+                    Rc::clone(&control),
+                    handler.clone(),
+                ));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, control: Rc<ServerControl>, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Reply> + 'static,
+{
+    // Answers are small: waiting to fill a packet only delays them.
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let changed = control.changed.notified();
+    tokio::select! {
+        // A connection that breaks off tells nobody here anything.
+        _ = connection.as_mut() => return,
+        () = changed => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    drop(connection.await);
+}
+
+/// Reads a request's body up to a limit; `None` when it is longer or breaks
+/// off.
+pub(crate) async fn read_body(body: Incoming, most_bytes: usize) -> Option<Bytes> {
+    let collected = Limited::new(body, most_bytes).collect().await.ok()?;
+    Some(collected.to_bytes())
+}
+
+/// An answer with a body of the usual type.
+pub(crate) fn reply(status: u16, body: impl Into<Bytes>) -> Reply {
+    let body = body.into();
+    let mut response = Response::builder().status(status);
+    if !body.is_empty() {
+        response = response.header("content-type", "application/json");
+    }
+    response
+        .body(Full::new(body))
+        .unwrap_or_else(|error| unreachable!("an answer of checked parts: {error}"))
+}
+
+/// Listens at an address of the settings.
+pub(crate) async fn listen(address: &str) -> std::io::Result<TcpListener> {
+    let address: SocketAddr = address
+        .parse()
+        .map_err(|error| std::io::Error::new(std::io::ErrorKind::InvalidInput, error))?;
+    TcpListener::bind(address).await
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/message/mod.rs
@@ -0,0 +1,9 @@
+//! Messages between the system's processes.
+
+mod heartbeat;
+mod request;
+
+pub(crate) use self::heartbeat::Heartbeat;
+pub(crate) use self::heartbeat::OwnedPool;
+pub(crate) use self::request::PoolRequest;
+pub(crate) use self::request::PoolResponse;
--- /dev/null
+++ b/crates/cornelpoint-manager/src/node/cluster.rs
@@ -0,0 +1,263 @@
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::ownership::Claim;
+use cornelpoint::ownership::OwnerRow;
+use cornelpoint_platform::store::Row;
+use cornelpoint_platform::store::RowKey;
+use cornelpoint_platform::store::Transaction;
+use serde::Deserialize;
+use serde::Serialize;
+use slog::info;
+use slog::warn;
+use tokio::task::spawn_local;
+
+use super::node::Node;
+use crate::clock;
+use crate::fleet_host::FLEET_SHARD;
+use crate::fleet_host::FleetHost;
+use crate::pool_host::PoolHost;
+use crate::store::CLUSTER_TABLE;
+use crate::store::FeedOutcome;
+use crate::store::OWNER_KEY;
+use crate::store::TransactionOutcome;
+use crate::store::decode;
+use crate::store::encode;
+use crate::store::owner_row_key;
+
+/// Longest wait for changes; each answer also confirms the owners' rows.
+const FEED_WAIT_MS: u64 = 2000;
+/// Pause before the store is asked again after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Longest time between two looks at what is to be claimed.
+const CLAIM_CHECK: Duration = Duration::from_millis(1000);
+
+/// A process as the store has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct NodeRow {
+    pub(super) address: String,
+    pub(super) started_unix_ms: u64,
+}
+
+impl Node {
+    /// Keeps the processes and the owners up to date.
+    pub(super) async fn follow_cluster(self: Rc<Self>) {
+        self.register().await;
+        let mut after = None;
+        loop {
+            let asked_ms = clock::now().steady_ms;
+            let Some(version) = after else {
+                match self.read_cluster().await {
+                    Some(version) => {
+                        self.confirmed_ms.set(asked_ms);
+                        after = Some(version);
+                    }
+                    None => tokio::time::sleep(RETRY_PAUSE).await,
+                }
+                continue;
+            };
+            match self.store.feed(CLUSTER_TABLE, version, FEED_WAIT_MS).await {
+                FeedOutcome::Changes(rows) => {
+                    self.take_cluster_rows(&rows.rows);
+                    self.confirmed_ms.set(asked_ms);
+                    after = Some(rows.version.max(version));
+                }
+                FeedOutcome::HistoryGone => after = None,
+                FeedOutcome::Failed => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    async fn register(&self) {
+        let row = NodeRow {
+            address: self.address.clone(),
+            started_unix_ms: self.started_unix_ms,
+        };
+        let key = RowKey::new(CLUSTER_TABLE, "", format!("node/{}", self.settings.node));
+        let transaction = Transaction {
+            writes: vec![(key, encode(&row))],
+            ..Transaction::default()
+        };
+        loop {
+            match self.store.transact(&transaction).await {
+                TransactionOutcome::Committed { .. } => return,
+                outcome => {
+                    warn!(self.main_log, "Not registered yet."; "outcome" => ?outcome);
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Reads processes and owners in full.
+    async fn read_cluster(&self) -> Option<u64> {
+        let nodes = self.store.read_all(CLUSTER_TABLE, "").await?;
+        self.take_cluster_rows(&nodes.rows);
+        while self.catalog().is_none() {
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        let shards: Vec<String> = {
+            let planner = self.planner.borrow();
+            planner.shards().map(str::to_owned).collect()
+        };
+        for shard in shards {
+            let rows = self.store.read_all(CLUSTER_TABLE, &shard).await?;
+            self.take_cluster_rows(&rows.rows);
+        }
+        Some(nodes.version)
+    }
+
+    fn take_cluster_rows(&self, rows: &[Row]) {
+        let now_ms = clock::now().steady_ms;
+        for row in rows {
+            let Some(value) = &row.value else { continue };
+            if row.key.key == OWNER_KEY {
+                let Some(owner) = decode::<OwnerRow>(value) else {
+                    warn!(self.main_log, "Unreadable owner."; "shard" => &row.key.part);
+                    continue;
+                };
+                self.take_owner(&row.key.part, owner, row.version, now_ms);
+            } else if let Some(name) = row.key.key.strip_prefix("node/")
+                && let Some(node) = decode::<NodeRow>(value)
+                && name != self.settings.node
+            {
+                let mut addresses = self.peer_addresses.borrow_mut();
+                addresses.insert(name.to_owned(), (node.address, now_ms));
+            }
+        }
+        self.planner_changed.notify_one();
+    }
+
+    fn take_owner(&self, shard: &str, owner: OwnerRow, version: u64, now_ms: u64) {
+        info!(self.main_log, "Owner."; "shard" => shard, "node" => &owner.node,
+            "fencing_token" => owner.fencing_token, "version" => version,
+            "released" => owner.released);
+        let mut planner = self.planner.borrow_mut();
+        planner.owner_read(shard, Some(owner), version, now_ms);
+        let mine = planner.is_mine(shard);
+        drop(planner);
+        if !mine {
+            self.give_up(shard, "another owner");
+        }
+    }
+
+    /// Stops scheduling a shard that another process owns.
+    pub(crate) fn give_up(&self, shard: &str, why: &str) {
+        if shard == FLEET_SHARD {
+            if let Some(fleet) = self.fleet.take() {
+                info!(self.main_log, "Gave the fleet up."; "why" => why);
+                fleet.stop();
+            }
+            return;
+        }
+        let host = self.hosts.borrow_mut().remove(shard);
+        if let Some(host) = host {
+            info!(self.main_log, "Gave a shard up."; "shard" => shard, "why" => why);
+            host.stop();
+        }
+    }
+
+    /// Claims shards when it is this process's turn.
+    pub(super) async fn claim_shards(self: Rc<Self>) {
+        loop {
+            let now_ms = clock::now().steady_ms;
+            let ready = !self.leaving.get() && self.store.is_there() && self.confirmed_ms.get() > 0;
+            let claims = if ready {
+                self.planner.borrow().due_claims(now_ms)
+            } else {
+                Vec::new()
+            };
+            for claim in claims {
+                if self.claiming.borrow_mut().insert(claim.shard.clone()) {
+                    spawn_local(Rc::clone(&self).claim(claim));
+                }
+            }
+            let next_ms = self.planner.borrow().next_claim_ms(clock::now().steady_ms);
+            let pause = next_ms.map_or(CLAIM_CHECK, |next_ms| {
+                clock::until(next_ms).min(CLAIM_CHECK)
+            });
+            tokio::select! {
+                () = tokio::time::sleep(pause.max(Duration::from_millis(10))) => {}
+                () = self.planner_changed.notified() => {}
+            }
+        }
+    }
+
+    async fn claim(self: Rc<Self>, claim: Claim) {
+        let row = OwnerRow {
+            node: self.settings.node.clone(),
+            started_unix_ms: self.started_unix_ms,
+            address: self.address.clone(),
+            fencing_token: claim.fencing_token,
+            released: false,
+        };
+        let key = owner_row_key(&claim.shard);
+        let transaction = Transaction {
+            conditions: vec![(key.clone(), claim.expected_version)],
+            writes: vec![(key, encode(&row))],
+            ..Transaction::default()
+        };
+        let asked_ms = clock::now().steady_ms;
+        match self.store.transact(&transaction).await {
+            TransactionOutcome::Committed { version } => {
+                let now_ms = clock::now().steady_ms;
+                self.planner
+                    .borrow_mut()
+                    .owner_read(&claim.shard, Some(row), version, now_ms);
+                info!(self.main_log, "Took a shard over."; "shard" => &claim.shard,
+                    "fencing_token" => claim.fencing_token, "version" => version,
+                    "predecessor_ended" => claim.predecessor_ended, "took_ms" => now_ms - asked_ms);
+                if claim.shard == FLEET_SHARD {
+                    FleetHost::start(&self, &claim, version).await;
+                } else {
+                    PoolHost::start(&self, &claim, version).await;
+                }
+            }
+            TransactionOutcome::Conflict(rows) => self.take_cluster_rows(&rows),
+            outcome => {
+                // Whether it was done shows in the feed.
+                info!(self.main_log, "Claim failed."; "shard" => &claim.shard,
+                    "outcome" => ?outcome);
+            }
+        }
+        self.claiming.borrow_mut().remove(&claim.shard);
+        self.planner_changed.notify_one();
+    }
+
+    /// Gives all shards up for others to take at once.
+    pub(super) async fn release_shards(&self) {
+        if let Some(fleet) = self.fleet.take() {
+            fleet.stop();
+            self.release(FLEET_SHARD).await;
+        }
+        let hosts: BTreeMap<String, Rc<PoolHost>> = std::mem::take(&mut *self.hosts.borrow_mut());
+        for (shard, host) in hosts {
+            host.settle().await;
+            host.stop();
+            self.release(&shard).await;
+        }
+    }
+
+    async fn release(&self, shard: &str) {
+        let (row, version) = {
+            let planner = self.planner.borrow();
+            let Some((owner, version)) = planner.owner(shard) else {
+                return;
+            };
+            let released = OwnerRow {
+                released: true,
+                ..owner.clone()
+            };
+            (released, version)
+        };
+        let key = owner_row_key(shard);
+        let transaction = Transaction {
+            conditions: vec![(key.clone(), version)],
+            writes: vec![(key, encode(&row))],
+            ..Transaction::default()
+        };
+        let outcome = self.store.transact(&transaction).await;
+        info!(self.main_log, "Released a shard."; "shard" => shard, "outcome" => ?outcome);
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/node/feeds.rs
@@ -0,0 +1,96 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint_platform::operator;
+use cornelpoint_platform::store::Row;
+use slog::info;
+use slog::warn;
+
+use super::node::Node;
+use crate::fleet_host::FLEET_SHARD;
+use crate::store::FeedOutcome;
+
+/// Longest wait for changes: a connection that went silent is noticed within
+/// it and the time limit of a call.
+const FEED_WAIT_MS: u64 = 2000;
+/// Pause before the store is asked again after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+impl Node {
+    /// Keeps the operator's orders up to date.
+    pub(super) async fn follow_operator(self: Rc<Self>) {
+        let mut after = None;
+        loop {
+            let Some(version) = after else {
+                match self.store.read_all(operator::TABLE, "").await {
+                    Some(rows) => {
+                        self.take_operator_rows(&rows.rows);
+                        after = Some(rows.version);
+                    }
+                    None => tokio::time::sleep(RETRY_PAUSE).await,
+                }
+                continue;
+            };
+            match self
+                .store
+                .feed(operator::TABLE, version, FEED_WAIT_MS)
+                .await
+            {
+                FeedOutcome::Changes(rows) => {
+                    self.take_operator_rows(&rows.rows);
+                    after = Some(rows.version.max(version));
+                }
+                FeedOutcome::HistoryGone => after = None,
+                FeedOutcome::Failed => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    fn take_operator_rows(&self, rows: &[Row]) {
+        for row in rows {
+            let Some(value) = &row.value else { continue };
+            if row.key.key == operator::CATALOG_KEY {
+                self.take_catalog(value);
+            } else if let Some(wave) = operator::wave_of(&row.key.key, value) {
+                info!(self.platform_log, "Maintenance wave."; "wave" => wave.number,
+                    "machines" => wave.machines.len(), "most_at_once" => wave.most_at_once,
+                    "duration_ms" => wave.duration_ms);
+                self.waves.borrow_mut().insert(wave.number, wave);
+                if let Some(fleet) = &*self.fleet.borrow() {
+                    fleet.wake();
+                }
+            }
+        }
+    }
+
+    /// Takes a configuration if it is newer than the one in force.
+    fn take_catalog(&self, value: &[u8]) {
+        let catalog = match operator::catalog_of(value) {
+            Ok(catalog) => catalog,
+            Err(error) => {
+                warn!(self.platform_log, "Unreadable configuration."; "error" => %error);
+                return;
+            }
+        };
+        let in_force = self.catalog().map_or(0, |catalog| catalog.version);
+        if catalog.version <= in_force && in_force > 0 {
+            return;
+        }
+        info!(self.platform_log, "Configuration in force."; "version" => catalog.version,
+            "before" => in_force, "queues" => catalog.queues.len());
+        for host in self.hosts.borrow().values() {
+            host.set_queues(&catalog);
+        }
+        let now = crate::clock::now();
+        let mut planner = self.planner.borrow_mut();
+        for pool in catalog.pools.values().filter(|pool| !pool.spare) {
+            planner.add_shard(&pool.name, now.steady_ms);
+        }
+        if self.settings.fleet_address.is_some() {
+            planner.add_shard(FLEET_SHARD, now.steady_ms);
+        }
+        drop(planner);
+        self.planner_changed.notify_one();
+        *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/node/heartbeats.rs
@@ -0,0 +1,152 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::ownership::Peer;
+use slog::debug;
+use tokio::net::UdpSocket;
+
+use super::node::Node;
+use super::node::PoolNews;
+use crate::clock;
+use crate::message::Heartbeat;
+use crate::store::decode;
+use crate::store::encode;
+
+/// Time between heartbeats of few processes.
+const INTERVAL_MS: u64 = 400;
+/// Time more for each peer, so that many do not flood a small instance.
+const INTERVAL_PER_PEER_MS: u64 = 8;
+/// Time after which a peer that is not heard gets no heartbeats.
+const FORGET_AFTER_MS: u64 = 30_000;
+/// How long the order to empty workers holds without a repetition.
+const VACATE_HOLDS_MS: u64 = 4000;
+/// Largest heartbeat; all that does not fit a datagram is lost.
+const MOST_BYTES: usize = 60_000;
+
+impl Node {
+    /// Tells all peers how this process is.
+    pub(super) async fn send_heartbeats(self: Rc<Self>, socket: Rc<UdpSocket>) {
+        loop {
+            let message = encode(&self.heartbeat());
+            let now_ms = clock::now().steady_ms;
+            self.apply_vacate(now_ms);
+            let addresses: Vec<String> = {
+                let addresses = self.peer_addresses.borrow();
+                let recent = addresses
+                    .values()
+                    .filter(|(_, heard_ms)| heard_ms + FORGET_AFTER_MS > now_ms);
+                recent.map(|(address, _)| address.clone()).collect()
+            };
+            for address in &addresses {
+                // A datagram that can't be sent is as good as a lost one.
+                if let Err(error) = socket.send_to(&message, address).await {
+                    debug!(self.main_log, "Heartbeat not sent."; "to" => address, "error" => %error);
+                }
+            }
+            let peers = u64::try_from(addresses.len()).unwrap_or(0);
+            let pause = Duration::from_millis(INTERVAL_MS + INTERVAL_PER_PEER_MS * peers);
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = self.heartbeat_now.notified() => {}
+            }
+        }
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        let hosts = self.hosts.borrow();
+        let pools = hosts.iter().map(|(pool, host)| (pool.clone(), host.news()));
+        let pools: BTreeMap<_, _> = pools.collect();
+        for (pool, news) in &pools {
+            self.take_news(pool, news.fencing_token, &news.waiting, &news.report);
+        }
+        Heartbeat {
+            node: self.settings.node.clone(),
+            started_unix_ms: self.started_unix_ms,
+            address: self.address.clone(),
+            leaving: self.leaving.get(),
+            has_store: self.store.is_there(),
+            pools,
+            to_vacate: self.fleet.borrow().as_ref().map(|fleet| fleet.to_vacate()),
+        }
+    }
+
+    /// Takes what peers tell.
+    pub(super) async fn hear_heartbeats(self: Rc<Self>, socket: Rc<UdpSocket>) {
+        let mut buffer = vec![0; MOST_BYTES];
+        loop {
+            let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+                continue;
+            };
+            let Some(heartbeat) = decode::<Heartbeat>(&buffer[..length]) else {
+                debug!(self.main_log, "Unreadable heartbeat."; "bytes" => length);
+                continue;
+            };
+            self.take_heartbeat(heartbeat);
+        }
+    }
+
+    fn take_heartbeat(&self, heartbeat: Heartbeat) {
+        let now_ms = clock::now().steady_ms;
+        let peer = Peer {
+            address: heartbeat.address.clone(),
+            started_unix_ms: heartbeat.started_unix_ms,
+            leaving: heartbeat.leaving,
+            has_store: heartbeat.has_store,
+        };
+        self.planner
+            .borrow_mut()
+            .heard(&heartbeat.node, peer, now_ms);
+        self.peer_addresses
+            .borrow_mut()
+            .insert(heartbeat.node, (heartbeat.address, now_ms));
+        if let Some(workers) = heartbeat.to_vacate {
+            *self.to_vacate.borrow_mut() = (workers, now_ms);
+            self.apply_vacate(now_ms);
+        }
+        for (pool, owned) in &heartbeat.pools {
+            self.take_news(pool, owned.fencing_token, &owned.waiting, &owned.report);
+        }
+    }
+
+    /// Empties the workers that the owner of the fleet wants emptied; none
+    /// when it has not been heard of for long.
+    fn apply_vacate(&self, now_ms: u64) {
+        if let Some(fleet) = &*self.fleet.borrow() {
+            *self.to_vacate.borrow_mut() = (fleet.to_vacate(), now_ms);
+        }
+        let workers = {
+            let (workers, heard_ms) = &*self.to_vacate.borrow();
+            if heard_ms + VACATE_HOLDS_MS > now_ms {
+                workers.clone()
+            } else {
+                BTreeSet::new()
+            }
+        };
+        let hosts: Vec<_> = self.hosts.borrow().values().cloned().collect();
+        for host in hosts {
+            host.vacate(&workers);
+        }
+    }
+
+    fn take_news(
+        &self,
+        pool: &str,
+        fencing_token: u64,
+        waiting: &BTreeMap<String, usize>,
+        report: &cornelpoint::fleet::PoolReport,
+    ) {
+        let mut all = self.pool_news.borrow_mut();
+        let news = all.entry(pool.to_owned()).or_default();
+        if news.fencing_token > fencing_token {
+            return;
+        }
+        *news = PoolNews {
+            fencing_token,
+            heard_ms: clock::now().steady_ms,
+            waiting: waiting.clone(),
+            report: report.clone(),
+        };
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/node/mod.rs
@@ -0,0 +1,10 @@
+//! A process: what it knows of the configuration, its peers and the shards,
+//! and the tasks that keep that up to date.
+
+mod cluster;
+mod feeds;
+mod heartbeats;
+mod node;
+mod shutdown;
+
+pub(crate) use self::node::Node;
--- /dev/null
+++ b/crates/cornelpoint-manager/src/node/node.rs
@@ -0,0 +1,181 @@
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::catalog::Catalog;
+use cornelpoint::fleet::PoolReport;
+use cornelpoint::fleet::WaveOrder;
+use cornelpoint::ownership::OwnershipPlanner;
+use cornelpoint::ownership::OwnershipSettings;
+use cornelpoint_daemon::log::Part;
+use cornelpoint_daemon::log::RootLog;
+use cornelpoint_platform::settings::NodeSettings;
+use slog::Logger;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+
+use crate::clock;
+use crate::edge;
+use crate::fleet_host::FleetHost;
+use crate::http::HttpEndpoint;
+use crate::http::ServerControl;
+use crate::http::listen;
+use crate::http::serve;
+use crate::pool_host::PoolHost;
+use crate::store::StoreClient;
+
+/// Connections to one peer: questions are short.
+const PEER_CONNECTIONS: usize = 8;
+/// Time between tries to bind an address that a predecessor may still hold.
+const BIND_PAUSE: Duration = Duration::from_millis(100);
+/// Tries to bind an address.
+const BIND_TRIES: u32 = 30;
+
+/// What the owner of a pool has told last.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PoolNews {
+    pub(crate) fencing_token: u64,
+    pub(crate) heard_ms: u64,
+    pub(crate) waiting: BTreeMap<String, usize>,
+    pub(crate) report: PoolReport,
+}
+
+/// A process of the system.
+pub(crate) struct Node {
+    pub(crate) settings: NodeSettings,
+    pub(crate) started_unix_ms: u64,
+    pub(crate) address: String,
+    pub(crate) store: StoreClient,
+    pub(crate) edge_log: Logger,
+    pub(crate) pool_log: Logger,
+    pub(crate) platform_log: Logger,
+    pub(crate) main_log: Logger,
+    pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    pub(crate) waves: RefCell<BTreeMap<u64, WaveOrder>>,
+    pub(crate) planner: RefCell<OwnershipPlanner>,
+    pub(crate) planner_changed: Notify,
+    pub(crate) hosts: RefCell<BTreeMap<String, Rc<PoolHost>>>,
+    pub(crate) claiming: RefCell<BTreeSet<String>>,
+    pub(crate) peers: RefCell<HashMap<String, Rc<HttpEndpoint>>>,
+    pub(crate) peer_addresses: RefCell<BTreeMap<String, (String, u64)>>,
+    pub(crate) pool_news: RefCell<BTreeMap<String, PoolNews>>,
+    pub(crate) fleet: RefCell<Option<Rc<FleetHost>>>,
+    /// Workers that the owner of the fleet wants emptied, and when it said so.
+    pub(crate) to_vacate: RefCell<(BTreeSet<String>, u64)>,
+    /// When the store last confirmed the owners' rows, by the time of asking.
+    pub(crate) confirmed_ms: Cell<u64>,
+    pub(crate) leaving: Cell<bool>,
+    pub(crate) heartbeat_now: Notify,
+    pub(crate) servers: Rc<ServerControl>,
+}
+
+impl Node {
+    /// Runs the process until it is told to stop.
+    pub(crate) async fn run(settings: NodeSettings, log: &RootLog) -> io::Result<()> {
+        let now = clock::now();
+        let address = format!("{}:{}", settings.ip, settings.internal_ports.0);
+        let planner = OwnershipPlanner::new(
+            &settings.node,
+            now.unix_ms,
+            now.steady_ms,
+            OwnershipSettings::default(),
+        );
+        let store = StoreClient::new(&settings.store_address, log.part(Part::Platform));
+        let node = Rc::new(Self {
+            started_unix_ms: now.unix_ms,
+            address: address.clone(),
+            store,
+            edge_log: log.part(Part::Edge),
+            pool_log: log.part(Part::Planner),
+            platform_log: log.part(Part::Platform),
+            main_log: log.part(Part::Main),
+            catalog: RefCell::default(),
+            waves: RefCell::default(),
+            planner: RefCell::new(planner),
+            planner_changed: Notify::new(),
+            hosts: RefCell::default(),
+            claiming: RefCell::default(),
+            peers: RefCell::default(),
+            peer_addresses: RefCell::default(),
+            pool_news: RefCell::default(),
+            fleet: RefCell::default(),
+            to_vacate: RefCell::default(),
+            confirmed_ms: Cell::new(0),
+            leaving: Cell::new(false),
+            heartbeat_now: Notify::new(),
+            servers: Rc::default(),
+            settings,
+        });
+        node.serve_all().await?;
+        let socket = Rc::new(UdpSocket::bind(&address).await?);
+        spawn_local(Rc::clone(&node).hear_heartbeats(Rc::clone(&socket)));
+        spawn_local(Rc::clone(&node).send_heartbeats(socket));
+        spawn_local(Rc::clone(&node).follow_operator());
+        spawn_local(Rc::clone(&node).follow_cluster());
+        spawn_local(Rc::clone(&node).claim_shards());
+        node.until_stopped().await
+    }
+
+    async fn serve_all(self: &Rc<Self>) -> io::Result<()> {
+        let internal = bind(&self.address).await?;
+        let node = Rc::clone(self);
+        spawn_local(serve(internal, Rc::clone(&self.servers), move |request| {
+            edge::answer_peer(Rc::clone(&node), request)
+        }));
+        if let Some(address) = &self.settings.caller_address {
+            let callers = bind(address).await?;
+            let node = Rc::clone(self);
+            spawn_local(serve(callers, Rc::clone(&self.servers), move |request| {
+                edge::answer_caller(Rc::clone(&node), request)
+            }));
+        }
+        if let Some(address) = &self.settings.ready_address {
+            let balancer = bind(address).await?;
+            let node = Rc::clone(self);
+            spawn_local(serve(balancer, Rc::clone(&self.servers), move |request| {
+                edge::answer_balancer(Rc::clone(&node), request)
+            }));
+        }
+        Ok(())
+    }
+
+    /// The configuration in force.
+    pub(crate) fn catalog(&self) -> Option<Rc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    /// The connection pool to a peer.
+    pub(crate) fn peer(&self, address: &str) -> Rc<HttpEndpoint> {
+        let mut peers = self.peers.borrow_mut();
+        let peer = peers
+            .entry(address.to_owned())
+            .or_insert_with(|| Rc::new(HttpEndpoint::new(address, PEER_CONNECTIONS)));
+        Rc::clone(peer)
+    }
+
+    /// The scheduler of a pool, where this process owns it.
+    pub(crate) fn host(&self, pool: &str) -> Option<Rc<PoolHost>> {
+        self.hosts.borrow().get(pool).cloned()
+    }
+}
+
+/// Binds an address that a predecessor on the machine may not have left yet.
+async fn bind(address: &str) -> io::Result<TcpListener> {
+    let mut tries = 0;
+    loop {
+        match listen(address).await {
+            Err(error) if tries < BIND_TRIES && error.kind() == io::ErrorKind::AddrInUse => {
+                tries += 1;
+                tokio::time::sleep(BIND_PAUSE).await;
+            }
+            bound => return bound,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/pool_host/commits.rs
@@ -0,0 +1,100 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::job::JobStatus;
+use cornelpoint::scheduler::Batch;
+use cornelpoint::scheduler::BatchOutcome;
+use cornelpoint_platform::store::RowKey;
+use cornelpoint_platform::store::Transaction;
+use slog::info;
+
+use super::host::PoolHost;
+use crate::message::PoolResponse;
+use crate::store::INBOX_TABLE;
+use crate::store::JOB_TABLE;
+use crate::store::PROGRESS_TABLE;
+use crate::store::TransactionOutcome;
+use crate::store::WORKER_TABLE;
+use crate::store::WORKERS_KEY;
+use crate::store::encode;
+use crate::store::owner_row_key;
+
+/// Pause after the store did not take a batch.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+impl PoolHost {
+    /// Stores a batch on the condition that this process still owns the pool.
+    pub(super) async fn commit(self: Rc<Self>, batch: Batch) {
+        let transaction = self.transaction(&batch);
+        let outcome = match self.node.store.transact(&transaction).await {
+            TransactionOutcome::Committed { .. } => BatchOutcome::Stored,
+            TransactionOutcome::Conflict(_) => BatchOutcome::Deposed,
+            TransactionOutcome::Refused | TransactionOutcome::Unknown => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                BatchOutcome::Unknown
+            }
+        };
+        if outcome == BatchOutcome::Stored {
+            let mut inbox = self.inbox.borrow_mut();
+            for key in &transaction.removals {
+                inbox.remove(&key.key);
+            }
+        }
+        let stored = self.event(|scheduler, now| scheduler.batch_replied(outcome, now));
+        let mut waiters = self.waiters.borrow_mut();
+        for id in stored.accepted {
+            info!(self.log, "Job accepted."; "job" => %id, "pool" => &self.pool);
+            for waiter in waiters.remove(&id).unwrap_or_default() {
+                // A caller that has gone needs no answer.
+                let _ = waiter.send(PoolResponse::Accepted);
+            }
+        }
+        for (id, status) in stored.ended {
+            info!(self.log, "Job final."; "job" => %id, "pool" => &self.pool, "status" => ?status);
+            let response = match status {
+                JobStatus::Cancelled => PoolResponse::Cancelled,
+                status => PoolResponse::Status(status),
+            };
+            for waiter in waiters.remove(&id).unwrap_or_default() {
+                let _ = waiter.send(response.clone());
+            }
+        }
+    }
+
+    fn transaction(&self, batch: &Batch) -> Transaction {
+        let mut transaction = Transaction {
+            conditions: vec![(owner_row_key(&self.pool), self.owner_version)],
+            ..Transaction::default()
+        };
+        let inbox = self.inbox.borrow();
+        for (id, record) in &batch.records {
+            let key = RowKey::new(JOB_TABLE, &self.pool, id.to_string());
+            transaction.writes.push((key, encode(record)));
+            let stored_for_us = format!("submit/{id}");
+            if inbox.contains(&stored_for_us) {
+                let key = RowKey::new(INBOX_TABLE, &self.pool, stored_for_us);
+                transaction.removals.push(key);
+            }
+        }
+        for (id, progress) in &batch.progress {
+            let key = RowKey::new(PROGRESS_TABLE, &self.pool, id.to_string());
+            transaction.writes.push((key, encode(progress)));
+            let stored_for_us = format!("cancel/{id}");
+            if progress.status.is_final() && inbox.contains(&stored_for_us) {
+                let key = RowKey::new(INBOX_TABLE, &self.pool, stored_for_us);
+                transaction.removals.push(key);
+            }
+        }
+        for id in &batch.forgotten {
+            for table in [JOB_TABLE, PROGRESS_TABLE] {
+                let key = RowKey::new(table, &self.pool, id.to_string());
+                transaction.removals.push(key);
+            }
+        }
+        if let Some(workers) = &batch.workers {
+            let key = RowKey::new(WORKER_TABLE, &self.pool, WORKERS_KEY);
+            transaction.writes.push((key, encode(workers)));
+        }
+        transaction
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -0,0 +1,191 @@
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::catalog::Catalog;
+use cornelpoint::job::JobId;
+use cornelpoint::ownership::OwnershipSettings;
+use cornelpoint::scheduler::Instant;
+use cornelpoint::scheduler::LifeIndex;
+use cornelpoint::scheduler::PoolScheduler;
+use slog::Logger;
+use slog::warn;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+
+use super::worker_link::WorkerLink;
+use crate::clock;
+use crate::message::OwnedPool;
+use crate::message::PoolResponse;
+use crate::node::Node;
+
+/// Longest time between two looks at what is due.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1000);
+
+/// A pool that this process owns.
+pub(crate) struct PoolHost {
+    pub(super) node: Rc<Node>,
+    pub(super) pool: String,
+    pub(super) fencing_token: u64,
+    /// Version of the owner's row; every write depends on it.
+    pub(super) owner_version: u64,
+    pub(super) scheduler: RefCell<PoolScheduler>,
+    pub(super) links: RefCell<HashMap<LifeIndex, Rc<WorkerLink>>>,
+    pub(super) waiters: RefCell<HashMap<JobId, Vec<oneshot::Sender<PoolResponse>>>>,
+    /// Rows that others have stored for this owner, by their keys.
+    pub(super) inbox: RefCell<BTreeSet<String>>,
+    /// Workers that were last told to be empty.
+    vacated: RefCell<BTreeSet<String>>,
+    pub(super) log: Logger,
+    pub(super) stopped: Cell<bool>,
+    wake: Notify,
+    wakes_at_ms: Cell<u64>,
+}
+
+impl PoolHost {
+    pub(super) fn new(
+        node: &Rc<Node>,
+        pool: &str,
+        owner_version: u64,
+        scheduler: PoolScheduler,
+    ) -> Self {
+        Self {
+            node: Rc::clone(node),
+            pool: pool.to_owned(),
+            fencing_token: scheduler.fencing_token(),
+            owner_version,
+            scheduler: RefCell::new(scheduler),
+            links: RefCell::default(),
+            waiters: RefCell::default(),
+            inbox: RefCell::default(),
+            vacated: RefCell::default(),
+            log: node.pool_log.clone(),
+            stopped: Cell::new(false),
+            wake: Notify::new(),
+            wakes_at_ms: Cell::new(0),
+        }
+    }
+
+    /// Applies an event and carries out what follows from it.
+    pub(super) fn event<R>(
+        self: &Rc<Self>,
+        apply: impl FnOnce(&mut PoolScheduler, Instant) -> R,
+    ) -> R {
+        let now = clock::now();
+        let mut scheduler = self.scheduler.borrow_mut();
+        let outcome = apply(&mut scheduler, now);
+        if self.stopped.get() {
+            return outcome;
+        }
+        let mut actions = Vec::new();
+        let mut batch = None;
+        if self.is_confirmed(now) {
+            scheduler.tick(now);
+            actions = scheduler.take_actions();
+            batch = scheduler.begin_batch(now);
+        }
+        let deposed = scheduler.is_deposed();
+        let vacated = scheduler.vacated();
+        let next_ms = [scheduler.next_tick_ms(now), scheduler.next_batch_ms()];
+        drop(scheduler);
+        if deposed {
+            warn!(self.log, "Deposed."; "pool" => &self.pool, "fencing_token" => self.fencing_token);
+            self.node.give_up(&self.pool, "fenced off");
+            self.stop();
+            return outcome;
+        }
+        if *self.vacated.borrow() != vacated {
+            *self.vacated.borrow_mut() = vacated;
+            self.node.heartbeat_now.notify_one();
+        }
+        for action in actions {
+            self.carry_out(action);
+        }
+        if let Some(batch) = batch {
+            spawn_local(Rc::clone(self).commit(batch));
+        }
+        let next_ms = next_ms.into_iter().flatten().min().unwrap_or(u64::MAX);
+        if next_ms < self.wakes_at_ms.get() {
+            self.wake.notify_one();
+        }
+        outcome
+    }
+
+    /// Whether the store has confirmed ownership lately enough to act on it.
+    fn is_confirmed(&self, now: Instant) -> bool {
+        let limit_ms = OwnershipSettings::default().unconfirmed_ms;
+        now.steady_ms < self.node.confirmed_ms.get() + limit_ms
+    }
+
+    /// Does what is due by time alone, until the pool is given up.
+    pub(super) async fn keep_time(self: Rc<Self>) {
+        while !self.stopped.get() {
+            self.event(|_, _| ());
+            let now = clock::now();
+            let next_ms = {
+                let scheduler = self.scheduler.borrow();
+                let next = [scheduler.next_tick_ms(now), scheduler.next_batch_ms()];
+                next.into_iter().flatten().min().unwrap_or(u64::MAX)
+            };
+            let longest = u64::try_from(LONGEST_PAUSE.as_millis()).unwrap_or(u64::MAX);
+            // At least a millisecond, the resolution of the timers.
+            let at_ms = next_ms.clamp(now.steady_ms + 1, now.steady_ms + longest);
+            self.wakes_at_ms.set(at_ms);
+            tokio::select! {
+                () = tokio::time::sleep(clock::until(at_ms)) => {}
+                () = self.wake.notified() => {}
+            }
+        }
+    }
+
+    /// Gives the pool up: nothing more is ordered or stored.
+    pub(crate) fn stop(&self) {
+        self.stopped.set(true);
+        self.wake.notify_one();
+        for (_, waiters) in self.waiters.borrow_mut().drain() {
+            for waiter in waiters {
+                // A caller that has gone needs no answer.
+                let _ = waiter.send(PoolResponse::Uncertain);
+            }
+        }
+    }
+
+    /// Takes the queues' settings in force.
+    pub(crate) fn set_queues(&self, catalog: &Catalog) {
+        self.scheduler
+            .borrow_mut()
+            .set_queues(catalog.queues.iter());
+    }
+
+    /// What others need to know of the pool.
+    pub(crate) fn news(&self) -> OwnedPool {
+        let scheduler = self.scheduler.borrow();
+        let queues = self.node.catalog().map(|catalog| {
+            let queues = catalog
+                .queues
+                .iter()
+                .filter(|queue| queue.pool == self.pool);
+            queues.map(|queue| queue.name.clone()).collect::<Vec<_>>()
+        });
+        let waiting = queues.unwrap_or_default().into_iter().map(|queue| {
+            let count = scheduler.waiting(&queue);
+            (queue, count)
+        });
+        let waiting: BTreeMap<String, usize> = waiting.collect();
+        OwnedPool {
+            fencing_token: self.fencing_token,
+            waiting,
+            report: scheduler.report(clock::now()),
+        }
+    }
+
+    /// Empties workers for planned work.
+    pub(crate) fn vacate(self: &Rc<Self>, workers: &BTreeSet<String>) {
+        self.event(|scheduler, _| scheduler.vacate(workers));
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/pool_host/orders.rs
@@ -0,0 +1,237 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::job::StepId;
+use cornelpoint::job::TaskId;
+use cornelpoint::scheduler::Action;
+use cornelpoint::scheduler::LifeIndex;
+use cornelpoint::scheduler::LookFailure;
+use cornelpoint::worker::LookReport;
+use cornelpoint::worker::OrderOutcome;
+use cornelpoint_platform::call::Call;
+use cornelpoint_platform::workers;
+use slog::debug;
+use slog::info;
+use slog::warn;
+use tokio::task::spawn_local;
+
+use super::host::PoolHost;
+use super::worker_link::WorkerLink;
+use crate::http::CallError;
+use crate::http::HttpEndpoint;
+
+/// Time for an answer to an order; workers answer within milliseconds.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time for a report beyond the time that the look may wait.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for the advice service, which takes one question after the other.
+const ADVICE_TIMEOUT: Duration = Duration::from_millis(3000);
+
+impl PoolHost {
+    /// Sends an order off.
+    pub(super) fn carry_out(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Start {
+                life,
+                task,
+                run,
+                spec,
+                deadline_clock_ms,
+                checkpoint,
+                ticket,
+            } => {
+                let Some(link) = self.link(life) else { return };
+                debug!(self.log, "Start."; "task" => %task, "run" => run, "worker" => &link.id,
+                    "deadline_clock_ms" => deadline_clock_ms);
+                let order = workers::StartOrder {
+                    task,
+                    run,
+                    spec: &spec,
+                    deadline_clock_ms,
+                    checkpoint: &checkpoint,
+                    ticket: ticket.as_deref(),
+                };
+                let call = workers::start_call(&link.id, self.fencing_token, &order);
+                spawn_local(Rc::clone(self).send_start(link, life, call, task, run));
+            }
+            Action::Stop { life, task, run } => {
+                let Some(link) = self.link(life) else { return };
+                debug!(self.log, "Stop."; "task" => %task, "run" => run, "worker" => &link.id);
+                let call = workers::stop_call(&link.id, self.fencing_token, task, run);
+                spawn_local(Rc::clone(self).send_stop(link, life, call, task, run));
+            }
+            Action::Look {
+                life,
+                acknowledged,
+                deadline_clock_ms,
+                wait_ms,
+            } => {
+                let Some(link) = self.link(life) else { return };
+                let call = workers::look_call(
+                    &link.id,
+                    self.fencing_token,
+                    acknowledged,
+                    deadline_clock_ms,
+                    wait_ms,
+                );
+                spawn_local(Rc::clone(self).send_look(link, life, call, wait_ms));
+            }
+            Action::Pace {
+                life,
+                task,
+                run,
+                percent,
+            } => {
+                let Some(link) = self.link(life) else { return };
+                debug!(self.log, "Pace."; "task" => %task, "run" => run, "worker" => &link.id,
+                    "percent" => percent);
+                let call = workers::pace_call(&link.id, self.fencing_token, task, run, percent);
+                spawn_local(Rc::clone(self).send_pace(link, call, task));
+            }
+            Action::Advise { step, lives } => {
+                spawn_local(Rc::clone(self).ask_advice(step, lives));
+            }
+        }
+    }
+
+    fn link(&self, life: LifeIndex) -> Option<Rc<WorkerLink>> {
+        let scheduler = self.scheduler.borrow();
+        let (address, id) = scheduler.worker_address(life)?;
+        let mut links = self.links.borrow_mut();
+        let link = links
+            .entry(life)
+            .or_insert_with(|| Rc::new(WorkerLink::new(address, id)));
+        Some(Rc::clone(link))
+    }
+
+    async fn send_start(
+        self: Rc<Self>,
+        link: Rc<WorkerLink>,
+        life: LifeIndex,
+        call: Call,
+        task: TaskId,
+        run: u64,
+    ) {
+        let outcome = order(&link.orders, &call).await;
+        if !matches!(outcome, OrderOutcome::Done { .. }) {
+            info!(self.log, "Start not carried out."; "task" => %task, "run" => run,
+                "worker" => &link.id, "outcome" => ?outcome);
+        }
+        self.event(|scheduler, now| scheduler.start_replied(life, task, run, outcome, now));
+    }
+
+    async fn send_stop(
+        self: Rc<Self>,
+        link: Rc<WorkerLink>,
+        life: LifeIndex,
+        call: Call,
+        task: TaskId,
+        run: u64,
+    ) {
+        let outcome = order(&link.orders, &call).await;
+        self.event(|scheduler, now| scheduler.stop_replied(life, task, run, outcome, now));
+    }
+
+    async fn send_pace(self: Rc<Self>, link: Rc<WorkerLink>, call: Call, task: TaskId) {
+        let outcome = order(&link.orders, &call).await;
+        if !matches!(outcome, OrderOutcome::Done { .. }) {
+            info!(self.log, "Pace not carried out."; "task" => %task, "worker" => &link.id,
+                "outcome" => ?outcome);
+        }
+    }
+
+    async fn send_look(
+        self: Rc<Self>,
+        link: Rc<WorkerLink>,
+        life: LifeIndex,
+        call: Call,
+        wait_ms: u64,
+    ) {
+        let within = Duration::from_millis(wait_ms) + LOOK_TIMEOUT;
+        let outcome = match link.looks.send(&call, within).await {
+            Ok(answer) if answer.status == 200 => self.report(&link, &answer.body),
+            Ok(answer) if answer.status == 409 => Err(LookFailure::Fence),
+            Ok(answer) if answer.status == 421 => Err(LookFailure::OtherLife),
+            Ok(answer) => {
+                info!(self.log, "Look refused."; "worker" => &link.id, "status" => answer.status);
+                Err(LookFailure::NoAnswer)
+            }
+            Err(error) => {
+                info!(self.log, "Look failed."; "worker" => &link.id, "error" => %error);
+                Err(LookFailure::NoAnswer)
+            }
+        };
+        self.event(|scheduler, now| scheduler.look_replied(life, outcome, now));
+    }
+
+    fn report(&self, link: &WorkerLink, body: &[u8]) -> Result<LookReport, LookFailure> {
+        match workers::report_of(body) {
+            Ok((report, unread)) => {
+                if unread > 0 {
+                    warn!(self.log, "Unreadable rows in a report."; "worker" => &link.id,
+                        "rows" => unread);
+                }
+                Ok(report)
+            }
+            Err(error) => {
+                warn!(self.log, "Unreadable report."; "worker" => &link.id, "error" => %error);
+                Err(LookFailure::NoAnswer)
+            }
+        }
+    }
+
+    async fn ask_advice(self: Rc<Self>, step: StepId, lives: Vec<LifeIndex>) {
+        let tickets = self.advice(step, &lives).await;
+        self.event(|scheduler, now| scheduler.advised(step, tickets, now));
+    }
+
+    async fn advice(
+        &self,
+        step: StepId,
+        lives: &[LifeIndex],
+    ) -> Option<(Vec<(LifeIndex, String)>, u64)> {
+        let address = self.node.settings.advice_address.as_deref()?;
+        let lives = &lives[..lives.len().min(workers::WORKERS_PER_ADVICE)];
+        let ids: Vec<(LifeIndex, String)> = {
+            let scheduler = self.scheduler.borrow();
+            let known = lives.iter().filter_map(|&life| {
+                let (_, id) = scheduler.worker_address(life)?;
+                Some((life, id.to_owned()))
+            });
+            known.collect()
+        };
+        let names: Vec<&str> = ids.iter().map(|(_, id)| id.as_str()).collect();
+        let call = workers::advise_call(step, &names);
+        let answer = self.node.peer(address).send(&call, ADVICE_TIMEOUT).await;
+        let answer = match answer {
+            Ok(answer) if answer.status == 200 => answer,
+            other => {
+                info!(self.log, "No advice."; "step" => %step, "answer" => ?other.map(|answer| answer.status));
+                // The step asks again with the next look at what is due.
+                tokio::time::sleep(Duration::from_millis(200)).await;
+                return None;
+            }
+        };
+        match workers::advised_of(&answer.body) {
+            Ok((good, valid_ms)) => {
+                let by_life = good.into_iter().filter_map(|(worker, ticket)| {
+                    let (life, _) = ids.iter().find(|(_, id)| *id == worker)?;
+                    Some((*life, ticket))
+                });
+                Some((by_life.collect(), valid_ms))
+            }
+            Err(error) => {
+                warn!(self.log, "Unreadable advice."; "step" => %step, "error" => %error);
+                None
+            }
+        }
+    }
+}
+
+async fn order(endpoint: &HttpEndpoint, call: &Call) -> OrderOutcome {
+    match endpoint.send(call, ORDER_TIMEOUT).await {
+        Ok(answer) => workers::outcome_of(answer.status, &answer.body),
+        Err(CallError::NotSent) => OrderOutcome::NotSent,
+        Err(CallError::NoAnswer) => OrderOutcome::NoAnswer,
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/pool_host/questions.rs
@@ -0,0 +1,90 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::job::JobId;
+use cornelpoint::job::JobRecord;
+use cornelpoint::job::JobSpec;
+use cornelpoint::scheduler::CancelAnswer;
+use cornelpoint::scheduler::SubmitAnswer;
+use slog::info;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::host::PoolHost;
+use crate::message::PoolRequest;
+use crate::message::PoolResponse;
+
+/// Longest wait for the store before a caller hears that the outcome is open.
+const STORE_WAIT: Duration = Duration::from_millis(1500);
+/// Longest wait for a batch on its way when the pool is given up.
+const SETTLE_WAIT: Duration = Duration::from_millis(300);
+
+impl PoolHost {
+    /// Answers a question about the pool.
+    pub(crate) async fn answer(self: &Rc<Self>, request: PoolRequest) -> PoolResponse {
+        match request {
+            PoolRequest::Submit { job, record } => self.submit(job, *record).await,
+            PoolRequest::Cancel { job } => self.cancel(job).await,
+            PoolRequest::Status { job } => {
+                let status = self.scheduler.borrow().status(job);
+                status.map_or(PoolResponse::UnknownJob, PoolResponse::Status)
+            }
+            PoolRequest::Waiting { queue } => {
+                PoolResponse::Waiting(self.scheduler.borrow().waiting(&queue))
+            }
+        }
+    }
+
+    async fn submit(self: &Rc<Self>, id: JobId, record: JobRecord) -> PoolResponse {
+        let Ok(spec) = JobSpec::try_from(record.job.clone()) else {
+            return PoolResponse::UnknownJob;
+        };
+        let queue = record.queue.clone();
+        let answer = self.event(|scheduler, now| scheduler.submit(id, record, spec, now));
+        match answer {
+            SubmitAnswer::Accepted => PoolResponse::Accepted,
+            SubmitAnswer::Storing => self.wait_for_store(id).await,
+            SubmitAnswer::Refused { retry_after_ms } => {
+                let load = self.scheduler.borrow().load(crate::clock::now());
+                info!(self.log, "Job refused."; "job" => %id, "queue" => queue,
+                    "wait_ms" => load.wait_ms(), "backlog_core_ms" => load.backlog_core_ms,
+                    "retry_after_ms" => retry_after_ms);
+                PoolResponse::Refused { retry_after_ms }
+            }
+        }
+    }
+
+    async fn cancel(self: &Rc<Self>, id: JobId) -> PoolResponse {
+        match self.event(|scheduler, now| scheduler.cancel(id, now)) {
+            CancelAnswer::Done => PoolResponse::Cancelled,
+            CancelAnswer::Unknown => PoolResponse::UnknownJob,
+            CancelAnswer::Storing => match self.wait_for_store(id).await {
+                PoolResponse::Uncertain => PoolResponse::Uncertain,
+                _ => PoolResponse::Cancelled,
+            },
+        }
+    }
+
+    async fn wait_for_store(&self, id: JobId) -> PoolResponse {
+        let (sender, receiver) = oneshot::channel();
+        self.waiters
+            .borrow_mut()
+            .entry(id)
+            .or_default()
+            .push(sender);
+        match timeout(STORE_WAIT, receiver).await {
+            Ok(Ok(response)) => response,
+            _ => PoolResponse::Uncertain,
+        }
+    }
+
+    /// Waits a little for what is on its way to the store.
+    pub(crate) async fn settle(&self) {
+        let pause = Duration::from_millis(10);
+        let mut waited = Duration::ZERO;
+        while !self.waiters.borrow().is_empty() && waited < SETTLE_WAIT {
+            tokio::time::sleep(pause).await;
+            waited += pause;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -0,0 +1,211 @@
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::job::JobId;
+use cornelpoint::job::JobProgress;
+use cornelpoint::job::JobRecord;
+use cornelpoint::job::JobSpec;
+use cornelpoint::ownership::Claim;
+use cornelpoint::ownership::OwnershipSettings;
+use cornelpoint::scheduler::PoolScheduler;
+use cornelpoint::scheduler::SchedulerSettings;
+use cornelpoint_platform::registry;
+use cornelpoint_platform::store::Row;
+use slog::info;
+use slog::warn;
+use tokio::task::spawn_local;
+
+use super::host::PoolHost;
+use crate::clock;
+use crate::node::Node;
+use crate::store::FeedOutcome;
+use crate::store::INBOX_TABLE;
+use crate::store::JOB_TABLE;
+use crate::store::PROGRESS_TABLE;
+use crate::store::WORKER_TABLE;
+use crate::store::decode;
+
+/// Pause before the store is asked again after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Time between readings of the registry: a worker that leaves must get no
+/// new work two seconds after it said so.
+const REGISTRY_PAUSE: Duration = Duration::from_millis(700);
+/// Time after an outage in which workers' entries come back.
+const REGISTRY_SETTLES_MS: u64 = 2500;
+/// Longest wait for rows of the inbox.
+const INBOX_WAIT_MS: u64 = 10_000;
+/// A lease on a clock that is 2% slow, and the worker's own delay.
+const LEASE_STRETCH_MS: u64 = 250;
+
+impl PoolHost {
+    /// Takes a pool over: reads what the store has of it, then asks every
+    /// worker what it runs.
+    pub(crate) async fn start(node: &Rc<Node>, claim: &Claim, owner_version: u64) {
+        let settings = SchedulerSettings {
+            status_kept_ms: node.settings.bounds.status_kept_ms,
+            lease_ms: SchedulerSettings::default()
+                .lease_ms
+                .min(node.settings.bounds.longest_lease_ms),
+            ..SchedulerSettings::default()
+        };
+        let mut scheduler = PoolScheduler::new(&claim.shard, claim.fencing_token, settings);
+        if let Some(catalog) = node.catalog() {
+            scheduler.set_queues(catalog.queues.iter());
+        }
+        let claimed_ms = clock::now().steady_ms;
+        while !restore(node, claim, &mut scheduler, claimed_ms).await {
+            if !node.planner.borrow().is_mine(&claim.shard) {
+                return;
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        let host = Rc::new(Self::new(node, &claim.shard, owner_version, scheduler));
+        if !node.planner.borrow().is_mine(&claim.shard) {
+            return;
+        }
+        let before = node
+            .hosts
+            .borrow_mut()
+            .insert(claim.shard.clone(), Rc::clone(&host));
+        if let Some(before) = before {
+            before.stop();
+        }
+        info!(host.log, "Scheduling."; "pool" => &claim.shard,
+            "fencing_token" => claim.fencing_token,
+            "took_ms" => clock::now().steady_ms - claimed_ms);
+        node.heartbeat_now.notify_one();
+        spawn_local(Rc::clone(&host).read_registry());
+        spawn_local(Rc::clone(&host).follow_inbox());
+        spawn_local(host.keep_time());
+    }
+
+    /// Keeps the workers up to date.
+    async fn read_registry(self: Rc<Self>) {
+        while !self.stopped.get() {
+            if let Some(rows) = self.node.store.read_all(registry::TABLE, "").await {
+                let entries: Vec<_> = rows
+                    .rows
+                    .iter()
+                    .filter_map(|row| registry::entry_of(&row.key.key, row.value.as_deref()?))
+                    .collect();
+                let good_since_ms = self.node.store.good_since_ms();
+                let settled = clock::now().steady_ms
+                    > good_since_ms.saturating_add(REGISTRY_SETTLES_MS)
+                    || good_since_ms == 0;
+                self.event(|scheduler, now| scheduler.registry_read(&entries, settled, now));
+            }
+            tokio::time::sleep(REGISTRY_PAUSE).await;
+        }
+    }
+
+    /// Takes what others have stored for this owner.
+    async fn follow_inbox(self: Rc<Self>) {
+        let mut after = None;
+        while !self.stopped.get() {
+            let Some(version) = after else {
+                match self.node.store.read_all(INBOX_TABLE, &self.pool).await {
+                    Some(rows) => {
+                        self.take_inbox(&rows.rows);
+                        after = Some(rows.version);
+                    }
+                    None => tokio::time::sleep(RETRY_PAUSE).await,
+                }
+                continue;
+            };
+            match self
+                .node
+                .store
+                .feed(INBOX_TABLE, version, INBOX_WAIT_MS)
+                .await
+            {
+                FeedOutcome::Changes(rows) => {
+                    self.take_inbox(&rows.rows);
+                    after = Some(rows.version.max(version));
+                }
+                FeedOutcome::HistoryGone => after = None,
+                FeedOutcome::Failed => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    fn take_inbox(self: &Rc<Self>, rows: &[Row]) {
+        for row in rows.iter().filter(|row| row.key.part == self.pool) {
+            let Some(value) = &row.value else { continue };
+            let Some((kind, id)) = row.key.key.split_once('/') else {
+                continue;
+            };
+            let Ok(id) = id.parse::<JobId>() else {
+                continue;
+            };
+            self.inbox.borrow_mut().insert(row.key.key.clone());
+            info!(self.log, "Stored for this owner."; "kind" => kind, "job" => %id);
+            if kind == "cancel" {
+                self.event(|scheduler, now| scheduler.cancel(id, now));
+                continue;
+            }
+            let record = decode::<JobRecord>(value);
+            let spec = record
+                .as_ref()
+                .and_then(|record| JobSpec::try_from(record.job.clone()).ok());
+            match record.zip(spec) {
+                Some((record, spec)) => {
+                    self.event(|scheduler, now| scheduler.adopt(id, record, spec, now));
+                }
+                None => warn!(self.log, "Unreadable job."; "job" => %id),
+            }
+        }
+    }
+}
+
+/// Reads a pool's jobs; false when the store did not answer.
+async fn restore(
+    node: &Rc<Node>,
+    claim: &Claim,
+    scheduler: &mut PoolScheduler,
+    claimed_ms: u64,
+) -> bool {
+    let pool = &claim.shard;
+    let Some(workers) = node.store.read_all(WORKER_TABLE, pool).await else {
+        return false;
+    };
+    let Some(records) = node.store.read_all(JOB_TABLE, pool).await else {
+        return false;
+    };
+    let Some(progress) = node.store.read_all(PROGRESS_TABLE, pool).await else {
+        return false;
+    };
+    let lease_ms = SchedulerSettings::default().lease_ms + LEASE_STRETCH_MS;
+    let acts_ms = if claim.predecessor_ended {
+        0
+    } else {
+        OwnershipSettings::default().unconfirmed_ms
+    };
+    let workers = workers
+        .rows
+        .iter()
+        .find_map(|row| decode(row.value.as_deref()?));
+    scheduler.inherit(workers.unwrap_or_default(), claimed_ms + acts_ms + lease_ms);
+    let progress: HashMap<&str, JobProgress> = progress
+        .rows
+        .iter()
+        .filter_map(|row| Some((row.key.key.as_str(), decode(row.value.as_deref()?)?)))
+        .collect();
+    let mut count = 0;
+    for row in &records.rows {
+        let record = row.value.as_deref().and_then(decode::<JobRecord>);
+        let id = row.key.key.parse::<JobId>().ok();
+        let spec = record
+            .as_ref()
+            .and_then(|record| JobSpec::try_from(record.job.clone()).ok());
+        let (Some(id), Some(record), Some(spec)) = (id, record, spec) else {
+            warn!(node.pool_log, "Unreadable job."; "key" => &row.key.key);
+            continue;
+        };
+        let progress = progress.get(row.key.key.as_str());
+        scheduler.restore(id, record, spec, progress, clock::now());
+        count += 1;
+    }
+    info!(node.pool_log, "Read a pool's jobs."; "pool" => pool, "jobs" => count);
+    true
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/pool_host/worker_link.rs
@@ -0,0 +1,24 @@
+use crate::http::HttpEndpoint;
+
+/// Connections for orders: they are answered within milliseconds, and each new
+/// connection to a worker costs.
+const ORDER_CONNECTIONS: usize = 2;
+
+/// Connections to one life of a worker.
+#[derive(Debug)]
+pub(super) struct WorkerLink {
+    pub(super) id: String,
+    pub(super) orders: HttpEndpoint,
+    /// Apart, since a look waits at the worker.
+    pub(super) looks: HttpEndpoint,
+}
+
+impl WorkerLink {
+    pub(super) fn new(address: &str, id: &str) -> Self {
+        Self {
+            id: id.to_owned(),
+            orders: HttpEndpoint::new(address, ORDER_CONNECTIONS),
+            looks: HttpEndpoint::new(address, 1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/run.rs
@@ -0,0 +1,100 @@
+use std::env;
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Parser;
+use cornelpoint_daemon::log::LogForm;
+use cornelpoint_daemon::log::LogLevel;
+use cornelpoint_daemon::log::LogSettings;
+use cornelpoint_daemon::log::Part;
+use cornelpoint_daemon::log::RootLog;
+use cornelpoint_platform::settings::NodeSettings;
+use cornelpoint_platform::settings::SETTINGS_VARIABLE;
+use slog::error;
+use slog::info;
+use tokio::runtime::Builder;
+use tokio::task::LocalSet;
+
+use crate::node::Node;
+
+/// The process did not start, or failed.
+const FAILED: u8 = 1;
+/// The settings have findings.
+const FINDINGS: u8 = 3;
+
+/// Serves callers and schedules pools.
+#[derive(Debug, Parser)]
+#[command(name = "cornelpoint-manager", version)]
+struct Arguments {
+    /// Settings file; the platform's variable names it otherwise.
+    #[arg(long)]
+    settings: Option<PathBuf>,
+    /// Check the settings and stop.
+    #[arg(long)]
+    check_settings: bool,
+    /// Write every decision to the log.
+    #[arg(long)]
+    verbose: bool,
+}
+
+/// Runs the process until it is told to stop.
+#[must_use]
+pub fn run() -> ExitCode {
+    let arguments = Arguments::parse();
+    let settings = match load(&arguments) {
+        Ok(settings) => settings,
+        Err(finding) => {
+            eprintln!("{finding}");
+            return ExitCode::from(FINDINGS);
+        }
+    };
+    if arguments.check_settings {
+        return ExitCode::SUCCESS;
+    }
+    let log = RootLog::to_writer(
+        &LogSettings {
+            form: LogForm::Json,
+            level: if arguments.verbose {
+                LogLevel::Debug
+            } else {
+                LogLevel::Info
+            },
+            ..LogSettings::default()
+        },
+        io::stdout(),
+    );
+    let main_log = log.part(Part::Main);
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("the event loop did not start: {error}");
+            return ExitCode::from(FAILED);
+        }
+    };
+    info!(main_log, "Starting."; "node" => &settings.node, "zone" => &settings.zone);
+    let local = LocalSet::new();
+    let outcome = local.block_on(&runtime, Node::run(settings, &log));
+    match outcome {
+        Ok(()) => {
+            info!(main_log, "Stopped.");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            error!(main_log, "Failed."; "error" => %error);
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn load(arguments: &Arguments) -> Result<NodeSettings, String> {
+    let path = match &arguments.settings {
+        Some(path) => path.clone(),
+        None => env::var_os(SETTINGS_VARIABLE)
+            .map(PathBuf::from)
+            .ok_or_else(|| format!("expected --settings or {SETTINGS_VARIABLE}"))?,
+    };
+    let text = fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?;
+    NodeSettings::parse(&text).map_err(|error| format!("{}: {error}", path.display()))
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/src/store/mod.rs
@@ -0,0 +1,19 @@
+//! The platform's store: its client, and what the system keeps in it.
+
+mod store_client;
+mod tables;
+
+pub(crate) use self::store_client::FeedOutcome;
+pub(crate) use self::store_client::StoreClient;
+pub(crate) use self::store_client::TransactionOutcome;
+pub(crate) use self::tables::CLUSTER_TABLE;
+pub(crate) use self::tables::INBOX_TABLE;
+pub(crate) use self::tables::JOB_TABLE;
+pub(crate) use self::tables::OWNER_KEY;
+pub(crate) use self::tables::PROGRESS_TABLE;
+pub(crate) use self::tables::WAVE_TABLE;
+pub(crate) use self::tables::WORKER_TABLE;
+pub(crate) use self::tables::WORKERS_KEY;
+pub(crate) use self::tables::decode;
+pub(crate) use self::tables::encode;
+pub(crate) use self::tables::owner_row_key;
--- /dev/null
+++ b/crates/cornelpoint-manager/src/store/store_client.rs
@@ -0,0 +1,212 @@
+use std::cell::Cell;
+use std::time::Duration;
+
+use cornelpoint_platform::call::Call;
+use cornelpoint_platform::store::Row;
+use cornelpoint_platform::store::Rows;
+use cornelpoint_platform::store::Transaction;
+use cornelpoint_platform::store::feed_call;
+use cornelpoint_platform::store::read_call;
+use cornelpoint_platform::store::rows_of;
+use cornelpoint_platform::store::transaction_call;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+
+use crate::clock;
+use crate::http::CallError;
+use crate::http::HttpEndpoint;
+
+/// Longest wait for an answer: ten times what a slow store was seen to take.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Connections to the store: feeds hold some, calls share the others.
+const CONNECTIONS: usize = 24;
+/// Rows in one reading, the store's own limit.
+const ROWS_PER_READ: u32 = 500;
+/// Time without a good answer after which the store counts as away.
+const AWAY_AFTER_MS: u64 = 500;
+
+/// How the store answered a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum TransactionOutcome {
+    /// All of it is done, at this version.
+    Committed { version: u64 },
+    /// A condition does not hold: nothing was done.
+    Conflict(Vec<Row>),
+    /// Nothing was done.
+    Refused,
+    /// It may be done now, later or never.
+    Unknown,
+}
+
+/// How the store answered a wait for changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum FeedOutcome {
+    /// Changes up to a version, maybe none.
+    Changes(Rows),
+    /// The history from there on is gone: read again in full.
+    HistoryGone,
+    /// No answer.
+    Failed,
+}
+
+/// The only client of the platform's store in a process.
+#[derive(Debug)]
+pub(crate) struct StoreClient {
+    endpoint: HttpEndpoint,
+    log: Logger,
+    failing_since_ms: Cell<Option<u64>>,
+    good_since_ms: Cell<u64>,
+}
+
+impl StoreClient {
+    pub(crate) fn new(address: &str, log: Logger) -> Self {
+        Self {
+            endpoint: HttpEndpoint::new(address, CONNECTIONS),
+            log,
+            failing_since_ms: Cell::new(None),
+            good_since_ms: Cell::new(0),
+        }
+    }
+
+    /// Whether the store answers this process.
+    pub(crate) fn is_there(&self) -> bool {
+        let now_ms = clock::now().steady_ms;
+        self.failing_since_ms
+            .get()
+            .is_none_or(|since_ms| since_ms + AWAY_AFTER_MS > now_ms)
+    }
+
+    /// Since when the store has answered without a failure.
+    pub(crate) fn good_since_ms(&self) -> u64 {
+        match self.failing_since_ms.get() {
+            Some(_) => u64::MAX,
+            None => self.good_since_ms.get(),
+        }
+    }
+
+    pub(crate) async fn transact(&self, transaction: &Transaction) -> TransactionOutcome {
+        let call = transaction_call(transaction);
+        let answer = self.endpoint.send(&call, CALL_TIMEOUT).await;
+        match answer {
+            Ok(answer) => match (answer.status, rows_of(&answer.body)) {
+                (200, Ok(rows)) => {
+                    self.note_good();
+                    TransactionOutcome::Committed {
+                        version: rows.version,
+                    }
+                }
+                (412, Ok(rows)) => {
+                    self.note_good();
+                    TransactionOutcome::Conflict(rows.rows)
+                }
+                (429 | 503, _) => {
+                    self.note_failure("refused");
+                    TransactionOutcome::Refused
+                }
+                (status, _) => {
+                    warn!(self.log, "Unexpected answer to a transaction."; "status" => status);
+                    self.note_failure("unexpected");
+                    TransactionOutcome::Unknown
+                }
+            },
+            Err(CallError::NotSent) => {
+                self.note_failure("no connection");
+                TransactionOutcome::Refused
+            }
+            Err(CallError::NoAnswer) => {
+                self.note_failure("no answer");
+                TransactionOutcome::Unknown
+            }
+        }
+    }
+
+    /// Reads all rows of a partition from a key on; `None` when the store
+    /// does not answer.
+    pub(crate) async fn read_all(&self, table: &str, part: &str) -> Option<Rows> {
+        let mut all = Rows::default();
+        let mut from = String::new();
+        loop {
+            let rows = self
+                .read(&read_call(table, part, &from, ROWS_PER_READ))
+                .await?;
+            if all.version == 0 {
+                // Changes after the first page are read again from the feed.
+                all.version = rows.version;
+            }
+            // The smallest key after the last one read.
+            from = rows
+                .rows
+                .last()
+                .map_or(String::new(), |row| format!("{}\0", row.key.key));
+            all.rows.extend(rows.rows);
+            if !rows.has_more || from.is_empty() {
+                return Some(all);
+            }
+        }
+    }
+
+    /// Reads one row; `None` when the store does not answer.
+    pub(crate) async fn read_row(&self, table: &str, part: &str, key: &str) -> Option<Option<Row>> {
+        let rows = self.read(&read_call(table, part, key, 1)).await?;
+        Some(rows.rows.into_iter().find(|row| row.key.key == key))
+    }
+
+    async fn read(&self, call: &Call) -> Option<Rows> {
+        let answer = self.endpoint.send(call, CALL_TIMEOUT).await;
+        let rows = match answer {
+            Ok(answer) if answer.status == 200 => rows_of(&answer.body).ok(),
+            _ => None,
+        };
+        if rows.is_some() {
+            self.note_good();
+        } else {
+            self.note_failure("reading failed");
+        }
+        rows
+    }
+
+    /// Waits for changes of a table after a version.
+    pub(crate) async fn feed(&self, table: &str, after: u64, wait_ms: u64) -> FeedOutcome {
+        let within = Duration::from_millis(wait_ms) + CALL_TIMEOUT;
+        let answer = self
+            .endpoint
+            .send(&feed_call(table, after, wait_ms), within)
+            .await;
+        match answer {
+            Ok(answer) if answer.status == 200 => match rows_of(&answer.body) {
+                Ok(rows) => {
+                    self.note_good();
+                    FeedOutcome::Changes(rows)
+                }
+                Err(error) => {
+                    warn!(self.log, "Unreadable changes."; "table" => table, "error" => %error);
+                    FeedOutcome::Failed
+                }
+            },
+            Ok(answer) if answer.status == 410 => {
+                info!(self.log, "History gone."; "table" => table, "after" => after);
+                FeedOutcome::HistoryGone
+            }
+            _ => {
+                self.note_failure("feed failed");
+                FeedOutcome::Failed
+            }
+        }
+    }
+
+    fn note_good(&self) {
+        if let Some(since_ms) = self.failing_since_ms.take() {
+            let now_ms = clock::now().steady_ms;
+            self.good_since_ms.set(now_ms);
+            info!(self.log, "Store answers again."; "away_ms" => now_ms - since_ms);
+        }
+    }
+
+    fn note_failure(&self, what: &str) {
+        if self.failing_since_ms.get().is_none() {
+            self.failing_since_ms.set(Some(clock::now().steady_ms));
+            warn!(self.log, "Store fails."; "what" => what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/catalog/mod.rs
@@ -0,0 +1,9 @@
+//! The queues and pools that the configuration in force names.
+
+mod queue;
+
+pub use self::queue::Advice;
+pub use self::queue::Catalog;
+pub use self::queue::HttpLimits;
+pub use self::queue::PoolInfo;
+pub use self::queue::Queue;
--- /dev/null
+++ b/crates/cornelpoint/src/job/job_status.rs
@@ -0,0 +1,26 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How far a job is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobStatus {
+    /// No task has started.
+    #[default]
+    Pending,
+    /// A task has started.
+    Running,
+    /// All tasks have ended well.
+    Completed,
+    /// A task has used up its attempts.
+    Failed,
+    /// The caller has cancelled it.
+    Cancelled,
+}
+
+impl JobStatus {
+    /// Whether nothing more happens to the job.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/job/resources.rs
@@ -0,0 +1,53 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What a task needs or a worker has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resources {
+    /// Processor, in thousandths of a core.
+    pub cpu_millicores: u64,
+    /// Memory.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub accelerators: u64,
+}
+
+impl Resources {
+    /// Whether `need` fits beside what is `used`.
+    ///
+    /// ```
+    /// use cornelpoint::job::Resources;
+    ///
+    /// let worker = Resources { cpu_millicores: 4000, memory_mb: 8192, accelerators: 0 };
+    /// let task = Resources { cpu_millicores: 3000, memory_mb: 1024, accelerators: 0 };
+    /// assert!(worker.fits(Resources::default(), task));
+    /// assert!(!worker.fits(task, task));
+    /// ```
+    #[must_use]
+    pub fn fits(self, used: Self, need: Self) -> bool {
+        let sum = used.plus(need);
+        sum.cpu_millicores <= self.cpu_millicores
+            && sum.memory_mb <= self.memory_mb
+            && sum.accelerators <= self.accelerators
+    }
+
+    /// The sum of both.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores + other.cpu_millicores,
+            memory_mb: self.memory_mb + other.memory_mb,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// What is left after `other`, at least zero.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_sub(other.cpu_millicores),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/job/spec.rs
@@ -0,0 +1,160 @@
+use std::sync::Arc;
+
+use super::job_error::JobError;
+use super::raw_job::RawJob;
+use super::raw_job::RawStep;
+use super::resources::Resources;
+use super::schedule::Schedule;
+use super::step::Step;
+
+/// Longest text handed to tasks, in bytes; the callers' agreed limit.
+const MAX_SPEC_BYTES: usize = 4000;
+/// Most steps of a job, so that a step's number fits its type.
+const MAX_STEPS: usize = 1000;
+/// Most tasks of a step, so that one job can't exhaust a process's memory.
+const MAX_REPLICAS: u64 = 10_000;
+/// Most occurrences of a job, for the same reason.
+const MAX_OCCURRENCES: u64 = 100_000;
+
+/// A checked job.
+///
+/// ```
+/// use cornelpoint::job::JobSpec;
+/// use cornelpoint::job::RawJob;
+/// use cornelpoint::job::RawStep;
+///
+/// let step = RawStep { replicas: 3, ..RawStep::default() };
+/// let raw = RawJob { steps: vec![step], ..RawJob::default() };
+/// assert_eq!(JobSpec::try_from(raw)?.steps[0].replicas, 3);
+/// assert!(JobSpec::try_from(RawJob::default()).is_err());
+/// # Ok::<(), cornelpoint::job::JobError>(())
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobSpec {
+    /// Text handed to every task.
+    pub spec: Arc<str>,
+    /// Steps, in order.
+    pub steps: Vec<Step>,
+    /// When the steps are due; `None` for a job that runs once, now.
+    pub schedule: Option<Schedule>,
+}
+
+impl JobSpec {
+    /// Number of occurrences.
+    #[must_use]
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.count)
+    }
+
+    /// Whether the job never completes by itself.
+    #[must_use]
+    pub fn is_long_running(&self) -> bool {
+        self.steps.iter().any(|step| step.long_running)
+    }
+
+    /// Estimated work of one occurrence, in core-milliseconds.
+    #[must_use]
+    pub fn work_core_ms(&self) -> u64 {
+        self.steps.iter().map(Step::work_core_ms).sum()
+    }
+
+    /// Estimated time of the longest chain of steps.
+    #[must_use]
+    pub fn chain_ms(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let start = step
+                .after
+                .iter()
+                .map(|&after| ends[usize::from(after)])
+                .max();
+            ends.push(start.unwrap_or(0) + step.estimate_ms);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+}
+
+impl TryFrom<RawJob> for JobSpec {
+    type Error = JobError;
+
+    fn try_from(raw: RawJob) -> Result<Self, JobError> {
+        if raw.spec.len() > MAX_SPEC_BYTES {
+            return Err(JobError::SpecTooLong {
+                length_bytes: raw.spec.len(),
+            });
+        }
+        if raw.steps.is_empty() {
+            return Err(JobError::NoSteps);
+        }
+        if raw.steps.len() > MAX_STEPS {
+            return Err(JobError::TooManySteps {
+                count: raw.steps.len(),
+            });
+        }
+        let schedule = checked_schedule(&raw)?;
+        let steps = raw.steps.into_iter().enumerate();
+        let steps = steps.map(|(place, step)| checked_step(place, step));
+        Ok(Self {
+            spec: Arc::from(raw.spec),
+            steps: steps.collect::<Result<_, _>>()?,
+            schedule,
+        })
+    }
+}
+
+fn checked_schedule(raw: &RawJob) -> Result<Option<Schedule>, JobError> {
+    if raw.repeat_count == 0 {
+        return Ok(None);
+    }
+    if raw.repeat_count > MAX_OCCURRENCES {
+        return Err(JobError::Schedule);
+    }
+    Ok(Some(Schedule {
+        count: u32::try_from(raw.repeat_count).map_err(|_| JobError::Schedule)?,
+        first_unix_ms: raw.first_unix_ms,
+        interval_ms: raw.interval_ms,
+    }))
+}
+
+fn checked_step(place: usize, raw: RawStep) -> Result<Step, JobError> {
+    let replicas_error = JobError::Replicas {
+        step: place,
+        count: raw.replicas,
+    };
+    if raw.replicas == 0 || raw.replicas > MAX_REPLICAS {
+        return Err(replicas_error);
+    }
+    let after = raw.after.iter().map(|&after| match u16::try_from(after) {
+        Ok(number) if usize::from(number) < place => Ok(number),
+        _ => Err(JobError::After { step: place, after }),
+    });
+    Ok(Step {
+        replicas: u32::try_from(raw.replicas).map_err(|_| replicas_error)?,
+        resources: Resources {
+            cpu_millicores: raw.cpu_millicores,
+            memory_mb: raw.memory_mb,
+            accelerators: raw.accelerators,
+        },
+        estimate_ms: raw.estimate_ms,
+        after: after.collect::<Result<_, _>>()?,
+        saves_progress: raw.saves_progress,
+        gang: raw.gang,
+        same_rack: raw.same_rack,
+        required_label: raw.required_label.filter(|label| !label.is_empty()),
+        preferred_rack: raw.preferred_rack.filter(|rack| !rack.is_empty()),
+        max_per_worker: nonzero(raw.max_per_worker),
+        speculative: raw.speculative,
+        long_running: raw.long_running,
+        image: raw.image.filter(|image| !image.is_empty()),
+        target_ms: Some(raw.target_ms).filter(|&target| target > 0),
+        fills: raw.fills,
+        may_miss: nonzero(raw.may_miss),
+    })
+}
+
+fn nonzero(value: u64) -> Option<u32> {
+    match value {
+        0 => None,
+        _ => Some(u32::try_from(value).unwrap_or(u32::MAX)),
+    }
+}
--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -4,6 +4,7 @@
 //! come out. Nothing here opens a socket, starts a thread, reads a clock or
 //! writes a log, so each part can be embedded and tested by itself.
 
+pub mod catalog;
 pub mod claim;
 pub mod configuration;
 pub mod deployment;
@@ -11,14 +12,19 @@
 pub mod document;
 pub mod ejection;
 pub mod finding;
+pub mod fleet;
+pub mod job;
 pub mod membership;
 pub mod name;
+pub mod ownership;
 pub mod platform;
 pub mod queue;
 pub mod rendezvous;
 pub mod request;
 pub mod retry;
+pub mod scheduler;
 pub mod slots;
 pub mod spread;
 pub mod template;
+pub mod worker;
 pub mod workspace;
--- /dev/null
+++ b/crates/cornelpoint/src/ownership/settings.rs
@@ -0,0 +1,31 @@
+/// Times after which ownership changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnershipSettings {
+    /// Silence after which a peer counts as lost.
+    pub silent_after_ms: u64,
+    /// Time after which an owner without the store is replaced.
+    pub without_store_ms: u64,
+    /// From one candidate's turn to the next one's.
+    pub turn_ms: u64,
+    /// From the start of a process to its first claims, so that all processes
+    /// that start together are heard.
+    pub settle_ms: u64,
+    /// How long an owner acts without a sign from the store that it still is.
+    pub unconfirmed_ms: u64,
+}
+
+impl Default for OwnershipSettings {
+    fn default() -> Self {
+        Self {
+            // Three heartbeats.
+            silent_after_ms: 1300,
+            without_store_ms: 1200,
+            // A claim takes some 20 ms; the rest is for a slow candidate.
+            turn_ms: 400,
+            settle_ms: 700,
+            // Longer than the store's usual outages: nobody can take over
+            // during one, and tasks go on.
+            unconfirmed_ms: 8000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -0,0 +1,193 @@
+use crate::job::JobId;
+use crate::job::JobProgress;
+use crate::job::JobRecord;
+use crate::job::JobStatus;
+
+use super::action::LifeIndex;
+use super::instant::Instant;
+use super::pool_scheduler::PoolScheduler;
+
+/// Jobs in one batch at most: two rows each, within the 100 entries that the
+/// store takes at once.
+const JOBS_PER_BATCH: usize = 40;
+
+/// Rows that the store takes together or not at all.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Batch {
+    /// New jobs.
+    pub records: Vec<(JobId, JobRecord)>,
+    /// Jobs whose progress has changed.
+    pub progress: Vec<(JobId, JobProgress)>,
+    /// Jobs to forget.
+    pub forgotten: Vec<JobId>,
+    /// Workers that may run tasks from now on, where that has changed: their
+    /// identity and the start of their life.
+    pub workers: Option<Vec<(String, u64)>>,
+}
+
+/// How the store answered a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BatchOutcome {
+    /// It is stored.
+    Stored,
+    /// It may be stored, or never.
+    Unknown,
+    /// Another process owns the pool.
+    Deposed,
+}
+
+/// What a stored batch allows to be said to callers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StoredJobs {
+    /// Jobs that are accepted now.
+    pub accepted: Vec<JobId>,
+    /// Jobs whose final status shows now.
+    pub ended: Vec<(JobId, JobStatus)>,
+}
+
+/// What the batch on its way will have stored.
+#[derive(Clone, Debug, Default)]
+pub(super) struct BatchInFlight {
+    jobs: Vec<(JobId, JobStatus, bool)>,
+    forgotten: Vec<JobId>,
+    ends: Vec<(LifeIndex, u64)>,
+    lives: Vec<LifeIndex>,
+}
+
+impl PoolScheduler {
+    /// The next batch, unless one is on its way or none is needed yet.
+    pub fn begin_batch(&mut self, now: Instant) -> Option<Batch> {
+        if self.batch.is_some() || self.deposed || !self.has_rows() {
+            return None;
+        }
+        let due_ms = self.last_batch_ms + self.settings.batch_wait_ms;
+        if !self.urgent && due_ms > now.steady_ms {
+            return None;
+        }
+        self.last_batch_ms = now.steady_ms;
+        let mut batch = Batch::default();
+        let mut note = BatchInFlight::default();
+        let ids: Vec<JobId> = self.dirty.iter().take(JOBS_PER_BATCH).copied().collect();
+        for id in &ids {
+            self.dirty.remove(id);
+            self.add_job(*id, &mut batch, &mut note, now);
+        }
+        self.urgent = !self.dirty.is_empty();
+        if self.dirty.is_empty() {
+            // Ends are acknowledged only once every job that they changed is in.
+            let ends = self
+                .lives
+                .iter()
+                .filter(|(_, worker)| worker.applied_end > worker.stored_end);
+            note.ends = ends
+                .map(|(&life, worker)| (life, worker.applied_end))
+                .collect();
+        }
+        if self.workers_row_wanted {
+            self.workers_row_wanted = false;
+            let workers = self.lives.values();
+            let workers =
+                workers.map(|worker| (worker.entry.id.clone(), worker.entry.born_unix_ms));
+            batch.workers = Some(workers.collect());
+            note.lives = self.lives.keys().copied().collect();
+        }
+        self.batch = Some(note);
+        Some(batch)
+    }
+
+    fn has_rows(&self) -> bool {
+        let ends = self
+            .lives
+            .values()
+            .any(|worker| worker.applied_end > worker.stored_end);
+        ends || !self.dirty.is_empty() || self.workers_row_wanted
+    }
+
+    fn add_job(&mut self, id: JobId, batch: &mut Batch, note: &mut BatchInFlight, now: Instant) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let kept_ms = self.settings.status_kept_ms;
+        if job.status.is_final() && job.final_steady_ms + kept_ms <= now.steady_ms {
+            batch.forgotten.push(id);
+            note.forgotten.push(id);
+            return;
+        }
+        if job.stored_status.is_none() {
+            batch.records.push((id, job.record.clone()));
+        }
+        let progress = job.progress();
+        if job.stored_status.is_some() || progress != JobProgress::default() {
+            batch.progress.push((id, progress));
+        }
+        note.jobs
+            .push((id, job.status, job.stored_status.is_none()));
+    }
+
+    /// When [`Self::begin_batch`] has something to give by time alone.
+    #[must_use]
+    pub fn next_batch_ms(&self) -> Option<u64> {
+        let waits = self.batch.is_none() && self.has_rows();
+        waits.then(|| self.last_batch_ms + self.settings.batch_wait_ms)
+    }
+
+    /// Takes the store's answer to the batch on its way.
+    pub fn batch_replied(&mut self, outcome: BatchOutcome, now: Instant) -> StoredJobs {
+        let Some(note) = self.batch.take() else {
+            return StoredJobs::default();
+        };
+        match outcome {
+            BatchOutcome::Stored => self.batch_stored(note, now),
+            BatchOutcome::Deposed => {
+                self.deposed = true;
+                StoredJobs::default()
+            }
+            BatchOutcome::Unknown => {
+                self.dirty.extend(note.jobs.iter().map(|(id, _, _)| *id));
+                self.dirty.extend(note.forgotten);
+                self.workers_row_wanted |= !note.lives.is_empty();
+                self.urgent = false;
+                StoredJobs::default()
+            }
+        }
+    }
+
+    fn batch_stored(&mut self, note: BatchInFlight, now: Instant) -> StoredJobs {
+        let mut stored = StoredJobs::default();
+        for (id, status, is_new) in note.jobs {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            job.stored_status = Some(status);
+            if is_new {
+                stored.accepted.push(id);
+            }
+            if status.is_final() {
+                stored.ended.push((id, status));
+            }
+        }
+        for id in note.forgotten {
+            self.jobs.remove(&id);
+        }
+        for (life, number) in note.ends {
+            if let Some(worker) = self.lives.get_mut(&life) {
+                worker.stored_end = worker.stored_end.max(number);
+                worker.look_by(now.steady_ms);
+            }
+        }
+        for life in note.lives {
+            if let Some(worker) = self.lives.get_mut(&life) {
+                worker.recorded = true;
+            }
+        }
+        self.placing_needed = true;
+        stored
+    }
+
+    /// Takes what a predecessor recorded: workers that may run its tasks, and
+    /// when its last leases have ended at the latest.
+    pub fn inherit(&mut self, workers: Vec<(String, u64)>, over_ms: u64) {
+        self.predecessor_lives = workers.into_iter().collect();
+        self.predecessor_over_ms = over_ms;
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/ends.rs
@@ -0,0 +1,206 @@
+use crate::job::JobStatus;
+use crate::job::TaskId;
+use crate::worker::EndKind;
+use crate::worker::RunEnd;
+
+use super::action::LifeIndex;
+use super::instant::Instant;
+use super::pool_scheduler::PoolScheduler;
+
+impl PoolScheduler {
+    /// Applies an end that a worker lists, once.
+    pub(super) fn apply_end(&mut self, life: LifeIndex, end: &RunEnd, now: Instant) {
+        let Some(worker) = self.lives.get_mut(&life) else {
+            return;
+        };
+        if end.number <= worker.applied_end {
+            return;
+        }
+        worker.applied_end = end.number;
+        worker.release(end.task, end.run);
+        match end.kind {
+            EndKind::Done => worker.failures_in_a_row = 0,
+            EndKind::Failed => worker.failures_in_a_row += 1,
+            _ => {}
+        }
+        self.placing_needed = true;
+        let Some(job) = self.jobs.get_mut(&end.task.step.job) else {
+            return;
+        };
+        let Some(task) = job.task_mut(end.task) else {
+            return;
+        };
+        let started_ms = task.remove_run(end.run).map(|run| run.started_ms);
+        task.last_run = task.last_run.max(end.run);
+        if !end.checkpoint.is_empty() {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        if task.runs.is_empty() {
+            task.away_since_ms = now.steady_ms;
+        }
+        let done = task.done;
+        match end.kind {
+            EndKind::Done if !done => {
+                if let Some(started_ms) = started_ms {
+                    self.learn_duration(end.task, now.steady_ms.saturating_sub(started_ms));
+                }
+                self.task_done(end.task, now);
+            }
+            EndKind::Failed if !done => {
+                self.penalise_failures(life, now);
+                self.task_failed(end.task, end.run, now);
+            }
+            _ => {
+                self.dirty.insert(end.task.step.job);
+                self.make_ready(end.task, now);
+            }
+        }
+    }
+
+    fn task_done(&mut self, id: TaskId, now: Instant) {
+        self.dirty.insert(id.step.job);
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let step = job.step(id.step.step);
+        if step.long_running {
+            self.make_ready(id, now);
+            return;
+        }
+        let gang = step.gang;
+        let indexes: Vec<u32> = if gang {
+            (0..step.replicas).collect()
+        } else {
+            vec![id.index]
+        };
+        for index in indexes {
+            self.mark_done(id.step.task(index), now);
+        }
+        self.open_following_steps(id, now);
+    }
+
+    fn mark_done(&mut self, id: TaskId, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let Some(task) = job.task_mut(id) else { return };
+        if task.done {
+            return;
+        }
+        task.done = true;
+        task.checkpoint.clear();
+        let others: Vec<u64> = task.runs.iter().map(|run| run.number).collect();
+        if let Some(steps) = job.occurrences.get_mut(&id.step.occurrence) {
+            steps[usize::from(id.step.step)].remaining -= 1;
+        }
+        for run in others {
+            self.stop_run(id, run, now);
+        }
+        self.unready(id);
+    }
+
+    /// Opens the steps that waited, or completes the occurrence.
+    fn open_following_steps(&mut self, id: TaskId, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let Some(steps) = job.occurrences.get(&id.step.occurrence) else {
+            return;
+        };
+        if steps[usize::from(id.step.step)].remaining > 0 {
+            return;
+        }
+        if steps.iter().all(|step| step.remaining == 0) {
+            job.occurrences_done += 1;
+            if job.occurrences_done >= job.spec.occurrences() {
+                self.finish(id.step.job, JobStatus::Completed, now);
+            }
+            return;
+        }
+        self.open_steps(id.step.job, id.step.occurrence, now);
+    }
+
+    fn task_failed(&mut self, id: TaskId, run: u64, now: Instant) {
+        self.dirty.insert(id.step.job);
+        let Some(job) = self.jobs.get(&id.step.job) else {
+            return;
+        };
+        let max_attempts = self.rules_of(job).max_attempts.max(1);
+        let long_running = job.step(id.step.step).long_running;
+        let gang = job.step(id.step.step).gang;
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let Some(task) = job.task_mut(id) else { return };
+        if !long_running && !task.failed_runs.contains(&run) {
+            task.failed_runs.push(run);
+        }
+        let failures = if gang {
+            job.gang_failures(id.step)
+        } else {
+            job.task(id).map_or(0, |task| task.failed_runs.len())
+        };
+        if !long_running && failures >= max_attempts as usize {
+            self.finish(id.step.job, JobStatus::Failed, now);
+        } else {
+            self.make_ready(id, now);
+        }
+    }
+
+    /// Makes a job final and stops what still runs of it.
+    pub(super) fn finish(&mut self, id: crate::job::JobId, status: JobStatus, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.status.is_final() {
+            return;
+        }
+        job.status = status;
+        job.final_unix_ms = now.unix_ms;
+        job.final_steady_ms = now.steady_ms;
+        self.recently_final.push((now.steady_ms, id));
+        let mut at_work = Vec::new();
+        for (&occurrence, steps) in &job.occurrences {
+            for (place, step) in steps.iter().enumerate() {
+                for (index, task) in step.tasks.iter().enumerate() {
+                    let task_id = super::placement::task_id(id, occurrence, place, index);
+                    at_work.extend(task.runs.iter().map(|run| (task_id, run.number)));
+                }
+            }
+        }
+        for (task, run) in at_work {
+            self.stop_run(task, run, now);
+        }
+        self.drop_ready(id);
+        self.timed.retain(|&(_, job, _)| job != id);
+        self.dirty.insert(id);
+        self.urgent = true;
+    }
+
+    /// A run is over without an end that its worker could list.
+    pub(super) fn run_lost(&mut self, id: TaskId, run: u64, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let Some(task) = job.task_mut(id) else { return };
+        if task.remove_run(run).is_none() {
+            return;
+        }
+        if task.runs.is_empty() {
+            task.away_since_ms = now.steady_ms;
+        }
+        self.make_ready(id, now);
+    }
+}
+
+impl super::job_entry::JobEntry {
+    /// Runs of a gang that ended as failed; its members share their numbers.
+    fn gang_failures(&self, step: crate::job::StepId) -> usize {
+        let Some(steps) = self.occurrences.get(&step.occurrence) else {
+            return 0;
+        };
+        let tasks = &steps[usize::from(step.step)].tasks;
+        let runs = tasks.iter().flat_map(|task| task.failed_runs.iter());
+        runs.collect::<std::collections::BTreeSet<_>>().len()
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -0,0 +1,130 @@
+use std::collections::BTreeSet;
+
+use crate::job::TaskId;
+
+use super::instant::Instant;
+use super::pool_scheduler::PoolScheduler;
+use super::task_entry::Phase;
+
+/// How often the runs of a machine that is being emptied are looked at again.
+const EVACUATION_STEP_MS: u64 = 250;
+/// Workers that are offered at the same time.
+const CHEAPEST_NAMED: usize = 8;
+
+impl PoolScheduler {
+    /// Empties workers for planned work: they get no new tasks, short tasks
+    /// end by themselves, long-running ones move as their budget allows.
+    pub fn vacate(&mut self, workers: &BTreeSet<String>) {
+        if self.vacating == *workers {
+            return;
+        }
+        self.vacating.clone_from(workers);
+        for worker in self.lives.values_mut() {
+            worker.vacating = workers.contains(&worker.entry.id);
+        }
+        self.placing_needed = true;
+    }
+
+    /// Workers that were to be emptied and run nothing now.
+    #[must_use]
+    pub fn vacated(&self) -> BTreeSet<String> {
+        let empty = self
+            .lives
+            .values()
+            .filter(|worker| worker.vacating && worker.runs.is_empty() && !worker.is_silent());
+        empty.map(|worker| worker.entry.id.clone()).collect()
+    }
+
+    /// Usable workers that are cheapest to give up, by what runs there.
+    pub(super) fn cheapest(&self, now: Instant) -> Vec<String> {
+        let usable = self
+            .lives
+            .values()
+            .filter(|worker| Self::is_usable(worker, now));
+        let mut costs: Vec<(usize, usize, &str)> = usable
+            .map(|worker| {
+                let lasting = worker
+                    .runs
+                    .keys()
+                    .filter(|(task, _)| self.lasts(*task))
+                    .count();
+                (lasting, worker.runs.len(), worker.entry.id.as_str())
+            })
+            .collect();
+        costs.sort_unstable();
+        let cheapest = costs.into_iter().take(CHEAPEST_NAMED);
+        cheapest.map(|(_, _, id)| id.to_owned()).collect()
+    }
+
+    fn lasts(&self, task: TaskId) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        job.is_some_and(|job| job.step(task.step.step).long_running)
+    }
+
+    pub(super) fn evacuation_due_ms(&self, now: Instant) -> Option<u64> {
+        let leaving = self
+            .lives
+            .values()
+            .any(|worker| (worker.vacating || worker.entry.draining) && !worker.runs.is_empty());
+        leaving.then_some(now.steady_ms + EVACUATION_STEP_MS)
+    }
+
+    /// Stops long-running tasks on workers that leave, one at a time where
+    /// their step's budget says so, so that they start elsewhere.
+    pub(super) fn evacuate(&mut self, now: Instant) {
+        let leaving = self
+            .lives
+            .values()
+            .filter(|worker| worker.vacating || worker.entry.draining);
+        let runs: Vec<(TaskId, u64, bool)> = leaving
+            .flat_map(|worker| {
+                let draining = worker.entry.draining;
+                worker
+                    .runs
+                    .keys()
+                    .map(move |&(task, run)| (task, run, draining))
+            })
+            .collect();
+        for (task, run, draining) in runs {
+            if self.may_move(task, run, draining) {
+                self.stop_run(task, run, now);
+            }
+        }
+    }
+
+    fn may_move(&self, id: TaskId, number: u64, draining: bool) -> bool {
+        let Some(job) = self.jobs.get(&id.step.job) else {
+            return false;
+        };
+        let step = job.step(id.step.step);
+        if !step.long_running || job.status.is_final() {
+            return false;
+        }
+        let Some(task) = job.task(id) else {
+            return false;
+        };
+        let running = task
+            .runs
+            .iter()
+            .any(|run| run.number == number && matches!(run.phase, Phase::Running { .. }));
+        if !running {
+            return false;
+        }
+        let Some(budget) = step.may_miss else {
+            return true;
+        };
+        let Some(steps) = job.occurrences.get(&id.step.occurrence) else {
+            return false;
+        };
+        let others = steps[usize::from(id.step.step)].tasks.iter().enumerate();
+        let away = others.filter(|(index, task)| {
+            let at_work = task
+                .runs
+                .iter()
+                .any(|run| run.percent >= 100 && matches!(run.phase, Phase::Running { .. }));
+            *index != id.index as usize && !at_work
+        });
+        let away = u32::try_from(away.count()).unwrap_or(u32::MAX);
+        away < budget || (draining && away == 0)
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -0,0 +1,229 @@
+use std::collections::BTreeMap;
+
+use crate::job::JobId;
+use crate::job::JobProgress;
+use crate::job::JobRecord;
+use crate::job::JobSpec;
+use crate::job::JobStatus;
+use crate::job::TaskProgress;
+
+use super::instant::Instant;
+use super::job_entry::JobEntry;
+use super::placement::task_id;
+use super::pool_scheduler::PoolScheduler;
+
+/// What becomes of a job that is handed in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SubmitAnswer {
+    /// It is stored.
+    Accepted,
+    /// It is accepted once the store has it.
+    Storing,
+    /// It is turned away and never runs.
+    Refused {
+        /// When the caller may ask again.
+        retry_after_ms: u64,
+    },
+}
+
+/// What becomes of a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelAnswer {
+    /// The job is final in the store.
+    Done,
+    /// It is cancelled once the store has it.
+    Storing,
+    /// No such job is known here.
+    Unknown,
+}
+
+impl PoolScheduler {
+    /// Takes a job that a caller hands in.
+    pub fn submit(
+        &mut self,
+        id: JobId,
+        record: JobRecord,
+        spec: JobSpec,
+        now: Instant,
+    ) -> SubmitAnswer {
+        if let Some(entry) = self.jobs.get(&id) {
+            return match entry.stored_status {
+                Some(_) => SubmitAnswer::Accepted,
+                None => SubmitAnswer::Storing,
+            };
+        }
+        if let Some(retry_after_ms) = self.refuse(&record, &spec, now) {
+            self.note_refused(id, &record, &spec, now);
+            return SubmitAnswer::Refused { retry_after_ms };
+        }
+        self.insert_job(id, record, spec, None, now);
+        self.dirty.insert(id);
+        self.urgent = true;
+        SubmitAnswer::Storing
+    }
+
+    /// Takes a job that another process has stored for the owner.
+    pub fn adopt(&mut self, id: JobId, record: JobRecord, spec: JobSpec, now: Instant) {
+        if !self.jobs.contains_key(&id) {
+            self.insert_job(id, record, spec, None, now);
+            self.dirty.insert(id);
+            self.urgent = true;
+        }
+    }
+
+    /// Takes a job from the store's rows after a takeover.
+    pub fn restore(
+        &mut self,
+        id: JobId,
+        record: JobRecord,
+        spec: JobSpec,
+        progress: Option<&JobProgress>,
+        now: Instant,
+    ) {
+        let none = JobProgress::default();
+        let progress = progress.unwrap_or(&none);
+        self.insert_job(id, record, spec, Some(progress), now);
+        self.learn_progress(id, progress, now);
+    }
+
+    fn insert_job(
+        &mut self,
+        id: JobId,
+        record: JobRecord,
+        spec: JobSpec,
+        progress: Option<&JobProgress>,
+        now: Instant,
+    ) {
+        let status = progress.map_or(JobStatus::Pending, |progress| progress.status);
+        let age_ms = now.unix_ms.saturating_sub(record.accepted_unix_ms);
+        let mut entry = JobEntry {
+            record,
+            spec,
+            status,
+            final_unix_ms: progress.map_or(0, |progress| progress.final_unix_ms),
+            final_steady_ms: now.steady_ms,
+            stored_status: progress.map(|progress| progress.status),
+            inherited: progress.is_some(),
+            due_ms: 0,
+            occurrences: BTreeMap::new(),
+            occurrences_done: 0,
+            next_occurrence: 0,
+        };
+        let allowed_ms = self.objective_ms(&entry);
+        entry.due_ms = (now.steady_ms + allowed_ms).saturating_sub(age_ms);
+        if status.is_final() {
+            self.recently_final.push((now.steady_ms, id));
+        }
+        self.jobs.insert(id, entry);
+        if !status.is_final() && progress.is_none() {
+            self.plan_occurrences(id, now);
+        }
+    }
+
+    fn learn_progress(&mut self, id: JobId, progress: &JobProgress, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.status.is_final() {
+            return;
+        }
+        for task in &progress.tasks {
+            if !job.occurrences.contains_key(&task.occurrence) {
+                job.add_occurrence(task.occurrence);
+            }
+            Self::learn_task(id, job, task);
+        }
+        let occurrences: Vec<u32> = job.occurrences.keys().copied().collect();
+        let done = job.occurrences.values();
+        let done = done.filter(|steps| steps.iter().all(|step| step.remaining == 0));
+        job.occurrences_done = u32::try_from(done.count()).unwrap_or(u32::MAX);
+        if job.occurrences_done >= job.spec.occurrences() {
+            self.finish(id, JobStatus::Completed, now);
+            return;
+        }
+        for occurrence in occurrences {
+            self.open_steps(id, occurrence, now);
+        }
+        self.plan_occurrences(id, now);
+    }
+
+    fn learn_task(id: JobId, job: &mut JobEntry, stored: &TaskProgress) {
+        let step = usize::from(stored.step);
+        let task = task_id(id, stored.occurrence, step, stored.index as usize);
+        let Some(entry) = job.task_mut(task) else {
+            return;
+        };
+        entry.failed_runs.clone_from(&stored.failed_runs);
+        entry.last_run = stored.last_run;
+        entry.checkpoint.clone_from(&stored.checkpoint);
+        if stored.done && !entry.done {
+            entry.done = true;
+            if let Some(steps) = job.occurrences.get_mut(&stored.occurrence) {
+                steps[step].remaining -= 1;
+            }
+        }
+    }
+
+    /// Sets up the next occurrences of a job.
+    pub(super) fn plan_occurrences(&mut self, id: JobId, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let Some(schedule) = job.spec.schedule else {
+            if job.next_occurrence == 0 {
+                job.add_occurrence(0);
+                self.open_steps(id, 0, now);
+            }
+            return;
+        };
+        for occurrence in job.next_occurrence..schedule.count {
+            let due_unix_ms = schedule.due_unix_ms(occurrence);
+            if due_unix_ms > now.unix_ms {
+                self.timed.insert((due_unix_ms, id, occurrence));
+                break;
+            }
+            job.add_occurrence(occurrence);
+        }
+        let opened: Vec<u32> = job.occurrences.keys().copied().collect();
+        for occurrence in opened {
+            self.open_steps(id, occurrence, now);
+        }
+    }
+
+    /// Starts the occurrences whose time has come.
+    pub(super) fn open_due_occurrences(&mut self, now: Instant) {
+        while let Some(&(due_unix_ms, id, occurrence)) = self.timed.first() {
+            if due_unix_ms > now.unix_ms {
+                return;
+            }
+            self.timed.remove(&(due_unix_ms, id, occurrence));
+            self.plan_occurrences(id, now);
+        }
+    }
+
+    /// Takes a cancellation.
+    pub fn cancel(&mut self, id: JobId, now: Instant) -> CancelAnswer {
+        let Some(entry) = self.jobs.get(&id) else {
+            return CancelAnswer::Unknown;
+        };
+        let stored_final = entry.stored_status.is_some_and(JobStatus::is_final);
+        if stored_final {
+            return CancelAnswer::Done;
+        }
+        self.finish(id, JobStatus::Cancelled, now);
+        CancelAnswer::Storing
+    }
+
+    /// Forgets final jobs whose status need not be kept any longer.
+    pub(super) fn forget_expired(&mut self, now: Instant) {
+        let kept_ms = self.settings.status_kept_ms;
+        let expired = self
+            .recently_final
+            .iter()
+            .take_while(|(at_ms, _)| at_ms + kept_ms <= now.steady_ms)
+            .count();
+        for (_, id) in self.recently_final.drain(..expired) {
+            self.dirty.insert(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/job_entry.rs
@@ -0,0 +1,121 @@
+use std::collections::BTreeMap;
+
+use crate::job::JobProgress;
+use crate::job::JobRecord;
+use crate::job::JobSpec;
+use crate::job::JobStatus;
+use crate::job::Step;
+use crate::job::TaskId;
+use crate::job::TaskProgress;
+
+use super::task_entry::TaskEntry;
+
+/// A job in memory.
+#[derive(Clone, Debug)]
+pub(super) struct JobEntry {
+    pub(super) record: JobRecord,
+    pub(super) spec: JobSpec,
+    pub(super) status: JobStatus,
+    pub(super) final_unix_ms: u64,
+    pub(super) final_steady_ms: u64,
+    /// Status that the store has; `None` while it has no row of the job.
+    pub(super) stored_status: Option<JobStatus>,
+    /// Whether a predecessor may have started tasks of it.
+    pub(super) inherited: bool,
+    /// When it has to be done to be of full use, by the steady clock.
+    pub(super) due_ms: u64,
+    pub(super) occurrences: BTreeMap<u32, Vec<StepEntry>>,
+    pub(super) occurrences_done: u32,
+    pub(super) next_occurrence: u32,
+}
+
+/// A step of an occurrence in memory.
+#[derive(Clone, Debug)]
+pub(super) struct StepEntry {
+    pub(super) tasks: Vec<TaskEntry>,
+    pub(super) remaining: u32,
+    pub(super) open: bool,
+}
+
+impl JobEntry {
+    pub(super) fn step(&self, step: u16) -> &Step {
+        &self.spec.steps[usize::from(step)]
+    }
+
+    pub(super) fn task(&self, task: TaskId) -> Option<&TaskEntry> {
+        let steps = self.occurrences.get(&task.step.occurrence)?;
+        let step = steps.get(usize::from(task.step.step))?;
+        step.tasks.get(task.index as usize)
+    }
+
+    pub(super) fn task_mut(&mut self, task: TaskId) -> Option<&mut TaskEntry> {
+        let steps = self.occurrences.get_mut(&task.step.occurrence)?;
+        let step = steps.get_mut(usize::from(task.step.step))?;
+        step.tasks.get_mut(task.index as usize)
+    }
+
+    /// Sets an occurrence up with nothing done.
+    pub(super) fn add_occurrence(&mut self, occurrence: u32) {
+        let steps = self.spec.steps.iter().map(|step| StepEntry {
+            tasks: vec![TaskEntry::default(); step.replicas as usize],
+            remaining: step.replicas,
+            open: false,
+        });
+        self.occurrences.insert(occurrence, steps.collect());
+        self.next_occurrence = self.next_occurrence.max(occurrence + 1);
+    }
+
+    /// Whether all earlier steps that a step waits for are done.
+    pub(super) fn may_open(&self, occurrence: u32, step: u16) -> bool {
+        let Some(steps) = self.occurrences.get(&occurrence) else {
+            return false;
+        };
+        let after = &self.spec.steps[usize::from(step)].after;
+        after
+            .iter()
+            .all(|&earlier| steps[usize::from(earlier)].remaining == 0)
+    }
+
+    /// What the store keeps of the job now.
+    pub(super) fn progress(&self) -> JobProgress {
+        let mut tasks = Vec::new();
+        for (&occurrence, steps) in &self.occurrences {
+            for (place, step) in steps.iter().enumerate() {
+                for (index, task) in step.tasks.iter().enumerate() {
+                    tasks.extend(task_progress(occurrence, place, index, task));
+                }
+            }
+        }
+        JobProgress {
+            status: self.status,
+            final_unix_ms: self.final_unix_ms,
+            tasks: if self.status.is_final() {
+                Vec::new()
+            } else {
+                tasks
+            },
+        }
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "steps and tasks are bounded when a job is checked"
+)]
+fn task_progress(
+    occurrence: u32,
+    step: usize,
+    index: usize,
+    task: &TaskEntry,
+) -> Option<TaskProgress> {
+    let untouched = !task.done && task.failed_runs.is_empty() && task.checkpoint.is_empty();
+    (!untouched).then(|| TaskProgress {
+        occurrence,
+        step: step as u16,
+        index: index as u32,
+        done: task.done,
+        failed_runs: task.failed_runs.clone(),
+        last_run: task.last_run,
+        checkpoint: task.checkpoint.clone(),
+    })
+}
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -0,0 +1,38 @@
+//! Runs the jobs of one pool on its workers.
+//!
+//! One process owns a pool at a time. Its [`PoolScheduler`] takes callers'
+//! jobs, workers' reports, the store's confirmations and the time, and gives
+//! out orders to workers and batches of rows for the store. What it believes
+//! of workers it learns from their own reports, so that a successor only needs
+//! the rows and a look at each worker.
+
+mod action;
+mod admission;
+mod batch;
+mod ends;
+mod evacuation;
+mod instant;
+mod intake;
+mod job_entry;
+mod looks;
+mod orders;
+mod pacing;
+mod placement;
+mod pool_scheduler;
+mod registry;
+mod settings;
+mod task_entry;
+mod worker_state;
+
+pub use self::action::Action;
+pub use self::action::LifeIndex;
+pub use self::action::LookFailure;
+pub use self::admission::Load;
+pub use self::batch::Batch;
+pub use self::batch::BatchOutcome;
+pub use self::batch::StoredJobs;
+pub use self::instant::Instant;
+pub use self::intake::CancelAnswer;
+pub use self::intake::SubmitAnswer;
+pub use self::pool_scheduler::PoolScheduler;
+pub use self::settings::SchedulerSettings;
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/orders.rs
@@ -0,0 +1,195 @@
+use crate::job::TaskId;
+use crate::worker::OrderOutcome;
+use crate::worker::Rejection;
+
+use super::action::Action;
+use super::action::LifeIndex;
+use super::instant::Instant;
+use super::pool_scheduler::PoolScheduler;
+use super::task_entry::Phase;
+
+/// Failures in a row after which a worker is taken to fail all that it starts.
+const FAILING_AFTER: u32 = 3;
+/// Longest that such a worker is left without work before it gets a trial.
+const LONGEST_PENALTY_MS: u64 = 8000;
+
+impl PoolScheduler {
+    /// Takes the answer to an order to start.
+    pub fn start_replied(
+        &mut self,
+        life: LifeIndex,
+        task: TaskId,
+        run: u64,
+        outcome: OrderOutcome,
+        now: Instant,
+    ) {
+        if let OrderOutcome::Done { clock_ms } = outcome
+            && let Some(worker) = self.lives.get_mut(&life)
+        {
+            worker.read_clock(clock_ms, now.steady_ms);
+        }
+        match outcome {
+            OrderOutcome::Done { .. } => self.start_confirmed(life, task, run, now),
+            OrderOutcome::NoAnswer => self.start_unanswered(life, task, run, now),
+            OrderOutcome::NotSent => {
+                self.penalise(life, now);
+                self.start_undone(life, task, run, now);
+            }
+            OrderOutcome::Rejected(rejection) => {
+                self.start_rejected(life, task, run, rejection, now);
+            }
+        }
+    }
+
+    fn start_confirmed(&mut self, life: LifeIndex, task: TaskId, run: u64, now: Instant) {
+        self.note_started(task);
+        let entry = self
+            .jobs
+            .get_mut(&task.step.job)
+            .and_then(|job| job.task_mut(task));
+        if let Some(run) = entry.and_then(|entry| entry.run_mut(run))
+            && matches!(run.phase, Phase::Starting | Phase::Unanswered)
+        {
+            run.phase = Phase::Running {
+                confirmed_ms: now.steady_ms,
+            };
+        }
+        if let Some(worker) = self.lives.get_mut(&life) {
+            Self::look_soon(worker, now.steady_ms);
+        }
+    }
+
+    fn start_unanswered(&mut self, life: LifeIndex, task: TaskId, run: u64, now: Instant) {
+        let entry = self
+            .jobs
+            .get_mut(&task.step.job)
+            .and_then(|job| job.task_mut(task));
+        if let Some(run) = entry.and_then(|entry| entry.run_mut(run))
+            && run.phase == Phase::Starting
+        {
+            run.phase = Phase::Unanswered;
+        }
+        if let Some(worker) = self.lives.get_mut(&life) {
+            Self::look_soon(worker, now.steady_ms);
+        }
+    }
+
+    fn start_rejected(
+        &mut self,
+        life: LifeIndex,
+        task: TaskId,
+        run: u64,
+        rejection: Rejection,
+        now: Instant,
+    ) {
+        match rejection {
+            Rejection::Fence => {
+                self.deposed = true;
+                return;
+            }
+            Rejection::OtherLife => {
+                self.end_life(life, now);
+                return;
+            }
+            Rejection::Late | Rejection::NoCapacity => {
+                if let Some(worker) = self.lives.get_mut(&life) {
+                    // The next report brings a newer clock and the room in use.
+                    worker.penalty_until_ms = now.steady_ms + self.settings.look_retry_ms;
+                    Self::look_soon(worker, now.steady_ms);
+                }
+            }
+            Rejection::Ticket => {
+                self.tickets.remove(&task.step);
+            }
+            Rejection::OldRun => {}
+            Rejection::Unhealthy | Rejection::Malformed => self.penalise(life, now),
+        }
+        self.start_undone(life, task, run, now);
+    }
+
+    fn start_undone(&mut self, life: LifeIndex, task: TaskId, run: u64, now: Instant) {
+        self.release_run(life, task, run);
+        self.run_lost(task, run, now);
+    }
+
+    /// Keeps work away from a worker for a while.
+    pub(super) fn penalise(&mut self, life: LifeIndex, now: Instant) {
+        let penalty_ms = self.settings.start_penalty_ms;
+        if let Some(worker) = self.lives.get_mut(&life) {
+            worker.penalty_until_ms = now.steady_ms + penalty_ms;
+        }
+    }
+
+    /// Keeps work away from a worker that fails all that it starts: longer
+    /// with each further failure, then one trial.
+    pub(super) fn penalise_failures(&mut self, life: LifeIndex, now: Instant) {
+        let penalty_ms = self.settings.start_penalty_ms;
+        let Some(worker) = self.lives.get_mut(&life) else {
+            return;
+        };
+        if worker.failures_in_a_row < FAILING_AFTER {
+            return;
+        }
+        let doublings = (worker.failures_in_a_row - FAILING_AFTER).min(3);
+        let penalty_ms = (penalty_ms << doublings).min(LONGEST_PENALTY_MS);
+        worker.penalty_until_ms = now.steady_ms + penalty_ms;
+    }
+
+    /// Takes the answer to an order to stop.
+    pub fn stop_replied(
+        &mut self,
+        life: LifeIndex,
+        task: TaskId,
+        run: u64,
+        outcome: OrderOutcome,
+        now: Instant,
+    ) {
+        match outcome {
+            OrderOutcome::Done { clock_ms } => {
+                if let Some(worker) = self.lives.get_mut(&life) {
+                    worker.read_clock(clock_ms, now.steady_ms);
+                    worker.look_by(now.steady_ms + self.settings.look_spacing_ms);
+                }
+                let entry = self
+                    .jobs
+                    .get_mut(&task.step.job)
+                    .and_then(|job| job.task_mut(task));
+                if let Some(run) = entry.and_then(|entry| entry.run_mut(run)) {
+                    run.phase = Phase::Stopped {
+                        confirmed_ms: now.steady_ms,
+                    };
+                }
+            }
+            OrderOutcome::Rejected(Rejection::Fence) => self.deposed = true,
+            OrderOutcome::Rejected(Rejection::OtherLife) => self.end_life(life, now),
+            OrderOutcome::Rejected(_) | OrderOutcome::NotSent | OrderOutcome::NoAnswer => {
+                if let Some(worker) = self.lives.get_mut(&life) {
+                    worker.look_by(now.steady_ms + self.settings.look_retry_ms);
+                }
+            }
+        }
+    }
+
+    /// Orders a run to stop, unless that was done already.
+    pub(super) fn stop_run(&mut self, task: TaskId, number: u64, now: Instant) {
+        let entry = self
+            .jobs
+            .get_mut(&task.step.job)
+            .and_then(|job| job.task_mut(task));
+        let Some(run) = entry.and_then(|entry| entry.run_mut(number)) else {
+            return;
+        };
+        if matches!(run.phase, Phase::Stopping { .. } | Phase::Stopped { .. }) {
+            return;
+        }
+        run.phase = Phase::Stopping {
+            sent_ms: now.steady_ms,
+        };
+        let life = run.life;
+        self.actions.push(Action::Stop {
+            life,
+            task,
+            run: number,
+        });
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/pacing.rs
@@ -0,0 +1,85 @@
+use crate::worker::LookReport;
+
+use super::action::Action;
+use super::action::LifeIndex;
+use super::instant::Instant;
+use super::pool_scheduler::PoolScheduler;
+use super::task_entry::Phase;
+
+/// Reported tails cover half a second, so a change shows after as long.
+const PACE_STEP_MS: u64 = 600;
+/// Share of the target above which fillers are slowed, in percent.
+const SLOW_ABOVE_PERCENT: u64 = 90;
+/// Share of the target below which they may speed up, in percent.
+const SPEED_BELOW_PERCENT: u64 = 65;
+/// Steps by which they speed up, in percent of full speed.
+const SPEED_UP_PERCENT: u64 = 15;
+
+impl PoolScheduler {
+    /// Slows the tasks that fill a worker while a serving task there misses
+    /// its target: by half at a time down to nothing, and up again in small
+    /// steps once all targets are kept with room to spare.
+    pub(super) fn pace_fillers(&mut self, life: LifeIndex, report: &LookReport, now: Instant) {
+        let Some(worker) = self.lives.get(&life) else {
+            return;
+        };
+        if worker.paced_ms + PACE_STEP_MS > now.steady_ms {
+            return;
+        }
+        let mut worst_percent = None;
+        for seen in &report.running {
+            let Some(job) = self.jobs.get(&seen.task.step.job) else {
+                continue;
+            };
+            let step = job.spec.steps.get(usize::from(seen.task.step.step));
+            if let Some(target_ms) = step.and_then(|step| step.target_ms) {
+                let percent = seen.gauge * 100 / target_ms.max(1);
+                worst_percent = Some(percent.max(worst_percent.unwrap_or(0)));
+            }
+        }
+        let worst_percent = worst_percent.unwrap_or(0);
+        let slow = worst_percent > SLOW_ABOVE_PERCENT;
+        let speed = worst_percent < SPEED_BELOW_PERCENT;
+        if !slow && !speed {
+            return;
+        }
+        let mut changed = false;
+        for seen in &report.running {
+            let Some(job) = self.jobs.get_mut(&seen.task.step.job) else {
+                continue;
+            };
+            let fills = job
+                .spec
+                .steps
+                .get(usize::from(seen.task.step.step))
+                .is_some_and(|step| step.fills);
+            let Some(run) = job
+                .task_mut(seen.task)
+                .and_then(|task| task.run_mut(seen.run))
+            else {
+                continue;
+            };
+            if !fills || !matches!(run.phase, Phase::Running { .. }) {
+                continue;
+            }
+            let percent = if slow {
+                run.pace / 2 / 5 * 5
+            } else {
+                (run.pace + SPEED_UP_PERCENT).min(100)
+            };
+            if percent != run.pace {
+                run.pace = percent;
+                changed = true;
+                self.actions.push(Action::Pace {
+                    life,
+                    task: seen.task,
+                    run: seen.run,
+                    percent,
+                });
+            }
+        }
+        if changed && let Some(worker) = self.lives.get_mut(&life) {
+            worker.paced_ms = now.steady_ms;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -0,0 +1,377 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::job::JobId;
+use crate::job::Step;
+use crate::job::StepId;
+use crate::job::TaskId;
+
+use super::action::Action;
+use super::action::LifeIndex;
+use super::instant::Instant;
+use super::pool_scheduler::PoolScheduler;
+use super::task_entry::Phase;
+use super::task_entry::Run;
+use super::worker_state::WorkerState;
+
+/// Steps that may find no room before a pass ends, so that a pass stays short
+/// while a backlog waits.
+const MISSES_PER_PASS: u32 = 24;
+
+/// Order of the steps that wait for workers: tasks that are to be always at
+/// work, then by priority, then the earliest objective first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct ReadyKey {
+    pub(super) is_batch: bool,
+    pub(super) priority: u32,
+    pub(super) due_ms: u64,
+    pub(super) step: StepId,
+}
+
+/// Tickets of the advice service for a step.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Tickets {
+    pub(super) asked: bool,
+    pub(super) valid_until_ms: u64,
+    pub(super) by_life: BTreeMap<LifeIndex, String>,
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "steps and tasks are bounded when a job is checked"
+)]
+pub(super) fn task_id(job: JobId, occurrence: u32, step: usize, index: usize) -> TaskId {
+    let step = StepId {
+        job,
+        occurrence,
+        step: step as u16,
+    };
+    step.task(index as u32)
+}
+
+impl PoolScheduler {
+    /// Opens the steps of an occurrence whose earlier steps are done.
+    pub(super) fn open_steps(&mut self, id: JobId, occurrence: u32, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let count = job.spec.steps.len();
+        let mut waiting = Vec::new();
+        for place in 0..count {
+            let step = task_id(id, occurrence, place, 0).step.step;
+            let open = job.may_open(occurrence, step);
+            let Some(steps) = job.occurrences.get_mut(&occurrence) else {
+                return;
+            };
+            if !open || steps[place].open {
+                continue;
+            }
+            steps[place].open = true;
+            let tasks = steps[place].tasks.iter().enumerate();
+            let tasks = tasks.filter(|(_, task)| !task.done && task.runs.is_empty());
+            waiting.extend(tasks.map(|(index, _)| task_id(id, occurrence, place, index)));
+        }
+        for task in waiting {
+            self.make_ready(task, now);
+        }
+    }
+
+    fn ready_key(&self, step: StepId) -> Option<ReadyKey> {
+        let job = self.jobs.get(&step.job)?;
+        let long_running = job.step(step.step).long_running;
+        Some(ReadyKey {
+            is_batch: !long_running,
+            priority: job.record.priority,
+            due_ms: job.due_ms,
+            step,
+        })
+    }
+
+    /// Lets a task wait for a worker, if it is to run and has none.
+    pub(super) fn make_ready(&mut self, id: TaskId, _now: Instant) {
+        let Some(job) = self.jobs.get(&id.step.job) else {
+            return;
+        };
+        let open = job
+            .occurrences
+            .get(&id.step.occurrence)
+            .is_some_and(|steps| steps[usize::from(id.step.step)].open);
+        let idle = job
+            .task(id)
+            .is_some_and(|task| !task.done && task.runs.is_empty());
+        if job.status.is_final() || !open || !idle {
+            return;
+        }
+        if let Some(key) = self.ready_key(id.step) {
+            self.ready.entry(key).or_default().insert(id.index);
+            self.placing_needed = true;
+        }
+    }
+
+    /// Takes a task out of those that wait.
+    pub(super) fn unready(&mut self, id: TaskId) {
+        let Some(key) = self.ready_key(id.step) else {
+            return;
+        };
+        if let Some(indexes) = self.ready.get_mut(&key) {
+            indexes.remove(&id.index);
+            if indexes.is_empty() {
+                self.ready.remove(&key);
+            }
+        }
+    }
+
+    /// Takes all tasks of a job out of those that wait.
+    pub(super) fn drop_ready(&mut self, id: JobId) {
+        self.ready.retain(|key, _| key.step.job != id);
+        self.tickets.retain(|step, _| step.job != id);
+    }
+
+    /// Places what waits, in order, while there is room.
+    pub(super) fn place(&mut self, now: Instant) {
+        self.placing_needed = false;
+        let keys: Vec<ReadyKey> = self.ready.keys().copied().collect();
+        let mut misses = 0;
+        for key in keys {
+            if misses >= MISSES_PER_PASS {
+                break;
+            }
+            if !self.place_step(key, now) {
+                misses += 1;
+            }
+        }
+    }
+
+    /// Places the waiting tasks of a step; false when some found no room.
+    fn place_step(&mut self, key: ReadyKey, now: Instant) -> bool {
+        let Some(job) = self.jobs.get(&key.step.job) else {
+            self.ready.remove(&key);
+            return true;
+        };
+        let held = job.inherited && !self.predecessor_lives.is_empty();
+        if held || job.stored_status.is_none() {
+            return true;
+        }
+        let step = job.step(key.step.step).clone();
+        let needs_ticket = self.rules_of(job).advice.is_some();
+        if needs_ticket && !self.has_tickets(key.step, now) {
+            return false;
+        }
+        let indexes: Vec<u32> = match self.ready.get(&key) {
+            Some(indexes) => indexes.iter().copied().collect(),
+            None => return true,
+        };
+        if step.gang {
+            return self.place_gang(key, &step, &indexes, needs_ticket, now);
+        }
+        for index in indexes {
+            let Some(life) = self.choose(key.step, &step, needs_ticket, now) else {
+                return false;
+            };
+            let run = self.run_after(key.step.task(index));
+            self.start(key.step.task(index), &step, life, run, now);
+        }
+        true
+    }
+
+    /// Places all tasks of a gang under one number, or none.
+    fn place_gang(
+        &mut self,
+        key: ReadyKey,
+        step: &Step,
+        indexes: &[u32],
+        needs_ticket: bool,
+        now: Instant,
+    ) -> bool {
+        if indexes.len() < step.replicas as usize {
+            // Members of the last run have not all ended yet.
+            return true;
+        }
+        let runs = indexes
+            .iter()
+            .map(|&index| self.run_after(key.step.task(index)));
+        let run = runs.max().unwrap_or(1);
+        let mut taken: Vec<(LifeIndex, TaskId)> = Vec::new();
+        for &index in indexes {
+            let task = key.step.task(index);
+            let Some(life) = self.choose(key.step, step, needs_ticket, now) else {
+                for (life, task) in taken {
+                    self.release_run(life, task, run);
+                }
+                return false;
+            };
+            if let Some(worker) = self.lives.get_mut(&life) {
+                worker.reserve(task, run, step.reserved());
+            }
+            taken.push((life, task));
+        }
+        let checkpoint = self.gang_checkpoint(key.step, indexes);
+        for (life, task) in taken {
+            if let Some(entry) = self
+                .jobs
+                .get_mut(&task.step.job)
+                .and_then(|job| job.task_mut(task))
+            {
+                entry.checkpoint.clone_from(&checkpoint);
+            }
+            self.start(task, step, life, run, now);
+        }
+        true
+    }
+
+    fn gang_checkpoint(&self, step: StepId, indexes: &[u32]) -> String {
+        let job = self.jobs.get(&step.job);
+        let tasks = indexes
+            .iter()
+            .filter_map(|&index| job?.task(step.task(index)));
+        let newest = tasks
+            .filter(|task| !task.checkpoint.is_empty())
+            .max_by_key(|task| task.last_run);
+        newest
+            .map(|task| task.checkpoint.clone())
+            .unwrap_or_default()
+    }
+
+    fn run_after(&self, task: TaskId) -> u64 {
+        let job = self.jobs.get(&task.step.job);
+        let last = job
+            .and_then(|job| job.task(task))
+            .map_or(0, |entry| entry.last_run);
+        self.next_run(last)
+    }
+
+    /// The worker for one more task of a step.
+    fn choose(
+        &self,
+        id: StepId,
+        step: &Step,
+        needs_ticket: bool,
+        now: Instant,
+    ) -> Option<LifeIndex> {
+        let need = step.reserved();
+        let tickets = self.tickets.get(&id);
+        let candidates = self.lives.iter().filter(|&(life, worker)| {
+            Self::is_usable(worker, now)
+                && worker.entry.capacity.fits(worker.used, need)
+                && step
+                    .max_per_worker
+                    .is_none_or(|most| worker.tasks_of(id) < most)
+                && has_label(worker, step.required_label.as_deref())
+                && (!needs_ticket || tickets.is_some_and(|held| held.by_life.contains_key(life)))
+        });
+        let racks = self.racks_of(id, step);
+        let best = candidates.max_by_key(|(life, worker)| {
+            let free = worker.entry.capacity.minus(worker.used).cpu_millicores;
+            let near = step
+                .preferred_rack
+                .as_deref()
+                .is_none_or(|rack| has_label(worker, Some(rack)));
+            let together =
+                racks.is_empty() || racks.iter().any(|rack| has_label(worker, Some(rack)));
+            let warm = worker.entry.cold_remaining_ms == 0;
+            // Long-running tasks share few workers, so that the others can
+            // serve another pool; short ones take the emptiest.
+            let room = if step.long_running {
+                u64::MAX - free
+            } else {
+                free
+            };
+            (near, together, warm, room, u32::MAX - **life)
+        });
+        best.map(|(&life, _)| life)
+    }
+
+    /// Racks that a step that wants a single one uses already.
+    fn racks_of(&self, id: StepId, step: &Step) -> BTreeSet<String> {
+        if !step.same_rack {
+            return BTreeSet::new();
+        }
+        let used = self.lives.values().filter(|worker| worker.tasks_of(id) > 0);
+        used.flat_map(|worker| worker.entry.labels.iter().skip(1).cloned())
+            .collect()
+    }
+
+    fn start(&mut self, task: TaskId, step: &Step, life: LifeIndex, run: u64, now: Instant) {
+        let lease_ms = self.settings.lease_ms;
+        let ticket = self
+            .tickets
+            .get(&task.step)
+            .and_then(|held| held.by_life.get(&life).cloned());
+        let Some(worker) = self.lives.get_mut(&life) else {
+            return;
+        };
+        let Some(deadline_clock_ms) = worker.lease_from(now.steady_ms, lease_ms) else {
+            return;
+        };
+        worker.reserve(task, run, step.reserved());
+        worker.look_by(now.steady_ms + self.settings.look_wait_ms);
+        self.unready(task);
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let spec = job.spec.spec.clone();
+        let Some(entry) = job.task_mut(task) else {
+            return;
+        };
+        entry.last_run = run;
+        entry.runs.push(Run {
+            number: run,
+            life,
+            phase: Phase::Starting,
+            started_ms: now.steady_ms,
+            percent: 0,
+            pace: 100,
+        });
+        self.actions.push(Action::Start {
+            life,
+            task,
+            run,
+            spec,
+            deadline_clock_ms,
+            checkpoint: entry.checkpoint.clone(),
+            ticket,
+        });
+    }
+
+    /// Whether a step has tickets that hold; asks for them otherwise.
+    fn has_tickets(&mut self, step: StepId, now: Instant) -> bool {
+        let lives = self
+            .lives
+            .iter()
+            .filter(|(_, worker)| Self::is_usable(worker, now));
+        let lives: Vec<LifeIndex> = lives.map(|(&life, _)| life).collect();
+        let held = self.tickets.entry(step).or_default();
+        if held.valid_until_ms > now.steady_ms {
+            return true;
+        }
+        if !held.asked && !lives.is_empty() {
+            held.asked = true;
+            held.by_life.clear();
+            self.actions.push(Action::Advise { step, lives });
+        }
+        false
+    }
+
+    /// Takes the answer of the advice service: a ticket for each worker that
+    /// may run the step, or nothing when it did not answer.
+    pub fn advised(
+        &mut self,
+        step: StepId,
+        tickets: Option<(Vec<(LifeIndex, String)>, u64)>,
+        now: Instant,
+    ) {
+        let Some(held) = self.tickets.get_mut(&step) else {
+            return;
+        };
+        held.asked = false;
+        if let Some((tickets, valid_ms)) = tickets {
+            held.by_life = tickets.into_iter().collect();
+            held.valid_until_ms = now.steady_ms + valid_ms;
+        }
+        self.placing_needed = true;
+    }
+}
+
+fn has_label(worker: &WorkerState, label: Option<&str>) -> bool {
+    label.is_none_or(|label| worker.entry.labels.iter().any(|own| own == label))
+}
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -0,0 +1,238 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use crate::catalog::Advice;
+use crate::catalog::Queue;
+use crate::job::JobId;
+use crate::job::JobStatus;
+use crate::job::StepId;
+
+use super::action::Action;
+use super::action::LifeIndex;
+use super::admission::LoadEstimate;
+use super::batch::BatchInFlight;
+use super::instant::Instant;
+use super::job_entry::JobEntry;
+use super::placement::ReadyKey;
+use super::placement::Tickets;
+use super::settings::SchedulerSettings;
+use super::worker_state::Look;
+use super::worker_state::WorkerState;
+
+/// Numbers of starts set aside for one term of ownership, so that a successor
+/// numbers higher than a predecessor whose last starts it can't know.
+const RUNS_PER_TERM: u64 = 100_000;
+
+/// The scheduler of one pool for one term of ownership.
+#[derive(Debug)]
+pub struct PoolScheduler {
+    pub(super) pool: String,
+    pub(super) fencing_token: u64,
+    pub(super) settings: SchedulerSettings,
+    pub(super) queues: BTreeMap<String, QueueRules>,
+    pub(super) jobs: HashMap<JobId, JobEntry>,
+    pub(super) lives: BTreeMap<LifeIndex, WorkerState>,
+    pub(super) life_of_id: HashMap<String, LifeIndex>,
+    pub(super) next_life: LifeIndex,
+    pub(super) ready: BTreeMap<ReadyKey, BTreeSet<u32>>,
+    pub(super) tickets: BTreeMap<StepId, Tickets>,
+    /// Occurrences to come, by the time when they are due since 1970.
+    pub(super) timed: BTreeSet<(u64, JobId, u32)>,
+    pub(super) dirty: BTreeSet<JobId>,
+    pub(super) batch: Option<BatchInFlight>,
+    pub(super) last_batch_ms: u64,
+    pub(super) urgent: bool,
+    pub(super) workers_row_wanted: bool,
+    /// Lives that a predecessor may have used and that were not asked yet.
+    pub(super) predecessor_lives: BTreeMap<String, u64>,
+    /// When all that a predecessor started has ended on silent workers.
+    pub(super) predecessor_over_ms: u64,
+    pub(super) load: LoadEstimate,
+    pub(super) actions: Vec<Action>,
+    pub(super) placing_needed: bool,
+    pub(super) deposed: bool,
+    pub(super) vacating: BTreeSet<String>,
+    pub(super) recently_final: Vec<(u64, JobId)>,
+}
+
+/// What placement needs to know of a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct QueueRules {
+    pub(super) priority: u32,
+    pub(super) max_attempts: u32,
+    pub(super) stretch_permille: u64,
+    pub(super) objective_ms: u64,
+    pub(super) advice: Option<Advice>,
+}
+
+impl PoolScheduler {
+    /// A scheduler without jobs or workers.
+    ///
+    /// ```
+    /// use cornelpoint::scheduler::PoolScheduler;
+    /// use cornelpoint::scheduler::SchedulerSettings;
+    ///
+    /// let scheduler = PoolScheduler::new("quoting", 1, SchedulerSettings::default());
+    /// assert_eq!(scheduler.fencing_token(), 1);
+    /// ```
+    #[must_use]
+    pub fn new(pool: &str, fencing_token: u64, settings: SchedulerSettings) -> Self {
+        Self {
+            pool: pool.to_owned(),
+            fencing_token,
+            settings,
+            queues: BTreeMap::new(),
+            jobs: HashMap::new(),
+            lives: BTreeMap::new(),
+            life_of_id: HashMap::new(),
+            next_life: 0,
+            ready: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            timed: BTreeSet::new(),
+            dirty: BTreeSet::new(),
+            batch: None,
+            last_batch_ms: 0,
+            urgent: false,
+            workers_row_wanted: false,
+            predecessor_lives: BTreeMap::new(),
+            predecessor_over_ms: 0,
+            load: LoadEstimate::default(),
+            actions: Vec::new(),
+            placing_needed: false,
+            deposed: false,
+            vacating: BTreeSet::new(),
+            recently_final: Vec::new(),
+        }
+    }
+
+    /// The token that every order of this term carries.
+    #[must_use]
+    pub fn fencing_token(&self) -> u64 {
+        self.fencing_token
+    }
+
+    /// Whether a worker or the store has refused the token: another process
+    /// owns the pool.
+    #[must_use]
+    pub fn is_deposed(&self) -> bool {
+        self.deposed
+    }
+
+    /// Takes the queues' settings in force. Queues that are gone keep their
+    /// last ones for the jobs that they brought.
+    pub fn set_queues<'a>(&mut self, queues: impl Iterator<Item = &'a Queue>) {
+        for queue in queues.filter(|queue| queue.pool == self.pool) {
+            let rules = QueueRules {
+                priority: queue.priority,
+                max_attempts: queue.max_attempts,
+                stretch_permille: queue.stretch_permille,
+                objective_ms: queue.objective_ms,
+                advice: queue.advice,
+            };
+            self.queues.insert(queue.name.clone(), rules);
+        }
+    }
+
+    /// Orders that have come up since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Address and identity of a life.
+    #[must_use]
+    pub fn worker_address(&self, life: LifeIndex) -> Option<(&str, &str)> {
+        let worker = self.lives.get(&life)?;
+        Some((&worker.entry.address, &worker.entry.id))
+    }
+
+    /// Does what is due: occurrences, lapsed leases, looks, placement.
+    pub fn tick(&mut self, now: Instant) {
+        if self.deposed {
+            return;
+        }
+        self.open_due_occurrences(now);
+        self.release_lapsed(now);
+        self.evacuate(now);
+        if self.placing_needed {
+            self.place(now);
+        }
+        self.send_due_looks(now);
+        self.forget_expired(now);
+    }
+
+    /// When [`Self::tick`] has something to do by time alone, by the steady
+    /// clock.
+    #[must_use]
+    pub fn next_tick_ms(&self, now: Instant) -> Option<u64> {
+        let looks = self.lives.values().filter_map(|worker| match worker.look {
+            Look::Due { at_ms } => Some(at_ms),
+            _ => None,
+        });
+        let lapses = self.lives.values().filter_map(|worker| {
+            let waits = worker.is_silent() && !worker.runs.is_empty();
+            waits.then(|| worker.lapses_at_ms())
+        });
+        let timed = self
+            .timed
+            .first()
+            .map(|&(due_unix_ms, _, _)| now.steady_ms + due_unix_ms.saturating_sub(now.unix_ms));
+        let waits_for_predecessor =
+            !self.predecessor_lives.is_empty() && self.predecessor_over_ms > now.steady_ms;
+        let predecessor = waits_for_predecessor.then_some(self.predecessor_over_ms);
+        let evacuation = self.evacuation_due_ms(now);
+        let penalties = self.penalty_due_ms(now);
+        looks
+            .chain(lapses)
+            .chain(timed)
+            .chain(predecessor)
+            .chain(evacuation)
+            .chain(penalties)
+            .min()
+    }
+
+    /// A job's status as callers may know it: final only when it is stored.
+    #[must_use]
+    pub fn status(&self, job: JobId) -> Option<JobStatus> {
+        let entry = self.jobs.get(&job)?;
+        let stored = entry.stored_status?;
+        if stored.is_final() {
+            return Some(stored);
+        }
+        if entry.status == JobStatus::Pending {
+            return Some(JobStatus::Pending);
+        }
+        Some(JobStatus::Running)
+    }
+
+    /// Accepted jobs of a queue for which no task has started.
+    #[must_use]
+    pub fn waiting(&self, queue: &str) -> usize {
+        let waiting = self.jobs.values().filter(|entry| {
+            entry.record.queue == queue
+                && entry.stored_status.is_some()
+                && entry.status == JobStatus::Pending
+        });
+        waiting.count()
+    }
+
+    /// Number for the next start after those known.
+    pub(super) fn next_run(&self, last_run: u64) -> u64 {
+        let base = self.fencing_token.saturating_sub(1) * RUNS_PER_TERM;
+        last_run.max(base) + 1
+    }
+
+    pub(super) fn rules_of(&self, entry: &JobEntry) -> QueueRules {
+        let stored = QueueRules {
+            priority: entry.record.priority,
+            max_attempts: entry.record.max_attempts,
+            stretch_permille: 1000,
+            objective_ms: 0,
+            advice: None,
+        };
+        self.queues
+            .get(&entry.record.queue)
+            .copied()
+            .unwrap_or(stored)
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -0,0 +1,155 @@
+use std::collections::BTreeSet;
+
+use crate::worker::RegistryEntry;
+
+use super::instant::Instant;
+use super::pool_scheduler::PoolScheduler;
+use super::worker_state::Contact;
+use super::worker_state::Look;
+use super::worker_state::WorkerState;
+
+impl WorkerState {
+    pub(super) fn is_silent(&self) -> bool {
+        !matches!(self.contact, Contact::Good)
+    }
+}
+
+impl PoolScheduler {
+    /// Takes a reading of the registry. Entries of other pools only matter
+    /// where they show that a life known here is over. A reading that is not
+    /// `settled`, soon after an outage, says nothing of workers that it leaves
+    /// out.
+    pub fn registry_read(&mut self, entries: &[RegistryEntry], settled: bool, now: Instant) {
+        let mut listed = BTreeSet::new();
+        for entry in entries {
+            let known = self.life_of_id.get(&entry.id).copied();
+            let same = known.filter(|life| self.is_same_life(*life, entry.born_unix_ms));
+            if let (Some(old), None) = (known, same) {
+                self.end_life(old, now);
+            }
+            if entry.pool != self.pool {
+                continue;
+            }
+            let life = same.unwrap_or_else(|| self.add_life(entry));
+            listed.insert(life);
+            self.refresh_life(life, entry);
+        }
+        let mut gone = Vec::new();
+        for (&life, worker) in &mut self.lives {
+            worker.listed = listed.contains(&life) || (worker.listed && !settled);
+            let over = !worker.listed && worker.runs.is_empty();
+            if over && worker.lapses_at_ms() <= now.steady_ms {
+                gone.push(life);
+            }
+        }
+        for life in gone {
+            self.end_life(life, now);
+        }
+        self.placing_needed = true;
+    }
+
+    /// Whether an entry speaks of a known life. A life that was listed without
+    /// its start takes the first start that it names.
+    fn is_same_life(&self, life: u32, born_unix_ms: u64) -> bool {
+        let Some(worker) = self.lives.get(&life) else {
+            return false;
+        };
+        let known = worker.entry.born_unix_ms;
+        known == 0 || born_unix_ms == 0 || known == born_unix_ms
+    }
+
+    fn add_life(&mut self, entry: &RegistryEntry) -> u32 {
+        let life = self.next_life;
+        self.next_life += 1;
+        self.lives.insert(life, WorkerState::new(entry.clone()));
+        self.life_of_id.insert(entry.id.clone(), life);
+        self.workers_row_wanted = true;
+        self.urgent = true;
+        life
+    }
+
+    fn refresh_life(&mut self, life: u32, entry: &RegistryEntry) {
+        let vacating = self.vacating.contains(&entry.id);
+        if let Some(worker) = self.lives.get_mut(&life) {
+            let born_unix_ms = worker.entry.born_unix_ms.max(entry.born_unix_ms);
+            worker.entry = entry.clone();
+            worker.entry.born_unix_ms = born_unix_ms;
+            worker.vacating = vacating;
+        }
+    }
+
+    /// Frees what ran in a life that is over.
+    pub(super) fn end_life(&mut self, life: u32, now: Instant) {
+        let Some(worker) = self.lives.remove(&life) else {
+            return;
+        };
+        if self.life_of_id.get(&worker.entry.id) == Some(&life) {
+            self.life_of_id.remove(&worker.entry.id);
+        }
+        self.predecessor_lives.remove(&worker.entry.id);
+        for &(task, run) in worker.runs.keys() {
+            self.run_lost(task, run, now);
+        }
+        self.workers_row_wanted = true;
+        self.placing_needed = true;
+    }
+
+    /// Frees the tasks of silent workers whose leases have ended.
+    pub(super) fn release_lapsed(&mut self, now: Instant) {
+        let lapsed = self.lives.iter().filter(|(_, worker)| {
+            worker.is_silent() && !worker.runs.is_empty() && worker.lapses_at_ms() <= now.steady_ms
+        });
+        let lapsed: Vec<u32> = lapsed.map(|(&life, _)| life).collect();
+        for life in lapsed {
+            let Some(worker) = self.lives.get_mut(&life) else {
+                continue;
+            };
+            let runs: Vec<_> = worker.runs.keys().copied().collect();
+            for &(task, run) in &runs {
+                worker.release(task, run);
+            }
+            for (task, run) in runs {
+                self.run_lost(task, run, now);
+            }
+        }
+        let waited = !self.predecessor_lives.is_empty();
+        if waited && self.predecessor_over_ms <= now.steady_ms {
+            self.predecessor_lives.clear();
+            self.placing_needed = true;
+        }
+    }
+
+    /// Whether a worker may be given work.
+    pub(super) fn is_usable(worker: &WorkerState, now: Instant) -> bool {
+        worker.contact == Contact::Good
+            && worker.recorded
+            && worker.listed
+            && !worker.entry.draining
+            && !worker.vacating
+            && worker.penalty_until_ms <= now.steady_ms
+    }
+
+    pub(super) fn penalty_due_ms(&self, now: Instant) -> Option<u64> {
+        if self.ready.is_empty() {
+            return None;
+        }
+        let penalties = self.lives.values().map(|worker| worker.penalty_until_ms);
+        penalties.filter(|&until_ms| until_ms > now.steady_ms).min()
+    }
+
+    pub(super) fn needs_looks(worker: &WorkerState) -> bool {
+        !worker.runs.is_empty()
+            || worker.contact == Contact::Unknown
+            || worker.applied_end > worker.stored_end
+            || (worker.listed && worker.is_silent())
+    }
+
+    /// Sets the next look after an answer or a failure.
+    pub(super) fn plan_look(worker: &mut WorkerState, at_ms: u64) {
+        worker.look = if Self::needs_looks(worker) {
+            Look::Due { at_ms }
+        } else {
+            Look::Idle
+        };
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -0,0 +1,167 @@
+use std::collections::BTreeMap;
+
+use crate::job::Resources;
+use crate::job::StepId;
+use crate::job::TaskId;
+use crate::worker::RegistryEntry;
+
+/// Most that a worker's clock may be slow, in thousandths; the platform's
+/// figure is 20.
+const CLOCK_SLOW_PERMILLE: u64 = 20;
+/// Added to the end of a lease for the worker's own delay in ending runs.
+const LEASE_MARGIN_MS: u64 = 100;
+
+/// One life of a worker, as known here.
+#[derive(Clone, Debug)]
+pub(super) struct WorkerState {
+    pub(super) entry: RegistryEntry,
+    /// Whether the last reading of the registry named it.
+    pub(super) listed: bool,
+    pub(super) contact: Contact,
+    pub(super) clock: Option<ClockSample>,
+    /// Latest end of a lease sent to it, by its own clock.
+    pub(super) deadline_clock_ms: u64,
+    /// Runs that may take room there.
+    pub(super) runs: BTreeMap<(TaskId, u64), Resources>,
+    pub(super) used: Resources,
+    pub(super) tasks_of_step: BTreeMap<StepId, u32>,
+    /// Ends up to this number have been applied in memory.
+    pub(super) applied_end: u64,
+    /// Ends up to this number are in the store.
+    pub(super) stored_end: u64,
+    pub(super) look: Look,
+    pub(super) penalty_until_ms: u64,
+    /// Starts and ends that failed in a row.
+    pub(super) failures_in_a_row: u32,
+    /// Whether the store knows that this life may run tasks.
+    pub(super) recorded: bool,
+    /// Whether its machine is to be emptied.
+    pub(super) vacating: bool,
+    pub(super) paced_ms: u64,
+}
+
+/// Whether a worker answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Contact {
+    /// Not asked under this fencing token yet.
+    Unknown,
+    /// Answered the last look.
+    Good,
+    /// Has not answered since this time.
+    Silent { since_ms: u64 },
+}
+
+/// The look at a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Look {
+    /// None is needed.
+    Idle,
+    /// One is to be sent at this time.
+    Due { at_ms: u64 },
+    /// One is on its way, sent at this time.
+    InFlight { sent_ms: u64 },
+}
+
+/// A worker's clock, read at most at a time here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct ClockSample {
+    pub(super) clock_ms: u64,
+    pub(super) received_ms: u64,
+}
+
+impl WorkerState {
+    pub(super) fn new(entry: RegistryEntry) -> Self {
+        Self {
+            entry,
+            listed: true,
+            contact: Contact::Unknown,
+            clock: None,
+            deadline_clock_ms: 0,
+            runs: BTreeMap::new(),
+            used: Resources::default(),
+            tasks_of_step: BTreeMap::new(),
+            applied_end: 0,
+            stored_end: 0,
+            look: Look::Due { at_ms: 0 },
+            penalty_until_ms: 0,
+            failures_in_a_row: 0,
+            recorded: false,
+            vacating: false,
+            paced_ms: 0,
+        }
+    }
+
+    /// The worker's clock now, by its last report.
+    pub(super) fn clock_at(&self, now_ms: u64) -> Option<u64> {
+        let sample = self.clock?;
+        Some(sample.clock_ms + now_ms.saturating_sub(sample.received_ms))
+    }
+
+    /// Keeps a newer reading of the worker's clock.
+    pub(super) fn read_clock(&mut self, clock_ms: u64, received_ms: u64) {
+        let newer = self
+            .clock
+            .is_none_or(|sample| sample.received_ms <= received_ms);
+        if newer && clock_ms > 0 {
+            self.clock = Some(ClockSample {
+                clock_ms,
+                received_ms,
+            });
+        }
+    }
+
+    /// End of a lease that starts now, by the worker's clock.
+    pub(super) fn lease_from(&mut self, now_ms: u64, lease_ms: u64) -> Option<u64> {
+        let deadline = self.clock_at(now_ms)? + lease_ms;
+        self.deadline_clock_ms = self.deadline_clock_ms.max(deadline);
+        Some(deadline)
+    }
+
+    /// When everything ordered here has ended for sure, by the clock here.
+    pub(super) fn lapses_at_ms(&self) -> u64 {
+        let Some(sample) = self.clock else { return 0 };
+        let left = self.deadline_clock_ms.saturating_sub(sample.clock_ms);
+        let slowest = left * 1000 / (1000 - CLOCK_SLOW_PERMILLE);
+        sample.received_ms + slowest + LEASE_MARGIN_MS
+    }
+
+    /// Takes room for a run.
+    pub(super) fn reserve(&mut self, task: TaskId, run: u64, need: Resources) {
+        if self.runs.insert((task, run), need).is_none() {
+            self.used = self.used.plus(need);
+            *self.tasks_of_step.entry(task.step).or_default() += 1;
+        }
+    }
+
+    /// Gives a run's room back.
+    pub(super) fn release(&mut self, task: TaskId, run: u64) {
+        let Some(need) = self.runs.remove(&(task, run)) else {
+            return;
+        };
+        self.used = self.used.minus(need);
+        if let Some(count) = self.tasks_of_step.get_mut(&task.step) {
+            *count -= 1;
+            if *count == 0 {
+                self.tasks_of_step.remove(&task.step);
+            }
+        }
+    }
+
+    /// Tasks of a step that may run here.
+    pub(super) fn tasks_of(&self, step: StepId) -> u32 {
+        self.tasks_of_step.get(&step).copied().unwrap_or(0)
+    }
+
+    /// Moves the next look forward to a time, unless one is on its way.
+    pub(super) fn look_by(&mut self, at_ms: u64) {
+        match self.look {
+            Look::Idle => self.look = Look::Due { at_ms },
+            Look::Due { at_ms: due } => {
+                self.look = Look::Due {
+                    at_ms: due.min(at_ms),
+                };
+            }
+            Look::InFlight { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/src/worker/look_report.rs
@@ -0,0 +1,62 @@
+use crate::job::TaskId;
+
+/// What a worker runs and what has ended there.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LookReport {
+    /// Start of this life, in milliseconds since 1970; 0 when not said.
+    pub born_unix_ms: u64,
+    /// The worker's clock.
+    pub clock_ms: u64,
+    /// Runs at work.
+    pub running: Vec<RunSeen>,
+    /// Runs that have ended and were not acknowledged, oldest first.
+    pub ended: Vec<RunEnd>,
+}
+
+/// A run at work.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunSeen {
+    /// Task.
+    pub task: TaskId,
+    /// Number of its start.
+    pub run: u64,
+    /// Newest checkpoint; empty for none.
+    pub checkpoint: String,
+    /// Share of its full speed: 100 once its start-up is over.
+    pub percent: u64,
+    /// Tail of response times of a serving task in milliseconds, else the
+    /// processor in use in thousandths of a core.
+    pub gauge: u64,
+}
+
+/// A run that has ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RunEnd {
+    /// Place in the worker's list; rises through its life.
+    pub number: u64,
+    /// Task.
+    pub task: TaskId,
+    /// Number of its start.
+    pub run: u64,
+    /// How it ended.
+    pub kind: EndKind,
+    /// Newest checkpoint; empty for none.
+    pub checkpoint: String,
+}
+
+/// How a run has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndKind {
+    /// Well.
+    Done,
+    /// By its own or the worker's fault.
+    Failed,
+    /// By an order.
+    Stopped,
+    /// Its lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang did not come.
+    Alone,
+}
