Let machines follow the surge; keep a cut-off worker's tasks held

Change: machines are lent while another pool needs them and rest only after 6 s; a forgotten life stays among those a predecessor used; only fresh reports count. Ruled out: lost progress rows (all rows were read), acknowledging too early.

--- a/crates/cornelpoint-manager/src/node/cluster.rs
+++ b/crates/cornelpoint-manager/src/node/cluster.rs
@@ -27,7 +27,7 @@
 use crate::store::owner_row_key;
 
 /// Longest wait for changes; each answer also confirms the owners' rows.
-const FEED_WAIT_MS: u64 = 2000;
+const FEED_WAIT_MS: u64 = 1000;
 /// Pause before the store is asked again after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest time between two looks at what is to be claimed.
@@ -199,6 +199,11 @@
             ..Transaction::default()
         };
         let asked_ms = clock::now().steady_ms;
+        let predecessor = self
+            .planner
+            .borrow()
+            .owner(&claim.shard)
+            .map(|(row, _)| row.clone());
         match self.store.transact(&transaction).await {
             TransactionOutcome::Committed { version } => {
                 let now_ms = clock::now().steady_ms;
@@ -211,7 +216,7 @@
                 if claim.shard == FLEET_SHARD {
                     FleetHost::start(&self, &claim, version).await;
                 } else {
-                    PoolHost::start(&self, &claim, version).await;
+                    PoolHost::start(&self, &claim, predecessor, version).await;
                 }
             }
             TransactionOutcome::Conflict(rows) => self.take_cluster_rows(&rows),
--- a/crates/cornelpoint-manager/src/pool_host/orders.rs
+++ b/crates/cornelpoint-manager/src/pool_host/orders.rs
@@ -21,7 +21,7 @@
 use crate::http::HttpEndpoint;
 
 /// Time for an answer to an order; workers answer within milliseconds.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(1000);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time for a report beyond the time that the look may wait.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time for the advice service, which takes one question after the other.
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -7,6 +7,7 @@
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobSpec;
 use cornelpoint::ownership::Claim;
+use cornelpoint::ownership::OwnerRow;
 use cornelpoint::ownership::OwnershipSettings;
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::SchedulerSettings;
@@ -33,6 +34,8 @@
 const REGISTRY_PAUSE: Duration = Duration::from_millis(700);
 /// Time after an outage in which workers' entries come back.
 const REGISTRY_SETTLES_MS: u64 = 2500;
+/// Time between looks for a predecessor's end.
+const PREDECESSOR_PAUSE: Duration = Duration::from_millis(300);
 /// Longest wait for rows of the inbox.
 const INBOX_WAIT_MS: u64 = 10_000;
 /// A lease on a clock that is 2% slow, and the worker's own delay.
@@ -41,7 +44,12 @@
 impl PoolHost {
     /// Takes a pool over: reads what the store has of it, then asks every
     /// worker what it runs.
-    pub(crate) async fn start(node: &Rc<Node>, claim: &Claim, owner_version: u64) {
+    pub(crate) async fn start(
+        node: &Rc<Node>,
+        claim: &Claim,
+        predecessor: Option<OwnerRow>,
+        owner_version: u64,
+    ) {
         let settings = SchedulerSettings {
             status_kept_ms: node.settings.bounds.status_kept_ms,
             lease_ms: SchedulerSettings::default()
@@ -77,9 +85,27 @@
         node.heartbeat_now.notify_one();
         spawn_local(Rc::clone(&host).read_registry());
         spawn_local(Rc::clone(&host).follow_inbox());
+        if let Some(predecessor) = predecessor {
+            spawn_local(Rc::clone(&host).await_predecessor(predecessor));
+        }
         spawn_local(host.keep_time());
     }
 
+    /// Shortens the wait for a predecessor's leases once its process is known
+    /// to have ended.
+    async fn await_predecessor(self: Rc<Self>, predecessor: OwnerRow) {
+        while !self.stopped.get() && self.scheduler.borrow().waits_for_predecessor() {
+            if self.node.planner.borrow().has_ended(&predecessor) {
+                let lease_ms = SchedulerSettings::default().lease_ms + LEASE_STRETCH_MS;
+                let over_ms = clock::now().steady_ms + lease_ms;
+                info!(self.log, "Predecessor ended."; "pool" => &self.pool, "node" => &predecessor.node);
+                self.event(|scheduler, _| scheduler.predecessor_ended(over_ms));
+                return;
+            }
+            tokio::time::sleep(PREDECESSOR_PAUSE).await;
+        }
+    }
+
     /// Keeps the workers up to date.
     async fn read_registry(self: Rc<Self>) {
         while !self.stopped.get() {
--- a/crates/cornelpoint-manager/src/pool_host/worker_link.rs
+++ b/crates/cornelpoint-manager/src/pool_host/worker_link.rs
@@ -2,7 +2,7 @@
 
 /// Connections for orders: they are answered within milliseconds, and each new
 /// connection to a worker costs.
-const ORDER_CONNECTIONS: usize = 2;
+const ORDER_CONNECTIONS: usize = 3;
 
 /// Connections to one life of a worker.
 #[derive(Debug)]
--- a/crates/cornelpoint/src/fleet/moves.rs
+++ b/crates/cornelpoint/src/fleet/moves.rs
@@ -1,5 +1,6 @@
 use super::fleet_manager::Emptying;
 use super::fleet_manager::FleetManager;
+use super::fleet_manager::MachineEntry;
 use super::fleet_manager::Order;
 use super::machine::MachineState;
 use super::pool_report::PoolReport;
@@ -23,21 +24,22 @@
 }
 
 impl FleetManager {
-    /// Moves machines to pools whose work waits, from the spare pool and from
-    /// pools that have been calm for a while; and to the spare pool what
-    /// nobody needs.
+    /// Moves machines to pools whose work waits: from the spare pool, then
+    /// from pools that have more than they need; and to the spare pool what
+    /// nobody has needed for long.
     ///
-    /// Each queue in its turn asks several times its mean for some seconds: a
-    /// pool keeps what its long-running tasks need and borrows the rest.
+    /// Queues rise and fall by turns, to several times their mean for some
+    /// seconds. A machine that serves a surge is worth many times what an idle
+    /// one costs, so machines follow the surge at once, and rest late.
     pub(super) fn plan_moves(&mut self, now_ms: u64) {
         let Some(spare) = self.spare_pool.clone() else {
             return;
         };
-        self.note_calm(now_ms);
         let machine_millicores = self.machine_millicores();
         if machine_millicores == 0 {
             return;
         }
+        self.note_calm(machine_millicores, now_ms);
         let mut needs: Vec<(u64, String)> = self
             .reports
             .iter()
@@ -50,29 +52,25 @@
             .collect();
         needs.sort_unstable_by(|left, right| right.cmp(left));
         for (need, pool) in &needs {
-            self.bring(pool, *need, &spare, now_ms);
+            let left = need - self.bring_spare(pool, *need, &spare, now_ms);
+            self.borrow(pool, left, machine_millicores, now_ms);
+        }
+        if needs.is_empty() {
+            self.rest_idle(&spare, machine_millicores, now_ms);
         }
-        let needy = needs.first().map(|(_, pool)| pool.clone());
-        self.give_up_surplus(
-            needy.as_deref().unwrap_or(&spare),
-            machine_millicores,
-            now_ms,
-        );
     }
 
     fn machine_millicores(&self) -> u64 {
         let machines = self.machines.values();
-        machines
-            .map(|entry| entry.machine.capacity.cpu_millicores)
-            .max()
-            .unwrap_or(0)
+        let millicores = machines.map(|entry| entry.machine.capacity.cpu_millicores);
+        millicores.max().unwrap_or(0)
     }
 
     /// Machines that a pool lacks beyond those on their way to it.
     fn machines_needed(&self, pool: &str, report: &PoolReport, machine_millicores: u64) -> u64 {
         let wanted = report.wanted_millicores(self.settings.drain_target_ms);
         let lacking = wanted.saturating_sub(report.capacity_millicores);
-        let for_load = lacking / machine_millicores;
+        let for_load = (lacking + machine_millicores / 2) / machine_millicores;
         let for_places = u64::from(report.least_workers.saturating_sub(report.workers));
         let coming = self.machines.values().filter(|entry| match &entry.order {
             Some(Order::Move { pool: to }) => to == pool,
@@ -83,32 +81,78 @@
             .saturating_sub(coming.count() as u64)
     }
 
-    /// Sends spare machines to a pool.
-    fn bring(&mut self, pool: &str, need: u64, spare: &str, now_ms: u64) {
-        let under_way = self
+    /// Sends spare machines to a pool; tells how many.
+    fn bring_spare(&mut self, pool: &str, need: u64, spare: &str, now_ms: u64) -> u64 {
+        let need = usize::try_from(need).unwrap_or(usize::MAX);
+        let idle = self
             .machines
-            .values()
-            .filter(|entry| entry.order.is_some())
-            .count();
-        let room = self.settings.orders_at_once.saturating_sub(under_way);
-        let need = usize::try_from(need).unwrap_or(usize::MAX).min(room);
-        let idle = self.machines.iter().filter(|(_, entry)| {
-            entry.machine.pool == spare
-                && entry.machine.state == MachineState::Up
-                && entry.order.is_none()
-                && entry.emptying.is_none()
-        });
+            .iter()
+            .filter(|(_, entry)| entry.machine.pool == spare && is_free(entry));
         let chosen: Vec<String> = idle.take(need).map(|(name, _)| name.clone()).collect();
-        for name in chosen {
+        for name in &chosen {
             let pool = pool.to_owned();
-            self.order(&name, Order::Move { pool }, now_ms);
+            self.order(name, Order::Move { pool }, now_ms);
         }
+        chosen.len() as u64
     }
 
-    fn note_calm(&mut self, now_ms: u64) {
-        let machine_millicores = self.machine_millicores();
+    /// Lets pools with more than they need empty machines for another one.
+    fn borrow(&mut self, to: &str, need: u64, machine_millicores: u64, now_ms: u64) {
+        let mut need = usize::try_from(need).unwrap_or(usize::MAX);
+        let mut lenders: Vec<(usize, String)> = self
+            .reports
+            .iter()
+            .filter(|(pool, entry)| {
+                *pool != to && entry.heard_ms + self.settings.report_age_ms >= now_ms
+            })
+            .map(|(pool, _)| (self.surplus(pool, machine_millicores), pool.clone()))
+            .collect();
+        lenders.sort_unstable_by(|left, right| right.cmp(left));
+        for (surplus, lender) in lenders {
+            need -= self.empty(&lender, to, surplus.min(need));
+        }
+    }
+
+    /// Machines that a pool has beyond its work, its places and what it gives
+    /// up already; one is kept for what comes next.
+    fn surplus(&self, pool: &str, machine_millicores: u64) -> usize {
+        let Some(entry) = self.reports.get(pool) else {
+            return 0;
+        };
+        let report = &entry.report;
+        let wanted = report.wanted_millicores(self.settings.drain_target_ms);
+        let free = report.capacity_millicores.saturating_sub(wanted) / machine_millicores;
+        let free = usize::try_from(free).unwrap_or(usize::MAX);
+        let places = report.workers.saturating_sub(report.least_workers) as usize;
+        free.saturating_sub(1).min(places)
+    }
+
+    /// Has a pool's cheapest machines emptied; tells how many.
+    fn empty(&mut self, pool: &str, to: &str, count: usize) -> usize {
+        let Some(entry) = self.reports.get(pool) else {
+            return 0;
+        };
+        let chosen: Vec<String> = entry.report.cheapest.iter().take(count).cloned().collect();
+        let mut emptied = 0;
+        for worker in chosen {
+            let entry = self
+                .machines
+                .values_mut()
+                .find(|entry| entry.machine.worker.as_ref() == Some(&worker) && is_free(entry));
+            if let Some(entry) = entry {
+                entry.emptying = Some(Emptying::Move {
+                    pool: to.to_owned(),
+                });
+                emptied += 1;
+            }
+        }
+        emptied
+    }
+
+    fn note_calm(&mut self, machine_millicores: u64, now_ms: u64) {
         let within_ms = self.settings.drain_target_ms;
-        for entry in self.reports.values_mut() {
+        let mut busy = Vec::new();
+        for (pool, entry) in &mut self.reports {
             let wanted = entry.report.wanted_millicores(within_ms) + machine_millicores * 2;
             let calm = wanted <= entry.report.capacity_millicores;
             entry.calm_since_ms = match (calm, entry.calm_since_ms) {
@@ -116,6 +160,12 @@
                 (true, None) => Some(now_ms),
                 (true, since) => since,
             };
+            if !calm {
+                busy.push(pool.clone());
+            }
+        }
+        for pool in busy {
+            self.keep_machines(&pool);
         }
     }
 
@@ -129,49 +179,37 @@
         }
     }
 
-    /// Lets calm pools empty their cheapest machines for another pool.
-    fn give_up_surplus(&mut self, to: &str, machine_millicores: u64, now_ms: u64) {
+    /// Sends to the spare pool what calm pools have not needed for long,
+    /// down to an even share of half the machines.
+    fn rest_idle(&mut self, spare: &str, machine_millicores: u64, now_ms: u64) {
         let pools: Vec<String> = self.reports.keys().cloned().collect();
-        for pool in pools.iter().filter(|pool| *pool != to) {
-            let giving = self.machines.values().filter(|entry| {
-                entry.machine.pool == *pool && matches!(entry.emptying, Some(Emptying::Move { .. }))
-            });
-            let giving = giving.count();
-            let Some(entry) = self.reports.get(pool) else {
+        let kept = self.machines.len() / 2 / pools.len().max(1);
+        for pool in pools {
+            let Some(entry) = self.reports.get(&pool) else {
                 continue;
             };
             let fresh = entry.heard_ms + self.settings.report_age_ms >= now_ms;
             let calm = entry
                 .calm_since_ms
                 .is_some_and(|since_ms| since_ms + self.settings.calm_ms <= now_ms);
-            if entry.calm_since_ms.is_none() {
-                self.keep_machines(pool);
-                continue;
-            }
             if !fresh || !calm {
                 continue;
             }
-            let report = &entry.report;
-            let wanted = report.wanted_millicores(self.settings.drain_target_ms);
-            let surplus = report.capacity_millicores.saturating_sub(wanted) / machine_millicores;
-            let surplus = usize::try_from(surplus.saturating_sub(1)).unwrap_or(usize::MAX);
-            let places = (report.workers as usize).saturating_sub(report.least_workers as usize);
-            let more = self.settings.giving_at_once.saturating_sub(giving);
-            let count = surplus.min(places).min(more);
-            let chosen: Vec<String> = report.cheapest.iter().take(count).cloned().collect();
-            for worker in chosen {
-                let entry = self.machines.values_mut().find(|entry| {
-                    entry.machine.worker.as_ref() == Some(&worker)
-                        && entry.machine.state == MachineState::Up
-                        && entry.order.is_none()
-                        && entry.emptying.is_none()
-                });
-                if let Some(entry) = entry {
-                    entry.emptying = Some(Emptying::Move {
-                        pool: to.to_owned(),
-                    });
-                }
-            }
+            let beyond = (entry.report.workers as usize).saturating_sub(kept);
+            let giving = self.machines.values().filter(|entry| {
+                entry.machine.pool == pool && matches!(entry.emptying, Some(Emptying::Move { .. }))
+            });
+            let more = self.settings.giving_at_once.saturating_sub(giving.count());
+            let count = self
+                .surplus(&pool, machine_millicores)
+                .min(beyond)
+                .min(more);
+            self.empty(&pool, spare, count);
         }
     }
 }
+
+/// Whether a machine is up and nothing is under way with it.
+fn is_free(entry: &MachineEntry) -> bool {
+    entry.machine.state == MachineState::Up && entry.order.is_none() && entry.emptying.is_none()
+}
--- a/crates/cornelpoint/src/fleet/settings.rs
+++ b/crates/cornelpoint/src/fleet/settings.rs
@@ -9,13 +9,12 @@
     pub report_age_ms: u64,
     /// Time in which a pool's backlog is to be worked off.
     pub drain_target_ms: u64,
-    /// How long a pool is calm before it gives a machine up. A machine that
-    /// goes and comes back costs as much as two seconds of keeping it.
+    /// How long a pool is calm before machines of it rest. One that goes and
+    /// comes back costs as much as three seconds of keeping it, and it is
+    /// missed for as long when the next surge comes.
     pub calm_ms: u64,
     /// Machines that a pool empties at the same time.
     pub giving_at_once: usize,
-    /// Machines that orders may be on their way to.
-    pub orders_at_once: usize,
     /// Time after which an order without an answer is repeated.
     pub repeat_ms: u64,
 }
@@ -27,9 +26,8 @@
             maintenance_ms: 2000,
             report_age_ms: 1500,
             drain_target_ms: 1500,
-            calm_ms: 2500,
+            calm_ms: 6000,
             giving_at_once: 3,
-            orders_at_once: 24,
             repeat_ms: 1500,
         }
     }
--- a/crates/cornelpoint/src/ownership/planner.rs
+++ b/crates/cornelpoint/src/ownership/planner.rs
@@ -123,6 +123,17 @@
         self.peers.insert(node.to_owned(), state);
     }
 
+    /// Whether a process has ended: its instance runs a later one.
+    #[must_use]
+    pub fn has_ended(&self, row: &OwnerRow) -> bool {
+        if row.node == self.node {
+            return row.started_unix_ms != self.started_unix_ms;
+        }
+        self.peers
+            .get(&row.node)
+            .is_some_and(|peer| peer.peer.started_unix_ms > row.started_unix_ms)
+    }
+
     /// The owner of a shard, by the newest row known.
     #[must_use]
     pub fn owner(&self, shard: &str) -> Option<(&OwnerRow, u64)> {
@@ -203,11 +214,7 @@
 
     fn predecessor_ended(&self, state: &ShardState) -> bool {
         let Some(row) = &state.row else { return true };
-        let restarted = self
-            .peers
-            .get(&row.node)
-            .is_some_and(|peer| peer.peer.started_unix_ms > row.started_unix_ms);
-        row.released || row.node == self.node || restarted
+        row.released || self.has_ended(row)
     }
 
     /// Shards that each living candidate owns.
--- a/crates/cornelpoint/src/ownership/settings.rs
+++ b/crates/cornelpoint/src/ownership/settings.rs
@@ -25,7 +25,7 @@
             settle_ms: 700,
             // Longer than the store's usual outages: nobody can take over
             // during one, and tasks go on.
-            unconfirmed_ms: 8000,
+            unconfirmed_ms: 6500,
         }
     }
 }
--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -25,6 +25,8 @@
 const REFUSED_COUNTS_MS: u64 = 1500;
 /// Refusals that are kept at most.
 const REFUSALS_KEPT: usize = 256;
+/// Capacity that is reckoned with while a pool has no usable worker.
+const LEAST_CAPACITY_MILLICORES: u64 = 64_000;
 /// Retry time for what no worker could hold.
 const HOPELESS_RETRY_MS: u64 = 30_000;
 
@@ -148,10 +150,9 @@
         if spec.is_long_running() || spec.schedule.is_some() {
             return None;
         }
-        let load = self.load(now);
-        if load.capacity_millicores == 0 {
-            return None;
-        }
+        let mut load = self.load(now);
+        // Machines are on their way to a pool that has none.
+        load.capacity_millicores = load.capacity_millicores.max(LEAST_CAPACITY_MILLICORES);
         let rules = self.queues.get(&record.queue)?;
         let chain_ms = self.expected_chain_ms(&record.queue, spec);
         let objective_ms = chain_ms * rules.stretch_permille / 1000 + rules.objective_ms;
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -184,6 +184,18 @@
         stored
     }
 
+    /// Takes word that the predecessor's process has ended, so that its leases
+    /// end sooner.
+    pub fn predecessor_ended(&mut self, over_ms: u64) {
+        self.predecessor_over_ms = self.predecessor_over_ms.min(over_ms);
+    }
+
+    /// Whether tasks wait for a predecessor's leases to end.
+    #[must_use]
+    pub fn waits_for_predecessor(&self) -> bool {
+        !self.predecessor_lives.is_empty()
+    }
+
     /// Takes what a predecessor recorded: workers that may run its tasks, and
     /// when its last leases have ended at the latest.
     pub fn inherit(&mut self, workers: Vec<(String, u64)>, over_ms: u64) {
--- a/crates/cornelpoint/src/scheduler/evacuation.rs
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -5,11 +5,12 @@
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
 use super::task_entry::Phase;
+use super::task_entry::Run;
 
 /// How often the runs of a machine that is being emptied are looked at again.
 const EVACUATION_STEP_MS: u64 = 250;
 /// Workers that are offered at the same time.
-const CHEAPEST_NAMED: usize = 8;
+const CHEAPEST_NAMED: usize = 16;
 
 impl PoolScheduler {
     /// Empties workers for planned work: they get no new tasks, short tasks
@@ -86,13 +87,13 @@
             })
             .collect();
         for (task, run, draining) in runs {
-            if self.may_move(task, run, draining) {
+            if self.may_move(task, run, draining, now) {
                 self.stop_run(task, run, now);
             }
         }
     }
 
-    fn may_move(&self, id: TaskId, number: u64, draining: bool) -> bool {
+    fn may_move(&self, id: TaskId, number: u64, draining: bool, now: Instant) -> bool {
         let Some(job) = self.jobs.get(&id.step.job) else {
             return false;
         };
@@ -118,13 +119,23 @@
         };
         let others = steps[usize::from(id.step.step)].tasks.iter().enumerate();
         let away = others.filter(|(index, task)| {
-            let at_work = task
-                .runs
-                .iter()
-                .any(|run| run.percent >= 100 && matches!(run.phase, Phase::Running { .. }));
+            let at_work = task.runs.iter().any(|run| self.is_at_work(run, now));
             *index != id.index as usize && !at_work
         });
         let away = u32::try_from(away.count()).unwrap_or(u32::MAX);
         away < budget || (draining && away == 0)
     }
+
+    /// Whether a run is at full work, by a report that is not old: a worker
+    /// that is cut off or gone still has its last one.
+    fn is_at_work(&self, run: &Run, now: Instant) -> bool {
+        let reported_ms = self
+            .lives
+            .get(&run.life)
+            .map_or(0, |worker| worker.reported_ms);
+        let fresh_ms = self.settings.look_wait_ms + self.settings.look_retry_ms;
+        run.percent >= 100
+            && matches!(run.phase, Phase::Running { .. })
+            && reported_ms + fresh_ms >= now.steady_ms
+    }
 }
--- a/crates/cornelpoint/src/scheduler/looks.rs
+++ b/crates/cornelpoint/src/scheduler/looks.rs
@@ -92,6 +92,7 @@
         }
         worker.read_clock(report.clock_ms, now.steady_ms);
         worker.contact = Contact::Good;
+        worker.reported_ms = now.steady_ms;
         self.predecessor_lives.remove(&worker.entry.id);
         for seen in &report.running {
             self.see_run(life, seen, now);
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -43,7 +43,7 @@
             }
         }
         for life in gone {
-            self.end_life(life, now);
+            self.forget_life(life, now);
         }
         self.placing_needed = true;
     }
@@ -59,6 +59,10 @@
     }
 
     fn add_life(&mut self, entry: &RegistryEntry) -> u32 {
+        let before = self.predecessor_lives.get(&entry.id);
+        if before.is_some_and(|&born| born != 0 && entry.born_unix_ms > born) {
+            self.predecessor_lives.remove(&entry.id);
+        }
         let life = self.next_life;
         self.next_life += 1;
         self.lives.insert(life, WorkerState::new(entry.clone()));
@@ -78,15 +82,23 @@
         }
     }
 
-    /// Frees what ran in a life that is over.
+    /// Frees what ran in a life that is over for sure.
     pub(super) fn end_life(&mut self, life: u32, now: Instant) {
+        if let Some(worker) = self.lives.get(&life) {
+            self.predecessor_lives.remove(&worker.entry.id);
+        }
+        self.forget_life(life, now);
+    }
+
+    /// Forgets a life whose leases have ended. What a predecessor started
+    /// there may still run: its leases are not known here.
+    fn forget_life(&mut self, life: u32, now: Instant) {
         let Some(worker) = self.lives.remove(&life) else {
             return;
         };
         if self.life_of_id.get(&worker.entry.id) == Some(&life) {
             self.life_of_id.remove(&worker.entry.id);
         }
-        self.predecessor_lives.remove(&worker.entry.id);
         for &(task, run) in worker.runs.keys() {
             self.run_lost(task, run, now);
         }
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -38,6 +38,8 @@
     /// Whether its machine is to be emptied.
     pub(super) vacating: bool,
     pub(super) paced_ms: u64,
+    /// When its last report came.
+    pub(super) reported_ms: u64,
 }
 
 /// Whether a worker answers.
@@ -88,6 +90,7 @@
             recorded: false,
             vacating: false,
             paced_ms: 0,
+            reported_ms: 0,
         }
     }
 
