--- a/crates/cornelpoint-manager/src/pool_host/orders.rs
+++ b/crates/cornelpoint-manager/src/pool_host/orders.rs
@@ -157,7 +157,9 @@
                 Err(LookFailure::NoAnswer)
             }
             Err(error) => {
-                info!(self.log, "Look failed."; "worker" => &link.id, "error" => %error);
+                if !link.silent.replace(true) {
+                    info!(self.log, "Worker silent."; "worker" => &link.id, "error" => %error);
+                }
                 Err(LookFailure::NoAnswer)
             }
         };
@@ -167,6 +169,9 @@
     fn report(&self, link: &WorkerLink, body: &[u8]) -> Result<LookReport, LookFailure> {
         match workers::report_of(body) {
             Ok((report, unread)) => {
+                if link.silent.replace(false) {
+                    info!(self.log, "Worker answers again."; "worker" => &link.id);
+                }
                 if unread > 0 {
                     warn!(self.log, "Unreadable rows in a report."; "worker" => &link.id,
                         "rows" => unread);
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -167,7 +167,7 @@
             self.inbox.borrow_mut().insert(row.key.key.clone());
             info!(self.log, "Stored for this owner."; "kind" => kind, "job" => %id);
             if kind == "cancel" {
-                self.event(|scheduler, now| scheduler.cancel(id, now));
+                self.event(|scheduler, now| scheduler.adopt_cancel(id, now));
                 continue;
             }
             let record = decode::<JobRecord>(value);
--- a/crates/cornelpoint-manager/src/pool_host/worker_link.rs
+++ b/crates/cornelpoint-manager/src/pool_host/worker_link.rs
@@ -1,3 +1,5 @@
+use std::cell::Cell;
+
 use crate::http::HttpEndpoint;
 
 /// Connections for orders: they are answered within milliseconds, and each new
@@ -11,6 +13,8 @@
     pub(super) orders: HttpEndpoint,
     /// Apart, since a look waits at the worker.
     pub(super) looks: HttpEndpoint,
+    /// Whether the last look brought no answer.
+    pub(super) silent: Cell<bool>,
 }
 
 impl WorkerLink {
@@ -19,6 +23,7 @@
             id: id.to_owned(),
             orders: HttpEndpoint::new(address, ORDER_CONNECTIONS),
             looks: HttpEndpoint::new(address, 1),
+            silent: Cell::new(false),
         }
     }
 }
--- a/crates/cornelpoint/src/fleet/moves.rs
+++ b/crates/cornelpoint/src/fleet/moves.rs
@@ -71,7 +71,10 @@
         let wanted = report.wanted_millicores(self.settings.drain_target_ms);
         let lacking = wanted.saturating_sub(report.capacity_millicores);
         let for_load = (lacking + machine_millicores / 2) / machine_millicores;
-        let for_places = u64::from(report.least_workers.saturating_sub(report.workers));
+        // A pool with machines to maintain needs one more to move tasks to.
+        let due = u32::from(self.has_due_machines(pool));
+        let places = report.least_workers + due;
+        let for_places = u64::from(places.saturating_sub(report.workers));
         let coming = self.machines.values().filter(|entry| match &entry.order {
             Some(Order::Move { pool: to }) => to == pool,
             _ => matches!(&entry.emptying, Some(Emptying::Move { pool: to }) if to == pool),
@@ -152,6 +155,7 @@
     fn note_calm(&mut self, machine_millicores: u64, now_ms: u64) {
         let within_ms = self.settings.drain_target_ms;
         let mut busy = Vec::new();
+        let mut tight = Vec::new();
         for (pool, entry) in &mut self.reports {
             let wanted = entry.report.wanted_millicores(within_ms) + machine_millicores * 2;
             let calm = wanted <= entry.report.capacity_millicores;
@@ -163,16 +167,27 @@
             if !calm {
                 busy.push(pool.clone());
             }
+            if entry.report.workers + 1 < entry.report.least_workers {
+                tight.push(pool.clone());
+            }
         }
         for pool in busy {
-            self.keep_machines(&pool);
+            self.keep_machines(&pool, false);
+        }
+        for pool in tight {
+            self.keep_machines(&pool, true);
         }
     }
 
-    /// Takes back what a pool was to give up: its work waits again.
-    fn keep_machines(&mut self, pool: &str) {
+    /// Takes back what a pool was to give up: its work waits again, or a step
+    /// of it no longer finds its places. The latter goes for maintenance, too.
+    fn keep_machines(&mut self, pool: &str, also_maintained: bool) {
         for entry in self.machines.values_mut() {
-            let giving = matches!(entry.emptying, Some(Emptying::Move { .. }));
+            let giving = match entry.emptying {
+                Some(Emptying::Move { .. }) => true,
+                Some(Emptying::Wave(_)) => also_maintained,
+                None => false,
+            };
             if entry.machine.pool == pool && giving && entry.order.is_none() {
                 entry.emptying = None;
             }
--- a/crates/cornelpoint/src/fleet/wave.rs
+++ b/crates/cornelpoint/src/fleet/wave.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use super::fleet_manager::Emptying;
@@ -88,10 +89,24 @@
             })
             .collect();
         candidates.sort_unstable();
+        let mut places: BTreeMap<String, u32> = BTreeMap::new();
         for (cost_ms, name) in candidates {
             if room == 0 || (cost_ms >= BUSY_WAIT_MS && !short_of_time) {
                 break;
             }
+            let Some(pool) = self
+                .machines
+                .get(&name)
+                .map(|entry| entry.machine.pool.clone())
+            else {
+                continue;
+            };
+            let spare_places = self.spare_places(&pool);
+            let left = places.entry(pool).or_insert(spare_places);
+            if *left == 0 {
+                continue;
+            }
+            *left -= 1;
             if let Some(entry) = self.machines.get_mut(&name) {
                 entry.emptying = Some(Emptying::Wave(number));
                 room -= 1;
@@ -99,6 +114,27 @@
         }
     }
 
+    /// Whether machines of a pool are still to be maintained.
+    pub(super) fn has_due_machines(&self, pool: &str) -> bool {
+        let open = self.waves.values().filter(|wave| !wave.completed);
+        let mut due = open.flat_map(|wave| wave.order.machines.difference(&wave.begun));
+        due.any(|name| {
+            let entry = self.machines.get(name);
+            entry.is_some_and(|entry| entry.machine.pool == pool)
+        })
+    }
+
+    /// Machines that a pool may empty for maintenance beside those it does.
+    fn spare_places(&self, pool: &str) -> u32 {
+        if self.spare_pool.as_deref() == Some(pool) {
+            return u32::MAX;
+        }
+        let Some(entry) = self.reports.get(pool) else {
+            return 1;
+        };
+        (entry.report.workers + 1).saturating_sub(entry.report.least_workers)
+    }
+
     /// How much a machine is missed: nothing when it is off, else the wait of
     /// its pool.
     fn cost(&self, entry: &MachineEntry) -> u64 {
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -64,10 +64,22 @@
 
     /// Takes a job that another process has stored for the owner.
     pub fn adopt(&mut self, id: JobId, record: JobRecord, spec: JobSpec, now: Instant) {
-        if !self.jobs.contains_key(&id) {
-            self.insert_job(id, record, spec, None, now);
-            self.dirty.insert(id);
-            self.urgent = true;
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        self.insert_job(id, record, spec, None, now);
+        self.dirty.insert(id);
+        self.urgent = true;
+        if self.cancelled_ahead.remove(&id) {
+            self.finish(id, JobStatus::Cancelled, now);
+        }
+    }
+
+    /// Takes a cancellation that another process has stored for the owner. It
+    /// may come before the job itself.
+    pub fn adopt_cancel(&mut self, id: JobId, now: Instant) {
+        if self.cancel(id, now) == CancelAnswer::Unknown {
+            self.cancelled_ahead.insert(id);
         }
     }
 
--- a/crates/cornelpoint/src/scheduler/looks.rs
+++ b/crates/cornelpoint/src/scheduler/looks.rs
@@ -29,7 +29,9 @@
                 continue;
             }
             let waits = worker.contact == Contact::Good && !worker.runs.is_empty();
-            let deadline_clock_ms = if worker.runs.is_empty() {
+            // A worker that may never answer must not get its lease extended:
+            // its tasks could start nowhere else.
+            let deadline_clock_ms = if worker.runs.is_empty() || worker.is_silent() {
                 None
             } else {
                 worker.lease_from(now.steady_ms, lease_ms)
@@ -91,6 +93,7 @@
             worker.entry.born_unix_ms = report.born_unix_ms;
         }
         worker.read_clock(report.clock_ms, now.steady_ms);
+        let was_silent = worker.is_silent();
         worker.contact = Contact::Good;
         worker.reported_ms = now.steady_ms;
         self.predecessor_lives.remove(&worker.entry.id);
@@ -106,7 +109,9 @@
             return;
         };
         let unstored = worker.applied_end > worker.stored_end;
-        let pause_ms = if unstored {
+        let pause_ms = if was_silent {
+            0
+        } else if unstored {
             // Ends that are not acknowledged are answered again at once.
             self.settings.look_retry_ms
         } else if worker.contact == Contact::Good && report.ended.is_empty() {
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -54,6 +54,8 @@
     pub(super) deposed: bool,
     pub(super) vacating: BTreeSet<String>,
     pub(super) recently_final: Vec<(u64, JobId)>,
+    /// Cancelled jobs that are still to come.
+    pub(super) cancelled_ahead: BTreeSet<JobId>,
 }
 
 /// What placement needs to know of a queue.
@@ -103,6 +105,7 @@
             deposed: false,
             vacating: BTreeSet::new(),
             recently_final: Vec::new(),
+            cancelled_ahead: BTreeSet::new(),
         }
     }
 
