Wait for the leases of all owners before; count a lapse only as owner

Change: the owner's row says when all earlier leases end, by the store's clock; owners show life in the store, which a candidate reads before it takes over; an owner cut off from peers and workers gives up; a lapse counts once ownership is confirmed after it. Ruled out: wrong clock samples, leases renewed by silent looks.

--- a/crates/cornelpoint-manager/src/fleet_host/host.rs
+++ b/crates/cornelpoint-manager/src/fleet_host/host.rs
@@ -25,6 +25,7 @@
 use crate::http::CallError;
 use crate::http::HttpEndpoint;
 use crate::node::Node;
+use crate::pool_host::beat_transaction;
 use crate::store::TransactionOutcome;
 use crate::store::WAVE_TABLE;
 use crate::store::decode;
@@ -127,6 +128,15 @@
         self.manager.borrow().to_vacate()
     }
 
+    /// Shows in the store that this owner is well.
+    pub(crate) async fn beat(self: Rc<Self>) {
+        let transaction = beat_transaction(&self.node, FLEET_SHARD, self.owner_version);
+        if let TransactionOutcome::Conflict(_) = self.node.store.transact(&transaction).await {
+            self.node.give_up(FLEET_SHARD, "another owner");
+            self.stop();
+        }
+    }
+
     async fn keep_time(self: Rc<Self>) {
         while !self.stopped.get() {
             self.decide();
--- a/crates/cornelpoint-manager/src/node/cluster.rs
+++ b/crates/cornelpoint-manager/src/node/cluster.rs
@@ -4,6 +4,8 @@
 
 use cornelpoint::ownership::Claim;
 use cornelpoint::ownership::OwnerRow;
+use cornelpoint::ownership::OwnershipSettings;
+use cornelpoint::scheduler::SchedulerSettings;
 use cornelpoint_platform::store::Row;
 use cornelpoint_platform::store::RowKey;
 use cornelpoint_platform::store::Transaction;
@@ -18,6 +20,8 @@
 use crate::fleet_host::FLEET_SHARD;
 use crate::fleet_host::FleetHost;
 use crate::pool_host::PoolHost;
+use crate::store::BEAT_KEY;
+use crate::store::BEAT_TABLE;
 use crate::store::CLUSTER_TABLE;
 use crate::store::FeedOutcome;
 use crate::store::OWNER_KEY;
@@ -30,6 +34,9 @@
 const FEED_WAIT_MS: u64 = 1000;
 /// Pause before the store is asked again after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// A lease on a clock that is 2% slow, the worker's own delay, and the way
+/// from the store's clock to the one here.
+const LEASE_STRETCH_MS: u64 = 350;
 /// Longest time between two looks at what is to be claimed.
 const CLAIM_CHECK: Duration = Duration::from_millis(1000);
 
@@ -185,11 +192,43 @@
     }
 
     async fn claim(self: Rc<Self>, claim: Claim) {
+        if !claim.check_beat || self.is_beat_old(&claim.shard).await {
+            self.take_over(&claim).await;
+        }
+        self.claiming.borrow_mut().remove(&claim.shard);
+        self.planner_changed.notify_one();
+    }
+
+    /// Whether an owner that is not heard gives no sign of life in the store
+    /// either.
+    async fn is_beat_old(&self, shard: &str) -> bool {
+        let Some(row) = self.store.read_row(BEAT_TABLE, shard, BEAT_KEY).await else {
+            return false;
+        };
+        let beat_ms: u64 = row
+            .and_then(|row| decode(row.value.as_deref()?))
+            .unwrap_or(0);
+        let age_ms = self.store.clock_ms().saturating_sub(beat_ms);
+        let now_ms = clock::now().steady_ms;
+        self.planner.borrow_mut().beat_read(shard, age_ms, now_ms);
+        let old = age_ms >= OwnershipSettings::default().beat_age_ms;
+        info!(self.main_log, "Owner not heard."; "shard" => shard, "beat_age_ms" => age_ms,
+            "taking_over" => old);
+        old
+    }
+
+    async fn take_over(self: &Rc<Self>, claim: &Claim) {
+        let predecessor = {
+            let planner = self.planner.borrow();
+            planner.owner(&claim.shard).map(|(row, _)| row.clone())
+        };
         let row = OwnerRow {
             node: self.settings.node.clone(),
             started_unix_ms: self.started_unix_ms,
             address: self.address.clone(),
             fencing_token: claim.fencing_token,
+            earlier_over_store_ms: self
+                .earlier_over_ms(predecessor.as_ref(), claim.predecessor_ended),
             released: false,
         };
         let key = owner_row_key(&claim.shard);
@@ -207,16 +246,19 @@
         match self.store.transact(&transaction).await {
             TransactionOutcome::Committed { version } => {
                 let now_ms = clock::now().steady_ms;
-                self.planner
-                    .borrow_mut()
-                    .owner_read(&claim.shard, Some(row), version, now_ms);
+                self.planner.borrow_mut().owner_read(
+                    &claim.shard,
+                    Some(row.clone()),
+                    version,
+                    now_ms,
+                );
                 info!(self.main_log, "Took a shard over."; "shard" => &claim.shard,
                     "fencing_token" => claim.fencing_token, "version" => version,
                     "predecessor_ended" => claim.predecessor_ended, "took_ms" => now_ms - asked_ms);
                 if claim.shard == FLEET_SHARD {
-                    FleetHost::start(&self, &claim, version).await;
+                    FleetHost::start(self, claim, version).await;
                 } else {
-                    PoolHost::start(&self, &claim, predecessor, version).await;
+                    PoolHost::start(self, claim, predecessor, &row, version).await;
                 }
             }
             TransactionOutcome::Conflict(rows) => self.take_cluster_rows(&rows),
@@ -226,28 +268,65 @@
                     "outcome" => ?outcome);
             }
         }
-        self.claiming.borrow_mut().remove(&claim.shard);
-        self.planner_changed.notify_one();
+    }
+
+    /// When the leases of all owners so far have ended, by the store's clock.
+    pub(crate) fn earlier_over_ms(&self, predecessor: Option<&OwnerRow>, ended: bool) -> u64 {
+        let Some(predecessor) = predecessor else {
+            return 0;
+        };
+        let acts_ms = if ended {
+            0
+        } else {
+            OwnershipSettings::default().unconfirmed_ms
+        };
+        let lease_ms = SchedulerSettings::default().lease_ms + LEASE_STRETCH_MS;
+        predecessor
+            .earlier_over_store_ms
+            .max(self.store.clock_ms() + acts_ms + lease_ms)
+    }
+
+    /// Writes the signs of life of the shards that are owned here, and gives
+    /// them up where this process is cut off from peers and workers alike.
+    pub(super) async fn show_life(self: Rc<Self>) {
+        let beat_ms = OwnershipSettings::default().beat_ms;
+        loop {
+            tokio::time::sleep(Duration::from_millis(beat_ms)).await;
+            let hosts: Vec<Rc<PoolHost>> = self.hosts.borrow().values().cloned().collect();
+            let cut_off = !self.planner.borrow().hears_most(clock::now().steady_ms);
+            for host in hosts {
+                if cut_off && self.store.is_there() && host.has_lost_most_workers() {
+                    self.give_up(&host.pool, "cut off from peers and workers");
+                    spawn_local(Rc::clone(&self).release(host.pool.clone()));
+                } else if host.needs_beat(beat_ms) {
+                    spawn_local(host.beat());
+                }
+            }
+            let fleet = self.fleet.borrow().clone();
+            if let Some(fleet) = fleet {
+                spawn_local(fleet.beat());
+            }
+        }
     }
 
     /// Gives all shards up for others to take at once.
-    pub(super) async fn release_shards(&self) {
+    pub(super) async fn release_shards(self: &Rc<Self>) {
         if let Some(fleet) = self.fleet.take() {
             fleet.stop();
-            self.release(FLEET_SHARD).await;
+            Rc::clone(self).release(FLEET_SHARD.to_owned()).await;
         }
         let hosts: BTreeMap<String, Rc<PoolHost>> = std::mem::take(&mut *self.hosts.borrow_mut());
         for (shard, host) in hosts {
             host.settle().await;
             host.stop();
-            self.release(&shard).await;
+            Rc::clone(self).release(shard).await;
         }
     }
 
-    async fn release(&self, shard: &str) {
+    async fn release(self: Rc<Self>, shard: String) {
         let (row, version) = {
             let planner = self.planner.borrow();
-            let Some((owner, version)) = planner.owner(shard) else {
+            let Some((owner, version)) = planner.owner(&shard) else {
                 return;
             };
             let released = OwnerRow {
@@ -256,7 +335,7 @@
             };
             (released, version)
         };
-        let key = owner_row_key(shard);
+        let key = owner_row_key(&shard);
         let transaction = Transaction {
             conditions: vec![(key.clone(), version)],
             writes: vec![(key, encode(&row))],
--- a/crates/cornelpoint-manager/src/node/node.rs
+++ b/crates/cornelpoint-manager/src/node/node.rs
@@ -120,6 +120,7 @@
         spawn_local(Rc::clone(&node).follow_operator());
         spawn_local(Rc::clone(&node).follow_cluster());
         spawn_local(Rc::clone(&node).claim_shards());
+        spawn_local(Rc::clone(&node).show_life());
         node.until_stopped().await
     }
 
--- a/crates/cornelpoint-manager/src/pool_host/commits.rs
+++ b/crates/cornelpoint-manager/src/pool_host/commits.rs
@@ -9,7 +9,11 @@
 use slog::info;
 
 use super::host::PoolHost;
+use crate::clock;
 use crate::message::PoolResponse;
+use crate::node::Node;
+use crate::store::BEAT_KEY;
+use crate::store::BEAT_TABLE;
 use crate::store::INBOX_TABLE;
 use crate::store::JOB_TABLE;
 use crate::store::PROGRESS_TABLE;
@@ -26,8 +30,12 @@
     /// Stores a batch on the condition that this process still owns the pool.
     pub(super) async fn commit(self: Rc<Self>, batch: Batch) {
         let transaction = self.transaction(&batch);
+        let asked_ms = clock::now().steady_ms;
         let outcome = match self.node.store.transact(&transaction).await {
-            TransactionOutcome::Committed { .. } => BatchOutcome::Stored,
+            TransactionOutcome::Committed { .. } => {
+                self.beaten_ms.set(asked_ms);
+                BatchOutcome::Stored
+            }
             TransactionOutcome::Conflict(_) => BatchOutcome::Deposed,
             TransactionOutcome::Refused | TransactionOutcome::Unknown => {
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -61,11 +69,27 @@
         }
     }
 
+    /// Whether no batch has shown lately that this owner is well.
+    pub(crate) fn needs_beat(&self, beat_ms: u64) -> bool {
+        self.beaten_ms.get() + beat_ms <= clock::now().steady_ms
+    }
+
+    /// Shows in the store that this owner is well.
+    pub(crate) async fn beat(self: Rc<Self>) {
+        let transaction = beat_transaction(&self.node, &self.pool, self.owner_version);
+        let asked_ms = clock::now().steady_ms;
+        match self.node.store.transact(&transaction).await {
+            TransactionOutcome::Committed { .. } => self.beaten_ms.set(asked_ms),
+            TransactionOutcome::Conflict(_) => {
+                self.node.give_up(&self.pool, "another owner");
+                self.stop();
+            }
+            TransactionOutcome::Refused | TransactionOutcome::Unknown => {}
+        }
+    }
+
     fn transaction(&self, batch: &Batch) -> Transaction {
-        let mut transaction = Transaction {
-            conditions: vec![(owner_row_key(&self.pool), self.owner_version)],
-            ..Transaction::default()
-        };
+        let mut transaction = beat_transaction(&self.node, &self.pool, self.owner_version);
         let inbox = self.inbox.borrow();
         for (id, record) in &batch.records {
             let key = RowKey::new(JOB_TABLE, &self.pool, id.to_string());
@@ -98,3 +122,13 @@
         transaction
     }
 }
+
+/// A sign of life on the condition that the owner's row is as it was.
+pub(crate) fn beat_transaction(node: &Node, shard: &str, owner_version: u64) -> Transaction {
+    let key = RowKey::new(BEAT_TABLE, shard, BEAT_KEY);
+    Transaction {
+        conditions: vec![(owner_row_key(shard), owner_version)],
+        writes: vec![(key, encode(&node.store.clock_ms()))],
+        ..Transaction::default()
+    }
+}
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -30,7 +30,7 @@
 /// A pool that this process owns.
 pub(crate) struct PoolHost {
     pub(super) node: Rc<Node>,
-    pub(super) pool: String,
+    pub(crate) pool: String,
     pub(super) fencing_token: u64,
     /// Version of the owner's row; every write depends on it.
     pub(super) owner_version: u64,
@@ -43,6 +43,8 @@
     vacated: RefCell<BTreeSet<String>>,
     pub(super) log: Logger,
     pub(super) stopped: Cell<bool>,
+    /// When the store last took a sign of life, by the time of asking.
+    pub(super) beaten_ms: Cell<u64>,
     wake: Notify,
     wakes_at_ms: Cell<u64>,
 }
@@ -66,6 +68,7 @@
             vacated: RefCell::default(),
             log: node.pool_log.clone(),
             stopped: Cell::new(false),
+            beaten_ms: Cell::new(0),
             wake: Notify::new(),
             wakes_at_ms: Cell::new(0),
         }
@@ -85,6 +88,7 @@
         let mut actions = Vec::new();
         let mut batch = None;
         if self.is_confirmed(now) {
+            scheduler.confirm(self.confirmed_ms());
             scheduler.tick(now);
             actions = scheduler.take_actions();
             batch = scheduler.begin_batch(now);
@@ -119,7 +123,12 @@
     /// Whether the store has confirmed ownership lately enough to act on it.
     fn is_confirmed(&self, now: Instant) -> bool {
         let limit_ms = OwnershipSettings::default().unconfirmed_ms;
-        now.steady_ms < self.node.confirmed_ms.get() + limit_ms
+        now.steady_ms < self.confirmed_ms() + limit_ms
+    }
+
+    /// When the store last confirmed ownership, by the time of asking.
+    fn confirmed_ms(&self) -> u64 {
+        self.node.confirmed_ms.get().max(self.beaten_ms.get())
     }
 
     /// Does what is due by time alone, until the pool is given up.
@@ -155,6 +164,11 @@
         }
     }
 
+    /// Whether most workers with work have fallen silent.
+    pub(crate) fn has_lost_most_workers(&self) -> bool {
+        self.scheduler.borrow().has_lost_most_workers()
+    }
+
     /// Takes the queues' settings in force.
     pub(crate) fn set_queues(&self, catalog: &Catalog) {
         self.scheduler
--- a/crates/cornelpoint-manager/src/pool_host/mod.rs
+++ b/crates/cornelpoint-manager/src/pool_host/mod.rs
@@ -7,4 +7,5 @@
 mod takeover;
 mod worker_link;
 
+pub(crate) use self::commits::beat_transaction;
 pub(crate) use self::host::PoolHost;
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -8,7 +8,6 @@
 use cornelpoint::job::JobSpec;
 use cornelpoint::ownership::Claim;
 use cornelpoint::ownership::OwnerRow;
-use cornelpoint::ownership::OwnershipSettings;
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::SchedulerSettings;
 use cornelpoint_platform::registry;
@@ -38,8 +37,6 @@
 const PREDECESSOR_PAUSE: Duration = Duration::from_millis(300);
 /// Longest wait for rows of the inbox.
 const INBOX_WAIT_MS: u64 = 10_000;
-/// A lease on a clock that is 2% slow, and the worker's own delay.
-const LEASE_STRETCH_MS: u64 = 250;
 
 impl PoolHost {
     /// Takes a pool over: reads what the store has of it, then asks every
@@ -48,6 +45,7 @@
         node: &Rc<Node>,
         claim: &Claim,
         predecessor: Option<OwnerRow>,
+        owner: &OwnerRow,
         owner_version: u64,
     ) {
         let settings = SchedulerSettings {
@@ -62,7 +60,8 @@
             scheduler.set_queues(catalog.queues.iter());
         }
         let claimed_ms = clock::now().steady_ms;
-        while !restore(node, claim, &mut scheduler, claimed_ms).await {
+        let over_ms = steady_of(node, owner.earlier_over_store_ms);
+        while !restore(node, claim, &mut scheduler, over_ms).await {
             if !node.planner.borrow().is_mine(&claim.shard) {
                 return;
             }
@@ -96,8 +95,8 @@
     async fn await_predecessor(self: Rc<Self>, predecessor: OwnerRow) {
         while !self.stopped.get() && self.scheduler.borrow().waits_for_predecessor() {
             if self.node.planner.borrow().has_ended(&predecessor) {
-                let lease_ms = SchedulerSettings::default().lease_ms + LEASE_STRETCH_MS;
-                let over_ms = clock::now().steady_ms + lease_ms;
+                let over_store_ms = self.node.earlier_over_ms(Some(&predecessor), true);
+                let over_ms = steady_of(&self.node, over_store_ms);
                 info!(self.log, "Predecessor ended."; "pool" => &self.pool, "node" => &predecessor.node);
                 self.event(|scheduler, _| scheduler.predecessor_ended(over_ms));
                 return;
@@ -184,12 +183,17 @@
     }
 }
 
+/// A moment of the store's clock by the clock here.
+fn steady_of(node: &Rc<Node>, store_ms: u64) -> u64 {
+    clock::now().steady_ms + store_ms.saturating_sub(node.store.clock_ms())
+}
+
 /// Reads a pool's jobs; false when the store did not answer.
 async fn restore(
     node: &Rc<Node>,
     claim: &Claim,
     scheduler: &mut PoolScheduler,
-    claimed_ms: u64,
+    over_ms: u64,
 ) -> bool {
     let pool = &claim.shard;
     let Some(workers) = node.store.read_all(WORKER_TABLE, pool).await else {
@@ -201,17 +205,11 @@
     let Some(progress) = node.store.read_all(PROGRESS_TABLE, pool).await else {
         return false;
     };
-    let lease_ms = SchedulerSettings::default().lease_ms + LEASE_STRETCH_MS;
-    let acts_ms = if claim.predecessor_ended {
-        0
-    } else {
-        OwnershipSettings::default().unconfirmed_ms
-    };
     let workers = workers
         .rows
         .iter()
         .find_map(|row| decode(row.value.as_deref()?));
-    scheduler.inherit(workers.unwrap_or_default(), claimed_ms + acts_ms + lease_ms);
+    scheduler.inherit(workers.unwrap_or_default(), over_ms);
     let progress: HashMap<&str, JobProgress> = progress
         .rows
         .iter()
--- a/crates/cornelpoint-manager/src/store/mod.rs
+++ b/crates/cornelpoint-manager/src/store/mod.rs
@@ -6,6 +6,8 @@
 pub(crate) use self::store_client::FeedOutcome;
 pub(crate) use self::store_client::StoreClient;
 pub(crate) use self::store_client::TransactionOutcome;
+pub(crate) use self::tables::BEAT_KEY;
+pub(crate) use self::tables::BEAT_TABLE;
 pub(crate) use self::tables::CLUSTER_TABLE;
 pub(crate) use self::tables::INBOX_TABLE;
 pub(crate) use self::tables::JOB_TABLE;
--- a/crates/cornelpoint-manager/src/store/store_client.rs
+++ b/crates/cornelpoint-manager/src/store/store_client.rs
@@ -57,6 +57,8 @@
     log: Logger,
     failing_since_ms: Cell<Option<u64>>,
     good_since_ms: Cell<u64>,
+    /// The store's clock, and when it was read by the clock here.
+    clock: Cell<(u64, u64)>,
 }
 
 impl StoreClient {
@@ -66,6 +68,7 @@
             log,
             failing_since_ms: Cell::new(None),
             good_since_ms: Cell::new(0),
+            clock: Cell::new((0, 0)),
         }
     }
 
@@ -85,6 +88,18 @@
         }
     }
 
+    /// The store's steady clock now, by its last answer.
+    pub(crate) fn clock_ms(&self) -> u64 {
+        let (clock_ms, read_ms) = self.clock.get();
+        clock_ms + clock::now().steady_ms.saturating_sub(read_ms)
+    }
+
+    fn note_clock(&self, rows: &Rows) {
+        if rows.clock_ms > 0 {
+            self.clock.set((rows.clock_ms, clock::now().steady_ms));
+        }
+    }
+
     pub(crate) async fn transact(&self, transaction: &Transaction) -> TransactionOutcome {
         let call = transaction_call(transaction);
         let answer = self.endpoint.send(&call, CALL_TIMEOUT).await;
@@ -92,6 +107,7 @@
             Ok(answer) => match (answer.status, rows_of(&answer.body)) {
                 (200, Ok(rows)) => {
                     self.note_good();
+                    self.note_clock(&rows);
                     TransactionOutcome::Committed {
                         version: rows.version,
                     }
@@ -158,8 +174,9 @@
             Ok(answer) if answer.status == 200 => rows_of(&answer.body).ok(),
             _ => None,
         };
-        if rows.is_some() {
+        if let Some(rows) = &rows {
             self.note_good();
+            self.note_clock(rows);
         } else {
             self.note_failure("reading failed");
         }
@@ -177,6 +194,7 @@
             Ok(answer) if answer.status == 200 => match rows_of(&answer.body) {
                 Ok(rows) => {
                     self.note_good();
+                    self.note_clock(&rows);
                     FeedOutcome::Changes(rows)
                 }
                 Err(error) => {
--- a/crates/cornelpoint-manager/src/store/tables.rs
+++ b/crates/cornelpoint-manager/src/store/tables.rs
@@ -13,6 +13,10 @@
 pub(crate) const WORKER_TABLE: &str = "cornelpoint-worker";
 /// What was accepted for an owner that could not be reached.
 pub(crate) const INBOX_TABLE: &str = "cornelpoint-inbox";
+/// Owners' signs of life, by the store's clock.
+pub(crate) const BEAT_TABLE: &str = "cornelpoint-beat";
+/// Key of an owner's sign of life.
+pub(crate) const BEAT_KEY: &str = "beat";
 /// Machines of each maintenance wave that have begun it.
 pub(crate) const WAVE_TABLE: &str = "cornelpoint-wave";
 /// Key of a shard's owner.
--- a/crates/cornelpoint/src/ownership/owner_row.rs
+++ b/crates/cornelpoint/src/ownership/owner_row.rs
@@ -12,6 +12,8 @@
     pub address: String,
     /// Rises with each change of owner.
     pub fencing_token: u64,
+    /// When all leases of earlier owners have ended, by the store's clock.
+    pub earlier_over_store_ms: u64,
     /// Whether the owner has given the shard up.
     pub released: bool,
 }
--- a/crates/cornelpoint/src/ownership/planner.rs
+++ b/crates/cornelpoint/src/ownership/planner.rs
@@ -27,8 +27,11 @@
     pub expected_version: u64,
     /// Fencing token of the new owner.
     pub fencing_token: u64,
-    /// Whether the predecessor's process has ended for sure.
+    /// Whether the predecessor's process has ended or given up for sure.
     pub predecessor_ended: bool,
+    /// Whether the owner may be well and only unheard: its sign of life in the
+    /// store is to be looked at first.
+    pub check_beat: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -43,6 +46,8 @@
     row: Option<OwnerRow>,
     version: u64,
     changed_ms: u64,
+    /// Until when the owner is well by its sign of life in the store.
+    well_until_ms: u64,
 }
 
 /// Decides which shards to claim, from the owners' rows and the peers'
@@ -102,9 +107,35 @@
             row,
             version,
             changed_ms: now_ms,
+            well_until_ms: 0,
         };
     }
 
+    /// Takes the age of an owner's sign of life in the store.
+    pub fn beat_read(&mut self, shard: &str, age_ms: u64, now_ms: u64) {
+        if let Some(state) = self.shards.get_mut(shard) {
+            let left_ms = self.settings.beat_age_ms.saturating_sub(age_ms);
+            state.well_until_ms = now_ms + left_ms;
+        }
+    }
+
+    /// Whether this process hears at least half of its peers, itself counted.
+    #[must_use]
+    pub fn hears_most(&self, now_ms: u64) -> bool {
+        let kept_ms = self.settings.peer_kept_ms;
+        let known = self
+            .peers
+            .values()
+            .filter(|peer| peer.heard_ms + kept_ms > now_ms);
+        let silent_ms = self.settings.silent_after_ms;
+        let (mut count, mut heard) = (1, 1);
+        for peer in known {
+            count += 1;
+            heard += usize::from(peer.heard_ms + silent_ms > now_ms);
+        }
+        heard * 2 >= count
+    }
+
     /// Takes a peer's heartbeat.
     pub fn heard(&mut self, node: &str, peer: Peer, now_ms: u64) {
         if node == self.node {
@@ -164,6 +195,11 @@
             return Vec::new();
         }
         let mut owned = self.owned_counts(now_ms);
+        let wait_ms = if self.hears_most(now_ms) {
+            0
+        } else {
+            self.settings.cut_off_wait_ms
+        };
         let mut claims = Vec::new();
         for (shard, state) in &self.shards {
             let Some(vacant_ms) = self.vacant_since_ms(state) else {
@@ -173,7 +209,7 @@
                 continue;
             }
             let turn = self.turn_of(shard, &mut owned);
-            if now_ms < vacant_ms + turn * self.settings.turn_ms {
+            if now_ms < vacant_ms + wait_ms + turn * self.settings.turn_ms {
                 continue;
             }
             let token = state.row.as_ref().map_or(0, |row| row.fencing_token);
@@ -182,6 +218,7 @@
                 expected_version: state.version,
                 fencing_token: token + 1,
                 predecessor_ended: self.predecessor_ended(state),
+                check_beat: !self.predecessor_ended(state),
             });
         }
         claims
@@ -201,15 +238,18 @@
         }
         let Some(peer) = self.peers.get(&row.node) else {
             let heard_ms = state.changed_ms.max(self.started_ms);
-            return Some(heard_ms + self.settings.silent_after_ms);
+            let silent_ms = heard_ms + self.settings.silent_after_ms;
+            return Some(silent_ms.max(state.well_until_ms));
         };
         if peer.peer.started_unix_ms > row.started_unix_ms {
             return Some(state.changed_ms);
         }
         if let Some(since_ms) = peer.without_store_since_ms {
-            return Some(since_ms + self.settings.without_store_ms);
+            let without_ms = since_ms + self.settings.without_store_ms;
+            return Some(without_ms.max(state.well_until_ms));
         }
-        Some(peer.heard_ms.max(state.changed_ms) + self.settings.silent_after_ms)
+        let silent_ms = peer.heard_ms.max(state.changed_ms) + self.settings.silent_after_ms;
+        Some(silent_ms.max(state.well_until_ms))
     }
 
     fn predecessor_ended(&self, state: &ShardState) -> bool {
--- a/crates/cornelpoint/src/ownership/settings.rs
+++ b/crates/cornelpoint/src/ownership/settings.rs
@@ -10,6 +10,15 @@
     /// From the start of a process to its first claims, so that all processes
     /// that start together are heard.
     pub settle_ms: u64,
+    /// Age from which an owner's sign of life in the store is too old.
+    pub beat_age_ms: u64,
+    /// Time between an owner's signs of life in the store.
+    pub beat_ms: u64,
+    /// Time that a process waits longer with claims while it hears less than
+    /// half of its peers: it may be cut off.
+    pub cut_off_wait_ms: u64,
+    /// How long a peer that was heard counts as one.
+    pub peer_kept_ms: u64,
     /// How long an owner acts without a sign from the store that it still is.
     pub unconfirmed_ms: u64,
 }
@@ -17,12 +26,17 @@
 impl Default for OwnershipSettings {
     fn default() -> Self {
         Self {
-            // Three heartbeats.
-            silent_after_ms: 1300,
+            // Two heartbeats and a half; the store is asked as well.
+            silent_after_ms: 1000,
             without_store_ms: 1200,
             // A claim takes some 20 ms; the rest is for a slow candidate.
             turn_ms: 400,
             settle_ms: 700,
+            beat_age_ms: 1500,
+            // Two may be lost or late.
+            beat_ms: 500,
+            cut_off_wait_ms: 1500,
+            peer_kept_ms: 30_000,
             // Longer than the store's usual outages: nobody can take over
             // during one, and tasks go on.
             unconfirmed_ms: 6500,
--- a/crates/cornelpoint/src/scheduler/looks.rs
+++ b/crates/cornelpoint/src/scheduler/looks.rs
@@ -181,8 +181,11 @@
             pace: 100,
         });
         self.unready(seen.task);
+        let lease_ms = self.settings.lease_ms;
         if let Some(worker) = self.lives.get_mut(&life) {
             worker.reserve(seen.task, seen.run, need);
+            // A predecessor may just have renewed the lease.
+            worker.lease_from(now.steady_ms, lease_ms);
         }
         if is_final || done || (others && !may_copy) {
             self.stop_stray(life, seen.task, seen.run, now);
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -23,6 +23,8 @@
 /// Numbers of starts set aside for one term of ownership, so that a successor
 /// numbers higher than a predecessor whose last starts it can't know.
 const RUNS_PER_TERM: u64 = 100_000;
+/// Time between looks for a confirmation of ownership.
+const CONFIRMATION_MS: u64 = 100;
 
 /// The scheduler of one pool for one term of ownership.
 #[derive(Debug)]
@@ -56,6 +58,8 @@
     pub(super) recently_final: Vec<(u64, JobId)>,
     /// Cancelled jobs that are still to come.
     pub(super) cancelled_ahead: BTreeSet<JobId>,
+    /// When the store last confirmed ownership, by the time of asking.
+    pub(super) confirmed_ms: u64,
 }
 
 /// What placement needs to know of a queue.
@@ -106,6 +110,7 @@
             vacating: BTreeSet::new(),
             recently_final: Vec::new(),
             cancelled_ahead: BTreeSet::new(),
+            confirmed_ms: 0,
         }
     }
 
@@ -174,7 +179,7 @@
         });
         let lapses = self.lives.values().filter_map(|worker| {
             let waits = worker.is_silent() && !worker.runs.is_empty();
-            waits.then(|| worker.lapses_at_ms())
+            waits.then(|| worker.lapses_at_ms().max(now.steady_ms + CONFIRMATION_MS))
         });
         let timed = self
             .timed
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -106,10 +106,13 @@
         self.placing_needed = true;
     }
 
-    /// Frees the tasks of silent workers whose leases have ended.
+    /// Frees the tasks of silent workers whose leases have ended. Ownership
+    /// must have been confirmed since: a successor may renew the leases.
     pub(super) fn release_lapsed(&mut self, now: Instant) {
         let lapsed = self.lives.iter().filter(|(_, worker)| {
-            worker.is_silent() && !worker.runs.is_empty() && worker.lapses_at_ms() <= now.steady_ms
+            worker.is_silent()
+                && !worker.runs.is_empty()
+                && worker.lapses_at_ms() <= now.steady_ms.min(self.confirmed_ms)
         });
         let lapsed: Vec<u32> = lapsed.map(|(&life, _)| life).collect();
         for life in lapsed {
@@ -131,6 +134,23 @@
         }
     }
 
+    /// Notes that this process owned the pool at a time, by the store.
+    pub fn confirm(&mut self, at_ms: u64) {
+        self.confirmed_ms = self.confirmed_ms.max(at_ms);
+    }
+
+    /// Whether most workers with work have fallen silent.
+    #[must_use]
+    pub fn has_lost_most_workers(&self) -> bool {
+        let used = self.lives.values().filter(|worker| !worker.runs.is_empty());
+        let (mut count, mut silent) = (0, 0);
+        for worker in used {
+            count += 1;
+            silent += usize::from(worker.is_silent());
+        }
+        silent * 2 > count
+    }
+
     /// Whether a worker may be given work.
     pub(super) fn is_usable(worker: &WorkerState, now: Instant) -> bool {
         worker.contact == Contact::Good
