--- a/crates/cornelpoint/src/fleet/fleet_manager.rs
+++ b/crates/cornelpoint/src/fleet/fleet_manager.rs
@@ -321,12 +321,17 @@
         entry.confirmed_ms = None;
     }
 
-    /// Machines that are down for a wave, or may be.
+    /// Machines that are down for a wave, or may be: also by a predecessor's
+    /// orders.
     pub(super) fn down_for(&self, number: u64) -> usize {
-        let down = self
-            .machines
-            .values()
-            .filter(|entry| entry.order == Some(Order::Maintain { wave: number }));
+        let down = self.machines.iter().filter(|(name, entry)| {
+            let listed = entry.machine.state == MachineState::Maintenance
+                && self
+                    .waves
+                    .get(&number)
+                    .is_some_and(|wave| wave.order.machines.contains(*name));
+            listed || entry.order == Some(Order::Maintain { wave: number })
+        });
         down.count()
     }
 }
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -1,16 +1,42 @@
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::job::JobId;
 use crate::job::JobProgress;
 use crate::job::JobRecord;
 use crate::job::JobStatus;
+use crate::worker::RegistryEntry;
 
 use super::action::LifeIndex;
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
+use super::worker_state::WorkerState;
 
 /// Jobs in one batch at most: two rows each, within the 100 entries that the
 /// store takes at once.
 const JOBS_PER_BATCH: usize = 40;
 
+/// A worker's life that may run tasks, as the store keeps it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerRecord {
+    /// Identity.
+    pub id: String,
+    /// Start of the life, in milliseconds since 1970.
+    pub born_unix_ms: u64,
+    /// Machine that it runs on.
+    pub machine: Option<String>,
+}
+
+impl WorkerRecord {
+    /// Whether a registry's entry shows that this life is over: a machine runs
+    /// one life at a time.
+    pub(super) fn is_followed_by(&self, entry: &RegistryEntry) -> bool {
+        let same_place =
+            self.id == entry.id || (self.machine.is_some() && self.machine == entry.machine);
+        same_place && self.born_unix_ms != 0 && entry.born_unix_ms > self.born_unix_ms
+    }
+}
+
 /// Rows that the store takes together or not at all.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Batch {
@@ -20,9 +46,8 @@
     pub progress: Vec<(JobId, JobProgress)>,
     /// Jobs to forget.
     pub forgotten: Vec<JobId>,
-    /// Workers that may run tasks from now on, where that has changed: their
-    /// identity and the start of their life.
-    pub workers: Option<Vec<(String, u64)>>,
+    /// Workers that may run tasks from now on, where that has changed.
+    pub workers: Option<Vec<WorkerRecord>>,
 }
 
 /// How the store answered a batch.
@@ -86,9 +111,7 @@
         if self.workers_row_wanted {
             self.workers_row_wanted = false;
             let workers = self.lives.values();
-            let workers =
-                workers.map(|worker| (worker.entry.id.clone(), worker.entry.born_unix_ms));
-            batch.workers = Some(workers.collect());
+            batch.workers = Some(workers.map(WorkerState::record).collect());
             note.lives = self.lives.keys().copied().collect();
         }
         self.batch = Some(note);
@@ -198,8 +221,11 @@
 
     /// Takes what a predecessor recorded: workers that may run its tasks, and
     /// when its last leases have ended at the latest.
-    pub fn inherit(&mut self, workers: Vec<(String, u64)>, over_ms: u64) {
-        self.predecessor_lives = workers.into_iter().collect();
+    pub fn inherit(&mut self, workers: Vec<WorkerRecord>, over_ms: u64) {
+        let workers = workers
+            .into_iter()
+            .map(|worker| (worker.id.clone(), worker));
+        self.predecessor_lives = workers.collect();
         self.predecessor_over_ms = over_ms;
     }
 }
--- a/crates/cornelpoint/src/scheduler/looks.rs
+++ b/crates/cornelpoint/src/scheduler/looks.rs
@@ -125,21 +125,24 @@
     /// A worker lists a run: it is confirmed, adopted or stopped.
     fn see_run(&mut self, life: LifeIndex, seen: &RunSeen, now: Instant) {
         let Some(job) = self.jobs.get_mut(&seen.task.step.job) else {
+            // What it needs is not known: nothing is added beside it.
+            self.penalise(life, now);
             self.stop_stray(life, seen.task, seen.run, now);
             return;
         };
         let is_final = job.status.is_final();
-        let need = job
-            .spec
-            .steps
-            .get(usize::from(seen.task.step.step))
-            .map(crate::job::Step::reserved);
-        let may_copy = job
-            .spec
-            .steps
-            .get(usize::from(seen.task.step.step))
-            .is_some_and(|step| step.speculative);
-        let Some((task, need)) = job.task_mut(seen.task).zip(need) else {
+        let Some(step) = job.spec.steps.get(usize::from(seen.task.step.step)) else {
+            self.penalise(life, now);
+            self.stop_stray(life, seen.task, seen.run, now);
+            return;
+        };
+        let need = step.reserved();
+        let may_copy = step.speculative;
+        let Some(task) = job.task_mut(seen.task) else {
+            // A job that was final before this term.
+            if let Some(worker) = self.lives.get_mut(&life) {
+                worker.reserve(seen.task, seen.run, need);
+            }
             self.stop_stray(life, seen.task, seen.run, now);
             return;
         };
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -31,6 +31,7 @@
 pub use self::batch::Batch;
 pub use self::batch::BatchOutcome;
 pub use self::batch::StoredJobs;
+pub use self::batch::WorkerRecord;
 pub use self::instant::Instant;
 pub use self::intake::CancelAnswer;
 pub use self::intake::SubmitAnswer;
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -12,6 +12,7 @@
 use super::action::LifeIndex;
 use super::admission::LoadEstimate;
 use super::batch::BatchInFlight;
+use super::batch::WorkerRecord;
 use super::instant::Instant;
 use super::job_entry::JobEntry;
 use super::placement::ReadyKey;
@@ -47,7 +48,7 @@
     pub(super) urgent: bool,
     pub(super) workers_row_wanted: bool,
     /// Lives that a predecessor may have used and that were not asked yet.
-    pub(super) predecessor_lives: BTreeMap<String, u64>,
+    pub(super) predecessor_lives: BTreeMap<String, WorkerRecord>,
     /// When all that a predecessor started has ended on silent workers.
     pub(super) predecessor_over_ms: u64,
     pub(super) load: LoadEstimate,
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -21,6 +21,7 @@
     /// out.
     pub fn registry_read(&mut self, entries: &[RegistryEntry], settled: bool, now: Instant) {
         let mut listed = BTreeSet::new();
+        self.end_followed_lives(entries, now);
         for entry in entries {
             let known = self.life_of_id.get(&entry.id).copied();
             let same = known.filter(|life| self.is_same_life(*life, entry.born_unix_ms));
@@ -48,6 +49,20 @@
         self.placing_needed = true;
     }
 
+    /// Ends the lives whose machines have begun others.
+    fn end_followed_lives(&mut self, entries: &[RegistryEntry], now: Instant) {
+        self.predecessor_lives
+            .retain(|_, life| !entries.iter().any(|entry| life.is_followed_by(entry)));
+        let followed = self.lives.iter().filter(|(_, worker)| {
+            let life = worker.record();
+            entries.iter().any(|entry| life.is_followed_by(entry))
+        });
+        let followed: Vec<u32> = followed.map(|(&life, _)| life).collect();
+        for life in followed {
+            self.end_life(life, now);
+        }
+    }
+
     /// Whether an entry speaks of a known life. A life that was listed without
     /// its start takes the first start that it names.
     fn is_same_life(&self, life: u32, born_unix_ms: u64) -> bool {
@@ -59,10 +74,6 @@
     }
 
     fn add_life(&mut self, entry: &RegistryEntry) -> u32 {
-        let before = self.predecessor_lives.get(&entry.id);
-        if before.is_some_and(|&born| born != 0 && entry.born_unix_ms > born) {
-            self.predecessor_lives.remove(&entry.id);
-        }
         let life = self.next_life;
         self.next_life += 1;
         self.lives.insert(life, WorkerState::new(entry.clone()));
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -5,6 +5,8 @@
 use crate::job::TaskId;
 use crate::worker::RegistryEntry;
 
+use super::batch::WorkerRecord;
+
 /// Most that a worker's clock may be slow, in thousandths; the platform's
 /// figure is 20.
 const CLOCK_SLOW_PERMILLE: u64 = 20;
@@ -94,6 +96,15 @@
         }
     }
 
+    /// What the store keeps of this life.
+    pub(super) fn record(&self) -> WorkerRecord {
+        WorkerRecord {
+            id: self.entry.id.clone(),
+            born_unix_ms: self.entry.born_unix_ms,
+            machine: self.entry.machine.clone(),
+        }
+    }
+
     /// The worker's clock now, by its last report.
     pub(super) fn clock_at(&self, now_ms: u64) -> Option<u64> {
         let sample = self.clock?;
