Give callers that come back too late idle room only; balance idle machines

Cause: a refused job that was accepted on its return was late and took room from jobs in time; idle machines stayed where the last surge was. Ruled out: slow workers; machines come 3 to 5 s after a surge begins, since lenders have tasks on all of them.

--- a/crates/cornelpoint-manager/src/node/heartbeats.rs
+++ b/crates/cornelpoint-manager/src/node/heartbeats.rs
@@ -20,6 +20,8 @@
 const INTERVAL_PER_PEER_MS: u64 = 8;
 /// Time after which a peer that is not heard gets no heartbeats.
 const FORGET_AFTER_MS: u64 = 30_000;
+/// Shortest time between heartbeats that a change brings on.
+const TELL_GAP_MS: u64 = 100;
 /// How long the order to empty workers holds without a repetition.
 const VACATE_HOLDS_MS: u64 = 4000;
 /// Largest heartbeat; all that does not fit a datagram is lost.
@@ -54,6 +56,16 @@
         }
     }
 
+    /// Tells the peers of a change that can't wait, unless that was done just
+    /// now.
+    pub(crate) fn tell_soon(&self) {
+        let now_ms = clock::now().steady_ms;
+        if self.told_ms.get() + TELL_GAP_MS <= now_ms {
+            self.told_ms.set(now_ms);
+            self.heartbeat_now.notify_one();
+        }
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         let hosts = self.hosts.borrow();
         let pools = hosts.iter().map(|(pool, host)| (pool.clone(), host.news()));
@@ -108,6 +120,11 @@
         for (pool, owned) in &heartbeat.pools {
             self.take_news(pool, owned.fencing_token, &owned.waiting, &owned.report);
         }
+        if !heartbeat.pools.is_empty()
+            && let Some(fleet) = &*self.fleet.borrow()
+        {
+            fleet.wake();
+        }
     }
 
     /// Empties the workers that the owner of the fleet wants emptied; none
--- a/crates/cornelpoint-manager/src/node/node.rs
+++ b/crates/cornelpoint-manager/src/node/node.rs
@@ -73,6 +73,7 @@
     pub(crate) confirmed_ms: Cell<u64>,
     pub(crate) leaving: Cell<bool>,
     pub(crate) heartbeat_now: Notify,
+    pub(crate) told_ms: Cell<u64>,
     pub(crate) servers: Rc<ServerControl>,
 }
 
@@ -110,6 +111,7 @@
             confirmed_ms: Cell::new(0),
             leaving: Cell::new(false),
             heartbeat_now: Notify::new(),
+            told_ms: Cell::new(0),
             servers: Rc::default(),
             settings,
         });
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -31,6 +31,10 @@
 /// Time between readings of the registry: a worker that leaves must get no
 /// new work two seconds after it said so.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(700);
+/// The same while work waits and new workers are on their way.
+const BUSY_REGISTRY_PAUSE: Duration = Duration::from_millis(250);
+/// Wait of the accepted work from which it counts as waiting.
+const BUSY_WAIT_MS: u64 = 300;
 /// Time after an outage in which workers' entries come back.
 const REGISTRY_SETTLES_MS: u64 = 2500;
 /// Time between looks for a predecessor's end.
@@ -120,7 +124,13 @@
                     || good_since_ms == 0;
                 self.event(|scheduler, now| scheduler.registry_read(&entries, settled, now));
             }
-            tokio::time::sleep(REGISTRY_PAUSE).await;
+            let waits = self.scheduler.borrow().load(clock::now()).wait_ms() > BUSY_WAIT_MS;
+            let pause = if waits {
+                BUSY_REGISTRY_PAUSE
+            } else {
+                REGISTRY_PAUSE
+            };
+            tokio::time::sleep(pause).await;
         }
     }
 
--- a/crates/cornelpoint/src/fleet/moves.rs
+++ b/crates/cornelpoint/src/fleet/moves.rs
@@ -5,6 +5,9 @@
 use super::machine::MachineState;
 use super::pool_report::PoolReport;
 
+/// Difference in idle machines between two pools that is not worth a move.
+const BALANCED_GAP: u64 = 4;
+
 impl PoolReport {
     /// Time in which the accepted work is done at full use.
     #[must_use]
@@ -56,6 +59,7 @@
             self.borrow(pool, left, machine_millicores, now_ms);
         }
         if needs.is_empty() {
+            self.balance(machine_millicores, now_ms);
             self.rest_idle(&spare, machine_millicores, now_ms);
         }
     }
@@ -75,13 +79,7 @@
         let due = u32::from(self.has_due_machines(pool));
         let places = report.least_workers + due;
         let for_places = u64::from(places.saturating_sub(report.workers));
-        let coming = self.machines.values().filter(|entry| match &entry.order {
-            Some(Order::Move { pool: to }) => to == pool,
-            _ => matches!(&entry.emptying, Some(Emptying::Move { pool: to }) if to == pool),
-        });
-        for_load
-            .max(for_places)
-            .saturating_sub(coming.count() as u64)
+        for_load.max(for_places).saturating_sub(self.coming(pool))
     }
 
     /// Sends spare machines to a pool; tells how many.
@@ -116,6 +114,45 @@
         }
     }
 
+    /// Lets the pool with the most idle machines lend to the one with the
+    /// fewest: nobody knows whose surge comes next, and a machine that is there
+    /// when it begins serves it three seconds longer.
+    fn balance(&mut self, machine_millicores: u64, now_ms: u64) {
+        let age_ms = self.settings.report_age_ms;
+        let fresh = self
+            .reports
+            .iter()
+            .filter(|(_, entry)| entry.heard_ms + age_ms >= now_ms);
+        let mut idle: Vec<(u64, String)> = fresh
+            .map(|(pool, entry)| {
+                let report = &entry.report;
+                let wanted = report.wanted_millicores(self.settings.drain_target_ms);
+                let free = report.capacity_millicores.saturating_sub(wanted);
+                (free / machine_millicores + self.coming(pool), pool.clone())
+            })
+            .collect();
+        idle.sort_unstable();
+        let (Some((fewest, poorest)), Some((most, richest))) = (idle.first(), idle.last()) else {
+            return;
+        };
+        let gap = most - fewest;
+        if gap < BALANCED_GAP {
+            return;
+        }
+        let count = usize::try_from(gap / 2).unwrap_or(usize::MAX);
+        let count = count.min(self.surplus(richest, machine_millicores));
+        self.empty(richest, poorest, count);
+    }
+
+    /// Machines on their way to a pool.
+    fn coming(&self, pool: &str) -> u64 {
+        let coming = self.machines.values().filter(|entry| match &entry.order {
+            Some(Order::Move { pool: to }) => to == pool,
+            _ => matches!(&entry.emptying, Some(Emptying::Move { pool: to }) if to == pool),
+        });
+        coming.count() as u64
+    }
+
     /// Machines that a pool has beyond its work, its places and what it gives
     /// up already; one is kept for what comes next.
     fn surplus(&self, pool: &str, machine_millicores: u64) -> usize {
--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -5,6 +5,7 @@
 use crate::job::JobId;
 use crate::job::JobRecord;
 use crate::job::JobSpec;
+use crate::job::Resources;
 use crate::job::TaskId;
 
 use super::instant::Instant;
@@ -17,6 +18,9 @@
 /// Weight of a caller's estimate against the queue's learned duration, in
 /// thousandths: estimates are off by a factor of two and more.
 const ESTIMATE_WEIGHT_PERMILLE: u64 = 400;
+/// Share of a job's slack that it may wait for the work before it, in percent:
+/// its later steps wait as well, and estimates are rough.
+const ADMITTED_WAIT_PERCENT: u64 = 45;
 /// Shortest time after which a caller that was turned away may ask again.
 const SHORTEST_RETRY_MS: u64 = 1000;
 /// Longest such time: a surge passes in seconds.
@@ -24,7 +28,9 @@
 /// How long refused work counts as demand.
 const REFUSED_COUNTS_MS: u64 = 1500;
 /// Refusals that are kept at most.
-const REFUSALS_KEPT: usize = 256;
+const REFUSALS_KEPT: usize = 512;
+/// How long a refusal is kept, so that a caller that comes back is known.
+const REFUSALS_KEPT_MS: u64 = 10_000;
 /// Capacity that is reckoned with while a pool has no usable worker.
 const LEAST_CAPACITY_MILLICORES: u64 = 64_000;
 /// Retry time for what no worker could hold.
@@ -143,7 +149,13 @@
     /// the objective helps nobody and delays all that comes after, so a job is
     /// taken only while the accepted work leaves it time for its own chain.
     /// Long-running jobs are always taken: they earn from whenever they start.
-    pub(super) fn refuse(&self, record: &JobRecord, spec: &JobSpec, now: Instant) -> Option<u64> {
+    pub(super) fn refuse(
+        &self,
+        id: JobId,
+        record: &JobRecord,
+        spec: &JobSpec,
+        now: Instant,
+    ) -> Option<u64> {
         if !self.could_hold(spec) {
             return Some(HOPELESS_RETRY_MS);
         }
@@ -156,15 +168,49 @@
         let rules = self.queues.get(&record.queue)?;
         let chain_ms = self.expected_chain_ms(&record.queue, spec);
         let objective_ms = chain_ms * rules.stretch_permille / 1000 + rules.objective_ms;
-        let slack_ms = objective_ms.saturating_sub(chain_ms);
+        let gone_ms = self
+            .first_refused_ms(id)
+            .map_or(0, |at_ms| now.steady_ms - at_ms);
+        let slack_ms = objective_ms.saturating_sub(chain_ms + gone_ms);
         let wait_ms = load.wait_ms();
-        if wait_ms <= slack_ms.max(chain_ms) {
+        let allowed_ms = slack_ms * ADMITTED_WAIT_PERCENT / 100;
+        // A caller that comes back too late for its objective only gets room
+        // that nobody else wants.
+        let in_time = slack_ms > 0 && wait_ms <= allowed_ms;
+        if in_time || (self.ready.is_empty() && self.has_room_for_start(spec, now)) {
             return None;
         }
-        let retry_ms = wait_ms - slack_ms.min(wait_ms);
+        let retry_ms = wait_ms.saturating_sub(allowed_ms);
         Some(retry_ms.clamp(SHORTEST_RETRY_MS, LONGEST_RETRY_MS))
     }
 
+    /// When a job was first turned away, if that is not long ago.
+    pub(super) fn first_refused_ms(&self, id: JobId) -> Option<u64> {
+        let mut refused = self.load.refused.iter();
+        let (at_ms, _, _) = refused.find(|(_, known, _)| *known == id)?;
+        Some(*at_ms)
+    }
+
+    /// Whether the first steps of a job would all find room now.
+    fn has_room_for_start(&self, spec: &JobSpec, now: Instant) -> bool {
+        let first = spec.steps.iter().filter(|step| step.after.is_empty());
+        let mut wanted: Vec<(u32, Resources)> =
+            first.map(|step| (step.replicas, step.reserved())).collect();
+        for worker in self.lives.values() {
+            if !Self::is_usable(worker, now) {
+                continue;
+            }
+            let mut used = worker.used;
+            for (left, need) in &mut wanted {
+                while *left > 0 && worker.entry.capacity.fits(used, *need) {
+                    used = used.plus(*need);
+                    *left -= 1;
+                }
+            }
+        }
+        wanted.iter().all(|(left, _)| *left == 0)
+    }
+
     /// Notes work that was turned away: it shows how much more the pool could
     /// use.
     pub(super) fn note_refused(
@@ -192,7 +238,7 @@
         while refused.len() > REFUSALS_KEPT
             || refused
                 .front()
-                .is_some_and(|(at_ms, _, _)| at_ms + REFUSED_COUNTS_MS <= now.steady_ms)
+                .is_some_and(|(at_ms, _, _)| at_ms + REFUSALS_KEPT_MS <= now.steady_ms)
         {
             refused.pop_front();
         }
@@ -242,7 +288,7 @@
                 worker
                     .entry
                     .capacity
-                    .fits(crate::job::Resources::default(), step.reserved())
+                    .fits(Resources::default(), step.reserved())
             })
         })
     }
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -52,7 +52,7 @@
                 None => SubmitAnswer::Storing,
             };
         }
-        if let Some(retry_after_ms) = self.refuse(&record, &spec, now) {
+        if let Some(retry_after_ms) = self.refuse(id, &record, &spec, now) {
             self.note_refused(id, &record, &spec, now);
             return SubmitAnswer::Refused { retry_after_ms };
         }
@@ -122,7 +122,8 @@
             next_occurrence: 0,
         };
         let allowed_ms = self.objective_ms(&entry);
-        entry.due_ms = (now.steady_ms + allowed_ms).saturating_sub(age_ms);
+        let first_ms = self.first_refused_ms(id).unwrap_or(now.steady_ms);
+        entry.due_ms = (first_ms + allowed_ms).saturating_sub(age_ms);
         if status.is_final() {
             self.recently_final.push((now.steady_ms, id));
         }
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -130,7 +130,13 @@
     /// Places what waits, in order, while there is room.
     pub(super) fn place(&mut self, now: Instant) {
         self.placing_needed = false;
-        let keys: Vec<ReadyKey> = self.ready.keys().copied().collect();
+        let late = |key: &&ReadyKey| key.is_batch && key.due_ms < now.steady_ms;
+        // A job past its objective earns little more: others go first.
+        let in_time = self.ready.keys().filter(|key| !late(key));
+        let keys: Vec<ReadyKey> = in_time
+            .chain(self.ready.keys().filter(late))
+            .copied()
+            .collect();
         let mut misses = 0;
         for key in keys {
             if misses >= MISSES_PER_PASS {
