Keep three free machines while lending; place tasks on the fullest worker

Cause: a pool that had lent all it could began its surge with one machine for short tasks, and lenders had tasks everywhere, so machines took seconds to empty. Ruled out: the machine API (a move takes its 1.5 s).

--- a/crates/cornelpoint/src/fleet/moves.rs
+++ b/crates/cornelpoint/src/fleet/moves.rs
@@ -5,6 +5,9 @@
 use super::machine::MachineState;
 use super::pool_report::PoolReport;
 
+/// Free machines that a pool keeps while it lends: others take three seconds
+/// to come.
+const KEPT_FREE: usize = 3;
 /// Difference in idle machines between two pools that is not worth a move.
 const BALANCED_GAP: u64 = 4;
 
@@ -164,7 +167,7 @@
         let free = report.capacity_millicores.saturating_sub(wanted) / machine_millicores;
         let free = usize::try_from(free).unwrap_or(usize::MAX);
         let places = report.workers.saturating_sub(report.least_workers) as usize;
-        free.saturating_sub(1).min(places)
+        free.saturating_sub(KEPT_FREE).min(places)
     }
 
     /// Has a pool's cheapest machines emptied; tells how many.
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -275,13 +275,9 @@
             let together =
                 racks.is_empty() || racks.iter().any(|rack| has_label(worker, Some(rack)));
             let warm = worker.entry.cold_remaining_ms == 0;
-            // Long-running tasks share few workers, so that the others can
-            // serve another pool; short ones take the emptiest.
-            let room = if step.long_running {
-                u64::MAX - free
-            } else {
-                free
-            };
+            // The fullest worker that still has room: what stays empty can serve
+            // another pool at once.
+            let room = u64::MAX - free;
             (near, together, warm, room, u32::MAX - **life)
         });
         best.map(|(&life, _)| life)
