Admit by twice the slack at the present capacity

Cause: most jobs that were turned away at the start of a surge came back too late, although machines of other pools joined seconds later. Ruled out: estimates (the learned durations are in use).

--- a/crates/cornelpoint/src/fleet/settings.rs
+++ b/crates/cornelpoint/src/fleet/settings.rs
@@ -25,7 +25,7 @@
             holder_gap_ms: 3000,
             maintenance_ms: 2000,
             report_age_ms: 1500,
-            drain_target_ms: 1500,
+            drain_target_ms: 1000,
             calm_ms: 6000,
             giving_at_once: 3,
             repeat_ms: 1500,
--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -18,9 +18,9 @@
 /// Weight of a caller's estimate against the queue's learned duration, in
 /// thousandths: estimates are off by a factor of two and more.
 const ESTIMATE_WEIGHT_PERMILLE: u64 = 400;
-/// Share of a job's slack that it may wait for the work before it, in percent:
-/// its later steps wait as well, and estimates are rough.
-const ADMITTED_WAIT_PERCENT: u64 = 45;
+/// Share of a job's slack that the work before it may take at the present
+/// capacity, in percent: other pools' machines join within three seconds.
+const ADMITTED_WAIT_PERCENT: u64 = 220;
 /// Shortest time after which a caller that was turned away may ask again.
 const SHORTEST_RETRY_MS: u64 = 1000;
 /// Longest such time: a surge passes in seconds.
