Refuse at once where neither owner nor store is heard

Change: an owner that is not heard is not asked; without the store the answer is 503 at once, truly not run; a process that hears neither is not ready. Ruled out: slow owners (their answers took milliseconds).

--- a/crates/cornelpoint-manager/src/edge/callers.rs
+++ b/crates/cornelpoint-manager/src/edge/callers.rs
@@ -34,7 +34,8 @@
     if request.uri().path() != callers::READY_PATH {
         return reply(404, "");
     }
-    let ready = node.catalog().is_some() && node.confirmed_ms.get() > 0 && !node.leaving.get();
+    let started = node.catalog().is_some() && node.confirmed_ms.get() > 0;
+    let ready = started && !node.leaving.get() && !node.is_cut_off();
     reply(if ready { 200 } else { 503 }, "")
 }
 
--- a/crates/cornelpoint-manager/src/edge/jobs.rs
+++ b/crates/cornelpoint-manager/src/edge/jobs.rs
@@ -31,7 +31,9 @@
 /// Time for an owner to answer where the store need not be asked.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for an owner to answer once the store has.
-const OWNER_STORE_TIMEOUT: Duration = Duration::from_millis(1700);
+const OWNER_STORE_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Retry time where this process alone may be cut off: another one answers.
+const CUT_OFF_RETRY_S: u64 = 1;
 /// Retry time while the store is away: its usual outages last seconds.
 const STORE_AWAY_RETRY_S: u64 = 2;
 
@@ -85,6 +87,10 @@
     record: &JobRecord,
     asked: CallError,
 ) -> Reply {
+    if asked == CallError::NotSent && !node.store.is_there() {
+        info!(node.edge_log, "Job not stored: neither owner nor store."; "job" => %job);
+        return refusal(503, CUT_OFF_RETRY_S);
+    }
     let key = RowKey::new(INBOX_TABLE, &record.pool, format!("submit/{job}"));
     let known = RowKey::new(JOB_TABLE, &record.pool, job.to_string());
     let transaction = Transaction {
@@ -110,6 +116,9 @@
     if let Ok(PoolResponse::Status(status)) = ask_owner(node, &queue.pool, request, limit).await {
         return reply(200, callers::status_body(status));
     }
+    if !node.store.is_there() {
+        return refusal(503, CUT_OFF_RETRY_S);
+    }
     match stored_status(node, queue, job).await {
         Some(Some(status)) => reply(200, callers::status_body(status)),
         Some(None) => reply(410, ""),
--- a/crates/cornelpoint-manager/src/edge/peers.rs
+++ b/crates/cornelpoint-manager/src/edge/peers.rs
@@ -6,6 +6,7 @@
 use hyper::Request;
 use hyper::body::Incoming;
 
+use crate::clock;
 use crate::http::CallError;
 use crate::http::Reply;
 use crate::http::read_body;
@@ -56,7 +57,10 @@
     }
     let address = {
         let planner = node.planner.borrow();
-        let owner = planner.owner(pool).filter(|(row, _)| !row.released);
+        let now_ms = clock::now().steady_ms;
+        let owner = planner.owner(pool);
+        // An owner that is not heard would only cost the caller's time.
+        let owner = owner.filter(|(row, _)| !row.released && planner.hears(&row.node, now_ms));
         owner.map(|(row, _)| row.address.clone())
     };
     let Some(address) = address.filter(|address| *address != node.address) else {
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -159,6 +159,13 @@
         self.catalog.borrow().clone()
     }
 
+    /// Whether neither the store nor most peers are heard: others serve callers
+    /// better.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        let now_ms = clock::now().steady_ms;
+        !self.store.is_there() && !self.planner.borrow().hears_most(now_ms)
+    }
+
     /// The connection pool to a peer.
     pub(crate) fn peer(&self, address: &str) -> Rc<HttpEndpoint> {
         let mut peers = self.peers.borrow_mut();
--- a/crates/cornelpoint/src/ownership/planner.rs
+++ b/crates/cornelpoint/src/ownership/planner.rs
@@ -119,6 +119,15 @@
         }
     }
 
+    /// Whether a peer was heard lately.
+    #[must_use]
+    pub fn hears(&self, node: &str, now_ms: u64) -> bool {
+        let silent_ms = self.settings.silent_after_ms;
+        self.peers
+            .get(node)
+            .is_some_and(|peer| peer.heard_ms + silent_ms > now_ms)
+    }
+
     /// Whether this process hears at least half of its peers, itself counted.
     #[must_use]
     pub fn hears_most(&self, now_ms: u64) -> bool {
