--- a/crates/cornelpoint-manager/src/fleet_host/host.rs
+++ b/crates/cornelpoint-manager/src/fleet_host/host.rs
@@ -11,6 +11,7 @@
 use cornelpoint::fleet::Machine;
 use cornelpoint::fleet::MachineAnswer;
 use cornelpoint::ownership::Claim;
+use cornelpoint::ownership::OwnerRow;
 use cornelpoint_platform::fleet_api;
 use cornelpoint_platform::operator;
 use cornelpoint_platform::store::RowKey;
@@ -26,12 +27,12 @@
 use crate::http::HttpEndpoint;
 use crate::metrics::ProcessMetrics;
 use crate::node::Node;
-use crate::pool_host::beat_transaction;
+use crate::store::ShardWriter;
 use crate::store::TransactionOutcome;
 use crate::store::WAVE_TABLE;
+use crate::store::WriteOutcome;
 use crate::store::decode;
 use crate::store::encode;
-use crate::store::owner_row_key;
 
 /// Shard of the machines; no pool's name begins so.
 pub(crate) const FLEET_SHARD: &str = "/fleet";
@@ -55,7 +56,7 @@
 pub(crate) struct FleetHost {
     node: Rc<Node>,
     fencing_token: u64,
-    owner_version: u64,
+    writer: Rc<ShardWriter>,
     manager: RefCell<FleetManager>,
     api: HttpEndpoint,
     begun: RefCell<BTreeMap<u64, BTreeSet<String>>>,
@@ -67,7 +68,12 @@
 
 impl FleetHost {
     /// Takes the fleet over.
-    pub(crate) async fn start(node: &Rc<Node>, claim: &Claim, owner_version: u64) {
+    pub(crate) async fn start(
+        node: &Rc<Node>,
+        claim: &Claim,
+        owner: &OwnerRow,
+        owner_version: u64,
+    ) {
         let Some(address) = node.settings.fleet_address.clone() else {
             return;
         };
@@ -96,7 +102,7 @@
         let host = Rc::new(Self {
             node: Rc::clone(node),
             fencing_token: claim.fencing_token,
-            owner_version,
+            writer: ShardWriter::new(FLEET_SHARD, owner.clone(), owner_version),
             manager: RefCell::new(manager),
             api: HttpEndpoint::new(&address, CONNECTIONS),
             begun: RefCell::new(begun),
@@ -131,8 +137,7 @@
 
     /// Shows in the store that this owner is well.
     pub(crate) async fn beat(self: Rc<Self>) {
-        let transaction = beat_transaction(&self.node, FLEET_SHARD, self.owner_version);
-        if let TransactionOutcome::Conflict(_) = self.node.store.transact(&transaction).await {
+        if self.writer.write(&self.node.store, &[], &[]).await == WriteOutcome::Deposed {
             self.node.give_up(FLEET_SHARD, "another owner");
             self.stop();
         }
@@ -231,33 +236,38 @@
     async fn keep_progress(&self, wave: u64, begun: BTreeSet<String>, completed: bool) {
         self.begun.borrow_mut().insert(wave, begun.clone());
         let key = RowKey::new(WAVE_TABLE, FLEET_SHARD, wave.to_string());
-        let kept = Transaction {
-            conditions: vec![(owner_row_key(FLEET_SHARD), self.owner_version)],
-            writes: vec![(key, encode(&begun))],
-            ..Transaction::default()
-        };
+        let kept = [(key, encode(&begun))];
         let status_key = RowKey::new(operator::STATUS_TABLE, "", operator::wave_status_key(wave));
         let published = Transaction {
             writes: vec![(status_key, operator::wave_status(completed))],
             ..Transaction::default()
         };
-        self.store_until_done(&kept).await;
+        loop {
+            if self.stopped.get() {
+                return;
+            }
+            match self.writer.write(&self.node.store, &kept, &[]).await {
+                WriteOutcome::Stored => break,
+                WriteOutcome::Deposed => {
+                    self.node.give_up(FLEET_SHARD, "another owner");
+                    self.stop();
+                }
+                WriteOutcome::Unknown => tokio::time::sleep(RETRY_PAUSE).await,
+            }
+        }
         if completed || begun.is_empty() {
             info!(self.log, "Wave."; "wave" => wave, "begun" => begun.len(),
                 "completed" => completed);
-            self.store_until_done(&published).await;
+            self.publish(&published).await;
         }
     }
 
-    async fn store_until_done(&self, transaction: &Transaction) {
+    async fn publish(&self, status: &Transaction) {
         while !self.stopped.get() {
-            match self.node.store.transact(transaction).await {
+            match self.node.store.transact(status).await {
                 TransactionOutcome::Committed { .. } => return,
-                TransactionOutcome::Conflict(_) => {
-                    self.node.give_up(FLEET_SHARD, "another owner");
-                    return;
-                }
-                TransactionOutcome::Refused | TransactionOutcome::Unknown => {
+                outcome => {
+                    info!(self.log, "Status not written yet."; "outcome" => ?outcome);
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
--- a/crates/cornelpoint-manager/src/node/cluster.rs
+++ b/crates/cornelpoint-manager/src/node/cluster.rs
@@ -98,7 +98,7 @@
     }
 
     /// Reads processes and owners in full.
-    async fn read_cluster(&self) -> Option<u64> {
+    async fn read_cluster(self: &Rc<Self>) -> Option<u64> {
         let nodes = self.store.read_all(CLUSTER_TABLE, "").await?;
         self.take_cluster_rows(&nodes.rows);
         while self.catalog().is_none() {
@@ -115,7 +115,7 @@
         Some(nodes.version)
     }
 
-    fn take_cluster_rows(&self, rows: &[Row]) {
+    fn take_cluster_rows(self: &Rc<Self>, rows: &[Row]) {
         let now_ms = clock::now().steady_ms;
         for row in rows {
             let Some(value) = &row.value else { continue };
@@ -133,10 +133,27 @@
                 addresses.insert(name.to_owned(), (node.address, now_ms));
             }
         }
+        self.release_unhosted();
         self.planner_changed.notify_one();
     }
 
-    fn take_owner(&self, shard: &str, owner: OwnerRow, version: u64, now_ms: u64) {
+    /// Releases shards that this process owns without scheduling them: a claim
+    /// without an answer was carried out after all.
+    fn release_unhosted(self: &Rc<Self>) {
+        let owned: Vec<String> = {
+            let planner = self.planner.borrow();
+            let owned = planner.shards().filter(|shard| planner.is_mine(shard));
+            owned.map(str::to_owned).collect()
+        };
+        for shard in owned {
+            if !self.has_host(&shard) && !self.claiming.borrow().contains(&shard) {
+                info!(self.main_log, "Owner without scheduling."; "shard" => &shard);
+                spawn_local(Rc::clone(self).release(shard));
+            }
+        }
+    }
+
+    fn take_owner(self: &Rc<Self>, shard: &str, owner: OwnerRow, version: u64, now_ms: u64) {
         info!(self.main_log, "Owner."; "shard" => shard, "node" => &owner.node,
             "fencing_token" => owner.fencing_token, "version" => version,
             "released" => owner.released);
@@ -149,6 +166,14 @@
         }
     }
 
+    fn has_host(&self, shard: &str) -> bool {
+        if shard == FLEET_SHARD {
+            self.fleet.borrow().is_some()
+        } else {
+            self.hosts.borrow().contains_key(shard)
+        }
+    }
+
     /// Stops scheduling a shard that another process owns.
     pub(crate) fn give_up(&self, shard: &str, why: &str) {
         if shard == FLEET_SHARD {
@@ -202,6 +227,12 @@
     /// Whether an owner that is not heard gives no sign of life in the store
     /// either.
     async fn is_beat_old(&self, shard: &str) -> bool {
+        let settings = OwnershipSettings::default();
+        let good_since_ms = self.store.good_since_ms();
+        if clock::now().steady_ms < good_since_ms.saturating_add(settings.beat_age_ms) {
+            // After an outage an owner needs as long to show that it is well.
+            return false;
+        }
         let Some(row) = self.store.read_row(BEAT_TABLE, shard, BEAT_KEY).await else {
             return false;
         };
@@ -211,7 +242,7 @@
         let age_ms = self.store.clock_ms().saturating_sub(beat_ms);
         let now_ms = clock::now().steady_ms;
         self.planner.borrow_mut().beat_read(shard, age_ms, now_ms);
-        let old = age_ms >= OwnershipSettings::default().beat_age_ms;
+        let old = age_ms >= settings.beat_age_ms;
         info!(self.main_log, "Owner not heard."; "shard" => shard, "beat_age_ms" => age_ms,
             "taking_over" => old);
         old
@@ -257,7 +288,7 @@
                     "fencing_token" => claim.fencing_token, "version" => version,
                     "predecessor_ended" => claim.predecessor_ended, "took_ms" => now_ms - asked_ms);
                 if claim.shard == FLEET_SHARD {
-                    FleetHost::start(self, claim, version).await;
+                    FleetHost::start(self, claim, &row, version).await;
                 } else {
                     PoolHost::start(self, claim, predecessor, &row, version).await;
                 }
@@ -327,7 +358,8 @@
     async fn release(self: Rc<Self>, shard: String) {
         let (row, version) = {
             let planner = self.planner.borrow();
-            let Some((owner, version)) = planner.owner(&shard) else {
+            let owner = planner.owner(&shard).filter(|_| planner.is_mine(&shard));
+            let Some((owner, version)) = owner else {
                 return;
             };
             let released = OwnerRow {
--- a/crates/cornelpoint-manager/src/pool_host/commits.rs
+++ b/crates/cornelpoint-manager/src/pool_host/commits.rs
@@ -12,17 +12,13 @@
 use crate::clock;
 use crate::message::PoolResponse;
 use crate::metrics::ProcessMetrics;
-use crate::node::Node;
-use crate::store::BEAT_KEY;
-use crate::store::BEAT_TABLE;
 use crate::store::INBOX_TABLE;
 use crate::store::JOB_TABLE;
 use crate::store::PROGRESS_TABLE;
-use crate::store::TransactionOutcome;
 use crate::store::WORKER_TABLE;
 use crate::store::WORKERS_KEY;
+use crate::store::WriteOutcome;
 use crate::store::encode;
-use crate::store::owner_row_key;
 
 /// Pause after the store did not take a batch.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -32,13 +28,16 @@
     pub(super) async fn commit(self: Rc<Self>, batch: Batch) {
         let transaction = self.transaction(&batch);
         let asked_ms = clock::now().steady_ms;
-        let outcome = match self.node.store.transact(&transaction).await {
-            TransactionOutcome::Committed { .. } => {
+        let written =
+            self.writer
+                .write(&self.node.store, &transaction.writes, &transaction.removals);
+        let outcome = match written.await {
+            WriteOutcome::Stored => {
                 self.beaten_ms.set(asked_ms);
                 BatchOutcome::Stored
             }
-            TransactionOutcome::Conflict(_) => BatchOutcome::Deposed,
-            TransactionOutcome::Refused | TransactionOutcome::Unknown => {
+            WriteOutcome::Deposed => BatchOutcome::Deposed,
+            WriteOutcome::Unknown => {
                 tokio::time::sleep(RETRY_PAUSE).await;
                 BatchOutcome::Unknown
             }
@@ -78,20 +77,19 @@
 
     /// Shows in the store that this owner is well.
     pub(crate) async fn beat(self: Rc<Self>) {
-        let transaction = beat_transaction(&self.node, &self.pool, self.owner_version);
         let asked_ms = clock::now().steady_ms;
-        match self.node.store.transact(&transaction).await {
-            TransactionOutcome::Committed { .. } => self.beaten_ms.set(asked_ms),
-            TransactionOutcome::Conflict(_) => {
+        match self.writer.write(&self.node.store, &[], &[]).await {
+            WriteOutcome::Stored => self.beaten_ms.set(asked_ms),
+            WriteOutcome::Deposed => {
                 self.node.give_up(&self.pool, "another owner");
                 self.stop();
             }
-            TransactionOutcome::Refused | TransactionOutcome::Unknown => {}
+            WriteOutcome::Unknown => {}
         }
     }
 
     fn transaction(&self, batch: &Batch) -> Transaction {
-        let mut transaction = beat_transaction(&self.node, &self.pool, self.owner_version);
+        let mut transaction = Transaction::default();
         let inbox = self.inbox.borrow();
         for (id, record) in &batch.records {
             let key = RowKey::new(JOB_TABLE, &self.pool, id.to_string());
@@ -134,13 +132,3 @@
         JobStatus::Cancelled => "cancelled",
     }
 }
-
-/// A sign of life on the condition that the owner's row is as it was.
-pub(crate) fn beat_transaction(node: &Node, shard: &str, owner_version: u64) -> Transaction {
-    let key = RowKey::new(BEAT_TABLE, shard, BEAT_KEY);
-    Transaction {
-        conditions: vec![(owner_row_key(shard), owner_version)],
-        writes: vec![(key, encode(&node.store.clock_ms()))],
-        ..Transaction::default()
-    }
-}
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -23,6 +23,7 @@
 use crate::message::OwnedPool;
 use crate::message::PoolResponse;
 use crate::node::Node;
+use crate::store::ShardWriter;
 
 /// Longest time between two looks at what is due.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
@@ -32,8 +33,7 @@
     pub(super) node: Rc<Node>,
     pub(crate) pool: String,
     pub(super) fencing_token: u64,
-    /// Version of the owner's row; every write depends on it.
-    pub(super) owner_version: u64,
+    pub(super) writer: Rc<ShardWriter>,
     pub(super) scheduler: RefCell<PoolScheduler>,
     pub(super) links: RefCell<HashMap<LifeIndex, Rc<WorkerLink>>>,
     pub(super) waiters: RefCell<HashMap<JobId, Vec<oneshot::Sender<PoolResponse>>>>,
@@ -53,14 +53,14 @@
     pub(super) fn new(
         node: &Rc<Node>,
         pool: &str,
-        owner_version: u64,
+        writer: Rc<ShardWriter>,
         scheduler: PoolScheduler,
     ) -> Self {
         Self {
             node: Rc::clone(node),
             pool: pool.to_owned(),
             fencing_token: scheduler.fencing_token(),
-            owner_version,
+            writer,
             scheduler: RefCell::new(scheduler),
             links: RefCell::default(),
             waiters: RefCell::default(),
--- a/crates/cornelpoint-manager/src/pool_host/mod.rs
+++ b/crates/cornelpoint-manager/src/pool_host/mod.rs
@@ -7,5 +7,4 @@
 mod takeover;
 mod worker_link;
 
-pub(crate) use self::commits::beat_transaction;
 pub(crate) use self::host::PoolHost;
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -23,6 +23,7 @@
 use crate::store::INBOX_TABLE;
 use crate::store::JOB_TABLE;
 use crate::store::PROGRESS_TABLE;
+use crate::store::ShardWriter;
 use crate::store::WORKER_TABLE;
 use crate::store::decode;
 
@@ -71,7 +72,8 @@
             }
             tokio::time::sleep(RETRY_PAUSE).await;
         }
-        let host = Rc::new(Self::new(node, &claim.shard, owner_version, scheduler));
+        let writer = ShardWriter::new(&claim.shard, owner.clone(), owner_version);
+        let host = Rc::new(Self::new(node, &claim.shard, writer, scheduler));
         if !node.planner.borrow().is_mine(&claim.shard) {
             return;
         }
--- a/crates/cornelpoint-manager/src/store/mod.rs
+++ b/crates/cornelpoint-manager/src/store/mod.rs
@@ -1,8 +1,11 @@
 //! The platform's store: its client, and what the system keeps in it.
 
+mod shard_writer;
 mod store_client;
 mod tables;
 
+pub(crate) use self::shard_writer::ShardWriter;
+pub(crate) use self::shard_writer::WriteOutcome;
 pub(crate) use self::store_client::FeedOutcome;
 pub(crate) use self::store_client::StoreClient;
 pub(crate) use self::store_client::TransactionOutcome;
--- /dev/null
+++ b/crates/cornelpoint-manager/src/store/shard_writer.rs
@@ -0,0 +1,103 @@
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use cornelpoint::ownership::ConflictVerdict;
+use cornelpoint::ownership::OwnerRow;
+use cornelpoint::ownership::WriteGuard;
+use cornelpoint_platform::store::Row;
+use cornelpoint_platform::store::RowKey;
+use cornelpoint_platform::store::Transaction;
+use tokio::sync::Mutex;
+
+use super::store_client::StoreClient;
+use super::store_client::TransactionOutcome;
+use super::tables::BEAT_KEY;
+use super::tables::BEAT_TABLE;
+use super::tables::OWNER_KEY;
+use super::tables::decode;
+use super::tables::encode;
+use super::tables::owner_row_key;
+
+/// Tries of one write: a conflict with an own late transaction shows its
+/// version, another may follow.
+const TRIES: u32 = 4;
+
+/// What became of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WriteOutcome {
+    /// It is stored.
+    Stored,
+    /// It may be stored, or never; no later write of this owner is undone.
+    Unknown,
+    /// Another process owns the shard.
+    Deposed,
+}
+
+/// Writes a shard's rows, one transaction after the other, while this process
+/// owns it.
+#[derive(Debug)]
+pub(crate) struct ShardWriter {
+    shard: String,
+    guard: RefCell<WriteGuard>,
+    turn: Mutex<()>,
+}
+
+impl ShardWriter {
+    pub(crate) fn new(shard: &str, owner: OwnerRow, owner_version: u64) -> Rc<Self> {
+        Rc::new(Self {
+            shard: shard.to_owned(),
+            guard: RefCell::new(WriteGuard::new(owner, owner_version)),
+            turn: Mutex::new(()),
+        })
+    }
+
+    /// Stores rows together with a sign of life.
+    pub(crate) async fn write(
+        &self,
+        store: &StoreClient,
+        writes: &[(RowKey, Vec<u8>)],
+        removals: &[RowKey],
+    ) -> WriteOutcome {
+        let _turn = self.turn.lock().await;
+        let beat = RowKey::new(BEAT_TABLE, &self.shard, BEAT_KEY);
+        for _ in 0..TRIES {
+            let mut transaction = Transaction {
+                conditions: vec![
+                    (
+                        owner_row_key(&self.shard),
+                        self.guard.borrow().owner_version(),
+                    ),
+                    (beat.clone(), self.guard.borrow().beat_version()),
+                ],
+                writes: vec![(beat.clone(), encode(&store.clock_ms()))],
+                removals: removals.to_vec(),
+            };
+            transaction.writes.extend_from_slice(writes);
+            match store.transact(&transaction).await {
+                TransactionOutcome::Committed { version } => {
+                    self.guard.borrow_mut().committed(version);
+                    return WriteOutcome::Stored;
+                }
+                TransactionOutcome::Conflict(rows) => {
+                    if self.verdict(&rows) == ConflictVerdict::Deposed {
+                        return WriteOutcome::Deposed;
+                    }
+                }
+                TransactionOutcome::Refused | TransactionOutcome::Unknown => {
+                    return WriteOutcome::Unknown;
+                }
+            }
+        }
+        WriteOutcome::Unknown
+    }
+
+    fn verdict(&self, rows: &[Row]) -> ConflictVerdict {
+        let owner_row = rows.iter().find(|row| row.key.key == OWNER_KEY);
+        let owner: Option<OwnerRow> = owner_row.and_then(|row| decode(row.value.as_deref()?));
+        let owner_version = owner_row.map_or(0, |row| row.version);
+        let beat = rows.iter().find(|row| row.key.key == BEAT_KEY);
+        let beat_version = beat.map_or(0, |row| row.version);
+        let owner = owner.as_ref().map(|owner| (owner, owner_version));
+        self.guard.borrow_mut().conflicted(owner, beat_version)
+    }
+}
--- a/crates/cornelpoint/src/ownership/mod.rs
+++ b/crates/cornelpoint/src/ownership/mod.rs
@@ -8,9 +8,12 @@
 mod owner_row;
 mod planner;
 mod settings;
+mod write_guard;
 
 pub use self::owner_row::OwnerRow;
 pub use self::planner::Claim;
 pub use self::planner::OwnershipPlanner;
 pub use self::planner::Peer;
 pub use self::settings::OwnershipSettings;
+pub use self::write_guard::ConflictVerdict;
+pub use self::write_guard::WriteGuard;
