--- a/crates/cornelpoint/tests/scheduler/fake_store.rs
+++ b/crates/cornelpoint/tests/scheduler/fake_store.rs
@@ -15,6 +15,8 @@
     pub(crate) records: BTreeMap<JobId, JobRecord>,
     pub(crate) progress: BTreeMap<JobId, JobProgress>,
     pub(crate) workers: Vec<WorkerRecord>,
+    /// Version of the owner's sign of life; rises with each transaction.
+    pub(crate) beat_version: u64,
 }
 
 impl FakeStore {
@@ -23,6 +25,7 @@
         if token != self.token {
             return false;
         }
+        self.beat_version += 1;
         self.records.extend(batch.records.iter().cloned());
         self.progress.extend(batch.progress.iter().cloned());
         for id in &batch.forgotten {
@@ -34,4 +37,11 @@
         }
         true
     }
+
+    /// Carries a batch out whose answer was lost, if its condition still holds.
+    pub(crate) fn apply_late(&mut self, token: u64, beat_version: u64, batch: &Batch) {
+        if self.beat_version == beat_version {
+            self.apply(token, batch);
+        }
+    }
 }
--- a/crates/cornelpoint/tests/scheduler/random_schedules.rs
+++ b/crates/cornelpoint/tests/scheduler/random_schedules.rs
@@ -47,3 +47,10 @@
 fn a_successor_that_does_not_wait_for_leases_is_noticed() {
     assert!(faulty(Mutant::NoWaitForLeases) > 0);
 }
+
+/// TWICE 16 and 44 on a day of lost writes: a batch without an answer was
+/// carried out over newer progress.
+#[test]
+fn a_late_transaction_that_follows_newer_ones_is_noticed() {
+    assert!(faulty(Mutant::NoWriteOrder) > 0);
+}
--- a/crates/cornelpoint/tests/scheduler/world.rs
+++ b/crates/cornelpoint/tests/scheduler/world.rs
@@ -52,6 +52,8 @@
     EarlyAcknowledgement,
     /// A successor does not wait for its predecessors' leases.
     NoWaitForLeases,
+    /// Late transactions are carried out whatever came after them.
+    NoWriteOrder,
 }
 
 #[derive(Debug)]
@@ -60,6 +62,8 @@
     Late(usize, Action),
     Commit(usize, Batch),
     Committed(usize, BatchOutcome),
+    /// A transaction without an answer, and the sign of life that it found.
+    LateCommit(usize, u64, Batch),
 }
 
 #[derive(Debug)]
@@ -187,6 +191,15 @@
                     self.carry_out(owner, &action);
                 }
                 Event::Commit(owner, batch) => self.commit(owner, &batch),
+                Event::LateCommit(owner, beat_version, batch) => {
+                    let token = self.owners[owner].token;
+                    let found = if self.mutant == Mutant::NoWriteOrder {
+                        self.store.beat_version
+                    } else {
+                        beat_version
+                    };
+                    self.store.apply_late(token, found, &batch);
+                }
                 Event::Committed(owner, outcome) => {
                     let now = at(self.now_ms);
                     self.owners[owner].scheduler.batch_replied(outcome, now);
@@ -351,6 +364,13 @@
 
     fn commit(&mut self, owner: usize, batch: &Batch) {
         let lost = self.now_ms < FAULTS_END_MS && self.chance(10);
+        if lost && self.chance(50) {
+            let late_ms = self.random.random_range(500..6000);
+            let found = self.store.beat_version;
+            self.push(late_ms, Event::LateCommit(owner, found, batch.clone()));
+            self.push(10, Event::Committed(owner, BatchOutcome::Unknown));
+            return;
+        }
         let outcome = if self.owners[owner].has_store && self.owners[owner].alive {
             match self.store.apply(self.owners[owner].token, batch) {
                 true if lost => BatchOutcome::Unknown,
