Ask workers that may be gone before they get work; log lost runs

Cause: a worker whose machine had been ordered away was usable until the registry dropped it; its refused starts cost a second each. Final jobs were logged with every later end; a lost run left no line.

--- a/crates/cornelpoint-manager/src/http/endpoint.rs
+++ b/crates/cornelpoint-manager/src/http/endpoint.rs
@@ -101,11 +101,12 @@
         };
         // Without it, small requests wait for an acknowledgement.
         stream.set_nodelay(true).map_err(|_| CallError::NotSent)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|_| CallError::NotSent)?;
         // Its end shows at the sender.
         spawn_local(async move { drop(connection.await) });
+        sender.ready().await.map_err(|_| CallError::NotSent)?;
         Ok(sender)
     }
 
--- a/crates/cornelpoint-manager/src/pool_host/commits.rs
+++ b/crates/cornelpoint-manager/src/pool_host/commits.rs
@@ -4,6 +4,7 @@
 use cornelpoint::job::JobStatus;
 use cornelpoint::scheduler::Batch;
 use cornelpoint::scheduler::BatchOutcome;
+use cornelpoint::scheduler::EndedJob;
 use cornelpoint_platform::store::RowKey;
 use cornelpoint_platform::store::Transaction;
 use slog::info;
@@ -57,9 +58,11 @@
                 let _ = waiter.send(PoolResponse::Accepted);
             }
         }
-        for (id, status) in stored.ended {
+        for ended in stored.ended {
+            let EndedJob { id, status, .. } = ended;
             ProcessMetrics::count(&self.node.metrics.finals, name_of(status));
-            info!(self.log, "Job final."; "job" => %id, "pool" => &self.pool, "status" => ?status);
+            info!(self.log, "Job final."; "job" => %id, "pool" => &self.pool, "status" => ?status,
+                "took_ms" => ended.took_ms, "late_ms" => ended.late_ms);
             let response = match status {
                 JobStatus::Cancelled => PoolResponse::Cancelled,
                 status => PoolResponse::Status(status),
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -11,8 +11,10 @@
 use cornelpoint::ownership::OwnershipSettings;
 use cornelpoint::scheduler::Instant;
 use cornelpoint::scheduler::LifeIndex;
+use cornelpoint::scheduler::Note;
 use cornelpoint::scheduler::PoolScheduler;
 use slog::Logger;
+use slog::info;
 use slog::warn;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
@@ -93,10 +95,22 @@
             actions = scheduler.take_actions();
             batch = scheduler.begin_batch(now);
         }
+        let notes = scheduler.take_notes();
         let deposed = scheduler.is_deposed();
         let vacated = scheduler.vacated();
         let next_ms = [scheduler.next_tick_ms(now), scheduler.next_batch_ms()];
         drop(scheduler);
+        for note in notes {
+            match note {
+                Note::RunLost {
+                    task,
+                    run,
+                    worker,
+                    loss,
+                } => info!(self.log, "Run lost."; "task" => %task, "run" => run,
+                    "worker" => worker, "how" => ?loss, "fencing_token" => self.fencing_token),
+            }
+        }
         if deposed {
             warn!(self.log, "Deposed."; "pool" => &self.pool, "fencing_token" => self.fencing_token);
             self.node.give_up(&self.pool, "fenced off");
@@ -200,6 +214,6 @@
 
     /// Empties workers for planned work.
     pub(crate) fn vacate(self: &Rc<Self>, workers: &BTreeSet<String>) {
-        self.event(|scheduler, _| scheduler.vacate(workers));
+        self.event(|scheduler, now| scheduler.vacate(workers, now));
     }
 }
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -67,7 +67,20 @@
     /// Jobs that are accepted now.
     pub accepted: Vec<JobId>,
     /// Jobs whose final status shows now.
-    pub ended: Vec<(JobId, JobStatus)>,
+    pub ended: Vec<EndedJob>,
+}
+
+/// A job whose final status is stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndedJob {
+    /// The job.
+    pub id: JobId,
+    /// Its status.
+    pub status: JobStatus,
+    /// Time from its hand-in to its end.
+    pub took_ms: u64,
+    /// Time past its objective; 0 when it was in time.
+    pub late_ms: u64,
 }
 
 /// What the batch on its way will have stored.
@@ -181,12 +194,19 @@
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            job.stored_status = Some(status);
+            let known = job.stored_status.replace(status);
             if is_new {
                 stored.accepted.push(id);
             }
-            if status.is_final() {
-                stored.ended.push((id, status));
+            if status.is_final() && known != Some(status) {
+                stored.ended.push(EndedJob {
+                    id,
+                    status,
+                    took_ms: job
+                        .final_unix_ms
+                        .saturating_sub(job.record.accepted_unix_ms),
+                    late_ms: job.final_steady_ms.saturating_sub(job.due_ms),
+                });
             }
         }
         for id in note.forgotten {
--- a/crates/cornelpoint/src/scheduler/evacuation.rs
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -15,13 +15,18 @@
 impl PoolScheduler {
     /// Empties workers for planned work: they get no new tasks, short tasks
     /// end by themselves, long-running ones move as their budget allows.
-    pub fn vacate(&mut self, workers: &BTreeSet<String>) {
+    pub fn vacate(&mut self, workers: &BTreeSet<String>, now: Instant) {
         if self.vacating == *workers {
             return;
         }
         self.vacating.clone_from(workers);
         for worker in self.lives.values_mut() {
-            worker.vacating = workers.contains(&worker.entry.id);
+            let vacating = workers.contains(&worker.entry.id);
+            if worker.vacating && !vacating {
+                // Its machine has most likely been ordered away.
+                worker.doubt(now.steady_ms);
+            }
+            worker.vacating = vacating;
         }
         self.placing_needed = true;
     }
--- a/crates/cornelpoint/src/scheduler/looks.rs
+++ b/crates/cornelpoint/src/scheduler/looks.rs
@@ -7,6 +7,7 @@
 use super::action::LifeIndex;
 use super::action::LookFailure;
 use super::instant::Instant;
+use super::note::RunLoss;
 use super::pool_scheduler::PoolScheduler;
 use super::task_entry::Phase;
 use super::task_entry::Run;
@@ -252,6 +253,8 @@
                 Phase::Running { confirmed_ms } | Phase::Stopped { confirmed_ms }
                     if confirmed_ms < sent_ms =>
                 {
+                    let id = self.lives.get(&life).map(|worker| worker.entry.id.clone());
+                    self.note_lost(task, number, &id.unwrap_or_default(), RunLoss::NotListed);
                     self.release_run(life, task, number);
                     self.run_lost(task, number, now);
                 }
--- a/crates/cornelpoint/src/scheduler/orders.rs
+++ b/crates/cornelpoint/src/scheduler/orders.rs
@@ -32,7 +32,9 @@
             OrderOutcome::Done { .. } => self.start_confirmed(life, task, run, now),
             OrderOutcome::NoAnswer => self.start_unanswered(life, task, run, now),
             OrderOutcome::NotSent => {
-                self.penalise(life, now);
+                if let Some(worker) = self.lives.get_mut(&life) {
+                    worker.doubt(now.steady_ms);
+                }
                 self.start_undone(life, task, run, now);
             }
             OrderOutcome::Rejected(rejection) => {
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -15,6 +15,7 @@
 use super::batch::WorkerRecord;
 use super::instant::Instant;
 use super::job_entry::JobEntry;
+use super::note::Note;
 use super::placement::ReadyKey;
 use super::placement::Tickets;
 use super::settings::SchedulerSettings;
@@ -57,6 +58,7 @@
     pub(super) predecessor_over_ms: u64,
     pub(super) load: LoadEstimate,
     pub(super) actions: Vec<Action>,
+    pub(super) notes: Vec<Note>,
     pub(super) placing_needed: bool,
     pub(super) deposed: bool,
     pub(super) vacating: BTreeSet<String>,
@@ -110,6 +112,7 @@
             predecessor_over_ms: 0,
             load: LoadEstimate::default(),
             actions: Vec::new(),
+            notes: Vec::new(),
             placing_needed: false,
             deposed: false,
             vacating: BTreeSet::new(),
@@ -152,6 +155,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Changes of belief that have come up since the last call.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
     /// Address and identity of a life.
     #[must_use]
     pub fn worker_address(&self, life: LifeIndex) -> Option<(&str, &str)> {
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -1,8 +1,11 @@
 use std::collections::BTreeSet;
 
+use crate::job::TaskId;
 use crate::worker::RegistryEntry;
 
 use super::instant::Instant;
+use super::note::Note;
+use super::note::RunLoss;
 use super::pool_scheduler::PoolScheduler;
 use super::worker_state::Contact;
 use super::worker_state::Look;
@@ -111,12 +114,22 @@
             self.life_of_id.remove(&worker.entry.id);
         }
         for &(task, run) in worker.runs.keys() {
+            self.note_lost(task, run, &worker.entry.id, RunLoss::LifeEnded);
             self.run_lost(task, run, now);
         }
         self.workers_row_wanted = true;
         self.placing_needed = true;
     }
 
+    pub(super) fn note_lost(&mut self, task: TaskId, run: u64, worker: &str, loss: RunLoss) {
+        self.notes.push(Note::RunLost {
+            task,
+            run,
+            worker: worker.to_owned(),
+            loss,
+        });
+    }
+
     /// Frees the tasks of silent workers whose leases have ended. Ownership
     /// must have been confirmed since: a successor may renew the leases.
     pub(super) fn release_lapsed(&mut self, now: Instant) {
@@ -130,11 +143,13 @@
             let Some(worker) = self.lives.get_mut(&life) else {
                 continue;
             };
+            let id = worker.entry.id.clone();
             let runs: Vec<_> = worker.runs.keys().copied().collect();
             for &(task, run) in &runs {
                 worker.release(task, run);
             }
             for (task, run) in runs {
+                self.note_lost(task, run, &id, RunLoss::LeaseEnded);
                 self.run_lost(task, run, now);
             }
         }
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -166,6 +166,14 @@
         self.tasks_of_step.get(&step).copied().unwrap_or(0)
     }
 
+    /// Asks a worker that may be gone before it is given more work.
+    pub(super) fn doubt(&mut self, now_ms: u64) {
+        if self.contact == Contact::Good {
+            self.contact = Contact::Silent { since_ms: now_ms };
+        }
+        self.look_by(now_ms);
+    }
+
     /// Moves the next look forward to a time, unless one is on its way.
     pub(super) fn look_by(&mut self, at_ms: u64) {
         match self.look {
--- a/crates/cornelpoint/tests/scheduler/decisions.rs
+++ b/crates/cornelpoint/tests/scheduler/decisions.rs
@@ -247,7 +247,7 @@
         scheduler.look_replied(life_of(id), Ok(at_work), at(200));
     }
     let leaving = BTreeSet::from([started[0].0.clone()]);
-    scheduler.vacate(&leaving);
+    scheduler.vacate(&leaving, at(200));
     scheduler.tick(at(4000));
     let stops = |scheduler: &mut PoolScheduler| {
         let actions = scheduler.take_actions();
@@ -322,3 +322,16 @@
     assert_eq!(second.len(), 1);
     assert_eq!(second[0].2, 2);
 }
+
+/// Starts refused on every day: a worker whose machine had been ordered away
+/// was taken for usable again until the registry dropped it.
+#[test]
+fn a_worker_that_was_emptied_is_asked_before_it_gets_work_again() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    scheduler.vacate(&BTreeSet::from(["w1".to_owned()]), at(50));
+    scheduler.vacate(&BTreeSet::new(), at(60));
+    submit(&mut scheduler, 1, vec![step(1, 1000)], 100);
+    assert!(starts(&mut scheduler, 120).is_empty());
+    scheduler.look_replied(0, Ok(report(130)), at(130));
+    assert_eq!(starts(&mut scheduler, 140).len(), 1);
+}
