--- a/crates/cornelpoint/src/scheduler/looks.rs
+++ b/crates/cornelpoint/src/scheduler/looks.rs
@@ -68,6 +68,7 @@
             Err(LookFailure::Fence) => self.deposed = true,
             Err(LookFailure::OtherLife) => self.end_life(life, now),
             Err(LookFailure::NoAnswer) => {
+                worker.failed_look_sent_ms = sent_ms;
                 if !worker.is_silent() {
                     worker.contact = Contact::Silent {
                         since_ms: now.steady_ms,
@@ -97,6 +98,7 @@
         let was_silent = worker.is_silent();
         worker.contact = Contact::Good;
         worker.reported_ms = now.steady_ms;
+        worker.lapse_known_ms = None;
         self.predecessor_lives.remove(&worker.entry.id);
         for seen in &report.running {
             self.see_run(life, seen, now);
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -133,12 +133,21 @@
     /// Frees the tasks of silent workers whose leases have ended. Ownership
     /// must have been confirmed since: a successor may renew the leases.
     pub(super) fn release_lapsed(&mut self, now: Instant) {
-        let lapsed = self.lives.iter().filter(|(_, worker)| {
-            worker.is_silent()
-                && !worker.runs.is_empty()
-                && worker.lapses_at_ms() <= now.steady_ms.min(self.confirmed_ms)
-        });
-        let lapsed: Vec<u32> = lapsed.map(|(&life, _)| life).collect();
+        let known_ms = now.steady_ms.min(self.confirmed_ms);
+        let mut lapsed: Vec<u32> = Vec::new();
+        for (&life, worker) in &mut self.lives {
+            let over =
+                worker.is_silent() && !worker.runs.is_empty() && worker.lapses_at_ms() <= known_ms;
+            if !over {
+                continue;
+            }
+            // Where a cut of this process has just healed, the worker may have
+            // ends to list: it is asked once more.
+            let since_ms = *worker.lapse_known_ms.get_or_insert(now.steady_ms);
+            if worker.failed_look_sent_ms >= since_ms {
+                lapsed.push(life);
+            }
+        }
         for life in lapsed {
             let Some(worker) = self.lives.get_mut(&life) else {
                 continue;
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -42,6 +42,10 @@
     pub(super) paced_ms: u64,
     /// When its last report came.
     pub(super) reported_ms: u64,
+    /// When the last look without an answer was sent.
+    pub(super) failed_look_sent_ms: u64,
+    /// Since when its lease is known to have ended with this owner in office.
+    pub(super) lapse_known_ms: Option<u64>,
 }
 
 /// Whether a worker answers.
@@ -93,6 +97,8 @@
             vacating: false,
             paced_ms: 0,
             reported_ms: 0,
+            failed_look_sent_ms: 0,
+            lapse_known_ms: None,
         }
     }
 
