--- /dev/null
+++ b/crates/cornelpoint/tests/fleet.rs
@@ -0,0 +1,147 @@
+//! Machines: waves within their bounds, moves that follow a surge.
+
+use std::collections::BTreeSet;
+
+use cornelpoint::fleet::FleetAction;
+use cornelpoint::fleet::FleetManager;
+use cornelpoint::fleet::FleetSettings;
+use cornelpoint::fleet::Machine;
+use cornelpoint::fleet::MachineAnswer;
+use cornelpoint::fleet::MachineState;
+use cornelpoint::fleet::PoolReport;
+use cornelpoint::fleet::WaveOrder;
+use cornelpoint::job::Resources;
+
+const SPARE: &str = "backoffice";
+
+fn machine(name: &str, pool: &str, state: MachineState) -> Machine {
+    Machine {
+        name: name.to_owned(),
+        pool: pool.to_owned(),
+        state,
+        zone: "a".to_owned(),
+        labels: Vec::new(),
+        capacity: Resources {
+            cpu_millicores: 32_000,
+            memory_mb: 131_072,
+            accelerators: 0,
+        },
+        worker: Some(format!("worker-{name}")),
+    }
+}
+
+fn spare_machines(count: usize) -> Vec<Machine> {
+    (0..count)
+        .map(|number| machine(&format!("m{number}"), SPARE, MachineState::Up))
+        .collect()
+}
+
+fn manager(machines: Vec<Machine>) -> FleetManager {
+    let mut manager = FleetManager::new(0, FleetSettings::default());
+    manager.skip_holder_gap();
+    manager.set_spare_pool(Some(SPARE));
+    manager.machines_read(machines, 0);
+    manager
+}
+
+fn wave(machines: usize, most_at_once: usize) -> WaveOrder {
+    WaveOrder {
+        number: 1,
+        machines: (0..machines).map(|number| format!("m{number}")).collect(),
+        duration_ms: 20_000,
+        most_at_once,
+    }
+}
+
+fn maintained(actions: &[FleetAction]) -> Vec<String> {
+    let maintained = actions.iter().filter_map(|action| match action {
+        FleetAction::Maintain { machine, .. } => Some(machine.clone()),
+        _ => None,
+    });
+    maintained.collect()
+}
+
+#[test]
+fn no_more_machines_are_down_than_a_wave_allows() {
+    let mut manager = manager(spare_machines(6));
+    manager.wave_ordered(&wave(6, 2), &BTreeSet::new(), 0);
+    let first = maintained(&manager.tick(0));
+    assert_eq!(first.len(), 2);
+    for machine in &first {
+        manager.replied(machine, MachineAnswer::Done, 10);
+    }
+    assert!(maintained(&manager.tick(500)).is_empty());
+    let mut listed = spare_machines(6);
+    listed[0].state = MachineState::Maintenance;
+    manager.machines_read(listed, 2500);
+    // One is up again, the other still down.
+    assert_eq!(maintained(&manager.tick(2600)).len(), 1);
+}
+
+/// LIMIT in a hunt: a successor did not count what its predecessor had taken
+/// down.
+#[test]
+fn machines_that_a_predecessor_took_down_count() {
+    let mut listed = spare_machines(4);
+    listed[0].state = MachineState::Maintenance;
+    listed[1].state = MachineState::Maintenance;
+    let mut manager = manager(listed);
+    manager.wave_ordered(&wave(4, 2), &BTreeSet::new(), 0);
+    assert!(maintained(&manager.tick(0)).is_empty());
+}
+
+#[test]
+fn a_wave_is_completed_once_every_machine_that_stays_has_begun() {
+    let mut manager = manager(spare_machines(2));
+    manager.wave_ordered(&wave(3, 3), &BTreeSet::new(), 0);
+    let first = maintained(&manager.tick(0));
+    assert_eq!(first, ["m0", "m1"]);
+    manager.replied("m0", MachineAnswer::Done, 10);
+    let completed = |actions: &[FleetAction]| {
+        actions.iter().any(|action| {
+            matches!(
+                action,
+                FleetAction::Progress {
+                    completed: true,
+                    ..
+                }
+            )
+        })
+    };
+    assert!(!completed(&manager.tick(20)));
+    manager.replied("m1", MachineAnswer::Done, 30);
+    assert!(completed(&manager.tick(40)));
+}
+
+/// A surge that asks for six machines more than the pool has.
+#[test]
+fn spare_machines_follow_a_surge_once_each() {
+    let mut manager = manager(spare_machines(8));
+    let report = PoolReport {
+        capacity_millicores: 64_000,
+        backlog_core_ms: 200_000,
+        refused_core_ms: 56_000,
+        workers: 2,
+        least_workers: 1,
+        ..PoolReport::default()
+    };
+    manager.pool_reported("quoting", &report, 0);
+    let moved = |actions: Vec<FleetAction>| {
+        let moves = actions
+            .into_iter()
+            .filter(|action| matches!(action, FleetAction::Move { .. }));
+        moves.count()
+    };
+    assert_eq!(moved(manager.tick(10)), 6);
+    assert_eq!(moved(manager.tick(200)), 0);
+}
+
+#[test]
+fn a_refused_fencing_token_ends_all_orders() {
+    let mut manager = manager(spare_machines(2));
+    manager.wave_ordered(&wave(2, 1), &BTreeSet::new(), 0);
+    let first = maintained(&manager.tick(0));
+    manager.replied(&first[0], MachineAnswer::Fence, 10);
+    assert!(manager.is_deposed());
+    assert!(manager.tick(5000).is_empty());
+}
--- a/crates/cornelpoint/tests/slots/bounds.rs
+++ b/crates/cornelpoint/tests/slots/bounds.rs
@@ -84,6 +84,21 @@
     check(faults, SLOTS);
 }
 
+/// Seeds that have broken the limit.
+#[test]
+fn a_replaced_holder_keeps_the_limit_at_seeds_2_5_and_1100101() {
+    let faults = Faults {
+        replaced_holder: true,
+        holder: strict(),
+        ..calm()
+    };
+    for first in [2, 5, 1_100_101] {
+        for seed in first * 1_000..first * 1_000 + SCHEDULES {
+            check_one(seed, run(seed, faults), SLOTS);
+        }
+    }
+}
+
 #[test]
 fn a_replaced_holder_keeps_twice_the_limit() {
     let faults = Faults {
