--- /dev/null
+++ b/crates/cornelpoint/tests/scheduler/kinds_of_steps.rs
@@ -0,0 +1,135 @@
+//! Gangs, timed jobs, tickets and fillers.
+
+use cornelpoint::catalog::Advice;
+use cornelpoint::catalog::Queue;
+use cornelpoint::job::JobSpec;
+use cornelpoint::job::RawJob;
+use cornelpoint::job::RawStep;
+use cornelpoint::scheduler::Action;
+use cornelpoint::worker::LookReport;
+use cornelpoint::worker::RunSeen;
+
+use crate::support::at;
+use crate::support::job;
+use crate::support::job_id;
+use crate::support::queue;
+use crate::support::ready_scheduler;
+use crate::support::starts;
+use crate::support::step;
+use crate::support::store;
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let gang = |replicas| RawStep {
+        gang: true,
+        ..step(replicas, 3000)
+    };
+    let mut scheduler = ready_scheduler(&["w1", "w2"]);
+    let (record, spec) = job(vec![gang(3)]);
+    scheduler.adopt(job_id(1), record, spec, at(100));
+    store(&mut scheduler, 100);
+    assert!(starts(&mut scheduler, 200).is_empty());
+    let (record, spec) = job(vec![gang(2)]);
+    scheduler.adopt(job_id(2), record, spec, at(300));
+    store(&mut scheduler, 300);
+    let started = starts(&mut scheduler, 400);
+    assert_eq!(started.len(), 2);
+    assert_eq!(started[0].2, started[1].2);
+}
+
+#[test]
+fn an_occurrence_starts_when_it_is_due() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    let (mut record, _) = job(vec![step(1, 1000)]);
+    record.job = RawJob {
+        repeat_count: 2,
+        first_unix_ms: at(2000).unix_ms,
+        interval_ms: 1000,
+        ..record.job
+    };
+    let spec = JobSpec::try_from(record.job.clone()).expect("a sound job");
+    scheduler.adopt(job_id(1), record, spec, at(100));
+    store(&mut scheduler, 100);
+    assert!(starts(&mut scheduler, 1900).is_empty());
+    let first = starts(&mut scheduler, 2000);
+    assert_eq!(first[0].1, "0000000000000001.0.0.0");
+    let second = starts(&mut scheduler, 3000);
+    assert_eq!(second[0].1, "0000000000000001.1.0.0");
+}
+
+#[test]
+fn a_step_whose_queue_has_advice_runs_only_where_it_has_a_ticket() {
+    let mut scheduler = ready_scheduler(&["w1", "w2"]);
+    let advised = Queue {
+        advice: Some(Advice {
+            decide_ms: 10,
+            each_ms: 1,
+            valid_ms: 3000,
+        }),
+        ..queue()
+    };
+    scheduler.set_queues(std::iter::once(&advised));
+    let (record, spec) = job(vec![step(1, 1000)]);
+    scheduler.adopt(job_id(1), record, spec, at(100));
+    store(&mut scheduler, 100);
+    scheduler.tick(at(200));
+    let asked = scheduler
+        .take_actions()
+        .into_iter()
+        .find_map(|action| match action {
+            Action::Advise { step, lives } => Some((step, lives)),
+            _ => None,
+        });
+    let (step, lives) = asked.expect("advice is asked for");
+    assert_eq!(lives.len(), 2);
+    let ticket = vec![(1, "ticket".to_owned())];
+    scheduler.advised(step, Some((ticket, 3000)), at(250));
+    let started = starts(&mut scheduler, 260);
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].0, "w2");
+}
+
+/// Tasks that fill disturb those that serve: they are slowed by half while a
+/// tail misses its target, and not sped up before it is well under.
+#[test]
+fn fillers_are_slowed_while_a_serving_task_misses_its_target() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    let serving = RawStep {
+        long_running: true,
+        target_ms: 100,
+        ..step(1, 1000)
+    };
+    let filling = RawStep {
+        long_running: true,
+        fills: true,
+        ..step(1, 1000)
+    };
+    let (record, spec) = job(vec![serving, filling]);
+    scheduler.adopt(job_id(1), record, spec, at(100));
+    store(&mut scheduler, 100);
+    let started = starts(&mut scheduler, 200);
+    assert_eq!(started.len(), 2);
+    let mut paces = Vec::new();
+    for (now_ms, tail_ms) in [(1000, 150), (2000, 150), (3000, 80), (4000, 30)] {
+        let running = started.iter().map(|(_, task, run)| RunSeen {
+            task: task.parse().expect("a task"),
+            run: *run,
+            checkpoint: String::new(),
+            percent: 100,
+            gauge: if task.contains(".0.0.") { tail_ms } else { 500 },
+        });
+        let report = LookReport {
+            born_unix_ms: 5,
+            clock_ms: now_ms + 1000,
+            running: running.collect(),
+            ..LookReport::default()
+        };
+        scheduler.look_replied(0, Ok(report), at(now_ms));
+        for action in scheduler.take_actions() {
+            if let Action::Pace { percent, .. } = action {
+                paces.push((now_ms, percent));
+            }
+        }
+    }
+    assert_eq!(paces, [(1000, 50), (2000, 25), (4000, 40)]);
+}
