--- a/crates/cornelpoint/tests/scheduler/decisions.rs
+++ b/crates/cornelpoint/tests/scheduler/decisions.rs
@@ -43,6 +43,21 @@
     }
 }
 
+/// A report of one run at full work.
+fn at_work(task: &str, run: u64, now_ms: u64) -> LookReport {
+    let seen = RunSeen {
+        task: task.parse().expect("a task"),
+        run,
+        checkpoint: String::new(),
+        percent: 100,
+        gauge: 0,
+    };
+    LookReport {
+        running: vec![seen],
+        ..report(now_ms)
+    }
+}
+
 #[test]
 fn a_job_starts_only_once_it_is_stored() {
     let mut scheduler = ready_scheduler(&["w1"]);
@@ -238,18 +253,8 @@
     assert_eq!(started.len(), 2);
     let life_of = |id: &str| u32::from(id.as_bytes()[1] - b'1');
     for (id, task, run) in &started {
-        let seen = RunSeen {
-            task: task.parse().expect("a task"),
-            run: *run,
-            checkpoint: String::new(),
-            percent: 100,
-            gauge: 0,
-        };
-        let at_work = LookReport {
-            running: vec![seen],
-            ..report(200)
-        };
-        scheduler.look_replied(life_of(id), Ok(at_work), at(200));
+        let outcome = Ok(at_work(task, *run, 200));
+        scheduler.look_replied(life_of(id), outcome, at(200));
     }
     let leaving = BTreeSet::from([started[0].0.clone()]);
     scheduler.vacate(&leaving, at(200));
@@ -263,18 +268,7 @@
     };
     assert_eq!(stops(&mut scheduler), 0);
     let (id, task, run) = &started[1];
-    let seen = RunSeen {
-        task: task.parse().expect("a task"),
-        run: *run,
-        checkpoint: String::new(),
-        percent: 100,
-        gauge: 0,
-    };
-    let at_work = LookReport {
-        running: vec![seen],
-        ..report(4100)
-    };
-    scheduler.look_replied(life_of(id), Ok(at_work), at(4100));
+    scheduler.look_replied(life_of(id), Ok(at_work(task, *run, 4100)), at(4100));
     scheduler.tick(at(4100));
     assert_eq!(stops(&mut scheduler), 1);
 }
--- /dev/null
+++ b/crates/cornelpoint/tests/scheduler/world/event.rs
@@ -0,0 +1,40 @@
+use cornelpoint::job::TaskId;
+use cornelpoint::scheduler::Action;
+use cornelpoint::scheduler::Batch;
+use cornelpoint::scheduler::BatchOutcome;
+use cornelpoint::scheduler::LifeIndex;
+use cornelpoint::scheduler::LookFailure;
+use cornelpoint::worker::LookReport;
+use cornelpoint::worker::OrderOutcome;
+
+#[derive(Debug)]
+pub(super) enum Event {
+    Reply(usize, Reply),
+    Late(usize, Action),
+    Commit(usize, Batch),
+    Committed(usize, BatchOutcome),
+    /// A transaction without an answer, and the sign of life that it found.
+    LateCommit(usize, u64, Batch),
+}
+
+#[derive(Debug)]
+pub(super) enum Reply {
+    Start(LifeIndex, TaskId, u64, OrderOutcome),
+    Stop(LifeIndex, TaskId, u64, OrderOutcome),
+    Look(LifeIndex, Result<LookReport, LookFailure>),
+}
+
+/// The answer to an order that brought none.
+pub(super) fn silence(action: &Action) -> Reply {
+    match action {
+        Action::Start {
+            life, task, run, ..
+        } => Reply::Start(*life, *task, *run, OrderOutcome::NoAnswer),
+        Action::Stop { life, task, run }
+        | Action::Pace {
+            life, task, run, ..
+        } => Reply::Stop(*life, *task, *run, OrderOutcome::NoAnswer),
+        Action::Look { life, .. } => Reply::Look(*life, Err(LookFailure::NoAnswer)),
+        Action::Advise { .. } => unreachable!("no queue here has advice"),
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint/tests/scheduler/world/faults.rs
@@ -0,0 +1,94 @@
+//! Kills, cuts and takeovers.
+
+use std::collections::BTreeSet;
+
+use cornelpoint::scheduler::PoolScheduler;
+use cornelpoint::scheduler::SchedulerSettings;
+use rand::RngExt;
+
+use super::LEASE_OVER_MS;
+use super::Mutant;
+use super::Owner;
+use super::UNCONFIRMED_MS;
+use super::WORKERS;
+use super::World;
+use crate::support::POOL;
+use crate::support::at;
+use crate::support::queue;
+
+impl World {
+    /// Kills an owner, cuts one off, or reaches for the pool from elsewhere.
+    pub(super) fn disturb(&mut self) {
+        let current = self.owners.len() - 1;
+        if self.random.random_range(0..150) == 0 {
+            let killed = self.chance(50);
+            if killed {
+                self.owners[current].alive = false;
+            } else {
+                self.owners[current].has_store = false;
+                self.cut(current);
+            }
+            self.take_over(killed);
+        } else if self.random.random_range(0..300) == 0 {
+            self.cut(current);
+        } else if self.random.random_range(0..200) == 0 {
+            self.owners[current].cut_from.clear();
+        }
+    }
+
+    fn cut(&mut self, owner: usize) {
+        for worker in 0..WORKERS {
+            if self.chance(40) {
+                self.owners[owner].cut_from.insert(worker);
+            }
+        }
+    }
+
+    pub(super) fn heal(&mut self) {
+        for owner in &mut self.owners {
+            owner.cut_from.clear();
+            owner.has_store = true;
+        }
+    }
+
+    pub(super) fn take_over(&mut self, predecessor_ended: bool) {
+        let first = self.store.token == 0;
+        self.store.token += 1;
+        let acts_ms = if predecessor_ended { 0 } else { UNCONFIRMED_MS };
+        let over_ms = self.now_ms + acts_ms + LEASE_OVER_MS;
+        if !first {
+            self.store.earlier_over_ms = self.store.earlier_over_ms.max(over_ms);
+            self.takeovers += 1;
+        }
+        let mut scheduler =
+            PoolScheduler::new(POOL, self.store.token, SchedulerSettings::default());
+        let queue = queue();
+        scheduler.set_queues(std::iter::once(&queue));
+        let waits = self.mutant != Mutant::NoWaitForLeases;
+        let over_ms = if waits { self.store.earlier_over_ms } else { 0 };
+        scheduler.inherit(self.store.workers.clone(), over_ms);
+        for (id, record) in &self.store.records {
+            let spec = record
+                .job
+                .clone()
+                .try_into()
+                .expect("a stored job is sound");
+            let progress = self.store.progress.get(id);
+            scheduler.restore(*id, record.clone(), spec, progress, at(self.now_ms));
+        }
+        let mut owner = Owner {
+            scheduler,
+            token: self.store.token,
+            alive: true,
+            has_store: true,
+            cut_from: BTreeSet::new(),
+            confirmed_ms: self.now_ms,
+        };
+        for worker in 0..WORKERS {
+            if !first && self.chance(15) {
+                owner.cut_from.insert(worker);
+            }
+        }
+        self.owners.push(owner);
+    }
+}
--- a/crates/cornelpoint/tests/scheduler/world.rs
+++ b/crates/cornelpoint/tests/scheduler/world/mod.rs
@@ -1,6 +1,10 @@
 //! Owners, workers and the store in virtual time, under a seeded schedule of
 //! kills, cuts, lost and late answers.
 
+mod event;
+mod faults;
+mod mutant;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -13,25 +17,23 @@
 use cornelpoint::scheduler::Action;
 use cornelpoint::scheduler::Batch;
 use cornelpoint::scheduler::BatchOutcome;
-use cornelpoint::scheduler::LifeIndex;
 use cornelpoint::scheduler::LookFailure;
 use cornelpoint::scheduler::PoolScheduler;
-use cornelpoint::scheduler::SchedulerSettings;
 use cornelpoint::worker::EndKind;
-use cornelpoint::worker::LookReport;
-use cornelpoint::worker::OrderOutcome;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use self::event::Event;
+use self::event::Reply;
+use self::event::silence;
+pub(crate) use self::mutant::Mutant;
 use crate::fake_store::FakeStore;
 use crate::fake_worker::FakeWorker;
-use crate::support::POOL;
 use crate::support::at;
 use crate::support::entry;
 use crate::support::job;
 use crate::support::job_id;
-use crate::support::queue;
 use crate::support::step;
 
 const WORKERS: usize = 4;
@@ -42,37 +44,6 @@
 const LEASE_OVER_MS: u64 = 4350;
 const CAPACITY_MILLICORES: u64 = 4000;
 
-/// A rule that is left out, to show that its absence is noticed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Mutant {
-    None,
-    /// Workers take orders of deposed owners.
-    NoFence,
-    /// Ends are acknowledged although the store has not taken them.
-    EarlyAcknowledgement,
-    /// A successor does not wait for its predecessors' leases.
-    NoWaitForLeases,
-    /// Late transactions are carried out whatever came after them.
-    NoWriteOrder,
-}
-
-#[derive(Debug)]
-enum Event {
-    Reply(usize, Reply),
-    Late(usize, Action),
-    Commit(usize, Batch),
-    Committed(usize, BatchOutcome),
-    /// A transaction without an answer, and the sign of life that it found.
-    LateCommit(usize, u64, Batch),
-}
-
-#[derive(Debug)]
-enum Reply {
-    Start(LifeIndex, TaskId, u64, OrderOutcome),
-    Stop(LifeIndex, TaskId, u64, OrderOutcome),
-    Look(LifeIndex, Result<LookReport, LookFailure>),
-}
-
 struct Owner {
     scheduler: PoolScheduler,
     token: u64,
@@ -222,81 +193,6 @@
         }
     }
 
-    /// Kills an owner, cuts one off, or reaches for the pool from elsewhere.
-    fn disturb(&mut self) {
-        let current = self.owners.len() - 1;
-        if self.random.random_range(0..150) == 0 {
-            let killed = self.chance(50);
-            if killed {
-                self.owners[current].alive = false;
-            } else {
-                self.owners[current].has_store = false;
-                self.cut(current);
-            }
-            self.take_over(killed);
-        } else if self.random.random_range(0..300) == 0 {
-            self.cut(current);
-        } else if self.random.random_range(0..200) == 0 {
-            self.owners[current].cut_from.clear();
-        }
-    }
-
-    fn cut(&mut self, owner: usize) {
-        for worker in 0..WORKERS {
-            if self.chance(40) {
-                self.owners[owner].cut_from.insert(worker);
-            }
-        }
-    }
-
-    fn heal(&mut self) {
-        for owner in &mut self.owners {
-            owner.cut_from.clear();
-            owner.has_store = true;
-        }
-    }
-
-    fn take_over(&mut self, predecessor_ended: bool) {
-        let first = self.store.token == 0;
-        self.store.token += 1;
-        let acts_ms = if predecessor_ended { 0 } else { UNCONFIRMED_MS };
-        let over_ms = self.now_ms + acts_ms + LEASE_OVER_MS;
-        if !first {
-            self.store.earlier_over_ms = self.store.earlier_over_ms.max(over_ms);
-            self.takeovers += 1;
-        }
-        let mut scheduler =
-            PoolScheduler::new(POOL, self.store.token, SchedulerSettings::default());
-        let queue = queue();
-        scheduler.set_queues(std::iter::once(&queue));
-        let waits = self.mutant != Mutant::NoWaitForLeases;
-        let over_ms = if waits { self.store.earlier_over_ms } else { 0 };
-        scheduler.inherit(self.store.workers.clone(), over_ms);
-        for (id, record) in &self.store.records {
-            let spec = record
-                .job
-                .clone()
-                .try_into()
-                .expect("a stored job is sound");
-            let progress = self.store.progress.get(id);
-            scheduler.restore(*id, record.clone(), spec, progress, at(self.now_ms));
-        }
-        let mut owner = Owner {
-            scheduler,
-            token: self.store.token,
-            alive: true,
-            has_store: true,
-            cut_from: BTreeSet::new(),
-            confirmed_ms: self.now_ms,
-        };
-        for worker in 0..WORKERS {
-            if !first && self.chance(15) {
-                owner.cut_from.insert(worker);
-            }
-        }
-        self.owners.push(owner);
-    }
-
     fn submit(&mut self) {
         let number = self.submitted.len() as u64;
         if number >= JOBS || !self.now_ms.is_multiple_of(1000) {
@@ -487,17 +383,3 @@
         }
     }
 }
-
-fn silence(action: &Action) -> Reply {
-    match action {
-        Action::Start {
-            life, task, run, ..
-        } => Reply::Start(*life, *task, *run, OrderOutcome::NoAnswer),
-        Action::Stop { life, task, run }
-        | Action::Pace {
-            life, task, run, ..
-        } => Reply::Stop(*life, *task, *run, OrderOutcome::NoAnswer),
-        Action::Look { life, .. } => Reply::Look(*life, Err(LookFailure::NoAnswer)),
-        Action::Advise { .. } => unreachable!("no queue here has advice"),
-    }
-}
