Count only a holder's own term as slots given back

Cause: a report that was delayed past the loss of its holder told the new one of slots that their gateway had long given back and another one had borrowed. Change: answers name the holder's term, reports echo it; while a holder adopts, only reports from its own term count as seen. Ruled out: late answers to gateways (their sequence is checked), lapsed leases (adoption spans the longest deadline).

--- a/crates/cornelpoint-daemon/src/keeper/holding.rs
+++ b/crates/cornelpoint-daemon/src/keeper/holding.rs
@@ -12,6 +12,7 @@
 use cornelpoint::slots::HolderEndpoint;
 use cornelpoint::slots::HolderSettings;
 use cornelpoint::slots::SlotRequest;
+use cornelpoint::slots::holder_term;
 
 use super::command::DrainAnswer;
 use super::keeper_dump::HolderEntry;
@@ -123,7 +124,9 @@
             adopt_ms: self.slot_lease_ms,
             ..HolderSettings::for_max_deadline(self.max_deadline_ms(&key.pool))
         };
-        let mut holder = Holder::new(settings, now_ms);
+        let own = self.membership.own();
+        let term = holder_term(&own.instance, own.incarnation, now_ms);
+        let mut holder = Holder::new(settings, term, now_ms);
         holder.set_endpoints(&self.holder_endpoints(key), now_ms);
         holder
     }
--- a/crates/cornelpoint/benches/capacity/dispatching.rs
+++ b/crates/cornelpoint/benches/capacity/dispatching.rs
@@ -152,7 +152,7 @@
 impl Gateway {
     pub fn new(endpoints: usize) -> Self {
         let dispatcher = dispatcher(&facts(configuration(endpoints, 1, 1)));
-        let mut holder = Holder::new(HolderSettings::for_max_deadline(MAX_DEADLINE_MS), 0);
+        let mut holder = Holder::new(HolderSettings::for_max_deadline(MAX_DEADLINE_MS), 1, 0);
         holder.set_endpoints(&holder_endpoints(endpoints), 0);
         Self {
             dispatcher,
--- a/crates/cornelpoint/benches/capacity/slots.rs
+++ b/crates/cornelpoint/benches/capacity/slots.rs
@@ -160,7 +160,7 @@
         adopt_ms: 0,
         ..HolderSettings::for_max_deadline(MAX_DEADLINE_MS)
     };
-    let mut holder = Holder::new(settings, 0);
+    let mut holder = Holder::new(settings, 1, 0);
     holder.set_endpoints(&holder_endpoints(endpoints), 0);
     holder
 }
@@ -170,6 +170,7 @@
         gateway: entry(gateway),
         incarnation: 1,
         sequence: 0,
+        holder_term: None,
         pool: pool(0),
         availability_zone: zone(0),
         queued: 0,
--- a/crates/cornelpoint/benches/slot_sharing/cost.rs
+++ b/crates/cornelpoint/benches/slot_sharing/cost.rs
@@ -57,7 +57,7 @@
         adopt_ms: 0,
         ..HolderSettings::for_max_deadline(MAX_DEADLINE_MS)
     };
-    let mut holder = Holder::new(settings, 0);
+    let mut holder = Holder::new(settings, 1, 0);
     let endpoints: Vec<HolderEndpoint> = (0..endpoints)
         .map(|number| HolderEndpoint {
             instance: InstanceId::try_from(format!("quoting-{number}")).expect("name is good"),
@@ -76,6 +76,7 @@
         gateway: InstanceId::try_from(format!("entry-{gateway}")).expect("name is good"),
         incarnation: 1,
         sequence: 0,
+        holder_term: None,
         pool: PoolName::try_from("quoting").expect("name is good"),
         availability_zone: AvailabilityZone::try_from("hu-central-a").expect("name is good"),
         queued: QUEUED,
--- a/crates/cornelpoint/benches/slot_sharing/lent.rs
+++ b/crates/cornelpoint/benches/slot_sharing/lent.rs
@@ -85,7 +85,7 @@
 
     pub fn start_holder(&mut self, pool: usize, zone: usize, now_ms: u64) {
         let settings = HolderSettings::for_max_deadline(MAX_DEADLINE_MS);
-        let mut holder = Holder::new(settings, now_ms);
+        let mut holder = Holder::new(settings, 1 + now_ms, now_ms);
         holder.set_endpoints(&endpoints(&self.fleet, pool, zone), now_ms);
         self.holders[pool][zone] = Some(holder);
     }
@@ -96,7 +96,7 @@
             adopt_ms: 0,
             ..HolderSettings::for_max_deadline(MAX_DEADLINE_MS)
         };
-        let mut holder = Holder::new(settings, 0);
+        let mut holder = Holder::new(settings, 1, 0);
         holder.set_endpoints(&endpoints(&self.fleet, pool, zone), 0);
         self.holders[pool][zone] = Some(holder);
     }
--- a/crates/cornelpoint/src/slots/account.rs
+++ b/crates/cornelpoint/src/slots/account.rs
@@ -21,6 +21,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Account {
     pub(super) sequence: u64,
+    /// Term of the holder that the gateway had heard when it reported.
+    pub(super) holder_term: Option<u64>,
     pub(super) lease_end_ms: u64,
     pub(super) queued: u32,
     /// Slots that the last answer called back.
@@ -39,6 +41,7 @@
             .collect();
         Self {
             sequence: request.sequence,
+            holder_term: request.holder_term,
             lease_end_ms,
             queued: request.queued,
             returning: 0,
--- a/crates/cornelpoint/src/slots/borrower.rs
+++ b/crates/cornelpoint/src/slots/borrower.rs
@@ -33,6 +33,7 @@
     queued: u32,
     earliest_deadline_ms: Option<u64>,
     sequence: u64,
+    holder_term: Option<u64>,
     outstanding: Option<PendingExchange>,
     last_sent_ms: Option<u64>,
     reported_held: u32,
@@ -61,6 +62,7 @@
             queued: 0,
             earliest_deadline_ms: None,
             sequence: 0,
+            holder_term: None,
             outstanding: None,
             last_sent_ms: None,
             reported_held: 0,
@@ -142,6 +144,7 @@
     /// let reply = SlotReply {
     ///     incarnation: request.incarnation,
     ///     sequence: request.sequence,
+    ///     holder_term: 1,
     ///     lease_ms: 900,
     ///     lent: vec![lent],
     ///     leaving: Vec::new(),
@@ -209,6 +212,7 @@
         if (reply.incarnation, reply.sequence) != expected {
             return;
         }
+        self.holder_term = Some(reply.holder_term);
         if reply.lease_ms == 0 {
             self.exchange_failed(now_ms);
             return;
@@ -386,6 +390,7 @@
             gateway: self.settings.gateway.clone(),
             incarnation: self.settings.incarnation,
             sequence: self.sequence,
+            holder_term: self.holder_term,
             pool: self.settings.pool.clone(),
             availability_zone: self.settings.availability_zone.clone(),
             queued: self.queued,
--- a/crates/cornelpoint/src/slots/holder.rs
+++ b/crates/cornelpoint/src/slots/holder.rs
@@ -25,17 +25,20 @@
 #[derive(Clone, Debug)]
 pub struct Holder {
     settings: HolderSettings,
+    term: u64,
     started_ms: u64,
     endpoints: BTreeMap<InstanceId, EndpointUse>,
     ledger: Ledger,
 }
 
 impl Holder {
-    /// A holder that starts without state.
+    /// A holder that starts without state. `term` tells it from all that were
+    /// or will be holders of the same endpoints.
     #[must_use]
-    pub fn new(settings: HolderSettings, now_ms: u64) -> Self {
+    pub fn new(settings: HolderSettings, term: u64, now_ms: u64) -> Self {
         Self {
             settings,
+            term,
             started_ms: now_ms,
             endpoints: BTreeMap::new(),
             ledger: Ledger::default(),
@@ -72,7 +75,7 @@
     /// use cornelpoint::slots::SlotRequest;
     ///
     /// let settings = HolderSettings::for_max_deadline(2_000);
-    /// let mut holder = Holder::new(settings, 0);
+    /// let mut holder = Holder::new(settings, 1, 0);
     /// let endpoint = HolderEndpoint {
     ///     instance: InstanceId::try_from("quoting-1").unwrap(),
     ///     epoch: 1,
@@ -84,6 +87,7 @@
     ///     gateway: InstanceId::try_from("entry-1").unwrap(),
     ///     incarnation: 1,
     ///     sequence: 1,
+    ///     holder_term: None,
     ///     pool: PoolName::try_from("quoting").unwrap(),
     ///     availability_zone: AvailabilityZone::try_from("a").unwrap(),
     ///     queued: 3,
@@ -217,6 +221,7 @@
         SlotReply {
             incarnation: request.incarnation,
             sequence: request.sequence,
+            holder_term: self.term,
             lease_ms: 0,
             lent: Vec::new(),
             leaving: self.leaving(),
@@ -236,12 +241,16 @@
             .collect()
     }
 
+    /// Notes the slots that gateways have at once, so that those given back can
+    /// be lent. A report from before this term may be out of date: its slots
+    /// count as lent, and only as given back once their gateway has heard of
+    /// this holder.
     fn note_adopted(&mut self, now_ms: u64) {
         if !self.is_adopting(now_ms) {
             return;
         }
         for (instance, known) in &mut self.endpoints {
-            known.note_adopted(self.ledger.lent(instance));
+            known.note_adopted(self.ledger.lent_in_term(instance, self.term));
         }
     }
 
@@ -355,6 +364,7 @@
         SlotReply {
             incarnation: request.incarnation,
             sequence: request.sequence,
+            holder_term: self.term,
             lease_ms: self.settings.lease_ms,
             lent,
             leaving: self.leaving(),
--- a/crates/cornelpoint/src/slots/ledger.rs
+++ b/crates/cornelpoint/src/slots/ledger.rs
@@ -52,6 +52,13 @@
         self.lent.get(endpoint).copied().unwrap_or(0)
     }
 
+    /// Slots lent at an endpoint by reports from a holder's term.
+    pub(super) fn lent_in_term(&self, endpoint: &InstanceId, term: u64) -> u32 {
+        let accounts = self.accounts.values();
+        let of_term = accounts.filter(|account| account.holder_term == Some(term));
+        of_term.map(|account| account.count_at(endpoint)).sum()
+    }
+
     /// All accounts, in the order of gateway and incarnation.
     pub(super) fn accounts(&self) -> impl Iterator<Item = (&AccountKey, &Account)> {
         self.accounts.iter()
--- a/crates/cornelpoint/src/slots/slot_reply.rs
+++ b/crates/cornelpoint/src/slots/slot_reply.rs
@@ -10,6 +10,9 @@
     pub incarnation: u64,
     /// Number of the request that is answered.
     pub sequence: u64,
+    /// Term of the holder that answers.
+    #[serde(default)]
+    pub holder_term: u64,
     /// Length of the lease from when the request was sent, in milliseconds;
     /// zero when the request was out of date and nothing was lent.
     pub lease_ms: u64,
--- a/crates/cornelpoint/src/slots/slot_request.rs
+++ b/crates/cornelpoint/src/slots/slot_request.rs
@@ -14,6 +14,9 @@
     pub incarnation: u64,
     /// Number of the message; grows with each one of the incarnation.
     pub sequence: u64,
+    /// Term of the holder that answered last, if one did.
+    #[serde(default)]
+    pub holder_term: Option<u64>,
     /// The pool.
     pub pool: PoolName,
     /// The availability zone.
--- a/crates/cornelpoint/tests/dispatch/gateway.rs
+++ b/crates/cornelpoint/tests/dispatch/gateway.rs
@@ -61,7 +61,7 @@
         });
         dispatcher.configure(facts.configuration().unwrap(), &facts, START_MS);
         dispatcher.set_members(&[member()]);
-        let mut holder = Holder::new(HolderSettings::for_max_deadline(MAX_DEADLINE_MS), 0);
+        let mut holder = Holder::new(HolderSettings::for_max_deadline(MAX_DEADLINE_MS), 1, 0);
         let lent: Vec<HolderEndpoint> = endpoints.iter().map(|e| holder_endpoint(e)).collect();
         holder.set_endpoints(&lent, 0);
         Self {
--- a/crates/cornelpoint/tests/slots/rules.rs
+++ b/crates/cornelpoint/tests/slots/rules.rs
@@ -17,7 +17,7 @@
 
 /// A holder past its adoption, with `endpoints` of 8 slots.
 fn holder(endpoints: u32) -> (Holder, u64) {
-    let mut holder = Holder::new(settings(), 0);
+    let mut holder = Holder::new(settings(), 1, 0);
     let named: Vec<_> = (0..endpoints).map(|n| endpoint(n, 1, true)).collect();
     holder.set_endpoints(&named, 0);
     (holder, 10_000)
@@ -85,7 +85,7 @@
     let mut first = borrower(1, 1, now_ms);
     first.set_demand(5, None);
     exchange(&mut first, &mut old, now_ms);
-    let mut new = Holder::new(settings(), now_ms);
+    let mut new = Holder::new(settings(), 2, now_ms);
     new.set_endpoints(&[endpoint(0, 1, true)], now_ms);
     let mut second = borrower(2, 1, now_ms);
     second.set_demand(5, None);
--- a/crates/cornelpoint/tests/slots/schedule.rs
+++ b/crates/cornelpoint/tests/slots/schedule.rs
@@ -109,7 +109,9 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             now_ms: 0,
             gateways: Vec::new(),
-            holders: vec![Holder::new(faults.holder, 0); holders],
+            holders: (0..holders as u64)
+                .map(|n| Holder::new(faults.holder, n, 0))
+                .collect(),
             holder_frozen_until_ms: 0,
             network: BTreeMap::new(),
             messages: 0,
@@ -179,7 +181,7 @@
     fn break_holders(&mut self) {
         let killed = self.random.random_bool(1.0 / HOLDER_FAULT_EVERY_MS);
         if self.faults.replaced_holder && killed && self.now_ms > FIRST_START_MS {
-            self.holders[0] = Holder::new(self.faults.holder, self.now_ms);
+            self.holders[0] = Holder::new(self.faults.holder, 2 + self.now_ms, self.now_ms);
         }
         if self.random.random_bool(1.0 / HOLDER_FAULT_EVERY_MS) {
             let freeze_ms = self.random.random_range(10..LONGEST_FREEZE_MS);
