Confirm ownership before the tasks of an ended life start elsewhere

The cut healed, the registry showed that a worker's machine had begun another life, and the owner started the worker's task again, whose end its successor had noted. Change: tasks of a life that is over wait until the store has confirmed ownership at or after the moment when that became known.

--- a/crates/cornelpoint/src/scheduler/ends.rs
+++ b/crates/cornelpoint/src/scheduler/ends.rs
@@ -179,17 +179,24 @@
 
     /// A run is over without an end that its worker could list.
     pub(super) fn run_lost(&mut self, id: TaskId, run: u64, now: Instant) {
-        let Some(job) = self.jobs.get_mut(&id.step.job) else {
-            return;
+        if self.drop_run(id, run, now) {
+            self.make_ready(id, now);
+        }
+    }
+
+    /// Takes a run out of its task; whether it was there.
+    pub(super) fn drop_run(&mut self, id: TaskId, run: u64, now: Instant) -> bool {
+        let job = self.jobs.get_mut(&id.step.job);
+        let Some(task) = job.and_then(|job| job.task_mut(id)) else {
+            return false;
         };
-        let Some(task) = job.task_mut(id) else { return };
         if task.remove_run(run).is_none() {
-            return;
+            return false;
         }
         if task.runs.is_empty() {
             task.away_since_ms = now.steady_ms;
         }
-        self.make_ready(id, now);
+        true
     }
 }
 
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -7,6 +7,7 @@
 use crate::job::JobId;
 use crate::job::JobStatus;
 use crate::job::StepId;
+use crate::job::TaskId;
 
 use super::action::Action;
 use super::action::LifeIndex;
@@ -65,6 +66,8 @@
     pub(super) recently_final: Vec<(u64, JobId)>,
     /// Cancelled jobs that are still to come.
     pub(super) cancelled_ahead: BTreeSet<JobId>,
+    /// Tasks whose worker's life is over, and since when that is known.
+    pub(super) orphans: Vec<(u64, TaskId)>,
     /// When the store last confirmed ownership, by the time of asking.
     pub(super) confirmed_ms: u64,
 }
@@ -118,6 +121,7 @@
             vacating: BTreeSet::new(),
             recently_final: Vec::new(),
             cancelled_ahead: BTreeSet::new(),
+            orphans: Vec::new(),
             confirmed_ms: 0,
         }
     }
@@ -174,6 +178,7 @@
         }
         self.open_due_occurrences(now);
         self.release_lapsed(now);
+        self.release_orphans(now);
         self.evacuate(now);
         if self.placing_needed {
             self.place(now);
@@ -202,12 +207,14 @@
             self.predecessor_over_ms
                 .max(now.steady_ms + CONFIRMATION_MS)
         });
+        let orphans = (!self.orphans.is_empty()).then_some(now.steady_ms + CONFIRMATION_MS);
         let evacuation = self.evacuation_due_ms(now);
         let penalties = self.penalty_due_ms(now);
         looks
             .chain(lapses)
             .chain(timed)
             .chain(predecessor)
+            .chain(orphans)
             .chain(evacuation)
             .chain(penalties)
             .min()
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -115,7 +115,8 @@
         }
         for &(task, run) in worker.runs.keys() {
             self.note_lost(task, run, &worker.entry.id, RunLoss::LifeEnded);
-            self.run_lost(task, run, now);
+            self.drop_run(task, run, now);
+            self.orphans.push((now.steady_ms, task));
         }
         self.workers_row_wanted = true;
         self.placing_needed = true;
@@ -169,6 +170,19 @@
         }
     }
 
+    /// Lets the tasks of lives that are over start again. Ownership must have
+    /// been confirmed since: a successor may have noted their ends before.
+    pub(super) fn release_orphans(&mut self, now: Instant) {
+        let confirmed_ms = self.confirmed_ms;
+        let (free, held) = std::mem::take(&mut self.orphans)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(known_ms, _)| *known_ms <= confirmed_ms);
+        self.orphans = held;
+        for (_, task) in free {
+            self.make_ready(task, now);
+        }
+    }
+
     /// Notes that this process owned the pool at a time, by the store.
     pub fn confirm(&mut self, at_ms: u64) {
         self.confirmed_ms = self.confirmed_ms.max(at_ms);
--- a/crates/cornelpoint/tests/scheduler/decisions.rs
+++ b/crates/cornelpoint/tests/scheduler/decisions.rs
@@ -14,6 +14,7 @@
 use cornelpoint::worker::EndKind;
 use cornelpoint::worker::LookReport;
 use cornelpoint::worker::OrderOutcome;
+use cornelpoint::worker::RegistryEntry;
 use cornelpoint::worker::RunEnd;
 use cornelpoint::worker::RunSeen;
 use expect_test::expect;
@@ -187,6 +188,31 @@
     assert_eq!(starts(&mut scheduler, 8600).len(), 1);
 }
 
+/// An owner behind a zone cut hears, once it heals, that a worker's life is
+/// over; a successor may have noted its ends meanwhile (TWICE on scale-2 of
+/// kgfb-sched with seed 12).
+#[test]
+fn a_life_that_is_over_frees_its_tasks_only_once_ownership_is_confirmed_after_it() {
+    let mut scheduler = ready_scheduler(&["w1", "w2"]);
+    submit(&mut scheduler, 1, vec![step(1, 1000)], 100);
+    let started = starts(&mut scheduler, 120);
+    assert_eq!(started.len(), 1);
+    let (worker, _, _) = &started[0];
+    let other = if worker == "w1" { "w2" } else { "w1" };
+    let next_life = RegistryEntry {
+        machine: Some(format!("machine-{worker}")),
+        ..entry("w3", 900)
+    };
+    scheduler.registry_read(&[entry(other, 5), next_life], true, at(1000));
+    assert!(starts(&mut scheduler, 1000).is_empty());
+    scheduler.confirm(999);
+    assert!(starts(&mut scheduler, 1100).is_empty());
+    scheduler.confirm(1100);
+    let started = starts(&mut scheduler, 1200);
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].0, other);
+}
+
 fn successor(over_ms: u64) -> PoolScheduler {
     let mut scheduler = PoolScheduler::new("quoting", 2, SchedulerSettings::default());
     let queue = queue();
