Let jobs that can't meet their objective wait for idle room

Change: a step that would start too late even if all goes well goes behind those that can make it; its work is reported apart and asks for few machines. Load and its report are in a file of their own.

--- a/crates/cornelpoint/src/fleet/moves.rs
+++ b/crates/cornelpoint/src/fleet/moves.rs
@@ -8,6 +8,8 @@
 /// Free machines that a pool keeps while it lends: others take three seconds
 /// to come.
 const KEPT_FREE: usize = 3;
+/// Time in which work of jobs that are late anyway is to be done.
+const LATE_WITHIN_MS: u64 = 4000;
 /// Difference in idle machines between two pools that is not worth a move.
 const BALANCED_GAP: u64 = 4;
 
@@ -25,7 +27,8 @@
     /// a time.
     fn wanted_millicores(&self, within_ms: u64) -> u64 {
         let work = self.backlog_core_ms + self.refused_core_ms;
-        self.lasting_millicores + work * 1000 / within_ms.max(1)
+        let late = self.late_core_ms * 1000 / LATE_WITHIN_MS;
+        self.lasting_millicores + late + work * 1000 / within_ms.max(1)
     }
 }
 
--- a/crates/cornelpoint/src/fleet/pool_report.rs
+++ b/crates/cornelpoint/src/fleet/pool_report.rs
@@ -10,8 +10,12 @@
     pub capacity_millicores: u64,
     /// Processor that long-running tasks ask for.
     pub lasting_millicores: u64,
-    /// Accepted work that is not done, in core-milliseconds.
+    /// Accepted work that is not done, in core-milliseconds, of jobs that can
+    /// still be of full use.
     pub backlog_core_ms: u64,
+    /// The same of jobs that can't.
+    #[serde(default)]
+    pub late_core_ms: u64,
     /// Work that was turned away lately, in core-milliseconds.
     pub refused_core_ms: u64,
     /// Fewest workers on which each step finds its places.
--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -1,7 +1,6 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
-use crate::fleet::PoolReport;
 use crate::job::JobId;
 use crate::job::JobRecord;
 use crate::job::JobSpec;
@@ -21,12 +20,15 @@
 /// Share of a job's slack that the work before it may take at the present
 /// capacity, in percent: other pools' machines join within three seconds.
 const ADMITTED_WAIT_PERCENT: u64 = 220;
+/// Share of a step's expected time that it takes if all goes well, in percent:
+/// durations spread by 40% around what is expected.
+const HOPEFUL_PERCENT: u64 = 70;
 /// Shortest time after which a caller that was turned away may ask again.
 const SHORTEST_RETRY_MS: u64 = 1000;
 /// Longest such time: a surge passes in seconds.
 const LONGEST_RETRY_MS: u64 = 8000;
 /// How long refused work counts as demand.
-const REFUSED_COUNTS_MS: u64 = 1500;
+pub(super) const REFUSED_COUNTS_MS: u64 = 1500;
 /// Refusals that are kept at most.
 const REFUSALS_KEPT: usize = 512;
 /// How long a refusal is kept, so that a caller that comes back is known.
@@ -42,29 +44,7 @@
     /// Learned duration of a task by queue, in sixteenths of a millisecond.
     duration_of_queue: HashMap<String, u64>,
     /// Work that was turned away, by when; a caller's first try only.
-    refused: VecDeque<(u64, JobId, u64)>,
-}
-
-/// A pool's load, for operators and for moves between pools.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Load {
-    /// Processor of usable workers, in thousandths of a core.
-    pub capacity_millicores: u64,
-    /// Processor that long-running tasks hold.
-    pub lasting_millicores: u64,
-    /// Estimated work that is accepted and not done.
-    pub backlog_core_ms: u64,
-}
-
-impl Load {
-    /// Time in which the accepted work is done at full use.
-    #[must_use]
-    pub fn wait_ms(&self) -> u64 {
-        let free = self
-            .capacity_millicores
-            .saturating_sub(self.lasting_millicores);
-        self.backlog_core_ms * 1000 / free.max(1)
-    }
+    pub(super) refused: VecDeque<(u64, JobId, u64)>,
 }
 
 impl PoolScheduler {
@@ -77,7 +57,7 @@
             return;
         }
         let learned = self
-            .load
+            .estimate
             .duration_of_queue
             .entry(job.record.queue.clone())
             .or_insert(took_ms << LEARNING_SHIFT);
@@ -85,8 +65,8 @@
     }
 
     /// Expected duration of a task with a caller's estimate.
-    fn expected_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
-        let Some(learned) = self.load.duration_of_queue.get(queue) else {
+    pub(super) fn expected_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
+        let Some(learned) = self.estimate.duration_of_queue.get(queue) else {
             return estimate_ms;
         };
         let learned_ms = learned >> LEARNING_SHIFT;
@@ -108,6 +88,22 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Time from the start of each step to the end of the job, if all goes
+    /// well.
+    pub(super) fn hopeful_chains_ms(&self, entry: &JobEntry) -> Vec<u64> {
+        let steps = &entry.spec.steps;
+        let mut chains = vec![0; steps.len()];
+        for (place, step) in steps.iter().enumerate().rev() {
+            let own_ms = self.expected_ms(&entry.record.queue, step.estimate_ms);
+            chains[place] += own_ms * HOPEFUL_PERCENT / 100;
+            for &earlier in &step.after {
+                let earlier = usize::from(earlier);
+                chains[earlier] = chains[earlier].max(chains[place]);
+            }
+        }
+        chains
+    }
+
     /// Time within which a job is of full use to its caller.
     pub(super) fn objective_ms(&self, entry: &JobEntry) -> u64 {
         let rules = self.rules_of(entry);
@@ -115,34 +111,6 @@
         chain_ms * rules.stretch_permille / 1000 + rules.objective_ms
     }
 
-    /// The pool's load now.
-    #[must_use]
-    pub fn load(&self, now: Instant) -> Load {
-        let mut load = Load::default();
-        for worker in self.lives.values() {
-            if Self::is_usable(worker, now) {
-                load.capacity_millicores += worker.entry.capacity.cpu_millicores;
-            }
-        }
-        for job in self.jobs.values().filter(|job| !job.status.is_final()) {
-            for steps in job.occurrences.values() {
-                for (entry, step) in steps.iter().zip(&job.spec.steps) {
-                    if step.fills {
-                        continue;
-                    }
-                    let cpu = u64::from(entry.remaining) * step.resources.cpu_millicores;
-                    if step.long_running {
-                        load.lasting_millicores += cpu;
-                    } else {
-                        let each_ms = self.expected_ms(&job.record.queue, step.estimate_ms);
-                        load.backlog_core_ms += cpu * each_ms / 1000;
-                    }
-                }
-            }
-        }
-        load
-    }
-
     /// Whether to turn a job away, and when its caller may ask again.
     ///
     /// A surge asks several times what a pool holds. What is accepted beyond
@@ -188,7 +156,7 @@
 
     /// When a job was first turned away, if that is not long ago.
     pub(super) fn first_refused_ms(&self, id: JobId) -> Option<u64> {
-        let mut refused = self.load.refused.iter();
+        let mut refused = self.estimate.refused.iter();
         let (at_ms, _, _) = refused.find(|(_, known, _)| *known == id)?;
         Some(*at_ms)
     }
@@ -232,7 +200,7 @@
                 cpu * self.expected_ms(queue, step.estimate_ms) / 1000
             });
         let work = work.sum();
-        let refused = &mut self.load.refused;
+        let refused = &mut self.estimate.refused;
         if refused.iter().any(|(_, known, _)| *known == id) {
             return;
         }
@@ -246,31 +214,9 @@
         }
     }
 
-    /// What the owner of the fleet needs to know.
-    #[must_use]
-    pub fn report(&self, now: Instant) -> PoolReport {
-        let load = self.load(now);
-        let refused = self.load.refused.iter();
-        let recent = refused.filter(|(at_ms, _, _)| at_ms + REFUSED_COUNTS_MS > now.steady_ms);
-        let usable = self
-            .lives
-            .values()
-            .filter(|worker| Self::is_usable(worker, now));
-        PoolReport {
-            capacity_millicores: load.capacity_millicores,
-            lasting_millicores: load.lasting_millicores,
-            backlog_core_ms: load.backlog_core_ms,
-            refused_core_ms: recent.map(|(_, _, work)| work).sum(),
-            least_workers: self.least_workers(),
-            workers: u32::try_from(usable.count()).unwrap_or(u32::MAX),
-            vacated: self.vacated(),
-            cheapest: self.cheapest(now),
-        }
-    }
-
     /// Fewest workers on which each step finds its places, and one more for a
     /// task that has to move.
-    fn least_workers(&self) -> u32 {
+    pub(super) fn least_workers(&self) -> u32 {
         let active = self.jobs.values().filter(|job| !job.status.is_final());
         let steps = active.flat_map(|job| job.spec.steps.iter());
         let places = steps.map(|step| match step.max_per_worker {
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -117,11 +117,13 @@
             stored_status: progress.map(|progress| progress.status),
             inherited: progress.is_some(),
             due_ms: 0,
+            chain_from_ms: Vec::new(),
             occurrences: BTreeMap::new(),
             occurrences_done: 0,
             next_occurrence: 0,
         };
         let allowed_ms = self.objective_ms(&entry);
+        entry.chain_from_ms = self.hopeful_chains_ms(&entry);
         let first_ms = self.first_refused_ms(id).unwrap_or(now.steady_ms);
         entry.due_ms = (first_ms + allowed_ms).saturating_sub(age_ms);
         if status.is_final() {
--- a/crates/cornelpoint/src/scheduler/job_entry.rs
+++ b/crates/cornelpoint/src/scheduler/job_entry.rs
@@ -24,6 +24,8 @@
     pub(super) inherited: bool,
     /// When it has to be done to be of full use, by the steady clock.
     pub(super) due_ms: u64,
+    /// Expected time from the start of each step to the end of the job.
+    pub(super) chain_from_ms: Vec<u64>,
     pub(super) occurrences: BTreeMap<u32, Vec<StepEntry>>,
     pub(super) occurrences_done: u32,
     pub(super) next_occurrence: u32,
@@ -42,6 +44,33 @@
         &self.spec.steps[usize::from(step)]
     }
 
+    /// When a step has to start for the job to be in time.
+    pub(super) fn latest_start_ms(&self, step: u16) -> u64 {
+        let chain_ms = self.chain_from_ms.get(usize::from(step));
+        self.due_ms.saturating_sub(chain_ms.copied().unwrap_or(0))
+    }
+
+    /// Whether the job can't meet its objective any more: it is over, or what
+    /// waits for a worker starts too late.
+    pub(super) fn is_too_late(&self, now_ms: u64) -> bool {
+        if self.spec.schedule.is_some() || self.spec.is_long_running() {
+            return false;
+        }
+        let mut steps = self
+            .occurrences
+            .values()
+            .flat_map(|steps| steps.iter().enumerate());
+        let waits_too_long = steps.any(|(place, step)| {
+            let waits = step.open
+                && step
+                    .tasks
+                    .iter()
+                    .any(|task| !task.done && task.runs.is_empty());
+            waits && u16::try_from(place).is_ok_and(|place| self.latest_start_ms(place) < now_ms)
+        });
+        self.due_ms < now_ms || waits_too_long
+    }
+
     pub(super) fn task(&self, task: TaskId) -> Option<&TaskEntry> {
         let steps = self.occurrences.get(&task.step.occurrence)?;
         let step = steps.get(usize::from(task.step.step))?;
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/load.rs
@@ -0,0 +1,94 @@
+use crate::fleet::PoolReport;
+
+use super::admission::REFUSED_COUNTS_MS;
+use super::instant::Instant;
+use super::job_entry::JobEntry;
+use super::pool_scheduler::PoolScheduler;
+
+/// A pool's load, for operators and for moves between pools.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Processor of usable workers, in thousandths of a core.
+    pub capacity_millicores: u64,
+    /// Processor that long-running tasks hold.
+    pub lasting_millicores: u64,
+    /// Estimated work that is accepted and not done, in core-milliseconds, of
+    /// jobs that can still be of full use.
+    pub backlog_core_ms: u64,
+    /// The same of jobs that can't: it waits for room that nobody else needs.
+    pub late_core_ms: u64,
+}
+
+impl Load {
+    /// Time in which the accepted work that is not late is done at full use.
+    #[must_use]
+    pub fn wait_ms(&self) -> u64 {
+        let free = self
+            .capacity_millicores
+            .saturating_sub(self.lasting_millicores);
+        self.backlog_core_ms * 1000 / free.max(1)
+    }
+}
+
+impl PoolScheduler {
+    /// The pool's load now.
+    #[must_use]
+    pub fn load(&self, now: Instant) -> Load {
+        let mut load = Load::default();
+        for worker in self.lives.values() {
+            if Self::is_usable(worker, now) {
+                load.capacity_millicores += worker.entry.capacity.cpu_millicores;
+            }
+        }
+        for job in self.jobs.values().filter(|job| !job.status.is_final()) {
+            self.add_work(job, &mut load, now);
+        }
+        load
+    }
+
+    fn add_work(&self, job: &JobEntry, load: &mut Load, now: Instant) {
+        let mut work = 0;
+        for steps in job.occurrences.values() {
+            for (entry, step) in steps.iter().zip(&job.spec.steps) {
+                if step.fills {
+                    continue;
+                }
+                let cpu = u64::from(entry.remaining) * step.resources.cpu_millicores;
+                if step.long_running {
+                    load.lasting_millicores += cpu;
+                } else {
+                    let each_ms = self.expected_ms(&job.record.queue, step.estimate_ms);
+                    work += cpu * each_ms / 1000;
+                }
+            }
+        }
+        if job.is_too_late(now.steady_ms) {
+            load.late_core_ms += work;
+        } else {
+            load.backlog_core_ms += work;
+        }
+    }
+
+    /// What the owner of the fleet needs to know.
+    #[must_use]
+    pub fn report(&self, now: Instant) -> PoolReport {
+        let load = self.load(now);
+        let refused = self.estimate.refused.iter();
+        let recent = refused.filter(|(at_ms, _, _)| at_ms + REFUSED_COUNTS_MS > now.steady_ms);
+        let usable = self
+            .lives
+            .values()
+            .filter(|worker| Self::is_usable(worker, now));
+        PoolReport {
+            capacity_millicores: load.capacity_millicores,
+            lasting_millicores: load.lasting_millicores,
+            backlog_core_ms: load.backlog_core_ms,
+            late_core_ms: load.late_core_ms,
+            refused_core_ms: recent.map(|(_, _, work)| work).sum(),
+            least_workers: self.least_workers(),
+            workers: u32::try_from(usable.count()).unwrap_or(u32::MAX),
+            vacated: self.vacated(),
+            cheapest: self.cheapest(now),
+        }
+    }
+}
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -25,6 +25,8 @@
     pub(super) is_batch: bool,
     pub(super) priority: u32,
     pub(super) due_ms: u64,
+    /// From when on the step starts too late to be of full use.
+    pub(super) latest_start_ms: u64,
     pub(super) step: StepId,
 }
 
@@ -83,6 +85,7 @@
             is_batch: !long_running,
             priority: job.record.priority,
             due_ms: job.due_ms,
+            latest_start_ms: job.latest_start_ms(step.step),
             step,
         })
     }
@@ -130,8 +133,9 @@
     /// Places what waits, in order, while there is room.
     pub(super) fn place(&mut self, now: Instant) {
         self.placing_needed = false;
-        let late = |key: &&ReadyKey| key.is_batch && key.due_ms < now.steady_ms;
-        // A job past its objective earns little more: others go first.
+        let late = |key: &&ReadyKey| key.is_batch && key.latest_start_ms < now.steady_ms;
+        // A job that can't meet its objective any more earns little: those that
+        // can go first.
         let in_time = self.ready.keys().filter(|key| !late(key));
         let keys: Vec<ReadyKey> = in_time
             .chain(self.ready.keys().filter(late))
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -57,7 +57,7 @@
     pub(super) predecessor_lives: BTreeMap<String, WorkerRecord>,
     /// When all that a predecessor started has ended on silent workers.
     pub(super) predecessor_over_ms: u64,
-    pub(super) load: LoadEstimate,
+    pub(super) estimate: LoadEstimate,
     pub(super) actions: Vec<Action>,
     pub(super) notes: Vec<Note>,
     pub(super) placing_needed: bool,
@@ -113,7 +113,7 @@
             workers_row_wanted: false,
             predecessor_lives: BTreeMap::new(),
             predecessor_over_ms: 0,
-            load: LoadEstimate::default(),
+            estimate: LoadEstimate::default(),
             actions: Vec::new(),
             notes: Vec::new(),
             placing_needed: false,
