Turn nobody away while there is room beside all that waits

Idle room counted only while nothing waited, and in a surge some job is always being stored or waits for a place of its own. Change: room counts beside what all waiting tasks ask for.

--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -147,7 +147,7 @@
         // A caller that comes back too late for its objective only gets room
         // that nobody else wants.
         let in_time = slack_ms > 0 && wait_ms <= allowed_ms;
-        if in_time || (self.ready.is_empty() && self.has_room_for_start(spec, now)) {
+        if in_time || self.has_idle_room(spec, now) {
             return None;
         }
         let retry_ms = wait_ms.saturating_sub(allowed_ms);
@@ -161,16 +161,22 @@
         Some(*at_ms)
     }
 
-    /// Whether the first steps of a job would all find room now.
-    fn has_room_for_start(&self, spec: &JobSpec, now: Instant) -> bool {
+    /// Whether the first steps of a job would all find room now, beside all
+    /// that waits already.
+    fn has_idle_room(&self, spec: &JobSpec, now: Instant) -> bool {
         let first = spec.steps.iter().filter(|step| step.after.is_empty());
         let mut wanted: Vec<(u32, Resources)> =
             first.map(|step| (step.replicas, step.reserved())).collect();
+        let mut waiting_millicores = self.waiting_millicores();
         for worker in self.lives.values() {
             if !Self::is_usable(worker, now) {
                 continue;
             }
             let mut used = worker.used;
+            let free = worker.entry.capacity.minus(used).cpu_millicores;
+            let taken = free.min(waiting_millicores);
+            waiting_millicores -= taken;
+            used.cpu_millicores += taken;
             for (left, need) in &mut wanted {
                 while *left > 0 && worker.entry.capacity.fits(used, *need) {
                     used = used.plus(*need);
@@ -181,6 +187,15 @@
         wanted.iter().all(|(left, _)| *left == 0)
     }
 
+    /// Processor that the tasks that wait for a worker ask for.
+    fn waiting_millicores(&self) -> u64 {
+        let waiting = self.ready.iter().filter_map(|(key, indexes)| {
+            let step = self.jobs.get(&key.step.job)?.step(key.step.step);
+            Some(step.reserved().cpu_millicores * indexes.len() as u64)
+        });
+        waiting.sum()
+    }
+
     /// Notes work that was turned away: it shows how much more the pool could
     /// use.
     pub(super) fn note_refused(
--- a/crates/cornelpoint/tests/scheduler/decisions.rs
+++ b/crates/cornelpoint/tests/scheduler/decisions.rs
@@ -325,6 +325,24 @@
 
 /// A start without an answer may be carried out later: it keeps its room until
 /// the worker has confirmed a stop and lists no such run.
+/// In a surge some job is always being stored; that is no reason to turn others
+/// away while workers are free.
+#[test]
+fn nobody_is_turned_away_while_there_is_room_beside_all_that_waits() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    let long = RawStep {
+        estimate_ms: 20_000,
+        ..step(1, 1000)
+    };
+    submit(&mut scheduler, 1, vec![long], 100);
+    assert_eq!(starts(&mut scheduler, 120).len(), 1);
+    for (number, cpu_millicores, accepted) in [(2, 1000, true), (3, 1000, true), (4, 3000, false)] {
+        let (record, spec) = job(vec![step(1, cpu_millicores)]);
+        let answer = scheduler.submit(job_id(number), record, spec, at(200));
+        assert_eq!(answer == SubmitAnswer::Storing, accepted, "job {number}");
+    }
+}
+
 #[test]
 fn a_start_without_an_answer_is_stopped_before_its_task_starts_elsewhere() {
     let mut scheduler = ready_scheduler(&["w1", "w2"]);
