Share machines between pools whose surges overlap

Change: while there are too few machines for all, each pool keeps its places and gets a share of the rest in proportion to its work; it lends what it has above, and is not given machines beyond.

--- a/crates/cornelpoint/src/fleet/mod.rs
+++ b/crates/cornelpoint/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod moves;
 mod pool_report;
 mod settings;
+mod shares;
 mod wave;
 
 pub use self::fleet_manager::FleetAction;
--- a/crates/cornelpoint/src/fleet/moves.rs
+++ b/crates/cornelpoint/src/fleet/moves.rs
@@ -1,15 +1,22 @@
+use std::collections::BTreeMap;
+
 use super::fleet_manager::Emptying;
 use super::fleet_manager::FleetManager;
 use super::fleet_manager::MachineEntry;
 use super::fleet_manager::Order;
 use super::machine::MachineState;
 use super::pool_report::PoolReport;
+use super::shares::Ask;
+use super::shares::shares;
 
 /// Free machines that a pool keeps while it lends: others take three seconds
 /// to come.
 const KEPT_FREE: usize = 3;
 /// Time in which work of jobs that are late anyway is to be done.
 const LATE_WITHIN_MS: u64 = 4000;
+/// Machines above its share that a pool keeps: a machine on its way serves
+/// nobody for two seconds and more.
+const KEPT_ABOVE_SHARE: u64 = 1;
 /// Difference in idle machines between two pools that is not worth a move.
 const BALANCED_GAP: u64 = 4;
 
@@ -48,21 +55,26 @@
         if machine_millicores == 0 {
             return;
         }
-        self.note_calm(machine_millicores, now_ms);
+        let shares = self.shares(&spare, machine_millicores, now_ms);
+        self.note_calm(&shares, machine_millicores, now_ms);
         let mut needs: Vec<(u64, String)> = self
             .reports
             .iter()
             .filter(|(pool, _)| **pool != spare)
             .filter_map(|(pool, entry)| {
                 let fresh = entry.heard_ms + self.settings.report_age_ms >= now_ms;
-                let need = self.machines_needed(pool, &entry.report, machine_millicores);
+                let mut need = self.machines_needed(pool, &entry.report, machine_millicores);
+                if let Some(share) = shares.get(pool) {
+                    let have = entry.report.capacity_millicores / machine_millicores;
+                    need = need.min(share.saturating_sub(have + self.coming(pool)));
+                }
                 (fresh && need > 0).then(|| (need, pool.clone()))
             })
             .collect();
         needs.sort_unstable_by(|left, right| right.cmp(left));
         for (need, pool) in &needs {
             let left = need - self.bring_spare(pool, *need, &spare, now_ms);
-            self.borrow(pool, left, machine_millicores, now_ms);
+            self.borrow(pool, left, &shares, machine_millicores, now_ms);
         }
         if needs.is_empty() {
             self.balance(machine_millicores, now_ms);
@@ -70,6 +82,37 @@
         }
     }
 
+    /// Each pool's share of the machines while there are too few for all.
+    fn shares(&self, spare: &str, machine_millicores: u64, now_ms: u64) -> BTreeMap<String, u64> {
+        let age_ms = self.settings.report_age_ms;
+        let fresh = self
+            .reports
+            .iter()
+            .filter(|(pool, entry)| pool.as_str() != spare && entry.heard_ms + age_ms >= now_ms);
+        let asks: Vec<(&String, Ask)> = fresh
+            .map(|(pool, entry)| {
+                let report = &entry.report;
+                let lasting = report.lasting_millicores.div_ceil(machine_millicores);
+                let wanted = report.wanted_millicores(self.settings.drain_target_ms);
+                let ask = Ask {
+                    floor: lasting.max(u64::from(report.least_workers)),
+                    wanted: wanted.div_ceil(machine_millicores),
+                };
+                (pool, ask)
+            })
+            .collect();
+        let machines = self
+            .machines
+            .values()
+            .filter(|entry| matches!(entry.machine.state, MachineState::Up | MachineState::Moving));
+        let wanted: Vec<Ask> = asks.iter().map(|(_, ask)| *ask).collect();
+        let shares = shares(&wanted, machines.count() as u64);
+        let named = asks.iter().zip(shares.unwrap_or_default());
+        named
+            .map(|((pool, _), share)| ((*pool).clone(), share))
+            .collect()
+    }
+
     fn machine_millicores(&self) -> u64 {
         let machines = self.machines.values();
         let millicores = machines.map(|entry| entry.machine.capacity.cpu_millicores);
@@ -104,7 +147,14 @@
     }
 
     /// Lets pools with more than they need empty machines for another one.
-    fn borrow(&mut self, to: &str, need: u64, machine_millicores: u64, now_ms: u64) {
+    fn borrow(
+        &mut self,
+        to: &str,
+        need: u64,
+        shares: &BTreeMap<String, u64>,
+        machine_millicores: u64,
+        now_ms: u64,
+    ) {
         let mut need = usize::try_from(need).unwrap_or(usize::MAX);
         let mut lenders: Vec<(usize, String)> = self
             .reports
@@ -112,7 +162,13 @@
             .filter(|(pool, entry)| {
                 *pool != to && entry.heard_ms + self.settings.report_age_ms >= now_ms
             })
-            .map(|(pool, _)| (self.surplus(pool, machine_millicores), pool.clone()))
+            .map(|(pool, _)| {
+                let surplus = match shares.get(pool) {
+                    Some(&share) => self.above_share(pool, share, machine_millicores),
+                    None => self.surplus(pool, machine_millicores),
+                };
+                (surplus, pool.clone())
+            })
             .collect();
         lenders.sort_unstable_by(|left, right| right.cmp(left));
         for (surplus, lender) in lenders {
@@ -159,6 +215,18 @@
         coming.count() as u64
     }
 
+    /// Machines that a pool has beyond its share and does not give up already.
+    fn above_share(&self, pool: &str, share: u64, machine_millicores: u64) -> usize {
+        let Some(entry) = self.reports.get(pool) else {
+            return 0;
+        };
+        let report = &entry.report;
+        let have = report.capacity_millicores / machine_millicores;
+        let above = have.saturating_sub(share + KEPT_ABOVE_SHARE);
+        let places = report.workers.saturating_sub(report.least_workers) as usize;
+        usize::try_from(above).unwrap_or(usize::MAX).min(places)
+    }
+
     /// Machines that a pool has beyond its work, its places and what it gives
     /// up already; one is kept for what comes next.
     fn surplus(&self, pool: &str, machine_millicores: u64) -> usize {
@@ -195,7 +263,7 @@
         emptied
     }
 
-    fn note_calm(&mut self, machine_millicores: u64, now_ms: u64) {
+    fn note_calm(&mut self, shares: &BTreeMap<String, u64>, machine_millicores: u64, now_ms: u64) {
         let within_ms = self.settings.drain_target_ms;
         let mut busy = Vec::new();
         let mut tight = Vec::new();
@@ -207,7 +275,9 @@
                 (true, None) => Some(now_ms),
                 (true, since) => since,
             };
-            if !calm {
+            let have = entry.report.capacity_millicores / machine_millicores;
+            let has_share = shares.get(pool).is_some_and(|&share| have >= share);
+            if !calm && !has_share {
                 busy.push(pool.clone());
             }
             if entry.report.workers + 1 < entry.report.least_workers {
--- a/crates/cornelpoint/tests/fleet.rs
+++ b/crates/cornelpoint/tests/fleet.rs
@@ -145,3 +145,34 @@
     assert!(manager.is_deposed());
     assert!(manager.tick(5000).is_empty());
 }
+
+/// Two surges overlap: the first pool has most machines and a backlog of some
+/// seconds when the second one's surge begins (scale-1 of futopalya-ops).
+#[test]
+fn a_pool_with_a_backlog_lends_to_one_whose_surge_begins() {
+    let named = |pool: &str, count: usize| {
+        let names = (0..count).map(|number| format!("{pool}-{number}"));
+        let machines = names.map(|name| machine(&name, pool, MachineState::Up));
+        machines.collect::<Vec<_>>()
+    };
+    let mut machines = named("design", 25);
+    machines.extend(named("quoting", 4));
+    let mut manager = manager(machines);
+    let report = |workers: u32, backlog_s: u64, pool: &str| PoolReport {
+        capacity_millicores: u64::from(workers) * 32_000,
+        backlog_core_ms: backlog_s * 32_000,
+        workers,
+        least_workers: 3,
+        cheapest: (0..workers).map(|n| format!("worker-{pool}-{n}")).collect(),
+        ..PoolReport::default()
+    };
+    manager.pool_reported("design", &report(25, 42, "design"), 0);
+    manager.pool_reported("quoting", &report(4, 30, "quoting"), 0);
+    manager.tick(10);
+    let lent = manager.to_vacate();
+    assert!(lent.len() >= 6, "{lent:?}");
+    assert!(
+        lent.iter()
+            .all(|worker| worker.starts_with("worker-design"))
+    );
+}
