Learn what estimates are worth; set objectives again by measured durations

Change: a line through the logarithms of estimate and duration for each queue; a job's objective is set again when the first task of a step is done. Occurrences of timed jobs have their own due times.

--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -7,22 +7,14 @@
 use crate::job::Resources;
 use crate::job::TaskId;
 
+use super::duration_model::DurationModel;
 use super::instant::Instant;
-use super::job_entry::JobEntry;
+use super::objective::Objective;
 use super::pool_scheduler::PoolScheduler;
 
-/// Weight of a task's duration against those learned before, as a shift: an
-/// average over about sixteen tasks.
-const LEARNING_SHIFT: u32 = 4;
-/// Weight of a caller's estimate against the queue's learned duration, in
-/// thousandths: estimates are off by a factor of two and more.
-const ESTIMATE_WEIGHT_PERMILLE: u64 = 400;
 /// Share of a job's slack that the work before it may take at the present
 /// capacity, in percent: other pools' machines join within three seconds.
 const ADMITTED_WAIT_PERCENT: u64 = 220;
-/// Share of a step's expected time that it takes if all goes well, in percent:
-/// durations spread by 40% around what is expected.
-const HOPEFUL_PERCENT: u64 = 70;
 /// Shortest time after which a caller that was turned away may ask again.
 const SHORTEST_RETRY_MS: u64 = 1000;
 /// Longest such time: a surge passes in seconds.
@@ -41,74 +33,55 @@
 /// What is learned of the queues' tasks.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LoadEstimate {
-    /// Learned duration of a task by queue, in sixteenths of a millisecond.
-    duration_of_queue: HashMap<String, u64>,
+    /// Learned durations of tasks by queue.
+    duration_of_queue: HashMap<String, DurationModel>,
     /// Work that was turned away, by when; a caller's first try only.
     pub(super) refused: VecDeque<(u64, JobId, u64)>,
 }
 
 impl PoolScheduler {
-    /// Learns how long a task took.
+    /// Learns how long a task took; its job's objective may change with that.
     pub(super) fn learn_duration(&mut self, task: TaskId, took_ms: u64) {
         let Some(job) = self.jobs.get(&task.step.job) else {
             return;
         };
-        if job.step(task.step.step).long_running {
+        let step = job.step(task.step.step);
+        if step.long_running {
             return;
         }
-        let learned = self
-            .estimate
-            .duration_of_queue
-            .entry(job.record.queue.clone())
-            .or_insert(took_ms << LEARNING_SHIFT);
-        *learned = *learned - (*learned >> LEARNING_SHIFT) + took_ms;
-    }
-
-    /// Expected duration of a task with a caller's estimate.
-    pub(super) fn expected_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
-        let Some(learned) = self.estimate.duration_of_queue.get(queue) else {
-            return estimate_ms;
-        };
-        let learned_ms = learned >> LEARNING_SHIFT;
-        (estimate_ms * ESTIMATE_WEIGHT_PERMILLE + learned_ms * (1000 - ESTIMATE_WEIGHT_PERMILLE))
-            / 1000
-    }
-
-    /// Expected time of a job's longest chain.
-    fn expected_chain_ms(&self, queue: &str, spec: &JobSpec) -> u64 {
-        let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
-        for step in &spec.steps {
-            let start = step
-                .after
-                .iter()
-                .map(|&after| ends[usize::from(after)])
-                .max();
-            ends.push(start.unwrap_or(0) + self.expected_ms(queue, step.estimate_ms));
+        let models = &mut self.estimate.duration_of_queue;
+        let model = models.entry(job.record.queue.clone()).or_default();
+        model.learn(step.estimate_ms, took_ms);
+        let place = usize::from(task.step.step);
+        if job.objective.is_news(place, took_ms) {
+            self.measure_step(task.step.job, place, took_ms);
         }
-        ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Time from the start of each step to the end of the job, if all goes
-    /// well.
-    pub(super) fn hopeful_chains_ms(&self, entry: &JobEntry) -> Vec<u64> {
-        let steps = &entry.spec.steps;
-        let mut chains = vec![0; steps.len()];
-        for (place, step) in steps.iter().enumerate().rev() {
-            let own_ms = self.expected_ms(&entry.record.queue, step.estimate_ms);
-            chains[place] += own_ms * HOPEFUL_PERCENT / 100;
-            for &earlier in &step.after {
-                let earlier = usize::from(earlier);
-                chains[earlier] = chains[earlier].max(chains[place]);
+    /// Sets a job's objective again, and with it the order of what waits.
+    fn measure_step(&mut self, id: JobId, step: usize, took_ms: u64) {
+        let waiting = self.take_ready(id);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.objective.measured(&job.spec, step, took_ms);
+        }
+        for (step, indexes) in waiting {
+            if let Some(key) = self.ready_key(step) {
+                self.ready.insert(key, indexes);
             }
         }
-        chains
     }
 
-    /// Time within which a job is of full use to its caller.
-    pub(super) fn objective_ms(&self, entry: &JobEntry) -> u64 {
-        let rules = self.rules_of(entry);
-        let chain_ms = self.expected_chain_ms(&entry.record.queue, &entry.spec);
-        chain_ms * rules.stretch_permille / 1000 + rules.objective_ms
+    /// Expected duration of a task with a caller's estimate.
+    pub(super) fn expected_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
+        let model = self.estimate.duration_of_queue.get(queue);
+        model.map_or(estimate_ms, |model| model.expected_ms(estimate_ms))
+    }
+
+    /// The objective of a job that was first handed in at a time.
+    pub(super) fn objective(&self, record: &JobRecord, spec: &JobSpec, first_ms: u64) -> Objective {
+        let steps = spec.steps.iter();
+        let steps = steps.map(|step| self.expected_ms(&record.queue, step.estimate_ms));
+        Objective::new(first_ms, &self.rules_of(record), spec, steps.collect())
     }
 
     /// Whether to turn a job away, and when its caller may ask again.
@@ -135,13 +108,10 @@
             // Machines are on their way to a pool that has none.
             load.capacity_millicores = LEAST_CAPACITY_MILLICORES;
         }
-        let rules = self.queues.get(&record.queue)?;
-        let chain_ms = self.expected_chain_ms(&record.queue, spec);
-        let objective_ms = chain_ms * rules.stretch_permille / 1000 + rules.objective_ms;
-        let gone_ms = self
-            .first_refused_ms(id)
-            .map_or(0, |at_ms| now.steady_ms - at_ms);
-        let slack_ms = objective_ms.saturating_sub(chain_ms + gone_ms);
+        let first_ms = self.first_refused_ms(id).unwrap_or(now.steady_ms);
+        let objective = self.objective(record, spec, first_ms);
+        let gone_ms = now.steady_ms - first_ms;
+        let slack_ms = objective.slack_ms(spec).saturating_sub(gone_ms);
         let wait_ms = load.wait_ms();
         let allowed_ms = slack_ms * ADMITTED_WAIT_PERCENT / 100;
         // A caller that comes back too late for its objective only gets room
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -205,7 +205,7 @@
                     took_ms: job
                         .final_unix_ms
                         .saturating_sub(job.record.accepted_unix_ms),
-                    late_ms: job.final_steady_ms.saturating_sub(job.due_ms),
+                    late_ms: job.final_steady_ms.saturating_sub(job.objective.due_ms()),
                 });
             }
         }
--- a/crates/cornelpoint/src/scheduler/ends.rs
+++ b/crates/cornelpoint/src/scheduler/ends.rs
@@ -125,7 +125,7 @@
         let Some(job) = self.jobs.get(&id.step.job) else {
             return;
         };
-        let max_attempts = self.rules_of(job).max_attempts.max(1);
+        let max_attempts = self.rules_of(&job.record).max_attempts.max(1);
         let long_running = job.step(id.step.step).long_running;
         let gang = job.step(id.step.step).gang;
         let Some(job) = self.jobs.get_mut(&id.step.job) else {
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -108,7 +108,9 @@
     ) {
         let status = progress.map_or(JobStatus::Pending, |progress| progress.status);
         let age_ms = now.unix_ms.saturating_sub(record.accepted_unix_ms);
-        let mut entry = JobEntry {
+        let first_ms = self.first_refused_ms(id).unwrap_or(now.steady_ms);
+        let objective = self.objective(&record, &spec, first_ms.saturating_sub(age_ms));
+        let entry = JobEntry {
             record,
             spec,
             status,
@@ -116,16 +118,11 @@
             final_steady_ms: now.steady_ms,
             stored_status: progress.map(|progress| progress.status),
             inherited: progress.is_some(),
-            due_ms: 0,
-            chain_from_ms: Vec::new(),
+            objective,
             occurrences: BTreeMap::new(),
             occurrences_done: 0,
             next_occurrence: 0,
         };
-        let allowed_ms = self.objective_ms(&entry);
-        entry.chain_from_ms = self.hopeful_chains_ms(&entry);
-        let first_ms = self.first_refused_ms(id).unwrap_or(now.steady_ms);
-        entry.due_ms = (first_ms + allowed_ms).saturating_sub(age_ms);
         if status.is_final() {
             self.recently_final.push((now.steady_ms, id));
         }
--- a/crates/cornelpoint/src/scheduler/job_entry.rs
+++ b/crates/cornelpoint/src/scheduler/job_entry.rs
@@ -8,6 +8,7 @@
 use crate::job::TaskId;
 use crate::job::TaskProgress;
 
+use super::objective::Objective;
 use super::task_entry::TaskEntry;
 
 /// A job in memory.
@@ -22,10 +23,8 @@
     pub(super) stored_status: Option<JobStatus>,
     /// Whether a predecessor may have started tasks of it.
     pub(super) inherited: bool,
-    /// When it has to be done to be of full use, by the steady clock.
-    pub(super) due_ms: u64,
-    /// Expected time from the start of each step to the end of the job.
-    pub(super) chain_from_ms: Vec<u64>,
+    /// By when it has to be done to be of full use.
+    pub(super) objective: Objective,
     pub(super) occurrences: BTreeMap<u32, Vec<StepEntry>>,
     pub(super) occurrences_done: u32,
     pub(super) next_occurrence: u32,
@@ -44,10 +43,23 @@
         &self.spec.steps[usize::from(step)]
     }
 
-    /// When a step has to start for the job to be in time.
-    pub(super) fn latest_start_ms(&self, step: u16) -> u64 {
-        let chain_ms = self.chain_from_ms.get(usize::from(step));
-        self.due_ms.saturating_sub(chain_ms.copied().unwrap_or(0))
+    /// When an occurrence has to be done, by the steady clock.
+    pub(super) fn due_ms(&self, occurrence: u32) -> u64 {
+        self.objective.due_ms() + self.occurrence_offset_ms(occurrence)
+    }
+
+    /// When a step has to start for its occurrence to be in time.
+    pub(super) fn latest_start_ms(&self, occurrence: u32, step: usize) -> u64 {
+        self.objective.latest_start_ms(step) + self.occurrence_offset_ms(occurrence)
+    }
+
+    /// Time from the job's hand-in to when an occurrence is due to start.
+    fn occurrence_offset_ms(&self, occurrence: u32) -> u64 {
+        let schedule = self.spec.schedule.as_ref();
+        schedule.map_or(0, |schedule| {
+            let start_ms = schedule.due_unix_ms(occurrence);
+            start_ms.saturating_sub(self.record.accepted_unix_ms)
+        })
     }
 
     /// Whether the job can't meet its objective any more: it is over, or what
@@ -56,19 +68,17 @@
         if self.spec.schedule.is_some() || self.spec.is_long_running() {
             return false;
         }
-        let mut steps = self
-            .occurrences
-            .values()
-            .flat_map(|steps| steps.iter().enumerate());
-        let waits_too_long = steps.any(|(place, step)| {
-            let waits = step.open
-                && step
-                    .tasks
-                    .iter()
-                    .any(|task| !task.done && task.runs.is_empty());
-            waits && u16::try_from(place).is_ok_and(|place| self.latest_start_ms(place) < now_ms)
+        let mut steps = self.occurrences.iter().flat_map(|(&occurrence, steps)| {
+            let places = steps.iter().enumerate();
+            places.map(move |(place, step)| (occurrence, place, step))
+        });
+        let waits_too_long = steps.any(|(occurrence, place, step)| {
+            let mut tasks = step.tasks.iter();
+            step.open
+                && self.latest_start_ms(occurrence, place) < now_ms
+                && tasks.any(|task| !task.done && task.runs.is_empty())
         });
-        self.due_ms < now_ms || waits_too_long
+        self.objective.due_ms() < now_ms || waits_too_long
     }
 
     pub(super) fn task(&self, task: TaskId) -> Option<&TaskEntry> {
--- a/crates/cornelpoint/src/scheduler/load.rs
+++ b/crates/cornelpoint/src/scheduler/load.rs
@@ -28,46 +28,46 @@
             .saturating_sub(self.lasting_millicores);
         self.backlog_core_ms * 1000 / free.max(1)
     }
-}
-
-impl PoolScheduler {
-    /// The pool's load now.
-    #[must_use]
-    pub fn load(&self, now: Instant) -> Load {
-        let mut load = Load::default();
-        for worker in self.lives.values() {
-            if Self::is_usable(worker, now) {
-                load.capacity_millicores += worker.entry.capacity.cpu_millicores;
-            }
-        }
-        for job in self.jobs.values().filter(|job| !job.status.is_final()) {
-            self.add_work(job, &mut load, now);
-        }
-        load
-    }
 
-    fn add_work(&self, job: &JobEntry, load: &mut Load, now: Instant) {
+    /// Adds a job that is not final.
+    fn add(&mut self, job: &JobEntry, now: Instant) {
         let mut work = 0;
         for steps in job.occurrences.values() {
-            for (entry, step) in steps.iter().zip(&job.spec.steps) {
+            for (place, (entry, step)) in steps.iter().zip(&job.spec.steps).enumerate() {
                 if step.fills {
                     continue;
                 }
                 let cpu = u64::from(entry.remaining) * step.resources.cpu_millicores;
                 if step.long_running {
-                    load.lasting_millicores += cpu;
+                    self.lasting_millicores += cpu;
                 } else {
-                    let each_ms = self.expected_ms(&job.record.queue, step.estimate_ms);
-                    work += cpu * each_ms / 1000;
+                    work += cpu * job.objective.step_ms(place) / 1000;
                 }
             }
         }
         if job.is_too_late(now.steady_ms) {
-            load.late_core_ms += work;
+            self.late_core_ms += work;
         } else {
-            load.backlog_core_ms += work;
+            self.backlog_core_ms += work;
         }
     }
+}
+
+impl PoolScheduler {
+    /// The pool's load now.
+    #[must_use]
+    pub fn load(&self, now: Instant) -> Load {
+        let mut load = Load::default();
+        for worker in self.lives.values() {
+            if Self::is_usable(worker, now) {
+                load.capacity_millicores += worker.entry.capacity.cpu_millicores;
+            }
+        }
+        for job in self.jobs.values().filter(|job| !job.status.is_final()) {
+            load.add(job, now);
+        }
+        load
+    }
 
     /// What the owner of the fleet needs to know.
     #[must_use]
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -9,6 +9,7 @@
 mod action;
 mod admission;
 mod batch;
+mod duration_model;
 mod ends;
 mod evacuation;
 mod instant;
@@ -17,6 +18,7 @@
 mod load;
 mod looks;
 mod note;
+mod objective;
 mod orders;
 mod pacing;
 mod placement;
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/objective.rs
@@ -0,0 +1,116 @@
+use crate::job::JobSpec;
+
+use super::pool_scheduler::QueueRules;
+
+/// Share of a step's expected time that it takes if all goes well, in percent:
+/// durations spread by 40% around what is expected.
+const HOPEFUL_PERCENT: u64 = 70;
+/// The same once a task of the step has shown how long it takes.
+const HOPEFUL_MEASURED_PERCENT: u64 = 90;
+/// Most that a measured time counts, against the expected one: a slow worker
+/// makes no job longer.
+const MOST_MEASURED_TIMES: u64 = 3;
+
+/// By when a job has to be done to be of full use, by what is known of its
+/// steps' durations.
+///
+/// The objective grows with the work that a job turns out to be, so it is set
+/// again when the first task of a step is done.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Objective {
+    /// When the caller first handed the job in, by the steady clock.
+    first_ms: u64,
+    stretch_permille: u64,
+    slack_ms: u64,
+    /// Expected time of each step's tasks, and whether it has been measured.
+    steps: Vec<(u64, bool)>,
+    due_ms: u64,
+    /// Time from the start of each step to the end of the job, if all goes
+    /// well.
+    hopeful_ms: Vec<u64>,
+}
+
+impl Objective {
+    /// The objective of a job that was first handed in at a time.
+    pub(super) fn new(first_ms: u64, rules: &QueueRules, spec: &JobSpec, steps: Vec<u64>) -> Self {
+        let mut objective = Self {
+            first_ms,
+            stretch_permille: rules.stretch_permille,
+            slack_ms: rules.objective_ms,
+            steps: steps.into_iter().map(|time_ms| (time_ms, false)).collect(),
+            due_ms: 0,
+            hopeful_ms: Vec::new(),
+        };
+        objective.settle(spec);
+        objective
+    }
+
+    /// When the job has to be done, by the steady clock.
+    pub(super) fn due_ms(&self) -> u64 {
+        self.due_ms
+    }
+
+    /// When a step has to start for the job to be in time.
+    pub(super) fn latest_start_ms(&self, step: usize) -> u64 {
+        let hopeful_ms = self.hopeful_ms.get(step).copied().unwrap_or(0);
+        self.due_ms.saturating_sub(hopeful_ms)
+    }
+
+    /// Expected time of a step's tasks.
+    pub(super) fn step_ms(&self, step: usize) -> u64 {
+        self.steps.get(step).map_or(0, |(time_ms, _)| *time_ms)
+    }
+
+    /// Whether a task that took a time tells more of its step than is known.
+    pub(super) fn is_news(&self, step: usize, took_ms: u64) -> bool {
+        self.steps
+            .get(step)
+            .is_some_and(|&(time_ms, measured)| !measured || took_ms > time_ms + time_ms / 8)
+    }
+
+    /// Takes the time of a task that is done.
+    pub(super) fn measured(&mut self, spec: &JobSpec, step: usize, took_ms: u64) {
+        if let Some((time_ms, measured)) = self.steps.get_mut(step) {
+            *time_ms = took_ms.min(*time_ms * MOST_MEASURED_TIMES).max(1);
+            *measured = true;
+        }
+        self.settle(spec);
+    }
+
+    /// Expected time of the longest chain.
+    fn chain_ms(&self, spec: &JobSpec) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
+        for (place, step) in spec.steps.iter().enumerate() {
+            let earlier = step.after.iter();
+            let start = earlier.map(|&after| ends[usize::from(after)]).max();
+            ends.push(start.unwrap_or(0) + self.step_ms(place));
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    fn settle(&mut self, spec: &JobSpec) {
+        let allowed_ms = self.chain_ms(spec) * self.stretch_permille / 1000 + self.slack_ms;
+        self.due_ms = self.first_ms + allowed_ms;
+        let mut hopeful_ms = vec![0; spec.steps.len()];
+        for (place, step) in spec.steps.iter().enumerate().rev() {
+            let (time_ms, measured) = self.steps.get(place).copied().unwrap_or_default();
+            let percent = if measured {
+                HOPEFUL_MEASURED_PERCENT
+            } else {
+                HOPEFUL_PERCENT
+            };
+            hopeful_ms[place] += time_ms * percent / 100;
+            for &earlier in &step.after {
+                let earlier = usize::from(earlier);
+                hopeful_ms[earlier] = hopeful_ms[earlier].max(hopeful_ms[place]);
+            }
+        }
+        self.hopeful_ms = hopeful_ms;
+    }
+
+    /// Time that the job has beyond its own longest chain.
+    pub(super) fn slack_ms(&self, spec: &JobSpec) -> u64 {
+        let allowed_ms = self.due_ms - self.first_ms;
+        allowed_ms.saturating_sub(self.chain_ms(spec))
+    }
+}
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -78,14 +78,14 @@
         }
     }
 
-    fn ready_key(&self, step: StepId) -> Option<ReadyKey> {
+    pub(super) fn ready_key(&self, step: StepId) -> Option<ReadyKey> {
         let job = self.jobs.get(&step.job)?;
         let long_running = job.step(step.step).long_running;
         Some(ReadyKey {
             is_batch: !long_running,
             priority: job.record.priority,
-            due_ms: job.due_ms,
-            latest_start_ms: job.latest_start_ms(step.step),
+            due_ms: job.due_ms(step.occurrence),
+            latest_start_ms: job.latest_start_ms(step.occurrence, usize::from(step.step)),
             step,
         })
     }
@@ -124,6 +124,23 @@
         }
     }
 
+    /// Takes a job's tasks out of those that wait, and returns them.
+    pub(super) fn take_ready(&mut self, id: JobId) -> Vec<(StepId, BTreeSet<u32>)> {
+        let Some(job) = self.jobs.get(&id) else {
+            return Vec::new();
+        };
+        let steps = job.occurrences.iter().flat_map(|(&occurrence, steps)| {
+            (0..steps.len()).map(move |place| task_id(id, occurrence, place, 0).step)
+        });
+        let steps: Vec<StepId> = steps.collect();
+        let keys = steps.into_iter().filter_map(|step| self.ready_key(step));
+        let keys: Vec<ReadyKey> = keys.collect();
+        let taken = keys
+            .into_iter()
+            .filter_map(|key| Some((key.step, self.ready.remove(&key)?)));
+        taken.collect()
+    }
+
     /// Takes all tasks of a job out of those that wait.
     pub(super) fn drop_ready(&mut self, id: JobId) {
         self.ready.retain(|key, _| key.step.job != id);
@@ -163,7 +180,7 @@
             return true;
         }
         let step = job.step(key.step.step).clone();
-        let needs_ticket = self.rules_of(job).advice.is_some();
+        let needs_ticket = self.rules_of(&job.record).advice.is_some();
         if needs_ticket && !self.has_tickets(key.step, now) {
             return false;
         }
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -5,6 +5,7 @@
 use crate::catalog::Advice;
 use crate::catalog::Queue;
 use crate::job::JobId;
+use crate::job::JobRecord;
 use crate::job::JobStatus;
 use crate::job::StepId;
 use crate::job::TaskId;
@@ -251,17 +252,14 @@
         last_run.max(base) + 1
     }
 
-    pub(super) fn rules_of(&self, entry: &JobEntry) -> QueueRules {
+    pub(super) fn rules_of(&self, record: &JobRecord) -> QueueRules {
         let stored = QueueRules {
-            priority: entry.record.priority,
-            max_attempts: entry.record.max_attempts,
+            priority: record.priority,
+            max_attempts: record.max_attempts,
             stretch_permille: 1000,
             objective_ms: 0,
             advice: None,
         };
-        self.queues
-            .get(&entry.record.queue)
-            .copied()
-            .unwrap_or(stored)
+        self.queues.get(&record.queue).copied().unwrap_or(stored)
     }
 }
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -5,6 +5,7 @@
 mod fake_store;
 mod fake_worker;
 mod kinds_of_steps;
+mod objectives;
 mod random_schedules;
 mod support;
 mod world;
