Let strong instances own pools before weak ones

Change: heartbeats tell each instance's processor; shards go to the candidate whose processor one more would use least. Its test failed first (it did not compile; with equal processors it fails).

--- a/crates/cornelpoint-manager/src/message/heartbeat.rs
+++ b/crates/cornelpoint-manager/src/message/heartbeat.rs
@@ -18,6 +18,8 @@
     pub(crate) leaving: bool,
     /// Whether the store answers it.
     pub(crate) has_store: bool,
+    /// Processor of its instance, in thousandths of a core.
+    pub(crate) millicores: u64,
     /// Pools that it owns.
     pub(crate) pools: BTreeMap<String, OwnedPool>,
     /// Machines that the owner of the fleet wants emptied.
--- a/crates/cornelpoint-manager/src/node/heartbeats.rs
+++ b/crates/cornelpoint-manager/src/node/heartbeats.rs
@@ -79,6 +79,7 @@
             address: self.address.clone(),
             leaving: self.leaving.get(),
             has_store: self.store.is_there(),
+            millicores: self.settings.millicores,
             pools,
             to_vacate: self.fleet.borrow().as_ref().map(|fleet| fleet.to_vacate()),
         }
@@ -106,6 +107,7 @@
             started_unix_ms: heartbeat.started_unix_ms,
             leaving: heartbeat.leaving,
             has_store: heartbeat.has_store,
+            millicores: heartbeat.millicores,
         };
         self.planner
             .borrow_mut()
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -84,12 +84,13 @@
     pub(crate) async fn run(settings: NodeSettings, log: &RootLog) -> io::Result<()> {
         let now = clock::now();
         let address = format!("{}:{}", settings.ip, settings.internal_ports.0);
-        let planner = OwnershipPlanner::new(
+        let mut planner = OwnershipPlanner::new(
             &settings.node,
             now.unix_ms,
             now.steady_ms,
             OwnershipSettings::default(),
         );
+        planner.set_millicores(settings.millicores);
         let metrics = Rc::new(ProcessMetrics::new());
         let store_log = log.part(Part::Platform);
         let store = StoreClient::new(&settings.store_address, Rc::clone(&metrics), store_log);
--- a/crates/cornelpoint/src/ownership/planner.rs
+++ b/crates/cornelpoint/src/ownership/planner.rs
@@ -5,6 +5,11 @@
 use super::owner_row::OwnerRow;
 use super::settings::OwnershipSettings;
 
+/// Processor of an instance that does not say, in thousandths of a core.
+const DEFAULT_MILLICORES: u64 = 1000;
+/// Keeps fractions apart when use is compared in whole numbers.
+const USE_SCALE: u64 = 1_000_000;
+
 /// A process of the system, as last heard.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -16,6 +21,8 @@
     pub leaving: bool,
     /// Whether the store answers it.
     pub has_store: bool,
+    /// Processor of its instance, in thousandths of a core.
+    pub millicores: u64,
 }
 
 /// A claim to be made in the store.
@@ -57,6 +64,7 @@
     node: String,
     started_unix_ms: u64,
     started_ms: u64,
+    millicores: u64,
     settings: OwnershipSettings,
     peers: BTreeMap<String, PeerState>,
     shards: BTreeMap<String, ShardState>,
@@ -80,12 +88,19 @@
             node: node.to_owned(),
             started_unix_ms,
             started_ms: now_ms,
+            millicores: DEFAULT_MILLICORES,
             settings,
             peers: BTreeMap::new(),
             shards: BTreeMap::new(),
         }
     }
 
+    /// Sets the processor of this instance, in thousandths of a core. Strong
+    /// instances own more shards than weak ones.
+    pub fn set_millicores(&mut self, millicores: u64) {
+        self.millicores = millicores;
+    }
+
     /// Names a shard that must have an owner.
     pub fn add_shard(&mut self, shard: &str, now_ms: u64) {
         if !self.shards.contains_key(shard) {
@@ -291,7 +306,13 @@
     fn turn_of<'a>(&'a self, shard: &str, owned: &mut BTreeMap<&'a str, u64>) -> u64 {
         let mut candidates: Vec<(u64, u64, &str)> = owned
             .iter()
-            .map(|(&node, &count)| (count, xxh3_64(format!("{shard}/{node}").as_bytes()), node))
+            .map(|(&node, &count)| {
+                (
+                    self.use_with_one_more(node, count),
+                    xxh3_64(format!("{shard}/{node}").as_bytes()),
+                    node,
+                )
+            })
             .collect();
         candidates.sort_unstable();
         if let Some((_, _, first)) = candidates.first()
@@ -305,6 +326,15 @@
         place.unwrap_or(candidates.len()) as u64
     }
 
+    /// How much a candidate's processor would be used with one more shard.
+    fn use_with_one_more(&self, node: &str, count: u64) -> u64 {
+        let millicores = match self.peers.get(node) {
+            Some(state) if node != self.node => state.peer.millicores,
+            _ => self.millicores,
+        };
+        (count + 1) * USE_SCALE / millicores.max(1)
+    }
+
     /// When [`Self::due_claims`] may have more to say by time alone.
     #[must_use]
     pub fn next_claim_ms(&self, now_ms: u64) -> Option<u64> {
--- a/crates/cornelpoint/tests/ownership.rs
+++ b/crates/cornelpoint/tests/ownership.rs
@@ -16,6 +16,7 @@
         started_unix_ms: 5,
         leaving: false,
         has_store,
+        millicores: 1000,
     }
 }
 
@@ -57,6 +58,33 @@
     assert_eq!(claimed.len(), POOLS.len());
 }
 
+/// A surge on the grown futopalya-ops: a pool's owner had an eighth of a core
+/// while instances with half a core owned nothing.
+#[test]
+fn strong_instances_own_pools_before_weak_ones() {
+    let strong = ["a-1", "b-1"];
+    let mut claimed = Vec::new();
+    for node in NODES {
+        let millicores = |node: &str| if strong.contains(&node) { 500 } else { 120 };
+        let mut planner = planner(node);
+        planner.set_millicores(millicores(node));
+        for other in NODES {
+            let peer = Peer {
+                millicores: millicores(other),
+                ..peer(true)
+            };
+            planner.heard(other, peer, 650);
+        }
+        let claims = planner.due_claims(700);
+        claimed.extend(claims.into_iter().map(|claim| (node, claim.shard)));
+    }
+    assert_eq!(claimed.len(), POOLS.len());
+    assert!(
+        claimed.iter().all(|(node, _)| strong.contains(node)),
+        "{claimed:?}"
+    );
+}
+
 #[test]
 fn an_owner_that_is_heard_keeps_its_pool() {
     let mut planner = planner("a-1");
