Ask for machines by the rate of incoming work

Change: the rate of work that callers hand in, over half a second, is what a pool has to keep up with at least; its owner tells it at once while it outgrows the usable workers.

--- a/crates/cornelpoint-manager/src/pool_host/questions.rs
+++ b/crates/cornelpoint-manager/src/pool_host/questions.rs
@@ -43,7 +43,12 @@
         let answer = self.event(|scheduler, now| scheduler.submit(id, record, spec, now));
         match answer {
             SubmitAnswer::Accepted => PoolResponse::Accepted,
-            SubmitAnswer::Storing => self.wait_for_store(id).await,
+            SubmitAnswer::Storing => {
+                if self.scheduler.borrow().is_outgrown(crate::clock::now()) {
+                    self.node.tell_soon();
+                }
+                self.wait_for_store(id).await
+            }
             SubmitAnswer::Refused { retry_after_ms } => {
                 self.node.tell_soon();
                 let load = self.scheduler.borrow().load(crate::clock::now());
--- a/crates/cornelpoint/src/fleet/moves.rs
+++ b/crates/cornelpoint/src/fleet/moves.rs
@@ -35,11 +35,12 @@
     }
 
     /// Processor with which the backlog, and what was turned away, is done in
-    /// a time.
+    /// a time; at least what keeps up with what comes in.
     fn wanted_millicores(&self, within_ms: u64) -> u64 {
         let work = self.backlog_core_ms + self.refused_core_ms;
         let late = self.late_core_ms * 1000 / LATE_WITHIN_MS;
-        self.lasting_millicores + late + work * 1000 / within_ms.max(1)
+        let waiting = work * 1000 / within_ms.max(1);
+        self.lasting_millicores + late + waiting.max(self.offered_millicores)
     }
 }
 
--- a/crates/cornelpoint/src/fleet/pool_report.rs
+++ b/crates/cornelpoint/src/fleet/pool_report.rs
@@ -16,6 +16,9 @@
     /// The same of jobs that can't.
     #[serde(default)]
     pub late_core_ms: u64,
+    /// Processor that the work asks for that callers hand in now.
+    #[serde(default)]
+    pub offered_millicores: u64,
     /// Work that was turned away lately, in core-milliseconds.
     pub refused_core_ms: u64,
     /// Fewest workers on which each step finds its places.
--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -21,6 +21,9 @@
 const LONGEST_RETRY_MS: u64 = 8000;
 /// How long refused work counts as demand.
 pub(super) const REFUSED_COUNTS_MS: u64 = 1500;
+/// Time over which the rate of incoming work is taken: a surge begins at once,
+/// and each tenth of a second counts.
+const OFFERED_WINDOW_MS: u64 = 500;
 /// Refusals that are kept at most.
 const REFUSALS_KEPT: usize = 512;
 /// How long a refusal is kept, so that a caller that comes back is known.
@@ -35,6 +38,8 @@
 pub(super) struct LoadEstimate {
     /// Learned durations of tasks by queue.
     duration_of_queue: HashMap<String, DurationModel>,
+    /// Work that was handed in within the last window, by when.
+    offered: VecDeque<(u64, u64)>,
     /// Work that was turned away, by when; a caller's first try only.
     pub(super) refused: VecDeque<(u64, JobId, u64)>,
 }
@@ -166,6 +171,47 @@
         waiting.sum()
     }
 
+    /// Expected work of a job, in core-milliseconds.
+    fn work_of(&self, record: &JobRecord, spec: &JobSpec) -> u64 {
+        let steps = spec.steps.iter();
+        let short = steps.filter(|step| !step.fills && !step.long_running);
+        let work = short.map(|step| {
+            let cpu = u64::from(step.replicas) * step.resources.cpu_millicores;
+            cpu * self.expected_ms(&record.queue, step.estimate_ms) / 1000
+        });
+        work.sum()
+    }
+
+    /// Notes the work of a job that a caller hands in for the first time.
+    pub(super) fn note_offered(
+        &mut self,
+        id: JobId,
+        record: &JobRecord,
+        spec: &JobSpec,
+        now: Instant,
+    ) {
+        if spec.schedule.is_some() || self.first_refused_ms(id).is_some() {
+            return;
+        }
+        let work = self.work_of(record, spec);
+        let offered = &mut self.estimate.offered;
+        offered.push_back((now.steady_ms, work));
+        while offered
+            .front()
+            .is_some_and(|(at_ms, _)| at_ms + OFFERED_WINDOW_MS <= now.steady_ms)
+        {
+            offered.pop_front();
+        }
+    }
+
+    /// Processor that the work asks for that callers hand in now, in
+    /// thousandths of a core.
+    pub(super) fn offered_millicores(&self, now: Instant) -> u64 {
+        let offered = self.estimate.offered.iter();
+        let recent = offered.filter(|(at_ms, _)| at_ms + OFFERED_WINDOW_MS > now.steady_ms);
+        recent.map(|(_, work)| work).sum::<u64>() * 1000 / OFFERED_WINDOW_MS
+    }
+
     /// Notes work that was turned away: it shows how much more the pool could
     /// use.
     pub(super) fn note_refused(
@@ -175,16 +221,7 @@
         spec: &JobSpec,
         now: Instant,
     ) {
-        let queue = record.queue.as_str();
-        let work = spec
-            .steps
-            .iter()
-            .filter(|step| !step.fills && !step.long_running)
-            .map(|step| {
-                let cpu = u64::from(step.replicas) * step.resources.cpu_millicores;
-                cpu * self.expected_ms(queue, step.estimate_ms) / 1000
-            });
-        let work = work.sum();
+        let work = self.work_of(record, spec);
         let refused = &mut self.estimate.refused;
         if refused.iter().any(|(_, known, _)| *known == id) {
             return;
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -52,6 +52,7 @@
                 None => SubmitAnswer::Storing,
             };
         }
+        self.note_offered(id, &record, &spec, now);
         if let Some(retry_after_ms) = self.refuse(id, &record, &spec, now) {
             self.note_refused(id, &record, &spec, now);
             return SubmitAnswer::Refused { retry_after_ms };
--- a/crates/cornelpoint/src/scheduler/load.rs
+++ b/crates/cornelpoint/src/scheduler/load.rs
@@ -57,18 +57,32 @@
     /// The pool's load now.
     #[must_use]
     pub fn load(&self, now: Instant) -> Load {
-        let mut load = Load::default();
-        for worker in self.lives.values() {
-            if Self::is_usable(worker, now) {
-                load.capacity_millicores += worker.entry.capacity.cpu_millicores;
-            }
-        }
+        let mut load = Load {
+            capacity_millicores: self.usable_millicores(now),
+            ..Load::default()
+        };
         for job in self.jobs.values().filter(|job| !job.status.is_final()) {
             load.add(job, now);
         }
         load
     }
 
+    /// Whether more work comes in than the usable workers could keep up with.
+    #[must_use]
+    pub fn is_outgrown(&self, now: Instant) -> bool {
+        self.offered_millicores(now) > self.usable_millicores(now)
+    }
+
+    fn usable_millicores(&self, now: Instant) -> u64 {
+        let usable = self
+            .lives
+            .values()
+            .filter(|worker| Self::is_usable(worker, now));
+        usable
+            .map(|worker| worker.entry.capacity.cpu_millicores)
+            .sum()
+    }
+
     /// What the owner of the fleet needs to know.
     #[must_use]
     pub fn report(&self, now: Instant) -> PoolReport {
@@ -84,6 +98,7 @@
             lasting_millicores: load.lasting_millicores,
             backlog_core_ms: load.backlog_core_ms,
             late_core_ms: load.late_core_ms,
+            offered_millicores: self.offered_millicores(now),
             refused_core_ms: recent.map(|(_, _, work)| work).sum(),
             least_workers: self.least_workers(),
             workers: u32::try_from(usable.count()).unwrap_or(u32::MAX),
--- a/crates/cornelpoint/tests/fleet.rs
+++ b/crates/cornelpoint/tests/fleet.rs
@@ -136,6 +136,26 @@
     assert_eq!(moved(manager.tick(200)), 0);
 }
 
+/// The first tenths of a second of a surge: hardly anything waits yet.
+#[test]
+fn machines_are_sent_by_the_rate_of_incoming_work() {
+    let mut manager = manager(spare_machines(8));
+    let report = PoolReport {
+        capacity_millicores: 64_000,
+        backlog_core_ms: 10_000,
+        offered_millicores: 256_000,
+        workers: 2,
+        least_workers: 1,
+        ..PoolReport::default()
+    };
+    manager.pool_reported("quoting", &report, 0);
+    let actions = manager.tick(10);
+    let moves = actions
+        .iter()
+        .filter(|action| matches!(action, FleetAction::Move { .. }));
+    assert_eq!(moves.count(), 6);
+}
+
 #[test]
 fn a_refused_fencing_token_ends_all_orders() {
     let mut manager = manager(spare_machines(2));
--- a/crates/cornelpoint/tests/scheduler/objectives.rs
+++ b/crates/cornelpoint/tests/scheduler/objectives.rs
@@ -75,3 +75,16 @@
     submit(&mut scheduler, 99, vec![step(1, 1000)], 40_000);
     assert_eq!(scheduler.report(at(40_000)).backlog_core_ms, 1500);
 }
+
+/// A surge shows in the rate of incoming work long before a backlog has grown.
+#[test]
+fn a_surge_shows_in_the_rate_of_incoming_work() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    for number in 1..=4 {
+        submit(&mut scheduler, number, vec![step(2, 4000)], 100);
+    }
+    // Four jobs of two tasks of half a second on four cores in half a second.
+    assert_eq!(scheduler.report(at(200)).offered_millicores, 32_000);
+    assert!(scheduler.is_outgrown(at(200)));
+    assert_eq!(scheduler.report(at(700)).offered_millicores, 0);
+}
