--- a/crates/cornelpoint/src/slots/borrowed.rs
+++ b/crates/cornelpoint/src/slots/borrowed.rs
@@ -63,6 +63,15 @@
         }
     }
 
+    /// Sets the limits of the endpoints chosen by name and epoch to zero.
+    pub(super) fn clear_limits_where(&mut self, chosen: impl Fn(&InstanceId, u64) -> bool) {
+        for (endpoint, borrowed) in &mut self.endpoints {
+            if chosen(endpoint, borrowed.epoch) {
+                borrowed.limit = 0;
+            }
+        }
+    }
+
     /// Gives up unused slots, from the endpoint with the most first.
     pub(super) fn give_up(&mut self, count: u32) {
         for _ in 0..count {
@@ -164,8 +173,4 @@
             })
             .collect()
     }
-
-    pub(super) fn iter(&self) -> impl Iterator<Item = (&InstanceId, &Borrowed)> {
-        self.endpoints.iter()
-    }
 }
--- a/crates/cornelpoint/src/slots/borrower.rs
+++ b/crates/cornelpoint/src/slots/borrower.rs
@@ -323,15 +323,9 @@
     }
 
     fn drop_leaving(&mut self) {
-        let leaving: Vec<InstanceId> = self
-            .slots
-            .iter()
-            .filter(|(endpoint, borrowed)| !self.known.accepts_work(endpoint, borrowed.epoch))
-            .map(|(endpoint, _)| endpoint.clone())
-            .collect();
-        for endpoint in &leaving {
-            self.slots.clear_limit(endpoint);
-        }
+        let known = &self.known;
+        self.slots
+            .clear_limits_where(|endpoint, epoch| !known.accepts_work(endpoint, epoch));
     }
 
     fn give_back_idle(&mut self, now_ms: u64) {
