Test that a job that starts too late goes behind one in time

Measured: with the old rule (late once past its objective) the test fails, with the new one it passes.

--- a/crates/cornelpoint/tests/scheduler/objectives.rs
+++ b/crates/cornelpoint/tests/scheduler/objectives.rs
@@ -88,3 +88,19 @@
     assert!(scheduler.is_outgrown(at(200)));
     assert_eq!(scheduler.report(at(700)).offered_millicores, 0);
 }
+
+/// A backlog of late jobs must not take the room of those that can be in time.
+#[test]
+fn a_job_that_starts_too_late_goes_behind_one_in_time() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    submit(&mut scheduler, 1, vec![step(1, 4000)], 50);
+    let first = starts(&mut scheduler, 60);
+    assert_eq!(first.len(), 1);
+    // Due at 1.5 s, so it had to start by 1.15 s even if all goes well.
+    submit(&mut scheduler, 2, vec![step(1, 4000)], 100);
+    submit(&mut scheduler, 3, vec![step(1, 4000)], 1200);
+    end(&mut scheduler, &first[0].1, 1, 1300);
+    let started = starts(&mut scheduler, 1300);
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].1, "0000000000000003.0.0.0");
+}
