--- a/crates/cornelpoint-manager/src/edge/callers.rs
+++ b/crates/cornelpoint-manager/src/edge/callers.rs
@@ -9,10 +9,12 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::HOST;
+use slog::info;
 
 use super::jobs;
 use super::peers::request_owner;
 use crate::clock;
+use crate::http::CallError;
 use crate::http::Reply;
 use crate::http::read_body;
 use crate::http::reply;
@@ -29,6 +31,20 @@
 /// `Retry-After` while no configuration has been read yet.
 const NO_CATALOG_RETRY_S: u64 = 1;
 
+/// An answer to a request for a waiting count, and what it is based on.
+struct WaitingCount {
+    /// `None` if no current count is available.
+    count: Option<usize>,
+    source: &'static str,
+    /// Fencing token of the owner that counted or was asked.
+    fencing_token: Option<u64>,
+    /// Time since the heartbeat with the count was received, or since the owner
+    /// was asked.
+    age_ms: Option<u64>,
+    /// Why the owner returned no count.
+    error: &'static str,
+}
+
 /// Reports to the load balancer whether this process accepts connections.
 pub(crate) async fn handle_balancer(node: Rc<Node>, request: Request<Incoming>) -> Reply {
     if request.uri().path() != callers::READY_PATH {
@@ -112,27 +128,65 @@
 }
 
 async fn waiting_count(node: &Rc<Node>, queue: &Queue) -> Reply {
-    let now_ms = clock::now().steady_ms;
-    let reported = {
-        let all = node.pool_statuses.borrow();
-        let status = all.get(&queue.pool);
-        let fresh = status.filter(|status| status.received_ms + MAX_COUNT_AGE_MS > now_ms);
-        fresh.and_then(|status| status.waiting.get(&queue.name).copied())
-    };
-    let count = match node.host(&queue.pool) {
-        None if reported.is_some() => reported,
-        _ => {
-            let request = PoolRequest::Waiting {
-                queue: queue.name.clone(),
-            };
-            match request_owner(node, &queue.pool, request, COUNT_TIMEOUT).await {
-                Ok(PoolResponse::Waiting(count)) => Some(count),
-                _ => None,
-            }
-        }
+    let reported = reported_count(node, queue);
+    let answer = match (node.host(&queue.pool), reported) {
+        (None, Some(reported)) => reported,
+        _ => owner_count(node, queue).await,
     };
-    match count {
+    let answered = match answer.count {
         Some(count) => reply(200, callers::waiting_body(count)),
         None => rejection(503, 1),
+    };
+    node.metrics.record_waiting_count(answer.source);
+    info!(node.edge_log, "Waiting count answered."; "queue" => &queue.name,
+        "pool" => &queue.pool, "count" => answer.count, "source" => answer.source,
+        "fencing_token" => answer.fencing_token, "age_ms" => answer.age_ms,
+        "error" => answer.error, "status" => answered.status().as_u16());
+    answered
+}
+
+/// Returns the count in the owner's last heartbeat if it is recent enough.
+fn reported_count(node: &Node, queue: &Queue) -> Option<WaitingCount> {
+    let now_ms = clock::now().steady_ms;
+    let all = node.pool_statuses.borrow();
+    let status = all.get(&queue.pool);
+    let fresh = status.filter(|status| status.received_ms + MAX_COUNT_AGE_MS > now_ms)?;
+    let count = fresh.waiting.get(&queue.name).copied()?;
+    Some(WaitingCount {
+        count: Some(count),
+        source: "heartbeat",
+        fencing_token: Some(fresh.fencing_token),
+        age_ms: Some(now_ms.saturating_sub(fresh.received_ms)),
+        error: "",
+    })
+}
+
+/// Requests the count from the owner, in this process or another one.
+async fn owner_count(node: &Rc<Node>, queue: &Queue) -> WaitingCount {
+    let requested_ms = clock::now().steady_ms;
+    let fencing_token = {
+        let planner = node.planner.borrow();
+        planner.owner(&queue.pool).map(|(row, _)| row.fencing_token)
+    };
+    let request = PoolRequest::Waiting {
+        queue: queue.name.clone(),
+    };
+    let (count, error) = match request_owner(node, &queue.pool, request, COUNT_TIMEOUT).await {
+        Ok(PoolResponse::Waiting(count)) => (Some(count), ""),
+        Ok(_) => (None, "unexpected response"),
+        Err(CallError::NotSent) => (None, "request not sent"),
+        Err(CallError::NoAnswer) => (None, "no response"),
+    };
+    let age_ms = clock::now().steady_ms.saturating_sub(requested_ms);
+    WaitingCount {
+        count,
+        source: if count.is_some() {
+            "owner"
+        } else {
+            "unavailable"
+        },
+        fencing_token,
+        age_ms: count.map(|_| age_ms),
+        error,
     }
 }
--- a/crates/cornelpoint-manager/src/metrics/process_metrics.rs
+++ b/crates/cornelpoint-manager/src/metrics/process_metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::registry::Registry;
 
 use super::labels::Outcome;
+use super::labels::Source;
 
 /// Upper bound of the first histogram bucket, in seconds.
 const MIN_BUCKET_S: f64 = 0.002;
@@ -30,6 +31,7 @@
     pub(crate) machine_orders: Family<Outcome, Counter>,
     /// Shards claimed by this process.
     pub(crate) takeovers: Counter,
+    waiting_counts: Family<Source, Counter>,
     submission_seconds: Histogram,
     store_seconds: Histogram,
 }
@@ -43,6 +45,7 @@
         let store_calls = Family::default();
         let machine_orders = Family::default();
         let takeovers = Counter::default();
+        let waiting_counts = Family::default();
         let buckets = || exponential_buckets(MIN_BUCKET_S, 2.0, BUCKET_COUNT);
         let submission_seconds = Histogram::new(buckets());
         let store_seconds = Histogram::new(buckets());
@@ -53,6 +56,8 @@
         let orders = machine_orders.clone();
         registry.register("machine_orders", "Orders for machines", orders);
         registry.register("takeovers", "Shards taken over", takeovers.clone());
+        let counts = waiting_counts.clone();
+        registry.register("waiting_counts", "Answers to count requests", counts);
         let submission = submission_seconds.clone();
         registry.register("hand_in_seconds", "Time to answer a hand-in", submission);
         let store = store_seconds.clone();
@@ -65,6 +70,7 @@
             store_calls,
             machine_orders,
             takeovers,
+            waiting_counts,
             submission_seconds,
             store_seconds,
         }
@@ -75,6 +81,12 @@
         family.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Adds one to the answers to requests for a waiting count, by the source of
+    /// the count.
+    pub(crate) fn record_waiting_count(&self, source: &'static str) {
+        self.waiting_counts.get_or_create(&Source { source }).inc();
+    }
+
     /// Records the time taken to answer a submission.
     pub(crate) fn observe_submission(&self, took: Duration) {
         self.submission_seconds.observe(took.as_secs_f64());
