Log why a due takeover is not carried out

Failed calls to the store are labelled by kind, a 429 as throttled and a 503 as refused, in the line and in store_calls; reads and long polls get the same labels as transactions instead of "reading failed" and "feed failed", and the line names the kind of call. Which calls count as failures stays as it was.

--- a/crates/cornelpoint-manager/src/http/mod.rs
+++ b/crates/cornelpoint-manager/src/http/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) use self::call_error::CallError;
 pub(crate) use self::endpoint::HttpEndpoint;
+pub(crate) use self::endpoint::Response;
 pub(crate) use self::server::Reply;
 pub(crate) use self::server::ServerControl;
 pub(crate) use self::server::listen;
--- a/crates/cornelpoint-manager/src/node/cluster.rs
+++ b/crates/cornelpoint-manager/src/node/cluster.rs
@@ -16,6 +16,7 @@
 use tokio::task::spawn_local;
 
 use super::state::Node;
+use super::state::SkippedChecks;
 use crate::clock;
 use crate::fleet_host::FLEET_SHARD;
 use crate::fleet_host::FleetHost;
@@ -40,6 +41,9 @@
 const LEASE_MARGIN_MS: u64 = 350;
 /// Longest time between two checks for shards to claim.
 const MAX_CLAIM_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time between two lines on skipped heartbeat checks of a shard. The
+/// claim loop is woken at once after each check.
+const SKIPPED_CHECKS_INTERVAL_MS: u64 = 500;
 
 /// A process as registered in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -238,6 +242,7 @@
         {
             // After a store outage, allow owners a full timeout to write a new
             // heartbeat.
+            self.log_skipped_check(shard, available_since_ms, false);
             return false;
         }
         let Some(row) = self
@@ -245,6 +250,7 @@
             .read_row(STORE_HEARTBEAT_TABLE, shard, STORE_HEARTBEAT_KEY)
             .await
         else {
+            self.log_skipped_check(shard, available_since_ms, true);
             return false;
         };
         let heartbeat_ms: u64 = row
@@ -261,6 +267,37 @@
         stale
     }
 
+    /// Logs that an unresponsive owner keeps its shard because its store heartbeat
+    /// could not be checked.
+    fn log_skipped_check(&self, shard: &str, available_since_ms: u64, read_failed: bool) {
+        let now_ms = clock::now().steady_ms;
+        let mut all = self.skipped_checks.borrow_mut();
+        let skipped = all.entry(shard.to_owned()).or_default();
+        skipped.count += 1;
+        skipped.failed_reads += u64::from(read_failed);
+        if now_ms < skipped.logged_ms + SKIPPED_CHECKS_INTERVAL_MS {
+            return;
+        }
+        let failing = available_since_ms == u64::MAX;
+        let failed_before = !failing && available_since_ms > 0;
+        let available_for_ms = failed_before.then(|| now_ms.saturating_sub(available_since_ms));
+        let error = if read_failed || failing {
+            self.store.last_failure()
+        } else {
+            ""
+        };
+        info!(self.main_log, "Store heartbeat not checked."; "shard" => shard,
+            "store_failing" => failing,
+            "store_available_for_ms" => available_for_ms,
+            "required_ms" => OwnershipSettings::default().store_heartbeat_timeout_ms,
+            "read_failed" => read_failed, "error" => error, "checks" => skipped.count,
+            "failed_reads" => skipped.failed_reads, "taking_over" => false);
+        *skipped = SkippedChecks {
+            logged_ms: now_ms,
+            ..SkippedChecks::default()
+        };
+    }
+
     async fn take_over(self: &Rc<Self>, claim: &Claim) {
         let predecessor = {
             let planner = self.planner.borrow();
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -49,6 +49,15 @@
     pub(crate) report: PoolReport,
 }
 
+/// Checks of an owner's store heartbeat that were not made, since the last line
+/// that told of them.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct SkippedChecks {
+    pub(super) logged_ms: u64,
+    pub(super) count: u64,
+    pub(super) failed_reads: u64,
+}
+
 /// State shared by the tasks of a manager process.
 pub(crate) struct Node {
     pub(crate) settings: NodeSettings,
@@ -66,6 +75,7 @@
     pub(crate) planner_changed: Notify,
     pub(crate) hosts: RefCell<BTreeMap<String, Rc<PoolHost>>>,
     pub(crate) claiming: RefCell<BTreeSet<String>>,
+    pub(super) skipped_checks: RefCell<BTreeMap<String, SkippedChecks>>,
     pub(crate) peers: RefCell<HashMap<String, Rc<HttpEndpoint>>>,
     pub(crate) peer_addresses: RefCell<BTreeMap<String, (String, u64)>>,
     pub(crate) pool_statuses: RefCell<BTreeMap<String, PoolStatus>>,
@@ -112,6 +122,7 @@
             planner_changed: Notify::new(),
             hosts: RefCell::default(),
             claiming: RefCell::default(),
+            skipped_checks: RefCell::default(),
             peers: RefCell::default(),
             peer_addresses: RefCell::default(),
             pool_statuses: RefCell::default(),
--- a/crates/cornelpoint-manager/src/store/store_client.rs
+++ b/crates/cornelpoint-manager/src/store/store_client.rs
@@ -5,6 +5,7 @@
 
 use cornelpoint_platform::call::Call;
 use cornelpoint_platform::store::Row;
+use cornelpoint_platform::store::RowKey;
 use cornelpoint_platform::store::Rows;
 use cornelpoint_platform::store::Transaction;
 use cornelpoint_platform::store::feed_call;
@@ -18,6 +19,7 @@
 use crate::clock;
 use crate::http::CallError;
 use crate::http::HttpEndpoint;
+use crate::http::Response;
 use crate::metrics::ProcessMetrics;
 
 /// Timeout of a call; ten times the response time of a slow store.
@@ -65,6 +67,7 @@
     log: Logger,
     failing_since_ms: Cell<Option<u64>>,
     available_since_ms: Cell<u64>,
+    last_failure: Cell<&'static str>,
     /// The store's clock at its last response, and the time of that response by
     /// the local monotonic clock.
     clock: Cell<(u64, u64)>,
@@ -78,6 +81,7 @@
             log,
             failing_since_ms: Cell::new(None),
             available_since_ms: Cell::new(0),
+            last_failure: Cell::new(""),
             clock: Cell::new((0, 0)),
         }
     }
@@ -100,6 +104,12 @@
         }
     }
 
+    /// Returns the outcome label of the last failed call of any task. Right after
+    /// a failed call it is the label of that call, before the caller awaits again.
+    pub(crate) fn last_failure(&self) -> &'static str {
+        self.last_failure.get()
+    }
+
     /// Estimates the store's monotonic clock now from its last response.
     pub(crate) fn clock_ms(&self) -> u64 {
         let (clock_ms, read_ms) = self.clock.get();
@@ -117,6 +127,8 @@
         let started = Instant::now();
         let answer = self.endpoint.send(&call, CALL_TIMEOUT).await;
         self.metrics.observe_transaction(started.elapsed());
+        let failure = failure_label(&answer);
+        let written = transaction.writes.first().map(|(key, _)| key);
         match answer {
             Ok(answer) => match (answer.status, parse_rows(&answer.body)) {
                 (200, Ok(rows)) => {
@@ -131,21 +143,21 @@
                     TransactionOutcome::Conflict(rows.rows)
                 }
                 (429 | 503, _) => {
-                    self.record_failure("refused");
+                    self.record_failure("transaction", failure, written);
                     TransactionOutcome::Refused
                 }
                 (status, _) => {
                     warn!(self.log, "Unexpected response to a transaction."; "status" => status);
-                    self.record_failure("unexpected");
+                    self.record_failure("transaction", failure, written);
                     TransactionOutcome::Unknown
                 }
             },
             Err(CallError::NotSent) => {
-                self.record_failure("no connection");
+                self.record_failure("transaction", failure, written);
                 TransactionOutcome::Refused
             }
             Err(CallError::NoAnswer) => {
-                self.record_failure("no answer");
+                self.record_failure("transaction", failure, written);
                 TransactionOutcome::Unknown
             }
         }
@@ -184,6 +196,7 @@
 
     async fn read(&self, call: &Call) -> Option<Rows> {
         let answer = self.endpoint.send(call, CALL_TIMEOUT).await;
+        let failure = failure_label(&answer);
         let rows = match answer {
             Ok(answer) if answer.status == 200 => parse_rows(&answer.body).ok(),
             _ => None,
@@ -192,7 +205,7 @@
             self.record_success();
             self.update_clock(rows);
         } else {
-            self.record_failure("reading failed");
+            self.record_failure("read", failure, None);
         }
         rows
     }
@@ -204,6 +217,7 @@
             .endpoint
             .send(&feed_call(table, after, wait_ms), timeout)
             .await;
+        let failure = failure_label(&answer);
         match answer {
             Ok(answer) if answer.status == 200 => match parse_rows(&answer.body) {
                 Ok(rows) => {
@@ -212,6 +226,7 @@
                     FeedOutcome::Changes(rows)
                 }
                 Err(error) => {
+                    self.last_failure.set(failure);
                     warn!(self.log, "Changes can't be parsed."; "table" => table,
                         "error" => %error);
                     FeedOutcome::Failed
@@ -223,7 +238,7 @@
                 FeedOutcome::HistoryExpired
             }
             _ => {
-                self.record_failure("feed failed");
+                self.record_failure("feed", failure, None);
                 FeedOutcome::Failed
             }
         }
@@ -238,11 +253,30 @@
         }
     }
 
-    fn record_failure(&self, outcome: &'static str) {
+    /// Records a failed call; `written` is the first row that a transaction was
+    /// to write.
+    fn record_failure(&self, call: &str, outcome: &'static str, written: Option<&RowKey>) {
+        self.last_failure.set(outcome);
         ProcessMetrics::count(&self.metrics.store_calls, outcome);
         if self.failing_since_ms.get().is_none() {
             self.failing_since_ms.set(Some(clock::now().steady_ms));
-            warn!(self.log, "Calls to the store are failing."; "what" => outcome);
+            warn!(self.log, "Calls to the store are failing."; "what" => outcome,
+                "call" => call, "table" => written.map(|key| &key.table),
+                "part" => written.map(|key| &key.part));
         }
     }
 }
+
+/// Returns the outcome label of a call whose response can't be used.
+fn failure_label(answer: &Result<Response, CallError>) -> &'static str {
+    match answer {
+        Ok(answer) => match answer.status {
+            200 => "malformed",
+            429 => "throttled",
+            503 => "refused",
+            _ => "unexpected",
+        },
+        Err(CallError::NotSent) => "no connection",
+        Err(CallError::NoAnswer) => "no answer",
+    }
+}
