--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -43,6 +43,14 @@
 /// Long-poll wait for rows of the inbox.
 const INBOX_WAIT_MS: u64 = 10_000;
 
+/// How an owner's reads of its inbox have gone.
+#[derive(Debug)]
+struct InboxReads {
+    /// When the last successful read returned; at first when the reads began.
+    succeeded_ms: u64,
+    failing: bool,
+}
+
 impl PoolHost {
     /// Starts to schedule a claimed pool: restores its jobs from the store, then
     /// requests a report from every worker.
@@ -86,6 +94,7 @@
         }
         info!(host.log, "Started scheduling a pool."; "pool" => &claim.shard,
             "fencing_token" => claim.fencing_token,
+            "inbox_rows" => host.inbox.borrow().len(),
             "took_ms" => clock::now().steady_ms - claimed_ms);
         node.heartbeat_now.notify_one();
         spawn_local(Rc::clone(&host).poll_registry());
@@ -141,14 +150,24 @@
     /// the owner could not be reached.
     async fn follow_inbox(self: Rc<Self>) {
         let mut after = None;
+        let mut reads = InboxReads {
+            succeeded_ms: clock::now().steady_ms,
+            failing: false,
+        };
         while !self.stopped.get() {
             let Some(version) = after else {
-                match self.node.store.read_all(INBOX_TABLE, &self.pool).await {
-                    Some(rows) => {
-                        self.apply_inbox_rows(&rows.rows);
-                        after = Some(rows.version);
-                    }
-                    None => tokio::time::sleep(RETRY_DELAY).await,
+                let requested_ms = clock::now().steady_ms;
+                if let Some(rows) = self.node.store.read_all(INBOX_TABLE, &self.pool).await {
+                    let unread_ms = self.log_inbox_success(&mut reads);
+                    info!(self.log, "Inbox read in full."; "pool" => &self.pool,
+                        "fencing_token" => self.fencing_token, "version" => rows.version,
+                        "rows" => rows.rows.len(),
+                        "took_ms" => clock::now().steady_ms - requested_ms);
+                    self.apply_inbox_rows(&rows.rows, "full read", unread_ms);
+                    after = Some(rows.version);
+                } else {
+                    self.log_inbox_failure(&mut reads, "full read");
+                    tokio::time::sleep(RETRY_DELAY).await;
                 }
                 continue;
             };
@@ -159,16 +178,50 @@
                 .await
             {
                 FeedOutcome::Changes(rows) => {
-                    self.apply_inbox_rows(&rows.rows);
+                    let unread_ms = self.log_inbox_success(&mut reads);
+                    self.apply_inbox_rows(&rows.rows, "feed", unread_ms);
                     after = Some(rows.version.max(version));
                 }
                 FeedOutcome::HistoryExpired => after = None,
-                FeedOutcome::Failed => tokio::time::sleep(RETRY_DELAY).await,
+                FeedOutcome::Failed => {
+                    self.log_inbox_failure(&mut reads, "feed");
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
             }
         }
     }
 
-    fn apply_inbox_rows(self: &Rc<Self>, rows: &[Row]) {
+    /// Logs the first success after failures; returns the time since the
+    /// success before.
+    fn log_inbox_success(&self, reads: &mut InboxReads) -> u64 {
+        let now_ms = clock::now().steady_ms;
+        let unread_ms = now_ms.saturating_sub(reads.succeeded_ms);
+        if reads.failing {
+            info!(self.log, "Inbox can be read again."; "pool" => &self.pool,
+                "fencing_token" => self.fencing_token,
+                "unread_ms" => unread_ms);
+        }
+        *reads = InboxReads {
+            succeeded_ms: now_ms,
+            failing: false,
+        };
+        unread_ms
+    }
+
+    /// Logs the first failure after a success. A long poll without a response
+    /// fails only at its timeout.
+    fn log_inbox_failure(&self, reads: &mut InboxReads, read: &str) {
+        if reads.failing {
+            return;
+        }
+        reads.failing = true;
+        warn!(self.log, "Inbox can't be read."; "pool" => &self.pool,
+            "fencing_token" => self.fencing_token, "read" => read,
+            "error" => self.node.store.last_failure(),
+            "unread_ms" => clock::now().steady_ms - reads.succeeded_ms);
+    }
+
+    fn apply_inbox_rows(self: &Rc<Self>, rows: &[Row], read: &str, unread_ms: u64) {
         for row in rows.iter().filter(|row| row.key.part == self.pool) {
             let Some(value) = &row.value else { continue };
             let Some((kind, id)) = row.key.key.split_once('/') else {
@@ -178,12 +231,23 @@
                 continue;
             };
             self.inbox.borrow_mut().insert(row.key.key.clone());
-            info!(self.log, "Applying an inbox row."; "kind" => kind, "job" => %id);
+            let record = if kind == "cancel" {
+                None
+            } else {
+                decode::<JobRecord>(value)
+            };
+            // The record carries the wall clock of the process that stored it.
+            let now_unix_ms = clock::now().unix_ms;
+            let age_ms = record
+                .as_ref()
+                .map(|record| now_unix_ms.saturating_sub(record.accepted_unix_ms));
+            info!(self.log, "Applying an inbox row."; "kind" => kind, "job" => %id,
+                "read" => read, "version" => row.version, "age_ms" => age_ms,
+                "unread_ms" => unread_ms);
             if kind == "cancel" {
                 self.apply(|scheduler, now| scheduler.cancel_from_inbox(id, now));
                 continue;
             }
-            let record = decode::<JobRecord>(value);
             let spec = record
                 .as_ref()
                 .and_then(|record| JobSpec::try_from(record.job.clone()).ok());
