Test that inbox rows of stored jobs are removed

An inbox row is removed only with a batch that contains the job's record, or its final status for a cancellation. A process whose request to the owner times out stores the row while the owner's batch is in flight; the owner reads it later, knows the job, and changes nothing, so no batch removes the row. Once the job's own rows have expired, the next full read of the inbox accepts the job again.

--- /dev/null
+++ b/crates/cornelpoint/tests/scheduler/inbox.rs
@@ -0,0 +1,171 @@
+//! Rows of a pool's inbox: their order relative to requests and restored jobs,
+//! and their removal.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use cornelpoint::job::JobId;
+use cornelpoint::job::JobRecord;
+use cornelpoint::job::JobSpec;
+use cornelpoint::job::JobStatus;
+use cornelpoint::scheduler::Batch;
+use cornelpoint::scheduler::BatchOutcome;
+use cornelpoint::scheduler::CancelAnswer;
+use cornelpoint::scheduler::PoolScheduler;
+use cornelpoint::scheduler::SchedulerSettings;
+use cornelpoint::scheduler::SubmitAnswer;
+use cornelpoint::worker::CompletionKind;
+use cornelpoint::worker::RunCompletion;
+use cornelpoint::worker::WorkerReport;
+
+use crate::fake_store::FakeStore;
+use crate::support::answer_renewals;
+use crate::support::at;
+use crate::support::entry;
+use crate::support::job;
+use crate::support::job_id;
+use crate::support::queue;
+use crate::support::ready_scheduler;
+use crate::support::starts;
+use crate::support::step;
+
+/// Inbox of one pool. The transaction that stores a batch also removes the rows
+/// that the batch settles: submissions whose records it contains, and
+/// cancellations of jobs whose final status it contains.
+#[derive(Default)]
+struct Inbox {
+    submissions: BTreeMap<JobId, JobRecord>,
+    cancellations: BTreeSet<JobId>,
+}
+
+impl Inbox {
+    /// Passes all rows to the owner in the order of a full read.
+    fn read_all(&self, scheduler: &mut PoolScheduler, now_ms: u64) {
+        for &id in &self.cancellations {
+            scheduler.cancel_from_inbox(id, at(now_ms));
+        }
+        for (&id, record) in &self.submissions {
+            let spec = JobSpec::try_from(record.job.clone()).expect("a valid job");
+            scheduler.submit_from_inbox(id, record.clone(), spec, at(now_ms));
+        }
+    }
+
+    fn remove_settled(&mut self, batch: &Batch) {
+        for (id, _) in &batch.records {
+            self.submissions.remove(id);
+        }
+        let settled = batch.progress.iter();
+        for (id, _) in settled.filter(|(_, progress)| progress.status.is_final()) {
+            self.cancellations.remove(id);
+        }
+    }
+}
+
+/// Commits all pending batches.
+fn commit(scheduler: &mut PoolScheduler, store: &mut FakeStore, inbox: &mut Inbox, now_ms: u64) {
+    for round in 0..8 {
+        let now = at(now_ms + round * 50);
+        let Some(batch) = scheduler.begin_batch(now) else {
+            return;
+        };
+        assert!(store.apply(scheduler.fencing_token(), &batch));
+        inbox.remove_settled(&batch);
+        scheduler.batch_replied(BatchOutcome::Stored, now);
+    }
+}
+
+fn store_of(scheduler: &PoolScheduler) -> FakeStore {
+    FakeStore {
+        token: scheduler.fencing_token(),
+        ..FakeStore::default()
+    }
+}
+
+/// Accepts job 1 through the owner. While the batch with its record is in
+/// flight, another process, whose request to the owner has timed out, stores
+/// the job in the inbox. The owner reads that row after the batch.
+fn accept_through_owner_and_inbox(
+    scheduler: &mut PoolScheduler,
+    store: &mut FakeStore,
+    inbox: &mut Inbox,
+) {
+    let (record, spec) = job(vec![step(1, 1000)]);
+    let answer = scheduler.submit(job_id(1), record.clone(), spec, at(100));
+    assert_eq!(answer, SubmitAnswer::Storing);
+    let batch = scheduler.begin_batch(at(100)).expect("a batch is due");
+    inbox.submissions.insert(job_id(1), record);
+    assert!(store.apply(1, &batch));
+    scheduler.batch_replied(BatchOutcome::Stored, at(150));
+    inbox.read_all(scheduler, 200);
+    commit(scheduler, store, inbox, 200);
+}
+
+#[test]
+fn the_inbox_row_of_a_job_that_the_owner_has_already_stored_is_removed() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    let mut store = store_of(&scheduler);
+    let mut inbox = Inbox::default();
+    accept_through_owner_and_inbox(&mut scheduler, &mut store, &mut inbox);
+    assert!(inbox.submissions.is_empty());
+}
+
+#[test]
+fn a_completed_job_does_not_run_again_from_the_inbox_after_its_rows_have_expired() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    let mut store = store_of(&scheduler);
+    let mut inbox = Inbox::default();
+    accept_through_owner_and_inbox(&mut scheduler, &mut store, &mut inbox);
+    let started = starts(&mut scheduler, 300);
+    assert_eq!(started.len(), 1);
+    let completion = RunCompletion {
+        sequence: 1,
+        task: started[0].1.parse().expect("a valid task ID"),
+        run: started[0].2,
+        kind: CompletionKind::Done,
+        checkpoint: String::new(),
+    };
+    let done = WorkerReport {
+        born_unix_ms: 5,
+        clock_ms: 1800,
+        completions: vec![completion],
+        ..WorkerReport::default()
+    };
+    scheduler.renewal_replied(0, Ok(done), at(800));
+    commit(&mut scheduler, &mut store, &mut inbox, 800);
+    assert_eq!(scheduler.status(job_id(1)), Some(JobStatus::Completed));
+    let expired_ms = 2000 + SchedulerSettings::default().status_kept_ms;
+    scheduler.tick(at(expired_ms));
+    commit(&mut scheduler, &mut store, &mut inbox, expired_ms);
+    assert!(store.records.is_empty() && store.progress.is_empty());
+
+    let mut successor = PoolScheduler::new("quoting", 2, SchedulerSettings::default());
+    let queue = queue();
+    successor.set_queues(std::iter::once(&queue));
+    store.token = 2;
+    let now_ms = expired_ms + 5000;
+    inbox.read_all(&mut successor, now_ms);
+    successor.confirm_ownership(now_ms);
+    successor.apply_registry(&[entry("w1", 5)], true, at(now_ms));
+    successor.tick(at(now_ms));
+    commit(&mut successor, &mut store, &mut inbox, now_ms);
+    answer_renewals(&mut successor, now_ms);
+    assert_eq!(starts(&mut successor, now_ms + 500), []);
+}
+
+#[test]
+fn the_inbox_row_of_a_cancellation_that_the_owner_has_already_stored_is_removed() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    let mut store = store_of(&scheduler);
+    let mut inbox = Inbox::default();
+    let (record, spec) = job(vec![step(1, 1000)]);
+    scheduler.submit(job_id(1), record, spec, at(100));
+    commit(&mut scheduler, &mut store, &mut inbox, 100);
+    assert_eq!(scheduler.cancel(job_id(1), at(200)), CancelAnswer::Storing);
+    let batch = scheduler.begin_batch(at(200)).expect("a batch is due");
+    inbox.cancellations.insert(job_id(1));
+    assert!(store.apply(1, &batch));
+    scheduler.batch_replied(BatchOutcome::Stored, at(250));
+    inbox.read_all(&mut scheduler, 300);
+    commit(&mut scheduler, &mut store, &mut inbox, 300);
+    assert!(inbox.cancellations.is_empty());
+}
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -4,6 +4,7 @@
 mod decisions;
 mod fake_store;
 mod fake_worker;
+mod inbox;
 mod objectives;
 mod random_schedules;
 mod step_kinds;
