Test cancellations that are read before their jobs

A cancellation read from the inbox before its job is remembered, but only applied to a job that arrives through the inbox as well: neither to one that a caller submits again nor to one that is restored. Today's manager restores before it reads the inbox; reading the inbox first would make the second case reachable.

--- a/crates/cornelpoint/tests/scheduler/inbox.rs
+++ b/crates/cornelpoint/tests/scheduler/inbox.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 
 use cornelpoint::job::JobId;
+use cornelpoint::job::JobProgress;
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobSpec;
 use cornelpoint::job::JobStatus;
@@ -28,6 +29,7 @@
 use crate::support::ready_scheduler;
 use crate::support::starts;
 use crate::support::step;
+use crate::support::store_batches;
 
 /// Inbox of one pool. The transaction that stores a batch also removes the rows
 /// that the batch settles: submissions whose records it contains, and
@@ -169,3 +171,41 @@
     commit(&mut scheduler, &mut store, &mut inbox, 300);
     assert!(inbox.cancellations.is_empty());
 }
+
+#[test]
+fn a_cancellation_read_from_the_inbox_applies_to_a_later_request_to_submit() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    scheduler.cancel_from_inbox(job_id(1), at(100));
+    let (record, spec) = job(vec![step(1, 1000)]);
+    scheduler.submit(job_id(1), record, spec, at(110));
+    store_batches(&mut scheduler, 110);
+    assert_eq!(starts(&mut scheduler, 200), []);
+    assert_eq!(scheduler.status(job_id(1)), Some(JobStatus::Cancelled));
+}
+
+#[test]
+fn a_cancellation_read_from_the_inbox_applies_to_a_job_that_is_restored_later() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    scheduler.cancel_from_inbox(job_id(1), at(100));
+    let (record, spec) = job(vec![step(1, 1000)]);
+    scheduler.restore(job_id(1), record, spec, None, at(110));
+    store_batches(&mut scheduler, 110);
+    assert_eq!(starts(&mut scheduler, 200), []);
+    assert_eq!(scheduler.status(job_id(1)), Some(JobStatus::Cancelled));
+}
+
+#[test]
+fn a_job_restored_after_its_inbox_row_keeps_its_stored_status() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    let (record, spec) = job(vec![step(1, 1000)]);
+    scheduler.submit_from_inbox(job_id(1), record.clone(), spec.clone(), at(100));
+    let progress = JobProgress {
+        status: JobStatus::Completed,
+        final_unix_ms: at(50).unix_ms,
+        tasks: Vec::new(),
+    };
+    scheduler.restore(job_id(1), record, spec, Some(&progress), at(110));
+    store_batches(&mut scheduler, 110);
+    assert_eq!(starts(&mut scheduler, 200), []);
+    assert_eq!(scheduler.status(job_id(1)), Some(JobStatus::Completed));
+}
