Test heartbeats of a process restarted after a clock step

Peers order the processes of an instance by their start on the wall clock. After a step back, the restarted process counts as the earlier one: its heartbeats are ignored, it is never responsive, and all submissions to its pools take the inbox.

--- a/crates/cornelpoint/tests/ownership.rs
+++ b/crates/cornelpoint/tests/ownership.rs
@@ -144,3 +144,19 @@
     let wait_ms = OwnershipSettings::default().partition_claim_delay_ms;
     assert!(!planner.due_claims(3000 + wait_ms).is_empty());
 }
+
+/// A process that starts after its instance's clock was set back has an earlier
+/// start time than its predecessor.
+#[test]
+fn a_process_restarted_after_its_clock_was_set_back_is_responsive() {
+    let mut planner = planner("a-1");
+    let started_at = |started_unix_ms| Peer {
+        started_unix_ms,
+        ..peer(true)
+    };
+    planner.heartbeat_received("b-1", started_at(10_000), 1000);
+    for now_ms in (5000..9000).step_by(400) {
+        planner.heartbeat_received("b-1", started_at(4000), now_ms);
+    }
+    assert!(planner.is_responsive("b-1", 9000));
+}
