Test that one listing without a machine does not complete its wave

A wave completes, for good, once no listed machine is left, so a machine that is missing from a single listing counts as gone. The pages of a listing are read at different times.

--- a/crates/cornelpoint/tests/fleet.rs
+++ b/crates/cornelpoint/tests/fleet.rs
@@ -113,6 +113,23 @@
     assert!(completed(&manager.tick(40)));
 }
 
+/// The pages of a listing are read at different times, so a machine that stays
+/// may be missing from one.
+#[test]
+fn a_machine_missing_from_one_listing_does_not_complete_its_wave() {
+    let mut manager = manager(spare_machines(3));
+    manager.wave_ordered(&wave(3, 2), &BTreeSet::new(), 0);
+    let first = maintained(&manager.tick(0));
+    assert_eq!(first, ["m0", "m1"]);
+    for machine in &first {
+        manager.order_replied(machine, MachineAnswer::Done, 10);
+    }
+    manager.machines_listed(spare_machines(2), 500);
+    manager.tick(600);
+    manager.machines_listed(spare_machines(3), 3000);
+    assert_eq!(maintained(&manager.tick(3100)), ["m2"]);
+}
+
 /// A surge needs six machines more than the pool has; each spare machine is
 /// ordered once.
 #[test]
