Reproduce the incident with waiting counts as tests that fail

Four tests start three real manager processes on a stand-in of the platform's store, which opens an address for each instance, so that a fault can be set for one of them. No logic is changed.

- 1: the owner is paused for 3 s and its connections to the store go silent.
Once it runs again, its long poll of the inbox still waits on a silent connection: none of its log lines applies an inbox row, and all three instances answer

counts of waiting jobs 5.005483785s after 20 were accepted: [Some(0), Some(0), Some(0)]

It fails alike without a pause and with one job:

the owner does not count the job in its inbox

- 2: the owner is killed under load.
In the first run the survivors logged `Calls to the store are failing.` 82 and 100 times in 8 s and never `Owner unresponsive.`: neither read the store heartbeat.

the pool has no new owner; the store refused 781 transactions

- 3: the reads of the inbox take 0.7 s.
The new owner logs `Started scheduling a pool.`, starts the cancelled job, and logs `Applying an inbox row.` 0.7 s later.

the cancelled job was started

On this code, too, both survivors of the third test use a whole core (100 and 101 ticks of 10 ms within 1 s) while the takeover is held back: a claim that is dropped because the store failed within the last 1.5 s is due again at once.

All checks pass with the four tests skipped.

--- /dev/null
+++ b/crates/cornelpoint-manager/tests/takeover/caller.rs
@@ -0,0 +1,92 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cornelpoint::catalog::Queue;
+use cornelpoint::job::JobId;
+use cornelpoint::job::Resources;
+use platform_standin::callers::job_body;
+use platform_standin::callers::parse_status;
+use platform_standin::callers::parse_waiting;
+use ureq::Agent;
+use ureq::Body;
+use ureq::Error;
+use ureq::http::Response;
+
+/// Longest wait for a response.
+const TIMEOUT: Duration = Duration::from_secs(4);
+/// Resources of a submitted job's task.
+const NEED: Resources = Resources {
+    cpu_millicores: 10,
+    memory_mb: 16,
+    accelerators: 0,
+};
+/// Estimated duration of a submitted job's task.
+const ESTIMATE_MS: u64 = 10;
+
+/// A caller of one queue at one instance.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    agent: Agent,
+    address: SocketAddr,
+    queue: Queue,
+}
+
+impl Caller {
+    pub fn new(address: SocketAddr, queue: &Queue) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .proxy(None)
+            .timeout_global(Some(TIMEOUT))
+            .build();
+        Self {
+            agent: Agent::new_with_config(config),
+            address,
+            queue: queue.clone(),
+        }
+    }
+
+    /// Submits a job of one short task; whether it was accepted.
+    pub fn submit(&self, job: JobId) -> bool {
+        let request = self.agent.post(self.url(&job.to_string()));
+        let answer = request
+            .header("host", &self.queue.host)
+            .header("content-type", "application/json")
+            .send(&job_body(NEED, ESTIMATE_MS));
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Cancels a job; whether that was acknowledged.
+    pub fn cancel(&self, job: JobId) -> bool {
+        let request = self.agent.delete(self.url(&job.to_string()));
+        let answer = request.header("host", &self.queue.host).call();
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Returns a job's status; `None` unless it is answered.
+    pub fn status(&self, job: JobId) -> Option<String> {
+        let body = self.get(&job.to_string())?;
+        Some(parse_status(&body).unwrap())
+    }
+
+    /// Returns the number of waiting jobs; `None` unless it is answered.
+    pub fn waiting(&self) -> Option<usize> {
+        let body = self.get("")?;
+        Some(parse_waiting(&body).unwrap())
+    }
+
+    fn get(&self, rest: &str) -> Option<Vec<u8>> {
+        let request = self.agent.get(self.url(rest));
+        let answer: Result<Response<Body>, Error> = request.header("host", &self.queue.host).call();
+        let mut answer = answer.ok().filter(|answer| answer.status() == 200)?;
+        answer.body_mut().read_to_vec().ok()
+    }
+
+    fn url(&self, rest: &str) -> String {
+        format!("http://{}{}{rest}", self.address, self.queue.path_prefix)
+    }
+}
+
+/// Returns the identifier of a job with this number.
+pub fn job(number: u64) -> JobId {
+    format!("{number:016x}").parse().unwrap()
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/tests/takeover/load.rs
@@ -0,0 +1,59 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crate::caller::Caller;
+use crate::caller::job;
+
+/// Delay before a job that was not accepted is submitted again.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Callers that submit jobs one after another until this is dropped.
+pub struct Load {
+    stopped: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// Starts `callers_per_instance` callers at each instance.
+    pub fn start(instances: &[Caller], callers_per_instance: usize) -> Self {
+        let stopped = Arc::new(AtomicBool::new(false));
+        let next_job = Arc::new(AtomicU64::new(1));
+        let callers = instances.iter().flat_map(|caller| {
+            let (stopped, next_job) = (&stopped, &next_job);
+            (0..callers_per_instance).map(move |_| {
+                let caller = caller.clone();
+                let stopped = Arc::clone(stopped);
+                let next_job = Arc::clone(next_job);
+                thread::spawn(move || submit_jobs(&caller, &stopped, &next_job))
+            })
+        });
+        Self {
+            callers: callers.collect(),
+            stopped,
+        }
+    }
+}
+
+impl Drop for Load {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        for caller in self.callers.drain(..) {
+            // A panic is printed by the thread.
+            let _ = caller.join();
+        }
+    }
+}
+
+fn submit_jobs(caller: &Caller, stopped: &AtomicBool, next_job: &AtomicU64) {
+    while !stopped.load(Ordering::Relaxed) {
+        let id = job(next_job.fetch_add(1, Ordering::Relaxed));
+        while !caller.submit(id) && !stopped.load(Ordering::Relaxed) {
+            thread::sleep(RETRY_DELAY);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -0,0 +1,211 @@
+//! Takeovers of a pool and the time before them, with real manager processes.
+//! The bounds are those that the platform states.
+
+mod caller;
+mod fleet;
+mod instance;
+mod load;
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use cornelpoint::job::JobId;
+use cornelpoint::job::JobRecord;
+use cornelpoint::job::RawJob;
+use cornelpoint::job::Resources;
+use cornelpoint_platform::callers::parse_job;
+use cornelpoint_platform::store::RowKey;
+use platform_standin::callers::job_body;
+use platform_standin::store::ReadFault;
+use platform_standin::worker::WorkerStandIn;
+
+use crate::caller::Caller;
+use crate::caller::job;
+use crate::fleet::Fleet;
+use crate::fleet::POLL_INTERVAL;
+use crate::fleet::POOL;
+use crate::fleet::holds_within;
+use crate::fleet::wait_until;
+use crate::load::Load;
+
+/// Table of the owners' store heartbeats.
+const HEARTBEAT_TABLE: &str = "cornelpoint-beat";
+/// Table of jobs and cancellations for owners that can't be reached.
+const INBOX_TABLE: &str = "cornelpoint-inbox";
+
+/// Duration of a transaction on the users' sites.
+const TRANSACTION_DURATION: Duration = Duration::from_millis(8);
+/// Time after which an accepted job must be visible everywhere.
+const VISIBLE: Duration = Duration::from_secs(3);
+/// How old a count of waiting jobs may be.
+const COUNT_AGE: Duration = Duration::from_secs(2);
+/// Longest of the users' limits for a cancellation to take effect.
+const CANCEL: Duration = Duration::from_secs(4);
+/// Time after which most requests must be served again.
+const RECOVER: Duration = Duration::from_secs(12);
+/// Part of [`RECOVER`] within which a pool must have a new owner, which still has
+/// to restore the pool's jobs and to start tasks.
+const TAKEOVER: Duration = Duration::from_secs(8);
+/// Time without heartbeats after which an owner counts as unresponsive, and some
+/// more.
+const UNRESPONSIVE: Duration = Duration::from_millis(1300);
+
+/// The owner is paused and the network forgets its connections to the store; the
+/// jobs that other processes accept meanwhile go to its inbox.
+#[test]
+fn waiting_count_omits_jobs_accepted_while_the_owner_was_unreachable() {
+    const JOBS: usize = 20;
+    let fleet = Fleet::start("waiting_count", TRANSACTION_DURATION);
+    let owner = fleet.owner();
+    hold_back_takeover(&fleet);
+    begin_inbox_poll(&fleet);
+    let paused = Instant::now();
+    fleet.store.silence_connections(&owner.name);
+    owner.pause();
+    thread::sleep(UNRESPONSIVE);
+    let caller = fleet.caller(fleet.others()[0]);
+    for number in 1..=JOBS as u64 {
+        wait_until("a job is accepted", || caller.submit(job(number)));
+    }
+    let accepted = Instant::now();
+    thread::sleep(Duration::from_secs(3).saturating_sub(paused.elapsed()));
+    owner.resume();
+    thread::sleep((VISIBLE + COUNT_AGE).saturating_sub(accepted.elapsed()));
+    let callers = fleet.instances.iter();
+    let callers: Vec<_> = callers.map(|instance| fleet.caller(instance)).collect();
+    let polled = Instant::now();
+    loop {
+        let counts: Vec<_> = callers.iter().map(Caller::waiting).collect();
+        // An instance that does not know the count may say so.
+        assert!(
+            counts.iter().flatten().all(|count| count * 2 >= JOBS),
+            "counts of waiting jobs {:?} after {JOBS} were accepted: {counts:?}",
+            accepted.elapsed()
+        );
+        let complete = counts.iter().all(|count| *count == Some(JOBS));
+        if complete && polled.elapsed() > COUNT_AGE {
+            return;
+        }
+        assert!(
+            polled.elapsed() < RECOVER,
+            "some jobs are not counted: {counts:?}"
+        );
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// The owner is lost while callers submit several times the number of jobs that
+/// its partition of the store can take through the inbox.
+#[test]
+fn takeover_is_held_back_while_the_inbox_is_overloaded() {
+    // A partition refuses the 26th waiting transaction.
+    const TRANSACTION_DURATION: Duration = Duration::from_millis(40);
+    const CALLERS_PER_INSTANCE: usize = 18;
+    let fleet = Fleet::start("overloaded_inbox", TRANSACTION_DURATION);
+    let owner = fleet.owner();
+    let others = fleet.others();
+    let callers = others.iter().map(|instance| fleet.caller(instance));
+    let load = Load::start(&callers.collect::<Vec<_>>(), CALLERS_PER_INSTANCE);
+    thread::sleep(Duration::from_millis(500));
+    owner.kill();
+    let replaced = holds_within(TAKEOVER, || {
+        fleet.owner_row().is_some_and(|row| row.node != owner.name)
+    });
+    let refused = fleet.store.refused_transactions();
+    drop(load);
+    assert!(refused > 0, "the store refused no transaction");
+    assert!(
+        replaced,
+        "the pool has no new owner; the store refused {refused} transactions"
+    );
+}
+
+/// The cancellation is in the inbox when the pool is taken over, and the new
+/// owner's reads of the inbox are slow.
+#[test]
+fn takeover_starts_a_job_whose_cancellation_was_acknowledged() {
+    const INBOX_DELAY: Duration = Duration::from_millis(700);
+    let (cancelled, other) = (job(1), job(2));
+    let fleet = Fleet::start("acknowledged_cancellation", TRANSACTION_DURATION);
+    let owner = fleet.owner();
+    let others = fleet.others();
+    let caller = fleet.caller(others[0]);
+    for job in [cancelled, other] {
+        wait_until("a job is accepted", || caller.submit(job));
+    }
+    hold_back_takeover(&fleet);
+    for instance in &others {
+        let delay = ReadFault::Delay(INBOX_DELAY);
+        let store = &fleet.store;
+        store.set_read_fault(&instance.name, INBOX_TABLE, Some(delay));
+    }
+    owner.kill();
+    wait_until("the cancellation is acknowledged", || {
+        caller.cancel(cancelled)
+    });
+    thread::sleep(CANCEL);
+    let worker = WorkerStandIn::start(&fleet.store, "w-1", POOL).unwrap();
+    for instance in &others {
+        let store = &fleet.store;
+        store.set_read_fault(&instance.name, HEARTBEAT_TABLE, None);
+    }
+    let has_started = |job| {
+        let runs = worker.started_runs();
+        runs.iter().any(|run| run.task.step.job == job)
+    };
+    wait_until("the other job starts", || has_started(other));
+    wait_until("the cancelled job is shown as such", || {
+        caller.status(cancelled).as_deref() == Some("cancelled")
+    });
+    assert!(!has_started(cancelled), "the cancelled job was started");
+}
+
+/// The network forgets the owner's connections to the store, and nothing else is
+/// wrong with it.
+#[test]
+fn owner_does_not_hear_of_inbox_rows_on_a_silent_connection() {
+    let fleet = Fleet::start("silent_connection", TRANSACTION_DURATION);
+    let owner = fleet.owner();
+    hold_back_takeover(&fleet);
+    begin_inbox_poll(&fleet);
+    fleet.store.silence_connections(&owner.name);
+    write_to_inbox(&fleet, job(1));
+    let caller = fleet.caller(owner);
+    let counted = holds_within(VISIBLE + COUNT_AGE, || caller.waiting() == Some(1));
+    assert!(counted, "the owner does not count the job in its inbox");
+}
+
+/// Refuses the reads by which other processes find that the owner is lost.
+fn hold_back_takeover(fleet: &Fleet) {
+    for instance in fleet.others() {
+        let refusal = Some(ReadFault::Refuse);
+        let store = &fleet.store;
+        store.set_read_fault(&instance.name, HEARTBEAT_TABLE, refusal);
+    }
+}
+
+/// Ends the owner's long poll of the inbox by a row for another pool, so that the
+/// next one has just begun.
+fn begin_inbox_poll(fleet: &Fleet) {
+    let row = RowKey::new(INBOX_TABLE, "another pool", "row");
+    fleet.store.write(&row, b"");
+    thread::sleep(Duration::from_millis(300));
+}
+
+/// Stores a job in the inbox, like a process that can't reach the owner.
+fn write_to_inbox(fleet: &Fleet, job: JobId) {
+    let body = job_body(Resources::default(), 10);
+    let raw: RawJob = parse_job(&body).unwrap();
+    let record = JobRecord {
+        queue: fleet.queue.name.clone(),
+        pool: POOL.to_owned(),
+        accepted_unix_ms: 1,
+        priority: fleet.queue.priority,
+        max_attempts: fleet.queue.max_attempts,
+        job: raw,
+    };
+    let row = RowKey::new(INBOX_TABLE, POOL, format!("submit/{job}"));
+    let value = rmp_serde::to_vec_named(&record).unwrap();
+    fleet.store.write(&row, &value);
+}
