--- a/crates/cornelpoint/src/claim/rate_limiter.rs
+++ b/crates/cornelpoint/src/claim/rate_limiter.rs
@@ -1,7 +1,7 @@
-use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
 use super::settings::ClaimSettings;
+use crate::retry::Backoff;
 
 const MS_PER_S: u64 = 1000;
 /// The token bucket counts in thousandths of a token.
@@ -13,13 +13,9 @@
 pub(super) struct RateLimiter {
     writes_per_s: u64,
     burst_tokens: u64,
-    initial_backoff_ms: u64,
-    max_backoff_ms: u64,
     millitokens: u64,
     refilled_at_ms: u64,
-    failures: u32,
-    resume_ms: u64,
-    random: ChaCha8Rng,
+    backoff: Backoff,
 }
 
 impl RateLimiter {
@@ -27,32 +23,28 @@
         Self {
             writes_per_s: settings.writes_per_s.max(1),
             burst_tokens: settings.write_burst.max(1),
-            initial_backoff_ms: settings.initial_backoff_ms,
-            max_backoff_ms: settings.max_backoff_ms,
             millitokens: settings.write_burst.max(1) * MILLITOKENS_PER_TOKEN,
             refilled_at_ms: 0,
-            failures: 0,
-            resume_ms: 0,
-            random,
+            backoff: Backoff::new(settings.initial_backoff_ms, settings.max_backoff_ms, random),
         }
     }
 
     /// Returns whether a call may be made now, that is, whether no backoff is
     /// in progress.
     pub(super) fn may_call(&self, now_ms: u64) -> bool {
-        now_ms >= self.resume_ms
+        self.backoff.has_ended(now_ms)
     }
 
     /// Returns the time from which a transaction may be sent.
     pub(super) fn next_write_ms(&self) -> u64 {
         let missing = MILLITOKENS_PER_TOKEN.saturating_sub(self.millitokens);
         let wait_ms = (missing * MS_PER_S).div_ceil(self.writes_per_s * MILLITOKENS_PER_TOKEN);
-        self.resume_ms.max(self.refilled_at_ms + wait_ms)
+        self.backoff.resume_ms().max(self.refilled_at_ms + wait_ms)
     }
 
     /// Returns the time from which a read may be sent.
     pub(super) fn next_read_ms(&self) -> u64 {
-        self.resume_ms
+        self.backoff.resume_ms()
     }
 
     /// Takes a token for one transaction, if there is one and no backoff is in
@@ -68,18 +60,12 @@
 
     /// Records that the store answered, which ends the backoff.
     pub(super) fn record_answer(&mut self) {
-        self.failures = 0;
-        self.resume_ms = 0;
+        self.backoff.record_answer();
     }
 
-    /// Records that a call failed, and backs off for a random time between half
-    /// and all of a range that doubles with each consecutive failure.
+    /// Records that a call failed, and backs off.
     pub(super) fn record_failure(&mut self, now_ms: u64) {
-        let doubled_ms = self.initial_backoff_ms << self.failures.min(16);
-        let range_ms = doubled_ms.min(self.max_backoff_ms).max(1);
-        let drawn_ms = range_ms / 2 + self.random.next_u64() % (range_ms / 2 + 1);
-        self.failures += 1;
-        self.resume_ms = self.resume_ms.max(now_ms + drawn_ms);
+        self.backoff.record_failure(now_ms);
     }
 
     fn refill(&mut self, now_ms: u64) {
