Don't count throttled calls as an outage of the store

Cause: after an outage of the store, owners get 1.5 s to write a new store heartbeat before they are replaced. Every failed call counted as an outage that ends with the next call that succeeds, also a 429 of a single partition. The inbox rows of the cut off owner's pool overloaded that partition, so each process saw a 429 every few hundred ms and dropped each due claim.

Ruled out: no claim due (the lines show due ones), a store that was down (feeds and half of the transactions were answered).

Now an outage is 500 ms without any response, and a 429 is a response.

--- a/crates/cornelpoint-manager/src/store/store_client.rs
+++ b/crates/cornelpoint-manager/src/store/store_client.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cornelpoint::ownership::StoreAvailability;
+use cornelpoint::ownership::StoreCallResult;
 use cornelpoint_platform::call::Call;
 use cornelpoint_platform::store::Row;
 use cornelpoint_platform::store::RowKey;
@@ -29,8 +31,9 @@
 const MAX_CONNECTIONS: usize = 24;
 /// Rows per read; the store's own limit.
 const ROWS_PER_READ: u32 = 500;
-/// Duration of failures after which the store counts as unavailable.
-const UNAVAILABLE_AFTER_MS: u64 = 500;
+
+/// Outcome label of a call that the store rejected because of its rate.
+const THROTTLED: &str = "throttled";
 
 /// Outcome of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -65,8 +68,7 @@
     endpoint: HttpEndpoint,
     metrics: Rc<ProcessMetrics>,
     log: Logger,
-    failing_since_ms: Cell<Option<u64>>,
-    available_since_ms: Cell<u64>,
+    availability: Cell<StoreAvailability>,
     last_failure: Cell<&'static str>,
     /// The store's clock at its last response, and the time of that response by
     /// the local monotonic clock.
@@ -79,29 +81,21 @@
             endpoint: HttpEndpoint::new(address, MAX_CONNECTIONS),
             metrics,
             log,
-            failing_since_ms: Cell::new(None),
-            available_since_ms: Cell::new(0),
+            availability: Cell::default(),
             last_failure: Cell::new(""),
             clock: Cell::new((0, 0)),
         }
     }
 
-    /// Whether the store is available. Calls may fail for up to
-    /// [`UNAVAILABLE_AFTER_MS`] before it counts as unavailable.
+    /// Whether the store is available to this process.
     pub(crate) fn is_available(&self) -> bool {
-        let now_ms = clock::now().steady_ms;
-        self.failing_since_ms
-            .get()
-            .is_none_or(|since_ms| since_ms + UNAVAILABLE_AFTER_MS > now_ms)
+        self.availability.get().is_available(clock::now().steady_ms)
     }
 
-    /// Returns since when calls have succeeded, by the monotonic clock: the end of
-    /// the last failure, 0 if there was none, `u64::MAX` during a failure.
+    /// Returns the end of the store's last outage, by the monotonic clock: 0 if
+    /// there was none, `u64::MAX` if one may have begun.
     pub(crate) fn available_since_ms(&self) -> u64 {
-        match self.failing_since_ms.get() {
-            Some(_) => u64::MAX,
-            None => self.available_since_ms.get(),
-        }
+        self.availability.get().available_since_ms()
     }
 
     /// Returns the outcome label of the last failed call of any task. Right after
@@ -246,10 +240,9 @@
 
     fn record_success(&self) {
         ProcessMetrics::count(&self.metrics.store_calls, "answered");
-        if let Some(since_ms) = self.failing_since_ms.take() {
-            let now_ms = clock::now().steady_ms;
-            self.available_since_ms.set(now_ms);
-            info!(self.log, "Store available again."; "away_ms" => now_ms - since_ms);
+        let away_ms = self.record(StoreCallResult::Answered);
+        if let Some(away_ms) = away_ms {
+            info!(self.log, "Store available again."; "away_ms" => away_ms);
         }
     }
 
@@ -258,12 +251,23 @@
     fn record_failure(&self, call: &str, outcome: &'static str, written: Option<&RowKey>) {
         self.last_failure.set(outcome);
         ProcessMetrics::count(&self.metrics.store_calls, outcome);
-        if self.failing_since_ms.get().is_none() {
-            self.failing_since_ms.set(Some(clock::now().steady_ms));
+        if !self.availability.get().is_failing() {
             warn!(self.log, "Calls to the store are failing."; "what" => outcome,
                 "call" => call, "table" => written.map(|key| &key.table),
                 "part" => written.map(|key| &key.part));
         }
+        self.record(if outcome == THROTTLED {
+            StoreCallResult::Throttled
+        } else {
+            StoreCallResult::Failed
+        });
+    }
+
+    fn record(&self, result: StoreCallResult) -> Option<u64> {
+        let mut availability = self.availability.get();
+        let away_ms = availability.record(result, clock::now().steady_ms);
+        self.availability.set(availability);
+        away_ms
     }
 }
 
@@ -272,7 +276,7 @@
     match answer {
         Ok(answer) => match answer.status {
             200 => "malformed",
-            429 => "throttled",
+            429 => THROTTLED,
             503 => "refused",
             _ => "unexpected",
         },
--- a/crates/cornelpoint/src/ownership/mod.rs
+++ b/crates/cornelpoint/src/ownership/mod.rs
@@ -10,6 +10,7 @@
 mod owner_row;
 mod planner;
 mod settings;
+mod store_availability;
 mod write_guard;
 
 pub use self::owner_row::OwnerRow;
@@ -17,5 +18,7 @@
 pub use self::planner::OwnershipPlanner;
 pub use self::planner::Peer;
 pub use self::settings::OwnershipSettings;
+pub use self::store_availability::StoreAvailability;
+pub use self::store_availability::StoreCallResult;
 pub use self::write_guard::ConflictOutcome;
 pub use self::write_guard::WriteGuard;
--- a/crates/cornelpoint/tests/ownership.rs
+++ b/crates/cornelpoint/tests/ownership.rs
@@ -6,6 +6,8 @@
 use cornelpoint::ownership::OwnershipPlanner;
 use cornelpoint::ownership::OwnershipSettings;
 use cornelpoint::ownership::Peer;
+use cornelpoint::ownership::StoreAvailability;
+use cornelpoint::ownership::StoreCallResult;
 
 const NODES: [&str; 4] = ["a-1", "a-2", "b-1", "c-1"];
 const POOLS: [&str; 4] = ["quoting", "design", "controller", "compliance"];
@@ -145,6 +147,49 @@
     assert!(!planner.due_claims(3000 + wait_ms).is_empty());
 }
 
+#[test]
+fn throttled_calls_are_not_an_outage_of_the_store() {
+    let mut store = StoreAvailability::default();
+    for now_ms in (1000..6000).step_by(100) {
+        store.record(StoreCallResult::Throttled, now_ms);
+        assert_eq!(store.available_since_ms(), 0, "at {now_ms} ms");
+        store.record(StoreCallResult::Answered, now_ms + 50);
+        assert_eq!(store.available_since_ms(), 0, "at {now_ms} ms");
+    }
+}
+
+#[test]
+fn single_failures_are_not_an_outage_of_the_store() {
+    let mut store = StoreAvailability::default();
+    for now_ms in (1000..6000).step_by(400) {
+        store.record(StoreCallResult::Failed, now_ms);
+        assert!(store.is_available(now_ms + 300));
+        store.record(StoreCallResult::Answered, now_ms + 300);
+        assert_eq!(store.available_since_ms(), 0, "at {now_ms} ms");
+    }
+}
+
+#[test]
+fn a_process_whose_calls_are_all_throttled_has_no_store() {
+    let mut store = StoreAvailability::default();
+    for now_ms in (1000..2000).step_by(100) {
+        store.record(StoreCallResult::Throttled, now_ms);
+    }
+    assert!(!store.is_available(2000));
+}
+
+#[test]
+fn an_outage_of_the_store_ends_with_the_first_response() {
+    let mut store = StoreAvailability::default();
+    store.record(StoreCallResult::Failed, 1000);
+    store.record(StoreCallResult::Failed, 3000);
+    assert_eq!(store.available_since_ms(), u64::MAX);
+    store.record(StoreCallResult::Throttled, 3500);
+    assert_eq!(store.available_since_ms(), 3500);
+    assert_eq!(store.record(StoreCallResult::Answered, 3600), Some(2600));
+    assert_eq!(store.available_since_ms(), 3500);
+}
+
 /// A process that starts after its instance's clock was set back has an earlier
 /// start time than its predecessor.
 #[test]
