Don't repeat a claim at once after it was dropped or refused

Callers saw late starts and answers while an owner was being replaced.

Cause: each attempt to claim a shard ended with a notification that woke the claim loop, which found the same claim still due. While claims were dropped for a recent failure of the store, every candidate spun on its processor, and a claim that the store refused was sent again every 0.1 ms.

Now only a change of the owners wakes the loop at once; else it follows the planner's turns of 0.4 s.

--- a/crates/cornelpoint-manager/src/node/cluster.rs
+++ b/crates/cornelpoint-manager/src/node/cluster.rs
@@ -230,7 +230,6 @@
             self.take_over(&claim).await;
         }
         self.claiming.borrow_mut().remove(&claim.shard);
-        self.planner_changed.notify_one();
     }
 
     /// Whether the store heartbeat of an unresponsive owner is stale, too.
@@ -333,6 +332,7 @@
                     version,
                     now_ms,
                 );
+                self.planner_changed.notify_one();
                 self.metrics.takeovers.inc();
                 info!(self.main_log, "Shard taken over."; "shard" => &claim.shard,
                     "fencing_token" => claim.fencing_token, "version" => version,
