Apply the inbox before a new owner schedules

Cause: a new owner restored the jobs and placed their tasks at once, and read the inbox, where the cancellation was, beside that.

Evidence: `Started scheduling a pool.` at 41.107, the start at 41.252, `Applying an inbox row.` with kind cancel at 41.307. Ruled out: a late cancellation (stored at 36.166) and a lost one (it is applied later).

Now the inbox is read with the other rows of the pool, in parallel, and applied before the first placement. The scheduler knows which rows of the inbox it has read, and removes each one as soon as the store has what it asks for. Before, a row that was read after its job's record had been stored was never removed, and a successor accepted the job once more after its own rows had expired. A batch is bounded by its rows: 40 jobs of the inbox that were cancelled had 160 entries, over the 100 that the store takes.

The tests' inbox now removes the rows that the batch names; before it copied the rule of the manager, which is gone.

--- /dev/null
+++ b/crates/cornelpoint-manager/src/edge/inbox_writer.rs
@@ -0,0 +1,155 @@
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::inbox::InboxKey;
+use cornelpoint::inbox::InboxOutcome;
+use cornelpoint::inbox::InboxQueue;
+use cornelpoint::inbox::InboxWriteResult;
+use cornelpoint::job::JobId;
+use cornelpoint_platform::store::Row;
+use cornelpoint_platform::store::RowKey;
+use cornelpoint_platform::store::Transaction;
+use rand::SeedableRng;
+use rand::rngs::ChaCha8Rng;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::clock;
+use crate::node::Node;
+use crate::store::INBOX_TABLE;
+use crate::store::JOB_TABLE;
+use crate::store::TransactionOutcome;
+
+/// Longest wait for a request to be written: the time-out of a call to the store.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Writes the requests of this process to the inbox of one pool.
+pub(crate) struct InboxWriter {
+    pool: String,
+    queue: RefCell<InboxQueue>,
+    requests: RefCell<BTreeMap<InboxKey, InboxRequest>>,
+    is_writing: Cell<bool>,
+}
+
+/// A request that waits to be written.
+struct InboxRequest {
+    value: Vec<u8>,
+    waiters: Vec<oneshot::Sender<InboxOutcome>>,
+}
+
+impl InboxWriter {
+    pub(crate) fn new(pool: &str) -> Self {
+        Self {
+            pool: pool.to_owned(),
+            queue: RefCell::new(InboxQueue::new(ChaCha8Rng::from_rng(&mut rand::rng()))),
+            requests: RefCell::default(),
+            is_writing: Cell::new(false),
+        }
+    }
+
+    /// Stores a request, together with others that arrive meanwhile.
+    pub(super) async fn store(
+        self: &Rc<Self>,
+        node: &Rc<Node>,
+        key: InboxKey,
+        value: Vec<u8>,
+    ) -> InboxOutcome {
+        if !self.queue.borrow_mut().push(key) {
+            return InboxOutcome::Refused;
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.requests
+            .borrow_mut()
+            .entry(key)
+            .or_insert_with(|| InboxRequest {
+                value,
+                waiters: Vec::new(),
+            })
+            .waiters
+            .push(sender);
+        if !self.is_writing.replace(true) {
+            spawn_local(Rc::clone(self).write_queue(Rc::clone(node)));
+        }
+        match timeout(WRITE_TIMEOUT, receiver).await {
+            Ok(Ok(outcome)) => outcome,
+            _ if self.queue.borrow_mut().withdraw(key) => {
+                self.reply(key, InboxOutcome::Refused);
+                InboxOutcome::Refused
+            }
+            _ => InboxOutcome::Uncertain,
+        }
+    }
+
+    /// Writes until no request waits.
+    async fn write_queue(self: Rc<Self>, node: Rc<Node>) {
+        loop {
+            let keys = self.queue.borrow_mut().begin_write(clock::now().steady_ms);
+            if keys.is_empty() {
+                let Some(next_ms) = self.queue.borrow().next_write_ms() else {
+                    self.is_writing.set(false);
+                    return;
+                };
+                tokio::time::sleep(clock::until(next_ms)).await;
+                continue;
+            }
+            let transaction = self.transaction(&keys);
+            let result = match node.store.transact(&transaction).await {
+                TransactionOutcome::Committed { .. } => InboxWriteResult::Committed,
+                TransactionOutcome::Conflict(rows) => {
+                    InboxWriteResult::Conflict(stored_requests(&rows))
+                }
+                TransactionOutcome::Refused => InboxWriteResult::Refused,
+                TransactionOutcome::Unknown => InboxWriteResult::Unknown,
+            };
+            let now_ms = clock::now().steady_ms;
+            let outcomes = self.queue.borrow_mut().write_replied(&result, now_ms);
+            for (key, outcome) in outcomes {
+                self.reply(key, outcome);
+            }
+        }
+    }
+
+    fn reply(&self, key: InboxKey, outcome: InboxOutcome) {
+        let request = self.requests.borrow_mut().remove(&key);
+        for waiter in request.into_iter().flat_map(|request| request.waiters) {
+            // Sending fails only if the caller no longer waits.
+            let _ = waiter.send(outcome);
+        }
+    }
+
+    fn transaction(&self, keys: &[InboxKey]) -> Transaction {
+        let requests = self.requests.borrow();
+        let mut transaction = Transaction::default();
+        for key in keys {
+            let row_key = RowKey::new(INBOX_TABLE, &self.pool, key.to_string());
+            if let InboxKey::Submit(job) = key {
+                let job_key = RowKey::new(JOB_TABLE, &self.pool, job.to_string());
+                transaction.conditions.push((row_key.clone(), 0));
+                transaction.conditions.push((job_key, 0));
+            }
+            let value = requests.get(key).map(|request| request.value.clone());
+            transaction
+                .writes
+                .push((row_key, value.unwrap_or_default()));
+        }
+        transaction
+    }
+}
+
+/// Returns the submissions of which a conflict shows a row.
+fn stored_requests(rows: &[Row]) -> BTreeSet<InboxKey> {
+    let stored = rows.iter().filter(|row| row.version > 0);
+    let keys = stored.filter_map(|row| {
+        if row.key.table == JOB_TABLE {
+            row.key.key.parse::<JobId>().ok().map(InboxKey::Submit)
+        } else {
+            InboxKey::parse(&row.key.key)
+        }
+    });
+    keys.collect()
+}
--- a/crates/cornelpoint-manager/src/pool_host/commits.rs
+++ b/crates/cornelpoint-manager/src/pool_host/commits.rs
@@ -44,12 +44,6 @@
                 BatchOutcome::Unknown
             }
         };
-        if outcome == BatchOutcome::Stored {
-            let mut inbox = self.inbox.borrow_mut();
-            for key in &transaction.removals {
-                inbox.remove(&key.key);
-            }
-        }
         let stored = self.apply(|scheduler, now| scheduler.batch_replied(outcome, now));
         let mut waiters = self.waiters.borrow_mut();
         for id in stored.accepted {
@@ -95,24 +89,17 @@
 
     fn build_transaction(&self, batch: &Batch) -> Transaction {
         let mut transaction = Transaction::default();
-        let inbox = self.inbox.borrow();
         for (id, record) in &batch.records {
             let key = RowKey::new(JOB_TABLE, &self.pool, id.to_string());
             transaction.writes.push((key, encode(record)));
-            let inbox_key = format!("submit/{id}");
-            if inbox.contains(&inbox_key) {
-                let key = RowKey::new(INBOX_TABLE, &self.pool, inbox_key);
-                transaction.removals.push(key);
-            }
         }
         for (id, progress) in &batch.progress {
             let key = RowKey::new(PROGRESS_TABLE, &self.pool, id.to_string());
             transaction.writes.push((key, encode(progress)));
-            let inbox_key = format!("cancel/{id}");
-            if progress.status.is_final() && inbox.contains(&inbox_key) {
-                let key = RowKey::new(INBOX_TABLE, &self.pool, inbox_key);
-                transaction.removals.push(key);
-            }
+        }
+        for inbox_key in &batch.inbox {
+            let key = RowKey::new(INBOX_TABLE, &self.pool, inbox_key.to_string());
+            transaction.removals.push(key);
         }
         for id in &batch.expired {
             for table in [JOB_TABLE, PROGRESS_TABLE] {
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -39,8 +39,9 @@
     pub(super) scheduler: RefCell<PoolScheduler>,
     pub(super) links: RefCell<HashMap<IncarnationIndex, Rc<WorkerLink>>>,
     pub(super) waiters: RefCell<HashMap<JobId, Vec<oneshot::Sender<PoolResponse>>>>,
-    /// Keys of the inbox rows that were read and not removed yet.
-    pub(super) inbox: RefCell<BTreeSet<String>>,
+    /// When the last successful read of the inbox was sent, by the monotonic
+    /// clock.
+    pub(super) inbox_read_ms: Cell<u64>,
     /// Vacated workers as of the last update; a change sends a heartbeat at once.
     vacated: RefCell<BTreeSet<String>>,
     pub(super) log: Logger,
@@ -67,7 +68,7 @@
             scheduler: RefCell::new(scheduler),
             links: RefCell::default(),
             waiters: RefCell::default(),
-            inbox: RefCell::default(),
+            inbox_read_ms: Cell::new(0),
             vacated: RefCell::default(),
             log: node.pool_log.clone(),
             stopped: Cell::new(false),
--- /dev/null
+++ b/crates/cornelpoint-manager/src/pool_host/inbox.rs
@@ -0,0 +1,204 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::inbox::InboxKey;
+use cornelpoint::job::JobRecord;
+use cornelpoint::job::JobSpec;
+use cornelpoint::scheduler::Instant;
+use cornelpoint::scheduler::PoolScheduler;
+use cornelpoint_platform::store::Row;
+use cornelpoint_platform::store::Rows;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+
+use super::host::PoolHost;
+use crate::clock;
+use crate::store::FeedOutcome;
+use crate::store::INBOX_TABLE;
+use crate::store::decode;
+
+/// Delay before a failed store request is retried.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Long-poll wait for rows of the inbox. Each response confirms that the owner
+/// knows all accepted jobs, and a dead connection is detected within this time
+/// plus the call timeout.
+const INBOX_WAIT_MS: u64 = 500;
+
+/// How an owner's reads of its inbox have gone.
+#[derive(Debug)]
+struct InboxReads {
+    /// When the last successful read returned; at first when the reads began.
+    succeeded_ms: u64,
+    failing: bool,
+}
+
+/// A request that another process has stored for the owner.
+struct InboxRequest {
+    key: InboxKey,
+    /// The job, if it is a submission.
+    job: Option<(JobRecord, JobSpec)>,
+}
+
+impl PoolHost {
+    /// Follows the inbox: jobs and cancellations that other processes stored while
+    /// the owner could not be reached. `version` is that of the rows applied so
+    /// far.
+    pub(super) async fn follow_inbox(self: Rc<Self>, version: u64) {
+        let mut after = Some(version);
+        let mut reads = InboxReads {
+            succeeded_ms: clock::now().steady_ms,
+            failing: false,
+        };
+        while !self.stopped.get() {
+            let requested_ms = clock::now().steady_ms;
+            let Some(version) = after else {
+                if let Some(rows) = self.node.store.read_all(INBOX_TABLE, &self.pool).await {
+                    info!(self.log, "Inbox read in full."; "pool" => &self.pool,
+                        "fencing_token" => self.fencing_token, "version" => rows.version,
+                        "rows" => rows.rows.len(),
+                        "took_ms" => clock::now().steady_ms - requested_ms);
+                    after = Some(rows.version);
+                    self.inbox_read(&mut reads, &rows, requested_ms, "full read");
+                } else {
+                    self.log_inbox_failure(&mut reads, "full read");
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+                continue;
+            };
+            match self
+                .node
+                .store
+                .feed(INBOX_TABLE, version, INBOX_WAIT_MS)
+                .await
+            {
+                FeedOutcome::Changes(rows) => {
+                    after = Some(rows.version.max(version));
+                    self.inbox_read(&mut reads, &rows, requested_ms, "feed");
+                }
+                FeedOutcome::HistoryExpired => after = None,
+                FeedOutcome::Failed => {
+                    self.log_inbox_failure(&mut reads, "feed");
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    fn inbox_read(
+        self: &Rc<Self>,
+        reads: &mut InboxReads,
+        rows: &Rows,
+        requested_ms: u64,
+        read: &str,
+    ) {
+        let unread_ms = self.log_inbox_success(reads);
+        let requests = parse_inbox(&self.log, &self.pool, &rows.rows, read, unread_ms);
+        if !requests.is_empty() {
+            self.apply(|scheduler, now| apply_inbox(scheduler, requests, now));
+        }
+        // The response may have been delayed; it is at least as new as its
+        // request.
+        self.inbox_read_ms.set(requested_ms);
+    }
+
+    /// Logs the first success after failures; returns the time since the
+    /// success before.
+    fn log_inbox_success(&self, reads: &mut InboxReads) -> u64 {
+        let now_ms = clock::now().steady_ms;
+        let unread_ms = now_ms.saturating_sub(reads.succeeded_ms);
+        if reads.failing {
+            info!(self.log, "Inbox can be read again."; "pool" => &self.pool,
+                "fencing_token" => self.fencing_token,
+                "unread_ms" => unread_ms);
+        }
+        *reads = InboxReads {
+            succeeded_ms: now_ms,
+            failing: false,
+        };
+        unread_ms
+    }
+
+    /// Logs the first failure after a success. A long poll without a response
+    /// fails only at its timeout.
+    fn log_inbox_failure(&self, reads: &mut InboxReads, read: &str) {
+        if reads.failing {
+            return;
+        }
+        reads.failing = true;
+        warn!(self.log, "Inbox can't be read."; "pool" => &self.pool,
+            "fencing_token" => self.fencing_token, "read" => read,
+            "error" => self.node.store.last_failure(),
+            "unread_ms" => clock::now().steady_ms - reads.succeeded_ms);
+    }
+}
+
+/// Applies all rows of a pool's inbox before its scheduling starts; returns their
+/// number.
+pub(super) fn restore_inbox(
+    scheduler: &mut PoolScheduler,
+    log: &Logger,
+    pool: &str,
+    rows: &Rows,
+) -> usize {
+    let requests = parse_inbox(log, pool, &rows.rows, "takeover", 0);
+    let count = requests.len();
+    apply_inbox(scheduler, requests, clock::now());
+    count
+}
+
+fn apply_inbox(scheduler: &mut PoolScheduler, requests: Vec<InboxRequest>, now: Instant) {
+    for request in requests {
+        match (request.key, request.job) {
+            (InboxKey::Cancel(id), _) => scheduler.cancel_from_inbox(id, now),
+            (InboxKey::Submit(id), Some((record, spec))) => {
+                scheduler.submit_from_inbox(id, record, spec, now);
+            }
+            (InboxKey::Submit(_), None) => {}
+        }
+    }
+}
+
+fn parse_inbox(
+    log: &Logger,
+    pool: &str,
+    rows: &[Row],
+    read: &str,
+    unread_ms: u64,
+) -> Vec<InboxRequest> {
+    // Records carry the wall clock of the process that stored them.
+    let now_unix_ms = clock::now().unix_ms;
+    let mut requests = Vec::new();
+    for row in rows.iter().filter(|row| row.key.part == pool) {
+        let Some(value) = &row.value else { continue };
+        let Some(key) = InboxKey::parse(&row.key.key) else {
+            warn!(log, "Inbox row with an unknown key."; "key" => &row.key.key);
+            continue;
+        };
+        let mut age_ms = None;
+        let job = match key {
+            InboxKey::Cancel(_) => None,
+            InboxKey::Submit(id) => {
+                let record = decode::<JobRecord>(value);
+                let spec = record
+                    .as_ref()
+                    .and_then(|record| JobSpec::try_from(record.job.clone()).ok());
+                let Some((record, spec)) = record.zip(spec) else {
+                    warn!(log, "Job in the inbox can't be decoded."; "job" => %id);
+                    continue;
+                };
+                age_ms = Some(now_unix_ms.saturating_sub(record.accepted_unix_ms));
+                Some((record, spec))
+            }
+        };
+        let (kind, id) = match key {
+            InboxKey::Submit(id) => ("submit", id),
+            InboxKey::Cancel(id) => ("cancel", id),
+        };
+        info!(log, "Applying an inbox row."; "kind" => kind, "job" => %id,
+            "read" => read, "version" => row.version, "age_ms" => age_ms,
+            "unread_ms" => unread_ms);
+        requests.push(InboxRequest { key, job });
+    }
+    requests
+}
--- a/crates/cornelpoint-manager/src/pool_host/mod.rs
+++ b/crates/cornelpoint-manager/src/pool_host/mod.rs
@@ -3,6 +3,7 @@
 
 mod commits;
 mod host;
+mod inbox;
 mod orders;
 mod requests;
 mod takeover;
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -11,15 +11,15 @@
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::SchedulerSettings;
 use cornelpoint_platform::registry;
-use cornelpoint_platform::store::Row;
+use cornelpoint_platform::store::Rows;
 use slog::info;
 use slog::warn;
 use tokio::task::spawn_local;
 
 use super::host::PoolHost;
+use super::inbox::restore_inbox;
 use crate::clock;
 use crate::node::Node;
-use crate::store::FeedOutcome;
 use crate::store::INBOX_TABLE;
 use crate::store::JOB_TABLE;
 use crate::store::PROGRESS_TABLE;
@@ -40,15 +40,19 @@
 const REGISTRY_SETTLE_MS: u64 = 2500;
 /// Interval between checks whether the predecessor's process has ended.
 const PREDECESSOR_CHECK_INTERVAL: Duration = Duration::from_millis(300);
-/// Long-poll wait for rows of the inbox.
-const INBOX_WAIT_MS: u64 = 10_000;
+/// A pool's rows in the store.
+struct StoredPool {
+    workers: Rows,
+    records: Rows,
+    progress: Rows,
+    inbox: Rows,
+}
 
-/// How an owner's reads of its inbox have gone.
-#[derive(Debug)]
-struct InboxReads {
-    /// When the last successful read returned; at first when the reads began.
-    succeeded_ms: u64,
-    failing: bool,
+/// What a new owner knows of the inbox before it starts to schedule.
+struct RestoredInbox {
+    version: u64,
+    requested_ms: u64,
+    rows: usize,
 }
 
 impl PoolHost {
@@ -74,14 +78,24 @@
         }
         let claimed_ms = clock::now().steady_ms;
         let leases_end_ms = to_steady_ms(node, owner.earlier_over_store_ms);
-        while !restore(node, claim, &mut scheduler, leases_end_ms).await {
+        let inbox = loop {
+            let requested_ms = clock::now().steady_ms;
+            if let Some(stored) = read_stored_pool(node, &claim.shard).await {
+                let rows = restore(node, &claim.shard, &mut scheduler, &stored, leases_end_ms);
+                break RestoredInbox {
+                    version: stored.inbox.version,
+                    requested_ms,
+                    rows,
+                };
+            }
             if !node.planner.borrow().owns(&claim.shard) {
                 return;
             }
             tokio::time::sleep(RETRY_DELAY).await;
-        }
+        };
         let writer = ShardWriter::new(&claim.shard, owner.clone(), owner_version);
         let host = Rc::new(Self::new(node, &claim.shard, writer, scheduler));
+        host.inbox_read_ms.set(inbox.requested_ms);
         if !node.planner.borrow().owns(&claim.shard) {
             return;
         }
@@ -94,11 +108,11 @@
         }
         info!(host.log, "Started scheduling a pool."; "pool" => &claim.shard,
             "fencing_token" => claim.fencing_token,
-            "inbox_rows" => host.inbox.borrow().len(),
+            "inbox_rows" => inbox.rows,
             "took_ms" => clock::now().steady_ms - claimed_ms);
         node.heartbeat_now.notify_one();
         spawn_local(Rc::clone(&host).poll_registry());
-        spawn_local(Rc::clone(&host).follow_inbox());
+        spawn_local(Rc::clone(&host).follow_inbox(inbox.version));
         if let Some(predecessor) = predecessor {
             spawn_local(Rc::clone(&host).watch_predecessor(predecessor));
         }
@@ -145,120 +159,6 @@
             tokio::time::sleep(pause).await;
         }
     }
-
-    /// Follows the inbox: jobs and cancellations that other processes stored while
-    /// the owner could not be reached.
-    async fn follow_inbox(self: Rc<Self>) {
-        let mut after = None;
-        let mut reads = InboxReads {
-            succeeded_ms: clock::now().steady_ms,
-            failing: false,
-        };
-        while !self.stopped.get() {
-            let Some(version) = after else {
-                let requested_ms = clock::now().steady_ms;
-                if let Some(rows) = self.node.store.read_all(INBOX_TABLE, &self.pool).await {
-                    let unread_ms = self.log_inbox_success(&mut reads);
-                    info!(self.log, "Inbox read in full."; "pool" => &self.pool,
-                        "fencing_token" => self.fencing_token, "version" => rows.version,
-                        "rows" => rows.rows.len(),
-                        "took_ms" => clock::now().steady_ms - requested_ms);
-                    self.apply_inbox_rows(&rows.rows, "full read", unread_ms);
-                    after = Some(rows.version);
-                } else {
-                    self.log_inbox_failure(&mut reads, "full read");
-                    tokio::time::sleep(RETRY_DELAY).await;
-                }
-                continue;
-            };
-            match self
-                .node
-                .store
-                .feed(INBOX_TABLE, version, INBOX_WAIT_MS)
-                .await
-            {
-                FeedOutcome::Changes(rows) => {
-                    let unread_ms = self.log_inbox_success(&mut reads);
-                    self.apply_inbox_rows(&rows.rows, "feed", unread_ms);
-                    after = Some(rows.version.max(version));
-                }
-                FeedOutcome::HistoryExpired => after = None,
-                FeedOutcome::Failed => {
-                    self.log_inbox_failure(&mut reads, "feed");
-                    tokio::time::sleep(RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
-    /// Logs the first success after failures; returns the time since the
-    /// success before.
-    fn log_inbox_success(&self, reads: &mut InboxReads) -> u64 {
-        let now_ms = clock::now().steady_ms;
-        let unread_ms = now_ms.saturating_sub(reads.succeeded_ms);
-        if reads.failing {
-            info!(self.log, "Inbox can be read again."; "pool" => &self.pool,
-                "fencing_token" => self.fencing_token,
-                "unread_ms" => unread_ms);
-        }
-        *reads = InboxReads {
-            succeeded_ms: now_ms,
-            failing: false,
-        };
-        unread_ms
-    }
-
-    /// Logs the first failure after a success. A long poll without a response
-    /// fails only at its timeout.
-    fn log_inbox_failure(&self, reads: &mut InboxReads, read: &str) {
-        if reads.failing {
-            return;
-        }
-        reads.failing = true;
-        warn!(self.log, "Inbox can't be read."; "pool" => &self.pool,
-            "fencing_token" => self.fencing_token, "read" => read,
-            "error" => self.node.store.last_failure(),
-            "unread_ms" => clock::now().steady_ms - reads.succeeded_ms);
-    }
-
-    fn apply_inbox_rows(self: &Rc<Self>, rows: &[Row], read: &str, unread_ms: u64) {
-        for row in rows.iter().filter(|row| row.key.part == self.pool) {
-            let Some(value) = &row.value else { continue };
-            let Some((kind, id)) = row.key.key.split_once('/') else {
-                continue;
-            };
-            let Ok(id) = id.parse::<JobId>() else {
-                continue;
-            };
-            self.inbox.borrow_mut().insert(row.key.key.clone());
-            let record = if kind == "cancel" {
-                None
-            } else {
-                decode::<JobRecord>(value)
-            };
-            // The record carries the wall clock of the process that stored it.
-            let now_unix_ms = clock::now().unix_ms;
-            let age_ms = record
-                .as_ref()
-                .map(|record| now_unix_ms.saturating_sub(record.accepted_unix_ms));
-            info!(self.log, "Applying an inbox row."; "kind" => kind, "job" => %id,
-                "read" => read, "version" => row.version, "age_ms" => age_ms,
-                "unread_ms" => unread_ms);
-            if kind == "cancel" {
-                self.apply(|scheduler, now| scheduler.cancel_from_inbox(id, now));
-                continue;
-            }
-            let spec = record
-                .as_ref()
-                .and_then(|record| JobSpec::try_from(record.job.clone()).ok());
-            match record.zip(spec) {
-                Some((record, spec)) => {
-                    self.apply(|scheduler, now| scheduler.submit_from_inbox(id, record, spec, now));
-                }
-                None => warn!(self.log, "Job in the inbox can't be decoded."; "job" => %id),
-            }
-        }
-    }
 }
 
 /// Converts a time of the store's clock to one of the local monotonic clock.
@@ -266,35 +166,34 @@
     clock::now().steady_ms + store_ms.saturating_sub(node.store.clock_ms())
 }
 
-/// Restores a pool's workers and jobs from the store; false if a read fails.
-async fn restore(
+/// Reads a pool's rows from the store; `None` if a read fails.
+async fn read_stored_pool(node: &Rc<Node>, pool: &str) -> Option<StoredPool> {
+    Some(StoredPool {
+        workers: node.store.read_all(WORKER_TABLE, pool).await?,
+        records: node.store.read_all(JOB_TABLE, pool).await?,
+        progress: node.store.read_all(PROGRESS_TABLE, pool).await?,
+        inbox: node.store.read_all(INBOX_TABLE, pool).await?,
+    })
+}
+
+/// Restores a pool's workers and jobs, and applies its inbox: a job whose
+/// cancellation was confirmed must not start.
+fn restore(
     node: &Rc<Node>,
-    claim: &Claim,
+    pool: &str,
     scheduler: &mut PoolScheduler,
+    stored: &StoredPool,
     leases_end_ms: u64,
-) -> bool {
-    let pool = &claim.shard;
-    let Some(workers) = node.store.read_all(WORKER_TABLE, pool).await else {
-        return false;
-    };
-    let Some(records) = node.store.read_all(JOB_TABLE, pool).await else {
-        return false;
-    };
-    let Some(progress) = node.store.read_all(PROGRESS_TABLE, pool).await else {
-        return false;
-    };
-    let workers = workers
-        .rows
-        .iter()
-        .find_map(|row| decode(row.value.as_deref()?));
+) -> usize {
+    let mut workers = stored.workers.rows.iter();
+    let workers = workers.find_map(|row| decode(row.value.as_deref()?));
     scheduler.set_predecessor(workers.unwrap_or_default(), leases_end_ms);
+    let progress = stored.progress.rows.iter();
     let progress: HashMap<&str, JobProgress> = progress
-        .rows
-        .iter()
         .filter_map(|row| Some((row.key.key.as_str(), decode(row.value.as_deref()?)?)))
         .collect();
     let mut count = 0;
-    for row in &records.rows {
+    for row in &stored.records.rows {
         let record = row.value.as_deref().and_then(decode::<JobRecord>);
         let id = row.key.key.parse::<JobId>().ok();
         let spec = record
@@ -309,5 +208,5 @@
         count += 1;
     }
     info!(node.pool_log, "Restored a pool's jobs."; "pool" => pool, "jobs" => count);
-    true
+    restore_inbox(scheduler, &node.pool_log, pool, &stored.inbox)
 }
--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ejection;
 pub mod finding;
 pub mod fleet;
+pub mod inbox;
 pub mod job;
 pub mod membership;
 pub mod name;
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -1,6 +1,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::inbox::InboxKey;
 use crate::job::JobId;
 use crate::job::JobProgress;
 use crate::job::JobRecord;
@@ -12,9 +13,12 @@
 use super::pool_scheduler::PoolScheduler;
 use super::worker_state::WorkerState;
 
-/// Largest number of jobs in a batch: with two rows each, they stay within the
-/// 100 entries of a store transaction.
-const MAX_JOBS_PER_BATCH: usize = 40;
+/// Largest number of rows in a batch. The store allows 100 entries in a
+/// transaction, of which the owner's conditions and store heartbeat take three.
+const MAX_BATCH_ROWS: usize = 96;
+/// Largest number of rows of one job: its record, its progress, its submission
+/// and its cancellation in the inbox.
+const MAX_JOB_ROWS: usize = 4;
 
 /// Stored record of a worker incarnation that may run tasks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,10 +50,24 @@
     pub progress: Vec<(JobId, JobProgress)>,
     /// Jobs past their retention period, whose rows are to be deleted.
     pub expired: Vec<JobId>,
+    /// Rows of the owner's inbox that are to be deleted, because the store has
+    /// what they ask for.
+    pub inbox: Vec<InboxKey>,
     /// Workers that may run tasks from now on, if they have changed.
     pub workers: Option<Vec<WorkerRecord>>,
 }
 
+impl Batch {
+    /// Returns the number of rows that are written or removed.
+    fn rows(&self) -> usize {
+        self.records.len()
+            + self.progress.len()
+            + 2 * self.expired.len()
+            + self.inbox.len()
+            + usize::from(self.workers.is_some())
+    }
+}
+
 /// Outcome of writing a batch to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BatchOutcome {
@@ -88,6 +106,7 @@
 pub(super) struct BatchInFlight {
     jobs: Vec<(JobId, JobStatus, bool)>,
     expired: Vec<JobId>,
+    inbox: Vec<InboxKey>,
     completions: Vec<(IncarnationIndex, u64)>,
     incarnations: Vec<IncarnationIndex>,
 }
@@ -105,16 +124,14 @@
         self.last_batch_ms = now.steady_ms;
         let mut batch = Batch::default();
         let mut in_flight = BatchInFlight::default();
-        let ids: Vec<JobId> = self
-            .dirty
-            .iter()
-            .take(MAX_JOBS_PER_BATCH)
-            .copied()
-            .collect();
-        for id in &ids {
-            self.dirty.remove(id);
-            self.add_job_rows(*id, &mut batch, &mut in_flight, now);
+        while batch.rows() + MAX_JOB_ROWS <= MAX_BATCH_ROWS
+            && let Some(id) = self.dirty.pop_first()
+        {
+            self.add_job_rows(id, &mut batch, &mut in_flight, now);
         }
+        let free = MAX_BATCH_ROWS.saturating_sub(batch.rows());
+        batch.inbox.extend(self.settled_inbox.iter().take(free));
+        in_flight.inbox.clone_from(&batch.inbox);
         self.urgent = !self.dirty.is_empty();
         if self.dirty.is_empty() {
             // Completions are acknowledged only once all jobs that they changed
@@ -142,7 +159,28 @@
             .incarnations
             .values()
             .any(|worker| worker.applied_completion > worker.stored_completion);
-        completions || !self.dirty.is_empty() || self.workers_row_dirty
+        completions
+            || !self.dirty.is_empty()
+            || self.workers_row_dirty
+            || !self.settled_inbox.is_empty()
+    }
+
+    /// Whether the store has what a row of the inbox asks for.
+    fn is_settled(&self, key: InboxKey) -> bool {
+        let stored = |id| self.jobs.get(&id).and_then(|job| job.stored_status);
+        match key {
+            InboxKey::Submit(id) => stored(id).is_some(),
+            InboxKey::Cancel(id) => stored(id).is_some_and(JobStatus::is_final),
+        }
+    }
+
+    /// Records that a row of the inbox was read.
+    pub(super) fn inbox_row_read(&mut self, key: InboxKey) {
+        if self.is_settled(key) {
+            self.settled_inbox.insert(key);
+        } else {
+            self.inbox.insert(key);
+        }
     }
 
     fn add_job_rows(
@@ -168,6 +206,12 @@
         if job.stored_status.is_some() || progress != JobProgress::default() {
             batch.progress.push((id, progress));
         }
+        let submission = InboxKey::Submit(id);
+        batch.inbox.extend(self.inbox.get(&submission));
+        if job.status.is_final() {
+            let cancellation = InboxKey::Cancel(id);
+            batch.inbox.extend(self.inbox.get(&cancellation));
+        }
         in_flight
             .jobs
             .push((id, job.status, job.stored_status.is_none()));
@@ -205,11 +249,16 @@
 
     fn batch_stored(&mut self, in_flight: BatchInFlight, now: Instant) -> StoredJobs {
         let mut stored = StoredJobs::default();
+        for key in in_flight.inbox {
+            self.inbox.remove(&key);
+            self.settled_inbox.remove(&key);
+        }
         for (id, status, is_new) in in_flight.jobs {
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
             let previous_status = job.stored_status.replace(status);
+            job.accepted = true;
             if is_new {
                 stored.accepted.push(id);
             }
@@ -223,6 +272,12 @@
                     late_ms: job.final_steady_ms.saturating_sub(job.objective.due_ms()),
                 });
             }
+            // Read while the batch was in flight, which did not remove them.
+            for key in [InboxKey::Submit(id), InboxKey::Cancel(id)] {
+                if self.inbox.remove(&key) {
+                    self.inbox_row_read(key);
+                }
+            }
         }
         for id in in_flight.expired {
             self.jobs.remove(&id);
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 
+use crate::inbox::InboxKey;
 use crate::job::JobId;
 use crate::job::JobProgress;
 use crate::job::JobRecord;
@@ -47,9 +48,10 @@
         now: Instant,
     ) -> SubmitAnswer {
         if let Some(entry) = self.jobs.get(&id) {
-            return match entry.stored_status {
-                Some(_) => SubmitAnswer::Accepted,
-                None => SubmitAnswer::Storing,
+            return if entry.accepted {
+                SubmitAnswer::Accepted
+            } else {
+                SubmitAnswer::Storing
             };
         }
         self.record_offered(id, &record, &spec, now);
@@ -65,10 +67,15 @@
 
     /// Accepts a job that another process has stored in the owner's inbox.
     pub fn submit_from_inbox(&mut self, id: JobId, record: JobRecord, spec: JobSpec, now: Instant) {
-        if self.jobs.contains_key(&id) {
+        self.inbox_row_read(InboxKey::Submit(id));
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            entry.accepted = true;
             return;
         }
         self.insert_job(id, record, spec, None, now);
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            entry.accepted = true;
+        }
         self.dirty.insert(id);
         self.urgent = true;
         if self.cancelled_before_submit.remove(&id) {
@@ -79,6 +86,7 @@
     /// Applies a cancellation that another process has stored in the owner's
     /// inbox. It may arrive before the job itself.
     pub fn cancel_from_inbox(&mut self, id: JobId, now: Instant) {
+        self.inbox_row_read(InboxKey::Cancel(id));
         if self.cancel(id, now) == CancelAnswer::Unknown {
             self.cancelled_before_submit.insert(id);
         }
@@ -118,6 +126,7 @@
             final_unix_ms: progress.map_or(0, |progress| progress.final_unix_ms),
             final_steady_ms: now.steady_ms,
             stored_status: progress.map(|progress| progress.status),
+            accepted: progress.is_some(),
             inherited: progress.is_some(),
             objective,
             occurrences: BTreeMap::new(),
--- a/crates/cornelpoint/src/scheduler/job_entry.rs
+++ b/crates/cornelpoint/src/scheduler/job_entry.rs
@@ -21,6 +21,9 @@
     pub(super) final_steady_ms: u64,
     /// Status in the store; `None` until the store has a row of the job.
     pub(super) stored_status: Option<JobStatus>,
+    /// Whether the job is known to be accepted: its row, or one in the owner's
+    /// inbox, is stored.
+    pub(super) accepted: bool,
     /// Whether a predecessor may have started tasks of the job.
     pub(super) inherited: bool,
     /// Time by which the job has to be done to be of full value.
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -4,6 +4,7 @@
 
 use crate::catalog::Advice;
 use crate::catalog::Queue;
+use crate::inbox::InboxKey;
 use crate::job::JobId;
 use crate::job::JobRecord;
 use crate::job::JobStatus;
@@ -69,6 +70,10 @@
     pub(super) retained_final_jobs: Vec<(u64, JobId)>,
     /// Cancelled jobs that have not arrived yet.
     pub(super) cancelled_before_submit: BTreeSet<JobId>,
+    /// Rows read from the owner's inbox whose jobs are not stored yet.
+    pub(super) inbox: BTreeSet<InboxKey>,
+    /// Rows of the inbox to remove: the store has what they ask for.
+    pub(super) settled_inbox: BTreeSet<InboxKey>,
     /// Tasks whose worker's incarnation has ended, and since when that is
     /// known.
     pub(super) orphaned_tasks: Vec<(u64, TaskId)>,
@@ -126,6 +131,8 @@
             vacating: BTreeSet::new(),
             retained_final_jobs: Vec::new(),
             cancelled_before_submit: BTreeSet::new(),
+            inbox: BTreeSet::new(),
+            settled_inbox: BTreeSet::new(),
             orphaned_tasks: Vec::new(),
             ownership_confirmed_ms: 0,
         }
@@ -239,7 +246,9 @@
     #[must_use]
     pub fn status(&self, job: JobId) -> Option<JobStatus> {
         let entry = self.jobs.get(&job)?;
-        let stored = entry.stored_status?;
+        let Some(stored) = entry.stored_status else {
+            return entry.accepted.then_some(JobStatus::Pending);
+        };
         if stored.is_final() {
             return Some(stored);
         }
@@ -254,9 +263,7 @@
     #[must_use]
     pub fn waiting(&self, queue: &str) -> usize {
         let waiting = self.jobs.values().filter(|entry| {
-            entry.record.queue == queue
-                && entry.stored_status.is_some()
-                && entry.status == JobStatus::Pending
+            entry.record.queue == queue && entry.accepted && entry.status == JobStatus::Pending
         });
         waiting.count()
     }
--- a/crates/cornelpoint/tests/scheduler/inbox.rs
+++ b/crates/cornelpoint/tests/scheduler/inbox.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use cornelpoint::inbox::InboxKey;
 use cornelpoint::job::JobId;
 use cornelpoint::job::JobProgress;
 use cornelpoint::job::JobRecord;
@@ -20,6 +21,7 @@
 use cornelpoint::worker::WorkerReport;
 
 use crate::fake_store::FakeStore;
+use crate::support::QUEUE;
 use crate::support::answer_renewals;
 use crate::support::at;
 use crate::support::entry;
@@ -32,8 +34,7 @@
 use crate::support::store_batches;
 
 /// Inbox of one pool. The transaction that stores a batch also removes the rows
-/// that the batch settles: submissions whose records it contains, and
-/// cancellations of jobs whose final status it contains.
+/// that the batch names.
 #[derive(Default)]
 struct Inbox {
     submissions: BTreeMap<JobId, JobRecord>,
@@ -52,13 +53,12 @@
         }
     }
 
-    fn remove_settled(&mut self, batch: &Batch) {
-        for (id, _) in &batch.records {
-            self.submissions.remove(id);
-        }
-        let settled = batch.progress.iter();
-        for (id, _) in settled.filter(|(_, progress)| progress.status.is_final()) {
-            self.cancellations.remove(id);
+    fn remove_rows(&mut self, batch: &Batch) {
+        for key in &batch.inbox {
+            match key {
+                InboxKey::Submit(id) => drop(self.submissions.remove(id)),
+                InboxKey::Cancel(id) => drop(self.cancellations.remove(id)),
+            }
         }
     }
 }
@@ -71,7 +71,7 @@
             return;
         };
         assert!(store.apply(scheduler.fencing_token(), &batch));
-        inbox.remove_settled(&batch);
+        inbox.remove_rows(&batch);
         scheduler.batch_replied(BatchOutcome::Stored, now);
     }
 }
@@ -209,3 +209,35 @@
     assert_eq!(starts(&mut scheduler, 200), []);
     assert_eq!(scheduler.status(job_id(1)), Some(JobStatus::Completed));
 }
+
+/// The store allows 100 entries in a transaction; the owner's conditions and its
+/// heartbeat take three.
+#[test]
+fn a_batch_of_cancelled_jobs_from_the_inbox_fits_a_transaction() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    let mut inbox = Inbox::default();
+    for number in 0..60 {
+        let (record, _) = job(vec![step(1, 1000)]);
+        inbox.submissions.insert(job_id(number), record);
+        inbox.cancellations.insert(job_id(number));
+    }
+    inbox.read_all(&mut scheduler, 100);
+    let mut stored = 0;
+    while let Some(batch) = scheduler.begin_batch(at(100 + stored as u64)) {
+        let rows = batch.records.len() + batch.progress.len() + batch.inbox.len();
+        assert!(rows <= 97, "{rows} rows");
+        stored += batch.records.len();
+        scheduler.batch_replied(BatchOutcome::Stored, at(100 + stored as u64));
+    }
+    assert_eq!(stored, 60);
+}
+
+/// Other processes have confirmed these jobs to their callers.
+#[test]
+fn jobs_read_from_the_inbox_count_as_waiting_before_the_owner_has_stored_them() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    let (record, spec) = job(vec![step(1, 1000)]);
+    scheduler.submit_from_inbox(job_id(1), record, spec, at(100));
+    assert_eq!(scheduler.waiting(QUEUE), 1);
+    assert_eq!(scheduler.status(job_id(1)), Some(JobStatus::Pending));
+}
