Return a waiting count only if its view is known to be current

Cause: an owner counted what it knew, whatever the age of that, and others stamped the count with the arrival of the heartbeat that carried it. An owner that was cut off from the store knows nothing of the jobs that others accept through its inbox, and its long poll of the inbox waited 10 s on a connection that had died; jobs that it had read but not stored yet were not counted at all.

Evidence: at 39.711 the processes pass on a heartbeat of the owner, which applies its first inbox row after the cut at 40.104.

Now the count carries the time at which the store last confirmed both the ownership and the whole inbox, is returned up to an age of 2 s, and else the answer is 503.

--- a/crates/cornelpoint-manager/src/edge/callers.rs
+++ b/crates/cornelpoint-manager/src/edge/callers.rs
@@ -18,14 +18,12 @@
 use crate::http::Reply;
 use crate::http::read_body;
 use crate::http::reply;
+use crate::message::MAX_COUNT_AGE_MS;
 use crate::message::PoolRequest;
 use crate::message::PoolResponse;
 use crate::metrics::ProcessMetrics;
 use crate::node::Node;
 
-/// Age up to which the count of waiting jobs in an owner's heartbeat is returned
-/// to callers, who are promised a count at most two seconds old.
-const MAX_COUNT_AGE_MS: u64 = 1200;
 /// Timeout of a request to the owner for the count.
 const COUNT_TIMEOUT: Duration = Duration::from_millis(400);
 /// `Retry-After` while no configuration has been read yet.
@@ -38,8 +36,8 @@
     source: &'static str,
     /// Fencing token of the owner that counted or was asked.
     fencing_token: Option<u64>,
-    /// Time since the heartbeat with the count was received, or since the owner
-    /// was asked.
+    /// Time since the store confirmed the view behind a heartbeat's count, or
+    /// since the owner was asked.
     age_ms: Option<u64>,
     /// Why the owner returned no count.
     error: &'static str,
@@ -150,13 +148,13 @@
     let now_ms = clock::now().steady_ms;
     let all = node.pool_statuses.borrow();
     let status = all.get(&queue.pool);
-    let fresh = status.filter(|status| status.received_ms + MAX_COUNT_AGE_MS > now_ms)?;
+    let fresh = status.filter(|status| status.counted_ms + MAX_COUNT_AGE_MS > now_ms)?;
     let count = fresh.waiting.get(&queue.name).copied()?;
     Some(WaitingCount {
         count: Some(count),
         source: "heartbeat",
         fencing_token: Some(fresh.fencing_token),
-        age_ms: Some(now_ms.saturating_sub(fresh.received_ms)),
+        age_ms: Some(now_ms.saturating_sub(fresh.counted_ms)),
         error: "",
     })
 }
@@ -173,6 +171,7 @@
     };
     let (count, error) = match request_owner(node, &queue.pool, request, COUNT_TIMEOUT).await {
         Ok(PoolResponse::Waiting(count)) => (Some(count), ""),
+        Ok(PoolResponse::Outdated { .. }) => (None, "owner's view outdated"),
         Ok(_) => (None, "unexpected response"),
         Err(CallError::NotSent) => (None, "request not sent"),
         Err(CallError::NoAnswer) => (None, "no response"),
--- a/crates/cornelpoint-manager/src/message/heartbeat.rs
+++ b/crates/cornelpoint-manager/src/message/heartbeat.rs
@@ -33,6 +33,8 @@
     pub(crate) fencing_token: u64,
     /// Number of waiting jobs by queue.
     pub(crate) waiting: BTreeMap<String, usize>,
+    /// Time since the store last confirmed what the counts are based on.
+    pub(crate) view_age_ms: u64,
     /// Load and needs of the pool, for the fleet owner.
     pub(crate) report: PoolReport,
 }
--- a/crates/cornelpoint-manager/src/message/mod.rs
+++ b/crates/cornelpoint-manager/src/message/mod.rs
@@ -5,5 +5,6 @@
 
 pub(crate) use self::heartbeat::Heartbeat;
 pub(crate) use self::heartbeat::OwnedPool;
+pub(crate) use self::request::MAX_COUNT_AGE_MS;
 pub(crate) use self::request::PoolRequest;
 pub(crate) use self::request::PoolResponse;
--- a/crates/cornelpoint-manager/src/message/request.rs
+++ b/crates/cornelpoint-manager/src/message/request.rs
@@ -4,6 +4,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Age up to which a count of waiting jobs is returned; callers are promised a
+/// count at most two seconds old.
+pub(crate) const MAX_COUNT_AGE_MS: u64 = 2000;
+
 /// A request to a pool's owner.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum PoolRequest {
@@ -34,6 +38,9 @@
     UnknownJob,
     /// Number of waiting jobs.
     Waiting(usize),
+    /// The owner can't tell whether it knows all accepted jobs: its view of the
+    /// pool has not been confirmed for this time.
+    Outdated { age_ms: u64 },
     /// Another process owns the pool.
     NotOwner,
 }
--- a/crates/cornelpoint-manager/src/node/heartbeats.rs
+++ b/crates/cornelpoint-manager/src/node/heartbeats.rs
@@ -11,6 +11,7 @@
 use super::state::PoolStatus;
 use crate::clock;
 use crate::message::Heartbeat;
+use crate::message::OwnedPool;
 use crate::store::decode;
 use crate::store::encode;
 
@@ -76,7 +77,7 @@
             .map(|(pool, host)| (pool.clone(), host.owned_pool()));
         let pools: BTreeMap<_, _> = pools.collect();
         for (pool, owned) in &pools {
-            self.update_pool_status(pool, owned.fencing_token, &owned.waiting, &owned.report);
+            self.update_pool_status(pool, owned);
         }
         Heartbeat {
             node: self.settings.node.clone(),
@@ -125,7 +126,7 @@
             self.apply_vacate(now_ms);
         }
         for (pool, owned) in &heartbeat.pools {
-            self.update_pool_status(pool, owned.fencing_token, &owned.waiting, &owned.report);
+            self.update_pool_status(pool, owned);
         }
         if !heartbeat.pools.is_empty()
             && let Some(fleet) = &*self.fleet.borrow()
@@ -154,23 +155,19 @@
         }
     }
 
-    fn update_pool_status(
-        &self,
-        pool: &str,
-        fencing_token: u64,
-        waiting: &BTreeMap<String, usize>,
-        report: &cornelpoint::fleet::PoolReport,
-    ) {
+    fn update_pool_status(&self, pool: &str, owned: &OwnedPool) {
         let mut all = self.pool_statuses.borrow_mut();
         let status = all.entry(pool.to_owned()).or_default();
-        if status.fencing_token > fencing_token {
+        if status.fencing_token > owned.fencing_token {
             return;
         }
+        let now_ms = clock::now().steady_ms;
         *status = PoolStatus {
-            fencing_token,
-            received_ms: clock::now().steady_ms,
-            waiting: waiting.clone(),
-            report: report.clone(),
+            fencing_token: owned.fencing_token,
+            received_ms: now_ms,
+            counted_ms: now_ms.saturating_sub(owned.view_age_ms),
+            waiting: owned.waiting.clone(),
+            report: owned.report.clone(),
         };
     }
 }
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -45,6 +45,9 @@
 pub(crate) struct PoolStatus {
     pub(crate) fencing_token: u64,
     pub(crate) received_ms: u64,
+    /// When the store confirmed what the counts are based on, by the monotonic
+    /// clock.
+    pub(crate) counted_ms: u64,
     pub(crate) waiting: BTreeMap<String, usize>,
     pub(crate) report: PoolReport,
 }
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -155,6 +155,13 @@
             .max(self.heartbeat_stored_ms.get())
     }
 
+    /// Returns the time since the store last confirmed both that this process
+    /// owns the pool and that it has read the whole inbox.
+    pub(super) fn view_age_ms(&self) -> u64 {
+        let confirmed_ms = self.confirmed_ms().min(self.inbox_read_ms.get());
+        clock::now().steady_ms.saturating_sub(confirmed_ms)
+    }
+
     /// Runs the scheduler's timers until the host is stopped.
     pub(super) async fn run_timers(self: Rc<Self>) {
         while !self.stopped.get() {
@@ -218,6 +225,7 @@
         OwnedPool {
             fencing_token: self.fencing_token,
             waiting,
+            view_age_ms: self.view_age_ms(),
             report: scheduler.report(clock::now()),
         }
     }
--- a/crates/cornelpoint-manager/src/pool_host/requests.rs
+++ b/crates/cornelpoint-manager/src/pool_host/requests.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use super::host::PoolHost;
+use crate::message::MAX_COUNT_AGE_MS;
 use crate::message::PoolRequest;
 use crate::message::PoolResponse;
 
@@ -30,10 +31,16 @@
                 let status = self.scheduler.borrow().status(job);
                 status.map_or(PoolResponse::UnknownJob, PoolResponse::Status)
             }
-            PoolRequest::Waiting { queue } => {
-                PoolResponse::Waiting(self.scheduler.borrow().waiting(&queue))
-            }
+            PoolRequest::Waiting { queue } => self.waiting(&queue),
+        }
+    }
+
+    fn waiting(&self, queue: &str) -> PoolResponse {
+        let age_ms = self.view_age_ms();
+        if age_ms > MAX_COUNT_AGE_MS {
+            return PoolResponse::Outdated { age_ms };
         }
+        PoolResponse::Waiting(self.scheduler.borrow().waiting(queue))
     }
 
     async fn submit(self: &Rc<Self>, id: JobId, record: JobRecord) -> PoolResponse {
