Apply a cancellation that was read before its job on all paths

Cause: only jobs from the inbox looked at cancellations read before them, not those submitted again by their callers or restored. Same class as the restart of a cancelled job: work begins before all that was confirmed is known.

--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -62,6 +62,7 @@
         self.insert_job(id, record, spec, None, now);
         self.dirty.insert(id);
         self.urgent = true;
+        self.apply_earlier_cancellation(id, now);
         SubmitAnswer::Storing
     }
 
@@ -78,6 +79,11 @@
         }
         self.dirty.insert(id);
         self.urgent = true;
+        self.apply_earlier_cancellation(id, now);
+    }
+
+    /// Cancels a job whose cancellation was read before the job itself.
+    fn apply_earlier_cancellation(&mut self, id: JobId, now: Instant) {
         if self.cancelled_before_submit.remove(&id) {
             self.finish(id, JobStatus::Cancelled, now);
         }
@@ -105,6 +111,7 @@
         let progress = progress.unwrap_or(&none);
         self.insert_job(id, record, spec, Some(progress), now);
         self.restore_progress(id, progress, now);
+        self.apply_earlier_cancellation(id, now);
     }
 
     fn insert_job(
