Read a job's rows in an order in which one of them is found

Cause: the job table was read before the inbox. An owner that moves the row from the inbox to the job table between the two reads leaves no row for either of them.

Reading the inbox first finds the row in one of the two places.

--- a/crates/cornelpoint-manager/src/edge/jobs.rs
+++ b/crates/cornelpoint-manager/src/edge/jobs.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use cornelpoint::catalog::Queue;
+use cornelpoint::inbox::InboxKey;
 use cornelpoint::job::JobId;
 use cornelpoint::job::JobProgress;
 use cornelpoint::job::JobRecord;
@@ -150,20 +151,18 @@
             progress.status
         }));
     }
-    if node
+    // The owner moves jobs from its inbox to the job table; in this order one of
+    // the reads finds the row.
+    let submission = InboxKey::Submit(job).to_string();
+    let inbox = node
         .store
-        .read_row(JOB_TABLE, &queue.pool, &id)
-        .await?
-        .is_some()
-    {
+        .read_row(INBOX_TABLE, &queue.pool, &submission)
+        .await?;
+    if inbox.is_some() {
         return Some(Some(JobStatus::Pending));
     }
-    let inbox = format!("submit/{id}");
-    let waiting = node
-        .store
-        .read_row(INBOX_TABLE, &queue.pool, &inbox)
-        .await?;
-    Some(waiting.map(|_| JobStatus::Pending))
+    let record = node.store.read_row(JOB_TABLE, &queue.pool, &id).await?;
+    Some(record.map(|_| JobStatus::Pending))
 }
 
 /// Cancels a job through the pool's owner; stores the cancellation in the
