Confirm a cancellation only once it is stored

Callers could get 200 for a cancellation when the store had only the job's record: the callers that waited for the store were kept by job, so that the record's batch answered both kinds. If the owner was lost then, its successor ran the job.

Callers now wait by what they asked for.

--- a/crates/cornelpoint-manager/src/pool_host/commits.rs
+++ b/crates/cornelpoint-manager/src/pool_host/commits.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cornelpoint::inbox::InboxKey;
 use cornelpoint::job::JobStatus;
 use cornelpoint::scheduler::Batch;
 use cornelpoint::scheduler::BatchOutcome;
@@ -48,7 +49,7 @@
         let mut waiters = self.waiters.borrow_mut();
         for id in stored.accepted {
             info!(self.log, "Job accepted."; "job" => %id, "pool" => &self.pool);
-            for waiter in waiters.remove(&id).unwrap_or_default() {
+            for waiter in waiters.remove(&InboxKey::Submit(id)).unwrap_or_default() {
                 // Sending fails only if the caller no longer waits.
                 let _ = waiter.send(PoolResponse::Accepted);
             }
@@ -62,7 +63,7 @@
                 JobStatus::Cancelled => PoolResponse::Cancelled,
                 status => PoolResponse::Status(status),
             };
-            for waiter in waiters.remove(&id).unwrap_or_default() {
+            for waiter in waiters.remove(&InboxKey::Cancel(id)).unwrap_or_default() {
                 let _ = waiter.send(response.clone());
             }
         }
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cornelpoint::catalog::Catalog;
-use cornelpoint::job::JobId;
+use cornelpoint::inbox::InboxKey;
 use cornelpoint::ownership::OwnershipSettings;
 use cornelpoint::scheduler::IncarnationIndex;
 use cornelpoint::scheduler::Instant;
@@ -38,7 +38,8 @@
     pub(super) writer: Rc<ShardWriter>,
     pub(super) scheduler: RefCell<PoolScheduler>,
     pub(super) links: RefCell<HashMap<IncarnationIndex, Rc<WorkerLink>>>,
-    pub(super) waiters: RefCell<HashMap<JobId, Vec<oneshot::Sender<PoolResponse>>>>,
+    /// Callers that wait for the store, by what they asked for.
+    pub(super) waiters: RefCell<HashMap<InboxKey, Vec<oneshot::Sender<PoolResponse>>>>,
     /// When the last successful read of the inbox was sent, by the monotonic
     /// clock.
     pub(super) inbox_read_ms: Cell<u64>,
--- a/crates/cornelpoint-manager/src/pool_host/requests.rs
+++ b/crates/cornelpoint-manager/src/pool_host/requests.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cornelpoint::inbox::InboxKey;
 use cornelpoint::job::JobId;
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobSpec;
@@ -55,7 +56,7 @@
                 if self.scheduler.borrow().is_overloaded(crate::clock::now()) {
                     self.node.notify_peers_soon();
                 }
-                self.wait_for_store(id).await
+                self.wait_for_store(InboxKey::Submit(id)).await
             }
             SubmitAnswer::Rejected { retry_after_ms } => {
                 self.node.notify_peers_soon();
@@ -72,18 +73,18 @@
         match self.apply(|scheduler, now| scheduler.cancel(id, now)) {
             CancelAnswer::Done => PoolResponse::Cancelled,
             CancelAnswer::Unknown => PoolResponse::UnknownJob,
-            CancelAnswer::Storing => match self.wait_for_store(id).await {
+            CancelAnswer::Storing => match self.wait_for_store(InboxKey::Cancel(id)).await {
                 PoolResponse::Uncertain => PoolResponse::Uncertain,
                 _ => PoolResponse::Cancelled,
             },
         }
     }
 
-    async fn wait_for_store(&self, id: JobId) -> PoolResponse {
+    async fn wait_for_store(&self, request: InboxKey) -> PoolResponse {
         let (sender, receiver) = oneshot::channel();
         self.waiters
             .borrow_mut()
-            .entry(id)
+            .entry(request)
             .or_default()
             .push(sender);
         match timeout(STORE_TIMEOUT, receiver).await {
