Write the requests for an unreachable owner in batches

Cause: each process wrote each job to the inbox by a transaction of its own. The inbox shares its partition with the owner's rows, the store heartbeat and the owner row, and the store refuses what a partition can't take: 250 to 330 submissions a second against 150 transactions.

Now each process has one transaction in flight to a pool's inbox, with all requests that arrive meanwhile, and backs off when the store refuses it; requests beyond two batches are rejected at once. 42 processes then occupy a partition for at most a third of a second.

--- a/crates/cornelpoint-manager/src/edge/inbox_writer.rs
+++ b/crates/cornelpoint-manager/src/edge/inbox_writer.rs
@@ -13,8 +13,8 @@
 use cornelpoint_platform::store::Row;
 use cornelpoint_platform::store::RowKey;
 use cornelpoint_platform::store::Transaction;
-use rand::SeedableRng;
-use rand::rngs::ChaCha8Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -43,10 +43,11 @@
 }
 
 impl InboxWriter {
-    pub(crate) fn new(pool: &str) -> Self {
+    /// Creates a writer without requests; `seed` is that of the backoff jitter.
+    pub(crate) fn new(pool: &str, seed: u64) -> Self {
         Self {
             pool: pool.to_owned(),
-            queue: RefCell::new(InboxQueue::new(ChaCha8Rng::from_rng(&mut rand::rng()))),
+            queue: RefCell::new(InboxQueue::new(ChaCha8Rng::seed_from_u64(seed))),
             requests: RefCell::default(),
             is_writing: Cell::new(false),
         }
--- a/crates/cornelpoint-manager/src/edge/jobs.rs
+++ b/crates/cornelpoint-manager/src/edge/jobs.rs
@@ -3,14 +3,13 @@
 
 use cornelpoint::catalog::Queue;
 use cornelpoint::inbox::InboxKey;
+use cornelpoint::inbox::InboxOutcome;
 use cornelpoint::job::JobId;
 use cornelpoint::job::JobProgress;
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobSpec;
 use cornelpoint::job::JobStatus;
 use cornelpoint_platform::callers;
-use cornelpoint_platform::store::RowKey;
-use cornelpoint_platform::store::Transaction;
 use slog::info;
 
 use super::callers::rejection;
@@ -25,7 +24,6 @@
 use crate::store::INBOX_TABLE;
 use crate::store::JOB_TABLE;
 use crate::store::PROGRESS_TABLE;
-use crate::store::TransactionOutcome;
 use crate::store::decode;
 use crate::store::encode;
 
@@ -97,22 +95,17 @@
         info!(node.edge_log, "Job not stored: owner and store unreachable."; "job" => %job);
         return rejection(503, ISOLATED_RETRY_S);
     }
-    let key = RowKey::new(INBOX_TABLE, &record.pool, format!("submit/{job}"));
-    let job_key = RowKey::new(JOB_TABLE, &record.pool, job.to_string());
-    let transaction = Transaction {
-        conditions: vec![(key.clone(), 0), (job_key, 0)],
-        writes: vec![(key, encode(record))],
-        ..Transaction::default()
-    };
-    match node.store.transact(&transaction).await {
-        TransactionOutcome::Committed { .. } | TransactionOutcome::Conflict(_) => reply(200, ""),
+    let writer = node.inbox_writer(&record.pool);
+    let stored = writer.store(node, InboxKey::Submit(job), encode(record));
+    match stored.await {
+        InboxOutcome::Stored => reply(200, ""),
         // Unless the request was not sent, the owner may have accepted the job.
-        TransactionOutcome::Refused if owner_error == CallError::NotSent => {
+        InboxOutcome::Refused if owner_error == CallError::NotSent => {
             info!(node.edge_log, "Job not stored: owner unreachable and write to the store failed.";
                 "job" => %job);
             rejection(503, STORE_UNAVAILABLE_RETRY_S)
         }
-        TransactionOutcome::Refused | TransactionOutcome::Unknown => reply(504, ""),
+        InboxOutcome::Refused | InboxOutcome::Uncertain => reply(504, ""),
     }
 }
 
@@ -183,14 +176,11 @@
         Some(Some(_)) => {}
         None => return rejection(503, STORE_UNAVAILABLE_RETRY_S),
     }
-    let key = RowKey::new(INBOX_TABLE, &queue.pool, format!("cancel/{job}"));
-    let transaction = Transaction {
-        writes: vec![(key, Vec::new())],
-        ..Transaction::default()
-    };
-    match node.store.transact(&transaction).await {
-        TransactionOutcome::Committed { .. } => reply(200, ""),
-        TransactionOutcome::Refused => rejection(503, STORE_UNAVAILABLE_RETRY_S),
-        TransactionOutcome::Conflict(_) | TransactionOutcome::Unknown => reply(504, ""),
+    let writer = node.inbox_writer(&queue.pool);
+    let stored = writer.store(node, InboxKey::Cancel(job), Vec::new());
+    match stored.await {
+        InboxOutcome::Stored => reply(200, ""),
+        InboxOutcome::Refused => rejection(503, STORE_UNAVAILABLE_RETRY_S),
+        InboxOutcome::Uncertain => reply(504, ""),
     }
 }
--- a/crates/cornelpoint-manager/src/edge/mod.rs
+++ b/crates/cornelpoint-manager/src/edge/mod.rs
@@ -1,9 +1,11 @@
 //! Handlers of HTTP requests from callers, the load balancer and peers.
 
 mod callers;
+mod inbox_writer;
 mod jobs;
 mod peers;
 
 pub(crate) use self::callers::handle_balancer;
 pub(crate) use self::callers::handle_caller;
+pub(crate) use self::inbox_writer::InboxWriter;
 pub(crate) use self::peers::handle_peer;
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -23,6 +23,7 @@
 
 use crate::clock;
 use crate::edge;
+use crate::edge::InboxWriter;
 use crate::fleet_host::FleetHost;
 use crate::http::HttpEndpoint;
 use crate::http::ServerControl;
@@ -79,6 +80,8 @@
     pub(crate) hosts: RefCell<BTreeMap<String, Rc<PoolHost>>>,
     pub(crate) claiming: RefCell<BTreeSet<String>>,
     pub(super) skipped_checks: RefCell<BTreeMap<String, SkippedChecks>>,
+    /// Writers of the inboxes of pools whose owners can't be reached, by pool.
+    pub(crate) inbox_writers: RefCell<BTreeMap<String, Rc<InboxWriter>>>,
     pub(crate) peers: RefCell<HashMap<String, Rc<HttpEndpoint>>>,
     pub(crate) peer_addresses: RefCell<BTreeMap<String, (String, u64)>>,
     pub(crate) pool_statuses: RefCell<BTreeMap<String, PoolStatus>>,
@@ -126,6 +129,7 @@
             hosts: RefCell::default(),
             claiming: RefCell::default(),
             skipped_checks: RefCell::default(),
+            inbox_writers: RefCell::default(),
             peers: RefCell::default(),
             peer_addresses: RefCell::default(),
             pool_statuses: RefCell::default(),
@@ -193,6 +197,15 @@
         Rc::clone(peer)
     }
 
+    /// Returns the writer of a pool's inbox, creating it on first use.
+    pub(crate) fn inbox_writer(&self, pool: &str) -> Rc<InboxWriter> {
+        let mut writers = self.inbox_writers.borrow_mut();
+        let writer = writers
+            .entry(pool.to_owned())
+            .or_insert_with(|| Rc::new(InboxWriter::new(pool, self.started_unix_ms)));
+        Rc::clone(writer)
+    }
+
     /// Returns the host of a pool if this process owns the pool.
     pub(crate) fn host(&self, pool: &str) -> Option<Rc<PoolHost>> {
         self.hosts.borrow().get(pool).cloned()
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -168,11 +168,17 @@
 
 /// Reads a pool's rows from the store; `None` if a read fails.
 async fn read_stored_pool(node: &Rc<Node>, pool: &str) -> Option<StoredPool> {
+    let (workers, records, progress, inbox) = tokio::join!(
+        node.store.read_all(WORKER_TABLE, pool),
+        node.store.read_all(JOB_TABLE, pool),
+        node.store.read_all(PROGRESS_TABLE, pool),
+        node.store.read_all(INBOX_TABLE, pool),
+    );
     Some(StoredPool {
-        workers: node.store.read_all(WORKER_TABLE, pool).await?,
-        records: node.store.read_all(JOB_TABLE, pool).await?,
-        progress: node.store.read_all(PROGRESS_TABLE, pool).await?,
-        inbox: node.store.read_all(INBOX_TABLE, pool).await?,
+        workers: workers?,
+        records: records?,
+        progress: progress?,
+        inbox: inbox?,
     })
 }
 
