Test the overloaded partition and the load of the inbox apart

Now two tests stand for it: the store refuses every second transaction of the partition by itself, and the pool must get a new owner within the same 8 s; and under the same load as before the store must refuse none.

--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -51,6 +51,9 @@
 /// more.
 const UNRESPONSIVE: Duration = Duration::from_millis(1300);
 
+/// Callers that submit jobs at each instance, one after another.
+const CALLERS_PER_INSTANCE: usize = 18;
+
 /// The owner is paused and the network forgets its connections to the store; the
 /// jobs that other processes accept meanwhile go to its inbox.
 #[test]
@@ -96,12 +99,32 @@
 }
 
 /// The owner is lost while callers submit several times the number of jobs that
-/// its partition of the store can take through the inbox.
+/// its partition of the store can take one by one. The partition needs room for
+/// the claim of the next owner.
 #[test]
-fn takeover_is_held_back_while_the_inbox_is_overloaded() {
+fn submissions_to_the_inbox_overload_the_partition_of_the_pool() {
     // A partition refuses the 26th waiting transaction.
     const TRANSACTION_DURATION: Duration = Duration::from_millis(40);
-    const CALLERS_PER_INSTANCE: usize = 18;
+    let fleet = Fleet::start("submissions_to_the_inbox", TRANSACTION_DURATION);
+    let owner = fleet.owner();
+    let others = fleet.others();
+    let callers = others.iter().map(|instance| fleet.caller(instance));
+    let load = Load::start(&callers.collect::<Vec<_>>(), CALLERS_PER_INSTANCE);
+    thread::sleep(Duration::from_millis(500));
+    owner.kill();
+    let replaced = holds_within(TAKEOVER, || {
+        fleet.owner_row().is_some_and(|row| row.node != owner.name)
+    });
+    let refused = fleet.store.refused_transactions();
+    drop(load);
+    assert_eq!(refused, 0, "the store refused transactions");
+    assert!(replaced, "the pool has no new owner");
+}
+
+/// The owner is lost while callers submit jobs, and the store refuses every
+/// second transaction of the pool's partition.
+#[test]
+fn takeover_is_held_back_while_the_inbox_is_overloaded() {
     let fleet = Fleet::start("overloaded_inbox", TRANSACTION_DURATION);
     let owner = fleet.owner();
     let others = fleet.others();
@@ -109,6 +132,7 @@
     let load = Load::start(&callers.collect::<Vec<_>>(), CALLERS_PER_INSTANCE);
     thread::sleep(Duration::from_millis(500));
     owner.kill();
+    fleet.store.throttle_partition(POOL);
     let replaced = holds_within(TAKEOVER, || {
         fleet.owner_row().is_some_and(|row| row.node != owner.name)
     });
