Accept the heartbeats of a process that started after its clock was set back

Cause: processes of an instance are ordered by the wall clock of their start, and heartbeats of the earlier one are ignored for good. After a step back and a restart all submissions to the pools of the new process went to the inbox. Now they are ignored only while the later process is responsive.

--- a/crates/cornelpoint/src/ownership/planner.rs
+++ b/crates/cornelpoint/src/ownership/planner.rs
@@ -165,13 +165,17 @@
         responsive * 2 >= count
     }
 
-    /// Applies a peer's heartbeat; those of its earlier processes are ignored.
+    /// Applies a peer's heartbeat. Those of its earlier processes are ignored,
+    /// unless the later one is unresponsive: a process that starts after its
+    /// instance's clock was set back seems to be the earlier one.
     pub fn heartbeat_received(&mut self, node: &str, peer: Peer, now_ms: u64) {
         if node == self.node {
             return;
         }
         let known = self.peers.get(node);
-        if known.is_some_and(|known| known.peer.started_unix_ms > peer.started_unix_ms) {
+        if known.is_some_and(|known| known.peer.started_unix_ms > peer.started_unix_ms)
+            && self.is_responsive(node, now_ms)
+        {
             return;
         }
         let since_ms = known.and_then(|known| known.store_lost_since_ms);
