Complete a wave only if no machine is missing from one listing alone

Cause: a machine that one listing did not contain counted as removed for good, so its wave could complete without it. The pages of a listing are read one after another. Whether a listing of the platform ever misses a machine is not shown.

--- a/crates/cornelpoint/src/fleet/fleet_manager.rs
+++ b/crates/cornelpoint/src/fleet/fleet_manager.rs
@@ -76,6 +76,10 @@
     pub(super) first_order_ms: u64,
     pub(super) spare_pool: Option<String>,
     pub(super) machines: BTreeMap<String, MachineEntry>,
+    /// Machines that the last listing did not contain, but the one before it.
+    /// The pages of a listing are read one after another, so one that moves may
+    /// be missing.
+    pub(super) missing_once: BTreeSet<String>,
     pub(super) waves: BTreeMap<u64, WaveProgress>,
     pub(super) reports: BTreeMap<String, ReportEntry>,
     pub(super) actions: Vec<FleetAction>,
@@ -108,6 +112,7 @@
             settings,
             spare_pool: None,
             machines: BTreeMap::new(),
+            missing_once: BTreeSet::new(),
             waves: BTreeMap::new(),
             reports: BTreeMap::new(),
             actions: Vec::new(),
@@ -161,6 +166,8 @@
             .iter()
             .map(|machine| machine.name.clone())
             .collect();
+        let missing = self.machines.keys().filter(|name| !names.contains(*name));
+        self.missing_once = missing.cloned().collect();
         self.machines.retain(|name, _| names.contains(name));
         for machine in machines {
             let entry = self
--- a/crates/cornelpoint/src/fleet/wave.rs
+++ b/crates/cornelpoint/src/fleet/wave.rs
@@ -61,6 +61,13 @@
             !wave.begun.contains(*machine) && self.machines.contains_key(*machine)
         });
         let left: Vec<String> = left.cloned().collect();
+        let may_stay =
+            wave.order.machines.iter().any(|machine| {
+                !wave.begun.contains(machine) && self.missing_once.contains(machine)
+            });
+        if left.is_empty() && may_stay {
+            return;
+        }
         if left.is_empty() && !self.machines.is_empty() {
             let wave = self.waves.get_mut(&number);
             if let Some(wave) = wave {
