Date an outage of the store from the first call that got no response

Found by review: a call that hangs is recorded at its timeout, 1.5 s after it was sent. An outage in which calls hang could therefore end with the next answer and not count as one, and the owners' 1.5 s for a new store heartbeat were skipped. A call that hangs beside others that succeed is no outage. Two tests; the first fails without the change with 0 instead of 3100.

--- a/crates/cornelpoint-manager/src/store/store_client.rs
+++ b/crates/cornelpoint-manager/src/store/store_client.rs
@@ -118,6 +118,7 @@
 
     pub(crate) async fn transact(&self, transaction: &Transaction) -> TransactionOutcome {
         let call = transaction_call(transaction);
+        let sent_ms = clock::now().steady_ms;
         let started = Instant::now();
         let answer = self.endpoint.send(&call, CALL_TIMEOUT).await;
         self.metrics.observe_transaction(started.elapsed());
@@ -137,21 +138,21 @@
                     TransactionOutcome::Conflict(rows.rows)
                 }
                 (429 | 503, _) => {
-                    self.record_failure("transaction", failure, written);
+                    self.record_failure("transaction", failure, sent_ms, written);
                     TransactionOutcome::Refused
                 }
                 (status, _) => {
                     warn!(self.log, "Unexpected response to a transaction."; "status" => status);
-                    self.record_failure("transaction", failure, written);
+                    self.record_failure("transaction", failure, sent_ms, written);
                     TransactionOutcome::Unknown
                 }
             },
             Err(CallError::NotSent) => {
-                self.record_failure("transaction", failure, written);
+                self.record_failure("transaction", failure, sent_ms, written);
                 TransactionOutcome::Refused
             }
             Err(CallError::NoAnswer) => {
-                self.record_failure("transaction", failure, written);
+                self.record_failure("transaction", failure, sent_ms, written);
                 TransactionOutcome::Unknown
             }
         }
@@ -189,6 +190,7 @@
     }
 
     async fn read(&self, call: &Call) -> Option<Rows> {
+        let sent_ms = clock::now().steady_ms;
         let answer = self.endpoint.send(call, CALL_TIMEOUT).await;
         let failure = failure_label(&answer);
         let rows = match answer {
@@ -199,7 +201,7 @@
             self.record_success();
             self.update_clock(rows);
         } else {
-            self.record_failure("read", failure, None);
+            self.record_failure("read", failure, sent_ms, None);
         }
         rows
     }
@@ -207,6 +209,7 @@
     /// Waits up to `wait_ms` for changes of a table after a version.
     pub(crate) async fn feed(&self, table: &str, after: u64, wait_ms: u64) -> FeedOutcome {
         let timeout = Duration::from_millis(wait_ms) + CALL_TIMEOUT;
+        let sent_ms = clock::now().steady_ms;
         let answer = self
             .endpoint
             .send(&feed_call(table, after, wait_ms), timeout)
@@ -232,7 +235,9 @@
                 FeedOutcome::HistoryExpired
             }
             _ => {
-                self.record_failure("feed", failure, None);
+                // The store need not respond before the end of the wait.
+                let due_ms = clock::now().steady_ms.min(sent_ms + wait_ms);
+                self.record_failure("feed", failure, due_ms, None);
                 FeedOutcome::Failed
             }
         }
@@ -240,15 +245,21 @@
 
     fn record_success(&self) {
         ProcessMetrics::count(&self.metrics.store_calls, "answered");
-        let away_ms = self.record(StoreCallResult::Answered);
-        if let Some(away_ms) = away_ms {
+        let now_ms = clock::now().steady_ms;
+        if let Some(away_ms) = self.record(StoreCallResult::Answered, now_ms) {
             info!(self.log, "Store available again."; "away_ms" => away_ms);
         }
     }
 
-    /// Records a failed call; `written` is the first row that a transaction was
-    /// to write.
-    fn record_failure(&self, call: &str, outcome: &'static str, written: Option<&RowKey>) {
+    /// Records a failed call that was sent at `sent_ms`; `written` is the first row
+    /// that a transaction was to write.
+    fn record_failure(
+        &self,
+        call: &str,
+        outcome: &'static str,
+        sent_ms: u64,
+        written: Option<&RowKey>,
+    ) {
         self.last_failure.set(outcome);
         ProcessMetrics::count(&self.metrics.store_calls, outcome);
         if !self.availability.get().is_failing() {
@@ -256,16 +267,16 @@
                 "call" => call, "table" => written.map(|key| &key.table),
                 "part" => written.map(|key| &key.part));
         }
-        self.record(if outcome == THROTTLED {
-            StoreCallResult::Throttled
-        } else {
-            StoreCallResult::Failed
-        });
+        let result = match outcome {
+            THROTTLED => StoreCallResult::Throttled,
+            _ => StoreCallResult::Failed,
+        };
+        self.record(result, sent_ms);
     }
 
-    fn record(&self, result: StoreCallResult) -> Option<u64> {
+    fn record(&self, result: StoreCallResult, sent_ms: u64) -> Option<u64> {
         let mut availability = self.availability.get();
-        let away_ms = availability.record(result, clock::now().steady_ms);
+        let away_ms = availability.record(result, sent_ms, clock::now().steady_ms);
         self.availability.set(availability);
         away_ms
     }
--- a/crates/cornelpoint/src/ownership/store_availability.rs
+++ b/crates/cornelpoint/src/ownership/store_availability.rs
@@ -16,17 +16,16 @@
 /// Whether the store is available to this process, and since when.
 ///
 /// A failure of single calls is not an outage: an outage lasts for some time
-/// without any call that succeeds. A throttled call fails, but shows that the
-/// store is up.
+/// without any response. A throttled call fails, but shows that the store is up.
 ///
 /// ```
 /// use cornelpoint::ownership::StoreAvailability;
 /// use cornelpoint::ownership::StoreCallResult;
 ///
 /// let mut store = StoreAvailability::default();
-/// store.record(StoreCallResult::Failed, 1000);
+/// store.record(StoreCallResult::Failed, 1000, 1000);
 /// assert!(store.is_available(1400) && !store.is_available(1500));
-/// store.record(StoreCallResult::Answered, 1600);
+/// store.record(StoreCallResult::Answered, 1600, 1600);
 /// assert_eq!(store.available_since_ms(), 1600);
 /// ```
 #[expect(
@@ -37,15 +36,17 @@
 pub struct StoreAvailability {
     /// First failure since the last call that succeeded.
     first_failure_ms: Option<u64>,
-    /// First failure since the store last responded.
+    responded_ms: u64,
+    /// When the first call was sent that failed since the store last responded.
     unanswered_since_ms: Option<u64>,
     outage_end_ms: u64,
 }
 
 impl StoreAvailability {
-    /// Records the result of a call. Returns for how long calls had failed, in
-    /// milliseconds, if this one is the first that succeeds again.
-    pub fn record(&mut self, result: StoreCallResult, now_ms: u64) -> Option<u64> {
+    /// Records the result of a call that was sent at `sent_ms`. Returns for how
+    /// long calls had failed, in milliseconds, if this one is the first that
+    /// succeeds again.
+    pub fn record(&mut self, result: StoreCallResult, sent_ms: u64, now_ms: u64) -> Option<u64> {
         match result {
             StoreCallResult::Answered => {
                 self.end_outage(now_ms);
@@ -59,13 +60,16 @@
             }
             StoreCallResult::Failed => {
                 self.first_failure_ms.get_or_insert(now_ms);
-                self.unanswered_since_ms.get_or_insert(now_ms);
+                // The call may have failed only at its timeout.
+                let since_ms = sent_ms.max(self.responded_ms);
+                self.unanswered_since_ms.get_or_insert(since_ms);
                 None
             }
         }
     }
 
     fn end_outage(&mut self, now_ms: u64) {
+        self.responded_ms = now_ms;
         if let Some(since_ms) = self.unanswered_since_ms.take()
             && now_ms >= since_ms + UNAVAILABLE_AFTER_MS
         {
--- a/crates/cornelpoint/tests/ownership.rs
+++ b/crates/cornelpoint/tests/ownership.rs
@@ -151,9 +151,9 @@
 fn throttled_calls_are_not_an_outage_of_the_store() {
     let mut store = StoreAvailability::default();
     for now_ms in (1000..6000).step_by(100) {
-        store.record(StoreCallResult::Throttled, now_ms);
+        store.record(StoreCallResult::Throttled, now_ms, now_ms);
         assert_eq!(store.available_since_ms(), 0, "at {now_ms} ms");
-        store.record(StoreCallResult::Answered, now_ms + 50);
+        store.record(StoreCallResult::Answered, now_ms + 50, now_ms + 50);
         assert_eq!(store.available_since_ms(), 0, "at {now_ms} ms");
     }
 }
@@ -162,9 +162,9 @@
 fn single_failures_are_not_an_outage_of_the_store() {
     let mut store = StoreAvailability::default();
     for now_ms in (1000..6000).step_by(400) {
-        store.record(StoreCallResult::Failed, now_ms);
+        store.record(StoreCallResult::Failed, now_ms, now_ms);
         assert!(store.is_available(now_ms + 300));
-        store.record(StoreCallResult::Answered, now_ms + 300);
+        store.record(StoreCallResult::Answered, now_ms + 300, now_ms + 300);
         assert_eq!(store.available_since_ms(), 0, "at {now_ms} ms");
     }
 }
@@ -173,20 +173,41 @@
 fn a_process_whose_calls_are_all_throttled_has_no_store() {
     let mut store = StoreAvailability::default();
     for now_ms in (1000..2000).step_by(100) {
-        store.record(StoreCallResult::Throttled, now_ms);
+        store.record(StoreCallResult::Throttled, now_ms, now_ms);
     }
     assert!(!store.is_available(2000));
 }
 
+#[test]
+fn an_outage_in_which_calls_hang_begins_with_the_first_of_them() {
+    let mut store = StoreAvailability::default();
+    store.record(StoreCallResult::Answered, 1400, 1400);
+    store.record(StoreCallResult::Failed, 1500, 3000);
+    store.record(StoreCallResult::Answered, 3100, 3100);
+    assert_eq!(store.available_since_ms(), 3100);
+}
+
+#[test]
+fn a_call_that_hangs_beside_others_that_succeed_is_not_an_outage() {
+    let mut store = StoreAvailability::default();
+    store.record(StoreCallResult::Answered, 2900, 2900);
+    store.record(StoreCallResult::Failed, 1500, 3000);
+    store.record(StoreCallResult::Answered, 3100, 3100);
+    assert_eq!(store.available_since_ms(), 0);
+}
+
 #[test]
 fn an_outage_of_the_store_ends_with_the_first_response() {
     let mut store = StoreAvailability::default();
-    store.record(StoreCallResult::Failed, 1000);
-    store.record(StoreCallResult::Failed, 3000);
+    store.record(StoreCallResult::Failed, 1000, 1000);
+    store.record(StoreCallResult::Failed, 3000, 3000);
     assert_eq!(store.available_since_ms(), u64::MAX);
-    store.record(StoreCallResult::Throttled, 3500);
+    store.record(StoreCallResult::Throttled, 3500, 3500);
     assert_eq!(store.available_since_ms(), 3500);
-    assert_eq!(store.record(StoreCallResult::Answered, 3600), Some(2600));
+    assert_eq!(
+        store.record(StoreCallResult::Answered, 3600, 3600),
+        Some(2600)
+    );
     assert_eq!(store.available_since_ms(), 3500);
 }
 
