Don't take a part of the inbox for the whole

Found by review: a response of the store holds at most 500 rows or 1 MB, and the feed doesn't say that it was cut. The view of the pool, and the confirmation of the owner rows, now count as current only after a response below these limits.

Three tests with real processes guard this, the age of the view, and the claim loop.

--- a/crates/cornelpoint-manager/src/node/cluster.rs
+++ b/crates/cornelpoint-manager/src/node/cluster.rs
@@ -41,8 +41,7 @@
 const LEASE_MARGIN_MS: u64 = 350;
 /// Longest time between two checks for shards to claim.
 const MAX_CLAIM_INTERVAL: Duration = Duration::from_secs(1);
-/// Shortest time between two lines on skipped heartbeat checks of a shard. The
-/// claim loop is woken at once after each check.
+/// Shortest time between two lines on skipped heartbeat checks of a shard.
 const SKIPPED_CHECKS_INTERVAL_MS: u64 = 500;
 
 /// A process as registered in the store.
@@ -73,7 +72,9 @@
             match self.store.feed(CLUSTER_TABLE, version, FEED_WAIT_MS).await {
                 FeedOutcome::Changes(rows) => {
                     self.apply_cluster_rows(&rows.rows);
-                    self.confirmed_ms.set(requested_ms);
+                    if !rows.has_more {
+                        self.confirmed_ms.set(requested_ms);
+                    }
                     after = Some(rows.version.max(version));
                 }
                 FeedOutcome::HistoryExpired => after = None,
--- a/crates/cornelpoint-manager/src/pool_host/inbox.rs
+++ b/crates/cornelpoint-manager/src/pool_host/inbox.rs
@@ -97,9 +97,11 @@
         if !requests.is_empty() {
             self.apply(|scheduler, now| apply_inbox(scheduler, requests, now));
         }
-        // The response may have been delayed; it is at least as new as its
-        // request.
-        self.inbox_read_ms.set(requested_ms);
+        if !rows.has_more {
+            // The response may have been delayed; it is at least as new as its
+            // request.
+            self.inbox_read_ms.set(requested_ms);
+        }
     }
 
     /// Logs the first success after failures; returns the time since the
--- a/crates/cornelpoint-manager/src/store/store_client.rs
+++ b/crates/cornelpoint-manager/src/store/store_client.rs
@@ -31,6 +31,9 @@
 const MAX_CONNECTIONS: usize = 24;
 /// Rows per read; the store's own limit.
 const ROWS_PER_READ: u32 = 500;
+/// Size from which a response may have been cut to the store's limit of 1 MB: one
+/// more row of 64 KiB, encoded, could exceed it.
+const FULL_PAGE_BYTES: usize = 900_000;
 
 /// Outcome label of a call that the store rejected because of its rate.
 const THROTTLED: &str = "throttled";
@@ -53,7 +56,8 @@
 /// Outcome of a long poll for changes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum FeedOutcome {
-    /// Changes up to a version; may be empty.
+    /// Changes up to a version; may be empty. With `has_more`, there may be later
+    /// ones already.
     Changes(Rows),
     /// The store no longer has the history after the given version; read the
     /// table in full.
@@ -217,9 +221,12 @@
         let failure = failure_label(&answer);
         match answer {
             Ok(answer) if answer.status == 200 => match parse_rows(&answer.body) {
-                Ok(rows) => {
+                Ok(mut rows) => {
                     self.record_success();
                     self.update_clock(&rows);
+                    // A feed may not say that its response was cut.
+                    rows.has_more |= rows.rows.len() >= ROWS_PER_READ as usize
+                        || answer.body.len() >= FULL_PAGE_BYTES;
                     FeedOutcome::Changes(rows)
                 }
                 Err(error) => {
--- a/crates/cornelpoint-manager/tests/takeover/instance.rs
+++ b/crates/cornelpoint-manager/tests/takeover/instance.rs
@@ -5,6 +5,7 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::time::Duration;
 
 use platform_standin::settings::InstanceSettings;
 use rustix::process::Pid;
@@ -53,6 +54,19 @@
         self.signal(Signal::KILL);
     }
 
+    /// Returns the processor time that the process has used.
+    pub fn cpu_time(&self) -> Duration {
+        const TICK_MS: u64 = 10;
+        let path = format!("/proc/{}/stat", self.process.id());
+        let stat = fs::read_to_string(path).unwrap();
+        // The process's name, in parentheses, may contain spaces; the times in user
+        // and system mode are the 12th and 13th field after it.
+        let (_, fields) = stat.rsplit_once(')').unwrap();
+        let times = fields.split_whitespace().skip(11).take(2);
+        let ticks: u64 = times.map(|time| time.parse::<u64>().unwrap()).sum();
+        Duration::from_millis(ticks * TICK_MS)
+    }
+
     fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.process.id()).unwrap();
         kill_process(Pid::from_raw(id).unwrap(), signal).unwrap();
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -200,6 +200,75 @@
     assert!(counted, "the owner does not count the job in its inbox");
 }
 
+/// The owner knows its own jobs, but not what its inbox holds.
+#[test]
+fn owner_returns_a_count_though_it_can_not_read_its_inbox() {
+    let fleet = Fleet::start("unreadable_inbox", TRANSACTION_DURATION);
+    let owner = fleet.owner();
+    let refusal = Some(ReadFault::Refuse);
+    fleet
+        .store
+        .set_read_fault(&owner.name, INBOX_TABLE, refusal);
+    write_to_inbox(&fleet, job(1));
+    thread::sleep(VISIBLE + COUNT_AGE);
+    let counts = fleet.instances.iter().map(|instance| {
+        let caller = fleet.caller(instance);
+        caller.waiting()
+    });
+    let counts: Vec<_> = counts.collect();
+    assert!(counts.iter().all(Option::is_none), "{counts:?}");
+}
+
+/// A response of the store holds 500 changes. The owner has read one of three when
+/// it is asked.
+#[test]
+fn waiting_count_is_taken_from_a_part_of_the_inbox() {
+    const JOBS: usize = 1200;
+    // Below the time-out of the long poll, so that the owner keeps reading.
+    const READ_DELAY: Duration = Duration::from_millis(1800);
+    let fleet = Fleet::start("part_of_the_inbox", TRANSACTION_DURATION);
+    let owner = fleet.owner();
+    hold_back_takeover(&fleet);
+    begin_inbox_poll(&fleet);
+    fleet.store.silence_connections(&owner.name);
+    let delay = Some(ReadFault::Delay(READ_DELAY));
+    fleet.store.set_read_fault(&owner.name, INBOX_TABLE, delay);
+    for number in 1..=JOBS as u64 {
+        write_to_inbox(&fleet, job(number));
+    }
+    thread::sleep(VISIBLE + COUNT_AGE);
+    let caller = fleet.caller(owner);
+    let asked = Instant::now();
+    loop {
+        let count = caller.waiting();
+        assert!(
+            count.is_none_or(|count| count * 2 >= JOBS),
+            "{count:?} of {JOBS} jobs are counted"
+        );
+        if count == Some(JOBS) {
+            return;
+        }
+        assert!(asked.elapsed() < RECOVER, "no complete count: {count:?}");
+        thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// The owner is lost, but its store heartbeat can't be read.
+#[test]
+fn claims_that_are_held_back_use_a_whole_core() {
+    const MEASURED: Duration = Duration::from_secs(2);
+    let fleet = Fleet::start("held_back_claims", TRANSACTION_DURATION);
+    hold_back_takeover(&fleet);
+    fleet.owner().kill();
+    thread::sleep(UNRESPONSIVE);
+    let before: Vec<Duration> = fleet.others().iter().map(|node| node.cpu_time()).collect();
+    thread::sleep(MEASURED);
+    for (instance, before) in fleet.others().iter().zip(before) {
+        let used = instance.cpu_time().saturating_sub(before);
+        assert!(used < MEASURED / 4, "{} used {used:?}", instance.name);
+    }
+}
+
 /// Refuses the reads by which other processes find that the owner is lost.
 fn hold_back_takeover(fleet: &Fleet) {
     for instance in fleet.others() {
