Bound the size of batches and inbox requests, and tell their writers apart

Found by review: rows were bounded, bytes weren't, so that one oversized request made its whole transaction fail; the jitter had one seed for all pools of a process; and heartbeats of processes of an earlier version couldn't be decoded.

--- a/crates/cornelpoint-manager/src/edge/callers.rs
+++ b/crates/cornelpoint-manager/src/edge/callers.rs
@@ -148,13 +148,13 @@
     let now_ms = clock::now().steady_ms;
     let all = node.pool_statuses.borrow();
     let status = all.get(&queue.pool);
-    let fresh = status.filter(|status| status.counted_ms + MAX_COUNT_AGE_MS > now_ms)?;
+    let fresh = status.filter(|status| status.view_confirmed_ms + MAX_COUNT_AGE_MS > now_ms)?;
     let count = fresh.waiting.get(&queue.name).copied()?;
     Some(WaitingCount {
         count: Some(count),
         source: "heartbeat",
         fencing_token: Some(fresh.fencing_token),
-        age_ms: Some(now_ms.saturating_sub(fresh.counted_ms)),
+        age_ms: Some(now_ms.saturating_sub(fresh.view_confirmed_ms)),
         error: "",
     })
 }
--- a/crates/cornelpoint-manager/src/edge/inbox_writer.rs
+++ b/crates/cornelpoint-manager/src/edge/inbox_writer.rs
@@ -2,6 +2,9 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,26 +31,34 @@
 /// Longest wait for a request to be written: the time-out of a call to the store.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Largest value of a request. Thirty of them, encoded, stay within the store's
+/// limit of 1 MB for a transaction.
+const MAX_VALUE_BYTES: usize = 20_000;
+
 /// Writes the requests of this process to the inbox of one pool.
 pub(crate) struct InboxWriter {
     pool: String,
     queue: RefCell<InboxQueue>,
-    requests: RefCell<BTreeMap<InboxKey, InboxRequest>>,
+    requests: RefCell<BTreeMap<InboxKey, PendingWrite>>,
     is_writing: Cell<bool>,
 }
 
 /// A request that waits to be written.
-struct InboxRequest {
+struct PendingWrite {
     value: Vec<u8>,
     waiters: Vec<oneshot::Sender<InboxOutcome>>,
 }
 
 impl InboxWriter {
-    /// Creates a writer without requests; `seed` is that of the backoff jitter.
-    pub(crate) fn new(pool: &str, seed: u64) -> Self {
+    /// Creates a writer without requests. The names of the instance and the pool
+    /// set its jitter apart from that of other writers.
+    pub(crate) fn new(node: &str, pool: &str) -> Self {
+        let mut hasher = DefaultHasher::new();
+        (node, pool).hash(&mut hasher);
+        let random = ChaCha8Rng::seed_from_u64(hasher.finish());
         Self {
             pool: pool.to_owned(),
-            queue: RefCell::new(InboxQueue::new(ChaCha8Rng::seed_from_u64(seed))),
+            queue: RefCell::new(InboxQueue::new(random)),
             requests: RefCell::default(),
             is_writing: Cell::new(false),
         }
@@ -60,14 +71,14 @@
         key: InboxKey,
         value: Vec<u8>,
     ) -> InboxOutcome {
-        if !self.queue.borrow_mut().push(key) {
+        if value.len() > MAX_VALUE_BYTES || !self.queue.borrow_mut().push(key) {
             return InboxOutcome::Refused;
         }
         let (sender, receiver) = oneshot::channel();
         self.requests
             .borrow_mut()
             .entry(key)
-            .or_insert_with(|| InboxRequest {
+            .or_insert_with(|| PendingWrite {
                 value,
                 waiters: Vec::new(),
             })
--- a/crates/cornelpoint-manager/src/message/heartbeat.rs
+++ b/crates/cornelpoint-manager/src/message/heartbeat.rs
@@ -34,7 +34,13 @@
     /// Number of waiting jobs by queue.
     pub(crate) waiting: BTreeMap<String, usize>,
     /// Time since the store last confirmed what the counts are based on.
+    #[serde(default = "unknown_age_ms")]
     pub(crate) view_age_ms: u64,
     /// Load and needs of the pool, for the fleet owner.
     pub(crate) report: PoolReport,
 }
+
+/// Age of the counts of processes that do not send it yet.
+fn unknown_age_ms() -> u64 {
+    u64::MAX
+}
--- a/crates/cornelpoint-manager/src/node/heartbeats.rs
+++ b/crates/cornelpoint-manager/src/node/heartbeats.rs
@@ -165,7 +165,7 @@
         *status = PoolStatus {
             fencing_token: owned.fencing_token,
             received_ms: now_ms,
-            counted_ms: now_ms.saturating_sub(owned.view_age_ms),
+            view_confirmed_ms: now_ms.saturating_sub(owned.view_age_ms),
             waiting: owned.waiting.clone(),
             report: owned.report.clone(),
         };
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -48,7 +48,7 @@
     pub(crate) received_ms: u64,
     /// When the store confirmed what the counts are based on, by the monotonic
     /// clock.
-    pub(crate) counted_ms: u64,
+    pub(crate) view_confirmed_ms: u64,
     pub(crate) waiting: BTreeMap<String, usize>,
     pub(crate) report: PoolReport,
 }
@@ -202,7 +202,7 @@
         let mut writers = self.inbox_writers.borrow_mut();
         let writer = writers
             .entry(pool.to_owned())
-            .or_insert_with(|| Rc::new(InboxWriter::new(pool, self.started_unix_ms)));
+            .or_insert_with(|| Rc::new(InboxWriter::new(&self.settings.node, pool)));
         Rc::clone(writer)
     }
 
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -40,6 +40,7 @@
 const REGISTRY_SETTLE_MS: u64 = 2500;
 /// Interval between checks whether the predecessor's process has ended.
 const PREDECESSOR_CHECK_INTERVAL: Duration = Duration::from_millis(300);
+
 /// A pool's rows in the store.
 struct StoredPool {
     workers: Rows,
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -13,9 +13,13 @@
 use super::pool_scheduler::PoolScheduler;
 use super::worker_state::WorkerState;
 
-/// Largest number of rows in a batch. The store allows 100 entries in a
-/// transaction, of which the owner's conditions and store heartbeat take three.
+/// Largest number of rows of jobs in a batch. The store allows 100 entries in a
+/// transaction; the workers' row, the owner's conditions and its store heartbeat
+/// take four.
 const MAX_BATCH_ROWS: usize = 96;
+/// Largest number of jobs in a batch, so that their rows stay within the store's
+/// limit of 1 MB for a transaction.
+const MAX_BATCH_JOBS: usize = 40;
 /// Largest number of rows of one job: its record, its progress, its submission
 /// and its cancellation in the inbox.
 const MAX_JOB_ROWS: usize = 4;
@@ -58,13 +62,9 @@
 }
 
 impl Batch {
-    /// Returns the number of rows that are written or removed.
+    /// Returns the number of rows of jobs that are written or removed.
     fn rows(&self) -> usize {
-        self.records.len()
-            + self.progress.len()
-            + 2 * self.expired.len()
-            + self.inbox.len()
-            + usize::from(self.workers.is_some())
+        self.records.len() + self.progress.len() + 2 * self.expired.len() + self.inbox.len()
     }
 }
 
@@ -125,6 +125,7 @@
         let mut batch = Batch::default();
         let mut in_flight = BatchInFlight::default();
         while batch.rows() + MAX_JOB_ROWS <= MAX_BATCH_ROWS
+            && in_flight.jobs.len() < MAX_BATCH_JOBS
             && let Some(id) = self.dirty.pop_first()
         {
             self.add_job_rows(id, &mut batch, &mut in_flight, now);
