Test evacuation after a takeover beside the predecessor's stops

A worker lists a run at full speed until an order to stop it is carried out, up to 400 ms later. The new owner adopts such a run and counts its task as available, since it doesn't know the orders of its predecessor.

--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -6,6 +6,7 @@
 mod fake_worker;
 mod inbox;
 mod objectives;
+mod predecessor_stops;
 mod random_schedules;
 mod step_kinds;
 mod support;
