Count an adopted run as available once no predecessor's stop can be pending

Cause: a worker lists a run at full speed until an order to stop it is carried out. A new owner adopted the run from the first report and counted its task as available, while its predecessor had just ordered it to stop.

A worker rejects the predecessor's orders from its first report to the successor on, and takes stop_ms at most to carry out earlier ones. An adopted run now counts as available once a report that was requested stop_ms after the adoption lists it. The cost: after a takeover, long-running tasks move one or two reports later.

Ruled out: stops of runs that are listed beside another run of their task; budget and freshness of the reports were as meant.

--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -71,6 +71,7 @@
             lease_ms: SchedulerSettings::default()
                 .lease_ms
                 .min(node.settings.bounds.max_lease_ms),
+            stop_ms: node.settings.bounds.stop_ms,
             ..SchedulerSettings::default()
         };
         let mut scheduler = PoolScheduler::new(&claim.shard, claim.fencing_token, settings);
--- a/crates/cornelpoint/src/scheduler/evacuation.rs
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -6,6 +6,7 @@
 use super::pool_scheduler::PoolScheduler;
 use super::task_entry::Phase;
 use super::task_entry::Run;
+use super::worker_state::WorkerState;
 
 /// Interval at which the runs of workers that are being vacated are checked
 /// again.
@@ -143,13 +144,22 @@
     /// Whether a run is at full speed by a recent report: the last report of a
     /// worker that is partitioned or has ended is outdated.
     fn runs_at_full_speed(&self, run: &Run, now: Instant) -> bool {
-        let reported_ms = self
-            .incarnations
-            .get(&run.incarnation)
-            .map_or(0, |worker| worker.reported_ms);
+        let Some(worker) = self.incarnations.get(&run.incarnation) else {
+            return false;
+        };
         let fresh_ms = self.settings.renewal_wait_ms + self.settings.renewal_retry_ms;
         run.percent >= 100
             && matches!(run.phase, Phase::Running { .. })
-            && reported_ms + fresh_ms >= now.steady_ms
+            && worker.reported_ms + fresh_ms >= now.steady_ms
+            && !self.may_be_stopping(run, worker)
+    }
+
+    /// Whether a predecessor may have ordered a run to stop. The worker lists
+    /// it at full speed until it has ended, but has rejected the predecessor's
+    /// orders since its first report under this fencing token.
+    fn may_be_stopping(&self, run: &Run, worker: &WorkerState) -> bool {
+        let stop_ms = self.settings.stop_ms;
+        run.adopted_ms
+            .is_some_and(|adopted_ms| worker.report_requested_ms < adopted_ms + stop_ms)
     }
 }
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -104,6 +104,7 @@
         let was_unresponsive = worker.is_unresponsive();
         worker.contact = Contact::Responsive;
         worker.reported_ms = now.steady_ms;
+        worker.report_requested_ms = sent_ms;
         worker.lease_end_known_ms = None;
         self.predecessor_incarnations.remove(&worker.entry.id);
         for reported in &report.running {
@@ -196,6 +197,7 @@
                 confirmed_ms: now.steady_ms,
             },
             started_ms: now.steady_ms,
+            adopted_ms: Some(now.steady_ms),
             percent: reported.speed_percent,
             pace: 100,
         });
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -361,6 +361,7 @@
             incarnation,
             phase: Phase::Starting,
             started_ms: now.steady_ms,
+            adopted_ms: None,
             percent: 0,
             pace: 100,
         });
--- a/crates/cornelpoint/src/scheduler/settings.rs
+++ b/crates/cornelpoint/src/scheduler/settings.rs
@@ -11,6 +11,8 @@
     pub renewal_spacing_ms: u64,
     /// Delay before the next lease renewal of a worker that did not answer.
     pub renewal_retry_ms: u64,
+    /// Longest time that a worker takes to carry out an order to stop.
+    pub stop_ms: u64,
     /// Interval at which an order to stop is repeated until it takes effect.
     pub stop_repeat_ms: u64,
     /// Longest time that a batch without urgent rows waits for more rows.
@@ -34,6 +36,7 @@
             // one batch.
             renewal_spacing_ms: 30,
             renewal_retry_ms: 300,
+            stop_ms: 400,
             stop_repeat_ms: 400,
             batch_wait_ms: 25,
             status_kept_ms: 120_000,
--- a/crates/cornelpoint/src/scheduler/task_entry.rs
+++ b/crates/cornelpoint/src/scheduler/task_entry.rs
@@ -33,6 +33,8 @@
     pub(super) incarnation: IncarnationIndex,
     pub(super) phase: Phase,
     pub(super) started_ms: u64,
+    /// When a report first listed it, if a predecessor started it.
+    pub(super) adopted_ms: Option<u64>,
     /// Share of full speed that the worker last reported.
     pub(super) percent: u64,
     /// Share of full speed that was last ordered, in percent.
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -44,6 +44,8 @@
     pub(super) paced_ms: u64,
     /// When its latest report was received.
     pub(super) reported_ms: u64,
+    /// When its latest report was requested.
+    pub(super) report_requested_ms: u64,
     /// When the latest lease renewal without an answer was sent.
     pub(super) failed_renewal_sent_ms: u64,
     /// When its lease was first found expired, with ownership of the pool
@@ -101,6 +103,7 @@
             vacating: false,
             paced_ms: 0,
             reported_ms: 0,
+            report_requested_ms: 0,
             failed_renewal_sent_ms: 0,
             lease_end_known_ms: None,
         }
