--- a/crates/cornelpoint-manager/src/edge/inbox_writer.rs
+++ b/crates/cornelpoint-manager/src/edge/inbox_writer.rs
@@ -30,7 +30,6 @@
 
 /// Longest wait for a request to be written: the time-out of a call to the store.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// Largest value of a request. Thirty of them, encoded, stay within the store's
 /// limit of 1 MB for a transaction.
 const MAX_VALUE_BYTES: usize = 20_000;
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -40,8 +40,8 @@
     pub(super) links: RefCell<HashMap<IncarnationIndex, Rc<WorkerLink>>>,
     /// Callers that wait for the store, by what they asked for.
     pub(super) waiters: RefCell<HashMap<InboxKey, Vec<oneshot::Sender<PoolResponse>>>>,
-    /// When the last successful read of the inbox was sent, by the monotonic
-    /// clock.
+    /// When the last read that returned all rows of the inbox was sent, by the
+    /// monotonic clock.
     pub(super) inbox_read_ms: Cell<u64>,
     /// Vacated workers as of the last update; a change sends a heartbeat at once.
     vacated: RefCell<BTreeSet<String>>,
--- a/crates/cornelpoint-manager/src/pool_host/inbox.rs
+++ b/crates/cornelpoint-manager/src/pool_host/inbox.rs
@@ -93,7 +93,7 @@
         read: &str,
     ) {
         let unread_ms = self.log_inbox_success(reads);
-        let requests = parse_inbox(&self.log, &self.pool, &rows.rows, read, unread_ms);
+        let requests = parse_inbox(&self.log, &self.pool, &rows.rows, read, Some(unread_ms));
         if !requests.is_empty() {
             self.apply(|scheduler, now| apply_inbox(scheduler, requests, now));
         }
@@ -143,7 +143,7 @@
     pool: &str,
     rows: &Rows,
 ) -> usize {
-    let requests = parse_inbox(log, pool, &rows.rows, "takeover", 0);
+    let requests = parse_inbox(log, pool, &rows.rows, "takeover", None);
     let count = requests.len();
     apply_inbox(scheduler, requests, clock::now());
     count
@@ -161,12 +161,14 @@
     }
 }
 
+/// Parses and logs the rows of a pool's inbox; `unread_ms` is the time since the
+/// read before.
 fn parse_inbox(
     log: &Logger,
     pool: &str,
     rows: &[Row],
     read: &str,
-    unread_ms: u64,
+    unread_ms: Option<u64>,
 ) -> Vec<InboxRequest> {
     // Records carry the wall clock of the process that stored them.
     let now_unix_ms = clock::now().unix_ms;
