--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -106,17 +106,7 @@
     // A partition refuses the 26th waiting transaction.
     const TRANSACTION_DURATION: Duration = Duration::from_millis(40);
     let fleet = Fleet::start("submissions_to_the_inbox", TRANSACTION_DURATION);
-    let owner = fleet.owner();
-    let others = fleet.others();
-    let callers = others.iter().map(|instance| fleet.caller(instance));
-    let load = Load::start(&callers.collect::<Vec<_>>(), CALLERS_PER_INSTANCE);
-    thread::sleep(Duration::from_millis(500));
-    owner.kill();
-    let replaced = holds_within(TAKEOVER, || {
-        fleet.owner_row().is_some_and(|row| row.node != owner.name)
-    });
-    let refused = fleet.store.refused_transactions();
-    drop(load);
+    let (replaced, refused) = lose_owner_under_load(&fleet, || {});
     assert_eq!(refused, 0, "the store refused transactions");
     assert!(replaced, "the pool has no new owner");
 }
@@ -126,18 +116,8 @@
 #[test]
 fn takeover_is_held_back_while_the_inbox_is_overloaded() {
     let fleet = Fleet::start("overloaded_inbox", TRANSACTION_DURATION);
-    let owner = fleet.owner();
-    let others = fleet.others();
-    let callers = others.iter().map(|instance| fleet.caller(instance));
-    let load = Load::start(&callers.collect::<Vec<_>>(), CALLERS_PER_INSTANCE);
-    thread::sleep(Duration::from_millis(500));
-    owner.kill();
-    fleet.store.throttle_partition(POOL);
-    let replaced = holds_within(TAKEOVER, || {
-        fleet.owner_row().is_some_and(|row| row.node != owner.name)
-    });
-    let refused = fleet.store.refused_transactions();
-    drop(load);
+    let throttle = || fleet.store.throttle_partition(POOL);
+    let (replaced, refused) = lose_owner_under_load(&fleet, throttle);
     assert!(refused > 0, "the store refused no transaction");
     assert!(
         replaced,
@@ -269,6 +249,25 @@
     }
 }
 
+/// Kills the owner while callers submit jobs, then applies a fault of the store.
+/// Returns whether the pool got a new owner within [`TAKEOVER`], and the number of
+/// transactions that the store refused.
+fn lose_owner_under_load(fleet: &Fleet, store_fault: impl FnOnce()) -> (bool, u64) {
+    let owner = fleet.owner();
+    let others = fleet.others();
+    let callers = others.iter().map(|instance| fleet.caller(instance));
+    let load = Load::start(&callers.collect::<Vec<_>>(), CALLERS_PER_INSTANCE);
+    thread::sleep(Duration::from_millis(500));
+    owner.kill();
+    store_fault();
+    let replaced = holds_within(TAKEOVER, || {
+        fleet.owner_row().is_some_and(|row| row.node != owner.name)
+    });
+    let refused = fleet.store.refused_transactions();
+    drop(load);
+    (replaced, refused)
+}
+
 /// Refuses the reads by which other processes find that the owner is lost.
 fn hold_back_takeover(fleet: &Fleet) {
     for instance in fleet.others() {
