--- a/crates/cornelpoint-manager/src/http/server.rs
+++ b/crates/cornelpoint-manager/src/http/server.rs
@@ -36,6 +36,7 @@
 pub(crate) struct ServerControl {
     closing: Cell<bool>,
     changed: Notify,
+    connections: Cell<usize>,
 }
 
 impl ServerControl {
@@ -44,6 +45,27 @@
         self.closing.set(true);
         self.changed.notify_waiters();
     }
+
+    /// Returns the number of connections that are still open.
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.get()
+    }
+}
+
+/// Counts a connection until it is dropped.
+struct OpenConnection(Rc<ServerControl>);
+
+impl OpenConnection {
+    fn new(control: &Rc<ServerControl>) -> Self {
+        control.connections.set(control.connections.get() + 1);
+        Self(Rc::clone(control))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
 }
 
 /// Serves connections until the task is dropped.
@@ -75,6 +97,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
+    let _open = OpenConnection::new(&control);
     let service = service_fn(move |request| {
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
@@ -85,10 +108,12 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let changed = control.changed.notified();
-    tokio::select! {
-        // Errors of a single connection need no handling.
-        _ = connection.as_mut() => return,
-        () = changed => {}
+    if !control.closing.get() {
+        tokio::select! {
+            // Errors of a single connection need no handling.
+            _ = connection.as_mut() => return,
+            () = changed => {}
+        }
     }
     connection.as_mut().graceful_shutdown();
     drop(connection.await);
--- a/crates/cornelpoint-manager/tests/takeover/caller.rs
+++ b/crates/cornelpoint-manager/tests/takeover/caller.rs
@@ -47,12 +47,18 @@
 
     /// Submits a job of one short task; whether it was accepted.
     pub fn submit(&self, job: JobId) -> bool {
+        self.submit_status(job) == Some(200)
+    }
+
+    /// Submits a job of one short task; returns the status of the response, `None`
+    /// if there was none.
+    pub fn submit_status(&self, job: JobId) -> Option<u16> {
         let request = self.agent.post(self.url(&job.to_string()));
         let answer = request
             .header("host", &self.queue.host)
             .header("content-type", "application/json")
             .send(&job_body(NEED, ESTIMATE_MS));
-        answer.is_ok_and(|answer| answer.status() == 200)
+        Some(answer.ok()?.status().as_u16())
     }
 
     /// Cancels a job; whether that was acknowledged.
--- a/crates/cornelpoint-manager/tests/takeover/instance.rs
+++ b/crates/cornelpoint-manager/tests/takeover/instance.rs
@@ -50,6 +50,10 @@
         self.signal(Signal::CONT);
     }
 
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
     pub fn kill(&self) {
         self.signal(Signal::KILL);
     }
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -249,6 +249,24 @@
     }
 }
 
+/// The caller's process is told to stop. Just before it stops to take requests, the
+/// owner becomes unresponsive, so that an answer takes over a second.
+#[test]
+fn planned_stop_cuts_a_request_that_waits_for_the_owner() {
+    const BEFORE_CLOSE: Duration = Duration::from_secs(2);
+    let fleet = Fleet::start("planned_stop", TRANSACTION_DURATION);
+    let owner = fleet.owner();
+    hold_back_takeover(&fleet);
+    let stopping = fleet.others()[0];
+    let caller = fleet.caller(stopping);
+    wait_until("a job is accepted", || caller.submit(job(1)));
+    stopping.terminate();
+    thread::sleep(BEFORE_CLOSE);
+    owner.pause();
+    let status = caller.submit_status(job(2));
+    assert!(status.is_some(), "the request got no answer");
+}
+
 /// Kills the owner while callers submit jobs, then applies a fault of the store.
 /// Returns whether the pool got a new owner within [`TAKEOVER`], and the number of
 /// transactions that the store refused.
