Log how reads of the operator's rows go, and how old the configuration is

An instance that applied a configuration late said nothing between the first failed call and the next success, and a failed read named no table. The log now has one line when the operator's rows can't be read and one when they can again, with the kind of read, its duration and the age of what is known; the age is also in the line of each configuration and in two metrics. The inbox uses the same record of reads. No decision depends on any of it.

--- a/crates/cornelpoint-manager/src/metrics/process_metrics.rs
+++ b/crates/cornelpoint-manager/src/metrics/process_metrics.rs
@@ -1,14 +1,17 @@
+use std::cell::Cell;
 use std::time::Duration;
 
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
 use super::labels::Outcome;
 use super::labels::Source;
+use crate::clock;
 
 /// Upper bound of the first histogram bucket, in seconds.
 const MIN_BUCKET_S: f64 = 0.002;
@@ -32,6 +35,9 @@
     /// Shards claimed by this process.
     pub(crate) takeovers: Counter,
     waiting_counts: Family<Source, Counter>,
+    configuration_version: Gauge,
+    configuration_age_ms: Gauge,
+    configuration_confirmed_ms: Cell<u64>,
     submission_seconds: Histogram,
     store_seconds: Histogram,
 }
@@ -46,6 +52,8 @@
         let machine_orders = Family::default();
         let takeovers = Counter::default();
         let waiting_counts = Family::default();
+        let configuration_version = Gauge::default();
+        let configuration_age_ms = Gauge::default();
         let buckets = || exponential_buckets(MIN_BUCKET_S, 2.0, BUCKET_COUNT);
         let submission_seconds = Histogram::new(buckets());
         let store_seconds = Histogram::new(buckets());
@@ -58,6 +66,11 @@
         registry.register("takeovers", "Shards taken over", takeovers.clone());
         let counts = waiting_counts.clone();
         registry.register("waiting_counts", "Answers to count requests", counts);
+        let version = configuration_version.clone();
+        registry.register("configuration_version", "Version in force", version);
+        let age = configuration_age_ms.clone();
+        let help = "Time since a read that confirmed it was sent";
+        registry.register("configuration_age_ms", help, age);
         let submission = submission_seconds.clone();
         registry.register("hand_in_seconds", "Time to answer a hand-in", submission);
         let store = store_seconds.clone();
@@ -71,6 +84,9 @@
             machine_orders,
             takeovers,
             waiting_counts,
+            configuration_version,
+            configuration_age_ms,
+            configuration_confirmed_ms: Cell::new(0),
             submission_seconds,
             store_seconds,
         }
@@ -97,8 +113,23 @@
         self.store_seconds.observe(took.as_secs_f64());
     }
 
+    /// Records the version of the configuration that is applied.
+    pub(crate) fn configuration_applied(&self, version: u64) {
+        let version = i64::try_from(version).unwrap_or(i64::MAX);
+        self.configuration_version.set(version);
+    }
+
+    /// Records when a read that confirmed the configuration was sent.
+    pub(crate) fn configuration_confirmed(&self, sent_ms: u64) {
+        self.configuration_confirmed_ms.set(sent_ms);
+    }
+
     /// Encodes all metrics in the `OpenMetrics` text format.
     pub(crate) fn text(&self) -> String {
+        let confirmed_ms = self.configuration_confirmed_ms.get();
+        let age_ms = clock::now().steady_ms.saturating_sub(confirmed_ms);
+        let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
+        self.configuration_age_ms.set(age_ms);
         let mut text = String::new();
         match encode(&mut text, &self.registry) {
             Ok(()) => text,
--- a/crates/cornelpoint-manager/src/node/feeds.rs
+++ b/crates/cornelpoint-manager/src/node/feeds.rs
@@ -7,7 +7,9 @@
 use slog::warn;
 
 use super::state::Node;
+use crate::clock;
 use crate::fleet_host::FLEET_SHARD;
+use crate::store::FeedHealth;
 use crate::store::FeedOutcome;
 
 /// Long-poll wait for changes. A dead connection is detected within this time
@@ -20,14 +22,16 @@
     /// Follows the operator's rows: the configuration and maintenance waves.
     pub(super) async fn follow_operator(self: Rc<Self>) {
         let mut after = None;
+        let mut reads = FeedHealth::new(clock::now().steady_ms);
         loop {
+            let sent_ms = clock::now().steady_ms;
             let Some(version) = after else {
-                match self.store.read_all(operator::TABLE, "").await {
-                    Some(rows) => {
-                        self.apply_operator_rows(&rows.rows);
-                        after = Some(rows.version);
-                    }
-                    None => tokio::time::sleep(RETRY_DELAY).await,
+                if let Some(rows) = self.store.read_all(operator::TABLE, "").await {
+                    self.operator_rows_read(&mut reads, &rows.rows, sent_ms, "full read");
+                    after = Some(rows.version);
+                } else {
+                    self.operator_read_failed(&mut reads, sent_ms, "full read");
+                    tokio::time::sleep(RETRY_DELAY).await;
                 }
                 continue;
             };
@@ -37,20 +41,46 @@
                 .await
             {
                 FeedOutcome::Changes(rows) => {
-                    self.apply_operator_rows(&rows.rows);
+                    self.operator_rows_read(&mut reads, &rows.rows, sent_ms, "feed");
                     after = Some(rows.version.max(version));
                 }
                 FeedOutcome::HistoryExpired => after = None,
-                FeedOutcome::Failed => tokio::time::sleep(RETRY_DELAY).await,
+                FeedOutcome::Failed => {
+                    self.operator_read_failed(&mut reads, sent_ms, "feed");
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
             }
         }
     }
 
-    fn apply_operator_rows(&self, rows: &[Row]) {
+    /// Applies the rows of a successful read that was sent at `sent_ms`; logs the
+    /// first one after failures.
+    fn operator_rows_read(&self, reads: &mut FeedHealth, rows: &[Row], sent_ms: u64, read: &str) {
+        let unread_ms = reads.age_ms(clock::now().steady_ms);
+        if reads.succeeded(sent_ms) {
+            info!(self.platform_log, "Operator's rows can be read again."; "read" => read,
+                "unread_ms" => unread_ms);
+        }
+        self.metrics.configuration_confirmed(sent_ms);
+        self.apply_operator_rows(rows, read, unread_ms);
+    }
+
+    /// Logs the first failure after a success. A long poll without a response
+    /// fails only at its timeout.
+    fn operator_read_failed(&self, reads: &mut FeedHealth, sent_ms: u64, read: &str) {
+        if reads.failed() {
+            let now_ms = clock::now().steady_ms;
+            warn!(self.platform_log, "Operator's rows can't be read."; "read" => read,
+                "error" => self.store.last_failure(), "took_ms" => now_ms - sent_ms,
+                "unread_ms" => reads.age_ms(now_ms));
+        }
+    }
+
+    fn apply_operator_rows(&self, rows: &[Row], read: &str, unread_ms: u64) {
         for row in rows {
             let Some(value) = &row.value else { continue };
             if row.key.key == operator::CATALOG_KEY {
-                self.apply_catalog(value);
+                self.apply_catalog(value, read, unread_ms);
             } else if let Some(wave) = operator::parse_wave(&row.key.key, value) {
                 info!(self.platform_log, "Maintenance wave ordered."; "wave" => wave.number,
                     "machines" => wave.machines.len(), "most_at_once" => wave.most_at_once,
@@ -63,8 +93,9 @@
         }
     }
 
-    /// Applies a configuration if it is newer than the current one.
-    fn apply_catalog(&self, value: &[u8]) {
+    /// Applies a configuration if it is newer than the current one. It came with a
+    /// read of the given kind, `unread_ms` after the one before.
+    fn apply_catalog(&self, value: &[u8], read: &str, unread_ms: u64) {
         let catalog = match operator::parse_catalog(value) {
             Ok(catalog) => catalog,
             Err(error) => {
@@ -78,11 +109,13 @@
             return;
         }
         info!(self.platform_log, "Configuration applied."; "version" => catalog.version,
-            "before" => current_version, "queues" => catalog.queues.len());
+            "before" => current_version, "queues" => catalog.queues.len(), "read" => read,
+            "unread_ms" => unread_ms);
+        self.metrics.configuration_applied(catalog.version);
         for host in self.hosts.borrow().values() {
             host.set_queues(&catalog);
         }
-        let now = crate::clock::now();
+        let now = clock::now();
         let mut planner = self.planner.borrow_mut();
         for pool in catalog.pools.values().filter(|pool| !pool.spare) {
             planner.add_shard(&pool.name, now.steady_ms);
--- a/crates/cornelpoint-manager/src/pool_host/inbox.rs
+++ b/crates/cornelpoint-manager/src/pool_host/inbox.rs
@@ -14,6 +14,7 @@
 
 use super::host::PoolHost;
 use crate::clock;
+use crate::store::FeedHealth;
 use crate::store::FeedOutcome;
 use crate::store::INBOX_TABLE;
 use crate::store::decode;
@@ -25,14 +26,6 @@
 /// plus the call timeout.
 const INBOX_WAIT_MS: u64 = 500;
 
-/// How an owner's reads of its inbox have gone.
-#[derive(Debug)]
-struct InboxReads {
-    /// When the last successful read returned; at first when the reads began.
-    succeeded_ms: u64,
-    failing: bool,
-}
-
 /// A request that another process has stored for the owner.
 struct InboxRequest {
     key: InboxKey,
@@ -46,10 +39,7 @@
     /// far.
     pub(super) async fn follow_inbox(self: Rc<Self>, version: u64) {
         let mut after = Some(version);
-        let mut reads = InboxReads {
-            succeeded_ms: clock::now().steady_ms,
-            failing: false,
-        };
+        let mut reads = FeedHealth::new(clock::now().steady_ms);
         while !self.stopped.get() {
             let requested_ms = clock::now().steady_ms;
             let Some(version) = after else {
@@ -87,12 +77,12 @@
 
     fn inbox_read(
         self: &Rc<Self>,
-        reads: &mut InboxReads,
+        reads: &mut FeedHealth,
         rows: &Rows,
         requested_ms: u64,
         read: &str,
     ) {
-        let unread_ms = self.log_inbox_success(reads);
+        let unread_ms = self.log_inbox_success(reads, requested_ms);
         let requests = parse_inbox(&self.log, &self.pool, &rows.rows, read, Some(unread_ms));
         if !requests.is_empty() {
             self.apply(|scheduler, now| apply_inbox(scheduler, requests, now));
@@ -105,33 +95,27 @@
     }
 
     /// Logs the first success after failures; returns the time since the
-    /// success before.
-    fn log_inbox_success(&self, reads: &mut InboxReads) -> u64 {
-        let now_ms = clock::now().steady_ms;
-        let unread_ms = now_ms.saturating_sub(reads.succeeded_ms);
-        if reads.failing {
+    /// success before was requested.
+    fn log_inbox_success(&self, reads: &mut FeedHealth, requested_ms: u64) -> u64 {
+        let unread_ms = reads.age_ms(clock::now().steady_ms);
+        if reads.succeeded(requested_ms) {
             info!(self.log, "Inbox can be read again."; "pool" => &self.pool,
                 "fencing_token" => self.fencing_token,
                 "unread_ms" => unread_ms);
         }
-        *reads = InboxReads {
-            succeeded_ms: now_ms,
-            failing: false,
-        };
         unread_ms
     }
 
     /// Logs the first failure after a success. A long poll without a response
     /// fails only at its timeout.
-    fn log_inbox_failure(&self, reads: &mut InboxReads, read: &str) {
-        if reads.failing {
+    fn log_inbox_failure(&self, reads: &mut FeedHealth, read: &str) {
+        if !reads.failed() {
             return;
         }
-        reads.failing = true;
         warn!(self.log, "Inbox can't be read."; "pool" => &self.pool,
             "fencing_token" => self.fencing_token, "read" => read,
             "error" => self.node.store.last_failure(),
-            "unread_ms" => clock::now().steady_ms - reads.succeeded_ms);
+            "unread_ms" => reads.age_ms(clock::now().steady_ms));
     }
 }
 
--- a/crates/cornelpoint-manager/src/store/mod.rs
+++ b/crates/cornelpoint-manager/src/store/mod.rs
@@ -1,9 +1,11 @@
 //! Client of the platform's store, and the tables that the system keeps in it.
 
+mod feed_health;
 mod shard_writer;
 mod store_client;
 mod tables;
 
+pub(crate) use self::feed_health::FeedHealth;
 pub(crate) use self::shard_writer::ShardWriter;
 pub(crate) use self::shard_writer::WriteOutcome;
 pub(crate) use self::store_client::FeedOutcome;
--- a/crates/cornelpoint-manager/src/store/store_client.rs
+++ b/crates/cornelpoint-manager/src/store/store_client.rs
@@ -7,7 +7,6 @@
 use cornelpoint::ownership::StoreCallResult;
 use cornelpoint_platform::call::Call;
 use cornelpoint_platform::store::Row;
-use cornelpoint_platform::store::RowKey;
 use cornelpoint_platform::store::Rows;
 use cornelpoint_platform::store::Transaction;
 use cornelpoint_platform::store::feed_call;
@@ -128,6 +127,8 @@
         self.metrics.observe_transaction(started.elapsed());
         let failure = failure_label(&answer);
         let written = transaction.writes.first().map(|(key, _)| key);
+        let table = written.map_or("", |key| &key.table);
+        let part = written.map(|key| key.part.as_str());
         match answer {
             Ok(answer) => match (answer.status, parse_rows(&answer.body)) {
                 (200, Ok(rows)) => {
@@ -142,21 +143,21 @@
                     TransactionOutcome::Conflict(rows.rows)
                 }
                 (429 | 503, _) => {
-                    self.record_failure("transaction", failure, sent_ms, written);
+                    self.record_failure("transaction", failure, sent_ms, table, part);
                     TransactionOutcome::Refused
                 }
                 (status, _) => {
                     warn!(self.log, "Unexpected response to a transaction."; "status" => status);
-                    self.record_failure("transaction", failure, sent_ms, written);
+                    self.record_failure("transaction", failure, sent_ms, table, part);
                     TransactionOutcome::Unknown
                 }
             },
             Err(CallError::NotSent) => {
-                self.record_failure("transaction", failure, sent_ms, written);
+                self.record_failure("transaction", failure, sent_ms, table, part);
                 TransactionOutcome::Refused
             }
             Err(CallError::NoAnswer) => {
-                self.record_failure("transaction", failure, sent_ms, written);
+                self.record_failure("transaction", failure, sent_ms, table, part);
                 TransactionOutcome::Unknown
             }
         }
@@ -168,7 +169,7 @@
         let mut from = String::new();
         loop {
             let rows = self
-                .read(&read_call(table, part, &from, ROWS_PER_READ))
+                .read(table, &read_call(table, part, &from, ROWS_PER_READ))
                 .await?;
             if all.version == 0 {
                 // Changes after the first page are repeated by the feed.
@@ -189,11 +190,11 @@
     /// Reads one row; `None` if the read fails, `Some(None)` if there is no such
     /// row.
     pub(crate) async fn read_row(&self, table: &str, part: &str, key: &str) -> Option<Option<Row>> {
-        let rows = self.read(&read_call(table, part, key, 1)).await?;
+        let rows = self.read(table, &read_call(table, part, key, 1)).await?;
         Some(rows.rows.into_iter().find(|row| row.key.key == key))
     }
 
-    async fn read(&self, call: &Call) -> Option<Rows> {
+    async fn read(&self, table: &str, call: &Call) -> Option<Rows> {
         let sent_ms = clock::now().steady_ms;
         let answer = self.endpoint.send(call, CALL_TIMEOUT).await;
         let failure = failure_label(&answer);
@@ -205,7 +206,7 @@
             self.record_success();
             self.update_clock(rows);
         } else {
-            self.record_failure("read", failure, sent_ms, None);
+            self.record_failure("read", failure, sent_ms, table, None);
         }
         rows
     }
@@ -244,7 +245,7 @@
             _ => {
                 // The store need not respond before the end of the wait.
                 let due_ms = clock::now().steady_ms.min(sent_ms + wait_ms);
-                self.record_failure("feed", failure, due_ms, None);
+                self.record_failure("feed", failure, due_ms, table, None);
                 FeedOutcome::Failed
             }
         }
@@ -258,21 +259,21 @@
         }
     }
 
-    /// Records a failed call that was sent at `sent_ms`; `written` is the first row
-    /// that a transaction was to write.
+    /// Records a failed call that was sent at `sent_ms`; `part` is the partition of
+    /// a transaction.
     fn record_failure(
         &self,
         call: &str,
         outcome: &'static str,
         sent_ms: u64,
-        written: Option<&RowKey>,
+        table: &str,
+        part: Option<&str>,
     ) {
         self.last_failure.set(outcome);
         ProcessMetrics::count(&self.metrics.store_calls, outcome);
         if !self.availability.get().is_failing() {
             warn!(self.log, "Calls to the store are failing."; "what" => outcome,
-                "call" => call, "table" => written.map(|key| &key.table),
-                "part" => written.map(|key| &key.part));
+                "call" => call, "table" => table, "part" => part);
         }
         let result = match outcome {
             THROTTLED => StoreCallResult::Throttled,
