Notice a lost response to a long poll of the configuration in time

Callers got 404 for a route that the store had confirmed 2.7 s before. The store had been silent for 3 s; a poll sent meanwhile never gets a response and ended only 3.5 s after it was sent (2 s wait, 1.5 s timeout), up to 3.5 s after the store was back.

The poll now waits 0.5 s, and the head of its response is due 1 s after that; a large body may take 1.5 s more. A lost response is noticed within 1.5 s.

--- a/crates/cornelpoint-manager/src/http/endpoint.rs
+++ b/crates/cornelpoint-manager/src/http/endpoint.rs
@@ -52,7 +52,30 @@
     /// Sends a call and reads the whole response, within a timeout that includes
     /// the wait for a free connection.
     pub(crate) async fn send(&self, call: &Call, timeout: Duration) -> Result<Response, CallError> {
-        let deadline = Instant::now() + timeout;
+        self.exchange(call, timeout, Duration::ZERO).await
+    }
+
+    /// Sends a long poll. The head of the response has to arrive within a timeout
+    /// that includes the wait for a free connection; the body may take longer.
+    pub(crate) async fn long_poll(
+        &self,
+        call: &Call,
+        head_timeout: Duration,
+        body_timeout: Duration,
+    ) -> Result<Response, CallError> {
+        self.exchange(call, head_timeout, body_timeout).await
+    }
+
+    /// Sends a call. The head of the response has to arrive within `head_timeout`,
+    /// the rest within another `body_timeout`.
+    async fn exchange(
+        &self,
+        call: &Call,
+        head_timeout: Duration,
+        body_timeout: Duration,
+    ) -> Result<Response, CallError> {
+        let deadline = Instant::now() + head_timeout;
+        let body_deadline = deadline + body_timeout;
         let permit = timeout_at(deadline, self.permits.acquire()).await;
         let Ok(Ok(_permit)) = permit else {
             return Err(CallError::NotSent);
@@ -68,7 +91,7 @@
                 Err(_) | Ok(Err(_)) => return Err(CallError::NoAnswer),
                 Ok(Ok(response)) => {
                     let status = response.status().as_u16();
-                    let body = timeout_at(deadline, response.into_body().collect()).await;
+                    let body = timeout_at(body_deadline, response.into_body().collect()).await;
                     let Ok(Ok(body)) = body else {
                         return Err(CallError::NoAnswer);
                     };
--- a/crates/cornelpoint-manager/src/node/feeds.rs
+++ b/crates/cornelpoint-manager/src/node/feeds.rs
@@ -12,9 +12,10 @@
 use crate::store::FeedHealth;
 use crate::store::FeedOutcome;
 
-/// Long-poll wait for changes. A dead connection is detected within this time
-/// plus the call timeout.
-const FEED_WAIT_MS: u64 = 2000;
+/// Long-poll wait for changes. A lost response is noticed within this time plus the
+/// feed's timeout; both together must stay below the platform's shortest time for a
+/// configuration to be in force (2 s).
+const FEED_WAIT_MS: u64 = 500;
 /// Delay before a failed store request is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
--- a/crates/cornelpoint-manager/tests/takeover/caller.rs
+++ b/crates/cornelpoint-manager/tests/takeover/caller.rs
@@ -80,11 +80,23 @@
         Some(parse_waiting(&body).unwrap())
     }
 
+    /// Whether the instance answers that there is no such queue.
+    pub fn is_unknown_queue(&self) -> bool {
+        self.get_response("")
+            .is_some_and(|answer| answer.status() == 404)
+    }
+
     fn get(&self, rest: &str) -> Option<Vec<u8>> {
+        let mut answer = self
+            .get_response(rest)
+            .filter(|answer| answer.status() == 200)?;
+        answer.body_mut().read_to_vec().ok()
+    }
+
+    fn get_response(&self, rest: &str) -> Option<Response<Body>> {
         let request = self.agent.get(self.url(rest));
         let answer: Result<Response<Body>, Error> = request.header("host", &self.queue.host).call();
-        let mut answer = answer.ok().filter(|answer| answer.status() == 200)?;
-        answer.body_mut().read_to_vec().ok()
+        answer.ok()
     }
 
     fn url(&self, rest: &str) -> String {
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -1,7 +1,8 @@
-//! Takeovers of a pool and the time before them, with real manager processes.
-//! The bounds are those that the platform states.
+//! Takeovers of a pool, the time before them, and changes of the configuration,
+//! with real manager processes. The bounds are those that the platform states.
 
 mod caller;
+mod configuration;
 mod fleet;
 mod instance;
 mod load;
