Close idle connections that the network may have forgotten too

When a network forgets the connections of an instance, its poll of the configuration fails after 1.5 s and was sent again on the next idle connection of the pool, as silent as the first, and so on: callers got 404 for a route confirmed more than 3 s before.

A call without a response now closes the connections that have been idle since before it was sent, so that the next one opens a new connection. Ruled out as a cause: reads for callers that hold all connections of the pool; the test of that passes before and after (calls that wait leave after their timeout, and an outage is declared after 0.5 s).

--- a/crates/cornelpoint-manager/src/http/endpoint.rs
+++ b/crates/cornelpoint-manager/src/http/endpoint.rs
@@ -30,11 +30,18 @@
     pub(crate) body: Bytes,
 }
 
+/// A connection that no call uses.
+#[derive(Debug)]
+struct IdleConnection {
+    sender: SendRequest<Full<Bytes>>,
+    since: Instant,
+}
+
 /// A remote server with a pool of persistent connections.
 #[derive(Debug)]
 pub(crate) struct HttpEndpoint {
     address: String,
-    idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+    idle: RefCell<Vec<IdleConnection>>,
     permits: Semaphore,
 }
 
@@ -85,18 +92,26 @@
                 Some(sender) => (sender, true),
                 None => (self.connect(deadline).await?, false),
             };
+            let sent = Instant::now();
             match timeout_at(deadline, sender.send_request(self.request(call))).await {
                 Ok(Err(error)) if reused && error.is_canceled() => {}
                 Ok(Err(error)) if error.is_canceled() => return Err(CallError::NotSent),
-                Err(_) | Ok(Err(_)) => return Err(CallError::NoAnswer),
+                Err(_) | Ok(Err(_)) => {
+                    self.drop_idle(sent);
+                    return Err(CallError::NoAnswer);
+                }
                 Ok(Ok(response)) => {
                     let status = response.status().as_u16();
                     let body = timeout_at(body_deadline, response.into_body().collect()).await;
                     let Ok(Ok(body)) = body else {
+                        self.drop_idle(sent);
                         return Err(CallError::NoAnswer);
                     };
                     if !sender.is_closed() {
-                        self.idle.borrow_mut().push(sender);
+                        let since = Instant::now();
+                        self.idle
+                            .borrow_mut()
+                            .push(IdleConnection { sender, since });
                     }
                     return Ok(Response {
                         status,
@@ -109,14 +124,22 @@
 
     fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.borrow_mut();
-        while let Some(sender) = idle.pop() {
-            if sender.is_ready() {
-                return Some(sender);
+        while let Some(connection) = idle.pop() {
+            if connection.sender.is_ready() {
+                return Some(connection.sender);
             }
         }
         None
     }
 
+    /// Closes the connections that have been idle since before `sent`, when a call
+    /// was sent that got no response: the network may have forgotten them, too.
+    fn drop_idle(&self, sent: Instant) {
+        self.idle
+            .borrow_mut()
+            .retain(|connection| connection.since >= sent);
+    }
+
     async fn connect(&self, deadline: Instant) -> Result<SendRequest<Full<Bytes>>, CallError> {
         let left = deadline.saturating_duration_since(Instant::now());
         let opening = TcpStream::connect(&self.address);
--- a/crates/cornelpoint-manager/tests/takeover/configuration.rs
+++ b/crates/cornelpoint-manager/tests/takeover/configuration.rs
@@ -5,11 +5,16 @@
 
 use cornelpoint::catalog::Queue;
 use platform_standin::operator;
+use platform_standin::store::ReadFault;
 
 use crate::TRANSACTION_DURATION;
 use crate::caller::Caller;
+use crate::caller::job;
 use crate::fleet::Fleet;
+use crate::load::Load;
 
+/// Table of the progress of jobs.
+const PROGRESS_TABLE: &str = "cornelpoint-progress";
 /// Time after the end of a fault within which an instance must be up to date.
 const CONTACT: Duration = Duration::from_secs(3);
 
@@ -31,6 +36,56 @@
     assert_eq!(instances_without(&fleet, &later), [""; 0]);
 }
 
+/// Callers' requests have opened connections that are idle when the network forgets
+/// all of them.
+#[test]
+fn route_is_unknown_after_the_idle_connections_went_silent() {
+    const CALLERS: usize = 16;
+    const READ_DELAY: Duration = Duration::from_millis(300);
+    const BEFORE: Duration = Duration::from_millis(150);
+    let fleet = Fleet::start("idle_connections", TRANSACTION_DURATION);
+    let instance = fleet.others()[0];
+    let delay = Some(ReadFault::Delay(READ_DELAY));
+    let store = &fleet.store;
+    store.set_read_fault(&instance.name, PROGRESS_TABLE, delay);
+    let caller = fleet.caller(instance);
+    thread::scope(|scope| {
+        for number in 1..=CALLERS as u64 {
+            let caller = &caller;
+            scope.spawn(move || caller.status(job(number)));
+        }
+    });
+    let (added, later) = (queue(&fleet, "added"), queue(&fleet, "later"));
+    write_configuration(&fleet, 2, std::slice::from_ref(&added));
+    thread::sleep(BEFORE);
+    store.silence_connections(&instance.name);
+    write_configuration(&fleet, 3, &[added, later.clone()]);
+    thread::sleep(CONTACT);
+    assert_eq!(instances_without(&fleet, &later), [""; 0]);
+}
+
+/// Callers ask an instance for jobs that it has to look up in the store, which
+/// answers these reads slowly.
+#[test]
+fn route_is_unknown_while_reads_for_callers_hold_all_connections() {
+    const CALLERS: usize = 96;
+    const READ_DELAY: Duration = Duration::from_millis(1400);
+    let fleet = Fleet::start("reads_for_callers", TRANSACTION_DURATION);
+    let instance = fleet.others()[0];
+    let delay = Some(ReadFault::Delay(READ_DELAY));
+    let store = &fleet.store;
+    store.set_read_fault(&instance.name, PROGRESS_TABLE, delay);
+    let caller = fleet.caller(instance);
+    let load = Load::look_up(&[caller], CALLERS);
+    thread::sleep(Duration::from_secs(1));
+    let added = queue(&fleet, "added");
+    write_configuration(&fleet, 2, std::slice::from_ref(&added));
+    thread::sleep(CONTACT);
+    let without = instances_without(&fleet, &added);
+    drop(load);
+    assert_eq!(without, [""; 0]);
+}
+
 /// Returns another queue of the fleet's pool.
 fn queue(fleet: &Fleet, name: &str) -> Queue {
     Queue {
--- a/crates/cornelpoint-manager/tests/takeover/load.rs
+++ b/crates/cornelpoint-manager/tests/takeover/load.rs
@@ -12,15 +12,29 @@
 /// Delay before a job that was not accepted is submitted again.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Callers that submit jobs one after another until this is dropped.
+/// What a caller does until it is stopped, with numbers of jobs that no other caller
+/// uses.
+type Action = fn(&Caller, &AtomicBool, &AtomicU64);
+
+/// Callers that send one request after another until this is dropped.
 pub struct Load {
     stopped: Arc<AtomicBool>,
     callers: Vec<JoinHandle<()>>,
 }
 
 impl Load {
-    /// Starts `callers_per_instance` callers at each instance.
-    pub fn start(instances: &[Caller], callers_per_instance: usize) -> Self {
+    /// Starts `callers_per_instance` callers at each instance, which submit jobs.
+    pub fn submit(instances: &[Caller], callers_per_instance: usize) -> Self {
+        Self::start(instances, callers_per_instance, submit_jobs)
+    }
+
+    /// Starts `callers_per_instance` callers at each instance, which ask for jobs
+    /// that don't exist.
+    pub fn look_up(instances: &[Caller], callers_per_instance: usize) -> Self {
+        Self::start(instances, callers_per_instance, look_up_jobs)
+    }
+
+    fn start(instances: &[Caller], callers_per_instance: usize, action: Action) -> Self {
         let stopped = Arc::new(AtomicBool::new(false));
         let next_job = Arc::new(AtomicU64::new(1));
         let callers = instances.iter().flat_map(|caller| {
@@ -29,7 +43,7 @@
                 let caller = caller.clone();
                 let stopped = Arc::clone(stopped);
                 let next_job = Arc::clone(next_job);
-                thread::spawn(move || submit_jobs(&caller, &stopped, &next_job))
+                thread::spawn(move || action(&caller, &stopped, &next_job))
             })
         });
         Self {
@@ -57,3 +71,9 @@
         }
     }
 }
+
+fn look_up_jobs(caller: &Caller, stopped: &AtomicBool, next_job: &AtomicU64) {
+    while !stopped.load(Ordering::Relaxed) {
+        caller.status(job(next_job.fetch_add(1, Ordering::Relaxed)));
+    }
+}
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -275,7 +275,7 @@
     let owner = fleet.owner();
     let others = fleet.others();
     let callers = others.iter().map(|instance| fleet.caller(instance));
-    let load = Load::start(&callers.collect::<Vec<_>>(), CALLERS_PER_INSTANCE);
+    let load = Load::submit(&callers.collect::<Vec<_>>(), CALLERS_PER_INSTANCE);
     thread::sleep(Duration::from_millis(500));
     owner.kill();
     store_fault();
