--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -112,8 +112,13 @@
                     run,
                     worker,
                     loss,
+                    confirmed,
+                    heard_for_ms,
+                    leaving,
                 } => info!(self.log, "Run lost."; "task" => %task, "run" => run,
-                    "worker" => worker, "how" => ?loss, "fencing_token" => self.fencing_token),
+                    "worker" => worker, "how" => ?loss, "confirmed" => confirmed,
+                    "heard_for_ms" => heard_for_ms, "leaving" => leaving,
+                    "fencing_token" => self.fencing_token),
             }
         }
         if fenced {
--- a/crates/cornelpoint/src/scheduler/evacuation.rs
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -26,6 +26,7 @@
         for worker in self.incarnations.values_mut() {
             let vacating = workers.contains(&worker.entry.id);
             if worker.vacating && !vacating {
+                worker.vacated_ms = Some(now.steady_ms);
                 // Its machine has most likely been ordered to leave.
                 worker.suspect(now.steady_ms);
             }
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -281,11 +281,9 @@
                 Phase::Running { confirmed_ms } | Phase::Stopped { confirmed_ms }
                     if confirmed_ms < sent_ms =>
                 {
-                    let id = self
-                        .incarnations
-                        .get(&incarnation)
-                        .map(|worker| worker.entry.id.clone());
-                    self.record_lost_run(task, number, &id.unwrap_or_default(), RunLoss::NotListed);
+                    if let Some(worker) = self.incarnations.get(&incarnation).cloned() {
+                        self.record_lost_run(task, number, &worker, RunLoss::NotListed);
+                    }
                     self.release_run(incarnation, task, number);
                     self.run_lost(task, number, now);
                 }
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -7,6 +7,7 @@
 use super::pool_scheduler::PoolScheduler;
 use super::scheduler_event::RunLoss;
 use super::scheduler_event::SchedulerEvent;
+use super::task_entry::Run;
 use super::worker_state::Contact;
 use super::worker_state::Renewal;
 use super::worker_state::WorkerState;
@@ -120,7 +121,7 @@
             self.incarnation_of_id.remove(&worker.entry.id);
         }
         for &(task, run) in worker.runs.keys() {
-            self.record_lost_run(task, run, &worker.entry.id, RunLoss::LifeEnded);
+            self.record_lost_run(task, run, &worker, RunLoss::LifeEnded);
             self.drop_run(task, run, now);
             self.orphaned_tasks.push((now.steady_ms, task));
         }
@@ -128,12 +129,23 @@
         self.placement_needed = true;
     }
 
-    pub(super) fn record_lost_run(&mut self, task: TaskId, run: u64, worker: &str, loss: RunLoss) {
+    pub(super) fn record_lost_run(
+        &mut self,
+        task: TaskId,
+        number: u64,
+        worker: &WorkerState,
+        loss: RunLoss,
+    ) {
+        let job = self.jobs.get(&task.step.job);
+        let run = job.and_then(|job| job.task(task)?.run(number));
         self.events.push(SchedulerEvent::RunLost {
             task,
-            run,
-            worker: worker.to_owned(),
+            run: number,
+            worker: worker.entry.id.clone(),
             loss,
+            confirmed: run.is_some_and(Run::is_confirmed),
+            heard_for_ms: run.map_or(0, |run| worker.heard_ms().saturating_sub(run.started_ms)),
+            leaving: worker.is_leaving(),
         });
     }
 
@@ -162,13 +174,12 @@
             let Some(worker) = self.incarnations.get_mut(&incarnation) else {
                 continue;
             };
-            let id = worker.entry.id.clone();
-            let runs: Vec<_> = worker.runs.keys().copied().collect();
-            for &(task, run) in &runs {
+            let before = worker.clone();
+            for &(task, run) in before.runs.keys() {
                 worker.release(task, run);
             }
-            for (task, run) in runs {
-                self.record_lost_run(task, run, &id, RunLoss::LeaseEnded);
+            for &(task, run) in before.runs.keys() {
+                self.record_lost_run(task, run, &before, RunLoss::LeaseEnded);
                 self.run_lost(task, run, now);
             }
         }
--- a/crates/cornelpoint/src/scheduler/scheduler_event.rs
+++ b/crates/cornelpoint/src/scheduler/scheduler_event.rs
@@ -13,6 +13,12 @@
         worker: String,
         /// How the scheduler learned of it.
         loss: RunLoss,
+        /// Whether the worker had confirmed the start.
+        confirmed: bool,
+        /// Time from the start order to the last answer of the worker.
+        heard_for_ms: u64,
+        /// Whether the worker was leaving as planned.
+        leaving: bool,
     },
 }
 
--- a/crates/cornelpoint/src/scheduler/task_entry.rs
+++ b/crates/cornelpoint/src/scheduler/task_entry.rs
@@ -15,6 +15,11 @@
 
 impl TaskEntry {
     /// Returns the run with this number.
+    pub(super) fn run(&self, number: u64) -> Option<&Run> {
+        self.runs.iter().find(|run| run.number == number)
+    }
+
+    /// Returns the run with this number, to be changed.
     pub(super) fn run_mut(&mut self, number: u64) -> Option<&mut Run> {
         self.runs.iter_mut().find(|run| run.number == number)
     }
@@ -41,6 +46,13 @@
     pub(super) pace: u64,
 }
 
+impl Run {
+    /// Whether the worker has confirmed or listed the run.
+    pub(super) fn is_confirmed(&self) -> bool {
+        matches!(self.phase, Phase::Running { .. })
+    }
+}
+
 /// State of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -41,6 +41,8 @@
     pub(super) recorded: bool,
     /// Whether its machine is to be vacated.
     pub(super) vacating: bool,
+    /// When it was last to be vacated.
+    pub(super) vacated_ms: Option<u64>,
     pub(super) paced_ms: u64,
     /// When its latest report was received.
     pub(super) reported_ms: u64,
@@ -101,6 +103,7 @@
             consecutive_failures: 0,
             recorded: false,
             vacating: false,
+            vacated_ms: None,
             paced_ms: 0,
             reported_ms: 0,
             report_requested_ms: 0,
@@ -124,6 +127,18 @@
         Some(sample.clock_ms + now_ms.saturating_sub(sample.received_ms))
     }
 
+    /// Returns when the worker was last heard of; 0 if never.
+    pub(super) fn heard_ms(&self) -> u64 {
+        self.clock.map_or(0, |sample| sample.received_ms)
+    }
+
+    /// Whether the worker is about to leave as planned, or was when it was last heard
+    /// of.
+    pub(super) fn is_leaving(&self) -> bool {
+        let heard_ms = self.heard_ms();
+        self.vacating || self.entry.draining || self.vacated_ms.is_some_and(|at| at >= heard_ms)
+    }
+
     /// Records a reading of the worker's clock unless a newer one is known.
     pub(super) fn record_clock(&mut self, clock_ms: u64, received_ms: u64) {
         let is_newer = self
