Give up a task that crashes the workers that start it

A worker that crashes lists no end, and only ends listed as failed counted as attempts; the task started elsewhere as soon as its worker was known to have ended.

A run lost with its worker now counts as a crash of its task if the worker had confirmed the start and wasn't leaving as planned. A worker that was last heard of within 200 ms of the start most likely crashed by it: two such crashes, or four of any kind, give the task up and fail its job. Workers that fall silent right after a start count until they are heard of again. Counts are stored with the job's progress. Evidence: a deadly task is heard of for 6 ms, those beside it for 101 to 1314 ms; all losses are of the kind LifeEnded.

A task with such a crash is tried on the worker with the fewest runs, apart from others of its kind, until the worker has been heard of after the start: without that, jobs that merely shared a worker with it were given up in a trial (test tasks_beside_one_that_crashes_its_workers_are_given_up).

Ruled out: a count that is lost with the owner (the pool's owner wasn't replaced).

--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -119,6 +119,14 @@
                     "worker" => worker, "how" => ?loss, "confirmed" => confirmed,
                     "heard_for_ms" => heard_for_ms, "leaving" => leaving,
                     "fencing_token" => self.fencing_token),
+                SchedulerEvent::TaskGivenUp {
+                    task,
+                    crashes,
+                    on_start,
+                    silent,
+                } => warn!(self.log, "Task given up: it crashes its workers.";
+                    "task" => %task, "crashes" => crashes, "on_start" => on_start,
+                    "silent" => silent, "fencing_token" => self.fencing_token),
             }
         }
         if fenced {
--- a/crates/cornelpoint/src/job/job_record.rs
+++ b/crates/cornelpoint/src/job/job_record.rs
@@ -28,7 +28,8 @@
     pub status: JobStatus,
     /// When the status became final, in milliseconds since 1970; 0 before that.
     pub final_unix_ms: u64,
-    /// Tasks that are done, have failed runs or have a checkpoint.
+    /// Tasks that are done, have failed runs, have a checkpoint or have crashed
+    /// workers.
     pub tasks: Vec<TaskProgress>,
 }
 
@@ -49,4 +50,10 @@
     pub last_run: u64,
     /// Latest checkpoint; empty if there is none.
     pub checkpoint: String,
+    /// Number of workers that have crashed while they ran the task.
+    #[serde(default)]
+    pub crashes: u32,
+    /// Number of those that crashed right after they had started it.
+    #[serde(default)]
+    pub crashes_on_start: u32,
 }
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/crashes.rs
@@ -0,0 +1,173 @@
+use crate::job::JobStatus;
+use crate::job::TaskId;
+
+use super::action::IncarnationIndex;
+use super::instant::Instant;
+use super::pool_scheduler::PoolScheduler;
+use super::scheduler_event::RunLoss;
+use super::scheduler_event::SchedulerEvent;
+use super::task_entry::Run;
+use super::worker_state::WorkerState;
+
+/// Time from the order to start a run within which its worker was last heard of if
+/// the start has crashed it: some round trips.
+pub(super) const ON_START_MS: u64 = 200;
+/// Crashes on start after which a task is given up. The platform allows it from two
+/// workers on.
+const MAX_ON_START: u32 = 2;
+/// The same, with workers that fell silent on start and may not have crashed.
+const MAX_ON_START_OR_SILENT: u32 = 3;
+/// Crashes at any time after which a task is given up. The platform allows two more
+/// starts after the third.
+const MAX_TOTAL: u32 = 4;
+/// A run that lasts this long clears its task of earlier crashes.
+const CLEARED_MS: u64 = 30_000;
+
+/// How often workers have crashed under a task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct CrashCount {
+    /// Crashes of workers on which the task was running.
+    pub(super) total: u32,
+    /// Those of them right after the task had started.
+    pub(super) on_start: u32,
+    /// Workers that fell silent right after the task had started, and are neither
+    /// known to have crashed nor heard of again.
+    pub(super) silent: u32,
+}
+
+impl CrashCount {
+    fn record(&mut self, lost: &LostRun) {
+        if lost.heard_for_ms >= CLEARED_MS {
+            *self = Self::default();
+        }
+        if lost.confirmed {
+            self.total += 1;
+            self.on_start += u32::from(lost.is_on_start());
+        }
+    }
+
+    /// Whether the task may be what has crashed its workers. Such a task is tried on
+    /// a worker apart from others of its kind, so that a further crash has one
+    /// suspect.
+    pub(super) fn is_suspect(self) -> bool {
+        self.on_start + self.silent > 0 || self.total > 1
+    }
+
+    /// Whether the task most likely crashes each worker that starts it.
+    fn is_given_up(self) -> bool {
+        self.on_start >= MAX_ON_START
+            || self.on_start + self.silent >= MAX_ON_START_OR_SILENT
+            || self.total >= MAX_TOTAL
+    }
+}
+
+/// A run that is over without a completion listed by its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct LostRun {
+    task: TaskId,
+    /// Whether the worker had confirmed the start.
+    confirmed: bool,
+    /// Time from the start order to the last answer of the worker.
+    heard_for_ms: u64,
+}
+
+impl LostRun {
+    /// Whether the worker was last heard of right after it had started the run.
+    fn is_on_start(&self) -> bool {
+        self.confirmed && self.heard_for_ms <= ON_START_MS
+    }
+}
+
+impl PoolScheduler {
+    /// Records a run as lost and returns what is known of it. Call before the run is
+    /// removed.
+    pub(super) fn lose_run(
+        &mut self,
+        task: TaskId,
+        number: u64,
+        worker: &WorkerState,
+        loss: RunLoss,
+    ) -> LostRun {
+        let job = self.jobs.get(&task.step.job);
+        let run = job.and_then(|job| job.task(task)?.run(number));
+        let lost_run = LostRun {
+            task,
+            confirmed: run.is_some_and(Run::is_confirmed),
+            heard_for_ms: run.map_or(0, |run| worker.heard_ms().saturating_sub(run.started_ms)),
+        };
+        self.events.push(SchedulerEvent::RunLost {
+            task,
+            run: number,
+            worker: worker.entry.id.clone(),
+            loss,
+            confirmed: lost_run.confirmed,
+            heard_for_ms: lost_run.heard_for_ms,
+            leaving: worker.is_leaving(),
+        });
+        lost_run
+    }
+
+    /// Counts the crash of a worker against the tasks that it was running.
+    pub(super) fn worker_crashed(&mut self, lost: &[LostRun], now: Instant) {
+        for run in lost {
+            self.update_crashes(run.task, now, |crashes| crashes.record(run));
+        }
+    }
+
+    /// Notes the tasks on whose start a worker fell silent, once their leases have
+    /// expired.
+    pub(super) fn worker_fell_silent(
+        &mut self,
+        incarnation: IncarnationIndex,
+        lost: &[LostRun],
+        now: Instant,
+    ) {
+        for run in lost.iter().filter(|run| run.is_on_start()) {
+            if let Some(worker) = self.incarnations.get_mut(&incarnation) {
+                worker.silenced_by.push(*run);
+            }
+            self.update_crashes(run.task, now, |crashes| crashes.silent += 1);
+        }
+    }
+
+    /// Settles what was noted of a silent worker: it has crashed, or was heard of
+    /// again.
+    pub(super) fn silence_explained(
+        &mut self,
+        silenced_by: Vec<LostRun>,
+        crashed: bool,
+        now: Instant,
+    ) {
+        for run in silenced_by {
+            self.update_crashes(run.task, now, |crashes| {
+                crashes.silent = crashes.silent.saturating_sub(1);
+                if crashed {
+                    crashes.record(&run);
+                }
+            });
+        }
+    }
+
+    /// Updates a task's crashes; gives its job up if they are too many.
+    fn update_crashes(&mut self, id: TaskId, now: Instant, update: impl FnOnce(&mut CrashCount)) {
+        let job = self.jobs.get_mut(&id.step.job);
+        let Some(job) = job.filter(|job| !job.status.is_final()) else {
+            return;
+        };
+        let Some(task) = job.task_mut(id).filter(|task| !task.done) else {
+            return;
+        };
+        update(&mut task.crashes);
+        let crashes = task.crashes;
+        self.dirty.insert(id.step.job);
+        if crashes.is_given_up() {
+            self.events.push(SchedulerEvent::TaskGivenUp {
+                task: id,
+                crashes: crashes.total,
+                on_start: crashes.on_start,
+                silent: crashes.silent,
+            });
+            self.finish(id.step.job, JobStatus::Failed, now);
+        }
+    }
+}
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -185,6 +185,8 @@
         entry.failed_runs.clone_from(&stored.failed_runs);
         entry.last_run = stored.last_run;
         entry.checkpoint.clone_from(&stored.checkpoint);
+        entry.crashes.total = stored.crashes;
+        entry.crashes.on_start = stored.crashes_on_start;
         if stored.done && !entry.done {
             entry.done = true;
             if let Some(steps) = job.occurrences.get_mut(&stored.occurrence) {
--- a/crates/cornelpoint/src/scheduler/job_entry.rs
+++ b/crates/cornelpoint/src/scheduler/job_entry.rs
@@ -153,7 +153,10 @@
     index: usize,
     task: &TaskEntry,
 ) -> Option<TaskProgress> {
-    let untouched = !task.done && task.failed_runs.is_empty() && task.checkpoint.is_empty();
+    let untouched = !task.done
+        && task.failed_runs.is_empty()
+        && task.checkpoint.is_empty()
+        && task.crashes.total == 0;
     (!untouched).then(|| TaskProgress {
         occurrence,
         step: step as u16,
@@ -162,5 +165,7 @@
         failed_runs: task.failed_runs.clone(),
         last_run: task.last_run,
         checkpoint: task.checkpoint.clone(),
+        crashes: task.crashes.total,
+        crashes_on_start: task.crashes.on_start,
     })
 }
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -6,6 +6,7 @@
 use super::action::Action;
 use super::action::IncarnationIndex;
 use super::action::RenewalFailure;
+use super::crashes::ON_START_MS;
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
 use super::scheduler_event::RunLoss;
@@ -44,7 +45,11 @@
                 incarnation,
                 acknowledged: worker.stored_completion,
                 deadline_clock_ms,
-                wait_ms: if waits { renewal_wait_ms } else { 0 },
+                wait_ms: match (waits, worker.is_on_trial()) {
+                    (false, _) => 0,
+                    (true, true) => renewal_wait_ms.min(ON_START_MS),
+                    (true, false) => renewal_wait_ms,
+                },
             });
         }
     }
@@ -101,12 +106,15 @@
             worker.entry.born_unix_ms = report.born_unix_ms;
         }
         worker.record_clock(report.clock_ms, now.steady_ms);
+        worker.end_trials();
         let was_unresponsive = worker.is_unresponsive();
         worker.contact = Contact::Responsive;
         worker.reported_ms = now.steady_ms;
         worker.report_requested_ms = sent_ms;
         worker.lease_end_known_ms = None;
+        let silenced_by = std::mem::take(&mut worker.silenced_by);
         self.predecessor_incarnations.remove(&worker.entry.id);
+        self.silence_explained(silenced_by, false, now);
         for reported in &report.running {
             self.apply_active_run(incarnation, reported, now);
         }
@@ -282,7 +290,7 @@
                     if confirmed_ms < sent_ms =>
                 {
                     if let Some(worker) = self.incarnations.get(&incarnation).cloned() {
-                        self.record_lost_run(task, number, &worker, RunLoss::NotListed);
+                        self.lose_run(task, number, &worker, RunLoss::NotListed);
                     }
                     self.release_run(incarnation, task, number);
                     self.run_lost(task, number, now);
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -10,6 +10,7 @@
 mod admission;
 mod batch;
 mod completions;
+mod crashes;
 mod duration_model;
 mod evacuation;
 mod instant;
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -192,14 +192,29 @@
         if step.gang {
             return self.place_gang(key, &step, &indexes, needs_ticket, now);
         }
+        let mut all_placed = true;
         for index in indexes {
-            let Some(incarnation) = self.choose_worker(key.step, &step, needs_ticket, now) else {
-                return false;
+            let task = key.step.task(index);
+            let suspect = self.is_suspect(task);
+            let chosen = self.choose_worker(key.step, &step, needs_ticket, suspect, now);
+            let Some(incarnation) = chosen else {
+                all_placed = false;
+                if suspect {
+                    // The other tasks of the step need no worker of their own.
+                    continue;
+                }
+                break;
             };
-            let run = self.next_run_of(key.step.task(index));
-            self.start(key.step.task(index), &step, incarnation, run, now);
+            self.start(task, &step, incarnation, self.next_run_of(task), now);
         }
-        true
+        all_placed
+    }
+
+    /// Whether a task may be what has crashed its workers.
+    fn is_suspect(&self, task: TaskId) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        job.and_then(|job| job.task(task))
+            .is_some_and(|entry| entry.crashes.is_suspect())
     }
 
     /// Places all tasks of a gang under one run number, or none of them.
@@ -222,7 +237,10 @@
         let mut taken: Vec<(IncarnationIndex, TaskId)> = Vec::new();
         for &index in indexes {
             let task = key.step.task(index);
-            let Some(incarnation) = self.choose_worker(key.step, step, needs_ticket, now) else {
+            // Waiting for a worker of its own for each member could last for ever.
+            let suspect = false;
+            let chosen = self.choose_worker(key.step, step, needs_ticket, suspect, now);
+            let Some(incarnation) = chosen else {
                 for (incarnation, task) in taken {
                     self.release_run(incarnation, task, run);
                 }
@@ -268,18 +286,21 @@
         self.next_run(last)
     }
 
-    /// Chooses a worker for one more task of a step.
+    /// Chooses a worker for one more task of a step. A suspect takes the worker with
+    /// the fewest runs, and none on which another suspect is being tried.
     fn choose_worker(
         &self,
         id: StepId,
         step: &Step,
         needs_ticket: bool,
+        suspect: bool,
         now: Instant,
     ) -> Option<IncarnationIndex> {
         let need = step.reserved();
         let tickets = self.tickets.get(&id);
         let candidates = self.incarnations.iter().filter(|&(incarnation, worker)| {
             Self::is_usable(worker, now)
+                && !(suspect && worker.is_on_trial())
                 && worker.entry.capacity.fits(worker.used, need)
                 && step
                     .max_per_worker
@@ -302,7 +323,14 @@
             // Prefers the worker with the least free capacity that fits, since
             // empty workers can serve another pool at once.
             let fullness = u64::MAX - free;
+            let fewest_at_risk = if suspect {
+                usize::MAX - worker.runs.len()
+            } else {
+                0
+            };
             (
+                !worker.is_on_trial(),
+                fewest_at_risk,
                 on_preferred_rack,
                 on_used_rack,
                 warm,
@@ -335,6 +363,7 @@
         now: Instant,
     ) {
         let lease_ms = self.settings.lease_ms;
+        let suspect = self.is_suspect(task);
         let ticket = self
             .tickets
             .get(&task.step)
@@ -346,6 +375,9 @@
             return;
         };
         worker.reserve(task, run, step.reserved());
+        if suspect {
+            worker.begin_trial(task, run, now.steady_ms);
+        }
         worker.renew_by(now.steady_ms + self.settings.renewal_wait_ms);
         self.remove_ready(task);
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -1,13 +1,11 @@
 use std::collections::BTreeSet;
 
-use crate::job::TaskId;
 use crate::worker::RegistryEntry;
 
+use super::crashes::LostRun;
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
 use super::scheduler_event::RunLoss;
-use super::scheduler_event::SchedulerEvent;
-use super::task_entry::Run;
 use super::worker_state::Contact;
 use super::worker_state::Renewal;
 use super::worker_state::WorkerState;
@@ -104,49 +102,38 @@
     /// Removes an incarnation that has certainly ended, so that its tasks can
     /// start elsewhere.
     pub(super) fn end_incarnation(&mut self, incarnation: u32, now: Instant) {
-        if let Some(worker) = self.incarnations.get(&incarnation) {
-            self.predecessor_incarnations.remove(&worker.entry.id);
+        let Some(worker) = self.incarnations.get_mut(&incarnation) else {
+            return;
+        };
+        self.predecessor_incarnations.remove(&worker.entry.id);
+        let crashed = !worker.is_leaving();
+        let silenced_by = std::mem::take(&mut worker.silenced_by);
+        let lost = self.remove_incarnation(incarnation, now);
+        self.silence_explained(silenced_by, crashed, now);
+        if crashed {
+            self.worker_crashed(&lost, now);
         }
-        self.remove_incarnation(incarnation, now);
     }
 
-    /// Removes an incarnation that has ended or whose leases have expired. In
-    /// the second case, runs that a predecessor started there may still be
-    /// active, since its leases are not known here.
-    fn remove_incarnation(&mut self, incarnation: u32, now: Instant) {
+    /// Removes an incarnation that has ended or whose leases have expired, and
+    /// returns its runs. In the second case, runs that a predecessor started there
+    /// may still be active, since its leases are not known here.
+    fn remove_incarnation(&mut self, incarnation: u32, now: Instant) -> Vec<LostRun> {
         let Some(worker) = self.incarnations.remove(&incarnation) else {
-            return;
+            return Vec::new();
         };
         if self.incarnation_of_id.get(&worker.entry.id) == Some(&incarnation) {
             self.incarnation_of_id.remove(&worker.entry.id);
         }
+        let mut lost = Vec::new();
         for &(task, run) in worker.runs.keys() {
-            self.record_lost_run(task, run, &worker, RunLoss::LifeEnded);
+            lost.push(self.lose_run(task, run, &worker, RunLoss::LifeEnded));
             self.drop_run(task, run, now);
             self.orphaned_tasks.push((now.steady_ms, task));
         }
         self.workers_row_dirty = true;
         self.placement_needed = true;
-    }
-
-    pub(super) fn record_lost_run(
-        &mut self,
-        task: TaskId,
-        number: u64,
-        worker: &WorkerState,
-        loss: RunLoss,
-    ) {
-        let job = self.jobs.get(&task.step.job);
-        let run = job.and_then(|job| job.task(task)?.run(number));
-        self.events.push(SchedulerEvent::RunLost {
-            task,
-            run: number,
-            worker: worker.entry.id.clone(),
-            loss,
-            confirmed: run.is_some_and(Run::is_confirmed),
-            heard_for_ms: run.map_or(0, |run| worker.heard_ms().saturating_sub(run.started_ms)),
-            leaving: worker.is_leaving(),
-        });
+        lost
     }
 
     /// Frees the tasks of unresponsive workers whose leases have expired.
@@ -178,10 +165,12 @@
             for &(task, run) in before.runs.keys() {
                 worker.release(task, run);
             }
+            let mut lost = Vec::new();
             for &(task, run) in before.runs.keys() {
-                self.record_lost_run(task, run, &before, RunLoss::LeaseEnded);
+                lost.push(self.lose_run(task, run, &before, RunLoss::LeaseEnded));
                 self.run_lost(task, run, now);
             }
+            self.worker_fell_silent(incarnation, &lost, now);
         }
         let waited = !self.predecessor_incarnations.is_empty();
         if waited
--- a/crates/cornelpoint/src/scheduler/scheduler_event.rs
+++ b/crates/cornelpoint/src/scheduler/scheduler_event.rs
@@ -1,6 +1,6 @@
 use crate::job::TaskId;
 
-/// A change in the known state of a run, to be logged.
+/// A change in the known state of a run or task, to be logged.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SchedulerEvent {
     /// A run is over without a completion listed by its worker.
@@ -20,6 +20,17 @@
         /// Whether the worker was leaving as planned.
         leaving: bool,
     },
+    /// A task is given up, and its job with it: it crashes the workers that start it.
+    TaskGivenUp {
+        /// The task.
+        task: TaskId,
+        /// Workers that have crashed under it.
+        crashes: u32,
+        /// Those of them that crashed right after the start.
+        on_start: u32,
+        /// Workers that fell silent right after the start.
+        silent: u32,
+    },
 }
 
 /// How the scheduler learned that a run is over.
--- a/crates/cornelpoint/src/scheduler/task_entry.rs
+++ b/crates/cornelpoint/src/scheduler/task_entry.rs
@@ -1,10 +1,12 @@
 use super::action::IncarnationIndex;
+use super::crashes::CrashCount;
 
 /// In-memory state of a task.
 #[derive(Clone, Debug, Default)]
 pub(super) struct TaskEntry {
     pub(super) done: bool,
     pub(super) failed_runs: Vec<u64>,
+    pub(super) crashes: CrashCount,
     pub(super) last_run: u64,
     pub(super) checkpoint: String,
     pub(super) runs: Vec<Run>,
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -6,6 +6,8 @@
 use crate::worker::RegistryEntry;
 
 use super::batch::WorkerRecord;
+use super::crashes::LostRun;
+use super::crashes::ON_START_MS;
 
 /// Largest rate error of a slow worker clock, in thousandths, as specified by
 /// the platform (20).
@@ -53,6 +55,11 @@
     /// When its lease was first found expired, with ownership of the pool
     /// confirmed after the expiry.
     pub(super) lease_end_known_ms: Option<u64>,
+    /// Runs right after whose start it fell silent.
+    pub(super) silenced_by: Vec<LostRun>,
+    /// Runs of tasks that may crash it, with the times of their starts, until it is
+    /// heard of long enough after.
+    trials: BTreeMap<(TaskId, u64), u64>,
 }
 
 /// Whether a worker responds.
@@ -109,6 +116,8 @@
             report_requested_ms: 0,
             failed_renewal_sent_ms: 0,
             lease_end_known_ms: None,
+            silenced_by: Vec::new(),
+            trials: BTreeMap::new(),
         }
     }
 
@@ -177,8 +186,26 @@
         }
     }
 
+    /// Tries a run of a task that may crash the worker.
+    pub(super) fn begin_trial(&mut self, task: TaskId, run: u64, started_ms: u64) {
+        self.trials.insert((task, run), started_ms);
+    }
+
+    /// Whether a task is being tried that may crash the worker.
+    pub(super) fn is_on_trial(&self) -> bool {
+        !self.trials.is_empty()
+    }
+
+    /// Ends the trials that the worker has withstood.
+    pub(super) fn end_trials(&mut self) {
+        let heard_ms = self.heard_ms();
+        self.trials
+            .retain(|_, started_ms| heard_ms <= *started_ms + ON_START_MS);
+    }
+
     /// Releases the capacity reserved for a run.
     pub(super) fn release(&mut self, task: TaskId, run: u64) {
+        self.trials.remove(&(task, run));
         let Some(need) = self.runs.remove(&(task, run)) else {
             return;
         };
--- /dev/null
+++ b/crates/cornelpoint/tests/scheduler/crash_world.rs
@@ -0,0 +1,299 @@
+//! Workers that crash under a task and are back, as new workers of the same
+//! machines, after some seconds.
+
+use std::collections::BTreeMap;
+
+use cornelpoint::job::JobId;
+use cornelpoint::job::JobProgress;
+use cornelpoint::job::RawStep;
+use cornelpoint::job::TaskId;
+use cornelpoint::scheduler::Action;
+use cornelpoint::scheduler::BatchOutcome;
+use cornelpoint::scheduler::IncarnationIndex;
+use cornelpoint::scheduler::PoolScheduler;
+use cornelpoint::scheduler::RenewalFailure;
+use cornelpoint::scheduler::SchedulerSettings;
+use cornelpoint::worker::ActiveRun;
+use cornelpoint::worker::CompletionKind;
+use cornelpoint::worker::OrderOutcome;
+use cornelpoint::worker::RegistryEntry;
+use cornelpoint::worker::RunCompletion;
+use cornelpoint::worker::WorkerReport;
+
+use crate::support::POOL;
+use crate::support::at;
+use crate::support::entry;
+use crate::support::job;
+use crate::support::job_id;
+use crate::support::queue;
+
+/// Simulated time between two looks at all workers.
+const STEP_MS: u64 = 50;
+/// Duration of a task that does not crash its worker.
+pub(crate) const WORK_MS: u64 = 800;
+
+/// How a worker is lost under a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Crash {
+    /// It crashes on the start of a task; back after this time.
+    OnStart { down_ms: u64 },
+    /// It crashes when the task has run for `after_ms`; back after `down_ms`.
+    Later { after_ms: u64, down_ms: u64 },
+}
+
+#[derive(Debug)]
+struct Machine {
+    name: String,
+    life: u64,
+    back_ms: u64,
+    draining: bool,
+    running: Vec<(TaskId, u64, u64)>,
+    completions: Vec<RunCompletion>,
+    sequence: u64,
+}
+
+impl Machine {
+    fn is_up(&self, now_ms: u64) -> bool {
+        now_ms >= self.back_ms
+    }
+
+    fn entry(&self) -> RegistryEntry {
+        RegistryEntry {
+            machine: Some(self.name.clone()),
+            draining: self.draining,
+            ..entry(&format!("{}-{}", self.name, self.life), self.life)
+        }
+    }
+
+    fn crash(&mut self, now_ms: u64, down_ms: u64) {
+        self.back_ms = now_ms.saturating_add(down_ms);
+        self.life += 1;
+        self.draining = false;
+        self.running.clear();
+        self.completions.clear();
+        self.sequence = 0;
+    }
+
+    fn report(&self, now_ms: u64) -> WorkerReport {
+        let running = self.running.iter().map(|&(task, run, _)| ActiveRun {
+            task,
+            run,
+            checkpoint: String::new(),
+            speed_percent: 100,
+            gauge: 0,
+        });
+        WorkerReport {
+            born_unix_ms: self.life,
+            clock_ms: now_ms + 1000,
+            running: running.collect(),
+            completions: self.completions.clone(),
+        }
+    }
+}
+
+/// A pool of machines and its scheduler.
+#[derive(Debug)]
+pub(crate) struct CrashWorld {
+    pub(crate) scheduler: PoolScheduler,
+    machines: Vec<Machine>,
+    crash: Crash,
+    deadly: Vec<TaskId>,
+    starts: BTreeMap<TaskId, u32>,
+    /// Latest stored progress of each job.
+    pub(crate) progress: BTreeMap<JobId, JobProgress>,
+    pub(crate) now_ms: u64,
+}
+
+impl CrashWorld {
+    pub(crate) fn new(machines: usize, crash: Crash) -> Self {
+        let machines = (1..=machines).map(|number| Machine {
+            name: format!("m{number}"),
+            life: 1,
+            back_ms: 0,
+            draining: false,
+            running: Vec::new(),
+            completions: Vec::new(),
+            sequence: 0,
+        });
+        let mut world = Self {
+            scheduler: scheduler(1),
+            machines: machines.collect(),
+            crash,
+            deadly: Vec::new(),
+            starts: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            now_ms: 0,
+        };
+        world.run_for(500);
+        world
+    }
+
+    /// Submits a job with this number; `deadly` are the indexes of the tasks of its
+    /// first step that crash their workers.
+    pub(crate) fn submit(&mut self, number: u64, steps: Vec<RawStep>, deadly: &[u32]) {
+        let (record, spec) = job(steps);
+        let id = job_id(number);
+        self.scheduler.submit(id, record, spec, at(self.now_ms));
+        for index in deadly {
+            let task = format!("{id}.0.0.{index}").parse().expect("a valid task");
+            self.deadly.push(task);
+        }
+    }
+
+    /// Replaces the owner by a successor that restores a job of these steps.
+    pub(crate) fn take_over(&mut self, number: u64, steps: Vec<RawStep>) {
+        let (record, spec) = job(steps);
+        let id = job_id(number);
+        self.scheduler = scheduler(2);
+        self.scheduler.confirm_ownership(self.now_ms);
+        let progress = self.progress.get(&id);
+        let now = at(self.now_ms);
+        self.scheduler.restore(id, record, spec, progress, now);
+    }
+
+    /// Lists all workers as draining.
+    pub(crate) fn drain(&mut self) {
+        for machine in &mut self.machines {
+            machine.draining = true;
+        }
+    }
+
+    /// Crashes all machines at once.
+    pub(crate) fn crash_all(&mut self, down_ms: u64) {
+        for machine in &mut self.machines {
+            machine.crash(self.now_ms, down_ms);
+        }
+    }
+
+    pub(crate) fn starts_of(&self, task: &str) -> u32 {
+        let task = task.parse().expect("a valid task");
+        self.starts.get(&task).copied().unwrap_or(0)
+    }
+
+    pub(crate) fn run_for(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        while self.now_ms < end_ms {
+            self.now_ms += STEP_MS;
+            self.advance_machines();
+            self.scheduler.confirm_ownership(self.now_ms);
+            let up = self.machines.iter();
+            let up = up.filter(|machine| machine.is_up(self.now_ms));
+            let entries: Vec<RegistryEntry> = up.map(Machine::entry).collect();
+            let now = at(self.now_ms);
+            self.scheduler.apply_registry(&entries, true, now);
+            self.scheduler.tick(now);
+            while let Some(batch) = self.scheduler.begin_batch(now) {
+                self.progress.extend(batch.progress);
+                self.scheduler.batch_replied(BatchOutcome::Stored, now);
+            }
+            for action in self.scheduler.take_actions() {
+                self.execute(&action);
+            }
+        }
+    }
+
+    fn advance_machines(&mut self) {
+        for machine in &mut self.machines {
+            let crash = self.crash;
+            let due = machine.running.iter().any(|(task, _, started_ms)| {
+                let after_ms = match crash {
+                    Crash::OnStart { .. } => 0,
+                    Crash::Later { after_ms, .. } => after_ms,
+                };
+                self.deadly.contains(task) && started_ms + after_ms <= self.now_ms
+            });
+            if due {
+                let (Crash::OnStart { down_ms } | Crash::Later { down_ms, .. }) = crash;
+                machine.crash(self.now_ms, down_ms);
+                continue;
+            }
+            let now_ms = self.now_ms;
+            let (ended, running) = std::mem::take(&mut machine.running)
+                .into_iter()
+                .partition::<Vec<_>, _>(|(_, _, started_ms)| started_ms + WORK_MS <= now_ms);
+            machine.running = running;
+            for (task, run, _) in ended {
+                machine.sequence += 1;
+                machine.completions.push(RunCompletion {
+                    sequence: machine.sequence,
+                    task,
+                    run,
+                    kind: CompletionKind::Done,
+                    checkpoint: String::new(),
+                });
+            }
+        }
+    }
+
+    fn execute(&mut self, action: &Action) {
+        let now = at(self.now_ms);
+        match *action {
+            Action::Start {
+                incarnation,
+                task,
+                run,
+                ..
+            } => {
+                let clock_ms = self.now_ms + 1000;
+                let now_ms = self.now_ms;
+                let outcome = match self.machine(incarnation) {
+                    Some(machine) => {
+                        machine.running.push((task, run, now_ms));
+                        *self.starts.entry(task).or_default() += 1;
+                        OrderOutcome::Done { clock_ms }
+                    }
+                    None => OrderOutcome::NoAnswer,
+                };
+                self.scheduler
+                    .start_replied(incarnation, task, run, outcome, now);
+            }
+            Action::Stop {
+                incarnation,
+                task,
+                run,
+            } => {
+                let clock_ms = self.now_ms + 1000;
+                if let Some(machine) = self.machine(incarnation) {
+                    machine.running.retain(|running| running.0 != task);
+                }
+                let outcome = OrderOutcome::Done { clock_ms };
+                self.scheduler
+                    .stop_replied(incarnation, task, run, outcome, now);
+            }
+            Action::RenewLease {
+                incarnation,
+                acknowledged,
+                ..
+            } => {
+                let now_ms = self.now_ms;
+                let outcome = match self.machine(incarnation) {
+                    Some(machine) => {
+                        machine
+                            .completions
+                            .retain(|completion| completion.sequence > acknowledged);
+                        Ok(machine.report(now_ms))
+                    }
+                    None => Err(RenewalFailure::NoAnswer),
+                };
+                self.scheduler.renewal_replied(incarnation, outcome, now);
+            }
+            Action::Pace { .. } | Action::RequestAdvice { .. } => {}
+        }
+    }
+
+    /// Returns the machine on which an incarnation still runs.
+    fn machine(&mut self, incarnation: IncarnationIndex) -> Option<&mut Machine> {
+        let (_, id) = self.scheduler.worker_address(incarnation)?;
+        let id = id.to_owned();
+        let now_ms = self.now_ms;
+        let mut machines = self.machines.iter_mut();
+        machines.find(|machine| machine.is_up(now_ms) && machine.entry().id == id)
+    }
+}
+
+fn scheduler(fencing_token: u64) -> PoolScheduler {
+    let mut scheduler = PoolScheduler::new(POOL, fencing_token, SchedulerSettings::default());
+    let queue = queue();
+    scheduler.set_queues(std::iter::once(&queue));
+    scheduler
+}
--- /dev/null
+++ b/crates/cornelpoint/tests/scheduler/crashes.rs
@@ -0,0 +1,100 @@
+//! Tasks that crash the workers that start them. After three crashes, a task may be
+//! started twice more.
+
+use cornelpoint::job::JobStatus;
+use cornelpoint::job::RawStep;
+
+use crate::crash_world::Crash;
+use crate::crash_world::CrashWorld;
+use crate::support::job_id;
+use crate::support::step;
+
+const MAX_STARTS: u32 = 5;
+const MACHINES: usize = 8;
+const DEADLY_TASK: &str = "0000000000000001.0.0.0";
+
+#[test]
+fn a_task_that_crashes_its_workers_is_started_for_ever() {
+    let mut world = CrashWorld::new(MACHINES, Crash::OnStart { down_ms: 3000 });
+    world.submit(1, vec![step(1, 1000)], &[0]);
+    world.run_for(60_000);
+    let starts = world.starts_of(DEADLY_TASK);
+    assert!((2..=MAX_STARTS).contains(&starts), "{starts} starts");
+    assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Failed));
+}
+
+#[test]
+fn a_task_that_crashes_its_workers_late_is_started_for_ever() {
+    let crash = Crash::Later {
+        after_ms: 600,
+        down_ms: 3000,
+    };
+    let mut world = CrashWorld::new(MACHINES, crash);
+    world.submit(1, vec![step(1, 1000)], &[0]);
+    world.run_for(60_000);
+    let starts = world.starts_of(DEADLY_TASK);
+    assert!((2..=MAX_STARTS).contains(&starts), "{starts} starts");
+    assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Failed));
+}
+
+/// The leases of a lost worker expire before it is known to have crashed.
+#[test]
+fn a_task_whose_workers_never_come_back_is_started_on_all_of_them() {
+    let mut world = CrashWorld::new(MACHINES, Crash::OnStart { down_ms: u64::MAX });
+    world.submit(1, vec![step(1, 1000)], &[0]);
+    world.run_for(60_000);
+    let starts = world.starts_of(DEADLY_TASK);
+    assert!((2..=MAX_STARTS).contains(&starts), "{starts} starts");
+}
+
+#[test]
+fn a_new_owner_does_not_know_of_earlier_crashes() {
+    let steps = || vec![step(1, 1000)];
+    let mut world = CrashWorld::new(MACHINES, Crash::OnStart { down_ms: 3000 });
+    world.submit(1, steps(), &[0]);
+    world.run_for(4000);
+    let earlier = world.starts_of(DEADLY_TASK);
+    assert_eq!(earlier, 2);
+    world.take_over(1, steps());
+    world.run_for(60_000);
+    let starts = world.starts_of(DEADLY_TASK);
+    assert!(starts <= MAX_STARTS, "{starts} starts");
+    assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Failed));
+}
+
+/// Other reasons for the loss of workers than the task.
+#[test]
+fn a_task_is_given_up_though_its_workers_leave_as_planned() {
+    const LOSSES: u32 = 6;
+    let mut world = CrashWorld::new(2, Crash::OnStart { down_ms: 0 });
+    world.submit(1, vec![step(1, 1000)], &[]);
+    for _ in 0..LOSSES {
+        world.run_for(100);
+        world.drain();
+        world.run_for(100);
+        world.crash_all(1000);
+        world.run_for(1000);
+    }
+    world.run_for(2000);
+    let status = world.scheduler.status(job_id(1));
+    assert_eq!(status, Some(JobStatus::Completed));
+}
+
+/// Tasks that share a worker with one that crashes it are lost with it, again and
+/// again if all of them are placed together.
+#[test]
+fn tasks_beside_one_that_crashes_its_workers_are_given_up() {
+    const JOBS: u64 = 6;
+    let mut world = CrashWorld::new(MACHINES, Crash::OnStart { down_ms: 3000 });
+    let steps = || -> Vec<RawStep> { vec![step(1, 500)] };
+    world.submit(1, steps(), &[0]);
+    for number in 2..=JOBS {
+        world.submit(number, steps(), &[]);
+    }
+    world.run_for(30_000);
+    for number in 2..=JOBS {
+        let status = world.scheduler.status(job_id(number));
+        assert_eq!(status, Some(JobStatus::Completed), "job {number}");
+    }
+    assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Failed));
+}
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -1,6 +1,8 @@
 //! Tests of a pool's scheduler: single decisions, and successive owners with
 //! simulated workers and a store under random schedules of faults.
 
+mod crash_world;
+mod crashes;
 mod decisions;
 mod fake_store;
 mod fake_worker;
