--- a/crates/cornelpoint-manager/src/http/endpoint.rs
+++ b/crates/cornelpoint-manager/src/http/endpoint.rs
@@ -92,8 +92,11 @@
                 Some(sender) => (sender, true),
                 None => (self.connect(deadline).await?, false),
             };
+            let Some(request) = self.request(call) else {
+                return Err(CallError::NotSent);
+            };
             let sent = Instant::now();
-            match timeout_at(deadline, sender.send_request(self.request(call))).await {
+            match timeout_at(deadline, sender.send_request(request)).await {
                 Ok(Err(error)) if reused && error.is_canceled() => {}
                 Ok(Err(error)) if error.is_canceled() => return Err(CallError::NotSent),
                 Err(_) | Ok(Err(_)) => {
@@ -159,7 +162,8 @@
         Ok(sender)
     }
 
-    fn request(&self, call: &Call) -> Request<Full<Bytes>> {
+    /// Builds a request; `None` if the address, the path or a header can't be sent.
+    fn request(&self, call: &Call) -> Option<Request<Full<Bytes>>> {
         let method = match call.method {
             Method::Get => "GET",
             Method::Post => "POST",
@@ -175,8 +179,6 @@
             request = request.header(*name, value);
         }
         let body = Full::new(Bytes::from(call.body.clone()));
-        request
-            .body(body)
-            .unwrap_or_else(|error| unreachable!("request of valid parts can't be built: {error}"))
+        request.body(body).ok()
     }
 }
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -139,6 +139,7 @@
 
     /// Reads the workers' registry entries at intervals.
     async fn poll_registry(self: Rc<Self>) {
+        let mut unreadable_before = 0;
         while !self.stopped.get() {
             if let Some(rows) = self.node.store.read_all(registry::TABLE, "").await {
                 let entries: Vec<_> = rows
@@ -146,6 +147,13 @@
                     .iter()
                     .filter_map(|row| registry::parse_entry(&row.key.key, row.value.as_deref()?))
                     .collect();
+                let unreadable = rows.rows.len() - entries.len();
+                if unreadable != unreadable_before {
+                    unreadable_before = unreadable;
+                    info!(self.log, "Number of unreadable registry entries changed.";
+                        "pool" => &self.pool, "unreadable" => unreadable,
+                        "entries" => rows.rows.len());
+                }
                 let available_since_ms = self.node.store.available_since_ms();
                 let settled = clock::now().steady_ms
                     > available_since_ms.saturating_add(REGISTRY_SETTLE_MS)
--- a/crates/cornelpoint-manager/tests/takeover/fleet.rs
+++ b/crates/cornelpoint-manager/tests/takeover/fleet.rs
@@ -96,6 +96,19 @@
         others.filter(|instance| instance.name != *owner).collect()
     }
 
+    /// Returns the lines in the output of the processes that tell of a panic.
+    pub fn panics(&self) -> Vec<String> {
+        let logs = self.instances.iter().map(|instance| {
+            let path = self.folder.join(format!("{}.log", instance.name));
+            fs::read_to_string(path).unwrap()
+        });
+        let lines = logs.flat_map(|log| {
+            let panics = log.lines().filter(|line| line.contains("panicked"));
+            panics.map(str::to_owned).collect::<Vec<_>>()
+        });
+        lines.collect()
+    }
+
     /// Returns a caller that sends its requests to an instance.
     pub fn caller(&self, instance: &Instance) -> Caller {
         Caller::new(instance.caller_address, &self.queue)
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -1,11 +1,12 @@
-//! Takeovers of a pool, the time before them, and changes of the configuration,
-//! with real manager processes. The bounds are those that the platform states.
+//! Takeovers of a pool, the time before them, changes of the configuration and odd
+//! registry entries, with real manager processes. The bounds are those that the platform states.
 
 mod caller;
 mod configuration;
 mod fleet;
 mod instance;
 mod load;
+mod odd_entries;
 
 use std::thread;
 use std::time::Duration;
