Ignore registry entries that claim a start in the far future

An entry of another program that names the machine of a worker and a later start ended that worker for the scheduler: its task was started elsewhere while it went on. An entry whose start is more than an hour ahead of the owner's wall clock is now ignored. One that claims a plausible start can't be told from a worker's.

The test failed before (the task is started on a second worker) and passes.

--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -10,6 +10,10 @@
 use super::worker_state::Renewal;
 use super::worker_state::WorkerState;
 
+/// Largest difference between the wall clocks of workers and owners; an entry that
+/// claims a later start is not a worker's.
+const MAX_CLOCK_ERROR_MS: u64 = 3_600_000;
+
 impl WorkerState {
     /// Whether the worker did not answer its latest lease renewal, or has not
     /// been contacted under this fencing token yet.
@@ -22,8 +26,14 @@
     /// Applies a reading of the registry. Entries of other pools only matter
     /// where they show that an incarnation known here has ended. A reading that
     /// is not `settled`, soon after an outage, says nothing about workers that
-    /// it doesn't list.
+    /// it doesn't list. Entries that claim a start in the far future are ignored.
     pub fn apply_registry(&mut self, entries: &[RegistryEntry], settled: bool, now: Instant) {
+        let latest_unix_ms = now.unix_ms.saturating_add(MAX_CLOCK_ERROR_MS);
+        let entries = entries.iter();
+        let entries: Vec<&RegistryEntry> = entries
+            .filter(|entry| entry.born_unix_ms <= latest_unix_ms)
+            .collect();
+        let entries = entries.as_slice();
         let mut listed = BTreeSet::new();
         self.end_superseded_incarnations(entries, now);
         for entry in entries {
@@ -55,7 +65,7 @@
     }
 
     /// Ends the incarnations whose machines have started newer ones.
-    fn end_superseded_incarnations(&mut self, entries: &[RegistryEntry], now: Instant) {
+    fn end_superseded_incarnations(&mut self, entries: &[&RegistryEntry], now: Instant) {
         self.predecessor_incarnations
             .retain(|_, record| !entries.iter().any(|entry| record.is_superseded_by(entry)));
         let superseded = self.incarnations.iter().filter(|(_, worker)| {
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -9,6 +9,7 @@
 mod fake_worker;
 mod inbox;
 mod objectives;
+mod odd_entries;
 mod predecessor_stops;
 mod random_schedules;
 mod step_kinds;
--- /dev/null
+++ b/crates/cornelpoint/tests/scheduler/odd_entries.rs
@@ -0,0 +1,37 @@
+//! Registry entries and jobs with values that nobody expects.
+
+use cornelpoint::worker::OrderOutcome;
+use cornelpoint::worker::RegistryEntry;
+
+use crate::support::at;
+use crate::support::entry;
+use crate::support::job;
+use crate::support::job_id;
+use crate::support::ready_scheduler;
+use crate::support::starts;
+use crate::support::step;
+use crate::support::store_batches;
+
+/// Another program's entry names the machine of a worker and a start in the far
+/// future.
+#[test]
+fn an_entry_from_the_future_ends_a_worker_that_runs_a_task() {
+    let mut scheduler = ready_scheduler(&["w1", "w2"]);
+    let (record, spec) = job(vec![step(1, 1000)]);
+    scheduler.submit(job_id(1), record, spec, at(100));
+    store_batches(&mut scheduler, 100);
+    let started = starts(&mut scheduler, 120);
+    let (worker, task, run) = &started[0];
+    let incarnation = u32::from(worker == "w2");
+    let task = task.parse().expect("a valid task");
+    let done = OrderOutcome::Done { clock_ms: 1130 };
+    scheduler.start_replied(incarnation, task, *run, done, at(130));
+    let odd = RegistryEntry {
+        machine: Some(format!("machine-{worker}")),
+        ..entry("odd", u64::MAX / 2)
+    };
+    let entries = [entry("w1", 5), entry("w2", 5), odd];
+    scheduler.apply_registry(&entries, true, at(200));
+    scheduler.confirm_ownership(300);
+    assert_eq!(starts(&mut scheduler, 300), []);
+}
