Bound the resources and estimates of jobs

A job that asks for close to 2^64 thousandths of a core overflowed the sums of the admission: a panic in debug builds (admission.rs:187), a wrapped sum in release builds. Such requests now count as 10,000 cores and estimates as 10,000 s; no worker has that much either, so the job waits as before.

The test panicked before in a debug build and passes; in a release build it passed before, too.

--- a/crates/cornelpoint/src/job/spec.rs
+++ b/crates/cornelpoint/src/job/spec.rs
@@ -14,6 +14,11 @@
 /// Maximum number of tasks of a step, so that one job can't exhaust a process's
 /// memory.
 const MAX_REPLICAS: u64 = 10_000;
+/// Largest request for a resource, in its unit; larger ones count as this, which no
+/// worker has either. The work of all tasks of a job stays below the limit of `u64`.
+const MAX_RESOURCE: u64 = 10_000_000;
+/// Longest estimated duration of a task; longer ones count as this.
+const MAX_ESTIMATE_MS: u64 = 10_000_000;
 /// Maximum number of occurrences of a job, for the same reason.
 const MAX_OCCURRENCES: u64 = 100_000;
 
@@ -135,11 +140,11 @@
     Ok(Step {
         replicas: u32::try_from(raw.replicas).map_err(|_| replicas_error)?,
         resources: Resources {
-            cpu_millicores: raw.cpu_millicores,
-            memory_mb: raw.memory_mb,
-            accelerators: raw.accelerators,
+            cpu_millicores: raw.cpu_millicores.min(MAX_RESOURCE),
+            memory_mb: raw.memory_mb.min(MAX_RESOURCE),
+            accelerators: raw.accelerators.min(MAX_RESOURCE),
         },
-        estimate_ms: raw.estimate_ms,
+        estimate_ms: raw.estimate_ms.min(MAX_ESTIMATE_MS),
         after: after.collect::<Result<_, _>>()?,
         saves_progress: raw.saves_progress,
         gang: raw.gang,
--- a/crates/cornelpoint/tests/scheduler/odd_entries.rs
+++ b/crates/cornelpoint/tests/scheduler/odd_entries.rs
@@ -35,3 +35,16 @@
     scheduler.confirm_ownership(300);
     assert_eq!(starts(&mut scheduler, 300), []);
 }
+
+#[test]
+fn a_task_larger_than_any_worker_starts_beside_another() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    for (number, cpu_millicores) in [(1, 1000), (2, u64::MAX)] {
+        let (record, spec) = job(vec![step(1, cpu_millicores)]);
+        scheduler.submit(job_id(number), record, spec, at(100));
+        store_batches(&mut scheduler, 100);
+    }
+    let started = starts(&mut scheduler, 120);
+    let tasks: Vec<&str> = started.iter().map(|(_, task, _)| task.as_str()).collect();
+    assert_eq!(tasks, ["0000000000000001.0.0.0"]);
+}
