--- a/crates/cornelpoint/src/scheduler/crashes.rs
+++ b/crates/cornelpoint/src/scheduler/crashes.rs
@@ -170,4 +170,11 @@
             self.finish(id.step.job, JobStatus::Failed, now);
         }
     }
+
+    /// Whether a task may be what has crashed its workers.
+    pub(super) fn is_suspect(&self, task: TaskId) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        job.and_then(|job| job.task(task))
+            .is_some_and(|entry| entry.crashes.is_suspect())
+    }
 }
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -27,6 +27,7 @@
 mod scheduler_event;
 mod settings;
 mod task_entry;
+mod worker_choice;
 mod worker_state;
 
 pub use self::action::Action;
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -12,7 +12,6 @@
 use super::pool_scheduler::PoolScheduler;
 use super::task_entry::Phase;
 use super::task_entry::Run;
-use super::worker_state::WorkerState;
 
 /// Number of steps that fit no worker after which a placement pass ends, so
 /// that passes stay short under a backlog.
@@ -210,13 +209,6 @@
         all_placed
     }
 
-    /// Whether a task may be what has crashed its workers.
-    fn is_suspect(&self, task: TaskId) -> bool {
-        let job = self.jobs.get(&task.step.job);
-        job.and_then(|job| job.task(task))
-            .is_some_and(|entry| entry.crashes.is_suspect())
-    }
-
     /// Places all tasks of a gang under one run number, or none of them.
     fn place_gang(
         &mut self,
@@ -286,74 +278,6 @@
         self.next_run(last)
     }
 
-    /// Chooses a worker for one more task of a step. A suspect takes the worker with
-    /// the fewest runs, and none on which another suspect is being tried.
-    fn choose_worker(
-        &self,
-        id: StepId,
-        step: &Step,
-        needs_ticket: bool,
-        suspect: bool,
-        now: Instant,
-    ) -> Option<IncarnationIndex> {
-        let need = step.reserved();
-        let tickets = self.tickets.get(&id);
-        let candidates = self.incarnations.iter().filter(|&(incarnation, worker)| {
-            Self::is_usable(worker, now)
-                && !(suspect && worker.is_on_trial())
-                && worker.entry.capacity.fits(worker.used, need)
-                && step
-                    .max_per_worker
-                    .is_none_or(|limit| worker.tasks_of(id) < limit)
-                && has_label(worker, step.required_label.as_deref())
-                && (!needs_ticket
-                    || tickets
-                        .is_some_and(|issued| issued.by_incarnation.contains_key(incarnation)))
-        });
-        let racks = self.used_racks(id, step);
-        let best = candidates.max_by_key(|(incarnation, worker)| {
-            let free = worker.entry.capacity.minus(worker.used).cpu_millicores;
-            let on_preferred_rack = step
-                .preferred_rack
-                .as_deref()
-                .is_none_or(|rack| has_label(worker, Some(rack)));
-            let on_used_rack =
-                racks.is_empty() || racks.iter().any(|rack| has_label(worker, Some(rack)));
-            let warm = worker.entry.cold_remaining_ms == 0;
-            // Prefers the worker with the least free capacity that fits, since
-            // empty workers can serve another pool at once.
-            let fullness = u64::MAX - free;
-            let fewest_at_risk = if suspect {
-                usize::MAX - worker.runs.len()
-            } else {
-                0
-            };
-            (
-                !worker.is_on_trial(),
-                fewest_at_risk,
-                on_preferred_rack,
-                on_used_rack,
-                warm,
-                fullness,
-                u32::MAX - **incarnation,
-            )
-        });
-        best.map(|(&incarnation, _)| incarnation)
-    }
-
-    /// Returns the racks in use by a step that has to stay on a single rack.
-    fn used_racks(&self, id: StepId, step: &Step) -> BTreeSet<String> {
-        if !step.same_rack {
-            return BTreeSet::new();
-        }
-        let used = self
-            .incarnations
-            .values()
-            .filter(|worker| worker.tasks_of(id) > 0);
-        used.flat_map(|worker| worker.entry.labels.iter().skip(1).cloned())
-            .collect()
-    }
-
     fn start(
         &mut self,
         task: TaskId,
@@ -449,7 +373,3 @@
         self.placement_needed = true;
     }
 }
-
-fn has_label(worker: &WorkerState, label: Option<&str>) -> bool {
-    label.is_none_or(|label| worker.entry.labels.iter().any(|own| own == label))
-}
