Count crashes of workers that have not answered the start

A task that crashes its worker before the answer to the start was never counted: 20 starts in 60 s in the test. Such a run now counts as a crash at any time, four of which give the task up, not as one on start, of which two do: the order may never have arrived. If the lease ends before the worker is known to have crashed, it counts until the worker is heard of again.

The test failed before and passes, with workers that are back after 3 and 6 s.

--- a/crates/cornelpoint/src/scheduler/crashes.rs
+++ b/crates/cornelpoint/src/scheduler/crashes.rs
@@ -17,8 +17,8 @@
 const MAX_ON_START: u32 = 2;
 /// The same, with workers that fell silent on start and may not have crashed.
 const MAX_ON_START_OR_SILENT: u32 = 3;
-/// Crashes at any time after which a task is given up. The platform allows two more
-/// starts after the third.
+/// Crashes at any time, and silences, after which a task is given up. The platform
+/// allows two more starts after the third.
 const MAX_TOTAL: u32 = 4;
 /// A run that lasts this long clears its task of earlier crashes.
 const CLEARED_MS: u64 = 30_000;
@@ -26,13 +26,15 @@
 /// How often workers have crashed under a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct CrashCount {
-    /// Crashes of workers on which the task was running.
+    /// Crashes of workers on which the task was running, or was to start.
     pub(super) total: u32,
     /// Those of them right after the task had started.
     pub(super) on_start: u32,
     /// Workers that fell silent right after the task had started, and are neither
     /// known to have crashed nor heard of again.
     pub(super) silent: u32,
+    /// The same, before they had confirmed the start.
+    pub(super) unconfirmed: u32,
 }
 
 impl CrashCount {
@@ -40,9 +42,16 @@
         if lost.heard_for_ms >= CLEARED_MS {
             *self = Self::default();
         }
+        self.total += 1;
+        self.on_start += u32::from(lost.is_on_start());
+    }
+
+    /// Returns the count to which a run belongs whose worker fell silent.
+    fn silences(&mut self, lost: &LostRun) -> &mut u32 {
         if lost.confirmed {
-            self.total += 1;
-            self.on_start += u32::from(lost.is_on_start());
+            &mut self.silent
+        } else {
+            &mut self.unconfirmed
         }
     }
 
@@ -50,14 +59,14 @@
     /// a worker apart from others of its kind, so that a further crash has one
     /// suspect.
     pub(super) fn is_suspect(self) -> bool {
-        self.on_start + self.silent > 0 || self.total > 1
+        self.on_start + self.silent > 0 || self.total + self.unconfirmed > 1
     }
 
     /// Whether the task most likely crashes each worker that starts it.
     fn is_given_up(self) -> bool {
         self.on_start >= MAX_ON_START
             || self.on_start + self.silent >= MAX_ON_START_OR_SILENT
-            || self.total >= MAX_TOTAL
+            || self.total + self.silent + self.unconfirmed >= MAX_TOTAL
     }
 }
 
@@ -114,19 +123,22 @@
         }
     }
 
-    /// Notes the tasks on whose start a worker fell silent, once their leases have
-    /// expired.
+    /// Notes the tasks on whose start a worker fell silent, before or after it had
+    /// confirmed the start, once their leases have expired.
     pub(super) fn worker_fell_silent(
         &mut self,
         incarnation: IncarnationIndex,
         lost: &[LostRun],
         now: Instant,
     ) {
-        for run in lost.iter().filter(|run| run.is_on_start()) {
+        let suspects = lost
+            .iter()
+            .filter(|run| run.is_on_start() || !run.confirmed);
+        for run in suspects {
             if let Some(worker) = self.incarnations.get_mut(&incarnation) {
                 worker.silenced_by.push(*run);
             }
-            self.update_crashes(run.task, now, |crashes| crashes.silent += 1);
+            self.update_crashes(run.task, now, |crashes| *crashes.silences(run) += 1);
         }
     }
 
@@ -140,7 +152,8 @@
     ) {
         for run in silenced_by {
             self.update_crashes(run.task, now, |crashes| {
-                crashes.silent = crashes.silent.saturating_sub(1);
+                let silences = crashes.silences(&run);
+                *silences = silences.saturating_sub(1);
                 if crashed {
                     crashes.record(&run);
                 }
@@ -165,7 +178,7 @@
                 task: id,
                 crashes: crashes.total,
                 on_start: crashes.on_start,
-                silent: crashes.silent,
+                silent: crashes.silent + crashes.unconfirmed,
             });
             self.finish(id.step.job, JobStatus::Failed, now);
         }
--- a/crates/cornelpoint/src/scheduler/scheduler_event.rs
+++ b/crates/cornelpoint/src/scheduler/scheduler_event.rs
@@ -28,7 +28,7 @@
         crashes: u32,
         /// Those of them that crashed right after the start.
         on_start: u32,
-        /// Workers that fell silent right after the start.
+        /// Workers that fell silent on the start.
         silent: u32,
     },
 }
--- a/crates/cornelpoint/tests/scheduler/crash_world.rs
+++ b/crates/cornelpoint/tests/scheduler/crash_world.rs
@@ -37,10 +37,23 @@
 pub(crate) enum Crash {
     /// It crashes on the start of a task; back after this time.
     OnStart { down_ms: u64 },
+    /// It crashes before it has answered the order to start a task; back after this
+    /// time.
+    BeforeAnswer { down_ms: u64 },
     /// It crashes when the task has run for `after_ms`; back after `down_ms`.
     Later { after_ms: u64, down_ms: u64 },
 }
 
+impl Crash {
+    fn down_ms(self) -> u64 {
+        match self {
+            Self::OnStart { down_ms }
+            | Self::BeforeAnswer { down_ms }
+            | Self::Later { down_ms, .. } => down_ms,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Machine {
     name: String,
@@ -197,14 +210,13 @@
             let crash = self.crash;
             let due = machine.running.iter().any(|(task, _, started_ms)| {
                 let after_ms = match crash {
-                    Crash::OnStart { .. } => 0,
+                    Crash::OnStart { .. } | Crash::BeforeAnswer { .. } => 0,
                     Crash::Later { after_ms, .. } => after_ms,
                 };
                 self.deadly.contains(task) && started_ms + after_ms <= self.now_ms
             });
             if due {
-                let (Crash::OnStart { down_ms } | Crash::Later { down_ms, .. }) = crash;
-                machine.crash(self.now_ms, down_ms);
+                machine.crash(self.now_ms, crash.down_ms());
                 continue;
             }
             let now_ms = self.now_ms;
@@ -236,7 +248,14 @@
             } => {
                 let clock_ms = self.now_ms + 1000;
                 let now_ms = self.now_ms;
+                let crash = self.crash;
+                let is_deadly = self.deadly.contains(&task);
                 let outcome = match self.machine(incarnation) {
+                    Some(machine) if is_deadly && matches!(crash, Crash::BeforeAnswer { .. }) => {
+                        machine.crash(now_ms, crash.down_ms());
+                        *self.starts.entry(task).or_default() += 1;
+                        OrderOutcome::NoAnswer
+                    }
                     Some(machine) => {
                         machine.running.push((task, run, now_ms));
                         *self.starts.entry(task).or_default() += 1;
--- a/crates/cornelpoint/tests/scheduler/crashes.rs
+++ b/crates/cornelpoint/tests/scheduler/crashes.rs
@@ -37,6 +37,18 @@
     assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Failed));
 }
 
+#[test]
+fn a_task_that_crashes_its_workers_before_they_answer_is_started_for_ever() {
+    for down_ms in [3000, 6000] {
+        let mut world = CrashWorld::new(MACHINES, Crash::BeforeAnswer { down_ms });
+        world.submit(1, vec![step(1, 1000)], &[0]);
+        world.run_for(60_000);
+        let starts = world.starts_of(DEADLY_TASK);
+        assert!((2..=MAX_STARTS).contains(&starts), "{starts} starts");
+        assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Failed));
+    }
+}
+
 /// The leases of a lost worker expire before it is known to have crashed.
 #[test]
 fn a_task_whose_workers_never_come_back_is_started_on_all_of_them() {
