Test crashes across takeovers, of cut off workers and of lasting tasks

The test of a new owner passed without the stored counts: one takeover is too few. It has five now. Guards: workers that are only cut off, and a lasting task whose workers crash 40 s apart.

--- a/crates/cornelpoint/tests/scheduler/crash_world.rs
+++ b/crates/cornelpoint/tests/scheduler/crash_world.rs
@@ -29,8 +29,8 @@
 
 /// Simulated time between two looks at all workers.
 const STEP_MS: u64 = 50;
-/// Duration of a task that does not crash its worker.
-pub(crate) const WORK_MS: u64 = 800;
+/// Duration of a task that does not crash its worker, unless set otherwise.
+const WORK_MS: u64 = 800;
 
 /// How a worker is lost under a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +40,9 @@
     /// It crashes before it has answered the order to start a task; back after this
     /// time.
     BeforeAnswer { down_ms: u64 },
+    /// It is cut off on the start of a task, so that the lease expires, and is heard
+    /// of again after this time.
+    CutOff { down_ms: u64 },
     /// It crashes when the task has run for `after_ms`; back after `down_ms`.
     Later { after_ms: u64, down_ms: u64 },
 }
@@ -49,6 +52,7 @@
         match self {
             Self::OnStart { down_ms }
             | Self::BeforeAnswer { down_ms }
+            | Self::CutOff { down_ms }
             | Self::Later { down_ms, .. } => down_ms,
         }
     }
@@ -78,6 +82,15 @@
         }
     }
 
+    fn lose(&mut self, now_ms: u64, crash: Crash) {
+        if let Crash::CutOff { down_ms } = crash {
+            self.back_ms = now_ms + down_ms;
+            self.running.clear();
+        } else {
+            self.crash(now_ms, crash.down_ms());
+        }
+    }
+
     fn crash(&mut self, now_ms: u64, down_ms: u64) {
         self.back_ms = now_ms.saturating_add(down_ms);
         self.life += 1;
@@ -112,6 +125,8 @@
     crash: Crash,
     deadly: Vec<TaskId>,
     starts: BTreeMap<TaskId, u32>,
+    /// Duration of a task that does not crash its worker.
+    pub(crate) work_ms: u64,
     /// Latest stored progress of each job.
     pub(crate) progress: BTreeMap<JobId, JobProgress>,
     pub(crate) now_ms: u64,
@@ -134,6 +149,7 @@
             crash,
             deadly: Vec::new(),
             starts: BTreeMap::new(),
+            work_ms: WORK_MS,
             progress: BTreeMap::new(),
             now_ms: 0,
         };
@@ -154,10 +170,10 @@
     }
 
     /// Replaces the owner by a successor that restores a job of these steps.
-    pub(crate) fn take_over(&mut self, number: u64, steps: Vec<RawStep>) {
+    pub(crate) fn take_over(&mut self, fencing_token: u64, number: u64, steps: Vec<RawStep>) {
         let (record, spec) = job(steps);
         let id = job_id(number);
-        self.scheduler = scheduler(2);
+        self.scheduler = scheduler(fencing_token);
         self.scheduler.confirm_ownership(self.now_ms);
         let progress = self.progress.get(&id);
         let now = at(self.now_ms);
@@ -189,9 +205,10 @@
             self.now_ms += STEP_MS;
             self.advance_machines();
             self.scheduler.confirm_ownership(self.now_ms);
-            let up = self.machines.iter();
-            let up = up.filter(|machine| machine.is_up(self.now_ms));
-            let entries: Vec<RegistryEntry> = up.map(Machine::entry).collect();
+            let machines = self.machines.iter();
+            let cut_off = matches!(self.crash, Crash::CutOff { .. });
+            let listed = machines.filter(|machine| cut_off || machine.is_up(self.now_ms));
+            let entries: Vec<RegistryEntry> = listed.map(Machine::entry).collect();
             let now = at(self.now_ms);
             self.scheduler.apply_registry(&entries, true, now);
             self.scheduler.tick(now);
@@ -210,19 +227,19 @@
             let crash = self.crash;
             let due = machine.running.iter().any(|(task, _, started_ms)| {
                 let after_ms = match crash {
-                    Crash::OnStart { .. } | Crash::BeforeAnswer { .. } => 0,
+                    Crash::OnStart { .. } | Crash::BeforeAnswer { .. } | Crash::CutOff { .. } => 0,
                     Crash::Later { after_ms, .. } => after_ms,
                 };
                 self.deadly.contains(task) && started_ms + after_ms <= self.now_ms
             });
             if due {
-                machine.crash(self.now_ms, crash.down_ms());
+                machine.lose(self.now_ms, crash);
                 continue;
             }
             let now_ms = self.now_ms;
             let (ended, running) = std::mem::take(&mut machine.running)
                 .into_iter()
-                .partition::<Vec<_>, _>(|(_, _, started_ms)| started_ms + WORK_MS <= now_ms);
+                .partition::<Vec<_>, _>(|(_, _, started_ms)| started_ms + self.work_ms <= now_ms);
             machine.running = running;
             for (task, run, _) in ended {
                 machine.sequence += 1;
--- a/crates/cornelpoint/tests/scheduler/crashes.rs
+++ b/crates/cornelpoint/tests/scheduler/crashes.rs
@@ -64,10 +64,10 @@
     let steps = || vec![step(1, 1000)];
     let mut world = CrashWorld::new(MACHINES, Crash::OnStart { down_ms: 3000 });
     world.submit(1, steps(), &[0]);
-    world.run_for(4000);
-    let earlier = world.starts_of(DEADLY_TASK);
-    assert_eq!(earlier, 2);
-    world.take_over(1, steps());
+    for token in 2..=6 {
+        world.run_for(4000);
+        world.take_over(token, 1, steps());
+    }
     world.run_for(60_000);
     let starts = world.starts_of(DEADLY_TASK);
     assert!(starts <= MAX_STARTS, "{starts} starts");
@@ -92,6 +92,36 @@
     assert_eq!(status, Some(JobStatus::Completed));
 }
 
+#[test]
+fn a_task_is_given_up_though_its_workers_were_only_cut_off() {
+    const CUTS: u32 = 6;
+    let mut world = CrashWorld::new(MACHINES, Crash::CutOff { down_ms: 5500 });
+    world.submit(1, vec![step(1, 1000)], &[0]);
+    while world.starts_of(DEADLY_TASK) < CUTS && world.now_ms < 60_000 {
+        world.run_for(1000);
+    }
+    assert_eq!(world.starts_of(DEADLY_TASK), CUTS);
+    assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Running));
+}
+
+#[test]
+fn a_lasting_task_is_given_up_after_crashes_with_much_time_between() {
+    const CRASHES: u32 = 6;
+    let lasting = RawStep {
+        long_running: true,
+        ..step(1, 1000)
+    };
+    let mut world = CrashWorld::new(2, Crash::OnStart { down_ms: 0 });
+    world.work_ms = u64::MAX / 2;
+    world.submit(1, vec![lasting], &[]);
+    for _ in 0..CRASHES {
+        world.run_for(40_000);
+        world.crash_all(1000);
+    }
+    world.run_for(10_000);
+    assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Running));
+}
+
 /// Tasks that share a worker with one that crashes it are lost with it, again and
 /// again if all of them are placed together.
 #[test]
