Don't count the crash of a worker against tasks it had run for long

Four crashes of any kind were enough.

If a worker had just started tasks, or was to start some, its crash now counts against these alone; against all that it was running only if there are none.

The test failed before and passes. A task that crashes its workers some time after its start may be hidden by others that start then.

--- a/crates/cornelpoint/src/scheduler/crashes.rs
+++ b/crates/cornelpoint/src/scheduler/crashes.rs
@@ -26,7 +26,8 @@
 /// How often workers have crashed under a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct CrashCount {
-    /// Crashes of workers on which the task was running, or was to start.
+    /// Crashes of workers on which the task was running, or was to start, and that no
+    /// later start explains.
     pub(super) total: u32,
     /// Those of them right after the task had started.
     pub(super) on_start: u32,
@@ -85,6 +86,11 @@
     fn is_on_start(&self) -> bool {
         self.confirmed && self.heard_for_ms <= ON_START_MS
     }
+
+    /// Whether the start of the run may have crashed the worker.
+    fn is_suspect(&self) -> bool {
+        !self.confirmed || self.is_on_start()
+    }
 }
 
 impl PoolScheduler {
@@ -116,9 +122,11 @@
         lost_run
     }
 
-    /// Counts the crash of a worker against the tasks that it was running.
+    /// Counts the crash of a worker against the tasks that it had just started, or
+    /// was to start; if there are none, against all that it was running.
     pub(super) fn worker_crashed(&mut self, lost: &[LostRun], now: Instant) {
-        for run in lost {
+        let has_suspect = lost.iter().any(LostRun::is_suspect);
+        for run in lost.iter().filter(|run| !has_suspect || run.is_suspect()) {
             self.update_crashes(run.task, now, |crashes| crashes.record(run));
         }
     }
@@ -131,10 +139,7 @@
         lost: &[LostRun],
         now: Instant,
     ) {
-        let suspects = lost
-            .iter()
-            .filter(|run| run.is_on_start() || !run.confirmed);
-        for run in suspects {
+        for run in lost.iter().filter(|run| run.is_suspect()) {
             if let Some(worker) = self.incarnations.get_mut(&incarnation) {
                 worker.silenced_by.push(*run);
             }
--- a/crates/cornelpoint/tests/scheduler/crashes.rs
+++ b/crates/cornelpoint/tests/scheduler/crashes.rs
@@ -142,6 +142,27 @@
     }
 }
 
+/// One task after another crashes the workers of tasks that have run for some time.
+#[test]
+fn lasting_tasks_are_given_up_for_the_crashes_of_others() {
+    const DEADLY_JOBS: u64 = 30;
+    let lasting = RawStep {
+        long_running: true,
+        ..step(4, 500)
+    };
+    let mut world = CrashWorld::new(MACHINES, Crash::OnStart { down_ms: 3000 });
+    world.work_ms = u64::MAX / 2;
+    world.submit(1, vec![lasting], &[]);
+    for number in 2..2 + DEADLY_JOBS {
+        world.run_for(2000);
+        world.submit(number, vec![step(1, 500)], &[0]);
+    }
+    world.run_for(5000);
+    assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Running));
+    let starts = world.starts_of(&format!("{}.0.0.0", job_id(1)));
+    assert!(starts > 1, "no worker of the task has crashed");
+}
+
 /// The second worker that a task crashes should run as little else as possible.
 #[test]
 fn a_task_that_crashed_a_worker_is_tried_on_the_fullest_one() {
