Announce the interval of heartbeats, and send early ones to owners only

What callers saw: among 97 processes, each process took an owner for unresponsive for 168 ms of every 1,168 ms, unless a change had sent a heartbeat early, and stored submissions in the owner's inbox meanwhile.

Cause: heartbeats were 400 ms and 8 ms more for each peer apart, while a peer counts as unresponsive after 1,000 ms. Each early heartbeat, on every worker that is vacated or to be vacated, went to all processes, though only the fleet's owner and the pools' owners use it.

Now a heartbeat announces when the next one is due, peers time out after two and a half of these, owners send at least every 600 ms (the store heartbeat has to be 1.5 s old anyway before they are replaced), and early ones go to the owners that use them, at least 20 ms apart.

Tests: the planner's tests on announced intervals and lost owners, the schedule's replay of a surge; without announced intervals a peer is unresponsive from 1,000 ms on.

--- a/crates/cornelpoint-manager/src/fleet_host/host.rs
+++ b/crates/cornelpoint-manager/src/fleet_host/host.rs
@@ -12,6 +12,7 @@
 use cornelpoint::fleet::MachineAnswer;
 use cornelpoint::ownership::Claim;
 use cornelpoint::ownership::OwnerRow;
+use cornelpoint::ownership::Recipients;
 use cornelpoint_platform::fleet_api;
 use cornelpoint_platform::operator;
 use cornelpoint_platform::store::RowKey;
@@ -180,7 +181,7 @@
         let vacate = self.to_vacate();
         if *self.last_to_vacate.borrow() != vacate {
             *self.last_to_vacate.borrow_mut() = vacate;
-            self.node.heartbeat_now.notify_one();
+            self.node.request_heartbeat(Recipients::PoolOwners);
         }
     }
 
--- a/crates/cornelpoint-manager/src/message/heartbeat.rs
+++ b/crates/cornelpoint-manager/src/message/heartbeat.rs
@@ -20,6 +20,10 @@
     pub(crate) has_store: bool,
     /// CPU capacity of its instance, in thousandths of a core.
     pub(crate) millicores: u64,
+    /// Time until its next heartbeat at the latest; 0 from processes that do not
+    /// announce it.
+    #[serde(default)]
+    pub(crate) interval_ms: u64,
     /// Pools that it owns, by name.
     pub(crate) pools: BTreeMap<String, OwnedPool>,
     /// Workers to vacate; set by the fleet owner only.
--- a/crates/cornelpoint-manager/src/node/heartbeats.rs
+++ b/crates/cornelpoint-manager/src/node/heartbeats.rs
@@ -1,29 +1,26 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Duration;
 
+use cornelpoint::ownership::HeartbeatSchedule;
 use cornelpoint::ownership::Peer;
+use cornelpoint::ownership::Recipients;
 use slog::debug;
 use tokio::net::UdpSocket;
 
 use super::state::Node;
 use super::state::PoolStatus;
 use crate::clock;
+use crate::fleet_host::FLEET_SHARD;
 use crate::message::Heartbeat;
 use crate::message::OwnedPool;
 use crate::store::decode;
 use crate::store::encode;
 
-/// Base interval between heartbeats.
-const INTERVAL_MS: u64 = 400;
-/// Added to the interval for each peer, so that many peers do not overload a
-/// small instance.
-const INTERVAL_PER_PEER_MS: u64 = 8;
 /// Time without a heartbeat from a peer after which none are sent to it.
 const PEER_EXPIRY_MS: u64 = 30_000;
-/// Shortest time between heartbeats sent early because of a change.
-const MIN_NOTIFY_INTERVAL_MS: u64 = 100;
+/// Shortest time between heartbeats sent early because of a pool's load.
+const MIN_LOAD_INTERVAL_MS: u64 = 100;
 /// How long a request to vacate workers stays valid without being repeated.
 const VACATE_TTL_MS: u64 = 4000;
 /// Largest heartbeat that can be received. It has to fit a datagram; a longer
@@ -31,46 +28,94 @@
 const MAX_HEARTBEAT_BYTES: usize = 60_000;
 
 impl Node {
-    /// Sends heartbeats to all peers, at intervals and when notified.
+    /// Sends heartbeats at intervals and when requested.
     pub(super) async fn send_heartbeats(self: Rc<Self>, socket: Rc<UdpSocket>) {
         loop {
-            let message = encode(&self.heartbeat());
             let now_ms = clock::now().steady_ms;
-            self.apply_vacate(now_ms);
-            let addresses: Vec<String> = {
-                let addresses = self.peer_addresses.borrow();
-                let recent = addresses
-                    .values()
-                    .filter(|(_, received_ms)| received_ms + PEER_EXPIRY_MS > now_ms);
-                recent.map(|(address, _)| address.clone()).collect()
-            };
-            for address in &addresses {
-                // A datagram that can't be sent counts as lost; the next heartbeat
-                // replaces it.
-                if let Err(error) = socket.send_to(&message, address).await {
-                    debug!(self.main_log, "Heartbeat not sent."; "to" => address, "error" => %error);
+            let interval_ms = self.heartbeat_interval_ms(now_ms);
+            let due = self.heartbeats.borrow_mut().take_due(now_ms, interval_ms);
+            if !due.is_empty() {
+                let message = encode(&self.heartbeat(interval_ms));
+                self.apply_vacate(now_ms);
+                for address in self.recipient_addresses(&due, now_ms) {
+                    // A datagram that can't be sent counts as lost; the next heartbeat
+                    // replaces it.
+                    if let Err(error) = socket.send_to(&message, &address).await {
+                        debug!(self.main_log, "Heartbeat not sent."; "to" => address,
+                            "error" => %error);
+                    }
                 }
             }
-            let peers = u64::try_from(addresses.len()).unwrap_or(0);
-            let pause = Duration::from_millis(INTERVAL_MS + INTERVAL_PER_PEER_MS * peers);
+            let due_ms = self.heartbeats.borrow().due_ms();
             tokio::select! {
-                () = tokio::time::sleep(pause) => {}
-                () = self.heartbeat_now.notified() => {}
+                () = tokio::time::sleep(clock::until(due_ms)) => {}
+                () = self.heartbeat_requested.notified() => {}
+            }
+        }
+    }
+
+    fn heartbeat_interval_ms(&self, now_ms: u64) -> u64 {
+        let peers = self.recent_peers(now_ms).len();
+        let is_owner = !self.hosts.borrow().is_empty() || self.fleet.borrow().is_some();
+        HeartbeatSchedule::interval_ms(u64::try_from(peers).unwrap_or(u64::MAX), is_owner)
+    }
+
+    /// Returns the addresses of the peers that were heard of recently.
+    fn recent_peers(&self, now_ms: u64) -> Vec<String> {
+        let addresses = self.peer_addresses.borrow();
+        let recent = addresses
+            .values()
+            .filter(|(_, received_ms)| received_ms + PEER_EXPIRY_MS > now_ms);
+        recent.map(|(address, _)| address.clone()).collect()
+    }
+
+    /// Returns the addresses of the other processes among the recipients.
+    fn recipient_addresses(
+        &self,
+        recipients: &BTreeSet<Recipients>,
+        now_ms: u64,
+    ) -> BTreeSet<String> {
+        let mut addresses = BTreeSet::new();
+        for recipients in recipients {
+            match recipients {
+                Recipients::All => addresses.extend(self.recent_peers(now_ms)),
+                Recipients::FleetOwner => {
+                    addresses.extend(self.owner_addresses(|shard| shard == FLEET_SHARD));
+                }
+                Recipients::PoolOwners => {
+                    addresses.extend(self.owner_addresses(|shard| shard != FLEET_SHARD));
+                }
             }
         }
+        addresses.remove(&self.address);
+        addresses
+    }
+
+    fn owner_addresses(&self, selects: impl Fn(&str) -> bool) -> Vec<String> {
+        let planner = self.planner.borrow();
+        let shards = planner.shards().filter(|shard| selects(shard));
+        let owners = shards.filter_map(|shard| planner.owner(shard));
+        let active = owners.filter(|(row, _)| !row.released);
+        active.map(|(row, _)| row.address.clone()).collect()
+    }
+
+    /// Sends a heartbeat before the next regular one.
+    pub(crate) fn request_heartbeat(&self, recipients: Recipients) {
+        self.heartbeats.borrow_mut().request(recipients);
+        self.heartbeat_requested.notify_one();
     }
 
-    /// Sends the next heartbeat at once because of an urgent change, at most
-    /// every [`MIN_NOTIFY_INTERVAL_MS`].
-    pub(crate) fn notify_peers_soon(&self) {
+    /// Reports the load of this process's pools to the fleet's owner, at most
+    /// every [`MIN_LOAD_INTERVAL_MS`].
+    pub(crate) fn report_load(&self) {
         let now_ms = clock::now().steady_ms;
-        if self.notified_ms.get() + MIN_NOTIFY_INTERVAL_MS <= now_ms {
-            self.notified_ms.set(now_ms);
-            self.heartbeat_now.notify_one();
+        if self.load_reported_ms.get() + MIN_LOAD_INTERVAL_MS <= now_ms {
+            self.load_reported_ms.set(now_ms);
+            self.request_heartbeat(Recipients::FleetOwner);
         }
     }
 
-    fn heartbeat(&self) -> Heartbeat {
+    fn heartbeat(&self, interval_ms: u64) -> Heartbeat {
         let hosts = self.hosts.borrow();
         let pools = hosts
             .iter()
@@ -86,6 +131,7 @@
             leaving: self.leaving.get(),
             has_store: self.store.is_available(),
             millicores: self.settings.millicores,
+            interval_ms,
             pools,
             to_vacate: self.fleet.borrow().as_ref().map(|fleet| fleet.to_vacate()),
         }
@@ -114,6 +160,7 @@
             leaving: heartbeat.leaving,
             has_store: heartbeat.has_store,
             millicores: heartbeat.millicores,
+            heartbeat_interval_ms: heartbeat.interval_ms,
         };
         self.planner
             .borrow_mut()
--- a/crates/cornelpoint-manager/src/node/shutdown.rs
+++ b/crates/cornelpoint-manager/src/node/shutdown.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cornelpoint::ownership::Recipients;
 use slog::info;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -40,10 +41,10 @@
         let grace = Duration::from_millis(self.settings.bounds.grace_ms);
         let exit_at = Instant::now() + grace.saturating_sub(GRACE_MARGIN);
         self.leaving.set(true);
-        self.heartbeat_now.notify_one();
+        self.request_heartbeat(Recipients::All);
         let balancer_drained = tokio::time::sleep(BALANCER_DRAIN_TIME);
         self.release_shards().await;
-        self.heartbeat_now.notify_one();
+        self.request_heartbeat(Recipients::All);
         balancer_drained.await;
         self.servers.close();
         while self.servers.connections() > 0 && Instant::now() < exit_at {
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -10,6 +10,7 @@
 use cornelpoint::catalog::Catalog;
 use cornelpoint::fleet::PoolReport;
 use cornelpoint::fleet::WaveOrder;
+use cornelpoint::ownership::HeartbeatSchedule;
 use cornelpoint::ownership::OwnershipPlanner;
 use cornelpoint::ownership::OwnershipSettings;
 use cornelpoint_daemon::log::Component;
@@ -93,8 +94,10 @@
     /// by the monotonic clock.
     pub(crate) confirmed_ms: Cell<u64>,
     pub(crate) leaving: Cell<bool>,
-    pub(crate) heartbeat_now: Notify,
-    pub(crate) notified_ms: Cell<u64>,
+    pub(super) heartbeats: RefCell<HeartbeatSchedule>,
+    pub(super) heartbeat_requested: Notify,
+    /// When a change of load last requested a heartbeat.
+    pub(super) load_reported_ms: Cell<u64>,
     pub(crate) servers: Rc<ServerControl>,
 }
 
@@ -137,8 +140,9 @@
             to_vacate: RefCell::default(),
             confirmed_ms: Cell::new(0),
             leaving: Cell::new(false),
-            heartbeat_now: Notify::new(),
-            notified_ms: Cell::new(0),
+            heartbeats: RefCell::default(),
+            heartbeat_requested: Notify::new(),
+            load_reported_ms: Cell::new(0),
             servers: Rc::default(),
             settings,
         });
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -9,6 +9,7 @@
 use cornelpoint::catalog::Catalog;
 use cornelpoint::inbox::InboxKey;
 use cornelpoint::ownership::OwnershipSettings;
+use cornelpoint::ownership::Recipients;
 use cornelpoint::scheduler::IncarnationIndex;
 use cornelpoint::scheduler::Instant;
 use cornelpoint::scheduler::PoolScheduler;
@@ -43,7 +44,8 @@
     /// When the last read that returned all rows of the inbox was sent, by the
     /// monotonic clock.
     pub(super) inbox_read_ms: Cell<u64>,
-    /// Vacated workers as of the last update; a change sends a heartbeat at once.
+    /// Vacated workers as of the last update; a change is reported to the fleet's
+    /// owner.
     vacated: RefCell<BTreeSet<String>>,
     pub(super) log: Logger,
     pub(super) stopped: Cell<bool>,
@@ -139,7 +141,7 @@
         }
         if *self.vacated.borrow() != vacated {
             *self.vacated.borrow_mut() = vacated;
-            self.node.heartbeat_now.notify_one();
+            self.node.request_heartbeat(Recipients::FleetOwner);
         }
         for action in actions {
             self.execute(action);
--- a/crates/cornelpoint-manager/src/pool_host/requests.rs
+++ b/crates/cornelpoint-manager/src/pool_host/requests.rs
@@ -54,12 +54,12 @@
             SubmitAnswer::Accepted => PoolResponse::Accepted,
             SubmitAnswer::Storing => {
                 if self.scheduler.borrow().is_overloaded(crate::clock::now()) {
-                    self.node.notify_peers_soon();
+                    self.node.report_load();
                 }
                 self.wait_for_store(InboxKey::Submit(id)).await
             }
             SubmitAnswer::Rejected { retry_after_ms } => {
-                self.node.notify_peers_soon();
+                self.node.report_load();
                 let load = self.scheduler.borrow().load(crate::clock::now());
                 info!(self.log, "Job rejected."; "job" => %id, "queue" => queue,
                     "wait_ms" => load.wait_ms(), "backlog_core_ms" => load.backlog_core_ms,
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -8,6 +8,7 @@
 use cornelpoint::job::JobSpec;
 use cornelpoint::ownership::Claim;
 use cornelpoint::ownership::OwnerRow;
+use cornelpoint::ownership::Recipients;
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::SchedulerSettings;
 use cornelpoint_platform::registry;
@@ -112,7 +113,7 @@
             "fencing_token" => claim.fencing_token,
             "inbox_rows" => inbox.rows,
             "took_ms" => clock::now().steady_ms - claimed_ms);
-        node.heartbeat_now.notify_one();
+        node.request_heartbeat(Recipients::All);
         spawn_local(Rc::clone(&host).poll_registry());
         spawn_local(Rc::clone(&host).follow_inbox(inbox.version));
         if let Some(predecessor) = predecessor {
--- a/crates/cornelpoint/src/ownership/mod.rs
+++ b/crates/cornelpoint/src/ownership/mod.rs
@@ -7,12 +7,15 @@
 //! unnecessary takeover costs a rebuild of the shard's state but is safe,
 //! because the higher fencing token fences the predecessor.
 
+mod heartbeat_schedule;
 mod owner_row;
 mod planner;
 mod settings;
 mod store_availability;
 mod write_guard;
 
+pub use self::heartbeat_schedule::HeartbeatSchedule;
+pub use self::heartbeat_schedule::Recipients;
 pub use self::owner_row::OwnerRow;
 pub use self::planner::Claim;
 pub use self::planner::OwnershipPlanner;
--- a/crates/cornelpoint/src/ownership/planner.rs
+++ b/crates/cornelpoint/src/ownership/planner.rs
@@ -23,6 +23,8 @@
     pub has_store: bool,
     /// CPU of its instance, in thousandths of a core.
     pub millicores: u64,
+    /// Time until its next heartbeat at the latest; 0 if it is not known.
+    pub heartbeat_interval_ms: u64,
 }
 
 /// A claim of a shard that is due to be written to the store.
@@ -138,13 +140,21 @@
         }
     }
 
-    /// Whether a heartbeat of a peer arrived within the peer timeout.
+    /// Whether a heartbeat of a peer arrived within its timeout.
     #[must_use]
     pub fn is_responsive(&self, node: &str, now_ms: u64) -> bool {
-        let timeout_ms = self.settings.peer_timeout_ms;
         self.peers
             .get(node)
-            .is_some_and(|peer| peer.last_heartbeat_ms + timeout_ms > now_ms)
+            .is_some_and(|peer| self.unresponsive_ms(peer) > now_ms)
+    }
+
+    /// Returns when a peer counts as unresponsive unless another heartbeat of it
+    /// arrives. Among many processes, heartbeats are further apart.
+    fn unresponsive_ms(&self, peer: &PeerState) -> u64 {
+        let interval_ms = peer.peer.heartbeat_interval_ms;
+        let announced_ms = interval_ms.saturating_mul(self.settings.peer_timeout_percent) / 100;
+        let announced_ms = announced_ms.min(self.settings.peer_retention_ms);
+        peer.last_heartbeat_ms + announced_ms.max(self.settings.peer_timeout_ms)
     }
 
     /// Whether at least half of all known processes, including this one, are
@@ -156,11 +166,10 @@
             .peers
             .values()
             .filter(|peer| peer.last_heartbeat_ms + retention_ms > now_ms);
-        let timeout_ms = self.settings.peer_timeout_ms;
         let (mut count, mut responsive) = (1, 1);
         for peer in known {
             count += 1;
-            responsive += usize::from(peer.last_heartbeat_ms + timeout_ms > now_ms);
+            responsive += usize::from(self.unresponsive_ms(peer) > now_ms);
         }
         responsive * 2 >= count
     }
@@ -283,8 +292,9 @@
             let store_timeout_ms = since_ms + self.settings.store_loss_timeout_ms;
             return Some(store_timeout_ms.max(state.healthy_until_ms));
         }
-        let unresponsive_ms =
-            peer.last_heartbeat_ms.max(state.changed_ms) + self.settings.peer_timeout_ms;
+        let unresponsive_ms = self
+            .unresponsive_ms(peer)
+            .max(state.changed_ms + self.settings.peer_timeout_ms);
         Some(unresponsive_ms.max(state.healthy_until_ms))
     }
 
@@ -298,7 +308,7 @@
     fn shard_counts(&self, now_ms: u64) -> BTreeMap<&str, u64> {
         let mut counts = BTreeMap::from([(self.node.as_str(), 0)]);
         for (name, state) in &self.peers {
-            let unresponsive = state.last_heartbeat_ms + self.settings.peer_timeout_ms < now_ms;
+            let unresponsive = self.unresponsive_ms(state) < now_ms;
             if !unresponsive && !state.peer.leaving && state.peer.has_store {
                 counts.insert(name, 0);
             }
--- a/crates/cornelpoint/src/ownership/settings.rs
+++ b/crates/cornelpoint/src/ownership/settings.rs
@@ -1,8 +1,12 @@
 /// Timeouts and intervals of ownership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnershipSettings {
-    /// Time without a heartbeat after which a peer counts as unresponsive.
+    /// Time without a heartbeat after which a peer counts as unresponsive, unless
+    /// it sends them at long intervals.
     pub peer_timeout_ms: u64,
+    /// Time without a heartbeat after which any peer counts as unresponsive, in
+    /// percent of the interval that it has announced.
+    pub peer_timeout_percent: u64,
     /// Time after which an owner that can't reach the store is replaced.
     pub store_loss_timeout_ms: u64,
     /// Delay between the claims of successive candidates for a shard.
@@ -28,8 +32,9 @@
 impl Default for OwnershipSettings {
     fn default() -> Self {
         Self {
-            // Two and a half heartbeats; the store heartbeat is checked as well.
+            // The store heartbeat is checked as well.
             peer_timeout_ms: 1000,
+            peer_timeout_percent: 250,
             store_loss_timeout_ms: 1200,
             // A claim takes about 20 ms; the rest allows for a slow candidate.
             claim_stagger_ms: 400,
--- a/crates/cornelpoint/tests/ownership.rs
+++ b/crates/cornelpoint/tests/ownership.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeSet;
 
+use cornelpoint::ownership::HeartbeatSchedule;
 use cornelpoint::ownership::OwnerRow;
 use cornelpoint::ownership::OwnershipPlanner;
 use cornelpoint::ownership::OwnershipSettings;
 use cornelpoint::ownership::Peer;
+use cornelpoint::ownership::Recipients;
 use cornelpoint::ownership::StoreAvailability;
 use cornelpoint::ownership::StoreCallResult;
 
@@ -19,6 +21,7 @@
         leaving: false,
         has_store,
         millicores: 1000,
+        heartbeat_interval_ms: 0,
     }
 }
 
@@ -88,6 +91,82 @@
     );
 }
 
+/// Guards against owners that count as unresponsive between any two of their
+/// heartbeats: among a hundred processes these are more than a second apart.
+#[test]
+fn peers_are_responsive_between_heartbeats_of_the_announced_interval() {
+    for peers in [8, 31, 96, 300] {
+        let interval_ms = HeartbeatSchedule::interval_ms(peers, false);
+        let mut planner = planner("a-1");
+        let mut now_ms = 700;
+        while now_ms < 60_000 {
+            for node in NODES {
+                let heartbeat_interval_ms = interval_ms;
+                let peer = Peer {
+                    heartbeat_interval_ms,
+                    ..peer(true)
+                };
+                planner.heartbeat_received(node, peer, now_ms);
+            }
+            now_ms += interval_ms;
+            assert!(planner.is_responsive("b-1", now_ms - 1), "{peers} peers");
+        }
+        assert!(!planner.is_responsive("b-1", now_ms + interval_ms * 3 + 1000));
+    }
+}
+
+/// An owner is replaced as soon as its store heartbeat allows it, however many
+/// processes there are.
+#[test]
+fn a_lost_owner_is_noticed_within_the_timeout_of_its_store_heartbeat() {
+    let settings = OwnershipSettings::default();
+    for peers in [8, 31, 96, 300] {
+        let heartbeat_interval_ms = HeartbeatSchedule::interval_ms(peers, true);
+        let mut planner = planner("a-1");
+        let peer = Peer {
+            heartbeat_interval_ms,
+            ..peer(true)
+        };
+        planner.heartbeat_received("b-1", peer, 700);
+        let noticed_ms = 700 + settings.store_heartbeat_timeout_ms;
+        assert!(!planner.is_responsive("b-1", noticed_ms), "{peers} peers");
+    }
+}
+
+/// Guards against an interval that keeps a lost peer responsive for ever.
+#[test]
+fn an_excessive_heartbeat_interval_is_limited() {
+    let mut planner = planner("a-1");
+    let peer = Peer {
+        heartbeat_interval_ms: u64::MAX,
+        ..peer(true)
+    };
+    planner.heartbeat_received("b-1", peer, 700);
+    let retention_ms = OwnershipSettings::default().peer_retention_ms;
+    assert!(!planner.is_responsive("b-1", 700 + retention_ms));
+}
+
+/// Replays the changes of a surge among 97 processes: a worker to vacate, a
+/// vacated worker and a change of load every 12 ms.
+#[test]
+fn changes_in_a_surge_reach_the_owners_only() {
+    let mut schedule = HeartbeatSchedule::default();
+    let interval_ms = HeartbeatSchedule::interval_ms(96, true);
+    let (mut to_all, mut to_owners) = (0_u64, 0_u64);
+    for now_ms in 10_000..20_000 {
+        if now_ms % 12 == 0 {
+            schedule.request(Recipients::FleetOwner);
+            schedule.request(Recipients::PoolOwners);
+        }
+        let recipients = schedule.take_due(now_ms, interval_ms);
+        to_all += u64::from(recipients.contains(&Recipients::All));
+        to_owners += u64::from(recipients.contains(&Recipients::FleetOwner));
+    }
+    assert_eq!(to_all, 10_000_u64.div_ceil(interval_ms));
+    // At most every 20 ms, at least after every second change.
+    assert!((416..=500).contains(&to_owners), "{to_owners}");
+}
+
 #[test]
 fn a_responsive_owner_keeps_its_pool() {
     let mut planner = planner("a-1");
