--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -151,7 +151,7 @@
         caller.cancel(cancelled)
     });
     thread::sleep(CANCEL);
-    let worker = WorkerStandIn::start(&fleet.store, "w-1", POOL).unwrap();
+    let worker = WorkerStandIn::start(&fleet.store, "w-1", POOL, None).unwrap();
     for instance in &others {
         let store = &fleet.store;
         store.set_read_fault(&instance.name, HEARTBEAT_TABLE, None);
--- a/crates/cornelpoint-manager/tests/takeover/odd_entries.rs
+++ b/crates/cornelpoint-manager/tests/takeover/odd_entries.rs
@@ -31,7 +31,7 @@
         fleet.store.write(&row, &value);
     }
     thread::sleep(READS);
-    let worker = WorkerStandIn::start(&fleet.store, "w-1", POOL).unwrap();
+    let worker = WorkerStandIn::start(&fleet.store, "w-1", POOL, None).unwrap();
     let caller = fleet.caller(fleet.others()[0]);
     let starts = |number| {
         wait_until("a job is accepted", || caller.submit(job(number)));
