Run passes of a scheduler together, and follow the registry by its changes

What callers saw: on the large deployment in a surge, half of all jobs started only after 1.1 s and one in twenty after 9.3 s; requests to the owner timed out.

Cause: each response of a worker, each submission and each commit ran a whole pass of the scheduler, which walks over all workers and much of the backlog: thousands of passes a second. Each reading of the registry fetched all 542 entries, up to four times a second for each of four owners, and each report of a pool made the fleet's owner walk over all machines.

Now a pass follows at least 3 ms after the one before and takes all updates together, the registry is read once and then followed by its feed, and the fleet's owner decides at most every 20 ms.

--- a/crates/cornelpoint-manager/src/fleet_host/host.rs
+++ b/crates/cornelpoint-manager/src/fleet_host/host.rs
@@ -22,6 +22,7 @@
 use slog::warn;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 use crate::clock;
 use crate::http::CallError;
@@ -39,6 +40,9 @@
 pub(crate) const FLEET_SHARD: &str = "/fleet";
 /// Longest time between decisions; a surge of load lasts only seconds.
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
+/// Shortest time between decisions. Each walks over all machines, and in a surge
+/// the pools report many times a second.
+const MIN_TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between machine listings while machines move or are maintained.
 const BUSY_LISTING_INTERVAL_MS: u64 = 400;
 /// Interval between machine listings otherwise.
@@ -126,7 +130,7 @@
         self.wake.notify_one();
     }
 
-    /// Triggers a decision at once.
+    /// Triggers a decision.
     pub(crate) fn wake(&self) {
         self.wake.notify_one();
     }
@@ -148,9 +152,10 @@
     async fn run_timers(self: Rc<Self>) {
         while !self.stopped.get() {
             self.decide();
+            let earliest = Instant::now() + MIN_TICK_INTERVAL;
             tokio::select! {
                 () = tokio::time::sleep(TICK_INTERVAL) => {}
-                () = self.wake.notified() => {}
+                () = self.wake.notified() => tokio::time::sleep_until(earliest).await,
             }
         }
     }
@@ -290,7 +295,7 @@
                     self.manager
                         .borrow_mut()
                         .machines_listed(machines, requested_ms);
-                    self.decide();
+                    self.wake();
                 }
                 None => info!(self.log, "Listing of machines failed."),
             }
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use cornelpoint::catalog::Catalog;
 use cornelpoint::inbox::InboxKey;
@@ -21,6 +20,7 @@
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
+use super::pass_delays::PassDelays;
 use super::worker_link::WorkerLink;
 use crate::clock;
 use crate::message::OwnedPool;
@@ -28,8 +28,10 @@
 use crate::node::Node;
 use crate::store::ShardWriter;
 
-/// Longest sleep between two checks for due work.
-const MAX_SLEEP: Duration = Duration::from_secs(1);
+/// Shortest time between two passes.
+const MIN_PASS_INTERVAL_MS: u64 = 3;
+/// Longest time between two passes.
+const MAX_PASS_INTERVAL_MS: u64 = 1000;
 
 /// Runs the scheduler of a pool that this process owns.
 pub(crate) struct PoolHost {
@@ -44,7 +46,7 @@
     /// When the last read that returned all rows of the inbox was sent, by the
     /// monotonic clock.
     pub(super) inbox_read_ms: Cell<u64>,
-    /// Vacated workers as of the last update; a change is reported to the fleet's
+    /// Vacated workers as of the last pass; a change is reported to the fleet's
     /// owner.
     vacated: RefCell<BTreeSet<String>>,
     pub(super) log: Logger,
@@ -53,7 +55,6 @@
     /// renews the store heartbeat.
     pub(super) heartbeat_stored_ms: Cell<u64>,
     wake: Notify,
-    next_wake_ms: Cell<u64>,
 }
 
 impl PoolHost {
@@ -77,23 +78,22 @@
             stopped: Cell::new(false),
             heartbeat_stored_ms: Cell::new(0),
             wake: Notify::new(),
-            next_wake_ms: Cell::new(0),
         }
     }
 
-    /// Applies an update to the scheduler, then carries out the resulting actions
-    /// and starts to commit the next batch. Does neither unless ownership is
-    /// confirmed.
-    pub(super) fn apply<R>(
-        self: &Rc<Self>,
-        update: impl FnOnce(&mut PoolScheduler, Instant) -> R,
-    ) -> R {
-        let now = clock::now();
+    /// Applies an update to the scheduler. What follows from it is carried out by
+    /// the next pass, together with what follows from other updates.
+    pub(super) fn apply<R>(&self, update: impl FnOnce(&mut PoolScheduler, Instant) -> R) -> R {
+        let outcome = update(&mut self.scheduler.borrow_mut(), clock::now());
+        self.wake.notify_one();
+        outcome
+    }
+
+    /// Carries out all that is due and starts to commit the next batch, unless
+    /// ownership is not confirmed. Returns when the next pass is due by the
+    /// monotonic clock.
+    fn run_pass(self: &Rc<Self>, now: Instant) -> u64 {
         let mut scheduler = self.scheduler.borrow_mut();
-        let outcome = update(&mut scheduler, now);
-        if self.stopped.get() {
-            return outcome;
-        }
         let mut actions = Vec::new();
         let mut batch = None;
         if self.is_confirmed(now) {
@@ -108,28 +108,7 @@
         let next_ms = [scheduler.next_tick_ms(now), scheduler.next_batch_ms()];
         drop(scheduler);
         for event in events {
-            match event {
-                SchedulerEvent::RunLost {
-                    task,
-                    run,
-                    worker,
-                    loss,
-                    confirmed,
-                    heard_for_ms,
-                    leaving,
-                } => info!(self.log, "Run lost."; "task" => %task, "run" => run,
-                    "worker" => worker, "how" => ?loss, "confirmed" => confirmed,
-                    "heard_for_ms" => heard_for_ms, "leaving" => leaving,
-                    "fencing_token" => self.fencing_token),
-                SchedulerEvent::TaskGivenUp {
-                    task,
-                    crashes,
-                    on_start,
-                    silent,
-                } => warn!(self.log, "Task given up: it crashes its workers.";
-                    "task" => %task, "crashes" => crashes, "on_start" => on_start,
-                    "silent" => silent, "fencing_token" => self.fencing_token),
-            }
+            self.log_event(event);
         }
         if fenced {
             warn!(self.log, "Fenced by a higher token."; "pool" => &self.pool,
@@ -137,7 +116,7 @@
             self.node
                 .stop_hosting(&self.pool, "fenced by a higher token");
             self.stop();
-            return outcome;
+            return u64::MAX;
         }
         if *self.vacated.borrow() != vacated {
             *self.vacated.borrow_mut() = vacated;
@@ -149,11 +128,32 @@
         if let Some(batch) = batch {
             spawn_local(Rc::clone(self).commit(batch));
         }
-        let next_ms = next_ms.into_iter().flatten().min().unwrap_or(u64::MAX);
-        if next_ms < self.next_wake_ms.get() {
-            self.wake.notify_one();
+        next_ms.into_iter().flatten().min().unwrap_or(u64::MAX)
+    }
+
+    fn log_event(&self, event: SchedulerEvent) {
+        match event {
+            SchedulerEvent::RunLost {
+                task,
+                run,
+                worker,
+                loss,
+                confirmed,
+                heard_for_ms,
+                leaving,
+            } => info!(self.log, "Run lost."; "task" => %task, "run" => run,
+                "worker" => worker, "how" => ?loss, "confirmed" => confirmed,
+                "heard_for_ms" => heard_for_ms, "leaving" => leaving,
+                "fencing_token" => self.fencing_token),
+            SchedulerEvent::TaskGivenUp {
+                task,
+                crashes,
+                on_start,
+                silent,
+            } => warn!(self.log, "Task given up: it crashes its workers.";
+                "task" => %task, "crashes" => crashes, "on_start" => on_start,
+                "silent" => silent, "fencing_token" => self.fencing_token),
         }
-        outcome
     }
 
     /// Whether the store has confirmed ownership recently enough to act on it.
@@ -178,23 +178,29 @@
         clock::now().steady_ms.saturating_sub(confirmed_ms)
     }
 
-    /// Runs the scheduler's timers until the host is stopped.
-    pub(super) async fn run_timers(self: Rc<Self>) {
+    /// Runs a pass whenever one is due, until the host is stopped.
+    ///
+    /// A pass walks over all workers and much of the backlog. In a surge thousands
+    /// of responses a second arrive, so a pass for each of them would take more
+    /// processor time than the orders themselves.
+    pub(super) async fn run_passes(self: Rc<Self>) {
+        let mut delays = PassDelays::default();
+        let mut due_ms = u64::MAX;
         while !self.stopped.get() {
-            self.apply(|_, _| ());
             let now = clock::now();
-            let next_ms = {
-                let scheduler = self.scheduler.borrow();
-                let next = [scheduler.next_tick_ms(now), scheduler.next_batch_ms()];
-                next.into_iter().flatten().min().unwrap_or(u64::MAX)
-            };
-            let longest = u64::try_from(MAX_SLEEP.as_millis()).unwrap_or(u64::MAX);
-            // At least 1 ms, the resolution of the timers.
-            let at_ms = next_ms.clamp(now.steady_ms + 1, now.steady_ms + longest);
-            self.next_wake_ms.set(at_ms);
+            if let Some(longest_ms) = delays.record(now.steady_ms.saturating_sub(due_ms), now) {
+                info!(self.log, "Passes are late."; "pool" => &self.pool,
+                    "longest_ms" => longest_ms);
+            }
+            let earliest_ms = now.steady_ms + MIN_PASS_INTERVAL_MS;
+            let latest_ms = now.steady_ms + MAX_PASS_INTERVAL_MS;
+            let next_ms = self.run_pass(now).clamp(earliest_ms, latest_ms);
             tokio::select! {
-                () = tokio::time::sleep(clock::until(at_ms)) => {}
-                () = self.wake.notified() => {}
+                () = tokio::time::sleep(clock::until(next_ms)) => due_ms = next_ms,
+                () = self.wake.notified() => {
+                    due_ms = earliest_ms.max(clock::now().steady_ms);
+                    tokio::time::sleep(clock::until(earliest_ms)).await;
+                }
             }
         }
     }
--- a/crates/cornelpoint-manager/src/pool_host/mod.rs
+++ b/crates/cornelpoint-manager/src/pool_host/mod.rs
@@ -5,6 +5,8 @@
 mod host;
 mod inbox;
 mod orders;
+mod pass_delays;
+mod registry_view;
 mod requests;
 mod takeover;
 mod worker_link;
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -11,7 +11,6 @@
 use cornelpoint::ownership::Recipients;
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::SchedulerSettings;
-use cornelpoint_platform::registry;
 use cornelpoint_platform::store::Rows;
 use slog::info;
 use slog::warn;
@@ -19,6 +18,7 @@
 
 use super::host::PoolHost;
 use super::inbox::restore_inbox;
+use super::registry_view::RegistryView;
 use crate::clock;
 use crate::node::Node;
 use crate::store::INBOX_TABLE;
@@ -119,7 +119,7 @@
         if let Some(predecessor) = predecessor {
             spawn_local(Rc::clone(&host).watch_predecessor(predecessor));
         }
-        spawn_local(host.run_timers());
+        spawn_local(host.run_passes());
     }
 
     /// Shortens the wait for the predecessor's leases once its process is known to
@@ -140,26 +140,23 @@
 
     /// Reads the workers' registry entries at intervals.
     async fn poll_registry(self: Rc<Self>) {
+        let mut view = RegistryView::default();
         let mut unreadable_before = 0;
         while !self.stopped.get() {
-            if let Some(rows) = self.node.store.read_all(registry::TABLE, "").await {
-                let entries: Vec<_> = rows
-                    .rows
-                    .iter()
-                    .filter_map(|row| registry::parse_entry(&row.key.key, row.value.as_deref()?))
-                    .collect();
-                let unreadable = rows.rows.len() - entries.len();
+            if view.refresh(&self.node.store).await {
+                let entries = view.entries();
+                let unreadable = view.unreadable();
                 if unreadable != unreadable_before {
                     unreadable_before = unreadable;
                     info!(self.log, "Number of unreadable registry entries changed.";
                         "pool" => &self.pool, "unreadable" => unreadable,
-                        "entries" => rows.rows.len());
+                        "entries" => entries.len());
                 }
                 let available_since_ms = self.node.store.available_since_ms();
                 let settled = clock::now().steady_ms
                     > available_since_ms.saturating_add(REGISTRY_SETTLE_MS)
                     || available_since_ms == 0;
-                self.apply(|scheduler, now| scheduler.apply_registry(&entries, settled, now));
+                self.apply(|scheduler, now| scheduler.apply_registry(entries, settled, now));
             }
             let busy = self.scheduler.borrow().load(clock::now()).wait_ms() > BUSY_THRESHOLD_MS;
             let pause = if busy {
--- a/crates/cornelpoint/src/worker/registry_entry.rs
+++ b/crates/cornelpoint/src/worker/registry_entry.rs
@@ -1,7 +1,7 @@
 use crate::job::Resources;
 
 /// A worker's entry in the platform's registry.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RegistryEntry {
     /// Identifier, which a restarted worker may keep.
     pub id: String,
