Don't contact ended workers again, and bound what an owner has in flight

Causes and changes: - The registry lists a worker for some seconds after its end, beside the new one of the same machine. Each reading ended the former one as superseded, took its entry for a new worker, called it and wrote the row of all workers. The same for one that had ended by its own answer. Such entries are passed over; silent workers without runs are called at intervals that double twice. - Thousands of orders to start were sent at once and timed out while the process handled the answers to the first. At most 160 wait for an answer at a time. An order that waited for a connection in vain says nothing about its worker: it no longer takes the worker for silent. - An owner that has answered this process within 2 s is slow, not gone. Requests without an answer are left to it: 504, or 503 if the request was not sent. - Ended incarnations are found by indexes (each reading compared each worker with each entry), steps that fit no worker without a look at each worker, load and counts from the jobs that aren't final; reports that change nothing for waiting tasks cause no placement, a penalty that ends does.

--- a/crates/cornelpoint-manager/src/edge/callers.rs
+++ b/crates/cornelpoint-manager/src/edge/callers.rs
@@ -174,6 +174,7 @@
         Ok(PoolResponse::Outdated { .. }) => (None, "owner's view outdated"),
         Ok(_) => (None, "unexpected response"),
         Err(CallError::NotSent) => (None, "request not sent"),
+        Err(CallError::Busy) => (None, "no connection free"),
         Err(CallError::NoAnswer) => (None, "no response"),
     };
     let age_ms = clock::now().steady_ms.saturating_sub(requested_ms);
--- a/crates/cornelpoint-manager/src/edge/jobs.rs
+++ b/crates/cornelpoint-manager/src/edge/jobs.rs
@@ -13,6 +13,7 @@
 use slog::info;
 
 use super::callers::rejection;
+use super::peers::is_owner_slow;
 use super::peers::request_owner;
 use crate::clock;
 use crate::http::CallError;
@@ -34,6 +35,8 @@
 /// `Retry-After` where only this process may be isolated; another one can serve
 /// the retry.
 const ISOLATED_RETRY_S: u64 = 1;
+/// `Retry-After` while the owner answers late: a surge, which passes in seconds.
+const SLOW_OWNER_RETRY_S: u64 = 2;
 /// `Retry-After` while the store is unavailable; its outages usually last
 /// seconds.
 const STORE_UNAVAILABLE_RETRY_S: u64 = 2;
@@ -76,6 +79,17 @@
             rejection(429, retry_after_ms.div_ceil(1000))
         }
         Ok(_) => reply(504, ""),
+        // The owner may still accept the job.
+        Err(CallError::NoAnswer) if is_owner_slow(node, &queue.pool) => {
+            info!(node.edge_log, "Owner slow; left the job to it."; "job" => %job,
+                "pool" => &queue.pool);
+            reply(504, "")
+        }
+        Err(CallError::Busy) if is_owner_slow(node, &queue.pool) => {
+            info!(node.edge_log, "Owner slow; job rejected."; "job" => %job,
+                "pool" => &queue.pool);
+            rejection(503, SLOW_OWNER_RETRY_S)
+        }
         Err(error) => {
             info!(node.edge_log, "Owner unreachable; submitting through its inbox."; "job" => %job,
                 "pool" => &queue.pool, "error" => %error);
@@ -91,7 +105,8 @@
     record: &JobRecord,
     owner_error: CallError,
 ) -> Reply {
-    if owner_error == CallError::NotSent && !node.store.is_available() {
+    let not_sent = owner_error != CallError::NoAnswer;
+    if not_sent && !node.store.is_available() {
         info!(node.edge_log, "Job not stored: owner and store unreachable."; "job" => %job);
         return rejection(503, ISOLATED_RETRY_S);
     }
@@ -100,7 +115,7 @@
     match stored.await {
         InboxOutcome::Stored => reply(200, ""),
         // Unless the request was not sent, the owner may have accepted the job.
-        InboxOutcome::Refused if owner_error == CallError::NotSent => {
+        InboxOutcome::Refused if not_sent => {
             info!(node.edge_log, "Job not stored: owner unreachable and write to the store failed.";
                 "job" => %job);
             rejection(503, STORE_UNAVAILABLE_RETRY_S)
--- a/crates/cornelpoint-manager/src/edge/peers.rs
+++ b/crates/cornelpoint-manager/src/edge/peers.rs
@@ -45,6 +45,19 @@
     reply(200, encode(&response))
 }
 
+/// Whether the owner of a pool has answered this process lately, so that a request
+/// without an answer shows that it is slow.
+pub(super) fn is_owner_slow(node: &Rc<Node>, pool: &str) -> bool {
+    let planner = node.planner.borrow();
+    let Some((owner, _)) = planner.owner(pool) else {
+        return false;
+    };
+    let now_ms = clock::now().steady_ms;
+    let contacts = node.owner_contacts.borrow();
+    let contact = contacts.get(&owner.address);
+    contact.is_some_and(|contact| contact.is_slow(now_ms))
+}
+
 /// Sends a request to a pool's owner, in this process or another one.
 pub(super) async fn request_owner(
     node: &Rc<Node>,
@@ -75,6 +88,11 @@
         body: encode(&request),
     };
     let answer = node.peer(&address).send(&call, timeout).await?;
+    node.owner_contacts
+        .borrow_mut()
+        .entry(address)
+        .or_default()
+        .record_answer(clock::now().steady_ms);
     match decode(&answer.body) {
         Some(PoolResponse::NotOwner) => Err(CallError::NotSent),
         Some(response) => Ok(response),
--- a/crates/cornelpoint-manager/src/fleet_host/host.rs
+++ b/crates/cornelpoint-manager/src/fleet_host/host.rs
@@ -215,7 +215,7 @@
         };
         let answer = match self.api.send(&call, CALL_TIMEOUT).await {
             Ok(answer) => fleet_api::parse_machine_answer(answer.status, &answer.body),
-            Err(CallError::NotSent) => MachineAnswer::Later,
+            Err(CallError::NotSent | CallError::Busy) => MachineAnswer::Later,
             Err(CallError::NoAnswer) => MachineAnswer::NoAnswer,
         };
         let outcome_label = match answer {
--- a/crates/cornelpoint-manager/src/http/endpoint.rs
+++ b/crates/cornelpoint-manager/src/http/endpoint.rs
@@ -85,7 +85,7 @@
         let body_deadline = deadline + body_timeout;
         let permit = timeout_at(deadline, self.permits.acquire()).await;
         let Ok(Ok(_permit)) = permit else {
-            return Err(CallError::NotSent);
+            return Err(CallError::Busy);
         };
         loop {
             let (mut sender, reused) = match self.take_idle() {
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -10,6 +10,7 @@
 use cornelpoint::catalog::Catalog;
 use cornelpoint::fleet::PoolReport;
 use cornelpoint::fleet::WaveOrder;
+use cornelpoint::inbox::OwnerContact;
 use cornelpoint::ownership::HeartbeatSchedule;
 use cornelpoint::ownership::OwnershipPlanner;
 use cornelpoint::ownership::OwnershipSettings;
@@ -83,6 +84,8 @@
     pub(super) skipped_checks: RefCell<BTreeMap<String, SkippedChecks>>,
     /// Writers of the inboxes of pools whose owners can't be reached, by pool.
     pub(crate) inbox_writers: RefCell<BTreeMap<String, Rc<InboxWriter>>>,
+    /// Connections to the owners of pools in other processes, by address.
+    pub(crate) owner_contacts: RefCell<BTreeMap<String, OwnerContact>>,
     pub(crate) peers: RefCell<HashMap<String, Rc<HttpEndpoint>>>,
     pub(crate) peer_addresses: RefCell<BTreeMap<String, (String, u64)>>,
     pub(crate) pool_statuses: RefCell<BTreeMap<String, PoolStatus>>,
@@ -133,6 +136,7 @@
             claiming: RefCell::default(),
             skipped_checks: RefCell::default(),
             inbox_writers: RefCell::default(),
+            owner_contacts: RefCell::default(),
             peers: RefCell::default(),
             peer_addresses: RefCell::default(),
             pool_statuses: RefCell::default(),
--- a/crates/cornelpoint-manager/src/pool_host/commits.rs
+++ b/crates/cornelpoint-manager/src/pool_host/commits.rs
@@ -22,6 +22,8 @@
 use crate::store::WriteOutcome;
 use crate::store::encode;
 
+/// Duration of a commit that is logged; callers wait for it.
+const SLOW_COMMIT_MS: u64 = 500;
 /// Delay after a batch whose outcome is unknown, before it is written again.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -34,7 +36,13 @@
         let written =
             self.writer
                 .write(&self.node.store, &transaction.writes, &transaction.removals);
-        let outcome = match written.await {
+        let written = written.await;
+        let took_ms = clock::now().steady_ms.saturating_sub(requested_ms);
+        if took_ms >= SLOW_COMMIT_MS {
+            info!(self.log, "Slow commit."; "pool" => &self.pool, "took_ms" => took_ms,
+                "outcome" => ?written);
+        }
+        let outcome = match written {
             WriteOutcome::Stored => {
                 self.heartbeat_stored_ms.set(requested_ms);
                 BatchOutcome::Stored
--- a/crates/cornelpoint-manager/src/pool_host/orders.rs
+++ b/crates/cornelpoint-manager/src/pool_host/orders.rs
@@ -132,6 +132,7 @@
             OrderOutcome::Done { .. } => "done",
             OrderOutcome::Rejected(_) => "rejected",
             OrderOutcome::NotSent => "not_sent",
+            OrderOutcome::Busy => "busy",
             OrderOutcome::NoAnswer => "no_answer",
         };
         ProcessMetrics::count(&self.node.metrics.starts, outcome_label);
@@ -263,6 +264,7 @@
     match endpoint.send(call, ORDER_TIMEOUT).await {
         Ok(answer) => workers::parse_order_outcome(answer.status, &answer.body),
         Err(CallError::NotSent) => OrderOutcome::NotSent,
+        Err(CallError::Busy) => OrderOutcome::Busy,
         Err(CallError::NoAnswer) => OrderOutcome::NoAnswer,
     }
 }
--- a/crates/cornelpoint-manager/src/store/store_client.rs
+++ b/crates/cornelpoint-manager/src/store/store_client.rs
@@ -152,7 +152,7 @@
                     TransactionOutcome::Unknown
                 }
             },
-            Err(CallError::NotSent) => {
+            Err(CallError::NotSent | CallError::Busy) => {
                 self.record_failure("transaction", failure, sent_ms, table, part);
                 TransactionOutcome::Refused
             }
@@ -298,6 +298,7 @@
             _ => "unexpected",
         },
         Err(CallError::NotSent) => "no connection",
+        Err(CallError::Busy) => "no connection free",
         Err(CallError::NoAnswer) => "no answer",
     }
 }
--- a/crates/cornelpoint/src/inbox/mod.rs
+++ b/crates/cornelpoint/src/inbox/mod.rs
@@ -8,8 +8,10 @@
 
 mod inbox_key;
 mod inbox_queue;
+mod owner_contact;
 
 pub use self::inbox_key::InboxKey;
 pub use self::inbox_queue::InboxOutcome;
 pub use self::inbox_queue::InboxQueue;
 pub use self::inbox_queue::InboxWriteResult;
+pub use self::owner_contact::OwnerContact;
--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -246,8 +246,7 @@
     /// Returns the smallest number of workers that satisfies each step's limit
     /// of tasks per worker, with one more for a task that has to move.
     pub(super) fn least_workers(&self) -> u32 {
-        let active = self.jobs.values().filter(|job| !job.status.is_final());
-        let steps = active.flat_map(|job| job.spec.steps.iter());
+        let steps = self.active().flat_map(|job| job.spec.steps.iter());
         let workers_needed = steps.map(|step| match step.max_per_worker {
             Some(limit) => step.replicas.div_ceil(limit.max(1)) + 1,
             None => 1,
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -6,7 +6,6 @@
 use crate::job::JobProgress;
 use crate::job::JobRecord;
 use crate::job::JobStatus;
-use crate::worker::RegistryEntry;
 
 use super::action::IncarnationIndex;
 use super::instant::Instant;
@@ -35,16 +34,6 @@
     pub machine: Option<String>,
 }
 
-impl WorkerRecord {
-    /// Whether a registry entry shows that this incarnation has ended: a
-    /// machine runs one incarnation at a time.
-    pub(super) fn is_superseded_by(&self, entry: &RegistryEntry) -> bool {
-        let same_host =
-            self.id == entry.id || (self.machine.is_some() && self.machine == entry.machine);
-        same_host && self.born_unix_ms != 0 && entry.born_unix_ms > self.born_unix_ms
-    }
-}
-
 /// Rows that the store writes atomically.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Batch {
@@ -184,6 +173,7 @@
         }
     }
 
+    /// Adds the rows of a job to a batch and returns their estimated size.
     fn add_job_rows(
         &mut self,
         id: JobId,
--- a/crates/cornelpoint/src/scheduler/completions.rs
+++ b/crates/cornelpoint/src/scheduler/completions.rs
@@ -164,6 +164,7 @@
         job.final_unix_ms = now.unix_ms;
         job.final_steady_ms = now.steady_ms;
         self.retained_final_jobs.push((now.steady_ms, id));
+        self.active_jobs.remove(&id);
         let mut active_runs = Vec::new();
         for (&occurrence, steps) in &job.occurrences {
             for (step_index, step) in steps.iter().enumerate() {
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -142,6 +142,8 @@
         };
         if status.is_final() {
             self.retained_final_jobs.push((now.steady_ms, id));
+        } else {
+            self.active_jobs.insert(id);
         }
         self.jobs.insert(id, entry);
         if !status.is_final() && progress.is_none() {
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -79,11 +79,11 @@
                         since_ms: now.steady_ms,
                     };
                 }
-                let retry_ms = now.steady_ms + self.settings.renewal_retry_ms;
+                worker.failed_renewals += 1;
+                let retry_ms = now.steady_ms + worker.retry_delay_ms(&self.settings);
                 Self::schedule_renewal(worker, retry_ms);
             }
         }
-        self.placement_needed = true;
     }
 
     fn apply_report(
@@ -106,14 +106,19 @@
             worker.entry.born_unix_ms = report.born_unix_ms;
         }
         worker.record_clock(report.clock_ms, now.steady_ms);
+        let was_on_trial = worker.is_on_trial();
         worker.end_trials();
         let was_unresponsive = worker.is_unresponsive();
+        let waited_for = self.predecessor_incarnations.remove(&worker.entry.id);
+        // Most reports change nothing that matters to waiting tasks.
+        self.placement_needed |=
+            was_unresponsive || (was_on_trial && !worker.is_on_trial()) || waited_for.is_some();
         worker.contact = Contact::Responsive;
         worker.reported_ms = now.steady_ms;
         worker.report_requested_ms = sent_ms;
         worker.lease_end_known_ms = None;
+        worker.failed_renewals = 0;
         let silenced_by = std::mem::take(&mut worker.silenced_by);
-        self.predecessor_incarnations.remove(&worker.entry.id);
         self.silence_explained(silenced_by, false, now);
         for reported in &report.running {
             self.apply_active_run(incarnation, reported, now);
--- a/crates/cornelpoint/src/scheduler/load.rs
+++ b/crates/cornelpoint/src/scheduler/load.rs
@@ -63,7 +63,7 @@
             capacity_millicores: self.usable_millicores(now),
             ..Load::default()
         };
-        for job in self.jobs.values().filter(|job| !job.status.is_final()) {
+        for job in self.active() {
             load.add(job, now);
         }
         load
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod job_entry;
 mod lease_renewal;
 mod load;
+mod newest_incarnations;
 mod objective;
 mod orders;
 mod pacing;
--- a/crates/cornelpoint/src/scheduler/orders.rs
+++ b/crates/cornelpoint/src/scheduler/orders.rs
@@ -23,11 +23,13 @@
         outcome: OrderOutcome,
         now: Instant,
     ) {
-        if let OrderOutcome::Done { clock_ms } = outcome
-            && let Some(worker) = self.incarnations.get_mut(&incarnation)
-        {
-            worker.record_clock(clock_ms, now.steady_ms);
+        if let Some(worker) = self.incarnations.get_mut(&incarnation) {
+            worker.starts_in_flight = worker.starts_in_flight.saturating_sub(1);
+            if let OrderOutcome::Done { clock_ms } = outcome {
+                worker.record_clock(clock_ms, now.steady_ms);
+            }
         }
+        self.placement_needed |= self.starts_limited;
         match outcome {
             OrderOutcome::Done { .. } => self.start_confirmed(incarnation, task, run, now),
             OrderOutcome::NoAnswer => self.start_unanswered(incarnation, task, run, now),
@@ -37,6 +39,7 @@
                 }
                 self.abandon_start(incarnation, task, run, now);
             }
+            OrderOutcome::Busy => self.abandon_start(incarnation, task, run, now),
             OrderOutcome::Rejected(rejection) => {
                 self.start_rejected(incarnation, task, run, rejection, now);
             }
@@ -183,7 +186,10 @@
             }
             OrderOutcome::Rejected(Rejection::Fence) => self.fenced = true,
             OrderOutcome::Rejected(Rejection::OtherLife) => self.end_incarnation(incarnation, now),
-            OrderOutcome::Rejected(_) | OrderOutcome::NotSent | OrderOutcome::NoAnswer => {
+            OrderOutcome::Rejected(_)
+            | OrderOutcome::NotSent
+            | OrderOutcome::Busy
+            | OrderOutcome::NoAnswer => {
                 if let Some(worker) = self.incarnations.get_mut(&incarnation) {
                     worker.renew_by(now.steady_ms + self.settings.renewal_retry_ms);
                 }
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -2,6 +2,7 @@
 use std::collections::BTreeSet;
 
 use crate::job::JobId;
+use crate::job::Resources;
 use crate::job::Step;
 use crate::job::StepId;
 use crate::job::TaskId;
@@ -142,7 +143,7 @@
 
     /// Removes a job's tasks from the placement queue, and its tickets.
     pub(super) fn remove_ready_of_job(&mut self, id: JobId) {
-        self.ready.retain(|key, _| key.step.job != id);
+        self.take_ready_of_job(id);
         self.tickets.retain(|step, _| step.job != id);
     }
 
@@ -157,17 +158,53 @@
             .chain(self.ready.keys().filter(late))
             .copied()
             .collect();
+        self.starts_limited = false;
         let mut unplaced_steps = 0;
+        let mut largest_free = self.largest_free(now);
         for key in keys {
-            if unplaced_steps >= MAX_UNPLACED_STEPS_PER_PASS {
+            if unplaced_steps >= MAX_UNPLACED_STEPS_PER_PASS || self.starts_limited {
                 break;
             }
+            if !self.may_fit(key.step, largest_free) {
+                unplaced_steps += 1;
+                continue;
+            }
             if !self.place_step(key, now) {
                 unplaced_steps += 1;
+                // Tasks that were placed have left less.
+                largest_free = self.largest_free(now);
             }
         }
     }
 
+    fn starts_in_flight(&self) -> usize {
+        let workers = self.incarnations.values();
+        workers.map(|worker| worker.starts_in_flight).sum()
+    }
+
+    /// Returns the most that any usable worker has free of each resource.
+    fn largest_free(&self, now: Instant) -> Resources {
+        let workers = self.incarnations.values();
+        let usable = workers.filter(|worker| Self::is_usable(worker, now));
+        let free = usable.map(|worker| worker.entry.capacity.minus(worker.used));
+        free.fold(Resources::default(), |largest, free| Resources {
+            cpu_millicores: largest.cpu_millicores.max(free.cpu_millicores),
+            memory_mb: largest.memory_mb.max(free.memory_mb),
+            accelerators: largest.accelerators.max(free.accelerators),
+        })
+    }
+
+    /// Whether a task of a step may fit a worker, given the most that any has free.
+    /// Under a backlog most steps don't, which this finds without a look at each
+    /// worker. Steps that need tickets request them before there is room.
+    fn may_fit(&self, step: StepId, largest_free: Resources) -> bool {
+        self.jobs.get(&step.job).is_none_or(|job| {
+            let need = job.step(step.step).reserved();
+            largest_free.fits(Resources::default(), need)
+                || self.queue_rules(&job.record).advice.is_some()
+        })
+    }
+
     /// Places the waiting tasks of a step. Returns `false` if some fit no worker
     /// or the step has no tickets.
     fn place_step(&mut self, key: ReadyKey, now: Instant) -> bool {
@@ -193,6 +230,10 @@
         }
         let mut all_placed = true;
         for index in indexes {
+            if self.starts_in_flight() >= self.settings.max_starts_in_flight {
+                self.starts_limited = true;
+                return false;
+            }
             let task = key.step.task(index);
             let suspect = self.is_suspect(task);
             let chosen = self.choose_worker(key.step, &step, needs_ticket, suspect, now);
@@ -299,6 +340,7 @@
             return;
         };
         worker.reserve(task, run, step.reserved());
+        worker.starts_in_flight += 1;
         if suspect {
             worker.begin_trial(task, run, now.steady_ms);
         }
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -43,9 +43,14 @@
     pub(super) settings: SchedulerSettings,
     pub(super) queues: BTreeMap<String, QueueRules>,
     pub(super) jobs: HashMap<JobId, JobEntry>,
+    /// Jobs that are not final. Final ones are kept for minutes, so that most jobs
+    /// are final.
+    pub(super) active_jobs: BTreeSet<JobId>,
     pub(super) incarnations: BTreeMap<IncarnationIndex, WorkerState>,
     pub(super) incarnation_of_id: HashMap<String, IncarnationIndex>,
     pub(super) next_incarnation: IncarnationIndex,
+    /// Starts of ended incarnations that the registry may still list, by worker.
+    pub(super) ended_incarnations: HashMap<String, u64>,
     pub(super) ready: BTreeMap<ReadyKey, BTreeSet<u32>>,
     pub(super) tickets: BTreeMap<StepId, Tickets>,
     /// Future occurrences by due time, in milliseconds since 1970.
@@ -65,6 +70,9 @@
     pub(super) actions: Vec<Action>,
     pub(super) events: Vec<SchedulerEvent>,
     pub(super) placement_needed: bool,
+    last_tick_ms: u64,
+    /// Whether tasks wait only until orders to start are answered.
+    pub(super) starts_limited: bool,
     pub(super) fenced: bool,
     pub(super) vacating: BTreeSet<String>,
     pub(super) retained_final_jobs: Vec<(u64, JobId)>,
@@ -110,9 +118,11 @@
             settings,
             queues: BTreeMap::new(),
             jobs: HashMap::new(),
+            active_jobs: BTreeSet::new(),
             incarnations: BTreeMap::new(),
             incarnation_of_id: HashMap::new(),
             next_incarnation: 0,
+            ended_incarnations: HashMap::new(),
             ready: BTreeMap::new(),
             tickets: BTreeMap::new(),
             scheduled_occurrences: BTreeSet::new(),
@@ -127,6 +137,8 @@
             actions: Vec::new(),
             events: Vec::new(),
             placement_needed: false,
+            last_tick_ms: 0,
+            starts_limited: false,
             fenced: false,
             vacating: BTreeSet::new(),
             retained_final_jobs: Vec::new(),
@@ -193,6 +205,8 @@
         self.release_expired_leases(now);
         self.requeue_orphaned_tasks(now);
         self.evacuate(now);
+        self.placement_needed |= self.has_served_penalty(self.last_tick_ms, now);
+        self.last_tick_ms = now.steady_ms;
         if self.placement_needed {
             self.place_ready_steps(now);
         }
@@ -262,12 +276,18 @@
     /// started.
     #[must_use]
     pub fn waiting(&self, queue: &str) -> usize {
-        let waiting = self.jobs.values().filter(|entry| {
+        let waiting = self.active().filter(|entry| {
             entry.record.queue == queue && entry.accepted && entry.status == JobStatus::Pending
         });
         waiting.count()
     }
 
+    /// Returns the jobs that are not final.
+    pub(super) fn active(&self) -> impl Iterator<Item = &JobEntry> {
+        let active = self.active_jobs.iter();
+        active.filter_map(|id| self.jobs.get(id))
+    }
+
     /// Returns the number of the next run after the highest known one.
     pub(super) fn next_run(&self, last_run: u64) -> u64 {
         let base = self.fencing_token.saturating_sub(1) * RUNS_PER_TERM;
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -1,9 +1,11 @@
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 
 use crate::worker::RegistryEntry;
 
 use super::crashes::LostRun;
 use super::instant::Instant;
+use super::newest_incarnations::NewestIncarnations;
 use super::pool_scheduler::PoolScheduler;
 use super::scheduler_event::RunLoss;
 use super::worker_state::Contact;
@@ -26,17 +28,27 @@
     /// Applies a reading of the registry. Entries of other pools only matter
     /// where they show that an incarnation known here has ended. A reading that
     /// is not `settled`, soon after an outage, says nothing about workers that
-    /// it doesn't list. Entries that claim a start in the far future are ignored.
+    /// it doesn't list. Entries that claim a start in the far future are ignored, as
+    /// are those of ended incarnations, which stay listed for some seconds.
     pub fn apply_registry(&mut self, entries: &[RegistryEntry], settled: bool, now: Instant) {
         let latest_unix_ms = now.unix_ms.saturating_add(MAX_CLOCK_ERROR_MS);
         let entries = entries.iter();
         let entries: Vec<&RegistryEntry> = entries
             .filter(|entry| entry.born_unix_ms <= latest_unix_ms)
             .collect();
-        let entries = entries.as_slice();
+        let newest = NewestIncarnations::new(&entries);
         let mut listed = BTreeSet::new();
-        self.end_superseded_incarnations(entries, now);
+        self.end_superseded_incarnations(&newest, now);
+        let listed_ids: HashSet<&str> = entries.iter().map(|entry| entry.id.as_str()).collect();
+        self.ended_incarnations
+            .retain(|id, _| listed_ids.contains(id.as_str()));
         for entry in entries {
+            let superseded =
+                newest.supersede(&entry.id, entry.machine.as_deref(), entry.born_unix_ms);
+            let ended = self.ended_incarnations.get(&entry.id) == Some(&entry.born_unix_ms);
+            if superseded || ended {
+                continue;
+            }
             let known = self.incarnation_of_id.get(&entry.id).copied();
             let same = known
                 .filter(|incarnation| self.is_same_incarnation(*incarnation, entry.born_unix_ms));
@@ -65,12 +77,13 @@
     }
 
     /// Ends the incarnations whose machines have started newer ones.
-    fn end_superseded_incarnations(&mut self, entries: &[&RegistryEntry], now: Instant) {
-        self.predecessor_incarnations
-            .retain(|_, record| !entries.iter().any(|entry| record.is_superseded_by(entry)));
+    fn end_superseded_incarnations(&mut self, newest: &NewestIncarnations<'_>, now: Instant) {
+        self.predecessor_incarnations.retain(|id, record| {
+            !newest.supersede(id, record.machine.as_deref(), record.born_unix_ms)
+        });
         let superseded = self.incarnations.iter().filter(|(_, worker)| {
-            let record = worker.record();
-            entries.iter().any(|entry| record.is_superseded_by(entry))
+            let WorkerState { entry, .. } = worker;
+            newest.supersede(&entry.id, entry.machine.as_deref(), entry.born_unix_ms)
         });
         let superseded: Vec<u32> = superseded.map(|(&incarnation, _)| incarnation).collect();
         for incarnation in superseded {
@@ -116,6 +129,10 @@
             return;
         };
         self.predecessor_incarnations.remove(&worker.entry.id);
+        if worker.entry.born_unix_ms != 0 {
+            self.ended_incarnations
+                .insert(worker.entry.id.clone(), worker.entry.born_unix_ms);
+        }
         let crashed = !worker.is_leaving();
         let silenced_by = std::mem::take(&mut worker.silenced_by);
         let lost = self.remove_incarnation(incarnation, now);
@@ -247,6 +264,13 @@
         penalties.filter(|&until_ms| until_ms > now.steady_ms).min()
     }
 
+    /// Whether a worker may get tasks again whose penalty ended after `since_ms`.
+    pub(super) fn has_served_penalty(&self, since_ms: u64, now: Instant) -> bool {
+        let workers = self.incarnations.values();
+        let mut penalties = workers.map(|worker| worker.penalty_until_ms);
+        penalties.any(|until_ms| since_ms < until_ms && until_ms <= now.steady_ms)
+    }
+
     pub(super) fn needs_renewal(worker: &WorkerState) -> bool {
         !worker.runs.is_empty()
             || worker.contact == Contact::Unknown
--- a/crates/cornelpoint/src/scheduler/settings.rs
+++ b/crates/cornelpoint/src/scheduler/settings.rs
@@ -19,6 +19,10 @@
     pub batch_wait_ms: u64,
     /// Time for which the status of a final job is kept.
     pub status_kept_ms: u64,
+    /// Largest number of orders to start that wait for an answer at the same time.
+    /// In a surge thousands of tasks become ready at once; their orders would time
+    /// out while the process is busy with the answers to the first ones.
+    pub max_starts_in_flight: usize,
     /// Time for which a worker that failed a start gets no new tasks.
     pub start_penalty_ms: u64,
 }
@@ -40,6 +44,8 @@
             stop_repeat_ms: 400,
             batch_wait_ms: 25,
             status_kept_ms: 120_000,
+            // An eighth of a core handles as many within half the timeout of an order.
+            max_starts_in_flight: 160,
             start_penalty_ms: 1000,
         }
     }
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -8,6 +8,7 @@
 use super::batch::WorkerRecord;
 use super::crashes::LostRun;
 use super::crashes::ON_START_MS;
+use super::settings::SchedulerSettings;
 
 /// Largest rate error of a slow worker clock, in thousandths, as specified by
 /// the platform (20).
@@ -16,6 +17,9 @@
 /// runs.
 const LEASE_MARGIN_MS: u64 = 100;
 
+/// How often the delay between unanswered lease renewals doubles at most.
+const MAX_RETRY_DOUBLINGS: u32 = 2;
+
 /// State of one incarnation of a worker, as known to the scheduler.
 #[derive(Clone, Debug)]
 pub(super) struct WorkerState {
@@ -36,6 +40,8 @@
     /// Completions up to this sequence number are stored.
     pub(super) stored_completion: u64,
     pub(super) renewal: Renewal,
+    /// Orders to start that have not been answered yet.
+    pub(super) starts_in_flight: usize,
     pub(super) penalty_until_ms: u64,
     /// Runs that failed in a row.
     pub(super) consecutive_failures: u32,
@@ -52,6 +58,8 @@
     pub(super) report_requested_ms: u64,
     /// When the latest lease renewal without an answer was sent.
     pub(super) failed_renewal_sent_ms: u64,
+    /// Lease renewals without an answer since the latest report.
+    pub(super) failed_renewals: u32,
     /// When its lease was first found expired, with ownership of the pool
     /// confirmed after the expiry.
     pub(super) lease_end_known_ms: Option<u64>,
@@ -106,6 +114,7 @@
             applied_completion: 0,
             stored_completion: 0,
             renewal: Renewal::Due { at_ms: 0 },
+            starts_in_flight: 0,
             penalty_until_ms: 0,
             consecutive_failures: 0,
             recorded: false,
@@ -115,6 +124,7 @@
             reported_ms: 0,
             report_requested_ms: 0,
             failed_renewal_sent_ms: 0,
+            failed_renewals: 0,
             lease_end_known_ms: None,
             silenced_by: Vec::new(),
             trials: BTreeMap::new(),
@@ -169,6 +179,20 @@
         Some(deadline)
     }
 
+    /// Returns the delay before the next lease renewal of a worker that did not
+    /// answer. While nothing runs there it doubles with each failure: after a wave
+    /// of moves or a lost rack, the registry lists many workers that have ended.
+    pub(super) fn retry_delay_ms(&self, settings: &SchedulerSettings) -> u64 {
+        if !self.runs.is_empty() {
+            return settings.renewal_retry_ms;
+        }
+        let doublings = self
+            .failed_renewals
+            .saturating_sub(1)
+            .min(MAX_RETRY_DOUBLINGS);
+        settings.renewal_retry_ms << doublings
+    }
+
     /// Returns the local time by which all runs ordered here have certainly
     /// ended.
     pub(super) fn leases_end_ms(&self) -> u64 {
--- a/crates/cornelpoint/src/worker/order_outcome.rs
+++ b/crates/cornelpoint/src/worker/order_outcome.rs
@@ -10,6 +10,9 @@
     Rejected(Rejection),
     /// The order never reached the worker.
     NotSent,
+    /// The same, since this process had no connection free. Says nothing about the
+    /// worker.
+    Busy,
     /// There was no usable answer; the order may be carried out, also later.
     NoAnswer,
 }
--- a/crates/cornelpoint/tests/scheduler/decisions.rs
+++ b/crates/cornelpoint/tests/scheduler/decisions.rs
@@ -28,13 +28,7 @@
 use crate::support::starts;
 use crate::support::step;
 use crate::support::store_batches;
-
-fn submit(scheduler: &mut PoolScheduler, number: u64, steps: Vec<RawStep>, now_ms: u64) {
-    let (record, spec) = job(steps);
-    let answer = scheduler.submit(job_id(number), record, spec, at(now_ms));
-    assert_eq!(answer, SubmitAnswer::Storing);
-    store_batches(scheduler, now_ms);
-}
+use crate::support::submit;
 
 fn report(now_ms: u64) -> WorkerReport {
     WorkerReport {
--- /dev/null
+++ b/crates/cornelpoint/tests/scheduler/ended_workers.rs
@@ -0,0 +1,94 @@
+//! Workers that have ended and are still listed in the registry.
+
+use cornelpoint::scheduler::Action;
+use cornelpoint::scheduler::PoolScheduler;
+use cornelpoint::scheduler::RenewalFailure;
+use cornelpoint::worker::RegistryEntry;
+
+use crate::support::at;
+use crate::support::entry;
+use crate::support::ready_scheduler;
+use crate::support::store_batches;
+
+/// Returns the workers to which lease renewals are sent now.
+fn renewed(scheduler: &mut PoolScheduler, now_ms: u64) -> Vec<String> {
+    scheduler.confirm_ownership(now_ms);
+    scheduler.tick(at(now_ms));
+    let actions = scheduler.take_actions();
+    let renewed = actions.into_iter().filter_map(|action| match action {
+        Action::RenewLease { incarnation, .. } => Some(incarnation),
+        _ => None,
+    });
+    let renewed: Vec<u32> = renewed.collect();
+    let workers = renewed
+        .into_iter()
+        .map(|incarnation| scheduler.worker_address(incarnation).unwrap().1.to_owned());
+    workers.collect()
+}
+
+/// Lets all lease renewals fail that are due until `until_ms`; returns their number.
+fn failed_renewals(scheduler: &mut PoolScheduler, from_ms: u64, until_ms: u64) -> usize {
+    let mut count = 0;
+    for now_ms in (from_ms..until_ms).step_by(10) {
+        scheduler.confirm_ownership(now_ms);
+        scheduler.tick(at(now_ms));
+        for action in scheduler.take_actions() {
+            if let Action::RenewLease { incarnation, .. } = action {
+                count += 1;
+                let failure = Err(RenewalFailure::NoAnswer);
+                scheduler.renewal_replied(incarnation, failure, at(now_ms));
+            }
+        }
+    }
+    count
+}
+
+/// Replays a wave of moves: the registry lists the former worker of each machine
+/// for some seconds beside its new one. Each reading took the former ones for new
+/// workers, so that an owner tried to reach hundreds of ended workers four times a
+/// second.
+#[test]
+fn former_workers_of_machines_are_not_contacted_again() {
+    let ids: Vec<String> = (0..40).map(|number| format!("w{number}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut scheduler = ready_scheduler(&ids);
+    let former = ids.iter().map(|id| entry(id, 5));
+    let moved = ids.iter().map(|id| RegistryEntry {
+        pool: "design".to_owned(),
+        machine: Some(format!("machine-{id}")),
+        ..entry(&format!("new-{id}"), 900)
+    });
+    let listed: Vec<RegistryEntry> = former.chain(moved).collect();
+    for now_ms in (1000..5000).step_by(250) {
+        scheduler.apply_registry(&listed, true, at(now_ms));
+        store_batches(&mut scheduler, now_ms);
+        assert_eq!(renewed(&mut scheduler, now_ms), [""; 0], "{now_ms} ms");
+    }
+}
+
+/// Guards against repeated calls to an address at which another incarnation
+/// answers, until the registry lists that one.
+#[test]
+fn an_ended_incarnation_is_not_contacted_again_while_it_is_listed() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    let other = Err(RenewalFailure::OtherIncarnation);
+    scheduler.renewal_replied(0, other, at(200));
+    for now_ms in (250..4000).step_by(250) {
+        scheduler.apply_registry(&[entry("w1", 5)], true, at(now_ms));
+        store_batches(&mut scheduler, now_ms);
+        assert_eq!(renewed(&mut scheduler, now_ms), [""; 0], "{now_ms} ms");
+    }
+    scheduler.apply_registry(&[entry("w1", 4100)], true, at(4200));
+    store_batches(&mut scheduler, 4200);
+    assert_eq!(renewed(&mut scheduler, 4200), ["w1"]);
+}
+
+/// A worker that has crashed stays listed for some seconds; while nothing runs
+/// there, few calls find out whether it is back.
+#[test]
+fn silent_workers_without_runs_are_contacted_at_growing_intervals() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    scheduler.renewal_replied(0, Err(RenewalFailure::NoAnswer), at(200));
+    let count = failed_renewals(&mut scheduler, 200, 5000);
+    assert!((4..=6).contains(&count), "{count} calls");
+}
--- a/crates/cornelpoint/tests/scheduler/support.rs
+++ b/crates/cornelpoint/tests/scheduler/support.rs
@@ -12,6 +12,7 @@
 use cornelpoint::scheduler::Instant;
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::SchedulerSettings;
+use cornelpoint::scheduler::SubmitAnswer;
 use cornelpoint::worker::RegistryEntry;
 use cornelpoint::worker::WorkerReport;
 
@@ -108,6 +109,14 @@
     scheduler
 }
 
+/// Submits a job, which is accepted and stored.
+pub(crate) fn submit(scheduler: &mut PoolScheduler, number: u64, steps: Vec<RawStep>, now_ms: u64) {
+    let (record, spec) = job(steps);
+    let answer = scheduler.submit(job_id(number), record, spec, at(now_ms));
+    assert_eq!(answer, SubmitAnswer::Storing);
+    store_batches(scheduler, now_ms);
+}
+
 /// Confirms all pending batches as stored.
 pub(crate) fn store_batches(scheduler: &mut PoolScheduler, now_ms: u64) {
     for round in 0..8 {
