Let late work hold no machine that a surge of another pool needs

What callers saw: on the large deployment the pool of a beginning surge got no machine for 0.8 s and few for two more, while the pool of the last surge still held four hundred for jobs that were late.

Cause: the need of a pool counted its late work, so that it had no surplus; its tasks of some seconds ended before their machines left. Now work in time comes first: late work gets spare and idle machines only. A vacated worker stops runs of late jobs that resume from where they were, and workers with such runs are offered first. New workers are looked for every 120 ms in a surge, by the registry's changes.

Tests: `late_work_holds_no_machine_that_a_surge_needs` (9 machines before, the 17 that it lacks now), `vacating` (two of four fail before).

--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -34,7 +34,7 @@
 /// two seconds have passed since it announced that it leaves.
 const REGISTRY_INTERVAL: Duration = Duration::from_millis(700);
 /// Interval while accepted work waits, so that new workers are found sooner.
-const BUSY_REGISTRY_INTERVAL: Duration = Duration::from_millis(250);
+const BUSY_REGISTRY_INTERVAL: Duration = Duration::from_millis(120);
 /// Estimated wait of the accepted work above which the pool counts as busy.
 const BUSY_THRESHOLD_MS: u64 = 300;
 /// Time after a store outage within which workers restore their entries.
--- a/crates/cornelpoint/src/fleet/moves.rs
+++ b/crates/cornelpoint/src/fleet/moves.rs
@@ -28,6 +28,24 @@
 /// start are listed as down at first.
 const RESTART_GRACE_MS: u64 = 6000;
 
+/// Work for which a pool needs machines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Work {
+    /// Work of jobs that can meet their objective.
+    InTime,
+    /// The same, and that of late jobs.
+    All,
+}
+
+impl Work {
+    fn wanted_millicores(self, report: &PoolReport, within_ms: u64) -> u64 {
+        match self {
+            Self::InTime => report.wanted_in_time_millicores(within_ms),
+            Self::All => report.wanted_millicores(within_ms),
+        }
+    }
+}
+
 impl PoolReport {
     /// Returns the time to complete the backlog with all the capacity that
     /// long-running tasks leave.
@@ -39,14 +57,20 @@
         self.backlog_core_ms * 1000 / free.max(1)
     }
 
-    /// Returns the CPU that the pool needs: enough to complete the backlog and
-    /// the recently rejected work within `within_ms` or to keep up with incoming
-    /// work, whichever is more, beside its long-running tasks and late work.
-    fn wanted_millicores(&self, within_ms: u64) -> u64 {
+    /// Returns the CPU that the pool needs beside its late work: enough to complete
+    /// the backlog and the recently rejected work within `within_ms` or to keep up
+    /// with incoming work, whichever is more, beside its long-running tasks.
+    fn wanted_in_time_millicores(&self, within_ms: u64) -> u64 {
         let work = self.backlog_core_ms + self.refused_core_ms;
-        let late = self.late_core_ms * 1000 / LATE_BACKLOG_TARGET_MS;
         let waiting = work * 1000 / within_ms.max(1);
-        self.lasting_millicores + late + waiting.max(self.offered_millicores)
+        self.lasting_millicores + waiting.max(self.offered_millicores)
+    }
+
+    /// Returns the CPU that the pool can use: what it needs, and enough for its late
+    /// work.
+    fn wanted_millicores(&self, within_ms: u64) -> u64 {
+        let late = self.late_core_ms * 1000 / LATE_BACKLOG_TARGET_MS;
+        self.wanted_in_time_millicores(within_ms) + late
     }
 }
 
@@ -57,7 +81,9 @@
     ///
     /// Surges hit the queues in turn and reach several times the mean load for
     /// some seconds. A machine that serves a surge is worth many times what an
-    /// idle one costs, so machines move to a surge at once and return late.
+    /// idle one costs, so machines move to a surge at once and return late. One
+    /// surge begins while jobs of the last one are late: they are worth little, and
+    /// hold no machine that work in time needs.
     pub(super) fn plan_moves(&mut self, now_ms: u64) {
         let Some(spare) = self.spare_pool.clone() else {
             return;
@@ -68,31 +94,48 @@
         }
         let shares = self.shares(&spare, machine_millicores, now_ms);
         self.track_load(&shares, machine_millicores, now_ms);
-        let mut needs: Vec<(u64, String)> = self
-            .reports
-            .iter()
-            .filter(|(pool, _)| **pool != spare)
-            .filter_map(|(pool, entry)| {
-                let fresh = entry.received_ms + self.settings.max_report_age_ms >= now_ms;
-                let mut need = self.machines_needed(pool, &entry.report, machine_millicores);
-                if let Some(share) = shares.get(pool) {
-                    let have = entry.report.capacity_millicores / machine_millicores;
-                    need = need.min(share.saturating_sub(have + self.incoming(pool)));
-                }
-                (fresh && need > 0).then(|| (need, pool.clone()))
-            })
-            .collect();
-        needs.sort_unstable_by(|left, right| right.cmp(left));
-        for (need, pool) in &needs {
+        let in_time = self.needs(Work::InTime, &spare, &shares, now_ms);
+        for (need, pool) in &in_time {
             let left = need - self.assign_spares(pool, *need, &spare, now_ms);
-            self.vacate_surplus(pool, left, &shares, machine_millicores, now_ms);
+            self.vacate_surplus(pool, left, Work::InTime, &shares, now_ms);
         }
-        if needs.is_empty() {
+        let all = self.needs(Work::All, &spare, &shares, now_ms);
+        if in_time.is_empty() {
+            for (need, pool) in &all {
+                let left = need - self.assign_spares(pool, *need, &spare, now_ms);
+                self.vacate_surplus(pool, left, Work::All, &shares, now_ms);
+            }
+        }
+        if all.is_empty() {
             self.balance(machine_millicores, now_ms);
             self.return_idle(&spare, machine_millicores, now_ms);
         }
     }
 
+    /// Returns the machines that pools lack for their work, most first.
+    fn needs(
+        &self,
+        work: Work,
+        spare: &str,
+        shares: &BTreeMap<String, u64>,
+        now_ms: u64,
+    ) -> Vec<(u64, String)> {
+        let machine_millicores = self.machine_millicores().max(1);
+        let pools = self.reports.iter().filter(|(pool, _)| *pool != spare);
+        let needs = pools.filter_map(|(pool, entry)| {
+            let fresh = entry.received_ms + self.settings.max_report_age_ms >= now_ms;
+            let mut need = self.machines_needed(pool, &entry.report, work);
+            if let Some(share) = shares.get(pool) {
+                let have = entry.report.capacity_millicores / machine_millicores;
+                need = need.min(share.saturating_sub(have + self.incoming(pool)));
+            }
+            (fresh && need > 0).then(|| (need, pool.clone()))
+        });
+        let mut needs: Vec<(u64, String)> = needs.collect();
+        needs.sort_unstable_by(|left, right| right.cmp(left));
+        needs
+    }
+
     /// Returns each pool's share of the machines while the pools want more
     /// machines than there are; empty otherwise.
     fn shares(&self, spare: &str, machine_millicores: u64, now_ms: u64) -> BTreeMap<String, u64> {
@@ -105,7 +148,7 @@
             .map(|(pool, entry)| {
                 let report = &entry.report;
                 let lasting = report.lasting_millicores.div_ceil(machine_millicores);
-                let wanted = report.wanted_millicores(self.settings.backlog_target_ms);
+                let wanted = report.wanted_in_time_millicores(self.settings.backlog_target_ms);
                 let demand = Demand {
                     floor: lasting.max(u64::from(report.least_workers)),
                     wanted: wanted.div_ceil(machine_millicores),
@@ -133,8 +176,9 @@
 
     /// Returns the number of machines that a pool lacks, not counting those
     /// already on their way to it.
-    fn machines_needed(&self, pool: &str, report: &PoolReport, machine_millicores: u64) -> u64 {
-        let wanted = report.wanted_millicores(self.settings.backlog_target_ms);
+    fn machines_needed(&self, pool: &str, report: &PoolReport, work: Work) -> u64 {
+        let machine_millicores = self.machine_millicores().max(1);
+        let wanted = work.wanted_millicores(report, self.settings.backlog_target_ms);
         let lacking = wanted.saturating_sub(report.capacity_millicores);
         let for_load = (lacking + machine_millicores / 2) / machine_millicores;
         // A pool with machines due for maintenance needs one more, to which
@@ -169,10 +213,11 @@
         &mut self,
         to: &str,
         need: u64,
+        work: Work,
         shares: &BTreeMap<String, u64>,
-        machine_millicores: u64,
         now_ms: u64,
     ) {
+        let machine_millicores = self.machine_millicores().max(1);
         let mut need = usize::try_from(need).unwrap_or(usize::MAX);
         let mut donors: Vec<(usize, String)> = self
             .reports
@@ -183,7 +228,7 @@
             .map(|(pool, _)| {
                 let surplus = match shares.get(pool) {
                     Some(&share) => self.excess_over_share(pool, share, machine_millicores),
-                    None => self.surplus(pool, machine_millicores),
+                    None => self.surplus(pool, work, machine_millicores),
                 };
                 (surplus, pool.clone())
             })
@@ -225,7 +270,7 @@
             return;
         }
         let count = usize::try_from(gap / 2).unwrap_or(usize::MAX);
-        let count = count.min(self.surplus(donor, machine_millicores));
+        let count = count.min(self.surplus(donor, Work::All, machine_millicores));
         self.vacate_cheapest(donor, receiver, count);
     }
 
@@ -270,12 +315,12 @@
     /// Returns the number of machines that a pool can give up, beside those that
     /// it is giving up already: what is left after its work, its minimum number
     /// of workers and a reserve for the next surge.
-    fn surplus(&self, pool: &str, machine_millicores: u64) -> usize {
+    fn surplus(&self, pool: &str, work: Work, machine_millicores: u64) -> usize {
         let Some(entry) = self.reports.get(pool) else {
             return 0;
         };
         let report = &entry.report;
-        let wanted = report.wanted_millicores(self.settings.backlog_target_ms);
+        let wanted = work.wanted_millicores(report, self.settings.backlog_target_ms);
         let free = report.capacity_millicores.saturating_sub(wanted) / machine_millicores;
         let free = usize::try_from(free).unwrap_or(usize::MAX);
         let removable = report.workers.saturating_sub(report.least_workers) as usize;
@@ -313,6 +358,8 @@
         for (pool, entry) in &mut self.reports {
             let wanted = entry.report.wanted_millicores(within_ms) + machine_millicores * 2;
             let has_surplus = wanted <= entry.report.capacity_millicores;
+            let in_time = entry.report.wanted_in_time_millicores(within_ms);
+            let is_short = in_time + machine_millicores * 2 > entry.report.capacity_millicores;
             entry.surplus_since_ms = match (has_surplus, entry.surplus_since_ms) {
                 (false, _) => None,
                 (true, None) => Some(now_ms),
@@ -320,7 +367,7 @@
             };
             let have = entry.report.capacity_millicores / machine_millicores;
             let has_share = shares.get(pool).is_some_and(|&share| have >= share);
-            if !has_surplus && !has_share {
+            if is_short && !has_share {
                 short_of_capacity.push(pool.clone());
             }
             if entry.report.workers + 1 < entry.report.least_workers {
@@ -377,7 +424,7 @@
                 .max_vacating_per_pool
                 .saturating_sub(vacating.count());
             let count = self
-                .surplus(&pool, machine_millicores)
+                .surplus(&pool, Work::All, machine_millicores)
                 .min(beyond)
                 .min(more);
             self.vacate_cheapest(&pool, spare, count);
--- a/crates/cornelpoint/src/scheduler/evacuation.rs
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeSet;
+use std::collections::HashSet;
 
+use crate::job::JobId;
 use crate::job::TaskId;
 
 use super::instant::Instant;
@@ -51,15 +53,27 @@
             .incarnations
             .values()
             .filter(|worker| Self::is_usable(worker, now));
-        let mut costs: Vec<(usize, usize, &str)> = usable
+        let active = self.active_jobs.iter();
+        let late: HashSet<JobId> = active
+            .filter(|id| {
+                let job = self.jobs.get(*id);
+                job.is_some_and(|job| job.misses_objective(now.steady_ms))
+            })
+            .copied()
+            .collect();
+        let mut costs: Vec<(usize, usize, usize, &str)> = usable
             .map(|worker| {
                 let long_running_count = worker
                     .runs
                     .keys()
                     .filter(|(task, _)| self.is_long_running(*task))
                     .count();
+                let waiting = worker.runs.keys().filter(|(task, run)| {
+                    late.contains(&task.step.job) && self.resumes(*task, *run)
+                });
                 (
                     long_running_count,
+                    worker.runs.len() - waiting.count(),
                     worker.runs.len(),
                     worker.entry.id.as_str(),
                 )
@@ -67,7 +81,7 @@
             .collect();
         costs.sort_unstable();
         let cheapest = costs.into_iter().take(MAX_CHEAPEST_WORKERS);
-        cheapest.map(|(_, _, id)| id.to_owned()).collect()
+        cheapest.map(|(_, _, _, id)| id.to_owned()).collect()
     }
 
     fn is_long_running(&self, task: TaskId) -> bool {
@@ -100,12 +114,30 @@
             })
             .collect();
         for (task, run, draining) in runs {
-            if self.may_move(task, run, draining, now) {
+            if self.may_move(task, run, draining, now) || self.may_wait(task, run, now) {
                 self.stop_run(task, run, now);
             }
         }
     }
 
+    /// Whether a run may be stopped since its job is late anyway and it resumes from
+    /// where it was. Its machine then serves a surge sooner.
+    fn may_wait(&self, id: TaskId, number: u64, now: Instant) -> bool {
+        let job = self.jobs.get(&id.step.job);
+        job.is_some_and(|job| job.misses_objective(now.steady_ms)) && self.resumes(id, number)
+    }
+
+    /// Whether a run is active and, if stopped, resumes from where it was.
+    fn resumes(&self, id: TaskId, number: u64) -> bool {
+        let Some(job) = self.jobs.get(&id.step.job) else {
+            return false;
+        };
+        let step = job.step(id.step.step);
+        let run = job.task(id).and_then(|task| task.run(number));
+        let running = run.is_some_and(|run| matches!(run.phase, Phase::Running { .. }));
+        running && step.saves_progress && !step.gang
+    }
+
     fn may_move(&self, id: TaskId, number: u64, draining: bool, now: Instant) -> bool {
         let Some(job) = self.jobs.get(&id.step.job) else {
             return false;
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -45,8 +45,10 @@
                 incarnation,
                 acknowledged: worker.stored_completion,
                 deadline_clock_ms,
-                wait_ms: match (waits, worker.is_on_trial()) {
+                wait_ms: match (waits, worker.is_on_trial() || worker.warms_up) {
                     (false, _) => 0,
+                    // Both a trial and a task that lasts are over or at full speed
+                    // within a fraction of a second.
                     (true, true) => renewal_wait_ms.min(ON_START_MS),
                     (true, false) => renewal_wait_ms,
                 },
@@ -123,6 +125,10 @@
         for reported in &report.running {
             self.apply_active_run(incarnation, reported, now);
         }
+        let warms_up = report.running.iter().any(|run| self.is_warming_up(run));
+        if let Some(worker) = self.incarnations.get_mut(&incarnation) {
+            worker.warms_up = warms_up;
+        }
         for completion in &report.completions {
             self.apply_completion(incarnation, completion, now);
         }
@@ -231,6 +237,14 @@
         }
     }
 
+    /// Whether a run of a task that lasts is not at full speed yet. Until it is
+    /// reported at full speed, no other task of its step may be moved.
+    fn is_warming_up(&self, reported: &ActiveRun) -> bool {
+        let job = self.jobs.get(&reported.task.step.job);
+        let step = job.and_then(|job| job.spec.steps.get(usize::from(reported.task.step.step)));
+        reported.speed_percent < 100 && step.is_some_and(|step| step.long_running)
+    }
+
     fn stop_unwanted_run(
         &mut self,
         incarnation: IncarnationIndex,
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -22,6 +22,10 @@
 const MAX_RETRY_DOUBLINGS: u32 = 2;
 
 /// State of one incarnation of a worker, as known to the scheduler.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the properties are independent"
+)]
 #[derive(Clone, Debug)]
 pub(super) struct WorkerState {
     pub(super) entry: RegistryEntry,
@@ -44,6 +48,8 @@
     /// one in a report, and the number of changes of jobs up to it.
     pub(super) unstored_completions: VecDeque<(u64, u64)>,
     pub(super) renewal: Renewal,
+    /// Whether a task that lasts is not at full speed there yet.
+    pub(super) warms_up: bool,
     /// Orders to start that have not been answered yet.
     pub(super) starts_in_flight: usize,
     pub(super) penalty_until_ms: u64,
@@ -119,6 +125,7 @@
             stored_completion: 0,
             unstored_completions: VecDeque::new(),
             renewal: Renewal::Due { at_ms: 0 },
+            warms_up: false,
             starts_in_flight: 0,
             penalty_until_ms: 0,
             consecutive_failures: 0,
--- a/crates/cornelpoint/tests/fleet.rs
+++ b/crates/cornelpoint/tests/fleet.rs
@@ -241,3 +241,38 @@
     manager.tick(10);
     assert_eq!(manager.to_vacate(), BTreeSet::new());
 }
+
+/// The surge of the first pool has passed and left jobs that are late, when the surge
+/// of the second one begins. Guards against late work, which is worth little, that
+/// keeps all machines of its pool.
+#[test]
+fn late_work_holds_no_machine_that_a_surge_needs() {
+    let mut machines = Vec::new();
+    for (pool, count) in [("compliance", 25), ("quoting", 3)] {
+        let names = (0..count).map(|number| format!("{pool}-{number}"));
+        machines.extend(names.map(|name| machine(&name, pool, MachineState::Up)));
+    }
+    let report = |workers: u32, pool: &str| PoolReport {
+        capacity_millicores: u64::from(workers) * 32_000,
+        workers,
+        least_workers: 3,
+        cheapest: (0..workers).map(|n| format!("worker-{pool}-{n}")).collect(),
+        ..PoolReport::default()
+    };
+    let late = PoolReport {
+        late_core_ms: 25 * 32_000 * 4,
+        ..report(25, "compliance")
+    };
+    let surge = PoolReport {
+        offered_millicores: 20 * 32_000,
+        ..report(3, "quoting")
+    };
+    let mut manager = manager(machines);
+    manager.pool_reported("compliance", &late, 0);
+    manager.pool_reported("quoting", &report(3, "quoting"), 0);
+    manager.tick(10);
+    assert_eq!(manager.to_vacate(), BTreeSet::new(), "no surge");
+    manager.pool_reported("quoting", &surge, 20);
+    manager.tick(30);
+    assert_eq!(manager.to_vacate().len(), 17);
+}
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -16,4 +16,5 @@
 mod step_kinds;
 mod support;
 mod surge;
+mod vacating;
 mod world;
