--- a/crates/cornelpoint-manager/src/pool_host/requests.rs
+++ b/crates/cornelpoint-manager/src/pool_host/requests.rs
@@ -60,7 +60,8 @@
             }
             SubmitAnswer::Rejected { retry_after_ms } => {
                 self.node.report_load();
-                let load = self.scheduler.borrow().load(crate::clock::now());
+                let mut scheduler = self.scheduler.borrow_mut();
+                let load = scheduler.recent_load(crate::clock::now());
                 info!(self.log, "Job rejected."; "job" => %id, "queue" => queue,
                     "wait_ms" => load.wait_ms(), "backlog_core_ms" => load.backlog_core_ms,
                     "retry_after_ms" => retry_after_ms);
--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -103,7 +103,7 @@
     /// path. Scheduled and long-running jobs are always admitted if they fit a
     /// worker: a long-running job is useful whenever it starts.
     pub(super) fn rejection_retry_after_ms(
-        &self,
+        &mut self,
         id: JobId,
         record: &JobRecord,
         spec: &JobSpec,
@@ -115,7 +115,7 @@
         if spec.is_long_running() || spec.schedule.is_some() {
             return None;
         }
-        let mut load = self.load(now);
+        let mut load = self.recent_load(now);
         if load.capacity_millicores == 0 {
             // Machines are already being moved to a pool that has none.
             load.capacity_millicores = ASSUMED_CAPACITY_MILLICORES;
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -312,6 +312,9 @@
                 worker.renew_by(now.steady_ms);
             }
         }
+        if !in_flight.incarnations.is_empty() {
+            self.recent_load = None;
+        }
         for incarnation in in_flight.incarnations {
             if let Some(worker) = self.incarnations.get_mut(&incarnation) {
                 worker.recorded = true;
--- a/crates/cornelpoint/src/scheduler/evacuation.rs
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -25,6 +25,7 @@
             return;
         }
         self.vacating.clone_from(workers);
+        self.recent_load = None;
         for worker in self.incarnations.values_mut() {
             let vacating = workers.contains(&worker.entry.id);
             if worker.vacating && !vacating {
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -61,6 +61,7 @@
             return SubmitAnswer::Rejected { retry_after_ms };
         }
         self.insert_job(id, record, spec, None, now);
+        self.add_to_recent_load(id, now);
         self.unstored.insert(id, Urgency::Awaited);
         self.urgent = true;
         self.apply_earlier_cancellation(id, now);
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -111,6 +111,9 @@
         let was_on_trial = worker.is_on_trial();
         worker.end_trials();
         let was_unresponsive = worker.is_unresponsive();
+        if was_unresponsive {
+            self.recent_load = None;
+        }
         let waited_for = self.predecessor_incarnations.remove(&worker.entry.id);
         // Most reports change nothing that matters to waiting tasks.
         self.placement_needed |=
--- a/crates/cornelpoint/src/scheduler/load.rs
+++ b/crates/cornelpoint/src/scheduler/load.rs
@@ -1,10 +1,15 @@
 use crate::fleet::PoolReport;
+use crate::job::JobId;
 
 use super::admission::REJECTED_DEMAND_WINDOW_MS;
 use super::instant::Instant;
 use super::job_entry::JobEntry;
 use super::pool_scheduler::PoolScheduler;
 
+/// Age up to which a load is used to admit jobs. In a surge hundreds of jobs a second
+/// are submitted, and each computation walks over all active jobs.
+const MAX_LOAD_AGE_MS: u64 = 20;
+
 /// Load of a pool, for operators and for moving machines between pools.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -69,6 +74,28 @@
         load
     }
 
+    /// Returns the load for the admission of a job: a recent one, to which the jobs
+    /// admitted since are added.
+    pub fn recent_load(&mut self, now: Instant) -> Load {
+        if let Some((at_ms, load)) = self.recent_load
+            && now.steady_ms < at_ms + MAX_LOAD_AGE_MS
+        {
+            return load;
+        }
+        let load = self.load(now);
+        self.recent_load = Some((now.steady_ms, load));
+        load
+    }
+
+    /// Adds a job to the recent load.
+    pub(super) fn add_to_recent_load(&mut self, id: JobId, now: Instant) {
+        if let Some((_, load)) = &mut self.recent_load
+            && let Some(job) = self.jobs.get(&id)
+        {
+            load.add(job, now);
+        }
+    }
+
     /// Whether the rate of offered work exceeds the capacity of the usable
     /// workers.
     #[must_use]
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -18,6 +18,7 @@
 use super::batch::WorkerRecord;
 use super::instant::Instant;
 use super::job_entry::JobEntry;
+use super::load::Load;
 use super::placement::ReadyKey;
 use super::placement::Tickets;
 use super::scheduler_event::SchedulerEvent;
@@ -68,6 +69,8 @@
     /// ended.
     pub(super) predecessor_leases_end_ms: u64,
     pub(super) load_estimate: LoadEstimate,
+    /// The load as of a time in milliseconds; `None` once workers have changed.
+    pub(super) recent_load: Option<(u64, Load)>,
     pub(super) actions: Vec<Action>,
     pub(super) events: Vec<SchedulerEvent>,
     pub(super) placement_needed: bool,
@@ -135,6 +138,7 @@
             predecessor_incarnations: BTreeMap::new(),
             predecessor_leases_end_ms: 0,
             load_estimate: LoadEstimate::default(),
+            recent_load: None,
             actions: Vec::new(),
             events: Vec::new(),
             placement_needed: false,
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -31,6 +31,7 @@
     /// it doesn't list. Entries that claim a start in the far future are ignored, as
     /// are those of ended incarnations, which stay listed for some seconds.
     pub fn apply_registry(&mut self, entries: &[RegistryEntry], settled: bool, now: Instant) {
+        self.recent_load = None;
         let latest_unix_ms = now.unix_ms.saturating_add(MAX_CLOCK_ERROR_MS);
         let entries = entries.iter();
         let entries: Vec<&RegistryEntry> = entries
