Don't count a rejected start as a crash of its worker

Cause: a start that another incarnation rejects ends the known one, and all runs there that had not been confirmed counted as suspects of its crash, the rejected one included. It never ran. It is now abandoned before the worker is taken as ended.

Ruled out: crashes by the task (it ran for 8 s on its first worker), takeovers (one token all the while), waves (the tasks of the step were stopped at once, after the job was final).

Test: `a_start_rejected_by_another_incarnation_is_no_crash`, failing before.

--- a/crates/cornelpoint/src/scheduler/orders.rs
+++ b/crates/cornelpoint/src/scheduler/orders.rs
@@ -105,6 +105,8 @@
                 return;
             }
             Rejection::OtherLife => {
+                // The task never ran there, so it can't be what has ended the worker.
+                self.abandon_start(incarnation, task, run, now);
                 self.end_incarnation(incarnation, now);
                 return;
             }
--- a/crates/cornelpoint/tests/scheduler/ended_workers.rs
+++ b/crates/cornelpoint/tests/scheduler/ended_workers.rs
@@ -1,14 +1,21 @@
 //! Workers that have ended and are still listed in the registry.
 
+use cornelpoint::job::JobStatus;
 use cornelpoint::scheduler::Action;
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::RenewalFailure;
+use cornelpoint::worker::OrderOutcome;
 use cornelpoint::worker::RegistryEntry;
+use cornelpoint::worker::Rejection;
 
 use crate::support::at;
 use crate::support::entry;
+use crate::support::job_id;
 use crate::support::ready_scheduler;
+use crate::support::starts;
+use crate::support::step;
 use crate::support::store_batches;
+use crate::support::submit;
 
 /// Returns the workers to which lease renewals are sent now.
 fn renewed(scheduler: &mut PoolScheduler, now_ms: u64) -> Vec<String> {
@@ -92,3 +99,34 @@
     let count = failed_renewals(&mut scheduler, 200, 5000);
     assert!((4..=6).contains(&count), "{count} calls");
 }
+
+/// Replays the replacement of workers whose addresses go to others: a task is started
+/// on one after another that has ended already. Guards against a job that is given up
+/// for crashing workers on which it never ran.
+#[test]
+fn a_start_rejected_by_another_incarnation_is_no_crash() {
+    let ids = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut scheduler = ready_scheduler(&ids);
+    submit(&mut scheduler, 1, vec![step(1, 1000)], 100);
+    for attempt in 0..5 {
+        let now_ms = 200 + attempt * 50;
+        scheduler.confirm_ownership(now_ms);
+        scheduler.tick(at(now_ms));
+        let actions = scheduler.take_actions();
+        let start = actions.into_iter().find_map(|action| match action {
+            Action::Start {
+                incarnation,
+                task,
+                run,
+                ..
+            } => Some((incarnation, task, run)),
+            _ => None,
+        });
+        let (incarnation, task, run) = start.unwrap();
+        let outcome = OrderOutcome::Rejected(Rejection::OtherLife);
+        scheduler.start_replied(incarnation, task, run, outcome, at(now_ms + 10));
+    }
+    scheduler.confirm_ownership(500);
+    assert_eq!(starts(&mut scheduler, 500).len(), 1);
+    assert_eq!(scheduler.status(job_id(1)), Some(JobStatus::Pending));
+}
