Check the permission to order when an order is about to be sent

From the operators' list: a process that had been paused acted on a permission that had run out. It can happen here: ownership is checked when an order is decided on; the order then waits for a connection and is written by another task. A process paused in between sends it when it resumes, also to a machine or worker that has not yet seen the successor's fencing token. Leases rule out late starts (a worker rejects a start whose lease has ended), not orders to machines and lease renewals.

Ownership is now checked again when the request is about to be written, for orders to workers and machines and for renewals. An order that isn't sent says nothing about its receiver.

Ruled out by reading: rows, whose writes depend on the owner's row.

--- a/crates/cornelpoint-manager/src/fleet_host/host.rs
+++ b/crates/cornelpoint-manager/src/fleet_host/host.rs
@@ -161,10 +161,10 @@
     }
 
     fn decide(self: &Rc<Self>) {
-        let now_ms = clock::now().steady_ms;
-        if now_ms >= self.node.confirmed_ms.get() + MAX_UNCONFIRMED_MS {
+        if !self.may_order() {
             return;
         }
+        let now_ms = clock::now().steady_ms;
         let actions = {
             let mut manager = self.manager.borrow_mut();
             if let Some(catalog) = self.node.catalog() {
@@ -190,6 +190,12 @@
         }
     }
 
+    /// Whether the store has confirmed ownership recently enough to act on it.
+    fn may_order(&self) -> bool {
+        let limit_ms = self.node.confirmed_ms.get() + MAX_UNCONFIRMED_MS;
+        !self.stopped.get() && clock::now().steady_ms < limit_ms
+    }
+
     async fn execute(self: Rc<Self>, action: FleetAction) {
         let holder = &self.node.settings.node;
         let (machine, call) = match action {
@@ -213,7 +219,9 @@
                 return;
             }
         };
-        let answer = match self.api.send(&call, CALL_TIMEOUT).await {
+        let may_send = || self.may_order();
+        let sent = self.api.send_while(&call, CALL_TIMEOUT, &may_send);
+        let answer = match sent.await {
             Ok(answer) => fleet_api::parse_machine_answer(answer.status, &answer.body),
             Err(CallError::NotSent | CallError::Busy) => MachineAnswer::Later,
             Err(CallError::NoAnswer) => MachineAnswer::NoAnswer,
--- a/crates/cornelpoint-manager/src/http/call_error.rs
+++ b/crates/cornelpoint-manager/src/http/call_error.rs
@@ -6,8 +6,8 @@
 pub(crate) enum CallError {
     /// The request was not sent and has no effect.
     NotSent,
-    /// The same, since all connections were in use until the timeout. Says nothing
-    /// about the server.
+    /// The same, since all connections were in use until the timeout, or since this
+    /// process may no longer send it. Says nothing about the server.
     Busy,
     /// The request may have been received and carried out.
     NoAnswer,
@@ -17,7 +17,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent => write!(formatter, "request not sent"),
-            Self::Busy => write!(formatter, "no connection free"),
+            Self::Busy => write!(formatter, "not sent by this process"),
             Self::NoAnswer => write!(formatter, "no response"),
         }
     }
--- a/crates/cornelpoint-manager/src/http/endpoint.rs
+++ b/crates/cornelpoint-manager/src/http/endpoint.rs
@@ -59,7 +59,19 @@
     /// Sends a call and reads the whole response, within a timeout that includes
     /// the wait for a free connection.
     pub(crate) async fn send(&self, call: &Call, timeout: Duration) -> Result<Response, CallError> {
-        self.exchange(call, timeout, Duration::ZERO).await
+        self.exchange(call, timeout, Duration::ZERO, &|| true).await
+    }
+
+    /// Sends a call like [`Self::send`], unless `may_send` returns `false` when it is
+    /// about to be written. The process may have been paused since the call was made,
+    /// or the call have waited for a connection.
+    pub(crate) async fn send_while(
+        &self,
+        call: &Call,
+        timeout: Duration,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<Response, CallError> {
+        self.exchange(call, timeout, Duration::ZERO, may_send).await
     }
 
     /// Sends a long poll. The head of the response has to arrive within a timeout
@@ -70,7 +82,8 @@
         head_timeout: Duration,
         body_timeout: Duration,
     ) -> Result<Response, CallError> {
-        self.exchange(call, head_timeout, body_timeout).await
+        self.exchange(call, head_timeout, body_timeout, &|| true)
+            .await
     }
 
     /// Sends a call. The head of the response has to arrive within `head_timeout`,
@@ -80,6 +93,7 @@
         call: &Call,
         head_timeout: Duration,
         body_timeout: Duration,
+        may_send: &dyn Fn() -> bool,
     ) -> Result<Response, CallError> {
         let deadline = Instant::now() + head_timeout;
         let body_deadline = deadline + body_timeout;
@@ -95,6 +109,9 @@
             let Some(request) = self.request(call) else {
                 return Err(CallError::NotSent);
             };
+            if !may_send() {
+                return Err(CallError::Busy);
+            }
             let sent = Instant::now();
             match timeout_at(deadline, sender.send_request(request)).await {
                 Ok(Err(error)) if reused && error.is_canceled() => {}
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -157,7 +157,7 @@
     }
 
     /// Whether the store has confirmed ownership recently enough to act on it.
-    fn is_confirmed(&self, now: Instant) -> bool {
+    pub(super) fn is_confirmed(&self, now: Instant) -> bool {
         let limit_ms = OwnershipSettings::default().max_unconfirmed_ms;
         now.steady_ms < self.confirmed_ms() + limit_ms
     }
--- a/crates/cornelpoint-manager/src/pool_host/orders.rs
+++ b/crates/cornelpoint-manager/src/pool_host/orders.rs
@@ -17,8 +17,10 @@
 
 use super::host::PoolHost;
 use super::worker_link::WorkerLink;
+use crate::clock;
 use crate::http::CallError;
 use crate::http::HttpEndpoint;
+use crate::http::Response;
 use crate::metrics::ProcessMetrics;
 
 /// Timeout of an order; workers respond within milliseconds.
@@ -127,7 +129,7 @@
         task: TaskId,
         run: u64,
     ) {
-        let outcome = send_order(&link.orders, &call).await;
+        let outcome = self.send_order(&link.orders, &call).await;
         let outcome_label = match outcome {
             OrderOutcome::Done { .. } => "done",
             OrderOutcome::Rejected(_) => "rejected",
@@ -151,12 +153,12 @@
         task: TaskId,
         run: u64,
     ) {
-        let outcome = send_order(&link.orders, &call).await;
+        let outcome = self.send_order(&link.orders, &call).await;
         self.apply(|scheduler, now| scheduler.stop_replied(incarnation, task, run, outcome, now));
     }
 
     async fn send_pace(self: Rc<Self>, link: Rc<WorkerLink>, call: Call, task: TaskId) {
-        let outcome = send_order(&link.orders, &call).await;
+        let outcome = self.send_order(&link.orders, &call).await;
         if !matches!(outcome, OrderOutcome::Done { .. }) {
             info!(self.log, "Pace order failed."; "task" => %task, "worker" => &link.id,
                 "outcome" => ?outcome);
@@ -171,7 +173,7 @@
         wait_ms: u64,
     ) {
         let timeout = Duration::from_millis(wait_ms) + RENEWAL_TIMEOUT;
-        let outcome = match link.renewals.send(&call, timeout).await {
+        let outcome = match self.send_confirmed(&link.renewals, &call, timeout).await {
             Ok(answer) if answer.status == 200 => self.parse_report(&link, &answer.body),
             Ok(answer) if answer.status == 409 => Err(RenewalFailure::Fenced),
             Ok(answer) if answer.status == 421 => Err(RenewalFailure::OtherIncarnation),
@@ -258,13 +260,25 @@
             }
         }
     }
-}
 
-async fn send_order(endpoint: &HttpEndpoint, call: &Call) -> OrderOutcome {
-    match endpoint.send(call, ORDER_TIMEOUT).await {
-        Ok(answer) => workers::parse_order_outcome(answer.status, &answer.body),
-        Err(CallError::NotSent) => OrderOutcome::NotSent,
-        Err(CallError::Busy) => OrderOutcome::Busy,
-        Err(CallError::NoAnswer) => OrderOutcome::NoAnswer,
+    async fn send_order(&self, endpoint: &HttpEndpoint, call: &Call) -> OrderOutcome {
+        match self.send_confirmed(endpoint, call, ORDER_TIMEOUT).await {
+            Ok(answer) => workers::parse_order_outcome(answer.status, &answer.body),
+            Err(CallError::NotSent) => OrderOutcome::NotSent,
+            Err(CallError::Busy) => OrderOutcome::Busy,
+            Err(CallError::NoAnswer) => OrderOutcome::NoAnswer,
+        }
+    }
+
+    /// Sends a call to a worker, unless this process may no longer order: a successor
+    /// may have taken over, whose token the worker need not know yet.
+    async fn send_confirmed(
+        &self,
+        endpoint: &HttpEndpoint,
+        call: &Call,
+        timeout: Duration,
+    ) -> Result<Response, CallError> {
+        let may_send = || !self.stopped.get() && self.is_confirmed(clock::now());
+        endpoint.send_while(call, timeout, &may_send).await
     }
 }
