Reject jobs at once while the store takes no commits

A commit that has been in flight for 600 ms now shows that the store is down or slow; until it ends, new jobs are rejected with a Retry-After of 2 s, which is true: nothing of them is stored.

Test: `jobs_are_rejected_at_once_while_the_store_is_down`.

--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -32,6 +32,12 @@
 const REJECTION_RETENTION_MS: u64 = 10_000;
 /// Capacity assumed while a pool has no usable worker.
 const ASSUMED_CAPACITY_MILLICORES: u64 = 64_000;
+/// Duration of a commit from which new jobs are rejected: the store is down or slow,
+/// and a job would wait for this commit and its own for longer than its caller does.
+const STALLED_COMMIT_MS: u64 = 600;
+/// Time after which the caller of a job that can't be stored now may retry; outages of
+/// the store usually last seconds.
+const STALLED_RETRY_AFTER_MS: u64 = 2000;
 /// Time after which the caller of a job that fits no known worker may retry.
 const INFEASIBLE_RETRY_AFTER_MS: u64 = 30_000;
 
@@ -101,7 +107,8 @@
     /// beyond its objective is of no use and delays all later ones, so a job is
     /// admitted only while the accepted work leaves time for its own critical
     /// path. Scheduled and long-running jobs are always admitted if they fit a
-    /// worker: a long-running job is useful whenever it starts.
+    /// worker: a long-running job is useful whenever it starts. While the store is
+    /// down, no job can be accepted, and callers are told so at once.
     pub(super) fn rejection_retry_after_ms(
         &mut self,
         id: JobId,
@@ -109,6 +116,9 @@
         spec: &JobSpec,
         now: Instant,
     ) -> Option<u64> {
+        if self.is_commit_stalled(now) {
+            return Some(STALLED_RETRY_AFTER_MS);
+        }
         if !self.fits_some_worker(spec) {
             return Some(INFEASIBLE_RETRY_AFTER_MS);
         }
@@ -136,6 +146,11 @@
         Some(retry_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS))
     }
 
+    /// Whether the batch in flight shows that the store is down or slow.
+    fn is_commit_stalled(&self, now: Instant) -> bool {
+        self.batch.is_some() && self.last_batch_ms + STALLED_COMMIT_MS <= now.steady_ms
+    }
+
     /// Returns when a job was first rejected, if that is still on record.
     pub(super) fn first_rejected_ms(&self, id: JobId) -> Option<u64> {
         let mut rejected = self.load_estimate.rejected.iter();
--- a/crates/cornelpoint/tests/scheduler/surge.rs
+++ b/crates/cornelpoint/tests/scheduler/surge.rs
@@ -278,3 +278,28 @@
         "acknowledged after {longest_acknowledge_ms} ms"
     );
 }
+
+/// Guards against callers that are held until their time is up, four hundred of them in
+/// an outage of four seconds, though nothing can be stored.
+#[test]
+fn jobs_are_rejected_at_once_while_the_store_is_down() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    let mut submit_at = |number, now_ms| {
+        let (record, spec) = job(vec![step(1, 1000)]);
+        let answer = scheduler.submit(job_id(number), record, spec, at(now_ms));
+        let began = scheduler.begin_batch(at(now_ms)).is_some();
+        (answer, began)
+    };
+    assert_eq!(submit_at(1, 1000), (SubmitAnswer::Storing, true));
+    assert_eq!(submit_at(2, 1500), (SubmitAnswer::Storing, false));
+    let rejected = SubmitAnswer::Rejected {
+        retry_after_ms: 2000,
+    };
+    assert_eq!(submit_at(3, 1600), (rejected, false));
+    assert_eq!(submit_at(1, 1700), (SubmitAnswer::Storing, false));
+    let stored = scheduler.batch_replied(BatchOutcome::Stored, at(1800));
+    assert_eq!(stored.accepted, [job_id(1)]);
+    let (record, spec) = job(vec![step(1, 1000)]);
+    let answer = scheduler.submit(job_id(3), record, spec, at(1900));
+    assert_eq!(answer, SubmitAnswer::Storing);
+}
