Start tasks that last on workers that aren't due for maintenance

The fleet's owner now tells the owners of pools which workers are due, at most twice a second.

Tests: `tasks_that_last_avoid_workers_due_for_maintenance` (no such choice before), `workers_are_due_until_the_maintenance_of_their_machines_begins`.

--- a/crates/cornelpoint-manager/src/fleet_host/host.rs
+++ b/crates/cornelpoint-manager/src/fleet_host/host.rs
@@ -140,6 +140,11 @@
         self.manager.borrow().to_vacate()
     }
 
+    /// Returns the workers whose machines are due for maintenance.
+    pub(crate) fn due_workers(&self) -> BTreeSet<String> {
+        self.manager.borrow().due_workers()
+    }
+
     /// Writes the owner's store heartbeat; stops hosting if fenced.
     pub(crate) async fn write_heartbeat(self: Rc<Self>) {
         if self.writer.write(&self.node.store, &[], &[]).await == WriteOutcome::Fenced {
--- a/crates/cornelpoint-manager/src/message/heartbeat.rs
+++ b/crates/cornelpoint-manager/src/message/heartbeat.rs
@@ -28,6 +28,10 @@
     pub(crate) pools: BTreeMap<String, OwnedPool>,
     /// Workers to vacate; set by the fleet owner only.
     pub(crate) to_vacate: Option<BTreeSet<String>>,
+    /// Workers whose machines are due for maintenance; set by the fleet owner only,
+    /// in some of its heartbeats to the pools' owners.
+    #[serde(default)]
+    pub(crate) due: Option<BTreeSet<String>>,
 }
 
 /// Status of a pool, reported by its owner.
--- a/crates/cornelpoint-manager/src/node/heartbeats.rs
+++ b/crates/cornelpoint-manager/src/node/heartbeats.rs
@@ -23,6 +23,11 @@
 const MIN_LOAD_INTERVAL_MS: u64 = 100;
 /// How long a request to vacate workers stays valid without being repeated.
 const VACATE_TTL_MS: u64 = 4000;
+/// Shortest time between heartbeats that name the workers whose machines are due for
+/// maintenance, which may be hundreds.
+const MIN_DUE_INTERVAL_MS: u64 = 500;
+/// How long the workers due for maintenance stay valid without being repeated.
+const DUE_TTL_MS: u64 = 8000;
 /// Largest heartbeat that can be received. It has to fit a datagram; a longer
 /// one is lost.
 const MAX_HEARTBEAT_BYTES: usize = 60_000;
@@ -35,7 +40,11 @@
             let interval_ms = self.heartbeat_interval_ms(now_ms);
             let due = self.heartbeats.borrow_mut().take_due(now_ms, interval_ms);
             if !due.is_empty() {
-                let message = encode(&self.heartbeat(interval_ms));
+                let mut heartbeat = self.heartbeat(interval_ms);
+                if due.contains(&Recipients::PoolOwners) {
+                    heartbeat.due = self.take_due_workers(now_ms);
+                }
+                let message = encode(&heartbeat);
                 self.apply_vacate(now_ms);
                 for address in self.recipient_addresses(&due, now_ms) {
                     // A datagram that can't be sent counts as lost; the next heartbeat
@@ -134,9 +143,22 @@
             interval_ms,
             pools,
             to_vacate: self.fleet.borrow().as_ref().map(|fleet| fleet.to_vacate()),
+            due: None,
         }
     }
 
+    /// Returns the workers whose machines are due for maintenance, if this process
+    /// owns the fleet and has not sent them lately.
+    fn take_due_workers(&self, now_ms: u64) -> Option<BTreeSet<String>> {
+        let fleet = self.fleet.borrow().clone()?;
+        let mut due = self.due.borrow_mut();
+        if due.1 + MIN_DUE_INTERVAL_MS > now_ms {
+            return None;
+        }
+        *due = (fleet.due_workers(), now_ms);
+        Some(due.0.clone())
+    }
+
     /// Receives and applies the heartbeats of peers.
     pub(super) async fn receive_heartbeats(self: Rc<Self>, socket: Rc<UdpSocket>) {
         let mut buffer = vec![0; MAX_HEARTBEAT_BYTES];
@@ -172,6 +194,9 @@
             *self.to_vacate.borrow_mut() = (workers, now_ms);
             self.apply_vacate(now_ms);
         }
+        if let Some(workers) = heartbeat.due {
+            *self.due.borrow_mut() = (workers, now_ms);
+        }
         for (pool, owned) in &heartbeat.pools {
             self.update_pool_status(pool, owned);
         }
@@ -196,9 +221,17 @@
                 BTreeSet::new()
             }
         };
+        let due = {
+            let (workers, received_ms) = &*self.due.borrow();
+            if received_ms + DUE_TTL_MS > now_ms {
+                workers.clone()
+            } else {
+                BTreeSet::new()
+            }
+        };
         let hosts: Vec<_> = self.hosts.borrow().values().cloned().collect();
         for host in hosts {
-            host.vacate(&workers);
+            host.vacate(&workers, &due);
         }
     }
 
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -93,6 +93,9 @@
     /// Workers to vacate by request of the fleet owner, and when the request was
     /// received.
     pub(crate) to_vacate: RefCell<(BTreeSet<String>, u64)>,
+    /// Workers whose machines are due for maintenance, and when they were received,
+    /// or sent by the fleet's owner.
+    pub(crate) due: RefCell<(BTreeSet<String>, u64)>,
     /// When the last request by which the store confirmed the owner rows was sent,
     /// by the monotonic clock.
     pub(crate) confirmed_ms: Cell<u64>,
@@ -142,6 +145,7 @@
             pool_statuses: RefCell::default(),
             fleet: RefCell::default(),
             to_vacate: RefCell::default(),
+            due: RefCell::default(),
             confirmed_ms: Cell::new(0),
             leaving: Cell::new(false),
             heartbeats: RefCell::default(),
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -252,8 +252,12 @@
         }
     }
 
-    /// Vacates workers for moves and maintenance of their machines.
-    pub(crate) fn vacate(self: &Rc<Self>, workers: &BTreeSet<String>) {
-        self.apply(|scheduler, now| scheduler.vacate(workers, now));
+    /// Vacates workers for moves and maintenance of their machines; `due` are those
+    /// whose maintenance is to come.
+    pub(crate) fn vacate(self: &Rc<Self>, workers: &BTreeSet<String>, due: &BTreeSet<String>) {
+        self.apply(|scheduler, now| {
+            scheduler.set_due(due);
+            scheduler.vacate(workers, now);
+        });
     }
 }
--- a/crates/cornelpoint/src/fleet/wave.rs
+++ b/crates/cornelpoint/src/fleet/wave.rs
@@ -133,6 +133,16 @@
         })
     }
 
+    /// Returns the workers of the machines whose maintenance has not begun. Tasks that
+    /// last should not start there, since they would have to move again.
+    #[must_use]
+    pub fn due_workers(&self) -> BTreeSet<String> {
+        let open = self.waves.values().filter(|wave| !wave.completed);
+        let due = open.flat_map(|wave| wave.order.machines.difference(&wave.begun));
+        let workers = due.filter_map(|name| self.machines.get(name)?.machine.worker.clone());
+        workers.collect()
+    }
+
     /// Returns the number of machines that a pool may start to vacate for
     /// maintenance.
     fn vacate_allowance(&self, pool: &str) -> u32 {
--- a/crates/cornelpoint/src/scheduler/evacuation.rs
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -38,6 +38,19 @@
         self.placement_needed = true;
     }
 
+    /// Sets the workers whose machines are due for maintenance. Tasks that last avoid
+    /// them: in a wave of half of all machines, each second task that moved would have
+    /// to move again, and few tasks of a step may move at a time.
+    pub fn set_due(&mut self, workers: &BTreeSet<String>) {
+        if self.due == *workers {
+            return;
+        }
+        self.due.clone_from(workers);
+        for worker in self.incarnations.values_mut() {
+            worker.due = workers.contains(&worker.entry.id);
+        }
+    }
+
     /// Returns the workers to be vacated that run nothing now.
     #[must_use]
     pub fn vacated(&self) -> BTreeSet<String> {
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -79,6 +79,8 @@
     pub(super) starts_limited: bool,
     pub(super) fenced: bool,
     pub(super) vacating: BTreeSet<String>,
+    /// Workers whose machines are due for maintenance.
+    pub(super) due: BTreeSet<String>,
     pub(super) retained_final_jobs: Vec<(u64, JobId)>,
     /// Cancelled jobs that have not arrived yet.
     pub(super) cancelled_before_submit: BTreeSet<JobId>,
@@ -146,6 +148,7 @@
             starts_limited: false,
             fenced: false,
             vacating: BTreeSet::new(),
+            due: BTreeSet::new(),
             retained_final_jobs: Vec::new(),
             cancelled_before_submit: BTreeSet::new(),
             inbox: BTreeSet::new(),
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -115,11 +115,13 @@
 
     fn refresh_incarnation(&mut self, incarnation: u32, entry: &RegistryEntry) {
         let vacating = self.vacating.contains(&entry.id);
+        let due = self.due.contains(&entry.id);
         if let Some(worker) = self.incarnations.get_mut(&incarnation) {
             let born_unix_ms = worker.entry.born_unix_ms.max(entry.born_unix_ms);
             worker.entry = entry.clone();
             worker.entry.born_unix_ms = born_unix_ms;
             worker.vacating = vacating;
+            worker.due = due;
         }
     }
 
--- a/crates/cornelpoint/src/scheduler/worker_choice.rs
+++ b/crates/cornelpoint/src/scheduler/worker_choice.rs
@@ -43,6 +43,7 @@
             let on_used_rack =
                 racks.is_empty() || racks.iter().any(|rack| has_label(worker, Some(rack)));
             let warm = worker.entry.cold_remaining_ms == 0;
+            let stays = !(step.long_running && worker.due);
             // Prefers the worker with the least free capacity that fits, since
             // empty workers can serve another pool at once.
             let fullness = u64::MAX - free;
@@ -54,6 +55,7 @@
             (
                 !worker.is_on_trial(),
                 fewest_at_risk,
+                stays,
                 on_preferred_rack,
                 on_used_rack,
                 warm,
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -59,6 +59,8 @@
     pub(super) recorded: bool,
     /// Whether its machine is to be vacated.
     pub(super) vacating: bool,
+    /// Whether its machine is due for maintenance.
+    pub(super) due: bool,
     /// When it was last to be vacated.
     pub(super) vacated_ms: Option<u64>,
     pub(super) paced_ms: u64,
@@ -131,6 +133,7 @@
             consecutive_failures: 0,
             recorded: false,
             vacating: false,
+            due: false,
             vacated_ms: None,
             paced_ms: 0,
             reported_ms: 0,
--- a/crates/cornelpoint/tests/fleet.rs
+++ b/crates/cornelpoint/tests/fleet.rs
@@ -276,3 +276,16 @@
     manager.tick(30);
     assert_eq!(manager.to_vacate().len(), 17);
 }
+
+#[test]
+fn workers_are_due_until_the_maintenance_of_their_machines_begins() {
+    let mut manager = manager(spare_machines(4));
+    manager.wave_ordered(&wave(3, 2), &BTreeSet::new(), 0);
+    let due = ["worker-m0", "worker-m1", "worker-m2"].map(str::to_owned);
+    assert_eq!(manager.due_workers(), BTreeSet::from(due));
+    let actions = manager.tick(10);
+    for machine in maintained(&actions) {
+        manager.order_replied(&machine, MachineAnswer::Done, 20);
+    }
+    assert_eq!(manager.due_workers().len(), 1);
+}
--- a/crates/cornelpoint/tests/scheduler/vacating.rs
+++ b/crates/cornelpoint/tests/scheduler/vacating.rs
@@ -108,3 +108,25 @@
         "{waits_ms:?}"
     );
 }
+
+/// Replays a wave that takes half of the workers down. Guards against tasks that last
+/// and move to workers that are due themselves.
+#[test]
+fn tasks_that_last_avoid_workers_due_for_maintenance() {
+    let ids = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut scheduler = ready_scheduler(&ids);
+    let due = ["w1", "w2", "w3"].map(str::to_owned);
+    scheduler.set_due(&BTreeSet::from(due));
+    let lasting = RawStep {
+        long_running: true,
+        max_per_worker: 1,
+        ..step(3, 1000)
+    };
+    submit(&mut scheduler, 1, vec![lasting], 100);
+    let started = starts(&mut scheduler, 120);
+    let workers: BTreeSet<&str> = started.iter().map(|(id, _, _)| id.as_str()).collect();
+    assert_eq!(workers, BTreeSet::from(["w4", "w5", "w6"]));
+    submit(&mut scheduler, 2, vec![step(24, 1000)], 200);
+    let started = starts(&mut scheduler, 300);
+    assert_eq!(started.len(), 21, "other tasks use all workers");
+}
