Notice a store that fails at once, not only one that is silent

The rejection while the store takes no commits went by the duration of the batch in flight; where each call fails at once, a batch is never 600 ms old. It now goes by the time since the first commit that was tried after the last one that was stored.

Test: `jobs_are_rejected_at_once_while_the_store_is_down`, extended by such a store.

--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -32,8 +32,9 @@
 const REJECTION_RETENTION_MS: u64 = 10_000;
 /// Capacity assumed while a pool has no usable worker.
 const ASSUMED_CAPACITY_MILLICORES: u64 = 64_000;
-/// Duration of a commit from which new jobs are rejected: the store is down or slow,
-/// and a job would wait for this commit and its own for longer than its caller does.
+/// Time without a commit that succeeds, though one is tried, from which new jobs are
+/// rejected: the store is down or slow, and a job would wait for longer than its caller
+/// does.
 const STALLED_COMMIT_MS: u64 = 600;
 /// Time after which the caller of a job that can't be stored now may retry; outages of
 /// the store usually last seconds.
@@ -146,9 +147,10 @@
         Some(retry_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS))
     }
 
-    /// Whether the batch in flight shows that the store is down or slow.
+    /// Whether the store is down or slow, as the commits tried show.
     fn is_commit_stalled(&self, now: Instant) -> bool {
-        self.batch.is_some() && self.last_batch_ms + STALLED_COMMIT_MS <= now.steady_ms
+        self.committing_since_ms
+            .is_some_and(|since_ms| since_ms + STALLED_COMMIT_MS <= now.steady_ms)
     }
 
     /// Returns when a job was first rejected, if that is still on record.
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -127,6 +127,7 @@
             return None;
         }
         self.last_batch_ms = now.steady_ms;
+        self.committing_since_ms.get_or_insert(now.steady_ms);
         let mut batch = Batch::default();
         let mut in_flight = BatchInFlight::default();
         let mut bytes = 0;
@@ -267,6 +268,7 @@
     }
 
     fn batch_stored(&mut self, in_flight: BatchInFlight, now: Instant) -> StoredJobs {
+        self.committing_since_ms = None;
         let mut stored = StoredJobs::default();
         for key in in_flight.inbox {
             self.inbox.remove(&key);
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -60,6 +60,8 @@
     pub(super) unstored: UnstoredJobs,
     pub(super) batch: Option<BatchInFlight>,
     pub(super) last_batch_ms: u64,
+    /// When the first batch began since one was stored.
+    pub(super) committing_since_ms: Option<u64>,
     pub(super) urgent: bool,
     pub(super) workers_row_dirty: bool,
     /// Incarnations, by worker, that a predecessor may have used and that have
@@ -135,6 +137,7 @@
             unstored: UnstoredJobs::default(),
             batch: None,
             last_batch_ms: 0,
+            committing_since_ms: None,
             urgent: false,
             workers_row_dirty: false,
             predecessor_incarnations: BTreeMap::new(),
--- a/crates/cornelpoint/tests/scheduler/surge.rs
+++ b/crates/cornelpoint/tests/scheduler/surge.rs
@@ -297,8 +297,14 @@
     };
     assert_eq!(submit_at(3, 1600), (rejected, false));
     assert_eq!(submit_at(1, 1700), (SubmitAnswer::Storing, false));
+    // The next commit is tried at once where the store resets connections.
+    scheduler.batch_replied(BatchOutcome::Unknown, at(1710));
+    assert!(scheduler.begin_batch(at(1740)).is_some());
+    let (record, spec) = job(vec![step(1, 1000)]);
+    let answer = scheduler.submit(job_id(3), record, spec, at(1750));
+    assert_eq!(answer, rejected);
     let stored = scheduler.batch_replied(BatchOutcome::Stored, at(1800));
-    assert_eq!(stored.accepted, [job_id(1)]);
+    assert_eq!(stored.accepted, [job_id(1), job_id(2)]);
     let (record, spec) = job(vec![step(1, 1000)]);
     let answer = scheduler.submit(job_id(3), record, spec, at(1900));
     assert_eq!(answer, SubmitAnswer::Storing);
