Record the workers that a new owner waits for until it has heard of them

Suspected cause, found by reading: the row of workers that an owner writes held the workers that the registry lists, not those of its predecessor that it still waits for.

The row now keeps them, until they have reported, have ended, or their leases have.

Ruled out: the times of the leases (each row of an owner carries that of all earlier ones), workers that were passed over as ended (the worker had no newer incarnation).

Test: `a_successor_records_the_workers_that_it_waits_for`, failing before ({w1} instead of {w1, w2}).

--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -155,8 +155,16 @@
         in_flight.completions = completions.collect();
         if self.workers_row_dirty {
             self.workers_row_dirty = false;
-            let workers = self.incarnations.values();
-            batch.workers = Some(workers.map(WorkerState::record).collect());
+            let workers = self.incarnations.values().map(WorkerState::record);
+            // A successor has to wait for these, too, also if the registry no longer
+            // lists them.
+            let unreported = self.predecessor_incarnations.values().cloned();
+            let unreported = unreported.filter(|record| {
+                let known = self.incarnation_of_id.get(&record.id);
+                let known = known.and_then(|incarnation| self.incarnations.get(incarnation));
+                known.is_none_or(|worker| worker.record() != *record)
+            });
+            batch.workers = Some(workers.chain(unreported).collect());
             in_flight.incarnations = self.incarnations.keys().copied().collect();
         }
         self.batch = Some(in_flight);
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -207,6 +207,7 @@
             && self.predecessor_leases_end_ms <= now.steady_ms.min(self.ownership_confirmed_ms)
         {
             self.predecessor_incarnations.clear();
+            self.workers_row_dirty = true;
             self.placement_needed = true;
         }
     }
--- a/crates/cornelpoint/tests/scheduler/decisions.rs
+++ b/crates/cornelpoint/tests/scheduler/decisions.rs
@@ -383,3 +383,18 @@
     scheduler.renewal_replied(0, Ok(report(130)), at(130));
     assert_eq!(starts(&mut scheduler, 140).len(), 1);
 }
+
+/// Guards against tasks that run twice after two takeovers within one partition: the
+/// first successor's row of workers left out those that were cut off and no longer
+/// listed, so that the second one did not wait for them.
+#[test]
+fn a_successor_records_the_workers_that_it_waits_for() {
+    let mut scheduler = successor(9000);
+    scheduler.apply_registry(&[entry("w1", 5)], true, at(0));
+    scheduler.tick(at(0));
+    let batch = scheduler.begin_batch(at(0)).unwrap();
+    let workers = batch.workers.unwrap();
+    let recorded: BTreeSet<&str> = workers.iter().map(|worker| worker.id.as_str()).collect();
+    assert_eq!(recorded, BTreeSet::from(["w1", "w2"]));
+    assert_eq!(workers.len(), 2);
+}
