Split the demand of pools and the tickets of steps from files that have grown

No change but moved code and one renamed variable: fleet/pool_demand.rs holds what was in fleet/moves.rs, scheduler/tickets.rs what was in scheduler/placement.rs. Tests of the scheduler and the fleet pass (68 and 11).

--- a/crates/cornelpoint-manager/src/node/heartbeats.rs
+++ b/crates/cornelpoint-manager/src/node/heartbeats.rs
@@ -38,15 +38,15 @@
         loop {
             let now_ms = clock::now().steady_ms;
             let interval_ms = self.heartbeat_interval_ms(now_ms);
-            let due = self.heartbeats.borrow_mut().take_due(now_ms, interval_ms);
-            if !due.is_empty() {
+            let recipients = self.heartbeats.borrow_mut().take_due(now_ms, interval_ms);
+            if !recipients.is_empty() {
                 let mut heartbeat = self.heartbeat(interval_ms);
-                if due.contains(&Recipients::PoolOwners) {
+                if recipients.contains(&Recipients::PoolOwners) {
                     heartbeat.due = self.take_due_workers(now_ms);
                 }
                 let message = encode(&heartbeat);
                 self.apply_vacate(now_ms);
-                for address in self.recipient_addresses(&due, now_ms) {
+                for address in self.recipient_addresses(&recipients, now_ms) {
                     // A datagram that can't be sent counts as lost; the next heartbeat
                     // replaces it.
                     if let Err(error) = socket.send_to(&message, &address).await {
--- a/crates/cornelpoint/src/fleet/mod.rs
+++ b/crates/cornelpoint/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod fleet_manager;
 mod machine;
 mod moves;
+mod pool_demand;
 mod pool_report;
 mod settings;
 mod shares;
--- a/crates/cornelpoint/src/fleet/moves.rs
+++ b/crates/cornelpoint/src/fleet/moves.rs
@@ -5,6 +5,7 @@
 use super::fleet_manager::Order;
 use super::fleet_manager::VacateReason;
 use super::machine::MachineState;
+use super::pool_demand::Work;
 use super::pool_report::PoolReport;
 use super::shares::Demand;
 use super::shares::shares;
@@ -12,9 +13,6 @@
 /// Idle machines that a donor pool keeps, because a replacement takes three
 /// seconds to arrive.
 const DONOR_RESERVE_MACHINES: usize = 3;
-/// Target time for completing the work of jobs that can no longer meet their
-/// objective.
-const LATE_BACKLOG_TARGET_MS: u64 = 4000;
 /// Machines above its share that a pool keeps, because a machine that moves
 /// serves no pool for at least two seconds.
 const SHARE_RESERVE_MACHINES: u64 = 1;
@@ -28,52 +26,6 @@
 /// start are listed as down at first.
 const RESTART_GRACE_MS: u64 = 6000;
 
-/// Work for which a pool needs machines.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Work {
-    /// Work of jobs that can meet their objective.
-    InTime,
-    /// The same, and that of late jobs.
-    All,
-}
-
-impl Work {
-    fn wanted_millicores(self, report: &PoolReport, within_ms: u64) -> u64 {
-        match self {
-            Self::InTime => report.wanted_in_time_millicores(within_ms),
-            Self::All => report.wanted_millicores(within_ms),
-        }
-    }
-}
-
-impl PoolReport {
-    /// Returns the time to complete the backlog with all the capacity that
-    /// long-running tasks leave.
-    #[must_use]
-    pub fn wait_ms(&self) -> u64 {
-        let free = self
-            .capacity_millicores
-            .saturating_sub(self.lasting_millicores);
-        self.backlog_core_ms * 1000 / free.max(1)
-    }
-
-    /// Returns the CPU that the pool needs beside its late work: enough to complete
-    /// the backlog and the recently rejected work within `within_ms` or to keep up
-    /// with incoming work, whichever is more, beside its long-running tasks.
-    fn wanted_in_time_millicores(&self, within_ms: u64) -> u64 {
-        let work = self.backlog_core_ms + self.refused_core_ms;
-        let waiting = work * 1000 / within_ms.max(1);
-        self.lasting_millicores + waiting.max(self.offered_millicores)
-    }
-
-    /// Returns the CPU that the pool can use: what it needs, and enough for its late
-    /// work.
-    fn wanted_millicores(&self, within_ms: u64) -> u64 {
-        let late = self.late_core_ms * 1000 / LATE_BACKLOG_TARGET_MS;
-        self.wanted_in_time_millicores(within_ms) + late
-    }
-}
-
 impl FleetManager {
     /// Moves machines to pools that lack capacity, first from the spare pool
     /// and then from pools with a surplus. Returns machines to the spare pool
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -28,6 +28,7 @@
 mod scheduler_event;
 mod settings;
 mod task_entry;
+mod tickets;
 mod unstored_jobs;
 mod worker_choice;
 mod worker_state;
