--- a/crates/cornelpoint-manager/src/node/heartbeats.rs
+++ b/crates/cornelpoint-manager/src/node/heartbeats.rs
@@ -213,22 +213,8 @@
         if let Some(fleet) = &*self.fleet.borrow() {
             *self.to_vacate.borrow_mut() = (fleet.to_vacate(), now_ms);
         }
-        let workers = {
-            let (workers, received_ms) = &*self.to_vacate.borrow();
-            if received_ms + VACATE_TTL_MS > now_ms {
-                workers.clone()
-            } else {
-                BTreeSet::new()
-            }
-        };
-        let due = {
-            let (workers, received_ms) = &*self.due.borrow();
-            if received_ms + DUE_TTL_MS > now_ms {
-                workers.clone()
-            } else {
-                BTreeSet::new()
-            }
-        };
+        let workers = unexpired(&self.to_vacate.borrow(), VACATE_TTL_MS, now_ms);
+        let due = unexpired(&self.due.borrow(), DUE_TTL_MS, now_ms);
         let hosts: Vec<_> = self.hosts.borrow().values().cloned().collect();
         for host in hosts {
             host.vacate(&workers, &due);
@@ -251,3 +237,13 @@
         };
     }
 }
+
+/// Returns workers that were received at a time, none once `ttl_ms` have passed.
+fn unexpired(received: &(BTreeSet<String>, u64), ttl_ms: u64, now_ms: u64) -> BTreeSet<String> {
+    let (workers, received_ms) = received;
+    if received_ms + ttl_ms > now_ms {
+        workers.clone()
+    } else {
+        BTreeSet::new()
+    }
+}
