Review case 1: lasting jobs short of a worker stop all other work

Cause: a placement pass ends at 24 steps that can't be placed in full, and steps of lasting jobs come first.

Seen: 30 lasting jobs with one task a worker; one worker of five is lost for good. Jobs accepted after that never begin, though 116 of 128 cores are free.

--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -62,9 +62,12 @@
     /// Starts `count` managers and waits until all are ready.
     pub fn start(count: usize, store: &Arc<Store>, record: &Arc<Record>) -> Fleet {
         store.put("op", "config", &manifest());
-        let cloud = Server::start("127.0.0.1:0", |request| match request.path.as_str() {
-            "/cornelpoint/machines" => reply(200, r#"{"machines":[],"next_page_token":null}"#),
-            _ => reply(503, ""),
+        let listed = Arc::clone(store);
+        let cloud = Server::start("127.0.0.1:0", move |request| {
+            match request.path.as_str() {
+                "/cornelpoint/machines" => reply(200, machines(&listed)),
+                _ => reply(503, ""),
+            }
         });
         let cloud = cloud.expect("no free port");
         let folder = env::temp_dir().join(format!("review-{}", std::process::id()));
@@ -328,6 +331,27 @@
     PathBuf::from(env::args().nth(1).expect("expected the path of the record"))
 }
 
+/// Lists the machines of the workers that are registered. No service is spare, so
+/// that none is ordered to move.
+fn machines(store: &Store) -> String {
+    let entries = store.values("servers");
+    let entries = entries.iter().filter_map(|(id, value)| {
+        let entry = Json::parse(value)?;
+        (entry.text("service") == POOL).then(|| {
+            format!(
+                r#"{{"machine":"{}","pool":"{POOL}","state":"up","zone":"z-a","labels":["a","r1-1"],"capacity":{{"cpu":{},"mem_mb":131072,"gpu":0}},"id":"{id}"}}"#,
+                entry.text("machine"),
+                entry.get("capacity").and_then(|capacity| capacity.number("cpu")).unwrap_or(0)
+            )
+        })
+    });
+    let entries: Vec<String> = entries.collect();
+    format!(
+        r#"{{"machines":[{}],"next_page_token":null}}"#,
+        entries.join(",")
+    )
+}
+
 fn manifest() -> String {
     format!(
         r#"{{"version":7,"routes":[{{"name":"r-plan","host":"{HOST}","prefix":"{PREFIX}","kind":"non_idempotent","timeout_ms":3000,"slo_ms":60000,"priority":0,"service":"{POOL}","max_attempts":3,"stretch":2.0}}],"services":[{{"name":"{POOL}","health_path":"/healthz","max_conns":64,"protocol":"h1","tls":false,"admission_control":false,"spare":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -93,6 +93,17 @@
         Some(decode64(all.rows.get(&key)?.0.as_ref()?))
     }
 
+    /// Returns the keys and values of a table's rows with an empty part.
+    pub fn values(&self, table: &str) -> Vec<(String, String)> {
+        let all = self.table.lock().unwrap();
+        let rows = all.rows.iter().filter_map(|(key, (value, _))| {
+            let value = decode64(value.as_ref()?);
+            let is_wanted = key.0 == table && key.1.is_empty();
+            is_wanted.then(|| (key.2.clone(), String::from_utf8_lossy(&value).into_owned()))
+        });
+        rows.collect()
+    }
+
     fn handle(&self, request: &Request) -> Reply {
         match (request.method.as_str(), request.path.as_str()) {
             ("POST", "/cornelpoint/rows-tx") => self.transact(&request.body),
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -185,6 +185,17 @@
         self.worker
             .record
             .line(&format!("worker {} crashes", self.worker.plan.id));
+        let (store, worker) = (Arc::clone(&self.store), Arc::clone(&self.worker));
+        let (id, born) = (worker.plan.id.clone(), life.born);
+        thread::spawn(move || {
+            thread::sleep(HEARTBEAT * 3);
+            let entry = store.get("servers", "", &id).unwrap_or_default();
+            let entry = String::from_utf8_lossy(&entry).into_owned();
+            // Unless the worker has started again.
+            if entry.contains(&format!(r#""born":{born},"#)) {
+                store.drop_row("servers", &id);
+            }
+        });
     }
 }
 
