--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -61,7 +61,18 @@
 impl Fleet {
     /// Starts `count` managers and waits until all are ready.
     pub fn start(count: usize, store: &Arc<Store>, record: &Arc<Record>) -> Fleet {
-        store.put("op", "config", &manifest());
+        Self::start_with_advice(count, store, record, None)
+    }
+
+    /// Starts `count` managers, and a queue whose steps need tickets of the advice
+    /// service at an address.
+    pub fn start_with_advice(
+        count: usize,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+        advice: Option<&str>,
+    ) -> Fleet {
+        store.put("op", "config", &manifest(advice.is_some()));
         let listed = Arc::clone(store);
         let cloud = Server::start("127.0.0.1:0", move |request| {
             match request.path.as_str() {
@@ -91,6 +102,7 @@
                 (front, ready, internal),
                 &store.address(),
                 &cloud.address.to_string(),
+                advice,
             );
             fs::write(&settings, text).expect("settings can't be written");
             managers.push(Manager {
@@ -352,14 +364,26 @@
     )
 }
 
-fn manifest() -> String {
+fn manifest(has_advice: bool) -> String {
+    let advice = match has_advice {
+        true => r#","advice":{"decide_ms":10,"each_ms":0.5,"valid_ms":3000}"#,
+        false => "",
+    };
     format!(
-        r#"{{"version":7,"routes":[{{"name":"r-plan","host":"{HOST}","prefix":"{PREFIX}","kind":"non_idempotent","timeout_ms":3000,"slo_ms":60000,"priority":0,"service":"{POOL}","max_attempts":3,"stretch":2.0}}],"services":[{{"name":"{POOL}","health_path":"/healthz","max_conns":64,"protocol":"h1","tls":false,"admission_control":false,"spare":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+        r#"{{"version":7,"routes":[{{"name":"r-plan","host":"{HOST}","prefix":"{PREFIX}","kind":"non_idempotent","timeout_ms":3000,"slo_ms":60000,"priority":0,"service":"{POOL}","max_attempts":3,"stretch":2.0{advice}}}],"services":[{{"name":"{POOL}","health_path":"/healthz","max_conns":64,"protocol":"h1","tls":false,"admission_control":false,"spare":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
     )
 }
 
-fn settings_text(name: &str, ip: &str, ports: (u16, u16, u16), store: &str, cloud: &str) -> String {
+fn settings_text(
+    name: &str,
+    ip: &str,
+    ports: (u16, u16, u16),
+    store: &str,
+    cloud: &str,
+    advice: Option<&str>,
+) -> String {
     let (front, ready, internal) = ports;
+    let advice = advice.map_or(String::new(), |address| format!("advice = \"{address}\"\n"));
     format!(
         r#"node_name = "{name}"
 role = "manager"
@@ -377,7 +401,7 @@
 heartbeat_ms = 1500
 contracts = ["base","drain","config","cost","recover","sched","platform","upkeep","sharing"]
 control_mode = "call"
-[zones]
+{advice}[zones]
 z-a = "z"
 [listen]
 front = "{ip}:{front}"
