--- a/review/standins/src/bin/advice.rs
+++ b/review/standins/src/bin/advice.rs
@@ -5,13 +5,13 @@
 use std::thread;
 use std::time::Duration;
 
+use review_standins::fleet::Fleet;
+use review_standins::fleet::POOL;
 use review_standins::fleet::is_troubled;
 use review_standins::fleet::limit_run;
 use review_standins::fleet::record_path;
-use review_standins::fleet::Fleet;
-use review_standins::fleet::POOL;
-use review_standins::http::reply;
 use review_standins::http::Server;
+use review_standins::http::reply;
 use review_standins::json::Json;
 use review_standins::record::Record;
 use review_standins::store::Store;
@@ -43,13 +43,23 @@
         let good = workers.iter().filter_map(|worker| match worker {
             Json::Text(id) => {
                 let number: usize = id.trim_start_matches("i-").parse().ok()?;
-                (first..first + 5).contains(&number).then(|| format!(r#"["{id}","t-{id}"]"#))
+                (first..first + 5)
+                    .contains(&number)
+                    .then(|| format!(r#"["{id}","t-{id}"]"#))
             }
             _ => None,
         });
         let good: Vec<String> = good.collect();
-        noted.line(&format!("advice for {}: {} workers asked for, {} may run it", call.text("step"), workers.len(), good.len()));
-        reply(200, format!(r#"{{"good":[{}],"valid_ms":3000}}"#, good.join(",")))
+        noted.line(&format!(
+            "advice for {}: {} workers asked for, {} may run it",
+            call.text("step"),
+            workers.len(),
+            good.len()
+        ));
+        reply(
+            200,
+            format!(r#"{{"good":[{}],"valid_ms":3000}}"#, good.join(",")),
+        )
     });
     let advice = advice.expect("no free port");
     let address = advice.address.to_string();
@@ -73,7 +83,8 @@
         fleet.cannot_run("the pool has no owner");
     };
     let asked = (owner + 1) % 3;
-    let body = r#"{"spec":"quote","steps":[{"replicas":4,"cpu":1800,"mem_mb":256,"estimate_ms":800}]}"#;
+    let body =
+        r#"{"spec":"quote","steps":[{"replicas":4,"cpu":1800,"mem_mb":256,"estimate_ms":800}]}"#;
     let mut accepted = Vec::new();
     for number in 0..3 {
         let id = format!("b{number:015x}");
@@ -85,11 +96,9 @@
     let mut broken = Vec::new();
     for id in &accepted {
         let prefix = format!("{id}.");
-        let has_begun = events
-            .lock()
-            .unwrap()
-            .iter()
-            .any(|event| matches!(&event.what, What::Start { task, .. } if task.starts_with(&prefix)));
+        let has_begun = events.lock().unwrap().iter().any(
+            |event| matches!(&event.what, What::Start { task, .. } if task.starts_with(&prefix)),
+        );
         if !has_begun {
             broken.push(format!(
                 "job {id} was accepted and has not begun after {} s, shown as {:?}; five idle workers of 32 cores may run it",
--- a/review/standins/src/bin/crashes.rs
+++ b/review/standins/src/bin/crashes.rs
@@ -5,11 +5,11 @@
 use std::thread;
 use std::time::Duration;
 
+use review_standins::fleet::Fleet;
+use review_standins::fleet::POOL;
 use review_standins::fleet::is_troubled;
 use review_standins::fleet::limit_run;
 use review_standins::fleet::record_path;
-use review_standins::fleet::Fleet;
-use review_standins::fleet::POOL;
 use review_standins::record::Record;
 use review_standins::store::Store;
 use review_standins::worker::Durations;
@@ -66,7 +66,10 @@
         starts.map(|event| event.worker.clone()).collect::<Vec<_>>()
     };
     let at_work = |workers: &[RunningWorker]| {
-        workers.iter().map(|worker| worker.worker.running()).sum::<usize>()
+        workers
+            .iter()
+            .map(|worker| worker.worker.running())
+            .sum::<usize>()
     };
     if !fleet.wait(PATIENCE, || at_work(&workers) == TASKS) {
         fleet.cannot_run("the job's tasks are not at work");
--- a/review/standins/src/bin/ends.rs
+++ b/review/standins/src/bin/ends.rs
@@ -5,21 +5,21 @@
 use std::thread;
 use std::time::Duration;
 
-use review_standins::fleet::is_troubled;
-use review_standins::fleet::limit_run;
-use review_standins::fleet::record_path;
 use review_standins::fleet::Fleet;
 use review_standins::fleet::POOL;
 use review_standins::fleet::SIGCONT;
 use review_standins::fleet::SIGSTOP;
+use review_standins::fleet::is_troubled;
+use review_standins::fleet::limit_run;
+use review_standins::fleet::record_path;
 use review_standins::record::Record;
 use review_standins::store::Store;
-use review_standins::worker::twice;
 use review_standins::worker::Durations;
 use review_standins::worker::Events;
 use review_standins::worker::RunningWorker;
 use review_standins::worker::What;
 use review_standins::worker::WorkerPlan;
+use review_standins::worker::twice;
 
 const JOB: &str = "5c0e7a21d94b36f8";
 const TASKS: u64 = 700;
@@ -58,7 +58,9 @@
     }
     let starts = || {
         let events = events.lock().unwrap();
-        let starts = events.iter().filter(|event| matches!(event.what, What::Start { .. }));
+        let starts = events
+            .iter()
+            .filter(|event| matches!(event.what, What::Start { .. }));
         starts.count() as u64
     };
     if !fleet.wait(Duration::from_secs(3), || starts() == TASKS) {
@@ -67,7 +69,9 @@
     // The first task ends 3 s after its start, the last a second later.
     let first_ms = events.lock().unwrap()[0].at_ms;
     let freeze_ms = first_ms + SHORTEST_MS - 100;
-    thread::sleep(Duration::from_millis(freeze_ms.saturating_sub(record.now_ms())));
+    thread::sleep(Duration::from_millis(
+        freeze_ms.saturating_sub(record.now_ms()),
+    ));
     if is_troubled() {
         fleet.signal(owner, SIGSTOP);
         thread::sleep(FREEZE);
@@ -77,7 +81,10 @@
         thread::sleep(Duration::from_millis(500));
         fleet.state(asked, JOB).as_deref() == Some("completed")
     });
-    record.line(&format!("completed: {completed}, {} starts of {TASKS} tasks", starts()));
+    record.line(&format!(
+        "completed: {completed}, {} starts of {TASKS} tasks",
+        starts()
+    ));
     thread::sleep(Duration::from_secs(2));
     let broken = twice(&events.lock().unwrap());
     fleet.verdict("TWICE", &broken);
--- a/review/standins/src/bin/entry.rs
+++ b/review/standins/src/bin/entry.rs
@@ -6,19 +6,19 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
+use review_standins::fleet::Fleet;
+use review_standins::fleet::POOL;
 use review_standins::fleet::is_troubled;
 use review_standins::fleet::limit_run;
 use review_standins::fleet::record_path;
-use review_standins::fleet::Fleet;
-use review_standins::fleet::POOL;
 use review_standins::record::Record;
 use review_standins::store::Store;
-use review_standins::worker::twice;
 use review_standins::worker::Durations;
 use review_standins::worker::Events;
 use review_standins::worker::RunningWorker;
 use review_standins::worker::What;
 use review_standins::worker::WorkerPlan;
+use review_standins::worker::twice;
 
 const JOB: &str = "5c0e7a21d94b36f8";
 const WORK: Duration = Duration::from_secs(8);
@@ -46,7 +46,8 @@
         fleet.cannot_run("the pool has no owner");
     };
     let asked = (owner + 1) % 3;
-    let body = r#"{"spec":"one","steps":[{"replicas":1,"cpu":1000,"mem_mb":256,"estimate_ms":8000}]}"#;
+    let body =
+        r#"{"spec":"one","steps":[{"replicas":1,"cpu":1000,"mem_mb":256,"estimate_ms":8000}]}"#;
     if !fleet.submit(asked, JOB, body, Duration::from_secs(10)) {
         fleet.cannot_run("the job is not accepted");
     }
--- a/review/standins/src/bin/occurrence.rs
+++ b/review/standins/src/bin/occurrence.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
+use review_standins::fleet::Fleet;
+use review_standins::fleet::POOL;
 use review_standins::fleet::is_troubled;
 use review_standins::fleet::limit_run;
 use review_standins::fleet::record_path;
-use review_standins::fleet::Fleet;
-use review_standins::fleet::POOL;
 use review_standins::record::Record;
 use review_standins::store::Store;
 use review_standins::worker::Durations;
@@ -35,8 +35,13 @@
     limit_run(&fleet);
     let events = Events::default();
     let first = format!("{JOB}.0.");
-    let durations: Durations =
-        Arc::new(move |task: &str| if task.starts_with(&first) { LONG } else { SHORT });
+    let durations: Durations = Arc::new(move |task: &str| {
+        if task.starts_with(&first) {
+            LONG
+        } else {
+            SHORT
+        }
+    });
     let workers: Vec<RunningWorker> = (1..=2)
         .map(|number| {
             let plan = WorkerPlan {
@@ -75,9 +80,9 @@
     for occurrence in 0..OCCURRENCES {
         for index in 0..2 {
             let name = format!("{JOB}.{occurrence}.0.{index}");
-            let is_done = done.iter().any(|event| {
-                matches!(&event.what, What::End { task, how: "done", .. } if *task == name)
-            });
+            let is_done = done.iter().any(
+                |event| matches!(&event.what, What::End { task, how: "done", .. } if *task == name),
+            );
             if !is_done {
                 broken.push(format!(
                     "{name} has not ended done and nothing of it runs; the job is shown as {state:?}, {} runs at work, capacity for 64 tasks",
--- a/review/standins/src/bin/restart.rs
+++ b/review/standins/src/bin/restart.rs
@@ -5,11 +5,11 @@
 use std::thread;
 use std::time::Duration;
 
+use review_standins::fleet::Fleet;
+use review_standins::fleet::POOL;
 use review_standins::fleet::is_troubled;
 use review_standins::fleet::limit_run;
 use review_standins::fleet::record_path;
-use review_standins::fleet::Fleet;
-use review_standins::fleet::POOL;
 use review_standins::record::Record;
 use review_standins::store::Store;
 use review_standins::worker::Durations;
@@ -39,7 +39,14 @@
     };
     let start = |number| RunningWorker::start(&plan(number), &store, &record, &events, &durations);
     let again = |number, before: &RunningWorker| {
-        RunningWorker::start_at(&before.address, &plan(number), &store, &record, &events, &durations)
+        RunningWorker::start_at(
+            &before.address,
+            &plan(number),
+            &store,
+            &record,
+            &events,
+            &durations,
+        )
     };
     let mut workers = vec![start(1), start(2)];
     thread::sleep(Duration::from_secs(2));
@@ -47,7 +54,8 @@
         fleet.cannot_run("the pool has no owner");
     };
     let asked = (owner + 1) % 3;
-    let body = r#"{"spec":"one","steps":[{"replicas":4,"cpu":1000,"mem_mb":256,"estimate_ms":200}]}"#;
+    let body =
+        r#"{"spec":"one","steps":[{"replicas":4,"cpu":1000,"mem_mb":256,"estimate_ms":200}]}"#;
     let mut broken = Vec::new();
     for round in 0..ROUNDS {
         if is_troubled() {
@@ -92,5 +100,7 @@
         ends.count()
     };
     let (done, failed) = (ended("done"), ended("failed"));
-    format!("job {job} is shown as failed: {starts} starts of its 4 tasks, {done} ended done, {failed} ended failed, no worker has crashed since it was handed in")
+    format!(
+        "job {job} is shown as failed: {starts} starts of its 4 tasks, {done} ended done, {failed} ended failed, no worker has crashed since it was handed in"
+    )
 }
--- a/review/standins/src/bin/rows.rs
+++ b/review/standins/src/bin/rows.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
+use review_standins::fleet::Fleet;
+use review_standins::fleet::POOL;
 use review_standins::fleet::is_troubled;
 use review_standins::fleet::limit_run;
 use review_standins::fleet::record_path;
-use review_standins::fleet::Fleet;
-use review_standins::fleet::POOL;
 use review_standins::record::Record;
 use review_standins::store::Store;
 use review_standins::worker::Durations;
@@ -107,7 +107,8 @@
 
 /// Hands jobs in at one manager, one after another; returns the accepted ones.
 fn hand_in_jobs(fleet: &Fleet, entry: usize, client: u64) -> Vec<String> {
-    let body = r#"{"spec":"one","steps":[{"replicas":1,"cpu":1000,"mem_mb":256,"estimate_ms":50}]}"#;
+    let body =
+        r#"{"spec":"one","steps":[{"replicas":1,"cpu":1000,"mem_mb":256,"estimate_ms":50}]}"#;
     thread::sleep(PAUSE * client as u32 / 3);
     let mut accepted = Vec::new();
     for number in 0..JOBS_PER_CLIENT {
--- a/review/standins/src/bin/starve.rs
+++ b/review/standins/src/bin/starve.rs
@@ -5,11 +5,11 @@
 use std::thread;
 use std::time::Duration;
 
+use review_standins::fleet::Fleet;
+use review_standins::fleet::POOL;
 use review_standins::fleet::is_troubled;
 use review_standins::fleet::limit_run;
 use review_standins::fleet::record_path;
-use review_standins::fleet::Fleet;
-use review_standins::fleet::POOL;
 use review_standins::record::Record;
 use review_standins::store::Store;
 use review_standins::worker::Durations;
@@ -60,8 +60,15 @@
             fleet.cannot_run("a lasting job is not accepted");
         }
     }
-    let at_work = || workers.iter().map(|worker| worker.worker.running() as u64).sum::<u64>();
-    if !fleet.wait(Duration::from_secs(10), || at_work() == LASTING_JOBS * WORKERS) {
+    let at_work = || {
+        workers
+            .iter()
+            .map(|worker| worker.worker.running() as u64)
+            .sum::<u64>()
+    };
+    if !fleet.wait(Duration::from_secs(10), || {
+        at_work() == LASTING_JOBS * WORKERS
+    }) {
         fleet.cannot_run("not all lasting tasks are at work");
     }
     if is_troubled() {
@@ -69,7 +76,8 @@
         // Its lease has lapsed and its entry is gone by then.
         thread::sleep(Duration::from_secs(8));
     }
-    let short = r#"{"spec":"quote","steps":[{"replicas":6,"cpu":1800,"mem_mb":256,"estimate_ms":800}]}"#;
+    let short =
+        r#"{"spec":"quote","steps":[{"replicas":6,"cpu":1800,"mem_mb":256,"estimate_ms":800}]}"#;
     let mut accepted = Vec::new();
     for number in 0..SHORT_JOBS {
         let id = format!("b{number:015x}");
@@ -78,16 +86,17 @@
         }
         thread::sleep(Duration::from_millis(500));
     }
-    record.say(&format!("{} of {SHORT_JOBS} short jobs are accepted", accepted.len()));
+    record.say(&format!(
+        "{} of {SHORT_JOBS} short jobs are accepted",
+        accepted.len()
+    ));
     thread::sleep(FINISH);
     let mut broken = Vec::new();
     for id in &accepted {
         let first = format!("{id}.");
-        let has_begun = events
-            .lock()
-            .unwrap()
-            .iter()
-            .any(|event| matches!(&event.what, What::Start { task, .. } if task.starts_with(&first)));
+        let has_begun = events.lock().unwrap().iter().any(
+            |event| matches!(&event.what, What::Start { task, .. } if task.starts_with(&first)),
+        );
         if !has_begun {
             broken.push(format!(
                 "job {id} was accepted and has not begun {} s after the end of the traffic, shown as {:?}; {} lasting tasks of 0.1 cores at work on 128 cores",
--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -3,7 +3,11 @@
 use std::env;
 use std::fs;
 use std::fs::File;
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Child;
@@ -15,9 +19,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::http::Server;
 use crate::http::reply;
 use crate::http::send;
-use crate::http::Server;
 use crate::json::Json;
 use crate::record::Record;
 use crate::store::Store;
@@ -72,13 +76,24 @@
         record: &Arc<Record>,
         advice: Option<&str>,
     ) -> Fleet {
-        store.put("op", "config", &manifest(advice.is_some()));
+        Self::start_with(count, store, record, advice, 1, None)
+    }
+
+    /// Starts `count` managers and a number of pools. Each manager reaches the store
+    /// over a link of its own, of so many bytes a second each way, if that is set.
+    pub fn start_with(
+        count: usize,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+        advice: Option<&str>,
+        pools: usize,
+        link_bytes_per_s: Option<u64>,
+    ) -> Fleet {
+        store.put("op", "config", &manifest(advice.is_some(), pools));
         let listed = Arc::clone(store);
-        let cloud = Server::start("127.0.0.1:0", move |request| {
-            match request.path.as_str() {
-                "/cornelpoint/machines" => reply(200, machines(&listed)),
-                _ => reply(503, ""),
-            }
+        let cloud = Server::start("127.0.0.1:0", move |request| match request.path.as_str() {
+            "/cornelpoint/machines" => reply(200, machines(&listed)),
+            _ => reply(503, ""),
         });
         let cloud = cloud.expect("no free port");
         let folder = env::temp_dir().join(format!("review-{}", std::process::id()));
@@ -89,20 +104,24 @@
             let ip = format!("127.{}.{low}.{number}", 64 + high % 128);
             let name = format!("front-z-a-{number}");
             // All are held at the same time, so that they differ.
-            let held = [0; 3].map(|port| {
-                TcpListener::bind(format!("{ip}:{port}")).expect("no free port")
-            });
-            let [front, ready, internal] =
-                held.each_ref().map(|listener| listener.local_addr().unwrap().port());
+            let held =
+                [0; 3].map(|port| TcpListener::bind(format!("{ip}:{port}")).expect("no free port"));
+            let [front, ready, internal] = held
+                .each_ref()
+                .map(|listener| listener.local_addr().unwrap().port());
             drop(held);
             let settings = folder.join(format!("{name}.toml"));
             let text = settings_text(
                 &name,
                 &ip,
                 (front, ready, internal),
-                &store.address(),
+                &match link_bytes_per_s {
+                    Some(rate) => link(store.address(), rate),
+                    None => store.address(),
+                },
                 &cloud.address.to_string(),
                 advice,
+                link_bytes_per_s.map_or(1000, |rate| rate * 8 / 1_000_000),
             );
             fs::write(&settings, text).expect("settings can't be written");
             managers.push(Manager {
@@ -165,8 +184,11 @@
             .spawn();
         match process {
             Ok(process) => {
-                self.record
-                    .line(&format!("{} starts, process {}", manager.name, process.id()));
+                self.record.line(&format!(
+                    "{} starts, process {}",
+                    manager.name,
+                    process.id()
+                ));
                 manager.process = Some(process);
             }
             Err(error) => {
@@ -218,27 +240,47 @@
     }
 
     /// Sends a client's request to a manager and records it.
-    pub fn request(&self, number: usize, method: &str, rest: &str, body: &str) -> Option<(u16, String)> {
+    pub fn request(
+        &self,
+        number: usize,
+        method: &str,
+        rest: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
+        self.request_at(number, method, &format!("{PREFIX}{rest}"), body)
+    }
+
+    /// Sends a client's request with a whole path.
+    pub fn request_at(
+        &self,
+        number: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
         let (front, name) = {
             let managers = self.managers.lock().unwrap();
-            (managers[number].front.clone(), managers[number].name.clone())
+            (
+                managers[number].front.clone(),
+                managers[number].name.clone(),
+            )
         };
         let headers = [
             ("host", HOST),
             ("content-type", "application/json"),
             ("cornelpoint-deadline-ms", "3000"),
         ];
-        let path = format!("{PREFIX}{rest}");
         let sent_ms = self.record.now_ms();
-        let answer = send(&front, method, &path, &headers, body, CLIENT_LIMIT);
+        let answer = send(&front, method, path, &headers, body, CLIENT_LIMIT);
         let text = match &answer {
             Some((status, body)) => format!("{status} {body}"),
             None => "no answer".to_owned(),
         };
         let shown: String = body.chars().take(200).collect();
         let took_ms = self.record.now_ms() - sent_ms;
-        self.record
-            .line(&format!("client: {method} {path} to {name} {shown} -> {text} ({took_ms} ms)"));
+        self.record.line(&format!(
+            "client: {method} {path} to {name} {shown} -> {text} ({took_ms} ms)"
+        ));
         answer
     }
 
@@ -343,15 +385,66 @@
     PathBuf::from(env::args().nth(1).expect("expected the path of the record"))
 }
 
+/// Opens a link to an address that carries so many bytes a second each way, for all
+/// channels together; returns its address.
+fn link(to: String, bytes_per_s: u64) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("no free port for a link");
+    let address = listener.local_addr().unwrap().to_string();
+    let ways: [Arc<Mutex<Instant>>; 2] = [0; 2].map(|_| Arc::new(Mutex::new(Instant::now())));
+    thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let Ok(far) = TcpStream::connect(&to) else {
+                continue;
+            };
+            let ends = [
+                (near.try_clone(), far.try_clone()),
+                (far.try_clone(), near.try_clone()),
+            ];
+            for ((from, into), way) in ends.into_iter().zip(&ways) {
+                let (Ok(from), Ok(into)) = (from, into) else {
+                    continue;
+                };
+                let way = Arc::clone(way);
+                thread::spawn(move || carry(from, into, &way, bytes_per_s));
+            }
+        }
+    });
+    address
+}
+
+/// Carries bytes one way; `free` is when the link is free again.
+fn carry(mut from: TcpStream, mut into: TcpStream, free: &Mutex<Instant>, bytes_per_s: u64) {
+    let _ = into.set_nodelay(true);
+    let mut buffer = [0; 4096];
+    while let Ok(length) = from.read(&mut buffer) {
+        if length == 0 {
+            break;
+        }
+        let arrives = {
+            let mut free = free.lock().unwrap();
+            let takes = Duration::from_micros(length as u64 * 1_000_000 / bytes_per_s);
+            *free = (*free).max(Instant::now()) + takes;
+            *free
+        };
+        thread::sleep(arrives.saturating_duration_since(Instant::now()));
+        if into.write_all(&buffer[..length]).is_err() {
+            break;
+        }
+    }
+    let _ = from.shutdown(Shutdown::Both);
+    let _ = into.shutdown(Shutdown::Both);
+}
+
 /// Lists the machines of the workers that are registered. No service is spare, so
 /// that none is ordered to move.
 fn machines(store: &Store) -> String {
     let entries = store.values("servers");
     let entries = entries.iter().filter_map(|(id, value)| {
         let entry = Json::parse(value)?;
-        (entry.text("service") == POOL).then(|| {
+        let pool = entry.text("service");
+        pool.starts_with(POOL).then(|| {
             format!(
-                r#"{{"machine":"{}","pool":"{POOL}","state":"up","zone":"z-a","labels":["a","r1-1"],"capacity":{{"cpu":{},"mem_mb":131072,"gpu":0}},"id":"{id}"}}"#,
+                r#"{{"machine":"{}","pool":"{pool}","state":"up","zone":"z-a","labels":["a","r1-1"],"capacity":{{"cpu":{},"mem_mb":131072,"gpu":0}},"id":"{id}"}}"#,
                 entry.text("machine"),
                 entry.get("capacity").and_then(|capacity| capacity.number("cpu")).unwrap_or(0)
             )
@@ -364,13 +457,44 @@
     )
 }
 
-fn manifest(has_advice: bool) -> String {
+/// Returns the name of a pool.
+pub fn pool(number: usize) -> String {
+    match number {
+        0 => POOL.to_owned(),
+        _ => format!("{POOL}-{number}"),
+    }
+}
+
+/// Returns the prefix of a pool's queue.
+pub fn prefix(number: usize) -> String {
+    match number {
+        0 => PREFIX.to_owned(),
+        _ => format!("/plan-{number}/"),
+    }
+}
+
+fn manifest(has_advice: bool, pools: usize) -> String {
     let advice = match has_advice {
         true => r#","advice":{"decide_ms":10,"each_ms":0.5,"valid_ms":3000}"#,
         false => "",
     };
+    let routes = (0..pools).map(|number| {
+        format!(
+            r#"{{"name":"r-{number}","host":"{HOST}","prefix":"{}","kind":"non_idempotent","timeout_ms":3000,"slo_ms":60000,"priority":0,"service":"{}","max_attempts":3,"stretch":2.0{advice}}}"#,
+            prefix(number),
+            pool(number)
+        )
+    });
+    let services = (0..pools).map(|number| {
+        format!(
+            r#"{{"name":"{}","health_path":"/healthz","max_conns":64,"protocol":"h1","tls":false,"admission_control":false,"spare":false}}"#,
+            pool(number)
+        )
+    });
     format!(
-        r#"{{"version":7,"routes":[{{"name":"r-plan","host":"{HOST}","prefix":"{PREFIX}","kind":"non_idempotent","timeout_ms":3000,"slo_ms":60000,"priority":0,"service":"{POOL}","max_attempts":3,"stretch":2.0{advice}}}],"services":[{{"name":"{POOL}","health_path":"/healthz","max_conns":64,"protocol":"h1","tls":false,"admission_control":false,"spare":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+        r#"{{"version":7,"routes":[{}],"services":[{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#,
+        routes.collect::<Vec<_>>().join(","),
+        services.collect::<Vec<_>>().join(",")
     )
 }
 
@@ -381,6 +505,7 @@
     store: &str,
     cloud: &str,
     advice: Option<&str>,
+    link_mbps: u64,
 ) -> String {
     let (front, ready, internal) = ports;
     let advice = advice.map_or(String::new(), |address| format!("advice = \"{address}\"\n"));
@@ -411,7 +536,7 @@
 cores = 1
 memory_mb = 260
 max_fds = 4100
-link_mbps = 1000.0
+link_mbps = {link_mbps}.0
 disk_mb = 0
 [fault_tolerance]
 machines = 1
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -9,10 +9,10 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -9,12 +9,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::http::reply;
 use crate::http::Reply;
 use crate::http::Request;
 use crate::http::Server;
-use crate::json::quote;
+use crate::http::reply;
 use crate::json::Json;
+use crate::json::quote;
 use crate::record::Record;
 
 /// Limits that the settings and the page state.
@@ -187,10 +187,7 @@
     fn rows(&self, query: &BTreeMap<String, String>) -> Reply {
         let text = |name: &str| query.get(name).cloned().unwrap_or_default();
         let (table, part, target) = (text("table"), text("part"), text("target"));
-        let limit = text("limit")
-            .parse()
-            .unwrap_or(MAX_ROWS)
-            .clamp(1, MAX_ROWS);
+        let limit = text("limit").parse().unwrap_or(MAX_ROWS).clamp(1, MAX_ROWS);
         let all = self.table.lock().unwrap();
         let from = (table.clone(), part.clone(), text("from"));
         let keys = all.rows.range(from..).map(|(key, _)| key);
@@ -298,7 +295,10 @@
     let (mut decoded, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
         let hex = text.get(at + 1..at + 3);
-        match (bytes[at], hex.and_then(|hex| u8::from_str_radix(hex, 16).ok())) {
+        match (
+            bytes[at],
+            hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()),
+        ) {
             (b'%', Some(byte)) => {
                 decoded.push(byte);
                 at += 3;
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -1,22 +1,22 @@
 //! Workers (PROTOCOL.md, "Running tasks" and "Service discovery").
 
 use std::collections::BTreeMap;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
 
-use crate::http::reply;
 use crate::http::Reply;
 use crate::http::Request;
 use crate::http::Server;
-use crate::json::quote;
+use crate::http::reply;
 use crate::json::Json;
+use crate::json::quote;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -38,10 +38,20 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum What {
-    Start { task: String, run: u64 },
-    End { task: String, run: u64, number: u64, how: &'static str },
+    Start {
+        task: String,
+        run: u64,
+    },
+    End {
+        task: String,
+        run: u64,
+        number: u64,
+        how: &'static str,
+    },
     /// `last_seen` has reached this number.
-    Noted { number: u64 },
+    Noted {
+        number: u64,
+    },
     /// The lease has lapsed.
     Lapsed,
     /// The worker has crashed, or has started its next life.
@@ -369,7 +379,9 @@
             .collect();
         let finished = life.finished.iter().take(MAX_ENDS);
         let finished: Vec<String> = finished
-            .map(|(number, task, run, how)| format!(r#"[{number},{},{run},"{how}",""]"#, quote(task)))
+            .map(|(number, task, run, how)| {
+                format!(r#"[{number},{},{run},"{how}",""]"#, quote(task))
+            })
             .collect();
         if life.finished.len() > MAX_ENDS {
             self.record.line(&format!(
@@ -445,12 +457,20 @@
                     }
                 }
             }
-            What::End { task, run, number, how } => {
+            What::End {
+                task,
+                run,
+                number,
+                how,
+            } => {
                 if let Some(runs) = running.get_mut(task) {
                     runs.retain(|(worker, other, _)| (worker, other) != (&event.worker, run));
                 }
                 if *how == "done" {
-                    ended.entry(task.clone()).or_default().push((index, *number));
+                    ended
+                        .entry(task.clone())
+                        .or_default()
+                        .push((index, *number));
                 }
             }
             What::Crashed => {
