--- a/review/standins/src/bin/crashes.rs
+++ b/review/standins/src/bin/crashes.rs
@@ -1,4 +1,4 @@
-//! A lasting job runs on five workers of six. The worker of its first task crashes
+//! A lasting job runs on five workers of eight. The worker of its first task crashes
 //! and starts again, four times; each time the task has to start elsewhere.
 
 use std::sync::Arc;
@@ -19,7 +19,7 @@
 use review_standins::worker::WorkerPlan;
 
 const JOB: &str = "a00000000000001c";
-const WORKERS: usize = 6;
+const WORKERS: usize = 8;
 const TASKS: usize = 5;
 const CRASHES: usize = 4;
 /// Time that a worker is down.
--- a/review/standins/src/bin/links.rs
+++ b/review/standins/src/bin/links.rs
@@ -23,7 +23,7 @@
 const JOBS: usize = 300;
 /// 10 Mbit/s.
 const LINK_BYTES_PER_S: u64 = 1_250_000;
-const RECOVER: Duration = Duration::from_secs(12);
+const RECOVER: Duration = Duration::from_secs(15);
 const FINISH: Duration = Duration::from_secs(14);
 
 fn main() {
--- a/review/standins/src/bin/starve.rs
+++ b/review/standins/src/bin/starve.rs
@@ -18,7 +18,7 @@
 use review_standins::worker::What;
 use review_standins::worker::WorkerPlan;
 
-const WORKERS: u64 = 5;
+const WORKERS: u64 = 8;
 const LASTING_JOBS: u64 = 30;
 const SHORT_JOBS: u64 = 10;
 const WORK: Duration = Duration::from_millis(800);
@@ -99,7 +99,7 @@
         );
         if !has_begun {
             broken.push(format!(
-                "job {id} was accepted and has not begun {} s after the end of the traffic, shown as {:?}; {} lasting tasks of 0.1 cores at work on 128 cores",
+                "job {id} was accepted and has not begun {} s after the end of the traffic, shown as {:?}; {} lasting tasks of 0.1 cores at work on 224 cores",
                 FINISH.as_secs(),
                 fleet.state(asked, id),
                 at_work()
