Steps that fit no worker hold back no others

Cause: a placement pass ended at 24 steps that it couldn't place, and the next one began with the same steps. Shown by four tests for four reasons why a step may fit no worker (a limit of tasks a worker, a label, memory, a gang), all failing before; with 20 such steps in place of 48 all pass on the old code, which rules out a wrong count of the room. Jobs that aren't stored yet are ruled out: they were accepted.

Now a pass has no such limit. A step that no worker could take is marked and compared again only with workers that have changed since, so that passes stay short and the order of placement is as before. A test under random changes shows that considering all workers again starts nothing more; it fails with any of three of the places taken out that note a changed worker. Requests for tickets, which the old limit had kept down, have a limit of their own and take turns.

--- a/crates/cornelpoint/src/job/resources.rs
+++ b/crates/cornelpoint/src/job/resources.rs
@@ -31,6 +31,29 @@
             && sum.accelerators <= self.accelerators
     }
 
+    /// Returns how often `need` fits into these resources beside what is `used`;
+    /// `u64::MAX` if it takes nothing.
+    ///
+    /// ```
+    /// use cornelpoint::job::Resources;
+    ///
+    /// let worker = Resources { cpu_millicores: 4000, memory_mb: 8192, accelerators: 0 };
+    /// let task = Resources { cpu_millicores: 1500, memory_mb: 1024, accelerators: 0 };
+    /// assert_eq!(worker.count_fitting(Resources::default(), task), 2);
+    /// assert_eq!(worker.count_fitting(task, task), 1);
+    /// ```
+    #[must_use]
+    pub fn count_fitting(self, used: Self, need: Self) -> u64 {
+        if !self.fits(used, need) {
+            return 0;
+        }
+        let free = self.minus(used);
+        let count = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
+        count(free.cpu_millicores, need.cpu_millicores)
+            .min(count(free.memory_mb, need.memory_mb))
+            .min(count(free.accelerators, need.accelerators))
+    }
+
     /// Returns the sum of both.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
--- a/crates/cornelpoint/src/job/step.rs
+++ b/crates/cornelpoint/src/job/step.rs
@@ -58,6 +58,23 @@
         }
     }
 
+    /// Whether workers with enough room may still not run a task: they lack a label, or
+    /// run as many tasks of the step as they may.
+    ///
+    /// ```
+    /// use cornelpoint::job::JobSpec;
+    /// use cornelpoint::job::RawJob;
+    /// use cornelpoint::job::RawStep;
+    ///
+    /// let steps = vec![RawStep { replicas: 1, max_per_worker: 1, ..RawStep::default() }];
+    /// let job = JobSpec::try_from(RawJob { steps, ..RawJob::default() }).unwrap();
+    /// assert!(job.steps[0].is_restricted());
+    /// ```
+    #[must_use]
+    pub fn is_restricted(&self) -> bool {
+        self.required_label.is_some() || self.max_per_worker.is_some()
+    }
+
     /// Returns the estimated work of all tasks, in core-milliseconds; 0 for
     /// fillers and long-running tasks.
     #[must_use]
--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -81,9 +81,9 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             job.objective.record_measurement(&job.spec, step, took_ms);
         }
-        for (step, indexes) in waiting {
+        for (step, ready) in waiting {
             if let Some(key) = self.ready_key(step) {
-                self.ready.insert(key, indexes);
+                self.ready.insert(key, ready);
             }
         }
     }
@@ -188,10 +188,8 @@
 
     /// Returns the CPU that waiting tasks request.
     fn waiting_millicores(&self) -> u64 {
-        let waiting = self.ready.iter().filter_map(|(key, indexes)| {
-            let step = self.jobs.get(&key.step.job)?.step(key.step.step);
-            Some(step.reserved().cpu_millicores * indexes.len() as u64)
-        });
+        let waiting = self.ready.values();
+        let waiting = waiting.map(|step| step.need.cpu_millicores * step.tasks.len() as u64);
         waiting.sum()
     }
 
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -328,6 +328,7 @@
         for incarnation in in_flight.incarnations {
             if let Some(worker) = self.incarnations.get_mut(&incarnation) {
                 worker.recorded = true;
+                self.changed_workers.insert(incarnation);
             }
         }
         self.placement_needed = true;
--- a/crates/cornelpoint/src/scheduler/completions.rs
+++ b/crates/cornelpoint/src/scheduler/completions.rs
@@ -29,6 +29,7 @@
             CompletionKind::Failed => worker.consecutive_failures += 1,
             _ => {}
         }
+        self.changed_workers.insert(incarnation);
         self.placement_needed = true;
         let Some(job) = self.jobs.get_mut(&completion.task.step.job) else {
             return;
--- a/crates/cornelpoint/src/scheduler/crashes.rs
+++ b/crates/cornelpoint/src/scheduler/crashes.rs
@@ -178,6 +178,8 @@
         };
         update(&mut task.crashes);
         let crashes = task.crashes;
+        // Where a task may be placed depends on whether it is a suspect.
+        self.reconsider(id.step);
         self.unstored.insert(id.step.job, Urgency::Progress);
         if crashes.is_given_up() {
             self.events.push(SchedulerEvent::TaskGivenUp {
--- a/crates/cornelpoint/src/scheduler/evacuation.rs
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -8,6 +8,7 @@
 use super::pool_scheduler::PoolScheduler;
 use super::task_entry::Phase;
 use super::task_entry::Run;
+use super::worker_set::WorkerSet;
 use super::worker_state::WorkerState;
 
 /// Interval at which the runs of workers that are being vacated are checked
@@ -36,6 +37,7 @@
             worker.vacating = vacating;
         }
         self.placement_needed = true;
+        self.changed_workers = WorkerSet::All;
     }
 
     /// Sets the workers whose machines are due for maintenance. Tasks that last avoid
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -116,8 +116,11 @@
         }
         let waited_for = self.predecessor_incarnations.remove(&worker.entry.id);
         // Most reports change nothing that matters to waiting tasks.
-        self.placement_needed |=
-            was_unresponsive || (was_on_trial && !worker.is_on_trial()) || waited_for.is_some();
+        let usable_again = was_unresponsive || (was_on_trial && !worker.is_on_trial());
+        if usable_again {
+            self.changed_workers.insert(incarnation);
+        }
+        self.placement_needed |= usable_again || waited_for.is_some();
         worker.contact = Contact::Responsive;
         worker.reported_ms = now.steady_ms;
         worker.report_requested_ms = sent_ms;
@@ -335,6 +338,7 @@
     pub(super) fn release_run(&mut self, incarnation: IncarnationIndex, task: TaskId, run: u64) {
         if let Some(worker) = self.incarnations.get_mut(&incarnation) {
             worker.release(task, run);
+            self.changed_workers.insert(incarnation);
             self.placement_needed = true;
         }
     }
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -31,6 +31,7 @@
 mod tickets;
 mod unstored_jobs;
 mod worker_choice;
+mod worker_set;
 mod worker_state;
 
 pub use self::action::Action;
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -12,10 +12,7 @@
 use super::pool_scheduler::PoolScheduler;
 use super::task_entry::Phase;
 use super::task_entry::Run;
-
-/// Number of steps that fit no worker after which a placement pass ends, so
-/// that passes stay short under a backlog.
-const MAX_UNPLACED_STEPS_PER_PASS: u32 = 24;
+use super::worker_set::WorkerSet;
 
 /// Placement order of the steps that wait for workers: long-running steps
 /// first, then by priority, then by earliest objective.
@@ -29,6 +26,34 @@
     pub(super) step: StepId,
 }
 
+/// Tasks of a step that wait for workers.
+#[derive(Clone, Debug)]
+pub(super) struct ReadyStep {
+    pub(super) tasks: BTreeSet<u32>,
+    /// Resources that one task takes.
+    pub(super) need: Resources,
+    /// Whether no worker could take a task at the last placement pass. Then only
+    /// workers that have changed since can.
+    pub(super) unplaceable: bool,
+}
+
+/// One pass over the steps that wait for workers.
+struct PlacementPass {
+    changed_workers: WorkerSet,
+    /// Needs that fit no worker, whatever the other conditions of a step are.
+    too_large: Vec<Resources>,
+    /// Steps that need tickets and have none.
+    without_tickets: Vec<StepId>,
+}
+
+impl PlacementPass {
+    /// Whether a need is at least as large as one that fits no worker.
+    fn is_too_large(&self, need: Resources) -> bool {
+        let mut too_large = self.too_large.iter();
+        too_large.any(|known| need.fits(Resources::default(), *known))
+    }
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     reason = "steps and tasks are bounded when a job is checked"
@@ -96,8 +121,24 @@
         if job.status.is_final() || !open || !idle {
             return;
         }
+        let need = job.step(id.step.step).reserved();
         if let Some(key) = self.ready_key(id.step) {
-            self.ready.entry(key).or_default().insert(id.index);
+            let step = self.ready.entry(key).or_insert_with(|| ReadyStep {
+                tasks: BTreeSet::new(),
+                need,
+                unplaceable: false,
+            });
+            step.tasks.insert(id.index);
+            step.unplaceable = false;
+            self.placement_needed = true;
+        }
+    }
+
+    /// Considers a waiting step for all workers again.
+    pub(super) fn reconsider(&mut self, step: StepId) {
+        let key = self.ready_key(step);
+        if let Some(step) = key.and_then(|key| self.ready.get_mut(&key)) {
+            step.unplaceable = false;
             self.placement_needed = true;
         }
     }
@@ -107,16 +148,16 @@
         let Some(key) = self.ready_key(id.step) else {
             return;
         };
-        if let Some(indexes) = self.ready.get_mut(&key) {
-            indexes.remove(&id.index);
-            if indexes.is_empty() {
+        if let Some(step) = self.ready.get_mut(&key) {
+            step.tasks.remove(&id.index);
+            if step.tasks.is_empty() {
                 self.ready.remove(&key);
             }
         }
     }
 
     /// Removes a job's tasks from the placement queue and returns them.
-    pub(super) fn take_ready_of_job(&mut self, id: JobId) -> Vec<(StepId, BTreeSet<u32>)> {
+    pub(super) fn take_ready_of_job(&mut self, id: JobId) -> Vec<(StepId, ReadyStep)> {
         let Some(job) = self.jobs.get(&id) else {
             return Vec::new();
         };
@@ -139,33 +180,49 @@
     }
 
     /// Places waiting tasks in order while workers have free capacity.
+    ///
+    /// A step that can't be placed, for whatever reason, must not hold back others.
+    /// What keeps passes short under a backlog is that such a step is compared only
+    /// with workers that have changed since.
     pub(super) fn place_ready_steps(&mut self, now: Instant) {
         self.placement_needed = false;
-        let late = |key: &&ReadyKey| key.is_batch && key.latest_start_ms < now.steady_ms;
-        // Jobs that can still meet their objective go first: a late job has
-        // little value.
-        let in_time = self.ready.keys().filter(|key| !late(key));
-        let keys: Vec<ReadyKey> = in_time
-            .chain(self.ready.keys().filter(late))
-            .copied()
-            .collect();
         self.starts_limited = false;
-        let mut unplaced_steps = 0;
-        let mut largest_free = self.largest_free(now);
-        for key in keys {
-            if unplaced_steps >= MAX_UNPLACED_STEPS_PER_PASS || self.starts_limited {
+        let mut pass = PlacementPass {
+            changed_workers: std::mem::take(&mut self.changed_workers),
+            too_large: Vec::new(),
+            without_tickets: Vec::new(),
+        };
+        for key in self.placeable_steps(&pass, now) {
+            self.place_step(key, &mut pass, now);
+            if self.starts_limited {
+                // The steps behind have not been compared with these workers yet.
+                self.changed_workers.extend(pass.changed_workers);
                 break;
             }
-            if !self.may_fit(key.step, largest_free) {
-                unplaced_steps += 1;
-                continue;
-            }
-            if !self.place_step(key, now) {
-                unplaced_steps += 1;
-                // Tasks that were placed have left less.
-                largest_free = self.largest_free(now);
-            }
         }
+        self.request_tickets(pass.without_tickets, now);
+    }
+
+    /// Returns the steps that some worker may have room for, in placement order.
+    fn placeable_steps(&self, pass: &PlacementPass, now: Instant) -> Vec<ReadyKey> {
+        let largest_free = self.largest_free(&WorkerSet::All, now);
+        let largest_changed = self.largest_free(&pass.changed_workers, now);
+        // Steps that need tickets request them before there is room.
+        let needs_tickets = self.queues.values().any(|queue| queue.advice.is_some());
+        let placeable = self.ready.iter().filter(|(_, step)| {
+            let free = if step.unplaceable {
+                largest_changed
+            } else {
+                largest_free
+            };
+            needs_tickets || free.is_some_and(|free| free.fits(Resources::default(), step.need))
+        });
+        let (late, in_time): (Vec<ReadyKey>, Vec<ReadyKey>) = placeable
+            .map(|(key, _)| *key)
+            .partition(|key| key.is_batch && key.latest_start_ms < now.steady_ms);
+        // Jobs that can still meet their objective go first: a late job has
+        // little value.
+        in_time.into_iter().chain(late).collect()
     }
 
     fn starts_in_flight(&self) -> usize {
@@ -173,72 +230,87 @@
         workers.map(|worker| worker.starts_in_flight).sum()
     }
 
-    /// Returns the most that any usable worker has free of each resource.
-    fn largest_free(&self, now: Instant) -> Resources {
-        let workers = self.incarnations.values();
-        let usable = workers.filter(|worker| Self::is_usable(worker, now));
-        let free = usable.map(|worker| worker.entry.capacity.minus(worker.used));
-        free.fold(Resources::default(), |largest, free| Resources {
+    /// Returns the most that any usable worker of a set has free of each resource, or
+    /// `None` if there is none.
+    fn largest_free(&self, among: &WorkerSet, now: Instant) -> Option<Resources> {
+        let workers = self.workers_among(among);
+        let usable = workers.filter(|(_, worker)| Self::is_usable(worker, now));
+        let free = usable.map(|(_, worker)| worker.entry.capacity.minus(worker.used));
+        free.reduce(|largest, free| Resources {
             cpu_millicores: largest.cpu_millicores.max(free.cpu_millicores),
             memory_mb: largest.memory_mb.max(free.memory_mb),
             accelerators: largest.accelerators.max(free.accelerators),
         })
     }
 
-    /// Whether a task of a step may fit a worker, given the most that any has free.
-    /// Under a backlog most steps don't, which this finds without a look at each
-    /// worker. Steps that need tickets request them before there is room.
-    fn may_fit(&self, step: StepId, largest_free: Resources) -> bool {
-        self.jobs.get(&step.job).is_none_or(|job| {
-            let need = job.step(step.step).reserved();
-            largest_free.fits(Resources::default(), need)
-                || self.queue_rules(&job.record).advice.is_some()
-        })
-    }
-
-    /// Places the waiting tasks of a step. Returns `false` if some fit no worker
-    /// or the step has no tickets.
-    fn place_step(&mut self, key: ReadyKey, now: Instant) -> bool {
+    /// Places the waiting tasks of a step as far as they fit.
+    fn place_step(&mut self, key: ReadyKey, pass: &mut PlacementPass, now: Instant) {
         let Some(job) = self.jobs.get(&key.step.job) else {
             self.ready.remove(&key);
-            return true;
+            return;
         };
         let blocked = job.inherited && !self.predecessor_incarnations.is_empty();
         if blocked || job.stored_status.is_none() {
-            return true;
+            return;
         }
-        let step = job.step(key.step.step).clone();
+        let Some(ready) = self.ready.get(&key) else {
+            return;
+        };
+        let need = ready.need;
+        let unplaceable = ready.unplaceable;
         let needs_ticket = self.queue_rules(&job.record).advice.is_some();
         if needs_ticket && !self.has_tickets(key.step, now) {
-            return false;
+            pass.without_tickets.push(key.step);
+            return;
         }
-        let indexes: Vec<u32> = match self.ready.get(&key) {
-            Some(indexes) => indexes.iter().copied().collect(),
-            None => return true,
-        };
+        if pass.is_too_large(need) {
+            self.mark_unplaceable(key);
+            return;
+        }
+        let indexes: Vec<u32> = ready.tasks.iter().copied().collect();
+        let step = job.step(key.step.step).clone();
         if step.gang {
-            return self.place_gang(key, &step, &indexes, needs_ticket, now);
+            // Its members may need a changed worker together with others.
+            self.place_gang(key, &step, &indexes, needs_ticket, now);
+            return;
         }
+        let all = WorkerSet::All;
         let mut all_placed = true;
         for index in indexes {
             if self.starts_in_flight() >= self.settings.max_starts_in_flight {
                 self.starts_limited = true;
-                return false;
+                return;
             }
+            let among = if unplaceable {
+                &pass.changed_workers
+            } else {
+                &all
+            };
             let task = key.step.task(index);
             let suspect = self.is_suspect(task);
-            let chosen = self.choose_worker(key.step, &step, needs_ticket, suspect, now);
+            let chosen = self.choose_worker(key.step, &step, among, needs_ticket, suspect, now);
             let Some(incarnation) = chosen else {
                 all_placed = false;
                 if suspect {
                     // The other tasks of the step need no worker of their own.
                     continue;
                 }
+                if !step.is_restricted() && !needs_ticket {
+                    pass.too_large.push(need);
+                }
                 break;
             };
             self.start(task, &step, incarnation, self.next_run_of(task), now);
         }
-        all_placed
+        if !all_placed {
+            self.mark_unplaceable(key);
+        }
+    }
+
+    fn mark_unplaceable(&mut self, key: ReadyKey) {
+        if let Some(step) = self.ready.get_mut(&key) {
+            step.unplaceable = true;
+        }
     }
 
     /// Places all tasks of a gang under one run number, or none of them.
@@ -249,10 +321,14 @@
         indexes: &[u32],
         needs_ticket: bool,
         now: Instant,
-    ) -> bool {
+    ) {
         if indexes.len() < step.replicas as usize {
             // Some members of the previous run have not ended yet.
-            return true;
+            return;
+        }
+        if !self.has_room_for(key.step, step, indexes.len(), needs_ticket, now) {
+            self.mark_unplaceable(key);
+            return;
         }
         let runs = indexes
             .iter()
@@ -263,12 +339,13 @@
             let task = key.step.task(index);
             // Waiting for a worker of its own for each member could last for ever.
             let suspect = false;
-            let chosen = self.choose_worker(key.step, step, needs_ticket, suspect, now);
+            let all = WorkerSet::All;
+            let chosen = self.choose_worker(key.step, step, &all, needs_ticket, suspect, now);
             let Some(incarnation) = chosen else {
                 for (incarnation, task) in taken {
                     self.release_run(incarnation, task, run);
                 }
-                return false;
+                return;
             };
             if let Some(worker) = self.incarnations.get_mut(&incarnation) {
                 worker.reserve(task, run, step.reserved());
@@ -286,7 +363,6 @@
             }
             self.start(task, step, incarnation, run, now);
         }
-        true
     }
 
     fn gang_checkpoint(&self, step: StepId, indexes: &[u32]) -> String {
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -20,10 +20,12 @@
 use super::job_entry::JobEntry;
 use super::load::Load;
 use super::placement::ReadyKey;
+use super::placement::ReadyStep;
 use super::scheduler_event::SchedulerEvent;
 use super::settings::SchedulerSettings;
 use super::tickets::Tickets;
 use super::unstored_jobs::UnstoredJobs;
+use super::worker_set::WorkerSet;
 use super::worker_state::Renewal;
 use super::worker_state::WorkerState;
 
@@ -53,7 +55,7 @@
     pub(super) next_incarnation: IncarnationIndex,
     /// Starts of ended incarnations that the registry may still list, by worker.
     pub(super) ended_incarnations: HashMap<String, u64>,
-    pub(super) ready: BTreeMap<ReadyKey, BTreeSet<u32>>,
+    pub(super) ready: BTreeMap<ReadyKey, ReadyStep>,
     pub(super) tickets: BTreeMap<StepId, Tickets>,
     /// Future occurrences by due time, in milliseconds since 1970.
     pub(super) scheduled_occurrences: BTreeSet<(u64, JobId, u32)>,
@@ -76,6 +78,9 @@
     pub(super) actions: Vec<Action>,
     pub(super) events: Vec<SchedulerEvent>,
     pub(super) placement_needed: bool,
+    /// Workers that may have room since the last placement pass for tasks that fitted
+    /// no worker then.
+    pub(super) changed_workers: WorkerSet,
     last_tick_ms: u64,
     /// Whether tasks wait only until orders to start are answered.
     pub(super) starts_limited: bool,
@@ -147,6 +152,7 @@
             actions: Vec::new(),
             events: Vec::new(),
             placement_needed: false,
+            changed_workers: WorkerSet::All,
             last_tick_ms: 0,
             starts_limited: false,
             fenced: false,
@@ -187,6 +193,7 @@
             };
             self.queues.insert(queue.name.clone(), rules);
         }
+        self.changed_workers = WorkerSet::All;
     }
 
     /// Returns the actions that have become necessary since the last call.
@@ -216,7 +223,7 @@
         self.release_expired_leases(now);
         self.requeue_orphaned_tasks(now);
         self.evacuate(now);
-        self.placement_needed |= self.has_served_penalty(self.last_tick_ms, now);
+        self.end_penalties(self.last_tick_ms, now);
         self.last_tick_ms = now.steady_ms;
         if self.placement_needed {
             self.place_ready_steps(now);
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -8,6 +8,7 @@
 use super::newest_incarnations::NewestIncarnations;
 use super::pool_scheduler::PoolScheduler;
 use super::scheduler_event::RunLoss;
+use super::worker_set::WorkerSet;
 use super::worker_state::Contact;
 use super::worker_state::Renewal;
 use super::worker_state::WorkerState;
@@ -75,6 +76,7 @@
             self.remove_incarnation(incarnation, now);
         }
         self.placement_needed = true;
+        self.changed_workers = WorkerSet::All;
     }
 
     /// Ends the incarnations whose machines have started newer ones.
@@ -268,11 +270,15 @@
         penalties.filter(|&until_ms| until_ms > now.steady_ms).min()
     }
 
-    /// Whether a worker may get tasks again whose penalty ended after `since_ms`.
-    pub(super) fn has_served_penalty(&self, since_ms: u64, now: Instant) -> bool {
-        let workers = self.incarnations.values();
-        let mut penalties = workers.map(|worker| worker.penalty_until_ms);
-        penalties.any(|until_ms| since_ms < until_ms && until_ms <= now.steady_ms)
+    /// Considers workers for tasks again whose penalty ended after `since_ms`.
+    pub(super) fn end_penalties(&mut self, since_ms: u64, now: Instant) {
+        for (&incarnation, worker) in &self.incarnations {
+            let until_ms = worker.penalty_until_ms;
+            if since_ms < until_ms && until_ms <= now.steady_ms {
+                self.changed_workers.insert(incarnation);
+                self.placement_needed = true;
+            }
+        }
     }
 
     pub(super) fn needs_renewal(worker: &WorkerState) -> bool {
--- a/crates/cornelpoint/src/scheduler/tickets.rs
+++ b/crates/cornelpoint/src/scheduler/tickets.rs
@@ -7,6 +7,10 @@
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
 
+/// Largest number of requests for advice that wait for an answer at the same time. The
+/// service queues 32 calls of a process, which may own several pools.
+const MAX_REQUESTS_IN_FLIGHT: usize = 24;
+
 /// Tickets that the advice service issued for a step.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Tickets {
@@ -16,25 +20,41 @@
 }
 
 impl PoolScheduler {
-    /// Whether a step has valid tickets; requests them otherwise.
-    pub(super) fn has_tickets(&mut self, step: StepId, now: Instant) -> bool {
+    /// Whether a step has valid tickets.
+    pub(super) fn has_tickets(&self, step: StepId, now: Instant) -> bool {
+        let issued = self.tickets.get(&step);
+        issued.is_some_and(|issued| issued.valid_until_ms > now.steady_ms)
+    }
+
+    /// Requests tickets for steps that have none; those first that have waited longest
+    /// since their last ones, so that steps which fit no worker hold back no others.
+    pub(super) fn request_tickets(&mut self, mut steps: Vec<StepId>, now: Instant) {
+        let requested = self.tickets.values().filter(|issued| issued.requested);
+        let free = MAX_REQUESTS_IN_FLIGHT.saturating_sub(requested.count());
+        if steps.is_empty() || free == 0 {
+            return;
+        }
         let incarnations = self
             .incarnations
             .iter()
             .filter(|(_, worker)| Self::is_usable(worker, now));
         let incarnations: Vec<IncarnationIndex> =
             incarnations.map(|(&incarnation, _)| incarnation).collect();
-        let issued = self.tickets.entry(step).or_default();
-        if issued.valid_until_ms > now.steady_ms {
-            return true;
+        if incarnations.is_empty() {
+            return;
         }
-        if !issued.requested && !incarnations.is_empty() {
+        let issued = |step: &StepId| self.tickets.get(step);
+        steps.retain(|step| issued(step).is_none_or(|issued| !issued.requested));
+        steps.sort_by_key(|step| issued(step).map_or(0, |issued| issued.valid_until_ms));
+        for step in steps.into_iter().take(free) {
+            let issued = self.tickets.entry(step).or_default();
             issued.requested = true;
             issued.by_incarnation.clear();
-            self.actions
-                .push(Action::RequestAdvice { step, incarnations });
+            self.actions.push(Action::RequestAdvice {
+                step,
+                incarnations: incarnations.clone(),
+            });
         }
-        false
     }
 
     /// Applies the answer of the advice service: a ticket for each worker that
@@ -50,10 +70,12 @@
             return;
         };
         issued.requested = false;
+        issued.valid_until_ms = now.steady_ms;
         if let Some((tickets, valid_ms)) = tickets {
             issued.by_incarnation = tickets.into_iter().collect();
-            issued.valid_until_ms = now.steady_ms + valid_ms;
+            issued.valid_until_ms += valid_ms;
         }
+        self.reconsider(step);
         self.placement_needed = true;
     }
 }
