A successor restores occurrences that later ones have overtaken

Cause: occurrences were planned from behind the highest one with stored progress. One that had begun earlier, and of which no task had ended, was not restored, and its runs were stopped as those of a job that is over. A lease that lapses in the takeover is ruled out: the worker lists the runs as stopped.

All occurrences before the highest known one are restored now. The same cause on a related path: a successor whose clock is behind stopped runs of occurrences that it didn't know as due yet, and acknowledged their completions without recording them. What a worker reports is planned now.

--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -6,6 +6,7 @@
 use crate::job::JobRecord;
 use crate::job::JobSpec;
 use crate::job::JobStatus;
+use crate::job::StepId;
 use crate::job::TaskProgress;
 
 use super::instant::Instant;
@@ -166,6 +167,8 @@
             }
             Self::restore_task(id, job, task);
         }
+        // Occurrences overlap, and one of which no task is done has no stored progress.
+        job.add_occurrences_before(job.next_occurrence);
         let occurrences: Vec<u32> = job.occurrences.keys().copied().collect();
         let done = job.occurrences.values();
         let done = done.filter(|steps| steps.iter().all(|step| step.remaining == 0));
@@ -226,6 +229,20 @@
         }
     }
 
+    /// Adds the occurrence that a worker's report names, and all earlier ones. The
+    /// predecessor that started it may have had a clock ahead of this process's.
+    pub(super) fn plan_reported_occurrence(&mut self, step: StepId, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&step.job) else {
+            return;
+        };
+        let is_planned = step.occurrence < job.next_occurrence;
+        if is_planned || step.occurrence >= job.spec.occurrences() || job.status.is_final() {
+            return;
+        }
+        job.add_occurrences_before(step.occurrence + 1);
+        self.plan_occurrences(step.job, now);
+    }
+
     /// Opens the scheduled occurrences that are due.
     pub(super) fn open_due_occurrences(&mut self, now: Instant) {
         while let Some(&(due_unix_ms, id, occurrence)) = self.scheduled_occurrences.first() {
--- a/crates/cornelpoint/src/scheduler/job_entry.rs
+++ b/crates/cornelpoint/src/scheduler/job_entry.rs
@@ -110,6 +110,15 @@
         self.next_occurrence = self.next_occurrence.max(occurrence + 1);
     }
 
+    /// Adds the occurrences before one that are not there yet.
+    pub(super) fn add_occurrences_before(&mut self, end: u32) {
+        for occurrence in 0..end {
+            if !self.occurrences.contains_key(&occurrence) {
+                self.add_occurrence(occurrence);
+            }
+        }
+    }
+
     /// Whether all steps that a step depends on are done.
     pub(super) fn may_open(&self, occurrence: u32, step: u16) -> bool {
         let Some(steps) = self.occurrences.get(&occurrence) else {
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -129,6 +129,7 @@
         let silenced_by = std::mem::take(&mut worker.silenced_by);
         self.silence_explained(silenced_by, false, now);
         for reported in &report.running {
+            self.plan_reported_occurrence(reported.task.step, now);
             self.apply_active_run(incarnation, reported, now);
         }
         let warms_up = report.running.iter().any(|run| self.is_warming_up(run));
@@ -136,6 +137,7 @@
             worker.warms_up = warms_up;
         }
         for completion in &report.completions {
+            self.plan_reported_occurrence(completion.task.step, now);
             self.apply_completion(incarnation, completion, now);
         }
         if let Some(worker) = self.incarnations.get_mut(&incarnation) {
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -10,6 +10,7 @@
 mod fake_worker;
 mod inbox;
 mod objectives;
+mod occurrences;
 mod odd_entries;
 mod placement_passes;
 mod predecessor_stops;
