Progress of a job is stored as ranges of what is done

Cause: the stored progress listed each done task of each occurrence until the job was final. When its value outgrew the row, the store refused the pool's transactions with 400, each of which had that row again. A throttled store (429) and a transaction that is too large as a whole are ruled out by the answers.

Done occurrences and done tasks are kept as ranges now, and a done occurrence without runs is forgotten in memory. Rows that list each done task are still read. Two tests fail before, with 292,985 bytes (half of 2,000 occurrences done) and 155,785 bytes (6,000 of 9,000 tasks done); the first goes on with a successor, which starts nothing again.

--- a/crates/cornelpoint/src/job/job_record.rs
+++ b/crates/cornelpoint/src/job/job_record.rs
@@ -1,6 +1,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::index_set::IndexSet;
 use super::job_status::JobStatus;
 use super::raw_job::RawJob;
 
@@ -21,18 +22,38 @@
     pub job: RawJob,
 }
 
-/// The stored progress of a job, which is replaced with each change.
+/// The stored progress of a job, which is replaced with each change. It has to fit a row
+/// however often the job runs, so that what is done is stored as ranges.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobProgress {
     /// The job's status.
     pub status: JobStatus,
     /// When the status became final, in milliseconds since 1970; 0 before that.
     pub final_unix_ms: u64,
-    /// Tasks that are done, have failed runs, have a checkpoint or have crashed
-    /// workers.
+    /// Occurrences that are done.
+    #[serde(default, skip_serializing_if = "IndexSet::is_empty")]
+    pub done_occurrences: IndexSet,
+    /// Steps of other occurrences of which some tasks are done.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub steps: Vec<StepProgress>,
+    /// Other tasks that have failed runs, have a checkpoint or have crashed workers.
     pub tasks: Vec<TaskProgress>,
 }
 
+/// The stored progress of one step of an occurrence.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct StepProgress {
+    /// Number of the occurrence, from 0.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub occurrence: u32,
+    /// Index of the step in the job, from 0.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub step: u16,
+    /// Indexes of the tasks that are done.
+    pub done: IndexSet,
+}
+
 /// The stored progress of one task. Each completion in a surge stores its job's
 /// progress again, so that fields without a value are left out.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -47,7 +68,8 @@
     /// Index of the task in the step, from 0.
     #[serde(skip_serializing_if = "is_zero")]
     pub index: u32,
-    /// Whether the task has succeeded.
+    /// Whether the task has succeeded. Not written any more; older rows list each task
+    /// that is done.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub done: bool,
     /// Numbers of the runs that have failed.
--- a/crates/cornelpoint/src/job/mod.rs
+++ b/crates/cornelpoint/src/job/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs as callers submit them, their validation before anything runs, and
 //! their stored progress. A job consists of steps, and a step of tasks.
 
+mod index_set;
 mod job_error;
 mod job_id;
 mod job_record;
@@ -12,10 +13,12 @@
 mod step;
 mod task_id;
 
+pub use self::index_set::IndexSet;
 pub use self::job_error::JobError;
 pub use self::job_id::JobId;
 pub use self::job_record::JobProgress;
 pub use self::job_record::JobRecord;
+pub use self::job_record::StepProgress;
 pub use self::job_record::TaskProgress;
 pub use self::job_status::JobStatus;
 pub use self::raw_job::RawJob;
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -27,6 +27,12 @@
 const STEP_BYTES: usize = 500;
 /// Estimated size of a task in a job's progress.
 const TASK_BYTES: usize = 150;
+/// Estimated size of a step in a job's progress.
+const STEP_PROGRESS_BYTES: usize = 50;
+/// Largest size of the number of a failed run in a job's progress.
+const RUN_BYTES: usize = 9;
+/// Largest size of a range of tasks or occurrences in a job's progress.
+const RANGE_BYTES: usize = 11;
 /// Largest number of rows of one job: its record, its progress, its submission
 /// and its cancellation in the inbox.
 const MAX_JOB_ROWS: usize = 4;
@@ -116,6 +122,21 @@
     incarnations: Vec<IncarnationIndex>,
 }
 
+/// Estimates the size of a job's progress.
+fn progress_bytes(progress: &JobProgress) -> usize {
+    let steps = progress.steps.iter();
+    let ranges = steps.map(|step| step.done.range_count()).sum::<usize>()
+        + progress.done_occurrences.range_count();
+    let tasks = progress.tasks.iter();
+    let failed_runs = tasks.clone().map(|task| RUN_BYTES * task.failed_runs.len());
+    let checkpoints = tasks.map(|task| task.checkpoint.len());
+    RANGE_BYTES * ranges
+        + STEP_PROGRESS_BYTES * progress.steps.len()
+        + TASK_BYTES * progress.tasks.len()
+        + failed_runs.sum::<usize>()
+        + checkpoints.sum::<usize>()
+}
+
 impl PoolScheduler {
     /// Returns the next batch, unless one is in flight or none is needed yet.
     pub fn begin_batch(&mut self, now: Instant) -> Option<Batch> {
@@ -226,8 +247,7 @@
         }
         let progress = job.progress();
         if job.stored_status.is_some() || progress != JobProgress::default() {
-            let checkpoints = progress.tasks.iter().map(|task| task.checkpoint.len());
-            bytes += TASK_BYTES * progress.tasks.len() + checkpoints.sum::<usize>();
+            bytes += progress_bytes(&progress);
             batch.progress.push((id, progress));
         }
         let submission = InboxKey::Submit(id);
--- a/crates/cornelpoint/src/scheduler/completions.rs
+++ b/crates/cornelpoint/src/scheduler/completions.rs
@@ -63,6 +63,9 @@
                 self.make_ready(completion.task, now);
             }
         }
+        if let Some(job) = self.jobs.get_mut(&completion.task.step.job) {
+            job.forget_done_occurrence(completion.task.step.occurrence);
+        }
     }
 
     fn task_done(&mut self, id: TaskId, now: Instant) {
@@ -91,16 +94,11 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else {
             return;
         };
-        let Some(task) = job.task_mut(id) else { return };
-        if task.done {
+        let Some(task) = job.task(id).filter(|task| !task.done) else {
             return;
-        }
-        task.done = true;
-        task.checkpoint.clear();
+        };
         let others: Vec<u64> = task.runs.iter().map(|run| run.number).collect();
-        if let Some(steps) = job.occurrences.get_mut(&id.step.occurrence) {
-            steps[usize::from(id.step.step)].remaining -= 1;
-        }
+        job.mark_task_done(id);
         for run in others {
             self.stop_run(id, run, now);
         }
@@ -118,9 +116,8 @@
         if steps[usize::from(id.step.step)].remaining > 0 {
             return;
         }
-        if steps.iter().all(|step| step.remaining == 0) {
-            job.occurrences_done += 1;
-            if job.occurrences_done >= job.spec.occurrences() {
+        if job.done_occurrences.contains(id.step.occurrence) {
+            if job.is_done() {
                 self.finish(id.step.job, JobStatus::Completed, now);
             }
             return;
@@ -205,6 +202,9 @@
         if task.runs.is_empty() {
             task.idle_since_ms = now.steady_ms;
         }
+        if let Some(job) = self.jobs.get_mut(&id.step.job) {
+            job.forget_done_occurrence(id.step.occurrence);
+        }
         true
     }
 }
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
 use crate::inbox::InboxKey;
+use crate::job::IndexSet;
 use crate::job::JobId;
 use crate::job::JobProgress;
 use crate::job::JobRecord;
@@ -140,7 +141,7 @@
             inherited: progress.is_some(),
             objective,
             occurrences: BTreeMap::new(),
-            occurrences_done: 0,
+            done_occurrences: IndexSet::default(),
             next_occurrence: 0,
         };
         if status.is_final() {
@@ -161,28 +162,59 @@
         if job.status.is_final() {
             return;
         }
+        let count = job.spec.occurrences();
+        let done = progress.done_occurrences.iter();
+        job.done_occurrences = done.filter(|occurrence| *occurrence < count).collect();
+        let last_done = job.done_occurrences.iter().last();
+        job.next_occurrence = last_done.map_or(0, |last| last + 1);
+        for step in &progress.steps {
+            let id = StepId {
+                job: id,
+                occurrence: step.occurrence,
+                step: step.step,
+            };
+            if Self::restore_occurrence(job, step.occurrence) {
+                for index in step.done.iter() {
+                    job.mark_task_done(id.task(index));
+                }
+            }
+        }
         for task in &progress.tasks {
-            if !job.occurrences.contains_key(&task.occurrence) {
-                job.add_occurrence(task.occurrence);
+            if Self::restore_occurrence(job, task.occurrence) {
+                Self::restore_task(id, job, task);
             }
-            Self::restore_task(id, job, task);
         }
         // Occurrences overlap, and one of which no task is done has no stored progress.
         job.add_occurrences_before(job.next_occurrence);
         let occurrences: Vec<u32> = job.occurrences.keys().copied().collect();
-        let done = job.occurrences.values();
-        let done = done.filter(|steps| steps.iter().all(|step| step.remaining == 0));
-        job.occurrences_done = u32::try_from(done.count()).unwrap_or(u32::MAX);
-        if job.occurrences_done >= job.spec.occurrences() {
+        if job.is_done() {
             self.finish(id, JobStatus::Completed, now);
             return;
         }
+        for &occurrence in &occurrences {
+            job.forget_done_occurrence(occurrence);
+        }
         for occurrence in occurrences {
             self.open_steps(id, occurrence, now);
         }
         self.plan_occurrences(id, now);
     }
 
+    /// Adds an occurrence with stored progress. Returns `false` if it is done or the job
+    /// has no such occurrence.
+    fn restore_occurrence(job: &mut JobEntry, occurrence: u32) -> bool {
+        if occurrence >= job.spec.occurrences() {
+            return false;
+        }
+        if !job.occurrences.contains_key(&occurrence) {
+            if job.done_occurrences.contains(occurrence) {
+                return false;
+            }
+            job.add_occurrence(occurrence);
+        }
+        true
+    }
+
     fn restore_task(id: JobId, job: &mut JobEntry, stored: &TaskProgress) {
         let step = usize::from(stored.step);
         let task = task_id(id, stored.occurrence, step, stored.index as usize);
@@ -194,11 +226,8 @@
         entry.checkpoint.clone_from(&stored.checkpoint);
         entry.crashes.total = stored.crashes;
         entry.crashes.on_start = stored.crashes_on_start;
-        if stored.done && !entry.done {
-            entry.done = true;
-            if let Some(steps) = job.occurrences.get_mut(&stored.occurrence) {
-                steps[step].remaining -= 1;
-            }
+        if stored.done {
+            job.mark_task_done(task);
         }
     }
 
--- a/crates/cornelpoint/src/scheduler/job_entry.rs
+++ b/crates/cornelpoint/src/scheduler/job_entry.rs
@@ -1,10 +1,12 @@
 use std::collections::BTreeMap;
 
+use crate::job::IndexSet;
 use crate::job::JobProgress;
 use crate::job::JobRecord;
 use crate::job::JobSpec;
 use crate::job::JobStatus;
 use crate::job::Step;
+use crate::job::StepProgress;
 use crate::job::TaskId;
 use crate::job::TaskProgress;
 
@@ -28,8 +30,9 @@
     pub(super) inherited: bool,
     /// Time by which the job has to be done to be of full value.
     pub(super) objective: Objective,
+    /// Occurrences that have begun, without those that are done and have no runs left.
     pub(super) occurrences: BTreeMap<u32, Vec<StepEntry>>,
-    pub(super) occurrences_done: u32,
+    pub(super) done_occurrences: IndexSet,
     pub(super) next_occurrence: u32,
 }
 
@@ -113,12 +116,46 @@
     /// Adds the occurrences before one that are not there yet.
     pub(super) fn add_occurrences_before(&mut self, end: u32) {
         for occurrence in 0..end {
-            if !self.occurrences.contains_key(&occurrence) {
+            let is_done = self.done_occurrences.contains(occurrence);
+            if !is_done && !self.occurrences.contains_key(&occurrence) {
                 self.add_occurrence(occurrence);
             }
         }
     }
 
+    /// Records that a task is done, and its occurrence with the last of its tasks.
+    pub(super) fn mark_task_done(&mut self, id: TaskId) {
+        let Some(task) = self.task_mut(id).filter(|task| !task.done) else {
+            return;
+        };
+        task.done = true;
+        task.checkpoint.clear();
+        if let Some(steps) = self.occurrences.get_mut(&id.step.occurrence) {
+            steps[usize::from(id.step.step)].remaining -= 1;
+            if steps.iter().all(|step| step.remaining == 0) {
+                self.done_occurrences.insert(id.step.occurrence);
+            }
+        }
+    }
+
+    /// Whether all occurrences are done.
+    pub(super) fn is_done(&self) -> bool {
+        self.done_occurrences.len() >= self.spec.occurrences() as usize
+    }
+
+    /// Forgets the tasks of an occurrence of a scheduled job that is done, once none of
+    /// them has a run.
+    pub(super) fn forget_done_occurrence(&mut self, occurrence: u32) {
+        if self.spec.schedule.is_none() || !self.done_occurrences.contains(occurrence) {
+            return;
+        }
+        let steps = self.occurrences.get(&occurrence).into_iter().flatten();
+        let mut tasks = steps.flat_map(|step| &step.tasks);
+        if tasks.all(|task| task.runs.is_empty()) {
+            self.occurrences.remove(&occurrence);
+        }
+    }
+
     /// Whether all steps that a step depends on are done.
     pub(super) fn may_open(&self, occurrence: u32, step: u16) -> bool {
         let Some(steps) = self.occurrences.get(&occurrence) else {
@@ -132,45 +169,61 @@
 
     /// Returns the job's current progress in the form that is stored.
     pub(super) fn progress(&self) -> JobProgress {
-        let mut tasks = Vec::new();
-        for (&occurrence, steps) in &self.occurrences {
+        let mut progress = JobProgress {
+            status: self.status,
+            final_unix_ms: self.final_unix_ms,
+            ..JobProgress::default()
+        };
+        if self.status.is_final() {
+            return progress;
+        }
+        progress.done_occurrences = self.done_occurrences.clone();
+        let open = self.occurrences.iter();
+        let open = open.filter(|(occurrence, _)| !self.done_occurrences.contains(**occurrence));
+        for (&occurrence, steps) in open {
             for (step_index, step) in steps.iter().enumerate() {
-                for (index, task) in step.tasks.iter().enumerate() {
-                    tasks.extend(task_progress(occurrence, step_index, index, task));
+                let done = (0..).zip(&step.tasks).filter(|(_, task)| task.done);
+                let done: IndexSet = done.map(|(index, _)| index).collect();
+                if !done.is_empty() {
+                    let step = step_number(step_index);
+                    progress.steps.push(StepProgress {
+                        occurrence,
+                        step,
+                        done,
+                    });
+                }
+                for (index, task) in (0..).zip(&step.tasks) {
+                    let task = task_progress(occurrence, step_index, index, task);
+                    progress.tasks.extend(task);
                 }
             }
         }
-        JobProgress {
-            status: self.status,
-            final_unix_ms: self.final_unix_ms,
-            tasks: if self.status.is_final() {
-                Vec::new()
-            } else {
-                tasks
-            },
-        }
+        progress
     }
 }
 
 #[expect(
     clippy::cast_possible_truncation,
-    reason = "steps and tasks are bounded when a job is checked"
+    reason = "steps are bounded when a job is checked"
 )]
+fn step_number(step_index: usize) -> u16 {
+    step_index as u16
+}
+
+/// Returns the progress of a task that is not done, if there is any.
 fn task_progress(
     occurrence: u32,
-    step: usize,
-    index: usize,
+    step_index: usize,
+    index: u32,
     task: &TaskEntry,
 ) -> Option<TaskProgress> {
-    let untouched = !task.done
-        && task.failed_runs.is_empty()
-        && task.checkpoint.is_empty()
-        && task.crashes.total == 0;
-    (!untouched).then(|| TaskProgress {
+    let untouched =
+        task.failed_runs.is_empty() && task.checkpoint.is_empty() && task.crashes.total == 0;
+    (!task.done && !untouched).then(|| TaskProgress {
         occurrence,
-        step: step as u16,
-        index: index as u32,
-        done: task.done,
+        step: step_number(step_index),
+        index,
+        done: false,
         failed_runs: task.failed_runs.clone(),
         last_run: task.last_run,
         checkpoint: task.checkpoint.clone(),
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -186,7 +186,7 @@
         let need = step.reserved();
         let may_copy = step.speculative;
         let Some(task) = job.task_mut(reported.task) else {
-            // The job was final before this term of ownership.
+            // The job was final before this term of ownership, or its occurrence is done.
             if let Some(worker) = self.incarnations.get_mut(&incarnation) {
                 worker.reserve(reported.task, reported.run, need);
             }
--- a/crates/cornelpoint/tests/scheduler/inbox.rs
+++ b/crates/cornelpoint/tests/scheduler/inbox.rs
@@ -202,7 +202,7 @@
     let progress = JobProgress {
         status: JobStatus::Completed,
         final_unix_ms: at(50).unix_ms,
-        tasks: Vec::new(),
+        ..JobProgress::default()
     };
     scheduler.restore(job_id(1), record, spec, Some(&progress), at(110));
     store_batches(&mut scheduler, 110);
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -16,6 +16,7 @@
 mod predecessor_stops;
 mod random_schedules;
 mod step_kinds;
+mod stored_progress;
 mod support;
 mod surge;
 mod unplaceable_steps;
