A row that the store refuses no longer stops its pool

Callers saw: a job of 1,000 steps was answered with 504 at each attempt, and from then on all other jobs of the pool were, too.

Cause: each value had to fit one row, and a transaction that the store had refused for good (400) was repeated as it was, together with all that had arrived since.

Records leave out fields without a value; a value too large for a row takes several, written in one transaction. A transaction refused as invalid is halved until the job is found whose rows are refused: a new one is rejected (nothing of it has started), an accepted one is reported and left out until it changes.

--- a/crates/cornelpoint-manager/src/edge/inbox_writer.rs
+++ b/crates/cornelpoint-manager/src/edge/inbox_writer.rs
@@ -114,7 +114,9 @@
                 TransactionOutcome::Conflict(rows) => {
                     InboxWriteResult::Conflict(stored_requests(&rows))
                 }
-                TransactionOutcome::Refused => InboxWriteResult::Refused,
+                TransactionOutcome::Refused | TransactionOutcome::Invalid => {
+                    InboxWriteResult::Refused
+                }
                 TransactionOutcome::Unknown => InboxWriteResult::Unknown,
             };
             let now_ms = clock::now().steady_ms;
--- a/crates/cornelpoint-manager/src/edge/jobs.rs
+++ b/crates/cornelpoint-manager/src/edge/jobs.rs
@@ -148,9 +148,9 @@
     let id = job.to_string();
     let progress = node
         .store
-        .read_row(PROGRESS_TABLE, &queue.pool, &id)
+        .read_value(PROGRESS_TABLE, &queue.pool, &id)
         .await?;
-    let progress = progress.and_then(|row| decode::<JobProgress>(row.value.as_deref()?));
+    let progress = progress.and_then(|value| decode::<JobProgress>(&value));
     if let Some(progress) = progress {
         let running = !progress.status.is_final();
         return Some(Some(if running {
--- a/crates/cornelpoint-manager/src/fleet_host/host.rs
+++ b/crates/cornelpoint-manager/src/fleet_host/host.rs
@@ -87,11 +87,14 @@
             maintenance_ms: node.settings.bounds.maintenance_ms,
             ..FleetSettings::default()
         };
+        let row_bytes = node.settings.row_bytes;
+        let writer = ShardWriter::new(FLEET_SHARD, owner.clone(), owner_version, row_bytes);
         let begun = loop {
             if !node.planner.borrow().owns(FLEET_SHARD) {
                 return;
             }
-            if let Some(rows) = node.store.read_all(WAVE_TABLE, FLEET_SHARD).await {
+            if let Some(rows) = node.store.read_values(WAVE_TABLE, FLEET_SHARD).await {
+                writer.values_read(&rows.rows);
                 let waves = rows.rows.iter().filter_map(|row| {
                     let number = row.key.key.parse().ok()?;
                     Some((number, decode(row.value.as_deref()?)?))
@@ -107,7 +110,7 @@
         let host = Rc::new(Self {
             node: Rc::clone(node),
             fencing_token: claim.fencing_token,
-            writer: ShardWriter::new(FLEET_SHARD, owner.clone(), owner_version),
+            writer,
             manager: RefCell::new(manager),
             api: HttpEndpoint::new(&address, MAX_CONNECTIONS),
             begun: RefCell::new(begun),
@@ -277,7 +280,9 @@
                         .stop_hosting(FLEET_SHARD, "owned by another process");
                     self.stop();
                 }
-                WriteOutcome::Unknown => tokio::time::sleep(RETRY_DELAY).await,
+                WriteOutcome::Unknown | WriteOutcome::Invalid => {
+                    tokio::time::sleep(RETRY_DELAY).await;
+                }
             }
         }
         if completed || begun.is_empty() {
--- a/crates/cornelpoint-manager/src/pool_host/commits.rs
+++ b/crates/cornelpoint-manager/src/pool_host/commits.rs
@@ -24,6 +24,9 @@
 
 /// Duration of a commit that is logged; callers wait for it.
 const SLOW_COMMIT_MS: u64 = 500;
+/// Time after which the caller of a job that the store refuses may retry: the same job
+/// would be refused again.
+const UNSTORABLE_RETRY_AFTER_MS: u64 = 30_000;
 /// Delay after a batch whose outcome is unknown, before it is written again.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -48,6 +51,7 @@
                 BatchOutcome::Stored
             }
             WriteOutcome::Fenced => BatchOutcome::Fenced,
+            WriteOutcome::Invalid => BatchOutcome::Invalid,
             WriteOutcome::Unknown => {
                 tokio::time::sleep(RETRY_DELAY).await;
                 BatchOutcome::Unknown
@@ -62,6 +66,13 @@
                 let _ = waiter.send(PoolResponse::Accepted);
             }
         }
+        for id in stored.rejected {
+            for waiter in waiters.remove(&InboxKey::Submit(id)).unwrap_or_default() {
+                let _ = waiter.send(PoolResponse::Refused {
+                    retry_after_ms: UNSTORABLE_RETRY_AFTER_MS,
+                });
+            }
+        }
         for ended in stored.ended {
             let EndedJob { id, status, .. } = ended;
             ProcessMetrics::count(&self.node.metrics.final_jobs, status_label(status));
@@ -92,7 +103,7 @@
                     .stop_hosting(&self.pool, "owned by another process");
                 self.stop();
             }
-            WriteOutcome::Unknown => {}
+            WriteOutcome::Unknown | WriteOutcome::Invalid => {}
         }
     }
 
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -14,6 +14,7 @@
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::SchedulerEvent;
 use slog::Logger;
+use slog::error;
 use slog::info;
 use slog::warn;
 use tokio::sync::Notify;
@@ -153,6 +154,14 @@
             } => warn!(self.log, "Task given up: it crashes its workers.";
                 "task" => %task, "crashes" => crashes, "on_start" => on_start,
                 "silent" => silent, "fencing_token" => self.fencing_token),
+            SchedulerEvent::JobUnstorable {
+                job,
+                bytes,
+                accepted,
+            } => error!(self.log,
+                "Job can't be stored: the store refuses its rows.";
+                "job" => %job, "pool" => &self.pool, "estimated_bytes" => bytes,
+                "accepted" => accepted, "fencing_token" => self.fencing_token),
         }
     }
 
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -73,18 +73,24 @@
                 .lease_ms
                 .min(node.settings.bounds.max_lease_ms),
             stop_ms: node.settings.bounds.stop_ms,
+            row_bytes: node.settings.row_bytes,
             ..SchedulerSettings::default()
         };
         let mut scheduler = PoolScheduler::new(&claim.shard, claim.fencing_token, settings);
         if let Some(catalog) = node.catalog() {
             scheduler.set_queues(catalog.queues.iter());
         }
+        let row_bytes = node.settings.row_bytes;
+        let writer = ShardWriter::new(&claim.shard, owner.clone(), owner_version, row_bytes);
         let claimed_ms = clock::now().steady_ms;
         let leases_end_ms = to_steady_ms(node, owner.earlier_over_store_ms);
         let inbox = loop {
             let requested_ms = clock::now().steady_ms;
             if let Some(stored) = read_stored_pool(node, &claim.shard).await {
                 let rows = restore(node, &claim.shard, &mut scheduler, &stored, leases_end_ms);
+                for values in [&stored.workers, &stored.records, &stored.progress] {
+                    writer.values_read(&values.rows);
+                }
                 break RestoredInbox {
                     version: stored.inbox.version,
                     requested_ms,
@@ -96,7 +102,6 @@
             }
             tokio::time::sleep(RETRY_DELAY).await;
         };
-        let writer = ShardWriter::new(&claim.shard, owner.clone(), owner_version);
         let host = Rc::new(Self::new(node, &claim.shard, writer, scheduler));
         host.inbox_read_ms.set(inbox.requested_ms);
         if !node.planner.borrow().owns(&claim.shard) {
@@ -177,9 +182,9 @@
 /// Reads a pool's rows from the store; `None` if a read fails.
 async fn read_stored_pool(node: &Rc<Node>, pool: &str) -> Option<StoredPool> {
     let (workers, records, progress, inbox) = tokio::join!(
-        node.store.read_all(WORKER_TABLE, pool),
-        node.store.read_all(JOB_TABLE, pool),
-        node.store.read_all(PROGRESS_TABLE, pool),
+        node.store.read_values(WORKER_TABLE, pool),
+        node.store.read_values(JOB_TABLE, pool),
+        node.store.read_values(PROGRESS_TABLE, pool),
         node.store.read_all(INBOX_TABLE, pool),
     );
     Some(StoredPool {
--- a/crates/cornelpoint-manager/src/store/mod.rs
+++ b/crates/cornelpoint-manager/src/store/mod.rs
@@ -4,6 +4,7 @@
 mod shard_writer;
 mod store_client;
 mod tables;
+mod wide_rows;
 
 pub(crate) use self::feed_health::FeedHealth;
 pub(crate) use self::shard_writer::ShardWriter;
--- a/crates/cornelpoint-manager/src/store/store_client.rs
+++ b/crates/cornelpoint-manager/src/store/store_client.rs
@@ -17,6 +17,7 @@
 use slog::info;
 use slog::warn;
 
+use super::wide_rows;
 use crate::clock;
 use crate::http::CallError;
 use crate::http::HttpEndpoint;
@@ -47,6 +48,8 @@
     Conflict(Vec<Row>),
     /// Rejected or not sent; nothing was written.
     Refused,
+    /// Rejected as invalid, and so would be any repeat; nothing was written.
+    Invalid,
     /// No valid response; the transaction may have been committed, may still be
     /// committed later, or may never be.
     Unknown,
@@ -142,6 +145,13 @@
                     self.record_success();
                     TransactionOutcome::Conflict(rows.rows)
                 }
+                (400 | 413, _) => {
+                    warn!(self.log, "Transaction rejected as invalid."; "table" => table,
+                        "part" => part, "rows" => transaction.writes.len(),
+                        "bytes" => call.body.len());
+                    self.record_success();
+                    TransactionOutcome::Invalid
+                }
                 (429 | 503, _) => {
                     self.record_failure("transaction", failure, sent_ms, table, part);
                     TransactionOutcome::Refused
@@ -187,6 +197,42 @@
         }
     }
 
+    /// Reads all values of a partition, including those in several rows; `None` if a
+    /// read fails.
+    pub(crate) async fn read_values(&self, table: &str, part: &str) -> Option<Rows> {
+        let rows = self.read_all(table, part).await?;
+        Some(Rows {
+            rows: wide_rows::join(rows.rows),
+            ..rows
+        })
+    }
+
+    /// Reads one value, which may be in several rows; `None` if the read fails,
+    /// `Some(None)` if there is no such value.
+    pub(crate) async fn read_value(
+        &self,
+        table: &str,
+        part: &str,
+        key: &str,
+    ) -> Option<Option<Vec<u8>>> {
+        let row = self.read_row(table, part, key).await?;
+        let Some(first) = row.and_then(|row| row.value) else {
+            return Some(None);
+        };
+        let count = wide_rows::stored_row_count(&first);
+        if count == 1 {
+            return Some(Some(first));
+        }
+        let count = u32::try_from(count).unwrap_or(u32::MAX);
+        let rows = self
+            .read(table, &read_call(table, part, key, count))
+            .await?;
+        let rows = wide_rows::join(rows.rows);
+        let row = rows.into_iter().find(|row| row.key.key == key);
+        // Without a value, it was replaced between the reads.
+        Some(Some(row?.value?))
+    }
+
     /// Reads one row; `None` if the read fails, `Some(None)` if there is no such
     /// row.
     pub(crate) async fn read_row(&self, table: &str, part: &str, key: &str) -> Option<Option<Row>> {
--- a/crates/cornelpoint-manager/tests/takeover/caller.rs
+++ b/crates/cornelpoint-manager/tests/takeover/caller.rs
@@ -53,11 +53,17 @@
     /// Submits a job of one short task; returns the status of the response, `None`
     /// if there was none.
     pub fn submit_status(&self, job: JobId) -> Option<u16> {
+        self.submit_body(job, &job_body(NEED, ESTIMATE_MS))
+    }
+
+    /// Submits a job with this body; returns the status of the response, `None` if
+    /// there was none.
+    pub fn submit_body(&self, job: JobId, body: &[u8]) -> Option<u16> {
         let request = self.agent.post(self.url(&job.to_string()));
         let answer = request
             .header("host", &self.queue.host)
             .header("content-type", "application/json")
-            .send(&job_body(NEED, ESTIMATE_MS));
+            .send(body);
         Some(answer.ok()?.status().as_u16())
     }
 
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod fleet;
 mod instance;
+mod large_jobs;
 mod load;
 mod odd_entries;
 
--- a/crates/cornelpoint/src/job/job_record.rs
+++ b/crates/cornelpoint/src/job/job_record.rs
@@ -4,6 +4,7 @@
 use super::index_set::IndexSet;
 use super::job_status::JobStatus;
 use super::raw_job::RawJob;
+use super::raw_job::is_default;
 
 /// The stored form of an accepted job, which never changes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -45,10 +46,10 @@
 #[serde(default)]
 pub struct StepProgress {
     /// Number of the occurrence, from 0.
-    #[serde(skip_serializing_if = "is_zero")]
+    #[serde(skip_serializing_if = "is_default")]
     pub occurrence: u32,
     /// Index of the step in the job, from 0.
-    #[serde(skip_serializing_if = "is_zero")]
+    #[serde(skip_serializing_if = "is_default")]
     pub step: u16,
     /// Indexes of the tasks that are done.
     pub done: IndexSet,
@@ -60,13 +61,13 @@
 #[serde(default)]
 pub struct TaskProgress {
     /// Number of the occurrence, from 0.
-    #[serde(skip_serializing_if = "is_zero")]
+    #[serde(skip_serializing_if = "is_default")]
     pub occurrence: u32,
     /// Index of the step in the job, from 0.
-    #[serde(skip_serializing_if = "is_zero")]
+    #[serde(skip_serializing_if = "is_default")]
     pub step: u16,
     /// Index of the task in the step, from 0.
-    #[serde(skip_serializing_if = "is_zero")]
+    #[serde(skip_serializing_if = "is_default")]
     pub index: u32,
     /// Whether the task has succeeded. Not written any more; older rows list each task
     /// that is done.
@@ -81,13 +82,9 @@
     #[serde(skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
     /// Number of workers that have crashed while they ran the task.
-    #[serde(skip_serializing_if = "is_zero")]
+    #[serde(skip_serializing_if = "is_default")]
     pub crashes: u32,
     /// Number of those that crashed right after they had started it.
-    #[serde(skip_serializing_if = "is_zero")]
+    #[serde(skip_serializing_if = "is_default")]
     pub crashes_on_start: u32,
 }
-
-fn is_zero<T: Default + PartialEq>(value: &T) -> bool {
-    *value == T::default()
-}
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -9,18 +9,22 @@
 
 use super::action::IncarnationIndex;
 use super::instant::Instant;
+use super::job_entry::JobEntry;
 use super::pool_scheduler::PoolScheduler;
+use super::scheduler_event::SchedulerEvent;
 use super::unstored_jobs::UnstoredJob;
 use super::worker_state::WorkerState;
 
 /// Largest number of rows of jobs in a batch. The store allows 100 entries in a
 /// transaction; the workers' row, the owner's conditions and its store heartbeat
 /// take four.
-const MAX_BATCH_ROWS: usize = 96;
+pub(super) const MAX_BATCH_ROWS: usize = 96;
 /// Estimated size of the rows from which a batch takes no further job. Encoded, one
 /// more job of the largest size stays within the store's limit of 1 MB for a
 /// transaction.
 const FULL_BATCH_BYTES: usize = 400_000;
+/// Estimated size of the rows that a batch of several jobs doesn't exceed.
+const MAX_BATCH_BYTES: usize = 600_000;
 /// Estimated size of a job's record besides its text and its steps.
 const RECORD_BYTES: usize = 300;
 /// Estimated size of a step in a record.
@@ -33,10 +37,6 @@
 const RUN_BYTES: usize = 9;
 /// Largest size of a range of tasks or occurrences in a job's progress.
 const RANGE_BYTES: usize = 11;
-/// Largest number of rows of one job: its record, its progress, its submission
-/// and its cancellation in the inbox.
-const MAX_JOB_ROWS: usize = 4;
-
 /// Stored record of a worker incarnation that may run tasks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRecord {
@@ -64,13 +64,6 @@
     pub workers: Option<Vec<WorkerRecord>>,
 }
 
-impl Batch {
-    /// Returns the number of rows of jobs that are written or removed.
-    fn rows(&self) -> usize {
-        self.records.len() + self.progress.len() + 2 * self.expired.len() + self.inbox.len()
-    }
-}
-
 /// Outcome of writing a batch to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BatchOutcome {
@@ -78,6 +71,8 @@
     Stored,
     /// The batch may or may not get stored.
     Unknown,
+    /// The store rejects the batch as invalid, and would reject it again.
+    Invalid,
     /// The batch is rejected because another process owns the pool.
     Fenced,
 }
@@ -87,6 +82,8 @@
 pub struct StoredJobs {
     /// Jobs that are now accepted.
     pub accepted: Vec<JobId>,
+    /// Jobs that are rejected, since the store refuses their rows.
+    pub rejected: Vec<JobId>,
     /// Jobs whose final status is now visible.
     pub ended: Vec<EndedJob>,
 }
@@ -104,6 +101,40 @@
     pub late_ms: u64,
 }
 
+/// What the rows of a job, or of a batch, take in a transaction.
+#[derive(Clone, Copy, Debug, Default)]
+struct RowSize {
+    rows: usize,
+    bytes: usize,
+}
+
+impl RowSize {
+    /// Adds a value of an estimated size, which takes several rows if it is large.
+    fn add_value(&mut self, bytes: usize, row_bytes: usize) {
+        // Twice as many rows as the estimate needs, since it is a rough one.
+        self.rows += 1 + 2 * bytes / row_bytes.max(1);
+        self.bytes += bytes;
+    }
+
+    fn plus(self, other: Self) -> Self {
+        Self {
+            rows: self.rows + other.rows,
+            bytes: self.bytes + other.bytes,
+        }
+    }
+}
+
+/// Rows of a job for a batch, except its record.
+#[derive(Clone, Debug, Default)]
+struct JobRows {
+    /// Whether the job is to be deleted.
+    expired: bool,
+    progress: Option<JobProgress>,
+    /// Rows of the inbox to remove.
+    inbox: Vec<InboxKey>,
+    size: RowSize,
+}
+
 /// A job in a batch, with its status there.
 #[derive(Clone, Copy, Debug)]
 struct StoringJob {
@@ -151,14 +182,22 @@
         self.committing_since_ms.get_or_insert(now.steady_ms);
         let mut batch = Batch::default();
         let mut in_flight = BatchInFlight::default();
-        let mut bytes = 0;
-        while batch.rows() + MAX_JOB_ROWS <= MAX_BATCH_ROWS
-            && bytes < FULL_BATCH_BYTES
+        let mut size = RowSize::default();
+        while in_flight.jobs.len() + in_flight.expired.len() < self.max_batch_jobs
+            && size.bytes < FULL_BATCH_BYTES
             && let Some(job) = self.unstored.pop_first()
         {
-            bytes += self.add_job_rows(job, &mut batch, &mut in_flight, now);
+            let rows = self.job_rows(job.id, now);
+            let with_job = size.plus(rows.size);
+            let is_full = with_job.rows > MAX_BATCH_ROWS || with_job.bytes > MAX_BATCH_BYTES;
+            if is_full && size.rows > 0 {
+                self.unstored.restore(job);
+                break;
+            }
+            size = with_job;
+            self.add_job_rows(job, rows, &mut batch, &mut in_flight);
         }
-        let free = MAX_BATCH_ROWS.saturating_sub(batch.rows());
+        let free = MAX_BATCH_ROWS.saturating_sub(size.rows);
         batch.inbox.extend(self.settled_inbox.iter().take(free));
         in_flight.inbox.clone_from(&batch.inbox);
         self.urgent = !self.unstored.is_empty();
@@ -221,47 +260,73 @@
         }
     }
 
-    /// Adds the rows of a job to a batch and returns their estimated size.
+    /// Whether a final job is past its retention period.
+    fn is_expired(&self, job: &JobEntry, now: Instant) -> bool {
+        let kept_ms = self.settings.status_kept_ms;
+        job.status.is_final() && job.final_steady_ms + kept_ms <= now.steady_ms
+    }
+
+    /// Returns the rows of a job that have to be written or removed.
+    fn job_rows(&self, id: JobId, now: Instant) -> JobRows {
+        let mut rows = JobRows::default();
+        let Some(job) = self.jobs.get(&id) else {
+            return rows;
+        };
+        if self.is_expired(job, now) {
+            rows.expired = true;
+            rows.size.rows = 2;
+            return rows;
+        }
+        let row_bytes = self.settings.row_bytes;
+        if job.stored_status.is_none() {
+            let record = &job.record.job;
+            let bytes = RECORD_BYTES + record.spec.len() + STEP_BYTES * record.steps.len();
+            rows.size.add_value(bytes, row_bytes);
+        }
+        let progress = job.progress();
+        if job.stored_status.is_some() || progress != JobProgress::default() {
+            rows.size.add_value(progress_bytes(&progress), row_bytes);
+            rows.progress = Some(progress);
+        }
+        rows.inbox
+            .extend(self.inbox.get(&InboxKey::Submit(id)).copied());
+        if job.status.is_final() {
+            rows.inbox
+                .extend(self.inbox.get(&InboxKey::Cancel(id)).copied());
+        }
+        rows.size.rows += rows.inbox.len();
+        rows
+    }
+
+    /// Adds the rows of a job to a batch.
     fn add_job_rows(
-        &mut self,
+        &self,
         unstored: UnstoredJob,
+        rows: JobRows,
         batch: &mut Batch,
         in_flight: &mut BatchInFlight,
-        now: Instant,
-    ) -> usize {
+    ) {
         let id = unstored.id;
         let Some(job) = self.jobs.get(&id) else {
-            return 0;
+            return;
         };
-        let kept_ms = self.settings.status_kept_ms;
-        if job.status.is_final() && job.final_steady_ms + kept_ms <= now.steady_ms {
+        if rows.expired {
             batch.expired.push(id);
             in_flight.expired.push(unstored);
-            return 0;
+            return;
         }
-        let mut bytes = 0;
         if job.stored_status.is_none() {
-            let record = &job.record.job;
-            bytes += RECORD_BYTES + record.spec.len() + STEP_BYTES * record.steps.len();
             batch.records.push((id, job.record.clone()));
         }
-        let progress = job.progress();
-        if job.stored_status.is_some() || progress != JobProgress::default() {
-            bytes += progress_bytes(&progress);
-            batch.progress.push((id, progress));
-        }
-        let submission = InboxKey::Submit(id);
-        batch.inbox.extend(self.inbox.get(&submission));
-        if job.status.is_final() {
-            let cancellation = InboxKey::Cancel(id);
-            batch.inbox.extend(self.inbox.get(&cancellation));
-        }
+        batch
+            .progress
+            .extend(rows.progress.map(|progress| (id, progress)));
+        batch.inbox.extend(rows.inbox);
         in_flight.jobs.push(StoringJob {
             job: unstored,
             status: job.status,
             is_new: job.stored_status.is_none(),
         });
-        bytes
     }
 
     /// Returns when [`Self::begin_batch`] will return a batch even if no event
@@ -284,19 +349,65 @@
                 StoredJobs::default()
             }
             BatchOutcome::Unknown => {
-                let jobs = in_flight.jobs.into_iter().map(|storing| storing.job);
-                for job in jobs.chain(in_flight.expired) {
-                    self.unstored.restore(job);
-                }
-                self.workers_row_dirty |= !in_flight.incarnations.is_empty();
-                self.urgent = false;
+                self.restore_batch(in_flight);
                 StoredJobs::default()
             }
+            BatchOutcome::Invalid => self.batch_invalid(in_flight, now),
+        }
+    }
+
+    /// Puts back what was to be stored.
+    fn restore_batch(&mut self, in_flight: BatchInFlight) {
+        let jobs = in_flight.jobs.into_iter().map(|storing| storing.job);
+        for job in jobs.chain(in_flight.expired) {
+            self.unstored.restore(job);
         }
+        self.workers_row_dirty |= !in_flight.incarnations.is_empty();
+        self.urgent = false;
+    }
+
+    /// Finds the job whose rows the store refuses, by batches of half the size, and
+    /// leaves it out, so that it holds back no others.
+    fn batch_invalid(&mut self, mut in_flight: BatchInFlight, now: Instant) -> StoredJobs {
+        // The store answers.
+        self.committing_since_ms = None;
+        let mut outcome = StoredJobs::default();
+        let count = in_flight.jobs.len() + in_flight.expired.len();
+        self.max_batch_jobs = (count / 2).max(1);
+        if count == 1
+            && let Some(storing) = in_flight.jobs.pop()
+        {
+            let id = storing.job.id;
+            let bytes = self.job_rows(id, now).size.bytes;
+            let accepted = self.jobs.get(&id).is_some_and(|job| job.accepted);
+            self.events.push(SchedulerEvent::JobUnstorable {
+                job: id,
+                bytes,
+                accepted,
+            });
+            if !accepted {
+                self.remove_unstored_job(id);
+                outcome.rejected.push(id);
+            }
+        }
+        self.restore_batch(in_flight);
+        self.urgent = true;
+        outcome
+    }
+
+    /// Removes a job that was never stored, so that nothing of it has started.
+    fn remove_unstored_job(&mut self, id: JobId) {
+        self.remove_ready_of_job(id);
+        self.scheduled_occurrences.retain(|&(_, job, _)| job != id);
+        self.retained_final_jobs.retain(|&(_, job)| job != id);
+        self.active_jobs.remove(&id);
+        self.jobs.remove(&id);
+        self.recent_load = None;
     }
 
     fn batch_stored(&mut self, in_flight: BatchInFlight, now: Instant) -> StoredJobs {
         self.committing_since_ms = None;
+        self.max_batch_jobs = MAX_BATCH_ROWS.min(2 * self.max_batch_jobs);
         let mut stored = StoredJobs::default();
         for key in in_flight.inbox {
             self.inbox.remove(&key);
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -15,6 +15,7 @@
 use super::action::IncarnationIndex;
 use super::admission::LoadEstimate;
 use super::batch::BatchInFlight;
+use super::batch::MAX_BATCH_ROWS;
 use super::batch::WorkerRecord;
 use super::instant::Instant;
 use super::job_entry::JobEntry;
@@ -61,6 +62,9 @@
     pub(super) scheduled_occurrences: BTreeSet<(u64, JobId, u32)>,
     pub(super) unstored: UnstoredJobs,
     pub(super) batch: Option<BatchInFlight>,
+    /// Largest number of jobs in a batch: fewer while it is being found out which job's
+    /// rows the store refuses.
+    pub(super) max_batch_jobs: usize,
     pub(super) last_batch_ms: u64,
     /// When the first batch began since one was stored.
     pub(super) committing_since_ms: Option<u64>,
@@ -141,6 +145,7 @@
             scheduled_occurrences: BTreeSet::new(),
             unstored: UnstoredJobs::default(),
             batch: None,
+            max_batch_jobs: MAX_BATCH_ROWS,
             last_batch_ms: 0,
             committing_since_ms: None,
             urgent: false,
--- a/crates/cornelpoint/src/scheduler/scheduler_event.rs
+++ b/crates/cornelpoint/src/scheduler/scheduler_event.rs
@@ -1,3 +1,4 @@
+use crate::job::JobId;
 use crate::job::TaskId;
 
 /// A change in the known state of a run or task, to be logged.
@@ -31,6 +32,16 @@
         /// Workers that fell silent on the start.
         silent: u32,
     },
+    /// The store refuses the rows of a job. An accepted job is stored again only with
+    /// its next change; another is rejected.
+    JobUnstorable {
+        /// The job.
+        job: JobId,
+        /// Estimated size of its rows.
+        bytes: usize,
+        /// Whether it was accepted.
+        accepted: bool,
+    },
 }
 
 /// How the scheduler learned that a run is over.
--- a/crates/cornelpoint/src/scheduler/settings.rs
+++ b/crates/cornelpoint/src/scheduler/settings.rs
@@ -19,6 +19,8 @@
     pub batch_wait_ms: u64,
     /// Time for which the status of a final job is kept.
     pub status_kept_ms: u64,
+    /// Largest value of a row in the store; larger ones take several rows.
+    pub row_bytes: usize,
     /// Largest number of orders to start that wait for an answer at the same time.
     /// In a surge thousands of tasks become ready at once; their orders would time
     /// out while the process is busy with the answers to the first ones.
@@ -44,6 +46,7 @@
             stop_repeat_ms: 400,
             batch_wait_ms: 25,
             status_kept_ms: 120_000,
+            row_bytes: 65_536,
             // An eighth of a core handles as many within half the timeout of an order.
             max_starts_in_flight: 160,
             start_penalty_ms: 1000,
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -15,6 +15,7 @@
 mod placement_passes;
 mod predecessor_stops;
 mod random_schedules;
+mod refused_rows;
 mod step_kinds;
 mod stored_progress;
 mod support;
--- /dev/null
+++ b/crates/cornelpoint/tests/scheduler/refused_rows.rs
@@ -0,0 +1,86 @@
+//! A store that refuses the rows of a job.
+
+use cornelpoint::job::JobId;
+use cornelpoint::scheduler::Batch;
+use cornelpoint::scheduler::BatchOutcome;
+use cornelpoint::scheduler::PoolScheduler;
+use cornelpoint::scheduler::SchedulerEvent;
+use cornelpoint::scheduler::StoredJobs;
+use cornelpoint::scheduler::SubmitAnswer;
+
+use crate::support::at;
+use crate::support::job;
+use crate::support::job_id;
+use crate::support::ready_scheduler;
+use crate::support::starts;
+use crate::support::step;
+
+const REFUSED: u64 = 7;
+
+fn has_rows_of(batch: &Batch, id: JobId) -> bool {
+    let mut records = batch.records.iter().map(|(job, _)| *job);
+    let mut progress = batch.progress.iter().map(|(job, _)| *job);
+    records.any(|job| job == id) || progress.any(|job| job == id)
+}
+
+/// Stores batches until none is left, with a store that refuses one job. Returns the
+/// jobs accepted and rejected.
+fn store_all(scheduler: &mut PoolScheduler, start_ms: u64) -> (Vec<JobId>, Vec<JobId>) {
+    let (mut accepted, mut rejected) = (Vec::new(), Vec::new());
+    for round in 0..40 {
+        let now = at(start_ms + round * 30);
+        let Some(batch) = scheduler.begin_batch(now) else {
+            continue;
+        };
+        let outcome = if has_rows_of(&batch, job_id(REFUSED)) {
+            BatchOutcome::Invalid
+        } else {
+            BatchOutcome::Stored
+        };
+        let StoredJobs {
+            accepted: more,
+            rejected: more_rejected,
+            ..
+        } = scheduler.batch_replied(outcome, now);
+        accepted.extend(more);
+        rejected.extend(more_rejected);
+    }
+    (accepted, rejected)
+}
+
+/// Guards against a pool that stores nothing any more, since a transaction with one row
+/// that the store refuses is tried again for ever.
+#[test]
+fn a_job_that_the_store_refuses_holds_back_no_other() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    for number in 1..=20 {
+        let (record, spec) = job(vec![step(1, 10)]);
+        let answer = scheduler.submit(job_id(number), record, spec, at(100));
+        assert_eq!(answer, SubmitAnswer::Storing);
+    }
+    let (accepted, rejected) = store_all(&mut scheduler, 100);
+    assert_eq!(rejected, [job_id(REFUSED)]);
+    assert_eq!(accepted.len(), 19);
+    assert_eq!(starts(&mut scheduler, 2000).len(), 19);
+    assert_eq!(scheduler.status(job_id(REFUSED)), None);
+    assert!(scheduler.begin_batch(at(3000)).is_none(), "nothing is left");
+}
+
+/// An accepted job can't be rejected any more; it is left out and reported.
+#[test]
+fn an_accepted_job_that_the_store_refuses_is_reported() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    for number in 1..=20 {
+        let (record, spec) = job(vec![step(1, 10)]);
+        scheduler.submit_from_inbox(job_id(number), record, spec, at(100));
+    }
+    let (accepted, rejected) = store_all(&mut scheduler, 100);
+    assert_eq!(rejected, []);
+    assert_eq!(accepted.len(), 19);
+    let events = scheduler.take_events();
+    let reported = events.iter().any(|event| {
+        matches!(event, SchedulerEvent::JobUnstorable { job, accepted: true, .. }
+            if *job == job_id(REFUSED))
+    });
+    assert!(reported, "{events:?}");
+}
