A takeover keeps the rows that it has read, however slow the link

Cause: each page of a pool's rows, up to 1 MB, had to arrive within 1.5 s. What had arrived of the page, of its table and of the pool's other tables was dropped, and all pools began anew together. A store that refuses the reads and a claim that is lost are ruled out: the stand-in refuses none, and the owner rows name the third manager.

A response of the store may now take as long as it arrives without a pause of 1.5 s; a read goes on behind the last page, with fewer rows a page; two pools are read at a time, one table after another. The same holds for all reads and feeds of the store.

--- a/crates/cornelpoint-manager/src/fleet_host/host.rs
+++ b/crates/cornelpoint-manager/src/fleet_host/host.rs
@@ -29,6 +29,7 @@
 use crate::http::HttpEndpoint;
 use crate::metrics::ProcessMetrics;
 use crate::node::Node;
+use crate::store::PartitionReader;
 use crate::store::ShardWriter;
 use crate::store::TransactionOutcome;
 use crate::store::WAVE_TABLE;
@@ -89,11 +90,13 @@
         };
         let row_bytes = node.settings.row_bytes;
         let writer = ShardWriter::new(FLEET_SHARD, owner.clone(), owner_version, row_bytes);
+        let mut reader = PartitionReader::new(WAVE_TABLE, FLEET_SHARD);
         let begun = loop {
             if !node.planner.borrow().owns(FLEET_SHARD) {
                 return;
             }
-            if let Some(rows) = node.store.read_values(WAVE_TABLE, FLEET_SHARD).await {
+            if reader.read(&node.store).await {
+                let rows = reader.into_values();
                 writer.values_read(&rows.rows);
                 let waves = rows.rows.iter().filter_map(|row| {
                     let number = row.key.key.parse().ok()?;
--- a/crates/cornelpoint-manager/src/http/endpoint.rs
+++ b/crates/cornelpoint-manager/src/http/endpoint.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Bytes;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -30,6 +31,16 @@
     pub(crate) body: Bytes,
 }
 
+/// How long the body of a response may take once its head has arrived.
+#[derive(Clone, Copy, Debug)]
+enum BodyTimeout {
+    /// As long as the head.
+    Deadline,
+    /// As long as some of it arrives each time within this: a large body on a slow link
+    /// takes seconds.
+    Idle(Duration),
+}
+
 /// A connection that no call uses.
 #[derive(Debug)]
 struct IdleConnection {
@@ -59,7 +70,8 @@
     /// Sends a call and reads the whole response, within a timeout that includes
     /// the wait for a free connection.
     pub(crate) async fn send(&self, call: &Call, timeout: Duration) -> Result<Response, CallError> {
-        self.exchange(call, timeout, Duration::ZERO, &|| true).await
+        self.exchange(call, timeout, BodyTimeout::Deadline, &|| true)
+            .await
     }
 
     /// Sends a call like [`Self::send`], unless `may_send` returns `false` when it is
@@ -71,32 +83,32 @@
         timeout: Duration,
         may_send: &dyn Fn() -> bool,
     ) -> Result<Response, CallError> {
-        self.exchange(call, timeout, Duration::ZERO, may_send).await
+        self.exchange(call, timeout, BodyTimeout::Deadline, may_send)
+            .await
     }
 
-    /// Sends a long poll. The head of the response has to arrive within a timeout
-    /// that includes the wait for a free connection; the body may take longer.
-    pub(crate) async fn long_poll(
+    /// Sends a call whose response may be large. Its head has to arrive within a timeout
+    /// that includes the wait for a free connection; the body may take longer, as long
+    /// as it doesn't pause for the idle timeout.
+    pub(crate) async fn download(
         &self,
         call: &Call,
         head_timeout: Duration,
-        body_timeout: Duration,
+        idle_timeout: Duration,
     ) -> Result<Response, CallError> {
-        self.exchange(call, head_timeout, body_timeout, &|| true)
-            .await
+        let body = BodyTimeout::Idle(idle_timeout);
+        self.exchange(call, head_timeout, body, &|| true).await
     }
 
-    /// Sends a call. The head of the response has to arrive within `head_timeout`,
-    /// the rest within another `body_timeout`.
+    /// Sends a call. The head of the response has to arrive within `head_timeout`.
     async fn exchange(
         &self,
         call: &Call,
         head_timeout: Duration,
-        body_timeout: Duration,
+        body_timeout: BodyTimeout,
         may_send: &dyn Fn() -> bool,
     ) -> Result<Response, CallError> {
         let deadline = Instant::now() + head_timeout;
-        let body_deadline = deadline + body_timeout;
         let permit = timeout_at(deadline, self.permits.acquire()).await;
         let Ok(Ok(_permit)) = permit else {
             return Err(CallError::Busy);
@@ -122,8 +134,12 @@
                 }
                 Ok(Ok(response)) => {
                     let status = response.status().as_u16();
-                    let body = timeout_at(body_deadline, response.into_body().collect()).await;
-                    let Ok(Ok(body)) = body else {
+                    let body = response.into_body();
+                    let body = match body_timeout {
+                        BodyTimeout::Deadline => timeout_at(deadline, read_body(body, None)).await,
+                        BodyTimeout::Idle(idle) => Ok(read_body(body, Some(idle)).await),
+                    };
+                    let Ok(Some(body)) = body else {
                         self.drop_idle(sent);
                         return Err(CallError::NoAnswer);
                     };
@@ -133,10 +149,7 @@
                             .borrow_mut()
                             .push(IdleConnection { sender, since });
                     }
-                    return Ok(Response {
-                        status,
-                        body: body.to_bytes(),
-                    });
+                    return Ok(Response { status, body });
                 }
             }
         }
@@ -199,3 +212,23 @@
         request.body(body).ok()
     }
 }
+
+/// Reads a body; `None` if the connection breaks, or delivers nothing for the idle
+/// timeout.
+async fn read_body(mut body: Incoming, idle_timeout: Option<Duration>) -> Option<Bytes> {
+    let mut chunks: Vec<Bytes> = Vec::new();
+    loop {
+        let frame = match idle_timeout {
+            Some(idle) => timeout(idle, body.frame()).await.ok()?,
+            None => body.frame().await,
+        };
+        let Some(frame) = frame else {
+            return Some(match chunks.as_slice() {
+                [single] => single.clone(),
+                _ => chunks.concat().into(),
+            });
+        };
+        // Trailers carry no data.
+        chunks.extend(frame.ok()?.into_data());
+    }
+}
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -21,6 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 
 use crate::clock;
@@ -37,6 +38,9 @@
 
 /// Maximum number of connections to one peer; requests between peers are short.
 const MAX_PEER_CONNECTIONS: usize = 8;
+/// Maximum number of pools whose rows are read at the same time after takeovers: one
+/// more than a slow link needs, since the store may not answer for one of them.
+const MAX_RESTORES: usize = 2;
 /// Delay before binding again an address that the previous process may still
 /// hold.
 const BIND_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -81,6 +85,8 @@
     pub(crate) planner_changed: Notify,
     pub(crate) hosts: RefCell<BTreeMap<String, Rc<PoolHost>>>,
     pub(crate) claiming: RefCell<BTreeSet<String>>,
+    /// Permits to read the rows of a pool that was taken over.
+    pub(crate) restores: Semaphore,
     pub(super) skipped_checks: RefCell<BTreeMap<String, SkippedChecks>>,
     /// Writers of the inboxes of pools whose owners can't be reached, by pool.
     pub(crate) inbox_writers: RefCell<BTreeMap<String, Rc<InboxWriter>>>,
@@ -137,6 +143,7 @@
             planner_changed: Notify::new(),
             hosts: RefCell::default(),
             claiming: RefCell::default(),
+            restores: Semaphore::new(MAX_RESTORES),
             skipped_checks: RefCell::default(),
             inbox_writers: RefCell::default(),
             owner_contacts: RefCell::default(),
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -24,6 +24,7 @@
 use crate::store::INBOX_TABLE;
 use crate::store::JOB_TABLE;
 use crate::store::PROGRESS_TABLE;
+use crate::store::PartitionReader;
 use crate::store::ShardWriter;
 use crate::store::WORKER_TABLE;
 use crate::store::decode;
@@ -42,7 +43,16 @@
 /// Interval between checks whether the predecessor's process has ended.
 const PREDECESSOR_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// A pool's rows in the store.
+/// Reads a pool's rows from the store. What was read is kept after a failure: only the
+/// owner changes these rows, but for the inbox, whose changes the feed repeats.
+struct PoolReader {
+    workers: PartitionReader,
+    records: PartitionReader,
+    progress: PartitionReader,
+    inbox: PartitionReader,
+}
+
+/// A pool's values in the store.
 struct StoredPool {
     workers: Rows,
     records: Rows,
@@ -84,9 +94,11 @@
         let writer = ShardWriter::new(&claim.shard, owner.clone(), owner_version, row_bytes);
         let claimed_ms = clock::now().steady_ms;
         let leases_end_ms = to_steady_ms(node, owner.earlier_over_store_ms);
+        let requested_ms = clock::now().steady_ms;
+        let mut reader = PoolReader::new(&claim.shard);
         let inbox = loop {
-            let requested_ms = clock::now().steady_ms;
-            if let Some(stored) = read_stored_pool(node, &claim.shard).await {
+            if reader.read(node).await {
+                let stored = reader.into_stored();
                 let rows = restore(node, &claim.shard, &mut scheduler, &stored, leases_end_ms);
                 for values in [&stored.workers, &stored.records, &stored.progress] {
                     writer.values_read(&values.rows);
@@ -100,6 +112,8 @@
             if !node.planner.borrow().owns(&claim.shard) {
                 return;
             }
+            info!(node.pool_log, "Reading a pool's rows failed; going on."; "pool" => &claim.shard,
+                "rows" => reader.row_count(), "error" => node.store.last_failure());
             tokio::time::sleep(RETRY_DELAY).await;
         };
         let host = Rc::new(Self::new(node, &claim.shard, writer, scheduler));
@@ -179,20 +193,44 @@
     clock::now().steady_ms + store_ms.saturating_sub(node.store.clock_ms())
 }
 
-/// Reads a pool's rows from the store; `None` if a read fails.
-async fn read_stored_pool(node: &Rc<Node>, pool: &str) -> Option<StoredPool> {
-    let (workers, records, progress, inbox) = tokio::join!(
-        node.store.read_values(WORKER_TABLE, pool),
-        node.store.read_values(JOB_TABLE, pool),
-        node.store.read_values(PROGRESS_TABLE, pool),
-        node.store.read_all(INBOX_TABLE, pool),
-    );
-    Some(StoredPool {
-        workers: workers?,
-        records: records?,
-        progress: progress?,
-        inbox: inbox?,
-    })
+impl PoolReader {
+    fn new(pool: &str) -> Self {
+        Self {
+            workers: PartitionReader::new(WORKER_TABLE, pool),
+            records: PartitionReader::new(JOB_TABLE, pool),
+            progress: PartitionReader::new(PROGRESS_TABLE, pool),
+            inbox: PartitionReader::new(INBOX_TABLE, pool),
+        }
+    }
+
+    /// Reads what is left. Returns `false` if a read fails.
+    ///
+    /// Few pools are read at the same time, one table after another: on a slow link all
+    /// would be late, and heartbeats with them.
+    async fn read(&mut self, node: &Rc<Node>) -> bool {
+        let Ok(_permit) = node.restores.acquire().await else {
+            return false;
+        };
+        let store = &node.store;
+        self.workers.read(store).await
+            && self.records.read(store).await
+            && self.progress.read(store).await
+            && self.inbox.read(store).await
+    }
+
+    fn row_count(&self) -> usize {
+        let readers = [&self.workers, &self.records, &self.progress, &self.inbox];
+        readers.into_iter().map(PartitionReader::row_count).sum()
+    }
+
+    fn into_stored(self) -> StoredPool {
+        StoredPool {
+            workers: self.workers.into_values(),
+            records: self.records.into_values(),
+            progress: self.progress.into_values(),
+            inbox: self.inbox.into_rows(),
+        }
+    }
 }
 
 /// Restores a pool's workers and jobs, and applies its inbox: a job whose
--- a/crates/cornelpoint-manager/src/store/mod.rs
+++ b/crates/cornelpoint-manager/src/store/mod.rs
@@ -1,12 +1,14 @@
 //! Client of the platform's store, and the tables that the system keeps in it.
 
 mod feed_health;
+mod partition_reader;
 mod shard_writer;
 mod store_client;
 mod tables;
 mod wide_rows;
 
 pub(crate) use self::feed_health::FeedHealth;
+pub(crate) use self::partition_reader::PartitionReader;
 pub(crate) use self::shard_writer::ShardWriter;
 pub(crate) use self::shard_writer::WriteOutcome;
 pub(crate) use self::store_client::FeedOutcome;
--- a/crates/cornelpoint-manager/src/store/store_client.rs
+++ b/crates/cornelpoint-manager/src/store/store_client.rs
@@ -17,6 +17,7 @@
 use slog::info;
 use slog::warn;
 
+use super::partition_reader::PartitionReader;
 use super::wide_rows;
 use crate::clock;
 use crate::http::CallError;
@@ -24,13 +25,14 @@
 use crate::http::Response;
 use crate::metrics::ProcessMetrics;
 
-/// Timeout of a call; ten times the response time of a slow store.
+/// Timeout of a call; ten times the response time of a slow store. The rows of a
+/// response may take longer, as long as they don't pause for this time.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Maximum number of connections to the store: feeds hold some, other calls share
 /// the rest.
 const MAX_CONNECTIONS: usize = 24;
-/// Rows per read; the store's own limit.
-const ROWS_PER_READ: u32 = 500;
+/// Rows in a response; the store's own limit.
+const MAX_ROWS: usize = 500;
 /// Size from which a response may have been cut to the store's limit of 1 MB: one
 /// more row of 64 KiB, encoded, could exceed it.
 const FULL_PAGE_BYTES: usize = 900_000;
@@ -174,37 +176,9 @@
     }
 
     /// Reads all rows of a partition, page by page; `None` if a read fails.
-    pub(crate) async fn read_all(&self, table: &str, part: &str) -> Option<Rows> {
-        let mut all = Rows::default();
-        let mut from = String::new();
-        loop {
-            let rows = self
-                .read(table, &read_call(table, part, &from, ROWS_PER_READ))
-                .await?;
-            if all.version == 0 {
-                // Changes after the first page are repeated by the feed.
-                all.version = rows.version;
-            }
-            // The smallest key after the last one read.
-            from = rows
-                .rows
-                .last()
-                .map_or(String::new(), |row| format!("{}\0", row.key.key));
-            all.rows.extend(rows.rows);
-            if !rows.has_more || from.is_empty() {
-                return Some(all);
-            }
-        }
-    }
-
-    /// Reads all values of a partition, including those in several rows; `None` if a
-    /// read fails.
-    pub(crate) async fn read_values(&self, table: &str, part: &str) -> Option<Rows> {
-        let rows = self.read_all(table, part).await?;
-        Some(Rows {
-            rows: wide_rows::join(rows.rows),
-            ..rows
-        })
+    pub(crate) async fn read_all(&self, table: &'static str, part: &str) -> Option<Rows> {
+        let mut reader = PartitionReader::new(table, part);
+        reader.read(self).await.then(|| reader.into_rows())
     }
 
     /// Reads one value, which may be in several rows; `None` if the read fails,
@@ -240,9 +214,12 @@
         Some(rows.rows.into_iter().find(|row| row.key.key == key))
     }
 
-    async fn read(&self, table: &str, call: &Call) -> Option<Rows> {
+    pub(super) async fn read(&self, table: &str, call: &Call) -> Option<Rows> {
         let sent_ms = clock::now().steady_ms;
-        let answer = self.endpoint.send(call, CALL_TIMEOUT).await;
+        let answer = self
+            .endpoint
+            .download(call, CALL_TIMEOUT, CALL_TIMEOUT)
+            .await;
         let failure = failure_label(&answer);
         let rows = match answer {
             Ok(answer) if answer.status == 200 => parse_rows(&answer.body).ok(),
@@ -262,7 +239,7 @@
         let timeout = Duration::from_millis(wait_ms) + CALL_TIMEOUT;
         let sent_ms = clock::now().steady_ms;
         let call = feed_call(table, after, wait_ms);
-        let answer = self.endpoint.long_poll(&call, timeout, CALL_TIMEOUT).await;
+        let answer = self.endpoint.download(&call, timeout, CALL_TIMEOUT).await;
         let failure = failure_label(&answer);
         match answer {
             Ok(answer) if answer.status == 200 => match parse_rows(&answer.body) {
@@ -270,8 +247,8 @@
                     self.record_success();
                     self.update_clock(&rows);
                     // A feed may not say that its response was cut.
-                    rows.has_more |= rows.rows.len() >= ROWS_PER_READ as usize
-                        || answer.body.len() >= FULL_PAGE_BYTES;
+                    rows.has_more |=
+                        rows.rows.len() >= MAX_ROWS || answer.body.len() >= FULL_PAGE_BYTES;
                     FeedOutcome::Changes(rows)
                 }
                 Err(error) => {
--- a/crates/cornelpoint-manager/tests/takeover/fleet.rs
+++ b/crates/cornelpoint-manager/tests/takeover/fleet.rs
@@ -17,6 +17,7 @@
 
 use crate::caller::Caller;
 use crate::instance::Instance;
+use crate::slow_link;
 
 /// Pool of the queue.
 pub const POOL: &str = "planners";
@@ -41,6 +42,15 @@
     /// Starts the fleet and waits until every process knows the pool's owner.
     /// `test` names the folder with the output of the processes.
     pub fn start(test: &str, transaction_duration: Duration) -> Self {
+        Self::start_with_links(test, transaction_duration, None)
+    }
+
+    /// The same with links to the store that carry so many bytes a second.
+    pub fn start_with_links(
+        test: &str,
+        transaction_duration: Duration,
+        bytes_per_s: Option<u64>,
+    ) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
             .join("takeover")
             .join(test);
@@ -53,11 +63,16 @@
         let configuration = operator::configuration(1, std::slice::from_ref(&queue));
         store.write(&operator::configuration_row(), &configuration);
         let instances = ["a-1", "b-1", "c-1"].map(|name| {
+            let address = store.add_instance(name).unwrap();
+            let address = match bytes_per_s {
+                Some(bytes_per_s) => slow_link::open(address, bytes_per_s).unwrap(),
+                None => address,
+            };
             let settings = InstanceSettings {
                 node: name.to_owned(),
                 zone: name[..1].to_owned(),
                 ip: own_ip(),
-                store: store.add_instance(name).unwrap(),
+                store: address,
             };
             Instance::start(&settings, &folder)
         });
--- a/crates/cornelpoint-manager/tests/takeover/large_jobs.rs
+++ b/crates/cornelpoint-manager/tests/takeover/large_jobs.rs
@@ -33,6 +33,7 @@
     });
     wait_until("another job is accepted", || caller.submit(job(2)));
     let token = fleet.owner_row().unwrap().fencing_token;
+    let survivors = fleet.others();
     fleet.owner().kill();
     wait_until("the pool has a new owner", || {
         fleet
@@ -40,7 +41,6 @@
             .is_some_and(|row| row.fencing_token > token)
     });
     let _worker = WorkerStandIn::start(&fleet.store, "w-1", POOL, Some(TASK_DURATION)).unwrap();
-    let survivors = fleet.others();
     let callers = survivors.iter().map(|instance| fleet.caller(instance));
     let callers: Vec<_> = callers.collect();
     for number in [1, 2] {
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -8,6 +8,8 @@
 mod large_jobs;
 mod load;
 mod odd_entries;
+mod slow_link;
+mod slow_links;
 
 use std::thread;
 use std::time::Duration;
