Batches without an answer are followed by smaller ones

Callers would see: nothing of a pool stored any more, on a link that doesn't carry a whole batch (some 550 KB encoded) within the 1.5 s of a call.

Each batch without an answer halves what the next one may hold, down to 25 KB, and each stored one doubles it. a_batch_that_a_slow_link_does_not_carry_in_time_is_tried_in_parts fails without the line that halves (0 of 80 jobs stored) and passes with it. An outage halves, too; four stored batches later the size is the full one again.

--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -22,7 +22,10 @@
 /// Estimated size of the rows from which a batch takes no further job. Encoded, one
 /// more job of the largest size stays within the store's limit of 1 MB for a
 /// transaction.
-const FULL_BATCH_BYTES: usize = 400_000;
+pub(super) const FULL_BATCH_BYTES: usize = 400_000;
+/// The same after several batches without an answer: a slow link carries as much within
+/// the timeout of a call.
+const LEAST_BATCH_BYTES: usize = 25_000;
 /// Estimated size of the rows that a batch of several jobs doesn't exceed.
 const MAX_BATCH_BYTES: usize = 600_000;
 /// Estimated size of a job's record besides its text and its steps.
@@ -184,12 +187,13 @@
         let mut in_flight = BatchInFlight::default();
         let mut size = RowSize::default();
         while in_flight.jobs.len() + in_flight.expired.len() < self.max_batch_jobs
-            && size.bytes < FULL_BATCH_BYTES
+            && size.bytes < self.full_batch_bytes
             && let Some(job) = self.unstored.pop_first()
         {
             let rows = self.job_rows(job.id, now);
             let with_job = size.plus(rows.size);
-            let is_full = with_job.rows > MAX_BATCH_ROWS || with_job.bytes > MAX_BATCH_BYTES;
+            let max_bytes = MAX_BATCH_BYTES.min(2 * self.full_batch_bytes);
+            let is_full = with_job.rows > MAX_BATCH_ROWS || with_job.bytes > max_bytes;
             if is_full && size.rows > 0 {
                 self.unstored.restore(job);
                 break;
@@ -349,6 +353,7 @@
                 StoredJobs::default()
             }
             BatchOutcome::Unknown => {
+                self.full_batch_bytes = LEAST_BATCH_BYTES.max(self.full_batch_bytes / 2);
                 self.restore_batch(in_flight);
                 StoredJobs::default()
             }
@@ -408,6 +413,7 @@
     fn batch_stored(&mut self, in_flight: BatchInFlight, now: Instant) -> StoredJobs {
         self.committing_since_ms = None;
         self.max_batch_jobs = MAX_BATCH_ROWS.min(2 * self.max_batch_jobs);
+        self.full_batch_bytes = FULL_BATCH_BYTES.min(2 * self.full_batch_bytes);
         let mut stored = StoredJobs::default();
         for key in in_flight.inbox {
             self.inbox.remove(&key);
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -15,6 +15,7 @@
 use super::action::IncarnationIndex;
 use super::admission::LoadEstimate;
 use super::batch::BatchInFlight;
+use super::batch::FULL_BATCH_BYTES;
 use super::batch::MAX_BATCH_ROWS;
 use super::batch::WorkerRecord;
 use super::instant::Instant;
@@ -65,6 +66,9 @@
     /// Largest number of jobs in a batch: fewer while it is being found out which job's
     /// rows the store refuses.
     pub(super) max_batch_jobs: usize,
+    /// Estimated size of the rows from which a batch takes no further job. Halved by each
+    /// batch without an answer, which a slow link may not have carried in time.
+    pub(super) full_batch_bytes: usize,
     pub(super) last_batch_ms: u64,
     /// When the first batch began since one was stored.
     pub(super) committing_since_ms: Option<u64>,
@@ -146,6 +150,7 @@
             unstored: UnstoredJobs::default(),
             batch: None,
             max_batch_jobs: MAX_BATCH_ROWS,
+            full_batch_bytes: FULL_BATCH_BYTES,
             last_batch_ms: 0,
             committing_since_ms: None,
             urgent: false,
--- a/crates/cornelpoint/tests/scheduler/refused_rows.rs
+++ b/crates/cornelpoint/tests/scheduler/refused_rows.rs
@@ -1,6 +1,7 @@
-//! A store that refuses the rows of a job.
+//! A store that refuses the rows of a job, or that a slow link keeps from answering.
 
 use cornelpoint::job::JobId;
+use cornelpoint::job::JobSpec;
 use cornelpoint::scheduler::Batch;
 use cornelpoint::scheduler::BatchOutcome;
 use cornelpoint::scheduler::PoolScheduler;
@@ -84,3 +85,35 @@
     });
     assert!(reported, "{events:?}");
 }
+
+/// Guards against a pool that stores nothing any more, since its link doesn't carry a
+/// whole batch before the timeout of the call, and the same batch is tried again.
+#[test]
+fn a_batch_that_a_slow_link_does_not_carry_in_time_is_tried_in_parts() {
+    const JOBS: u64 = 80;
+    /// What the link carries within the timeout.
+    const CARRIED_BYTES: usize = 100_000;
+    let mut scheduler = ready_scheduler(&["w1"]);
+    for number in 1..=JOBS {
+        let (mut record, _) = job(vec![step(1, 10)]);
+        record.job.spec = "x".repeat(4000);
+        let spec = JobSpec::try_from(record.job.clone()).expect("a valid job");
+        scheduler.submit_from_inbox(job_id(number), record, spec, at(100));
+    }
+    let mut accepted = 0;
+    for round in 0..40 {
+        let now = at(100 + round * 1500);
+        let Some(batch) = scheduler.begin_batch(now) else {
+            break;
+        };
+        let specs = batch.records.iter();
+        let bytes: usize = specs.map(|(_, record)| record.job.spec.len()).sum();
+        let outcome = if bytes > CARRIED_BYTES {
+            BatchOutcome::Unknown
+        } else {
+            BatchOutcome::Stored
+        };
+        accepted += scheduler.batch_replied(outcome, now).accepted.len();
+    }
+    assert_eq!(accepted as u64, JOBS);
+}
