Registry entries of unknown pools say nothing about workers

Cause: a later entry of a machine ends the machine's earlier worker, and entries of any writer counted for that. A start in the far future, which is ignored already, is ruled out: the entry's is in the past.

The scheduler knows the pools of the configuration now and ignores entries of others.

--- a/crates/cornelpoint-manager/src/node/feeds.rs
+++ b/crates/cornelpoint-manager/src/node/feeds.rs
@@ -114,7 +114,7 @@
             "unread_ms" => unread_ms);
         self.metrics.configuration_applied(catalog.version);
         for host in self.hosts.borrow().values() {
-            host.set_queues(&catalog);
+            host.set_catalog(&catalog);
         }
         let now = clock::now();
         let mut planner = self.planner.borrow_mut();
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -231,11 +231,11 @@
         self.scheduler.borrow().has_lost_most_workers()
     }
 
-    /// Applies the queue settings of a configuration.
-    pub(crate) fn set_queues(&self, catalog: &Catalog) {
-        self.scheduler
-            .borrow_mut()
-            .set_queues(catalog.queues.iter());
+    /// Applies the queues and pools of a configuration.
+    pub(crate) fn set_catalog(&self, catalog: &Catalog) {
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.set_queues(catalog.queues.iter());
+        scheduler.set_pools(catalog.pools.keys().map(String::as_str));
     }
 
     /// Returns the pool's status for the heartbeat to peers.
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -89,6 +89,7 @@
         let mut scheduler = PoolScheduler::new(&claim.shard, claim.fencing_token, settings);
         if let Some(catalog) = node.catalog() {
             scheduler.set_queues(catalog.queues.iter());
+            scheduler.set_pools(catalog.pools.keys().map(String::as_str));
         }
         let row_bytes = node.settings.row_bytes;
         let writer = ShardWriter::new(&claim.shard, owner.clone(), owner_version, row_bytes);
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -48,6 +48,8 @@
     pub(super) fencing_token: u64,
     pub(super) settings: SchedulerSettings,
     pub(super) queues: BTreeMap<String, QueueRules>,
+    /// All pools of the configuration; empty before one is known.
+    pub(super) known_pools: BTreeSet<String>,
     pub(super) jobs: HashMap<JobId, JobEntry>,
     /// Jobs that are not final. Final ones are kept for minutes, so that most jobs
     /// are final.
@@ -138,6 +140,7 @@
             fencing_token,
             settings,
             queues: BTreeMap::new(),
+            known_pools: BTreeSet::new(),
             jobs: HashMap::new(),
             active_jobs: BTreeSet::new(),
             incarnations: BTreeMap::new(),
@@ -206,6 +209,12 @@
         self.changed_workers = WorkerSet::All;
     }
 
+    /// Updates the pools of the configuration in force. Registry entries of other pools
+    /// come from other programs.
+    pub fn set_pools<'a>(&mut self, pools: impl Iterator<Item = &'a str>) {
+        self.known_pools = pools.map(str::to_owned).collect();
+    }
+
     /// Returns the actions that have become necessary since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -29,14 +29,16 @@
     /// Applies a reading of the registry. Entries of other pools only matter
     /// where they show that an incarnation known here has ended. A reading that
     /// is not `settled`, soon after an outage, says nothing about workers that
-    /// it doesn't list. Entries that claim a start in the far future are ignored, as
-    /// are those of ended incarnations, which stay listed for some seconds.
+    /// it doesn't list. Entries that claim a start in the far future or a pool that the
+    /// configuration doesn't name are ignored, as are those of ended incarnations, which
+    /// stay listed for some seconds.
     pub fn apply_registry(&mut self, entries: &[RegistryEntry], settled: bool, now: Instant) {
         self.recent_load = None;
         let latest_unix_ms = now.unix_ms.saturating_add(MAX_CLOCK_ERROR_MS);
         let entries = entries.iter();
         let entries: Vec<&RegistryEntry> = entries
             .filter(|entry| entry.born_unix_ms <= latest_unix_ms)
+            .filter(|entry| self.is_known_pool(&entry.pool))
             .collect();
         let newest = NewestIncarnations::new(&entries);
         let mut listed = BTreeSet::new();
@@ -79,6 +81,10 @@
         self.changed_workers = WorkerSet::All;
     }
 
+    fn is_known_pool(&self, pool: &str) -> bool {
+        self.known_pools.is_empty() || pool == self.pool || self.known_pools.contains(pool)
+    }
+
     /// Ends the incarnations whose machines have started newer ones.
     fn end_superseded_incarnations(&mut self, newest: &NewestIncarnations<'_>, now: Instant) {
         self.predecessor_incarnations.retain(|id, record| {
