Advice is asked for about all workers of a large pool

Cause: a request names at most 100 workers, and each one named the first 100 again.

Which workers may run a step doesn't change: a step remembers who may and who may not, and asks about the others next.

--- a/crates/cornelpoint/src/scheduler/tickets.rs
+++ b/crates/cornelpoint/src/scheduler/tickets.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::job::StepId;
 
@@ -10,6 +11,8 @@
 /// Largest number of requests for advice that wait for an answer at the same time. The
 /// service queues 32 calls of a process, which may own several pools.
 const MAX_REQUESTS_IN_FLIGHT: usize = 24;
+/// Largest number of workers that one request may name.
+const MAX_WORKERS_PER_REQUEST: usize = 100;
 
 /// Tickets that the advice service issued for a step.
 #[derive(Clone, Debug, Default)]
@@ -17,6 +20,25 @@
     pub(super) requested: bool,
     pub(super) valid_until_ms: u64,
     pub(super) by_incarnation: BTreeMap<IncarnationIndex, String>,
+    /// Workers that may run the step, which doesn't change.
+    allowed: BTreeSet<IncarnationIndex>,
+    /// Workers that may not.
+    refused: BTreeSet<IncarnationIndex>,
+    /// Workers that the request in flight names.
+    asked: Vec<IncarnationIndex>,
+}
+
+impl Tickets {
+    /// Returns the workers to ask about: those that need new tickets, then those that
+    /// have not been asked about yet.
+    fn to_ask(&self, usable: &[IncarnationIndex]) -> Vec<IncarnationIndex> {
+        let allowed = usable.iter().filter(|worker| self.allowed.contains(worker));
+        let unknown = usable
+            .iter()
+            .filter(|worker| !self.allowed.contains(worker) && !self.refused.contains(worker));
+        let workers = allowed.chain(unknown).take(MAX_WORKERS_PER_REQUEST);
+        workers.copied().collect()
+    }
 }
 
 impl PoolScheduler {
@@ -46,14 +68,24 @@
         let issued = |step: &StepId| self.tickets.get(step);
         steps.retain(|step| issued(step).is_none_or(|issued| !issued.requested));
         steps.sort_by_key(|step| issued(step).map_or(0, |issued| issued.valid_until_ms));
-        for step in steps.into_iter().take(free) {
+        let mut requests = 0;
+        for step in steps {
             let issued = self.tickets.entry(step).or_default();
+            let asked = issued.to_ask(&incarnations);
+            if asked.is_empty() {
+                continue;
+            }
             issued.requested = true;
             issued.by_incarnation.clear();
+            issued.asked.clone_from(&asked);
             self.actions.push(Action::RequestAdvice {
                 step,
-                incarnations: incarnations.clone(),
+                incarnations: asked,
             });
+            requests += 1;
+            if requests == free {
+                break;
+            }
         }
     }
 
@@ -71,9 +103,16 @@
         };
         issued.requested = false;
         issued.valid_until_ms = now.steady_ms;
+        let asked = std::mem::take(&mut issued.asked);
         if let Some((tickets, valid_ms)) = tickets {
             issued.by_incarnation = tickets.into_iter().collect();
-            issued.valid_until_ms += valid_ms;
+            issued.allowed.extend(issued.by_incarnation.keys());
+            let refused = asked.iter();
+            let refused = refused.filter(|worker| !issued.by_incarnation.contains_key(worker));
+            issued.refused.extend(refused);
+            if !issued.by_incarnation.is_empty() {
+                issued.valid_until_ms += valid_ms;
+            }
         }
         self.reconsider(step);
         self.placement_needed = true;
--- a/crates/cornelpoint/tests/scheduler/step_kinds.rs
+++ b/crates/cornelpoint/tests/scheduler/step_kinds.rs
@@ -89,6 +89,52 @@
     assert_eq!(started[0].0, "w2");
 }
 
+/// Guards against a step that never starts: a request names 100 workers at most, and in a
+/// pool of 120 the same first 100 were asked about each time.
+#[test]
+fn all_workers_of_a_large_pool_are_asked_about() {
+    const WORKERS: usize = 120;
+    const ALLOWED: &str = "w117";
+    let ids: Vec<String> = (0..WORKERS).map(|number| format!("w{number}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let mut scheduler = ready_scheduler(&ids);
+    let advised = Queue {
+        advice: Some(Advice {
+            decide_ms: 10,
+            each_ms: 1,
+            valid_ms: 3000,
+        }),
+        ..queue()
+    };
+    scheduler.set_queues(std::iter::once(&advised));
+    let (record, spec) = job(vec![step(1, 1000)]);
+    scheduler.submit_from_inbox(job_id(1), record, spec, at(100));
+    store_batches(&mut scheduler, 100);
+    let mut started = Vec::new();
+    for now_ms in (200..4000).step_by(200) {
+        scheduler.tick(at(now_ms));
+        for action in scheduler.take_actions() {
+            match action {
+                Action::RequestAdvice { step, incarnations } => {
+                    assert!(incarnations.len() <= 100);
+                    let allowed = incarnations.into_iter().filter(|&incarnation| {
+                        let worker = scheduler.worker_address(incarnation);
+                        worker.is_some_and(|(_, id)| id == ALLOWED)
+                    });
+                    let tickets = allowed.map(|worker| (worker, "ticket".to_owned()));
+                    let tickets = tickets.collect();
+                    scheduler.advice_replied(step, Some((tickets, 3000)), at(now_ms + 100));
+                }
+                Action::Start { incarnation, .. } => started.push(incarnation),
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(started.len(), 1);
+    let worker = scheduler.worker_address(started[0]);
+    assert_eq!(worker.map(|(_, id)| id), Some(ALLOWED));
+}
+
 /// Fillers disturb serving tasks. Their speed is halved while a tail latency
 /// misses its target, and not raised before the latency is well below.
 #[test]
