--- a/crates/cornelpoint-manager/src/pool_host/commits.rs
+++ b/crates/cornelpoint-manager/src/pool_host/commits.rs
@@ -27,7 +27,7 @@
 /// Time after which the caller of a job that the store refuses may retry: the same job
 /// would be refused again.
 const UNSTORABLE_RETRY_AFTER_MS: u64 = 30_000;
-/// Delay after a batch whose outcome is unknown, before it is written again.
+/// Delay after a batch that is not stored, or may not be, before the next one.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 impl PoolHost {
@@ -51,7 +51,10 @@
                 BatchOutcome::Stored
             }
             WriteOutcome::Fenced => BatchOutcome::Fenced,
-            WriteOutcome::Invalid => BatchOutcome::Invalid,
+            WriteOutcome::Invalid => {
+                tokio::time::sleep(RETRY_DELAY).await;
+                BatchOutcome::Invalid
+            }
             WriteOutcome::Unknown => {
                 tokio::time::sleep(RETRY_DELAY).await;
                 BatchOutcome::Unknown
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -10,6 +10,8 @@
 use super::action::IncarnationIndex;
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
+use super::ready_step::PlacementPass;
+use super::ready_step::ReadyStep;
 use super::task_entry::Phase;
 use super::task_entry::Run;
 use super::worker_set::WorkerSet;
@@ -26,34 +28,6 @@
     pub(super) step: StepId,
 }
 
-/// Tasks of a step that wait for workers.
-#[derive(Clone, Debug)]
-pub(super) struct ReadyStep {
-    pub(super) tasks: BTreeSet<u32>,
-    /// Resources that one task takes.
-    pub(super) need: Resources,
-    /// Whether no worker could take a task at the last placement pass. Then only
-    /// workers that have changed since can.
-    pub(super) unplaceable: bool,
-}
-
-/// One pass over the steps that wait for workers.
-struct PlacementPass {
-    changed_workers: WorkerSet,
-    /// Needs that fit no worker, whatever the other conditions of a step are.
-    too_large: Vec<Resources>,
-    /// Steps that need tickets and have none.
-    without_tickets: Vec<StepId>,
-}
-
-impl PlacementPass {
-    /// Whether a need is at least as large as one that fits no worker.
-    fn is_too_large(&self, need: Resources) -> bool {
-        let mut too_large = self.too_large.iter();
-        too_large.any(|known| need.fits(Resources::default(), *known))
-    }
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     reason = "steps and tasks are bounded when a job is checked"
@@ -307,78 +281,13 @@
         }
     }
 
-    fn mark_unplaceable(&mut self, key: ReadyKey) {
+    pub(super) fn mark_unplaceable(&mut self, key: ReadyKey) {
         if let Some(step) = self.ready.get_mut(&key) {
             step.unplaceable = true;
         }
     }
 
-    /// Places all tasks of a gang under one run number, or none of them.
-    fn place_gang(
-        &mut self,
-        key: ReadyKey,
-        step: &Step,
-        indexes: &[u32],
-        needs_ticket: bool,
-        now: Instant,
-    ) {
-        if indexes.len() < step.replicas as usize {
-            // Some members of the previous run have not ended yet.
-            return;
-        }
-        if !self.has_room_for(key.step, step, indexes.len(), needs_ticket, now) {
-            self.mark_unplaceable(key);
-            return;
-        }
-        let runs = indexes
-            .iter()
-            .map(|&index| self.next_run_of(key.step.task(index)));
-        let run = runs.max().unwrap_or(1);
-        let mut taken: Vec<(IncarnationIndex, TaskId)> = Vec::new();
-        for &index in indexes {
-            let task = key.step.task(index);
-            // Waiting for a worker of its own for each member could last for ever.
-            let suspect = false;
-            let all = WorkerSet::All;
-            let chosen = self.choose_worker(key.step, step, &all, needs_ticket, suspect, now);
-            let Some(incarnation) = chosen else {
-                for (incarnation, task) in taken {
-                    self.release_run(incarnation, task, run);
-                }
-                return;
-            };
-            if let Some(worker) = self.incarnations.get_mut(&incarnation) {
-                worker.reserve(task, run, step.reserved());
-            }
-            taken.push((incarnation, task));
-        }
-        let checkpoint = self.gang_checkpoint(key.step, indexes);
-        for (incarnation, task) in taken {
-            if let Some(entry) = self
-                .jobs
-                .get_mut(&task.step.job)
-                .and_then(|job| job.task_mut(task))
-            {
-                entry.checkpoint.clone_from(&checkpoint);
-            }
-            self.start(task, step, incarnation, run, now);
-        }
-    }
-
-    fn gang_checkpoint(&self, step: StepId, indexes: &[u32]) -> String {
-        let job = self.jobs.get(&step.job);
-        let tasks = indexes
-            .iter()
-            .filter_map(|&index| job?.task(step.task(index)));
-        let newest = tasks
-            .filter(|task| !task.checkpoint.is_empty())
-            .max_by_key(|task| task.last_run);
-        newest
-            .map(|task| task.checkpoint.clone())
-            .unwrap_or_default()
-    }
-
-    fn next_run_of(&self, task: TaskId) -> u64 {
+    pub(super) fn next_run_of(&self, task: TaskId) -> u64 {
         let job = self.jobs.get(&task.step.job);
         let last = job
             .and_then(|job| job.task(task))
@@ -386,7 +295,7 @@
         self.next_run(last)
     }
 
-    fn start(
+    pub(super) fn start(
         &mut self,
         task: TaskId,
         step: &Step,
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -22,7 +22,7 @@
 use super::job_entry::JobEntry;
 use super::load::Load;
 use super::placement::ReadyKey;
-use super::placement::ReadyStep;
+use super::ready_step::ReadyStep;
 use super::scheduler_event::SchedulerEvent;
 use super::settings::SchedulerSettings;
 use super::tickets::Tickets;
--- /dev/null
+++ b/crates/cornelpoint/src/scheduler/ready_step.rs
@@ -0,0 +1,35 @@
+use std::collections::BTreeSet;
+
+use crate::job::Resources;
+use crate::job::StepId;
+
+use super::worker_set::WorkerSet;
+
+/// Tasks of a step that wait for workers.
+#[derive(Clone, Debug)]
+pub(super) struct ReadyStep {
+    pub(super) tasks: BTreeSet<u32>,
+    /// Resources that one task takes.
+    pub(super) need: Resources,
+    /// Whether no worker could take a task at the last placement pass. Then only
+    /// workers that have changed since can.
+    pub(super) unplaceable: bool,
+}
+
+/// One pass over the steps that wait for workers.
+pub(super) struct PlacementPass {
+    /// Workers that may have room for steps that fitted none at the last pass.
+    pub(super) changed_workers: WorkerSet,
+    /// Needs that fit no worker, whatever the other conditions of a step are.
+    pub(super) too_large: Vec<Resources>,
+    /// Steps that need tickets and have none.
+    pub(super) without_tickets: Vec<StepId>,
+}
+
+impl PlacementPass {
+    /// Whether a need is at least as large as one that fits no worker.
+    pub(super) fn is_too_large(&self, need: Resources) -> bool {
+        let mut too_large = self.too_large.iter();
+        too_large.any(|known| need.fits(Resources::default(), *known))
+    }
+}
