Log by what a worker counts as ended, and runs that its owner had dropped

Two runs at once: `Run lost.` with `LifeEnded` says nothing of how the end became known, and a run that shows up again left no line. `Worker ended.` names the evidence, once for an incarnation with runs; `Worker reports an unexpected run.` names a run that this owner had started and dropped, or one beside others. Successors that adopt the runs of earlier terms log none.

--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -146,6 +146,22 @@
                 "worker" => worker, "how" => ?loss, "confirmed" => confirmed,
                 "heard_for_ms" => heard_for_ms, "leaving" => leaving,
                 "fencing_token" => self.fencing_token),
+            SchedulerEvent::WorkerEnded {
+                worker,
+                born_unix_ms,
+                evidence,
+                runs,
+            } => info!(self.log, "Worker ended."; "worker" => worker,
+                "born_unix_ms" => born_unix_ms, "evidence" => ?evidence, "runs" => runs,
+                "fencing_token" => self.fencing_token),
+            SchedulerEvent::UnexpectedRun {
+                task,
+                run,
+                worker,
+                others,
+            } => warn!(self.log, "Worker reports an unexpected run."; "task" => %task,
+                "run" => run, "worker" => worker, "others" => others,
+                "fencing_token" => self.fencing_token),
             SchedulerEvent::TaskGivenUp {
                 task,
                 crashes,
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -9,7 +9,9 @@
 use super::crashes::ON_START_MS;
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
+use super::scheduler_event::EndEvidence;
 use super::scheduler_event::RunLoss;
+use super::scheduler_event::SchedulerEvent;
 use super::task_entry::Phase;
 use super::task_entry::Run;
 use super::worker_state::Contact;
@@ -73,7 +75,9 @@
         match outcome {
             Ok(report) => self.apply_report(incarnation, sent_ms, &report, now),
             Err(RenewalFailure::Fenced) => self.fenced = true,
-            Err(RenewalFailure::OtherIncarnation) => self.end_incarnation(incarnation, now),
+            Err(RenewalFailure::OtherIncarnation) => {
+                self.end_incarnation(incarnation, EndEvidence::Address, now);
+            }
             Err(RenewalFailure::NoAnswer) => {
                 worker.failed_renewal_sent_ms = sent_ms;
                 if !worker.is_unresponsive() {
@@ -101,7 +105,7 @@
         let known = worker.entry.born_unix_ms;
         if known != 0 && report.born_unix_ms != 0 && known != report.born_unix_ms {
             // The registry will list the new incarnation before long.
-            self.end_incarnation(incarnation, now);
+            self.end_incarnation(incarnation, EndEvidence::Report, now);
             return;
         }
         if known == 0 {
@@ -170,6 +174,7 @@
         reported: &ActiveRun,
         now: Instant,
     ) {
+        let first_run = self.next_run(0);
         let Some(job) = self.jobs.get_mut(&reported.task.step.job) else {
             // The resources of the run are unknown, so no task is added beside
             // it.
@@ -198,7 +203,6 @@
             task.checkpoint.clone_from(&reported.checkpoint);
         }
         let done = task.done;
-        let others = task.runs.iter().any(|run| run.number != reported.run);
         if let Some(run) = task.run_mut(reported.run) {
             run.percent = reported.speed_percent;
             if matches!(run.phase, Phase::Starting | Phase::Unanswered) {
@@ -220,6 +224,7 @@
             }
             return;
         }
+        let others = task.runs.len();
         task.runs.push(Run {
             number: reported.run,
             incarnation,
@@ -237,8 +242,17 @@
             worker.reserve(reported.task, reported.run, need);
             // A predecessor may have renewed the lease just before.
             worker.extend_lease(now.steady_ms, lease_ms);
+            let started_in_this_term = reported.run >= first_run;
+            if others > 0 || started_in_this_term {
+                self.events.push(SchedulerEvent::UnexpectedRun {
+                    task: reported.task,
+                    run: reported.run,
+                    worker: worker.entry.id.clone(),
+                    others,
+                });
+            }
         }
-        if is_final || done || (others && !may_copy) {
+        if is_final || done || (others > 0 && !may_copy) {
             self.stop_unwanted_run(incarnation, reported.task, reported.run, now);
         } else {
             self.mark_job_running(reported.task);
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -50,6 +50,7 @@
 pub use self::intake::SubmitAnswer;
 pub use self::load::Load;
 pub use self::pool_scheduler::PoolScheduler;
+pub use self::scheduler_event::EndEvidence;
 pub use self::scheduler_event::RunLoss;
 pub use self::scheduler_event::SchedulerEvent;
 pub use self::settings::SchedulerSettings;
--- a/crates/cornelpoint/src/scheduler/orders.rs
+++ b/crates/cornelpoint/src/scheduler/orders.rs
@@ -6,6 +6,7 @@
 use super::action::IncarnationIndex;
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
+use super::scheduler_event::EndEvidence;
 use super::task_entry::Phase;
 
 /// Failures in a row after which a worker is assumed to fail all its runs.
@@ -107,7 +108,7 @@
             Rejection::OtherLife => {
                 // The task never ran there, so it can't be what has ended the worker.
                 self.abandon_start(incarnation, task, run, now);
-                self.end_incarnation(incarnation, now);
+                self.end_incarnation(incarnation, EndEvidence::Address, now);
                 return;
             }
             Rejection::Late | Rejection::NoCapacity => {
@@ -187,7 +188,9 @@
                 }
             }
             OrderOutcome::Rejected(Rejection::Fence) => self.fenced = true,
-            OrderOutcome::Rejected(Rejection::OtherLife) => self.end_incarnation(incarnation, now),
+            OrderOutcome::Rejected(Rejection::OtherLife) => {
+                self.end_incarnation(incarnation, EndEvidence::Address, now);
+            }
             OrderOutcome::Rejected(_)
             | OrderOutcome::NotSent
             | OrderOutcome::Busy
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -7,7 +7,9 @@
 use super::instant::Instant;
 use super::newest_incarnations::NewestIncarnations;
 use super::pool_scheduler::PoolScheduler;
+use super::scheduler_event::EndEvidence;
 use super::scheduler_event::RunLoss;
+use super::scheduler_event::SchedulerEvent;
 use super::worker_set::WorkerSet;
 use super::worker_state::Contact;
 use super::worker_state::Renewal;
@@ -57,7 +59,7 @@
             let same = known
                 .filter(|incarnation| self.is_same_incarnation(*incarnation, entry.born_unix_ms));
             if let (Some(old), None) = (known, same) {
-                self.end_incarnation(old, now);
+                self.end_incarnation(old, EndEvidence::Registry, now);
             }
             if entry.pool != self.pool {
                 continue;
@@ -96,7 +98,7 @@
         });
         let superseded: Vec<u32> = superseded.map(|(&incarnation, _)| incarnation).collect();
         for incarnation in superseded {
-            self.end_incarnation(incarnation, now);
+            self.end_incarnation(incarnation, EndEvidence::Registry, now);
         }
     }
 
@@ -135,10 +137,23 @@
 
     /// Removes an incarnation that has certainly ended, so that its tasks can
     /// start elsewhere.
-    pub(super) fn end_incarnation(&mut self, incarnation: u32, now: Instant) {
+    pub(super) fn end_incarnation(
+        &mut self,
+        incarnation: u32,
+        evidence: EndEvidence,
+        now: Instant,
+    ) {
         let Some(worker) = self.incarnations.get_mut(&incarnation) else {
             return;
         };
+        if !worker.runs.is_empty() {
+            self.events.push(SchedulerEvent::WorkerEnded {
+                worker: worker.entry.id.clone(),
+                born_unix_ms: worker.entry.born_unix_ms,
+                evidence,
+                runs: worker.runs.len(),
+            });
+        }
         self.predecessor_incarnations.remove(&worker.entry.id);
         if worker.entry.born_unix_ms != 0 {
             self.ended_incarnations
--- a/crates/cornelpoint/src/scheduler/scheduler_event.rs
+++ b/crates/cornelpoint/src/scheduler/scheduler_event.rs
@@ -21,6 +21,29 @@
         /// Whether the worker was leaving as planned.
         leaving: bool,
     },
+    /// An incarnation of a worker with runs has ended.
+    WorkerEnded {
+        /// Identifier of the worker.
+        worker: String,
+        /// Start of the incarnation, in milliseconds since 1970; 0 if it is not known.
+        born_unix_ms: u64,
+        /// What shows it.
+        evidence: EndEvidence,
+        /// Number of its runs.
+        runs: usize,
+    },
+    /// A worker reports a run that the scheduler had dropped, or one of a task that
+    /// has other runs.
+    UnexpectedRun {
+        /// Task of the run.
+        task: TaskId,
+        /// Number of the run.
+        run: u64,
+        /// Identifier of the worker.
+        worker: String,
+        /// Number of other runs of the task.
+        others: usize,
+    },
     /// A task is given up, and its job with it: it crashes the workers that start it.
     TaskGivenUp {
         /// The task.
@@ -44,6 +67,17 @@
     },
 }
 
+/// What shows that an incarnation of a worker has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndEvidence {
+    /// The registry lists another start of the worker, or a later one on its machine.
+    Registry,
+    /// A report of the worker names another start.
+    Report,
+    /// Another worker answers at its address.
+    Address,
+}
+
 /// How the scheduler learned that a run is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunLoss {
