Reproduce two runs at once and jobs given up for silent workers

Workers that are cut off: three at a time fail a job without any crash, and a silence is never taken back once the registry has dropped the worker. The model's workers now shorten leases to 6 s, as real ones do; the other schedules are as before.

--- a/crates/cornelpoint/tests/scheduler/crash_world.rs
+++ b/crates/cornelpoint/tests/scheduler/crash_world.rs
@@ -41,8 +41,8 @@
     /// time.
     BeforeAnswer { down_ms: u64 },
     /// It is cut off on the start of a task, so that the lease expires, and is heard
-    /// of again after this time.
-    CutOff { down_ms: u64 },
+    /// of again after this time. The registry may list it meanwhile.
+    CutOff { down_ms: u64, listed: bool },
     /// It crashes when the task has run for `after_ms`; back after `down_ms`.
     Later { after_ms: u64, down_ms: u64 },
 }
@@ -52,7 +52,7 @@
         match self {
             Self::OnStart { down_ms }
             | Self::BeforeAnswer { down_ms }
-            | Self::CutOff { down_ms }
+            | Self::CutOff { down_ms, .. }
             | Self::Later { down_ms, .. } => down_ms,
         }
     }
@@ -83,7 +83,7 @@
     }
 
     fn lose(&mut self, now_ms: u64, crash: Crash) {
-        if let Crash::CutOff { down_ms } = crash {
+        if let Crash::CutOff { down_ms, .. } = crash {
             self.back_ms = now_ms + down_ms;
             self.running.clear();
         } else {
@@ -180,6 +180,11 @@
         self.scheduler.restore(id, record, spec, progress, now);
     }
 
+    /// Lets no task crash or cut off its worker any more.
+    pub(crate) fn end_crashes(&mut self) {
+        self.deadly.clear();
+    }
+
     /// Lists all workers as draining.
     pub(crate) fn drain(&mut self) {
         for machine in &mut self.machines {
@@ -206,7 +211,7 @@
             self.advance_machines();
             self.scheduler.confirm_ownership(self.now_ms);
             let machines = self.machines.iter();
-            let cut_off = matches!(self.crash, Crash::CutOff { .. });
+            let cut_off = matches!(self.crash, Crash::CutOff { listed: true, .. });
             let listed = machines.filter(|machine| cut_off || machine.is_up(self.now_ms));
             let entries: Vec<RegistryEntry> = listed.map(Machine::entry).collect();
             let now = at(self.now_ms);
--- a/crates/cornelpoint/tests/scheduler/crashes.rs
+++ b/crates/cornelpoint/tests/scheduler/crashes.rs
@@ -94,7 +94,11 @@
 #[test]
 fn a_task_is_given_up_though_its_workers_were_only_cut_off() {
     const CUTS: u32 = 6;
-    let mut world = CrashWorld::new(MACHINES, Crash::CutOff { down_ms: 5500 });
+    let crash = Crash::CutOff {
+        down_ms: 5500,
+        listed: true,
+    };
+    let mut world = CrashWorld::new(MACHINES, crash);
     world.submit(1, vec![step(1, 1000)], &[0]);
     while world.starts_of(DEADLY_TASK) < CUTS && world.now_ms < 60_000 {
         world.run_for(1000);
@@ -103,6 +107,42 @@
     assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Running));
 }
 
+/// One cut follows another before the first has ended.
+#[test]
+fn a_job_is_given_up_though_its_workers_were_cut_off_at_the_same_time() {
+    let crash = Crash::CutOff {
+        down_ms: 20_000,
+        listed: true,
+    };
+    let mut world = CrashWorld::new(MACHINES, crash);
+    world.submit(1, vec![step(1, 1000)], &[0]);
+    for _ in 0..60 {
+        world.run_for(500);
+        assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Running));
+    }
+    world.end_crashes();
+    world.run_for(25_000);
+    let status = world.scheduler.status(job_id(1));
+    assert_eq!(status, Some(JobStatus::Completed));
+}
+
+/// The workers are cut off from the registry, too, so that their entries expire.
+#[test]
+fn a_silence_counts_for_ever_once_the_registry_has_dropped_its_worker() {
+    const CUTS: u32 = 6;
+    let crash = Crash::CutOff {
+        down_ms: 5500,
+        listed: false,
+    };
+    let mut world = CrashWorld::new(MACHINES, crash);
+    world.submit(1, vec![step(1, 1000)], &[0]);
+    while world.starts_of(DEADLY_TASK) < CUTS && world.now_ms < 60_000 {
+        world.run_for(1000);
+        assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Running));
+    }
+    assert_eq!(world.starts_of(DEADLY_TASK), CUTS);
+}
+
 #[test]
 fn a_lasting_task_is_given_up_after_crashes_with_much_time_between() {
     const CRASHES: u32 = 6;
--- a/crates/cornelpoint/tests/scheduler/fake_worker.rs
+++ b/crates/cornelpoint/tests/scheduler/fake_worker.rs
@@ -11,6 +11,9 @@
 use cornelpoint::worker::RunCompletion;
 use cornelpoint::worker::WorkerReport;
 
+/// Longest lease that a worker accepts.
+const MAX_LEASE_MS: u64 = 6000;
+
 #[derive(Clone, Debug)]
 struct Running {
     run: u64,
@@ -122,6 +125,11 @@
         self.unacknowledged.push((completion, now_ms));
     }
 
+    fn extend_lease(&mut self, now_ms: u64, deadline_clock_ms: u64) {
+        let longest = self.clock_ms(now_ms) + MAX_LEASE_MS;
+        self.deadline_clock_ms = self.deadline_clock_ms.max(deadline_clock_ms.min(longest));
+    }
+
     fn rejects_token(&mut self, token: u64) -> bool {
         if !self.checks_fencing_token {
             return false;
@@ -146,7 +154,7 @@
         if deadline_clock_ms <= self.clock_ms(now_ms) {
             return OrderOutcome::Rejected(Rejection::Late);
         }
-        self.deadline_clock_ms = self.deadline_clock_ms.max(deadline_clock_ms);
+        self.extend_lease(now_ms, deadline_clock_ms);
         if self
             .running
             .get(&task)
@@ -219,7 +227,7 @@
         self.unacknowledged
             .retain(|(completion, _)| completion.sequence > acknowledged);
         if let Some(deadline) = deadline_clock_ms {
-            self.deadline_clock_ms = self.deadline_clock_ms.max(deadline);
+            self.extend_lease(now_ms, deadline);
         }
         let running = self.running.iter().map(|(&task, running)| ActiveRun {
             task,
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -16,6 +16,7 @@
 mod predecessor_stops;
 mod random_schedules;
 mod refused_rows;
+mod restarts;
 mod step_kinds;
 mod stored_progress;
 mod support;
--- a/crates/cornelpoint/tests/scheduler/random_schedules.rs
+++ b/crates/cornelpoint/tests/scheduler/random_schedules.rs
@@ -37,6 +37,16 @@
     assert!(takeovers > schedule_count, "only {takeovers} takeovers");
 }
 
+/// Guards against orders that are carried out by another incarnation than the one that
+/// they are booked on.
+#[test]
+fn tasks_run_twice_when_workers_restart_under_their_identifiers() {
+    for seed in schedules() {
+        let world = World::new(seed, Mutant::None).with_restarts().run();
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 #[test]
 fn a_worker_that_takes_orders_of_a_fenced_owner_is_detected() {
     assert!(schedules_with_violations(Mutant::NoFence) > 0);
--- a/crates/cornelpoint/tests/scheduler/world/mod.rs
+++ b/crates/cornelpoint/tests/scheduler/world/mod.rs
@@ -20,6 +20,7 @@
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::RenewalFailure;
 use cornelpoint::worker::CompletionKind;
+use cornelpoint::worker::RegistryEntry;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -43,6 +44,8 @@
 const MAX_UNCONFIRMED_MS: u64 = 6500;
 const LEASE_EXPIRY_MS: u64 = 4350;
 const CAPACITY_MILLICORES: u64 = 4000;
+/// Interval at which workers write their registry entries.
+const REGISTRY_INTERVAL_MS: u64 = 1500;
 
 struct Owner {
     scheduler: PoolScheduler,
@@ -56,6 +59,10 @@
 pub(crate) struct World {
     random: ChaCha8Rng,
     mutant: Mutant,
+    /// Whether workers restart under their identifiers.
+    restarts: bool,
+    /// Registry entries that owners read.
+    listed: Vec<RegistryEntry>,
     now_ms: u64,
     store: FakeStore,
     workers: Vec<FakeWorker>,
@@ -86,6 +93,8 @@
         Self {
             random,
             mutant,
+            restarts: false,
+            listed: Vec::new(),
             now_ms: 0,
             store: FakeStore::default(),
             workers,
@@ -101,6 +110,12 @@
         }
     }
 
+    /// Lets workers restart under their identifiers. The registry shows it late.
+    pub(crate) fn with_restarts(mut self) -> Self {
+        self.restarts = true;
+        self
+    }
+
     pub(crate) fn run(mut self) -> Self {
         self.take_over(true);
         while self.now_ms < END_MS {
@@ -108,7 +123,13 @@
             for worker in &mut self.workers {
                 worker.advance(self.now_ms);
             }
+            if !self.restarts || self.now_ms.is_multiple_of(REGISTRY_INTERVAL_MS) {
+                self.listed = listed(&self.workers);
+            }
             self.deliver();
+            if self.restarts && self.now_ms < FAULTS_END_MS {
+                self.restart_workers();
+            }
             if self.now_ms < FAULTS_END_MS {
                 self.inject_fault();
             } else if self.now_ms == FAULTS_END_MS {
@@ -236,12 +257,7 @@
         }
         owner.scheduler.confirm_ownership(owner.confirmed_ms);
         if owner.has_store && self.now_ms.is_multiple_of(500) {
-            let entries: Vec<_> = self
-                .workers
-                .iter()
-                .map(|worker| entry(&worker.id, worker.born_unix_ms))
-                .collect();
-            owner.scheduler.apply_registry(&entries, true, now);
+            owner.scheduler.apply_registry(&self.listed, true, now);
         }
         owner.scheduler.tick(now);
         let batch = owner.scheduler.begin_batch(now);
@@ -389,6 +405,17 @@
         (work_ms, fails, cpu_millicores)
     }
 
+    /// Restarts workers at random; their clocks and counts begin anew.
+    fn restart_workers(&mut self) {
+        for number in 0..WORKERS {
+            if self.random.random_range(0..250) == 0 {
+                let id = self.workers[number].id.clone();
+                let permille = self.random.random_range(981..=1000);
+                self.workers[number] = FakeWorker::new(&id, self.now_ms, permille, true);
+            }
+        }
+    }
+
     fn check_start(&mut self, worker: usize, task: TaskId) {
         let now_ms = self.now_ms;
         let elsewhere = (0..WORKERS).any(|other| other != worker && self.workers[other].runs(task));
@@ -409,3 +436,9 @@
         }
     }
 }
+
+fn listed(workers: &[FakeWorker]) -> Vec<RegistryEntry> {
+    let workers = workers.iter();
+    let entries = workers.map(|worker| entry(&worker.id, worker.born_unix_ms));
+    entries.collect()
+}
