Let the next incarnation of a worker settle the runs that the former one did not report

Callers saw two runs of a task at once, or a job failed that had run. An order names the worker, not its incarnation, so that a worker which has restarted under its identifier carries out orders meant for the former incarnation. The owner booked the run on the former one. Once a report or the registry showed the restart, it dropped the run, counted it as a crash and started the task elsewhere, beside the run that was at work.

Runs that no report of the former incarnation has listed now move to the next one. Its report adopts them, or its completions end them; a start without an answer is stopped there first, and only what is neither listed nor ended counts as lost, and as a crash, with ownership confirmed after that. A report that names another start is applied at once as the first one of the next incarnation. Deadlines by the former clock mean nothing to the next one, which shortens them to the platform's longest lease: that is how long a run may last where nothing is heard. A clock that is set back in the answer to an order is the same sign of a restart, and no longer makes a lease seem to last for hours.

--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -82,6 +82,7 @@
             lease_ms: SchedulerSettings::default()
                 .lease_ms
                 .min(node.settings.bounds.max_lease_ms),
+            max_lease_ms: node.settings.bounds.max_lease_ms,
             stop_ms: node.settings.bounds.stop_ms,
             row_bytes: node.settings.row_bytes,
             ..SchedulerSettings::default()
--- a/crates/cornelpoint/src/scheduler/crashes.rs
+++ b/crates/cornelpoint/src/scheduler/crashes.rs
@@ -83,6 +83,10 @@
 }
 
 impl LostRun {
+    pub(super) fn task(&self) -> TaskId {
+        self.task
+    }
+
     /// Whether the worker was last heard of right after it had started the run.
     fn is_on_start(&self) -> bool {
         self.confirmed && self.heard_for_ms <= ON_START_MS
@@ -104,13 +108,7 @@
         worker: &WorkerState,
         loss: RunLoss,
     ) -> LostRun {
-        let job = self.jobs.get(&task.step.job);
-        let run = job.and_then(|job| job.task(task)?.run(number));
-        let lost_run = LostRun {
-            task,
-            confirmed: run.is_some_and(Run::is_confirmed),
-            heard_for_ms: run.map_or(0, |run| worker.heard_ms().saturating_sub(run.started_ms)),
-        };
+        let lost_run = self.lost_run(task, number, worker);
         self.events.push(SchedulerEvent::RunLost {
             task,
             run: number,
@@ -123,6 +121,17 @@
         lost_run
     }
 
+    /// Returns what is known of a run that may be lost.
+    pub(super) fn lost_run(&self, task: TaskId, number: u64, worker: &WorkerState) -> LostRun {
+        let job = self.jobs.get(&task.step.job);
+        let run = job.and_then(|job| job.task(task)?.run(number));
+        LostRun {
+            task,
+            confirmed: run.is_some_and(Run::is_confirmed),
+            heard_for_ms: run.map_or(0, |run| worker.heard_ms().saturating_sub(run.started_ms)),
+        }
+    }
+
     /// Counts the crash of a worker against the tasks that it had just started, or
     /// was to start; if there are none, against all that it was running.
     pub(super) fn worker_crashed(&mut self, lost: &[LostRun], now: Instant) {
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -92,7 +92,7 @@
         }
     }
 
-    fn apply_report(
+    pub(super) fn apply_report(
         &mut self,
         incarnation: IncarnationIndex,
         sent_ms: u64,
@@ -104,8 +104,7 @@
         };
         let known = worker.entry.born_unix_ms;
         if known != 0 && report.born_unix_ms != 0 && known != report.born_unix_ms {
-            // The registry will list the new incarnation before long.
-            self.end_incarnation(incarnation, EndEvidence::Report, now);
+            self.apply_report_after_restart(incarnation, sent_ms, report, now);
             return;
         }
         if known == 0 {
@@ -208,6 +207,10 @@
         let done = task.done;
         if let Some(run) = task.run_mut(reported.run) {
             run.percent = reported.speed_percent;
+            run.reported = true;
+            if let Some(worker) = self.incarnations.get_mut(&incarnation) {
+                worker.uncertain.remove(&(reported.task, reported.run));
+            }
             if matches!(run.phase, Phase::Starting | Phase::Unanswered) {
                 run.phase = Phase::Running {
                     confirmed_ms: now.steady_ms,
@@ -235,6 +238,7 @@
                 confirmed_ms: now.steady_ms,
             },
             started_ms: now.steady_ms,
+            reported: true,
             adopted_ms: Some(now.steady_ms),
             percent: reported.speed_percent,
             pace: 100,
@@ -325,6 +329,7 @@
             .keys()
             .filter(|&&(task, run)| !listed(task, run));
         let missing: Vec<(TaskId, u64)> = missing.copied().collect();
+        let mut lost_before_restart = Vec::new();
         for (task, number) in missing {
             let job = self.jobs.get_mut(&task.step.job);
             let entry = job.and_then(|job| job.task_mut(task));
@@ -336,11 +341,20 @@
                 Phase::Running { confirmed_ms } | Phase::Stopped { confirmed_ms }
                     if confirmed_ms < sent_ms =>
                 {
-                    if let Some(worker) = self.incarnations.get(&incarnation).cloned() {
-                        self.lose_run(task, number, &worker, RunLoss::NotListed);
-                    }
+                    let Some(worker) = self.incarnations.get(&incarnation).cloned() else {
+                        return;
+                    };
+                    self.lose_run(task, number, &worker, RunLoss::NotListed);
                     self.release_run(incarnation, task, number);
-                    self.run_lost(task, number, now);
+                    if let Some(lost) = worker.uncertain.get(&(task, number)) {
+                        // A successor may have recorded its completion; the worker has
+                        // forgotten the successor's fencing token.
+                        lost_before_restart.push(*lost);
+                        self.drop_run(task, number, now);
+                        self.orphaned_tasks.push((now.steady_ms, task));
+                    } else {
+                        self.run_lost(task, number, now);
+                    }
                 }
                 Phase::Unanswered => self.stop_unwanted_run(incarnation, task, number, now),
                 Phase::Stopping { sent_ms: last_ms }
@@ -351,6 +365,7 @@
                 _ => {}
             }
         }
+        self.worker_crashed(&lost_before_restart, now);
     }
 
     /// Releases the capacity reserved for a run on a worker.
--- a/crates/cornelpoint/src/scheduler/orders.rs
+++ b/crates/cornelpoint/src/scheduler/orders.rs
@@ -24,12 +24,16 @@
         outcome: OrderOutcome,
         now: Instant,
     ) {
+        let max_lease_ms = self.settings.max_lease_ms;
         if let Some(worker) = self.incarnations.get_mut(&incarnation) {
             worker.starts_in_flight = worker.starts_in_flight.saturating_sub(1);
             if let OrderOutcome::Done { clock_ms } = outcome {
-                worker.record_clock(clock_ms, now.steady_ms);
+                worker.record_order_clock(clock_ms, now.steady_ms, max_lease_ms);
             }
         }
+        // The worker may have restarted since the order.
+        let ordered_from = incarnation;
+        let incarnation = self.incarnation_of_run(task, run).unwrap_or(incarnation);
         self.placement_needed |= self.starts_limited;
         match outcome {
             OrderOutcome::Done { .. } => self.start_confirmed(incarnation, task, run, now),
@@ -42,11 +46,23 @@
             }
             OrderOutcome::Busy => self.abandon_start(incarnation, task, run, now),
             OrderOutcome::Rejected(rejection) => {
-                self.start_rejected(incarnation, task, run, rejection, now);
+                if rejection == Rejection::OtherLife {
+                    // The task never ran there, so it can't be what has ended the worker.
+                    self.abandon_start(incarnation, task, run, now);
+                    self.end_incarnation(ordered_from, EndEvidence::Address, now);
+                } else {
+                    self.start_rejected(incarnation, task, run, rejection, now);
+                }
             }
         }
     }
 
+    /// Returns the incarnation that has a run, or may have it.
+    fn incarnation_of_run(&self, task: TaskId, run: u64) -> Option<IncarnationIndex> {
+        let job = self.jobs.get(&task.step.job)?;
+        Some(job.task(task)?.run(run)?.incarnation)
+    }
+
     fn start_confirmed(
         &mut self,
         incarnation: IncarnationIndex,
@@ -105,12 +121,6 @@
                 self.fenced = true;
                 return;
             }
-            Rejection::OtherLife => {
-                // The task never ran there, so it can't be what has ended the worker.
-                self.abandon_start(incarnation, task, run, now);
-                self.end_incarnation(incarnation, EndEvidence::Address, now);
-                return;
-            }
             Rejection::Late | Rejection::NoCapacity => {
                 if let Some(worker) = self.incarnations.get_mut(&incarnation) {
                     // The next report brings a newer clock reading and the
@@ -122,7 +132,7 @@
             Rejection::Ticket => {
                 self.tickets.remove(&task.step);
             }
-            Rejection::OldRun => {}
+            Rejection::OldRun | Rejection::OtherLife => {}
             Rejection::Unhealthy | Rejection::Malformed => self.penalize(incarnation, now),
         }
         self.abandon_start(incarnation, task, run, now);
@@ -173,15 +183,19 @@
     ) {
         match outcome {
             OrderOutcome::Done { clock_ms } => {
+                let max_lease_ms = self.settings.max_lease_ms;
                 if let Some(worker) = self.incarnations.get_mut(&incarnation) {
-                    worker.record_clock(clock_ms, now.steady_ms);
+                    worker.record_order_clock(clock_ms, now.steady_ms, max_lease_ms);
                     worker.renew_by(now.steady_ms + self.settings.renewal_spacing_ms);
                 }
                 let entry = self
                     .jobs
                     .get_mut(&task.step.job)
                     .and_then(|job| job.task_mut(task));
-                if let Some(run) = entry.and_then(|entry| entry.run_mut(run)) {
+                // A stop confirmed by a former incarnation doesn't bind the next one.
+                if let Some(run) = entry.and_then(|entry| entry.run_mut(run))
+                    && run.incarnation == incarnation
+                {
                     run.phase = Phase::Stopped {
                         confirmed_ms: now.steady_ms,
                     };
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -335,6 +335,7 @@
             incarnation,
             phase: Phase::Starting,
             started_ms: now.steady_ms,
+            reported: false,
             adopted_ms: None,
             percent: 0,
             pace: 100,
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -3,6 +3,7 @@
 
 use crate::worker::RegistryEntry;
 
+use super::action::IncarnationIndex;
 use super::crashes::LostRun;
 use super::instant::Instant;
 use super::newest_incarnations::NewestIncarnations;
@@ -44,7 +45,7 @@
             .collect();
         let newest = NewestIncarnations::new(&entries);
         let mut listed = BTreeSet::new();
-        self.end_superseded_incarnations(&newest, now);
+        self.end_superseded_incarnations(&entries, &newest, now);
         let listed_ids: HashSet<&str> = entries.iter().map(|entry| entry.id.as_str()).collect();
         self.ended_incarnations
             .retain(|id, _| listed_ids.contains(id.as_str()));
@@ -58,13 +59,19 @@
             let known = self.incarnation_of_id.get(&entry.id).copied();
             let same = known
                 .filter(|incarnation| self.is_same_incarnation(*incarnation, entry.born_unix_ms));
-            if let (Some(old), None) = (known, same) {
-                self.end_incarnation(old, EndEvidence::Registry, now);
-            }
             if entry.pool != self.pool {
+                if let (Some(old), None) = (known, same) {
+                    self.end_incarnation(old, EndEvidence::Registry, now);
+                }
                 continue;
             }
-            let incarnation = same.unwrap_or_else(|| self.add_incarnation(entry));
+            let incarnation = match (known, same) {
+                (_, Some(same)) => same,
+                (Some(old), None) => {
+                    self.restart_incarnation(old, entry, EndEvidence::Registry, now)
+                }
+                (None, None) => self.add_incarnation(entry),
+            };
             listed.insert(incarnation);
             self.refresh_incarnation(incarnation, entry);
         }
@@ -87,11 +94,25 @@
         self.known_pools.is_empty() || pool == self.pool || self.known_pools.contains(pool)
     }
 
-    /// Ends the incarnations whose machines have started newer ones.
-    fn end_superseded_incarnations(&mut self, newest: &NewestIncarnations<'_>, now: Instant) {
+    /// Ends the incarnations whose machines have started newer ones, but for workers that
+    /// have restarted under their identifiers.
+    fn end_superseded_incarnations(
+        &mut self,
+        entries: &[&RegistryEntry],
+        newest: &NewestIncarnations<'_>,
+        now: Instant,
+    ) {
+        let current = entries.iter().filter(|entry| {
+            entry.pool == self.pool
+                && !newest.supersede(&entry.id, entry.machine.as_deref(), entry.born_unix_ms)
+        });
+        let current: HashSet<&str> = current.map(|entry| entry.id.as_str()).collect();
+        // A restarted worker has forgotten the fencing token, so that it may still carry
+        // out an order of the predecessor.
         let predecessors = self.predecessor_incarnations.iter();
         let ended = predecessors.filter(|(id, record)| {
             newest.supersede(id, record.machine.as_deref(), record.born_unix_ms)
+                && !current.contains(id.as_str())
         });
         let ended: Vec<String> = ended.map(|(id, _)| id.clone()).collect();
         for id in ended {
@@ -100,6 +121,7 @@
         let superseded = self.incarnations.iter().filter(|(_, worker)| {
             let WorkerState { entry, .. } = worker;
             newest.supersede(&entry.id, entry.machine.as_deref(), entry.born_unix_ms)
+                && !current.contains(entry.id.as_str())
         });
         let superseded: Vec<u32> = superseded.map(|(&incarnation, _)| incarnation).collect();
         for incarnation in superseded {
@@ -117,7 +139,7 @@
         known == 0 || born_unix_ms == 0 || known == born_unix_ms
     }
 
-    fn add_incarnation(&mut self, entry: &RegistryEntry) -> u32 {
+    pub(super) fn add_incarnation(&mut self, entry: &RegistryEntry) -> u32 {
         let incarnation = self.next_incarnation;
         self.next_incarnation += 1;
         self.incarnations
@@ -144,8 +166,20 @@
     /// start elsewhere.
     pub(super) fn end_incarnation(
         &mut self,
-        incarnation: u32,
+        incarnation: IncarnationIndex,
+        evidence: EndEvidence,
+        now: Instant,
+    ) {
+        self.end_incarnation_beside(incarnation, evidence, false, now);
+    }
+
+    /// Ends an incarnation. If its worker has restarted, the cause may be among the runs
+    /// that it had not reported, which are not known to be lost yet.
+    pub(super) fn end_incarnation_beside(
+        &mut self,
+        incarnation: IncarnationIndex,
         evidence: EndEvidence,
+        has_unreported: bool,
         now: Instant,
     ) {
         let Some(worker) = self.incarnations.get_mut(&incarnation) else {
@@ -169,7 +203,7 @@
         self.predecessor_incarnation_ended(id, now);
         let lost = self.remove_incarnation(incarnation, now);
         self.silence_explained(silenced_by, crashed, now);
-        if crashed {
+        if crashed && !has_unreported {
             self.worker_crashed(&lost, now);
         }
     }
--- a/crates/cornelpoint/src/scheduler/settings.rs
+++ b/crates/cornelpoint/src/scheduler/settings.rs
@@ -3,6 +3,8 @@
 pub struct SchedulerSettings {
     /// Lease that each order grants to a worker.
     pub lease_ms: u64,
+    /// Longest lease that a worker accepts; it shortens longer ones.
+    pub max_lease_ms: u64,
     /// Longest time that a worker delays its answer to a lease renewal while it
     /// waits for the next completion.
     pub renewal_wait_ms: u64,
@@ -35,6 +37,8 @@
             // Outlasts a takeover (1.5 s to detect, 1 s to rebuild the state).
             // The tasks of a lost worker are freed after the same time.
             lease_ms: 4000,
+            // The longest of the deployments' bounds.
+            max_lease_ms: 10_000,
             // A quarter of the lease, so that three renewals in a row may be
             // lost.
             renewal_wait_ms: 1000,
--- a/crates/cornelpoint/src/scheduler/task_entry.rs
+++ b/crates/cornelpoint/src/scheduler/task_entry.rs
@@ -40,6 +40,9 @@
     pub(super) incarnation: IncarnationIndex,
     pub(super) phase: Phase,
     pub(super) started_ms: u64,
+    /// Whether a report of the incarnation has listed it. The answer to the order doesn't
+    /// say which incarnation of the worker gave it.
+    pub(super) reported: bool,
     /// When a report first listed it, if a predecessor started it.
     pub(super) adopted_ms: Option<u64>,
     /// Share of full speed that the worker last reported.
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -17,6 +17,11 @@
 /// Margin after the end of a lease for the worker's own delay in ending its
 /// runs.
 const LEASE_MARGIN_MS: u64 = 100;
+/// Longest time that an order may be on its way: the timeout of a lease renewal.
+const ORDER_DELAY_MS: u64 = 2000;
+/// Difference by which the clock of a worker that has not restarted may seem to be set
+/// back: answers on different connections overtake each other.
+const MAX_CLOCK_STEP_BACK_MS: u64 = ORDER_DELAY_MS;
 
 /// How often the delay between unanswered lease renewals doubles at most.
 const MAX_RETRY_DOUBLINGS: u32 = 2;
@@ -77,6 +82,10 @@
     pub(super) lease_end_known_ms: Option<u64>,
     /// Runs right after whose start it fell silent.
     pub(super) silenced_by: Vec<LostRun>,
+    /// Runs ordered from the worker's former incarnation that it may have or have had.
+    pub(super) uncertain: BTreeMap<(TaskId, u64), LostRun>,
+    /// Until when runs may last that were ordered from the worker's former incarnation.
+    pub(super) former_orders_end_ms: u64,
     /// Runs of tasks that may crash it, with the times of their starts, until it is
     /// heard of long enough after.
     trials: BTreeMap<(TaskId, u64), u64>,
@@ -142,6 +151,8 @@
             failed_renewals: 0,
             lease_end_known_ms: None,
             silenced_by: Vec::new(),
+            uncertain: BTreeMap::new(),
+            former_orders_end_ms: 0,
             trials: BTreeMap::new(),
         }
     }
@@ -186,6 +197,27 @@
         }
     }
 
+    /// Records the clock in the answer to an order. The worker may have restarted, which
+    /// its next report shows.
+    pub(super) fn record_order_clock(&mut self, clock_ms: u64, now_ms: u64, max_lease_ms: u64) {
+        let restarted = self.clock.is_some_and(|sample| {
+            clock_ms > 0 && clock_ms + MAX_CLOCK_STEP_BACK_MS < sample.clock_ms
+        });
+        if restarted {
+            self.expect_former_orders(now_ms, max_lease_ms);
+        } else {
+            self.record_clock(clock_ms, now_ms);
+        }
+    }
+
+    /// Records that orders sent until now may be carried out by a later incarnation than
+    /// they were meant for. Their deadlines mean nothing to its clock.
+    pub(super) fn expect_former_orders(&mut self, now_ms: u64, max_lease_ms: u64) {
+        let arrived_ms = now_ms + ORDER_DELAY_MS;
+        let end_ms = arrived_ms + longest_ms(max_lease_ms) + LEASE_MARGIN_MS;
+        self.former_orders_end_ms = self.former_orders_end_ms.max(end_ms);
+    }
+
     /// Extends the lease from now on and returns its end by the worker's clock,
     /// or `None` if that clock is unknown.
     pub(super) fn extend_lease(&mut self, now_ms: u64, lease_ms: u64) -> Option<u64> {
@@ -211,10 +243,11 @@
     /// Returns the local time by which all runs ordered here have certainly
     /// ended.
     pub(super) fn leases_end_ms(&self) -> u64 {
-        let Some(sample) = self.clock else { return 0 };
-        let left_ms = self.deadline_clock_ms.saturating_sub(sample.clock_ms);
-        let longest_left_ms = left_ms * 1000 / (1000 - MAX_CLOCK_SLOWNESS_PERMILLE);
-        sample.received_ms + longest_left_ms + LEASE_MARGIN_MS
+        let end_ms = self.clock.map_or(0, |sample| {
+            let left_ms = self.deadline_clock_ms.saturating_sub(sample.clock_ms);
+            sample.received_ms + longest_ms(left_ms) + LEASE_MARGIN_MS
+        });
+        end_ms.max(self.former_orders_end_ms)
     }
 
     /// Records that the completions applied so far made jobs change up to a number
@@ -264,6 +297,7 @@
     /// Releases the capacity reserved for a run.
     pub(super) fn release(&mut self, task: TaskId, run: u64) {
         self.trials.remove(&(task, run));
+        self.uncertain.remove(&(task, run));
         let Some(need) = self.runs.remove(&(task, run)) else {
             return;
         };
@@ -304,3 +338,8 @@
         }
     }
 }
+
+/// Returns the longest time that an interval of a worker's clock takes.
+fn longest_ms(clock_interval_ms: u64) -> u64 {
+    clock_interval_ms * 1000 / (1000 - MAX_CLOCK_SLOWNESS_PERMILLE)
+}
--- a/crates/cornelpoint/tests/scheduler/restarts.rs
+++ b/crates/cornelpoint/tests/scheduler/restarts.rs
@@ -310,6 +310,41 @@
     assert_eq!(acknowledged, Some(0), "{actions:?}");
 }
 
+/// A restarted worker has forgotten the fencing token of the owner that it had reported
+/// a completion to.
+#[test]
+fn a_former_owner_starts_a_task_again_that_its_successor_has_recorded_as_done() {
+    let mut scheduler = ready_scheduler(&["w1", "w2"]);
+    let start = start_on_restarted(&mut scheduler);
+    confirm(&mut scheduler, &start, 1002);
+    let answer = |worker: &str| {
+        let restarted = worker == start.worker;
+        Some(idle(if restarted { REBORN_MS } else { BORN_MS }))
+    };
+    let now_ms = 1500;
+    for at_ms in (now_ms..now_ms + 1000).step_by(50) {
+        scheduler.tick(at(at_ms));
+        for action in scheduler.take_actions() {
+            match action {
+                Action::RenewLease { incarnation, .. } => {
+                    let (_, worker) = scheduler.worker_address(incarnation).unwrap();
+                    let answer = answer(worker).unwrap();
+                    let report = WorkerReport {
+                        born_unix_ms: answer.born_unix_ms,
+                        clock_ms: at_ms,
+                        ..WorkerReport::default()
+                    };
+                    scheduler.renewal_replied(incarnation, Ok(report), at(at_ms));
+                }
+                Action::Start { .. } => panic!("{at_ms} ms: {action:?}"),
+                _ => {}
+            }
+        }
+    }
+    let (starts, _) = drive(&mut scheduler, now_ms + 1000, &answer);
+    assert_eq!(starts.len(), 1, "not started though ownership is confirmed");
+}
+
 /// The worker that a successor waits for has restarted. A further successor may have read
 /// its completions, and the worker has forgotten that owner's fencing token.
 #[test]
