Acknowledge completions once, and only to a worker that has just answered

A worker that restarts under its identifier counts its completions from 1 again. Each lease renewal repeated the number of the last completion that was stored, so that the first one after a restart acknowledged completions of the new incarnation that nobody had read: it forgot them, the owner found the run neither listed nor ended, and the task ran again after it had been done and acknowledged. The number was also left unsent when a worker became idle, for its next incarnation to receive.

A renewal now acknowledges what is new since the last answered one, and nothing to a worker that did not answer the last renewal; an idle worker gets one more renewal, which tells it what is stored. `completions_of_a_restarted_worker_are_acknowledged_unread` failed before.

--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -45,7 +45,7 @@
             };
             self.actions.push(Action::RenewLease {
                 incarnation,
-                acknowledged: worker.stored_completion,
+                acknowledged: worker.acknowledge(),
                 deadline_clock_ms,
                 wait_ms: match (waits, worker.is_on_trial() || worker.warms_up) {
                     (false, _) => 0,
@@ -128,6 +128,7 @@
         }
         self.placement_needed |= usable_again || is_awaited;
         worker.contact = Contact::Responsive;
+        worker.acknowledged_completion = worker.acknowledging_completion;
         worker.reported_ms = now.steady_ms;
         worker.report_requested_ms = sent_ms;
         worker.lease_end_known_ms = None;
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -354,7 +354,7 @@
     pub(super) fn needs_renewal(worker: &WorkerState) -> bool {
         !worker.runs.is_empty()
             || worker.contact == Contact::Unknown
-            || worker.applied_completion > worker.stored_completion
+            || worker.applied_completion > worker.acknowledged_completion
             || (worker.listed && worker.is_unresponsive())
     }
 
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -49,6 +49,10 @@
     pub(super) applied_completion: u64,
     /// Completions up to this sequence number are stored.
     pub(super) stored_completion: u64,
+    /// Completions up to this sequence number are acknowledged to the worker, by the
+    /// latest renewal that it has answered and by the one in flight.
+    pub(super) acknowledged_completion: u64,
+    pub(super) acknowledging_completion: u64,
     /// Completions that are applied and not stored: the sequence number of the last
     /// one in a report, and the number of changes of jobs up to it.
     pub(super) unstored_completions: VecDeque<(u64, u64)>,
@@ -134,6 +138,8 @@
             tasks_of_step: BTreeMap::new(),
             applied_completion: 0,
             stored_completion: 0,
+            acknowledged_completion: 0,
+            acknowledging_completion: 0,
             unstored_completions: VecDeque::new(),
             renewal: Renewal::Due { at_ms: 0 },
             warms_up: false,
@@ -269,6 +275,20 @@
             .retain(|(sequence, _)| *sequence > stored);
     }
 
+    /// Returns the sequence number that the next renewal acknowledges; 0 if there is
+    /// nothing new. The next incarnation counts from 1 again and would forget
+    /// completions that nobody has read.
+    pub(super) fn acknowledge(&mut self) -> u64 {
+        let is_new = self.stored_completion > self.acknowledged_completion;
+        // A worker that did not answer may have restarted.
+        if !is_new || self.is_unresponsive() {
+            self.acknowledging_completion = self.acknowledged_completion;
+            return 0;
+        }
+        self.acknowledging_completion = self.stored_completion;
+        self.stored_completion
+    }
+
     /// Reserves capacity for a run.
     pub(super) fn reserve(&mut self, task: TaskId, run: u64, need: Resources) {
         if self.runs.insert((task, run), need).is_none() {
