A worker that falls silent is no crash

Callers saw jobs failed whose workers had only been cut off: three workers that fell silent right after a start, or four crashes and silences in all, gave a task up. A silence was taken back when the worker was heard of again, but only by the incarnation's index, which is lost once the registry drops the worker; then it counted for ever.

Now only known crashes give a task up. While silences would make them too many, the task is withheld: until a silence is explained (the worker is heard of again, or is known to have ended), at most until 30 s after the latest one. After that one start is tried; a further silence withholds the task again. Silences are kept by worker and start, and are settled by its report, by the end of its incarnation, and by a later start of the worker or its machine that the registry lists. Silences are not forgotten after that time: a task whose workers never come back would be started three times more in every 30 s. A run of 30 s clears its task also if it is lost by a silence. `Task withheld` is logged.

--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -170,6 +170,16 @@
             } => warn!(self.log, "Task given up: it crashes its workers.";
                 "task" => %task, "crashes" => crashes, "on_start" => on_start,
                 "silent" => silent, "fencing_token" => self.fencing_token),
+            SchedulerEvent::TaskWithheld {
+                task,
+                crashes,
+                on_start,
+                silent,
+                for_ms,
+            } => warn!(self.log, "Task withheld: workers fell silent on its start.";
+                "task" => %task, "crashes" => crashes, "on_start" => on_start,
+                "silent" => silent, "for_ms" => for_ms,
+                "fencing_token" => self.fencing_token),
             SchedulerEvent::JobUnstorable {
                 job,
                 bytes,
--- a/crates/cornelpoint/src/scheduler/crashes.rs
+++ b/crates/cornelpoint/src/scheduler/crashes.rs
@@ -16,11 +16,15 @@
 /// Crashes on start after which a task is given up. The platform allows it from two
 /// workers on.
 const MAX_ON_START: u32 = 2;
-/// The same, with workers that fell silent on start and may not have crashed.
+/// The same, with workers that fell silent on start and may not have crashed, after
+/// which a task is withheld.
 const MAX_ON_START_OR_SILENT: u32 = 3;
-/// Crashes at any time, and silences, after which a task is given up. The platform
-/// allows two more starts after the third.
+/// Crashes at any time after which a task is given up; with silences, after which it is
+/// withheld. The platform allows two more starts after the third crash.
 const MAX_TOTAL: u32 = 4;
+/// Time after a silence for which a task is withheld. A crashed worker is back within
+/// some seconds; one that is gone for longer says nothing about the task.
+const WITHHELD_MS: u64 = 30_000;
 /// A run that lasts this long clears its task of earlier crashes.
 const CLEARED_MS: u64 = 30_000;
 
@@ -37,13 +41,12 @@
     pub(super) silent: u32,
     /// The same, before they had confirmed the start.
     pub(super) unconfirmed: u32,
+    /// When the latest of both was noted.
+    pub(super) silent_ms: u64,
 }
 
 impl CrashCount {
     fn record(&mut self, lost: &LostRun) {
-        if lost.heard_for_ms >= CLEARED_MS {
-            *self = Self::default();
-        }
         self.total += 1;
         self.on_start += u32::from(lost.is_on_start());
     }
@@ -64,11 +67,19 @@
         self.on_start + self.silent > 0 || self.total + self.unconfirmed > 1
     }
 
-    /// Whether the task most likely crashes each worker that starts it.
+    /// Whether the task most likely crashes each worker that starts it. A silence is no
+    /// crash: the worker may only be cut off.
     fn is_given_up(self) -> bool {
-        self.on_start >= MAX_ON_START
-            || self.on_start + self.silent >= MAX_ON_START_OR_SILENT
-            || self.total + self.silent + self.unconfirmed >= MAX_TOTAL
+        self.on_start >= MAX_ON_START || self.total >= MAX_TOTAL
+    }
+
+    /// Returns the time up to which the task is not to be started, if there is one: it
+    /// would have crashed too many workers if those that fell silent have crashed.
+    fn withheld_until_ms(self) -> Option<u64> {
+        let silences = self.silent + self.unconfirmed;
+        let too_many = self.on_start + self.silent >= MAX_ON_START_OR_SILENT
+            || self.total + silences >= MAX_TOTAL;
+        (silences > 0 && too_many).then_some(self.silent_ms + WITHHELD_MS)
     }
 }
 
@@ -83,6 +94,15 @@
 }
 
 impl LostRun {
+    pub(super) fn task(&self) -> TaskId {
+        self.task
+    }
+
+    /// Whether the run lasted so long that earlier crashes no longer matter.
+    fn clears(&self) -> bool {
+        self.heard_for_ms >= CLEARED_MS
+    }
+
     /// Whether the worker was last heard of right after it had started the run.
     fn is_on_start(&self) -> bool {
         self.confirmed && self.heard_for_ms <= ON_START_MS
@@ -126,6 +146,7 @@
     /// Counts the crash of a worker against the tasks that it had just started, or
     /// was to start; if there are none, against all that it was running.
     pub(super) fn worker_crashed(&mut self, lost: &[LostRun], now: Instant) {
+        self.clear_crashes(lost);
         let has_suspect = lost.iter().any(LostRun::is_suspect);
         for run in lost.iter().filter(|run| !has_suspect || run.is_suspect()) {
             self.update_crashes(run.task, now, |crashes| crashes.record(run));
@@ -140,11 +161,26 @@
         lost: &[LostRun],
         now: Instant,
     ) {
+        self.clear_crashes(lost);
         for run in lost.iter().filter(|run| run.is_suspect()) {
-            if let Some(worker) = self.incarnations.get_mut(&incarnation) {
-                worker.silenced_by.push(*run);
+            if let Some(worker) = self.incarnations.get(&incarnation) {
+                self.silences.add(worker, *run);
+            }
+            self.update_crashes(run.task, now, |crashes| {
+                *crashes.silences(run) += 1;
+                crashes.silent_ms = now.steady_ms;
+            });
+        }
+    }
+
+    /// Clears the tasks of earlier crashes whose lost runs lasted long.
+    fn clear_crashes(&mut self, lost: &[LostRun]) {
+        for run in lost.iter().filter(|run| run.clears()) {
+            self.silences.retain(|task| task != run.task);
+            let job = self.jobs.get_mut(&run.task.step.job);
+            if let Some(entry) = job.and_then(|job| job.task_mut(run.task)) {
+                entry.crashes = CrashCount::default();
             }
-            self.update_crashes(run.task, now, |crashes| *crashes.silences(run) += 1);
         }
     }
 
@@ -152,11 +188,11 @@
     /// again.
     pub(super) fn silence_explained(
         &mut self,
-        silenced_by: Vec<LostRun>,
+        silences: Vec<LostRun>,
         crashed: bool,
         now: Instant,
     ) {
-        for run in silenced_by {
+        for run in silences {
             self.update_crashes(run.task, now, |crashes| {
                 let silences = crashes.silences(&run);
                 *silences = silences.saturating_sub(1);
@@ -167,7 +203,8 @@
         }
     }
 
-    /// Updates a task's crashes; gives its job up if they are too many.
+    /// Updates a task's crashes; gives its job up if they are too many, and withholds it
+    /// if they may be.
     fn update_crashes(&mut self, id: TaskId, now: Instant, update: impl FnOnce(&mut CrashCount)) {
         let job = self.jobs.get_mut(&id.step.job);
         let Some(job) = job.filter(|job| !job.status.is_final()) else {
@@ -189,6 +226,19 @@
                 silent: crashes.silent + crashes.unconfirmed,
             });
             self.finish(id.step.job, JobStatus::Failed, now);
+            return;
+        }
+        let until_ms = crashes.withheld_until_ms();
+        if let Some(until_ms) = until_ms.filter(|until_ms| *until_ms > now.steady_ms)
+            && self.silences.withhold(id, until_ms)
+        {
+            self.events.push(SchedulerEvent::TaskWithheld {
+                task: id,
+                crashes: crashes.total,
+                on_start: crashes.on_start,
+                silent: crashes.silent + crashes.unconfirmed,
+                for_ms: until_ms - now.steady_ms,
+            });
         }
     }
 
@@ -198,4 +248,15 @@
         job.and_then(|job| job.task(task))
             .is_some_and(|entry| entry.crashes.is_suspect())
     }
+
+    /// Whether a task must not be started until more is known of the workers that fell
+    /// silent on it.
+    pub(super) fn is_withheld(&self, task: TaskId, now: Instant) -> bool {
+        if !self.silences.withhold_any() {
+            return false;
+        }
+        let job = self.jobs.get(&task.step.job);
+        job.and_then(|job| job.task(task)?.crashes.withheld_until_ms())
+            .is_some_and(|until_ms| now.steady_ms < until_ms)
+    }
 }
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -130,8 +130,8 @@
         worker.report_requested_ms = sent_ms;
         worker.lease_end_known_ms = None;
         worker.failed_renewals = 0;
-        let silenced_by = std::mem::take(&mut worker.silenced_by);
-        self.silence_explained(silenced_by, false, now);
+        let silences = self.silences.take(&worker.entry);
+        self.silence_explained(silences, false, now);
         for reported in &report.running {
             self.plan_reported_occurrence(reported.task.step, now);
             self.apply_active_run(incarnation, reported, now);
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -30,6 +30,7 @@
 mod registry;
 mod scheduler_event;
 mod settings;
+mod silences;
 mod task_entry;
 mod tickets;
 mod unstored_jobs;
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -232,6 +232,12 @@
         };
         let need = ready.need;
         let unplaceable = ready.unplaceable;
+        let tasks = ready.tasks.iter().copied();
+        let startable = tasks.filter(|&index| !self.is_withheld(key.step.task(index), now));
+        let indexes: Vec<u32> = startable.collect();
+        if indexes.is_empty() {
+            return;
+        }
         let needs_ticket = self.queue_rules(&job.record).advice.is_some();
         if needs_ticket && !self.has_tickets(key.step, now) {
             pass.without_tickets.push(key.step);
@@ -241,7 +247,6 @@
             self.mark_unplaceable(key);
             return;
         }
-        let indexes: Vec<u32> = ready.tasks.iter().copied().collect();
         let step = job.step(key.step.step).clone();
         if step.gang {
             // Its members may need a changed worker together with others.
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -25,6 +25,7 @@
 use super::ready_step::ReadyStep;
 use super::scheduler_event::SchedulerEvent;
 use super::settings::SchedulerSettings;
+use super::silences::Silences;
 use super::tickets::Tickets;
 use super::unstored_jobs::UnstoredJobs;
 use super::worker_set::WorkerSet;
@@ -59,6 +60,7 @@
     pub(super) next_incarnation: IncarnationIndex,
     /// Starts of ended incarnations that the registry may still list, by worker.
     pub(super) ended_incarnations: HashMap<String, u64>,
+    pub(super) silences: Silences,
     pub(super) ready: BTreeMap<ReadyKey, ReadyStep>,
     pub(super) tickets: BTreeMap<StepId, Tickets>,
     /// Future occurrences by due time, in milliseconds since 1970.
@@ -147,6 +149,7 @@
             incarnation_of_id: HashMap::new(),
             next_incarnation: 0,
             ended_incarnations: HashMap::new(),
+            silences: Silences::default(),
             ready: BTreeMap::new(),
             tickets: BTreeMap::new(),
             scheduled_occurrences: BTreeSet::new(),
@@ -243,6 +246,7 @@
         self.requeue_orphaned_tasks(now);
         self.evacuate(now);
         self.end_penalties(self.last_tick_ms, now);
+        self.release_withheld_tasks(now);
         self.last_tick_ms = now.steady_ms;
         if self.placement_needed {
             self.place_ready_steps(now);
@@ -289,6 +293,7 @@
             .chain(orphaned_tasks)
             .chain(evacuation)
             .chain(penalties)
+            .chain(self.silences.due_ms())
             .min()
     }
 
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -45,6 +45,7 @@
         let newest = NewestIncarnations::new(&entries);
         let mut listed = BTreeSet::new();
         self.end_superseded_incarnations(&newest, now);
+        self.end_superseded_silences(&newest, now);
         let listed_ids: HashSet<&str> = entries.iter().map(|entry| entry.id.as_str()).collect();
         self.ended_incarnations
             .retain(|id, _| listed_ids.contains(id.as_str()));
@@ -143,7 +144,7 @@
         evidence: EndEvidence,
         now: Instant,
     ) {
-        let Some(worker) = self.incarnations.get_mut(&incarnation) else {
+        let Some(worker) = self.incarnations.get(&incarnation) else {
             return;
         };
         if !worker.runs.is_empty() {
@@ -160,9 +161,9 @@
                 .insert(worker.entry.id.clone(), worker.entry.born_unix_ms);
         }
         let crashed = !worker.is_leaving();
-        let silenced_by = std::mem::take(&mut worker.silenced_by);
+        let silences = self.silences.take(&worker.entry);
         let lost = self.remove_incarnation(incarnation, now);
-        self.silence_explained(silenced_by, crashed, now);
+        self.silence_explained(silences, crashed, now);
         if crashed {
             self.worker_crashed(&lost, now);
         }
@@ -175,6 +176,7 @@
         let Some(worker) = self.incarnations.remove(&incarnation) else {
             return Vec::new();
         };
+        self.silences.dropped(&worker);
         if self.incarnation_of_id.get(&worker.entry.id) == Some(&incarnation) {
             self.incarnation_of_id.remove(&worker.entry.id);
         }
--- a/crates/cornelpoint/src/scheduler/scheduler_event.rs
+++ b/crates/cornelpoint/src/scheduler/scheduler_event.rs
@@ -55,6 +55,20 @@
         /// Workers that fell silent on the start.
         silent: u32,
     },
+    /// A task is not started for some time: workers that may have crashed by it can't be
+    /// reached.
+    TaskWithheld {
+        /// The task.
+        task: TaskId,
+        /// Workers that have crashed under it.
+        crashes: u32,
+        /// Those of them that crashed right after the start.
+        on_start: u32,
+        /// Workers that fell silent on the start.
+        silent: u32,
+        /// Longest time for which it is withheld.
+        for_ms: u64,
+    },
     /// The store refuses the rows of a job. An accepted job is stored again only with
     /// its next change; another is rejected.
     JobUnstorable {
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -7,7 +7,6 @@
 use crate::worker::RegistryEntry;
 
 use super::batch::WorkerRecord;
-use super::crashes::LostRun;
 use super::crashes::ON_START_MS;
 use super::settings::SchedulerSettings;
 
@@ -75,8 +74,6 @@
     /// When its lease was first found expired, with ownership of the pool
     /// confirmed after the expiry.
     pub(super) lease_end_known_ms: Option<u64>,
-    /// Runs right after whose start it fell silent.
-    pub(super) silenced_by: Vec<LostRun>,
     /// Runs of tasks that may crash it, with the times of their starts, until it is
     /// heard of long enough after.
     trials: BTreeMap<(TaskId, u64), u64>,
@@ -141,7 +138,6 @@
             failed_renewal_sent_ms: 0,
             failed_renewals: 0,
             lease_end_known_ms: None,
-            silenced_by: Vec::new(),
             trials: BTreeMap::new(),
         }
     }
--- a/crates/cornelpoint/tests/scheduler/crash_world.rs
+++ b/crates/cornelpoint/tests/scheduler/crash_world.rs
@@ -100,6 +100,17 @@
         self.sequence = 0;
     }
 
+    fn complete(&mut self, task: TaskId, run: u64, kind: CompletionKind) {
+        self.sequence += 1;
+        self.completions.push(RunCompletion {
+            sequence: self.sequence,
+            task,
+            run,
+            kind,
+            checkpoint: String::new(),
+        });
+    }
+
     fn report(&self, now_ms: u64) -> WorkerReport {
         let running = self.running.iter().map(|&(task, run, _)| ActiveRun {
             task,
@@ -185,6 +196,26 @@
         self.deadly.clear();
     }
 
+    /// Ends the runs of gangs whose first member has none, which workers do by themselves.
+    pub(crate) fn end_others_alone(&mut self) {
+        let running = self.machines.iter().flat_map(|machine| &machine.running);
+        let present: Vec<TaskId> = running.map(|&(task, ..)| task).collect();
+        for machine in &mut self.machines {
+            let (stay, alone) = std::mem::take(&mut machine.running)
+                .into_iter()
+                .partition(|(task, ..)| task.index == 0 || present.contains(&task.step.task(0)));
+            machine.running = stay;
+            for (task, run, _) in alone {
+                machine.complete(task, run, CompletionKind::Alone);
+            }
+        }
+    }
+
+    /// Lets tasks lose their workers in another way from now on.
+    pub(crate) fn set_crash(&mut self, crash: Crash) {
+        self.crash = crash;
+    }
+
     /// Lists all workers as draining.
     pub(crate) fn drain(&mut self) {
         for machine in &mut self.machines {
@@ -199,6 +230,16 @@
         }
     }
 
+    /// Crashes the machine that runs a task, for good.
+    pub(crate) fn lose_workers_of(&mut self, task: &str) {
+        let task: TaskId = task.parse().expect("a valid task");
+        for machine in &mut self.machines {
+            if machine.running.iter().any(|(running, ..)| *running == task) {
+                machine.crash(self.now_ms, u64::MAX);
+            }
+        }
+    }
+
     pub(crate) fn starts_of(&self, task: &str) -> u32 {
         let task = task.parse().expect("a valid task");
         self.starts.get(&task).copied().unwrap_or(0)
@@ -247,14 +288,7 @@
                 .partition::<Vec<_>, _>(|(_, _, started_ms)| started_ms + self.work_ms <= now_ms);
             machine.running = running;
             for (task, run, _) in ended {
-                machine.sequence += 1;
-                machine.completions.push(RunCompletion {
-                    sequence: machine.sequence,
-                    task,
-                    run,
-                    kind: CompletionKind::Done,
-                    checkpoint: String::new(),
-                });
+                machine.complete(task, run, CompletionKind::Done);
             }
         }
     }
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -17,6 +17,7 @@
 mod random_schedules;
 mod refused_rows;
 mod restarts;
+mod silences;
 mod step_kinds;
 mod stored_progress;
 mod support;
