--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -31,6 +31,7 @@
 mod restarts;
 mod scheduler_event;
 mod settings;
+mod silences;
 mod task_entry;
 mod tickets;
 mod unstored_jobs;
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -46,6 +46,7 @@
         let newest = NewestIncarnations::new(&entries);
         let mut listed = BTreeSet::new();
         self.end_superseded_incarnations(&entries, &newest, now);
+        self.end_superseded_silences(&newest, now);
         let listed_ids: HashSet<&str> = entries.iter().map(|entry| entry.id.as_str()).collect();
         self.ended_incarnations
             .retain(|id, _| listed_ids.contains(id.as_str()));
@@ -182,7 +183,7 @@
         has_unreported: bool,
         now: Instant,
     ) {
-        let Some(worker) = self.incarnations.get_mut(&incarnation) else {
+        let Some(worker) = self.incarnations.get(&incarnation) else {
             return;
         };
         if !worker.runs.is_empty() {
@@ -199,10 +200,10 @@
         }
         let crashed = !worker.is_leaving();
         let id = worker.entry.id.clone();
-        let silenced_by = std::mem::take(&mut worker.silenced_by);
+        let silences = self.silences.take(&worker.entry);
         self.predecessor_incarnation_ended(id, now);
         let lost = self.remove_incarnation(incarnation, now);
-        self.silence_explained(silenced_by, crashed, now);
+        self.silence_explained(silences, crashed, now);
         if crashed && !has_unreported {
             self.worker_crashed(&lost, now);
         }
@@ -215,6 +216,7 @@
         let Some(worker) = self.incarnations.remove(&incarnation) else {
             return Vec::new();
         };
+        self.silences.dropped(&worker);
         if self.incarnation_of_id.get(&worker.entry.id) == Some(&incarnation) {
             self.incarnation_of_id.remove(&worker.entry.id);
         }
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -84,8 +84,6 @@
     /// When its lease was first found expired, with ownership of the pool
     /// confirmed after the expiry.
     pub(super) lease_end_known_ms: Option<u64>,
-    /// Runs right after whose start it fell silent.
-    pub(super) silenced_by: Vec<LostRun>,
     /// Runs ordered from the worker's former incarnation that it may have or have had.
     pub(super) uncertain: BTreeMap<(TaskId, u64), LostRun>,
     /// Until when runs may last that were ordered from the worker's former incarnation.
@@ -156,7 +154,6 @@
             failed_renewal_sent_ms: 0,
             failed_renewals: 0,
             lease_end_known_ms: None,
-            silenced_by: Vec::new(),
             uncertain: BTreeMap::new(),
             former_orders_end_ms: 0,
             trials: BTreeMap::new(),
