Take no run for lost that a report had no room for

Cause: a worker lists 500 completions at a time, and rows that can't be parsed are skipped, but the scheduler took each report for a list of all. An owner counted confirmed runs that weren't listed as lost. A successor stopped waiting for a worker with its first report, and started the tasks again whose completions came with the next ones.

A report now says whether it is complete. With more completions to come, no run of the worker is lost, a successor goes on waiting for it, past the end of the predecessor's leases while the worker answers, and renewals go on until the rest has arrived, also of a worker on which nothing runs. Acknowledgements were sent as soon as completions are stored, and still are.

Rows are kept if they name their run. One that doesn't may be any run's: a run that isn't listed beside such a row keeps its task for the length of a lease, is then ordered to stop, and is lost once the stop has certainly taken effect. A successor waits until the predecessor's leases have ended.

Remains: a completion whose row names no run is acknowledged with the next one, and its task is started again, also if it was done.

--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -1,6 +1,7 @@
 use crate::job::JobStatus;
 use crate::job::TaskId;
 use crate::worker::ActiveRun;
+use crate::worker::Completeness;
 use crate::worker::WorkerReport;
 
 use super::action::Action;
@@ -118,7 +119,11 @@
         if was_unresponsive {
             self.recent_load = None;
         }
-        let waited_for = self.predecessor_incarnations.remove(&worker.entry.id);
+        worker.record_completeness(report.completeness, now.steady_ms);
+        let waited_for = match report.completeness {
+            Completeness::Complete => self.predecessor_incarnations.remove(&worker.entry.id),
+            Completeness::MoreCompletions | Completeness::UnreadableRows => None,
+        };
         // Most reports change nothing that matters to waiting tasks.
         let usable_again = was_unresponsive || (was_on_trial && !worker.is_on_trial());
         if usable_again {
@@ -155,7 +160,7 @@
         let unstored = worker.applied_completion > worker.stored_completion;
         let delay_ms = if was_unresponsive {
             0
-        } else if unstored {
+        } else if unstored || worker.unreadable_since_ms.is_some() {
             // The worker would report its unacknowledged completions again at
             // once.
             self.settings.renewal_retry_ms
@@ -300,7 +305,8 @@
 
     /// Resolves the runs that a report doesn't list. Runs confirmed or stopped
     /// before the report was requested are lost; runs whose start or stop is
-    /// unconfirmed are ordered to stop.
+    /// unconfirmed are ordered to stop. A report that leaves out completions says nothing
+    /// about them; one with rows that can't be read may list them there.
     fn resolve_unlisted_runs(
         &mut self,
         incarnation: IncarnationIndex,
@@ -311,6 +317,10 @@
         let Some(worker) = self.incarnations.get(&incarnation) else {
             return;
         };
+        if worker.more_completions {
+            return;
+        }
+        let unreadable_since_ms = worker.unreadable_since_ms;
         let listed = |task: TaskId, run: u64| {
             report
                 .running
@@ -329,6 +339,24 @@
                 self.release_run(incarnation, task, number);
                 continue;
             };
+            if let Some(since_ms) = unreadable_since_ms {
+                match run.phase {
+                    Phase::Running { confirmed_ms } => {
+                        // Kept for as long as on a worker that is unresponsive.
+                        let since_ms = since_ms.max(confirmed_ms);
+                        if since_ms + self.settings.lease_ms <= now.steady_ms {
+                            self.stop_unwanted_run(incarnation, task, number, now);
+                        }
+                        continue;
+                    }
+                    Phase::Stopped { confirmed_ms }
+                        if confirmed_ms + self.settings.stop_ms >= sent_ms =>
+                    {
+                        continue;
+                    }
+                    _ => {}
+                }
+            }
             match run.phase {
                 Phase::Running { confirmed_ms } | Phase::Stopped { confirmed_ms }
                     if confirmed_ms < sent_ms =>
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -225,11 +225,24 @@
             }
             self.worker_fell_silent(incarnation, &lost, now);
         }
-        let waited = !self.predecessor_incarnations.is_empty();
-        if waited
-            && self.predecessor_leases_end_ms <= now.steady_ms.min(self.ownership_confirmed_ms)
-        {
-            self.predecessor_incarnations.clear();
+        if self.predecessor_leases_end_ms <= known_ms {
+            self.forget_predecessor_incarnations(known_ms);
+        }
+    }
+
+    /// Stops waiting for the workers of predecessors, whose leases have expired, but for
+    /// those in contact that have completions to report.
+    fn forget_predecessor_incarnations(&mut self, known_ms: u64) {
+        let count = self.predecessor_incarnations.len();
+        self.predecessor_incarnations.retain(|id, _| {
+            let worker = self.incarnation_of_id.get(id);
+            let worker = worker.and_then(|incarnation| self.incarnations.get(incarnation));
+            worker.is_some_and(|worker| {
+                let in_contact = !worker.is_unresponsive() || worker.leases_end_ms() > known_ms;
+                worker.more_completions && in_contact
+            })
+        });
+        if self.predecessor_incarnations.len() < count {
             self.workers_row_dirty = true;
             self.placement_needed = true;
         }
@@ -306,6 +319,7 @@
         !worker.runs.is_empty()
             || worker.contact == Contact::Unknown
             || worker.applied_completion > worker.stored_completion
+            || worker.more_completions
             || (worker.listed && worker.is_unresponsive())
     }
 
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -4,6 +4,7 @@
 use crate::job::Resources;
 use crate::job::StepId;
 use crate::job::TaskId;
+use crate::worker::Completeness;
 use crate::worker::RegistryEntry;
 
 use super::batch::WorkerRecord;
@@ -68,6 +69,10 @@
     pub(super) reported_ms: u64,
     /// When its latest report was requested.
     pub(super) report_requested_ms: u64,
+    /// Whether its latest report leaves out completions that follow.
+    pub(super) more_completions: bool,
+    /// Since when its reports have had rows that can't be read.
+    pub(super) unreadable_since_ms: Option<u64>,
     /// When the latest lease renewal without an answer was sent.
     pub(super) failed_renewal_sent_ms: u64,
     /// Lease renewals without an answer since the latest report.
@@ -138,6 +143,8 @@
             paced_ms: 0,
             reported_ms: 0,
             report_requested_ms: 0,
+            more_completions: false,
+            unreadable_since_ms: None,
             failed_renewal_sent_ms: 0,
             failed_renewals: 0,
             lease_end_known_ms: None,
@@ -217,6 +224,16 @@
         sample.received_ms + longest_left_ms + LEASE_MARGIN_MS
     }
 
+    /// Records what the latest report leaves out.
+    pub(super) fn record_completeness(&mut self, completeness: Completeness, now_ms: u64) {
+        self.more_completions = completeness == Completeness::MoreCompletions;
+        if completeness == Completeness::UnreadableRows {
+            self.unreadable_since_ms.get_or_insert(now_ms);
+        } else {
+            self.unreadable_since_ms = None;
+        }
+    }
+
     /// Records that the completions applied so far made jobs change up to a number
     /// of changes.
     pub(super) fn record_completions(&mut self, changes: u64) {
--- a/crates/cornelpoint/src/worker/worker_report.rs
+++ b/crates/cornelpoint/src/worker/worker_report.rs
@@ -12,6 +12,22 @@
     pub running: Vec<ActiveRun>,
     /// Completions that have not been acknowledged, oldest first.
     pub completions: Vec<RunCompletion>,
+    /// Whether these are all.
+    pub completeness: Completeness,
+}
+
+/// Whether a report lists all runs and completions of its worker. Only a complete one
+/// shows that a run is over which it doesn't list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Completeness {
+    /// It lists all.
+    #[default]
+    Complete,
+    /// It reaches the platform's limit. Further completions follow once those listed
+    /// are acknowledged.
+    MoreCompletions,
+    /// It has rows of which the run can't be read.
+    UnreadableRows,
 }
 
 /// A run that is executing.
@@ -60,4 +76,6 @@
     Broken,
     /// The other members of its gang did not start.
     Alone,
+    /// None of these, or not readable.
+    Unknown,
 }
--- a/crates/cornelpoint/tests/scheduler/crash_world.rs
+++ b/crates/cornelpoint/tests/scheduler/crash_world.rs
@@ -113,6 +113,7 @@
             clock_ms: now_ms + 1000,
             running: running.collect(),
             completions: self.completions.clone(),
+            ..WorkerReport::default()
         }
     }
 }
--- a/crates/cornelpoint/tests/scheduler/fake_worker.rs
+++ b/crates/cornelpoint/tests/scheduler/fake_worker.rs
@@ -245,6 +245,7 @@
                 .iter()
                 .map(|(completion, _)| completion.clone())
                 .collect(),
+            ..WorkerReport::default()
         };
         Some((report, acknowledged_completions))
     }
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -12,6 +12,7 @@
 mod objectives;
 mod occurrences;
 mod odd_entries;
+mod partial_reports;
 mod placement_passes;
 mod predecessor_stops;
 mod random_schedules;
--- a/crates/cornelpoint/tests/scheduler/placement_passes.rs
+++ b/crates/cornelpoint/tests/scheduler/placement_passes.rs
@@ -126,6 +126,7 @@
                 clock_ms: now_ms + 1000,
                 running: running.collect(),
                 completions: worker.completions.clone(),
+                ..WorkerReport::default()
             };
             self.scheduler
                 .renewal_replied(incarnation, Ok(report), at(now_ms));
--- a/crates/cornelpoint/tests/scheduler/restarts.rs
+++ b/crates/cornelpoint/tests/scheduler/restarts.rs
@@ -90,6 +90,7 @@
                     clock_ms: now_ms.saturating_sub(answer.born_unix_ms) + 1000,
                     running: answer.running,
                     completions: answer.completions,
+                    ..WorkerReport::default()
                 });
                 let outcome = report.ok_or(RenewalFailure::NoAnswer);
                 scheduler.renewal_replied(incarnation, outcome, at(now_ms + 2));
--- a/crates/cornelpoint/tests/scheduler/stored_progress.rs
+++ b/crates/cornelpoint/tests/scheduler/stored_progress.rs
@@ -108,6 +108,7 @@
                 clock_ms: now_ms + 1000,
                 running: running.collect(),
                 completions: self.completions.clone(),
+                ..WorkerReport::default()
             };
             self.scheduler.renewal_replied(0, Ok(report), at(now_ms));
         }
--- a/crates/cornelpoint/tests/scheduler/surge.rs
+++ b/crates/cornelpoint/tests/scheduler/surge.rs
@@ -179,6 +179,7 @@
             clock_ms: now_ms + 1000,
             running: running.collect(),
             completions: completions.map(|(ended, _)| ended.clone()).collect(),
+            ..WorkerReport::default()
         }
     }
 }
