Model workers that list two completions at a time

The model's workers listed all completions in each report, and a start counted after a completion only if that had been acknowledged before: tasks that ran twice because a report had no room for their completions could not show. Workers now list two at a time, and an acknowledgement also counts for starts before it, as the rule does.

A mutant whose reports don't say that they leave completions out is found within the 150 schedules.

--- a/crates/cornelpoint/tests/scheduler/fake_worker.rs
+++ b/crates/cornelpoint/tests/scheduler/fake_worker.rs
@@ -5,12 +5,16 @@
 
 use cornelpoint::job::TaskId;
 use cornelpoint::worker::ActiveRun;
+use cornelpoint::worker::Completeness;
 use cornelpoint::worker::CompletionKind;
 use cornelpoint::worker::OrderOutcome;
 use cornelpoint::worker::Rejection;
 use cornelpoint::worker::RunCompletion;
 use cornelpoint::worker::WorkerReport;
 
+/// Completions in one report at most. The platform's limit is larger; this one is
+/// reached in most schedules.
+const MAX_COMPLETIONS: usize = 2;
 /// Longest lease that a worker accepts.
 const MAX_LEASE_MS: u64 = 6000;
 
@@ -204,7 +208,7 @@
     }
 
     /// Returns a report and the newly acknowledged completions of runs that
-    /// ended after the last lease expiry, or `None` if the fencing token is too
+    /// ended after the last lease expiry, with their times, or `None` if the fencing token is too
     /// low.
     pub(crate) fn renew_lease(
         &mut self,
@@ -212,7 +216,7 @@
         token: u64,
         acknowledged: u64,
         deadline_clock_ms: Option<u64>,
-    ) -> Option<(WorkerReport, Vec<RunCompletion>)> {
+    ) -> Option<(WorkerReport, Vec<(RunCompletion, u64)>)> {
         if self.rejects_token(token) {
             return None;
         }
@@ -221,9 +225,7 @@
             self.unacknowledged.iter().filter(|(completion, ended_ms)| {
                 completion.sequence <= acknowledged && *ended_ms > lease_expired_ms
             });
-        let acknowledged_completions: Vec<RunCompletion> = acknowledged_completions
-            .map(|(completion, _)| completion.clone())
-            .collect();
+        let acknowledged_completions = acknowledged_completions.cloned().collect();
         self.unacknowledged
             .retain(|(completion, _)| completion.sequence > acknowledged);
         if let Some(deadline) = deadline_clock_ms {
@@ -243,9 +245,14 @@
             completions: self
                 .unacknowledged
                 .iter()
+                .take(MAX_COMPLETIONS)
                 .map(|(completion, _)| completion.clone())
                 .collect(),
-            ..WorkerReport::default()
+            completeness: if self.unacknowledged.len() < MAX_COMPLETIONS {
+                Completeness::Complete
+            } else {
+                Completeness::MoreCompletions
+            },
         };
         Some((report, acknowledged_completions))
     }
--- a/crates/cornelpoint/tests/scheduler/random_schedules.rs
+++ b/crates/cornelpoint/tests/scheduler/random_schedules.rs
@@ -68,3 +68,10 @@
 fn a_late_transaction_that_overwrites_newer_ones_is_detected() {
     assert!(schedules_with_violations(Mutant::NoWriteOrder) > 0);
 }
+
+/// Guards against tasks that run twice: completions that didn't fit a report were
+/// taken for runs that were lost.
+#[test]
+fn a_report_that_does_not_say_what_it_leaves_out_is_detected() {
+    assert!(schedules_with_violations(Mutant::UnmarkedReports) > 0);
+}
--- a/crates/cornelpoint/tests/scheduler/world/mod.rs
+++ b/crates/cornelpoint/tests/scheduler/world/mod.rs
@@ -19,6 +19,7 @@
 use cornelpoint::scheduler::BatchOutcome;
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::RenewalFailure;
+use cornelpoint::worker::Completeness;
 use cornelpoint::worker::CompletionKind;
 use cornelpoint::worker::RegistryEntry;
 use rand::RngExt;
@@ -71,6 +72,8 @@
     events: BTreeMap<u64, Event>,
     next_event: u64,
     acknowledged_done: BTreeSet<TaskId>,
+    /// Latest start of each task.
+    started_ms: BTreeMap<TaskId, u64>,
     submitted: BTreeSet<JobId>,
     pub(crate) violations: Vec<String>,
     pub(crate) completed: usize,
@@ -103,6 +106,7 @@
             events: BTreeMap::new(),
             next_event: 0,
             acknowledged_done: BTreeSet::new(),
+            started_ms: BTreeMap::new(),
             submitted: BTreeSet::new(),
             violations: Vec::new(),
             completed: 0,
@@ -382,12 +386,15 @@
                     deadline_clock_ms,
                 );
                 let outcome = match answer {
-                    Some((report, acknowledged_completions)) => {
-                        let done = acknowledged_completions
-                            .iter()
-                            .filter(|completion| completion.kind == CompletionKind::Done);
-                        self.acknowledged_done
-                            .extend(done.map(|completion| completion.task));
+                    Some((mut report, acknowledged_completions)) => {
+                        if self.mutant == Mutant::UnmarkedReports {
+                            report.completeness = Completeness::Complete;
+                        }
+                        for (completion, ended_ms) in acknowledged_completions {
+                            if completion.kind == CompletionKind::Done {
+                                self.check_done(completion.task, ended_ms);
+                            }
+                        }
                         Ok(report)
                     }
                     None => Err(RenewalFailure::Fenced),
@@ -416,8 +423,20 @@
         }
     }
 
+    /// Records that the end of a run as done is acknowledged.
+    fn check_done(&mut self, task: TaskId, ended_ms: u64) {
+        self.acknowledged_done.insert(task);
+        let started_ms = self.started_ms.get(&task).copied().unwrap_or(0);
+        if started_ms > ended_ms {
+            self.violations.push(format!(
+                "{started_ms} ms: {task} restarted after its run that ended at {ended_ms} ms"
+            ));
+        }
+    }
+
     fn check_start(&mut self, worker: usize, task: TaskId) {
         let now_ms = self.now_ms;
+        self.started_ms.insert(task, now_ms);
         let elsewhere = (0..WORKERS).any(|other| other != worker && self.workers[other].runs(task));
         if elsewhere {
             self.violations.push(format!(
--- a/crates/cornelpoint/tests/scheduler/world/mutant.rs
+++ b/crates/cornelpoint/tests/scheduler/world/mutant.rs
@@ -10,4 +10,6 @@
     NoWaitForLeases,
     /// Late transactions are written even after newer ones.
     NoWriteOrder,
+    /// Reports that leave out completions don't say so.
+    UnmarkedReports,
 }
