Leases on idle workers end before a successor's wait

Callers could see a task run twice: an owner orders a start on a worker that was idle for a minute and whose clock is 2% slow, its process ends, and a successor that can't reach the worker starts the task elsewhere while the first run goes on.

Cause: the owner took the worker's clock to run at full rate since its last reading. An idle worker isn't called for minutes, so the deadline in the start lay up to 2% of that time later than the lease. The owner itself derives the end of the lease from the deadline that it sent; a successor knows only the length of a lease and 350 ms more.

Evidence: leases_on_idle_workers_with_slow_clocks_are_too_long failed before (a lease of 4020 ms after 1 s of idleness), and so did a_successor_starts_a_task_whose_run_on_a_slow_clock_goes_on (two runs after 49 s).

The deadline is now derived from the least that the worker's clock can show. Alone, that would shorten the first lease after 200 s to nothing: leases_on_idle_workers_with_exact_clocks_are_too_short passed before and fails with the bound alone (1600 ms after 120 s). So a worker that needs no renewal is asked for its clock every 50 s, which costs at most 1 s of the lease. The renewal right after a start's answer extends it. The other use of the estimate, when a run of a predecessor is adopted, reads the clock of the report that was just received, where both agree.

--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -28,8 +28,9 @@
                 Renewal::Due { at_ms } if at_ms <= now.steady_ms => {}
                 _ => continue,
             }
-            if !Self::needs_renewal(worker) {
-                worker.renewal = Renewal::Idle;
+            let at_ms = Self::renewal_due_ms(worker, now.steady_ms);
+            if at_ms > now.steady_ms {
+                worker.renewal = Renewal::Due { at_ms };
                 continue;
             }
             let waits = worker.contact == Contact::Responsive && !worker.runs.is_empty();
@@ -70,7 +71,7 @@
         };
         let sent_ms = match worker.renewal {
             Renewal::InFlight { sent_ms } => sent_ms,
-            _ => now.steady_ms,
+            Renewal::Due { .. } => now.steady_ms,
         };
         match outcome {
             Ok(report) => self.apply_report(incarnation, sent_ms, &report, now),
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -260,7 +260,7 @@
             .values()
             .filter_map(|worker| match worker.renewal {
                 Renewal::Due { at_ms } => Some(at_ms),
-                _ => None,
+                Renewal::InFlight { .. } => None,
             });
         let lease_ends = self.incarnations.values().filter_map(|worker| {
             let waits = worker.is_unresponsive() && !worker.runs.is_empty();
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -309,12 +309,20 @@
             || (worker.listed && worker.is_unresponsive())
     }
 
+    /// Returns when the next lease renewal is due, `at_ms` if one is needed. A worker that
+    /// needs none is asked for its clock from time to time.
+    pub(super) fn renewal_due_ms(worker: &WorkerState, at_ms: u64) -> u64 {
+        if Self::needs_renewal(worker) {
+            at_ms
+        } else {
+            at_ms.max(worker.clock_due_ms())
+        }
+    }
+
     /// Schedules the next lease renewal after an answer or a failure.
     pub(super) fn schedule_renewal(worker: &mut WorkerState, at_ms: u64) {
-        worker.renewal = if Self::needs_renewal(worker) {
-            Renewal::Due { at_ms }
-        } else {
-            Renewal::Idle
+        worker.renewal = Renewal::Due {
+            at_ms: Self::renewal_due_ms(worker, at_ms),
         };
     }
 }
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -14,6 +14,9 @@
 /// Largest rate error of a slow worker clock, in thousandths, as specified by
 /// the platform (20).
 const MAX_CLOCK_SLOWNESS_PERMILLE: u64 = 20;
+/// Longest time in milliseconds between two readings of a worker's clock: the error
+/// that it adds to a lease of 4 s is as long as a renewal may take, 1 s.
+const MAX_CLOCK_AGE_MS: u64 = 50_000;
 /// Margin after the end of a lease for the worker's own delay in ending its
 /// runs.
 const LEASE_MARGIN_MS: u64 = 100;
@@ -96,8 +99,6 @@
 /// State of a worker's next lease renewal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Renewal {
-    /// None is needed.
-    Idle,
     /// To be sent at this time.
     Due { at_ms: u64 },
     /// Sent at this time and not answered yet.
@@ -155,10 +156,18 @@
         }
     }
 
-    /// Estimates the worker's clock at a local time from its latest reading.
-    pub(super) fn clock_at(&self, now_ms: u64) -> Option<u64> {
+    /// Returns the least that the worker's clock can show at a local time, from its
+    /// latest reading.
+    fn earliest_clock_at(&self, now_ms: u64) -> Option<u64> {
         let sample = self.clock?;
-        Some(sample.clock_ms + now_ms.saturating_sub(sample.received_ms))
+        let age_ms = now_ms.saturating_sub(sample.received_ms);
+        let passed_ms = age_ms * (1000 - MAX_CLOCK_SLOWNESS_PERMILLE) / 1000;
+        Some(sample.clock_ms + passed_ms)
+    }
+
+    /// Returns when a report is needed for its reading of the worker's clock.
+    pub(super) fn clock_due_ms(&self) -> u64 {
+        self.heard_ms().max(self.reported_ms) + MAX_CLOCK_AGE_MS
     }
 
     /// Returns when the worker was last heard of; 0 if never.
@@ -187,9 +196,10 @@
     }
 
     /// Extends the lease from now on and returns its end by the worker's clock,
-    /// or `None` if that clock is unknown.
+    /// or `None` if that clock is unknown. A successor waits for `lease_ms` only, so
+    /// that the lease must not be longer.
     pub(super) fn extend_lease(&mut self, now_ms: u64, lease_ms: u64) -> Option<u64> {
-        let deadline = self.clock_at(now_ms)? + lease_ms;
+        let deadline = self.earliest_clock_at(now_ms)? + lease_ms;
         self.deadline_clock_ms = self.deadline_clock_ms.max(deadline);
         Some(deadline)
     }
@@ -294,7 +304,6 @@
     /// flight.
     pub(super) fn renew_by(&mut self, at_ms: u64) {
         match self.renewal {
-            Renewal::Idle => self.renewal = Renewal::Due { at_ms },
             Renewal::Due { at_ms: due } => {
                 self.renewal = Renewal::Due {
                     at_ms: due.min(at_ms),
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -8,6 +8,7 @@
 mod ended_workers;
 mod fake_store;
 mod fake_worker;
+mod idle_clocks;
 mod inbox;
 mod objectives;
 mod occurrences;
