The wait for a former owner begins when a claim is carried out

Callers could see a task run twice after a claim of a pool that got no answer: the store carried it out seconds later, and meanwhile the owner, which had been paused, was confirmed again.

Cause: a claim says when the leases of all earlier owners have ended, computed when it is sent. The former owner may act for 6.5 s after the store last confirmed it, which it can until the claim is carried out. The process of the claim released the pool with that value, and counted itself as the only former owner; with its process ended, so did the next one. The next owner waited too short by the time for which the claim was late. A claim that was answered slowly, within the timeout of 1.5 s, had the same effect.

The row now says whether the earlier owners had ended when the claim was sent. If not, whoever relies on the row (the new owner itself, a release, the next claim) adds the 6.5 s to the time at which it read the row, which can't be before the claim was carried out. Rows of older processes count as such. The price: a process that has just started and claims its own pool again may wait up to 10.85 s, not 4.35 s, for recorded workers that don't answer, if the pool had been taken over from an owner that had not ended.

--- a/crates/cornelpoint-manager/src/node/claims.rs
+++ b/crates/cornelpoint-manager/src/node/claims.rs
@@ -132,10 +132,7 @@
     }
 
     async fn take_over(self: &Rc<Self>, claim: &Claim) {
-        let predecessor = {
-            let planner = self.planner.borrow();
-            planner.owner(&claim.shard).map(|(row, _)| row.clone())
-        };
+        let predecessor = self.owner_row(&claim.shard);
         let row = OwnerRow {
             node: self.settings.node.clone(),
             started_unix_ms: self.started_unix_ms,
@@ -143,6 +140,7 @@
             fencing_token: claim.fencing_token,
             earlier_over_store_ms: self
                 .earlier_leases_end_ms(predecessor.as_ref(), claim.predecessor_ended),
+            earlier_ended: predecessor.is_none() || claim.predecessor_ended,
             released: false,
         };
         let key = owner_row_key(&claim.shard);
@@ -152,11 +150,6 @@
             ..Transaction::default()
         };
         let requested_ms = clock::now().steady_ms;
-        let predecessor = self
-            .planner
-            .borrow()
-            .owner(&claim.shard)
-            .map(|(row, _)| row.clone());
         match self.store.transact(&transaction).await {
             TransactionOutcome::Committed { version } => {
                 let now_ms = clock::now().steady_ms;
@@ -187,6 +180,20 @@
         }
     }
 
+    /// Returns the newest known row of a shard's owner. The leases of earlier owners end
+    /// as late as is possible by the time at which the row was read.
+    pub(crate) fn owner_row(&self, shard: &str) -> Option<OwnerRow> {
+        let planner = self.planner.borrow();
+        let (row, _) = planner.owner(shard)?;
+        let mut row = row.clone();
+        if let Some(act_until_ms) = planner.earlier_owners_act_until_ms(shard) {
+            let leases_end_ms = (self.store.clock_ms() + act_until_ms + lease_ms())
+                .saturating_sub(clock::now().steady_ms);
+            row.earlier_over_store_ms = row.earlier_over_store_ms.max(leases_end_ms);
+        }
+        Some(row)
+    }
+
     /// Returns when the leases of all earlier owners have expired, by the store's
     /// clock. `ended` says that the predecessor's process has ended or has
     /// released the shard; otherwise it may act on its ownership until it expires
@@ -200,9 +207,13 @@
         } else {
             OwnershipSettings::default().max_unconfirmed_ms
         };
-        let lease_ms = SchedulerSettings::default().lease_ms + LEASE_MARGIN_MS;
         predecessor
             .earlier_over_store_ms
-            .max(self.store.clock_ms() + unconfirmed_ms + lease_ms)
+            .max(self.store.clock_ms() + unconfirmed_ms + lease_ms())
     }
 }
+
+/// Longest time after which a lease that is granted now has expired.
+fn lease_ms() -> u64 {
+    SchedulerSettings::default().lease_ms + LEASE_MARGIN_MS
+}
--- a/crates/cornelpoint-manager/src/node/cluster.rs
+++ b/crates/cornelpoint-manager/src/node/cluster.rs
@@ -226,17 +226,18 @@
     }
 
     async fn release(self: Rc<Self>, shard: String) {
-        let (row, version) = {
+        let version = {
             let planner = self.planner.borrow();
             let owner = planner.owner(&shard).filter(|_| planner.owns(&shard));
-            let Some((owner, version)) = owner else {
-                return;
-            };
-            let released = OwnerRow {
-                released: true,
-                ..owner.clone()
-            };
-            (released, version)
+            owner.map(|(_, version)| version)
+        };
+        let (Some(version), Some(owner)) = (version, self.owner_row(&shard)) else {
+            return;
+        };
+        let row = OwnerRow {
+            earlier_ended: true,
+            released: true,
+            ..owner
         };
         let key = owner_row_key(&shard);
         let transaction = Transaction {
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -94,7 +94,13 @@
         let row_bytes = node.settings.row_bytes;
         let writer = ShardWriter::new(&claim.shard, owner.clone(), owner_version, row_bytes);
         let claimed_ms = clock::now().steady_ms;
-        let leases_end_ms = to_steady_ms(node, owner.earlier_over_store_ms);
+        // The leases end later than the stored row says if the store was slow to carry the
+        // claim out.
+        let known = node.owner_row(&claim.shard);
+        let leases_end_ms = known.map_or(owner.earlier_over_store_ms, |row| {
+            row.earlier_over_store_ms.max(owner.earlier_over_store_ms)
+        });
+        let leases_end_ms = to_steady_ms(node, leases_end_ms);
         let requested_ms = clock::now().steady_ms;
         let mut reader = PoolReader::new(&claim.shard);
         let inbox = loop {
--- a/crates/cornelpoint-manager/tests/takeover/fleet.rs
+++ b/crates/cornelpoint-manager/tests/takeover/fleet.rs
@@ -22,7 +22,7 @@
 /// Pool of the queue.
 pub const POOL: &str = "planners";
 /// Table of the owners' rows.
-const CLUSTER_TABLE: &str = "cornelpoint-cluster";
+pub const CLUSTER_TABLE: &str = "cornelpoint-cluster";
 /// Longest wait for a condition that nothing prevents.
 const PATIENCE: Duration = Duration::from_secs(20);
 /// Interval between checks of a condition.
--- a/crates/cornelpoint-manager/tests/takeover/instance.rs
+++ b/crates/cornelpoint-manager/tests/takeover/instance.rs
@@ -2,6 +2,7 @@
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -17,6 +18,7 @@
 pub struct Instance {
     pub name: String,
     pub caller_address: SocketAddr,
+    settings_path: PathBuf,
     process: Child,
 }
 
@@ -27,21 +29,22 @@
         let settings_path = folder.join(format!("{name}.toml"));
         fs::write(&settings_path, settings.text()).unwrap();
         let output = File::create(folder.join(format!("{name}.log"))).unwrap();
-        let process = Command::new(env!("CARGO_BIN_EXE_cornelpoint-manager"))
-            .arg("--settings")
-            .arg(&settings_path)
-            .stdin(Stdio::null())
-            .stderr(output.try_clone().unwrap())
-            .stdout(output)
-            .spawn()
-            .unwrap();
         Self {
             name,
             caller_address: settings.caller_address(),
-            process,
+            process: spawn(&settings_path, output),
+            settings_path,
         }
     }
 
+    /// Starts another process on the instance, in place of one that was killed.
+    pub fn restart(&mut self) {
+        self.process.wait().unwrap();
+        let path = self.settings_path.with_extension("log");
+        let output = File::options().append(true).open(path).unwrap();
+        self.process = spawn(&self.settings_path, output);
+    }
+
     pub fn pause(&self) {
         self.signal(Signal::STOP);
     }
@@ -84,3 +87,15 @@
         let _ = self.process.wait();
     }
 }
+
+/// Starts a manager process that writes its output to a file.
+fn spawn(settings_path: &Path, output: File) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_cornelpoint-manager"))
+        .arg("--settings")
+        .arg(settings_path)
+        .stdin(Stdio::null())
+        .stderr(output.try_clone().unwrap())
+        .stdout(output)
+        .spawn()
+        .unwrap()
+}
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod instance;
 mod large_jobs;
+mod late_claims;
 mod load;
 mod odd_entries;
 mod slow_link;
--- a/crates/cornelpoint/src/ownership/owner_row.rs
+++ b/crates/cornelpoint/src/ownership/owner_row.rs
@@ -13,8 +13,13 @@
     /// Fencing token, which increases with each change of owner.
     pub fencing_token: u64,
     /// When all leases granted by earlier owners have expired, by the store's
-    /// clock.
+    /// clock, if the claim was carried out when it was sent.
     pub earlier_over_store_ms: u64,
+    /// Whether the earlier owners were known to have ended when the claim was sent.
+    /// Otherwise they may act on their ownership for some time after the claim was
+    /// carried out, which may have been seconds later. `false` in older rows.
+    #[serde(default)]
+    pub earlier_ended: bool,
     /// Whether the owner has released the shard.
     pub released: bool,
 }
--- a/crates/cornelpoint/src/ownership/planner.rs
+++ b/crates/cornelpoint/src/ownership/planner.rs
@@ -215,6 +215,17 @@
         Some((state.row.as_ref()?, state.version))
     }
 
+    /// Returns until when the owners before the newest known one may act on a shard, by
+    /// the clock of [`Self::owner_read`]; `None` if they had ended when it was claimed.
+    /// The claim was carried out before its row was read.
+    #[must_use]
+    pub fn earlier_owners_act_until_ms(&self, shard: &str) -> Option<u64> {
+        let state = self.shards.get(shard)?;
+        let row = state.row.as_ref()?;
+        let unconfirmed_ms = self.settings.max_unconfirmed_ms;
+        (!row.earlier_ended).then_some(state.changed_ms + unconfirmed_ms)
+    }
+
     /// Returns the names of all shards.
     pub fn shards(&self) -> impl Iterator<Item = &str> {
         self.shards.keys().map(String::as_str)
--- a/crates/cornelpoint/src/ownership/write_guard.rs
+++ b/crates/cornelpoint/src/ownership/write_guard.rs
@@ -18,6 +18,7 @@
 ///     address: "10.0.0.1:7060".to_owned(),
 ///     fencing_token: 2,
 ///     earlier_over_store_ms: 0,
+///     earlier_ended: true,
 ///     released: false,
 /// };
 /// let mut guard = WriteGuard::new(row.clone(), 40);
--- a/crates/cornelpoint/tests/ownership.rs
+++ b/crates/cornelpoint/tests/ownership.rs
@@ -32,6 +32,7 @@
         address: "10.0.0.1:7060".to_owned(),
         fencing_token: 3,
         earlier_over_store_ms: 0,
+        earlier_ended: true,
         released,
     }
 }
@@ -305,3 +306,25 @@
     }
     assert!(planner.is_responsive("b-1", 9000));
 }
+
+/// Guards against tasks that run twice: the store carried a claim out seconds after it was
+/// sent, and a later owner took the former one to have stopped as much too early.
+#[test]
+fn the_owner_before_a_claim_that_was_carried_out_late_is_taken_to_have_stopped() {
+    let claimed = OwnerRow {
+        earlier_ended: false,
+        ..row("b-1", 5, false)
+    };
+    let mut planner = planner("a-1");
+    planner.owner_read(POOLS[0], Some(claimed), 7, 9000);
+    let unconfirmed_ms = OwnershipSettings::default().max_unconfirmed_ms;
+    let act_until_ms = planner.earlier_owners_act_until_ms(POOLS[0]);
+    assert_eq!(act_until_ms, Some(9000 + unconfirmed_ms));
+}
+
+#[test]
+fn owners_that_had_ended_when_a_pool_was_claimed_are_not_waited_for() {
+    let mut planner = planner("a-1");
+    planner.owner_read(POOLS[0], Some(row("b-1", 5, false)), 7, 9000);
+    assert_eq!(planner.earlier_owners_act_until_ms(POOLS[0]), None);
+}
