Random schedules with successive takeovers, limited views and idle times

The schedules of the model had owners that follow one another seconds apart, a registry that lists every worker at once, and orders into a partition that are never carried out. with_limited_views adds, in schedules of its own: losses of the owner soon after a takeover, within the partitions; registry readings that lag, miss workers and count as settled or not; workers that drain or are vacated; orders into a partition that are known not to be sent, lost, late, or carried out without an answer; tasks that outlast a takeover; and 50 s without jobs, after which half of the clocks are 2% slow and were read long ago. The other schedules are as before.

Faults of the model on the way: workers stayed vacated after the faults, and a schedule ended before two long tasks after a lost owner could be done.

--- a/crates/cornelpoint/tests/scheduler/random_schedules.rs
+++ b/crates/cornelpoint/tests/scheduler/random_schedules.rs
@@ -47,6 +47,16 @@
     }
 }
 
+/// Successors within a partition, registry readings that miss workers, workers that leave,
+/// and slow clocks that were read long ago.
+#[test]
+fn tasks_run_once_in_partitions_with_limited_views() {
+    for seed in schedules() {
+        let world = World::new(seed, Mutant::None).with_limited_views().run();
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 #[test]
 fn a_worker_that_takes_orders_of_a_fenced_owner_is_detected() {
     assert!(schedules_with_violations(Mutant::NoFence) > 0);
--- a/crates/cornelpoint/tests/scheduler/world/faults.rs
+++ b/crates/cornelpoint/tests/scheduler/world/faults.rs
@@ -6,6 +6,7 @@
 use cornelpoint::scheduler::SchedulerSettings;
 use rand::RngExt;
 
+use super::FAULTS_END_MS;
 use super::LEASE_EXPIRY_MS;
 use super::MAX_UNCONFIRMED_MS;
 use super::Mutant;
@@ -21,22 +22,39 @@
     /// partitions the owner from workers, or heals its partitions.
     pub(super) fn inject_fault(&mut self) {
         let current = self.owners.len() - 1;
-        if self.random.random_range(0..150) == 0 {
-            let killed = self.chance(50);
-            if killed {
-                self.owners[current].alive = false;
-            } else {
-                self.owners[current].has_store = false;
-                self.partition(current);
-            }
-            self.take_over(killed);
+        let healing_interval = self.views.as_ref().map_or(200, |_| 400);
+        if self.random.random_range(0..self.loss_interval()) == 0 {
+            self.lose_owner();
         } else if self.random.random_range(0..300) == 0 {
             self.partition(current);
-        } else if self.random.random_range(0..200) == 0 {
+        } else if self.random.random_range(0..healing_interval) == 0 {
             self.owners[current].partitioned_from.clear();
         }
     }
 
+    /// Ticks between two losses of the owner, on average. Rarer after the idle time, so that
+    /// successors wait for leases to their end.
+    fn loss_interval(&self) -> i32 {
+        if self.views.is_some() && self.now_ms > FAULTS_END_MS {
+            700
+        } else {
+            150
+        }
+    }
+
+    /// Kills or isolates the owner and starts a successor.
+    pub(super) fn lose_owner(&mut self) {
+        let current = self.owners.len() - 1;
+        let killed = self.chance(50);
+        if killed {
+            self.owners[current].alive = false;
+        } else {
+            self.owners[current].has_store = false;
+            self.partition(current);
+        }
+        self.take_over(killed);
+    }
+
     fn partition(&mut self, owner: usize) {
         for worker in 0..WORKERS {
             if self.chance(40) {
@@ -50,6 +68,12 @@
             owner.partitioned_from.clear();
             owner.has_store = true;
         }
+        if let Some(views) = &mut self.views {
+            views.heal();
+            for owner in &mut self.owners {
+                owner.scheduler.vacate(&BTreeSet::new(), at(self.now_ms));
+            }
+        }
     }
 
     pub(super) fn take_over(&mut self, predecessor_ended: bool) {
@@ -94,8 +118,9 @@
             partitioned_from: BTreeSet::new(),
             confirmed_ms: self.now_ms,
         };
+        let cut_off_percent = self.views.as_ref().map_or(15, |_| 40);
         for worker in 0..WORKERS {
-            if !first && self.chance(15) {
+            if !first && self.chance(cut_off_percent) {
                 owner.partitioned_from.insert(worker);
             }
         }
--- a/crates/cornelpoint/tests/scheduler/world/mod.rs
+++ b/crates/cornelpoint/tests/scheduler/world/mod.rs
@@ -4,6 +4,7 @@
 mod event;
 mod faults;
 mod mutant;
+mod views;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -29,6 +30,7 @@
 use self::event::Reply;
 use self::event::no_answer;
 pub(crate) use self::mutant::Mutant;
+use self::views::Views;
 use crate::fake_store::FakeStore;
 use crate::fake_worker::FakeWorker;
 use crate::support::at;
@@ -61,6 +63,9 @@
     mutant: Mutant,
     /// Whether workers restart under their identifiers.
     restarts: bool,
+    /// Faults of takeovers, partitions and registry readings, with an idle time between
+    /// two phases of faults.
+    views: Option<Views>,
     /// Registry entries that owners read.
     listed: Vec<RegistryEntry>,
     now_ms: u64,
@@ -94,6 +99,7 @@
             random,
             mutant,
             restarts: false,
+            views: None,
             listed: Vec::new(),
             now_ms: 0,
             store: FakeStore::default(),
@@ -118,21 +124,25 @@
 
     pub(crate) fn run(mut self) -> Self {
         self.take_over(true);
-        while self.now_ms < END_MS {
+        let end_ms = self.views.as_ref().map_or(END_MS, |_| views::END_MS);
+        while self.now_ms < end_ms {
             self.now_ms += 20;
             for worker in &mut self.workers {
                 worker.advance(self.now_ms);
             }
-            if !self.restarts || self.now_ms.is_multiple_of(REGISTRY_INTERVAL_MS) {
+            let is_late = self.restarts || self.views.is_some();
+            if !is_late || self.now_ms.is_multiple_of(REGISTRY_INTERVAL_MS) {
                 self.listed = listed(&self.workers);
+                self.limit_view();
             }
             self.deliver();
             if self.restarts && self.now_ms < FAULTS_END_MS {
                 self.restart_workers();
             }
-            if self.now_ms < FAULTS_END_MS {
+            if self.injects_faults() {
                 self.inject_fault();
-            } else if self.now_ms == FAULTS_END_MS {
+                self.inject_view_fault();
+            } else if self.now_ms == FAULTS_END_MS || self.now_ms == views::FAULTS_END_MS {
                 self.heal();
             }
             self.submit();
@@ -158,6 +168,10 @@
         self
     }
 
+    fn injects_faults(&self) -> bool {
+        self.now_ms < FAULTS_END_MS || (self.views.is_some() && views::injects_faults(self.now_ms))
+    }
+
     fn chance(&mut self, percent: u32) -> bool {
         self.random.random_range(0..100) < percent
     }
@@ -219,7 +233,8 @@
 
     fn submit(&mut self) {
         let number = self.submitted.len() as u64;
-        if number >= JOBS || !self.now_ms.is_multiple_of(1000) {
+        let is_idle = self.views.is_some() && views::is_idle(self.now_ms, number);
+        if number >= JOBS || !self.now_ms.is_multiple_of(1000) || is_idle {
             return;
         }
         let second = RawStep {
@@ -257,8 +272,11 @@
         }
         owner.scheduler.confirm_ownership(owner.confirmed_ms);
         if owner.has_store && self.now_ms.is_multiple_of(500) {
-            owner.scheduler.apply_registry(&self.listed, true, now);
+            let settled = self.views.is_none() || self.chance(70);
+            let owner = &mut self.owners[number];
+            owner.scheduler.apply_registry(&self.listed, settled, now);
         }
+        let owner = &mut self.owners[number];
         owner.scheduler.tick(now);
         let batch = owner.scheduler.begin_batch(now);
         let actions = owner.scheduler.take_actions();
@@ -278,7 +296,7 @@
     }
 
     fn commit(&mut self, owner: usize, batch: &Batch) {
-        let lost = self.now_ms < FAULTS_END_MS && self.chance(10);
+        let lost = self.injects_faults() && self.chance(10);
         if lost && self.chance(50) {
             let late_ms = self.random.random_range(500..6000);
             let found_version = self.store.heartbeat_version;
@@ -307,8 +325,12 @@
         let Some(worker) = self.worker_of(owner, &action) else {
             return;
         };
-        let injects_faults = self.now_ms < FAULTS_END_MS;
+        let injects_faults = self.injects_faults();
         if self.owners[owner].partitioned_from.contains(&worker) {
+            if self.views.is_some() {
+                self.send_into_partition(owner, action);
+                return;
+            }
             self.push(300, Event::Reply(owner, no_answer(&action)));
         } else if injects_faults && self.chance(5) {
             self.push(300, Event::Reply(owner, no_answer(&action)));
@@ -399,8 +421,14 @@
     }
 
     fn work(&mut self, task: TaskId) -> (u64, bool, u64) {
-        let work_ms = self.random.random_range(200..1500);
-        let fails = self.now_ms < FAULTS_END_MS && self.chance(2);
+        let is_long = self.views.is_some() && self.chance(40);
+        let longest_ms = if is_long {
+            views::LONGEST_WORK_MS
+        } else {
+            1500
+        };
+        let work_ms = self.random.random_range(200..longest_ms);
+        let fails = self.injects_faults() && self.chance(2);
         let cpu_millicores = if task.step.step == 0 { 1000 } else { 1500 };
         (work_ms, fails, cpu_millicores)
     }
