A report that is full of ends says nothing about runs that it leaves out

Callers could see a task run again after it was done. A worker lists 500 ends at a time; while they can't be acknowledged, as in an outage of the store, later ends are in no report. The owner took such a run, neither running nor ended by the report, to be lost and started it again.

Evidence: cut_reports::a_run_whose_end_a_report_leaves_out_is_started_again failed before.

Runs that such a report doesn't list are kept until one with fewer ends.

--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -18,6 +18,10 @@
 use super::worker_state::Renewal;
 use super::worker_state::WorkerState;
 
+/// Largest number of completions in a report, as specified by the platform. Later ones
+/// follow once these are acknowledged.
+const MAX_LISTED_COMPLETIONS: usize = 500;
+
 impl PoolScheduler {
     /// Sends the lease renewals that are due.
     pub(super) fn send_due_renewals(&mut self, now: Instant) {
@@ -300,8 +304,8 @@
     }
 
     /// Resolves the runs that a report doesn't list. Runs confirmed or stopped
-    /// before the report was requested are lost; runs whose start or stop is
-    /// unconfirmed are ordered to stop.
+    /// before the report was requested are lost, unless it may leave out their ends;
+    /// runs whose start or stop is unconfirmed are ordered to stop.
     fn resolve_unlisted_runs(
         &mut self,
         incarnation: IncarnationIndex,
@@ -318,6 +322,7 @@
                 .iter()
                 .any(|reported| reported.task == task && reported.run == run)
         };
+        let may_leave_out = report.completions.len() >= MAX_LISTED_COMPLETIONS;
         let missing = worker
             .runs
             .keys()
@@ -332,7 +337,7 @@
             };
             match run.phase {
                 Phase::Running { confirmed_ms } | Phase::Stopped { confirmed_ms }
-                    if confirmed_ms < sent_ms =>
+                    if confirmed_ms < sent_ms && !may_leave_out =>
                 {
                     if let Some(worker) = self.incarnations.get(&incarnation).cloned() {
                         self.lose_run(task, number, &worker, RunLoss::NotListed);
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod crash_world;
 mod crashes;
+mod cut_reports;
 mod decisions;
 mod ended_workers;
 mod fake_store;
