Reproduce a successor that doesn't wait for a worker which lost its fence

A worker that restarts under its identifier has seen no fencing token. The successor takes the recorded incarnation for settled as soon as the registry lists the new one, and starts the tasks that it inherited. A predecessor that can't reach the store acts for up to 6.5 s more and may start the same task on the new incarnation, whose restart it doesn't know.

--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -11,6 +11,7 @@
 mod fake_worker;
 mod idle_clocks;
 mod inbox;
+mod lost_fences;
 mod objectives;
 mod occurrences;
 mod odd_entries;
