--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -4,11 +4,14 @@
 mod capacity;
 mod crash_world;
 mod crashes;
+mod cut_reports;
 mod decisions;
 mod ended_workers;
 mod fake_store;
 mod fake_worker;
+mod idle_clocks;
 mod inbox;
+mod lost_fences;
 mod objectives;
 mod occurrences;
 mod odd_entries;
