Silences: by worker alone, and tests of parts that had none

The registry or a report settles the silences of a former start of a worker before its next one can be heard of, so that the start need not be compared again. New tests: silences without an answered start, an address at which another worker answers, and silences before a long run that are settled after it.

--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -130,7 +130,7 @@
         worker.report_requested_ms = sent_ms;
         worker.lease_end_known_ms = None;
         worker.failed_renewals = 0;
-        let silences = self.silences.take(&worker.entry);
+        let silences = self.silences.take(&worker.entry.id);
         self.silence_explained(silences, false, now);
         for reported in &report.running {
             self.plan_reported_occurrence(reported.task.step, now);
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -161,7 +161,7 @@
                 .insert(worker.entry.id.clone(), worker.entry.born_unix_ms);
         }
         let crashed = !worker.is_leaving();
-        let silences = self.silences.take(&worker.entry);
+        let silences = self.silences.take(&worker.entry.id);
         let lost = self.remove_incarnation(incarnation, now);
         self.silence_explained(silences, crashed, now);
         if crashed {
--- a/crates/cornelpoint/src/scheduler/silences.rs
+++ b/crates/cornelpoint/src/scheduler/silences.rs
@@ -2,7 +2,6 @@
 use std::collections::BTreeSet;
 
 use crate::job::TaskId;
-use crate::worker::RegistryEntry;
 
 use super::crashes::LostRun;
 use super::instant::Instant;
@@ -29,13 +28,6 @@
     run: LostRun,
 }
 
-impl Silence {
-    /// Whether it is one of this incarnation. An unknown start may be any.
-    fn is_of(&self, entry: &RegistryEntry) -> bool {
-        self.born_unix_ms == 0 || entry.born_unix_ms == 0 || self.born_unix_ms == entry.born_unix_ms
-    }
-}
-
 impl Silences {
     pub(super) fn add(&mut self, worker: &WorkerState, run: LostRun) {
         let silence = Silence {
@@ -63,17 +55,10 @@
         self.withheld.first().map(|&(until_ms, _)| until_ms)
     }
 
-    /// Removes and returns the runs on which an incarnation fell silent.
-    pub(super) fn take(&mut self, entry: &RegistryEntry) -> Vec<LostRun> {
-        let Some(silences) = self.by_worker.get_mut(&entry.id) else {
-            return Vec::new();
-        };
-        let taken = silences.extract_if(.., |silence| silence.is_of(entry));
-        let taken = taken.map(|silence| silence.run).collect();
-        if silences.is_empty() {
-            self.by_worker.remove(&entry.id);
-        }
-        taken
+    /// Removes and returns the runs on which a worker fell silent.
+    pub(super) fn take(&mut self, worker: &str) -> Vec<LostRun> {
+        let taken = self.by_worker.remove(worker).unwrap_or_default();
+        taken.into_iter().map(|silence| silence.run).collect()
     }
 
     /// Removes and returns the runs on which incarnations fell silent that have ended
@@ -93,8 +78,7 @@
     /// Notes whether an incarnation that is no longer known was about to leave.
     pub(super) fn dropped(&mut self, worker: &WorkerState) {
         let silences = self.by_worker.get_mut(&worker.entry.id);
-        let silences = silences.into_iter().flatten();
-        for silence in silences.filter(|silence| silence.is_of(&worker.entry)) {
+        for silence in silences.into_iter().flatten() {
             silence.leaving = worker.is_leaving();
         }
     }
--- a/crates/cornelpoint/tests/scheduler/crash_world.rs
+++ b/crates/cornelpoint/tests/scheduler/crash_world.rs
@@ -240,6 +240,13 @@
         }
     }
 
+    /// Brings all machines back.
+    pub(crate) fn bring_back(&mut self) {
+        for machine in &mut self.machines {
+            machine.back_ms = machine.back_ms.min(self.now_ms);
+        }
+    }
+
     pub(crate) fn starts_of(&self, task: &str) -> u32 {
         let task = task.parse().expect("a valid task");
         self.starts.get(&task).copied().unwrap_or(0)
--- a/crates/cornelpoint/tests/scheduler/silences.rs
+++ b/crates/cornelpoint/tests/scheduler/silences.rs
@@ -2,6 +2,7 @@
 
 use cornelpoint::job::JobStatus;
 use cornelpoint::job::RawStep;
+use cornelpoint::scheduler::RenewalFailure;
 
 use crate::crash_world::Crash;
 use crate::crash_world::CrashWorld;
@@ -165,6 +166,39 @@
     world.lose_workers_of(TASK);
     world.run_for(LEASE_MS);
     assert_eq!(world.starts_of(TASK), SILENCES + 3);
+    world.bring_back();
+    world.run_for(1000);
+    assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Running));
+}
+
+/// The order to start gets no answer, and the worker never comes back.
+#[test]
+fn a_task_is_started_for_ever_on_workers_that_never_answer() {
+    let crash = Crash::BeforeAnswer { down_ms: u64::MAX };
+    let mut world = CrashWorld::new(MACHINES, crash);
+    world.submit(1, vec![step(1, 1000)], &[0]);
+    world.run_for(60_000);
+    let starts = world.starts_of(TASK);
+    assert!((2..=5).contains(&starts), "{starts} starts");
+}
+
+/// Another worker answers at the addresses of those that fell silent.
+#[test]
+fn a_silence_does_not_become_a_crash_when_another_worker_has_the_address() {
+    let crash = Crash::CutOff {
+        down_ms: CUT_MS,
+        listed: true,
+    };
+    let mut world = CrashWorld::new(MACHINES, crash);
+    withhold(&mut world, vec![step(1, 1000)]);
+    let now = at(world.now_ms);
+    for incarnation in 0..MACHINES {
+        let incarnation = u32::try_from(incarnation).unwrap();
+        let outcome = Err(RenewalFailure::OtherIncarnation);
+        world.scheduler.renewal_replied(incarnation, outcome, now);
+    }
+    world.run_for(100);
+    assert_eq!(world.scheduler.status(job_id(1)), Some(JobStatus::Failed));
 }
 
 /// The leases of a worker have expired, and the registry has dropped it, before it is
