Contact workers again that the registry lists again

An idle worker stayed unused for ever: it had not answered a renewal, was missing from one reading of the registry, and was listed again before its leases were over. While it isn't listed nothing needs it to be contacted, so that no renewal is due; once it is listed again nothing made one due, and only a renewal makes an unresponsive worker usable. The leases being over, a later reading would have removed it, but it is listed. Failed before: `a_worker_that_is_listed_again_is_never_contacted_again`, in which no renewal is sent in 8 s. Now a reading that lists a worker again makes its renewal due if it needs one.

--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -71,7 +71,12 @@
         }
         let mut removable = Vec::new();
         for (&incarnation, worker) in &mut self.incarnations {
+            let was_listed = worker.listed;
             worker.listed = listed.contains(&incarnation) || (worker.listed && !settled);
+            if worker.listed && !was_listed && Self::needs_renewal(worker) {
+                // One that was not listed may have been left unresponsive.
+                worker.renew_by(now.steady_ms);
+            }
             let unused = !worker.listed && worker.runs.is_empty();
             if unused && worker.leases_end_ms() <= now.steady_ms {
                 removable.push(incarnation);
--- a/crates/cornelpoint/tests/scheduler/ended_workers.rs
+++ b/crates/cornelpoint/tests/scheduler/ended_workers.rs
@@ -4,9 +4,12 @@
 use cornelpoint::scheduler::Action;
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::RenewalFailure;
+use cornelpoint::worker::CompletionKind;
 use cornelpoint::worker::OrderOutcome;
 use cornelpoint::worker::RegistryEntry;
 use cornelpoint::worker::Rejection;
+use cornelpoint::worker::RunCompletion;
+use cornelpoint::worker::WorkerReport;
 
 use crate::support::at;
 use crate::support::entry;
@@ -130,3 +133,37 @@
     assert_eq!(starts(&mut scheduler, 500).len(), 1);
     assert_eq!(scheduler.status(job_id(1)), Some(JobStatus::Pending));
 }
+
+/// A worker that is unresponsive, runs nothing and is missing from one reading of the
+/// registry is listed again before its leases are over.
+#[test]
+fn a_worker_that_is_listed_again_is_never_contacted_again() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    submit(&mut scheduler, 1, vec![step(1, 1000)], 100);
+    let [(_, task, run)] = starts(&mut scheduler, 200).try_into().unwrap();
+    let task = task.parse().unwrap();
+    let done = OrderOutcome::Done { clock_ms: 1200 };
+    scheduler.start_replied(0, task, run, done, at(200));
+    let report = WorkerReport {
+        born_unix_ms: 5,
+        clock_ms: 1300,
+        completions: vec![RunCompletion {
+            sequence: 1,
+            task,
+            run,
+            kind: CompletionKind::Done,
+            checkpoint: String::new(),
+        }],
+        ..WorkerReport::default()
+    };
+    scheduler.renewal_replied(0, Ok(report), at(300));
+    store_batches(&mut scheduler, 300);
+    scheduler.renewal_replied(0, Err(RenewalFailure::NoAnswer), at(700));
+    scheduler.apply_registry(&[], true, at(800));
+    failed_renewals(&mut scheduler, 800, 2000);
+    let contacted = (2000..10_000).step_by(500).find(|&now_ms| {
+        scheduler.apply_registry(&[entry("w1", 5)], true, at(now_ms));
+        renewed(&mut scheduler, now_ms) == ["w1"]
+    });
+    assert_eq!(contacted, Some(2000));
+}
