--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -78,7 +78,12 @@
         }
         let mut removable = Vec::new();
         for (&incarnation, worker) in &mut self.incarnations {
+            let was_listed = worker.listed;
             worker.listed = listed.contains(&incarnation) || (worker.listed && !settled);
+            if worker.listed && !was_listed && Self::needs_renewal(worker) {
+                // One that was not listed may have been left unresponsive.
+                worker.renew_by(now.steady_ms);
+            }
             let unused = !worker.listed && worker.runs.is_empty();
             if unused && worker.leases_end_ms() <= now.steady_ms {
                 removable.push(incarnation);
@@ -200,7 +205,7 @@
         }
         let crashed = !worker.is_leaving();
         let id = worker.entry.id.clone();
-        let silences = self.silences.take(&worker.entry);
+        let silences = self.silences.take(&id);
         self.predecessor_incarnation_ended(id, now);
         let lost = self.remove_incarnation(incarnation, now);
         self.silence_explained(silences, crashed, now);
