Log steps that last and wait for workers, with what keeps each worker from them

Nothing showed why tasks that were stopped to vacate their workers start again only after 10 to 20 s. The line names, at most once a second for a pool, the step that waits longest, and how many workers lack room beside tasks that last or beside all, are being vacated, or may get no tasks for another reason; 'none' above 0 would be a fault of the placement.

--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -170,6 +170,19 @@
             } => warn!(self.log, "Task given up: it crashes its workers.";
                 "task" => %task, "crashes" => crashes, "on_start" => on_start,
                 "silent" => silent, "fencing_token" => self.fencing_token),
+            SchedulerEvent::StepWaits {
+                step,
+                tasks,
+                need,
+                waited_ms,
+                unplaceable,
+                waits_for_predecessor,
+                obstacles,
+            } => info!(self.log, "A step that lasts waits for workers."; "step" => %step,
+                "pool" => &self.pool, "tasks" => tasks, "need" => ?need,
+                "waited_ms" => waited_ms, "unplaceable" => unplaceable,
+                "waits_for_predecessor" => waits_for_predecessor,
+                "obstacles" => ?obstacles, "fencing_token" => self.fencing_token),
             SchedulerEvent::JobUnstorable {
                 job,
                 bytes,
--- a/crates/cornelpoint/src/scheduler/evacuation.rs
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -100,7 +100,7 @@
         cheapest.map(|(_, _, _, id)| id.to_owned()).collect()
     }
 
-    fn is_long_running(&self, task: TaskId) -> bool {
+    pub(super) fn is_long_running(&self, task: TaskId) -> bool {
         let job = self.jobs.get(&task.step.job);
         job.is_some_and(|job| job.step(task.step.step).long_running)
     }
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -81,7 +81,7 @@
     }
 
     /// Queues a task for placement if it has to run and has no run.
-    pub(super) fn make_ready(&mut self, id: TaskId, _now: Instant) {
+    pub(super) fn make_ready(&mut self, id: TaskId, now: Instant) {
         let Some(job) = self.jobs.get(&id.step.job) else {
             return;
         };
@@ -101,6 +101,7 @@
                 tasks: BTreeSet::new(),
                 need,
                 unplaceable: false,
+                since_ms: now.steady_ms,
             });
             step.tasks.insert(id.index);
             step.unplaceable = false;
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -92,6 +92,8 @@
     /// no worker then.
     pub(super) changed_workers: WorkerSet,
     last_tick_ms: u64,
+    /// When a step that waits for workers was last logged.
+    pub(super) wait_logged_ms: u64,
     /// Whether tasks wait only until orders to start are answered.
     pub(super) starts_limited: bool,
     pub(super) fenced: bool,
@@ -167,6 +169,7 @@
             placement_needed: false,
             changed_workers: WorkerSet::All,
             last_tick_ms: 0,
+            wait_logged_ms: 0,
             starts_limited: false,
             fenced: false,
             vacating: BTreeSet::new(),
@@ -247,6 +250,7 @@
         if self.placement_needed {
             self.place_ready_steps(now);
         }
+        self.log_waiting_step(now);
         self.send_due_renewals(now);
         self.expire_final_jobs(now);
     }
--- a/crates/cornelpoint/src/scheduler/ready_step.rs
+++ b/crates/cornelpoint/src/scheduler/ready_step.rs
@@ -14,6 +14,8 @@
     /// Whether no worker could take a task at the last placement pass. Then only
     /// workers that have changed since can.
     pub(super) unplaceable: bool,
+    /// Since when tasks of the step have been waiting.
+    pub(super) since_ms: u64,
 }
 
 /// One pass over the steps that wait for workers.
--- a/crates/cornelpoint/src/scheduler/scheduler_event.rs
+++ b/crates/cornelpoint/src/scheduler/scheduler_event.rs
@@ -1,4 +1,6 @@
 use crate::job::JobId;
+use crate::job::Resources;
+use crate::job::StepId;
 use crate::job::TaskId;
 
 /// A change in the known state of a run or task, to be logged.
@@ -55,6 +57,23 @@
         /// Workers that fell silent on the start.
         silent: u32,
     },
+    /// A step that lasts waits for workers.
+    StepWaits {
+        /// The step.
+        step: StepId,
+        /// Number of its tasks that wait.
+        tasks: usize,
+        /// What each of them needs.
+        need: Resources,
+        /// Since when tasks of the step have been waiting, in milliseconds.
+        waited_ms: u64,
+        /// Whether it is compared only with workers that change.
+        unplaceable: bool,
+        /// Whether it waits until a predecessor's leases have expired.
+        waits_for_predecessor: bool,
+        /// What keeps workers from running its tasks.
+        obstacles: WorkerObstacles,
+    },
     /// The store refuses the rows of a job. An accepted job is stored again only with
     /// its next change; another is rejected.
     JobUnstorable {
@@ -67,6 +86,25 @@
     },
 }
 
+/// Numbers of workers by what first keeps them from running one more task of a step.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorkerObstacles {
+    /// They lack its label.
+    pub label: usize,
+    /// They run as many of its tasks as they may.
+    pub limit: usize,
+    /// There is no room beside the tasks that last.
+    pub lasting_tasks: usize,
+    /// They are being vacated.
+    pub vacating: usize,
+    /// They may get no tasks for another reason.
+    pub unusable: usize,
+    /// There is no room beside all tasks.
+    pub short_tasks: usize,
+    /// Nothing does.
+    pub none: usize,
+}
+
 /// What shows that an incarnation of a worker has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndEvidence {
--- a/crates/cornelpoint/src/scheduler/worker_choice.rs
+++ b/crates/cornelpoint/src/scheduler/worker_choice.rs
@@ -140,6 +140,6 @@
     }
 }
 
-fn has_label(worker: &WorkerState, label: Option<&str>) -> bool {
+pub(super) fn has_label(worker: &WorkerState, label: Option<&str>) -> bool {
     label.is_none_or(|label| worker.entry.labels.iter().any(|own| own == label))
 }
