Don't stop a task that lasts before another worker has room for it

The pool's owner had stopped the tasks of workers that were to move without asking whether they could run anywhere else.

A run on a worker that isn't draining is now stopped only if a usable worker has room for it, beside the tasks that last and wait or are being stopped. Until then its worker stays up.

--- a/crates/cornelpoint/src/scheduler/evacuation.rs
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -114,7 +114,8 @@
     }
 
     /// Stops long-running tasks on workers that leave, so that they start
-    /// elsewhere, as far as the step's budget of unavailable tasks allows.
+    /// elsewhere, as far as the step's budget of unavailable tasks allows and, unless the
+    /// worker is draining, other workers have room for them.
     pub(super) fn evacuate(&mut self, now: Instant) {
         let leaving = self
             .incarnations
@@ -129,8 +130,15 @@
                     .map(move |&(task, run)| (task, run, draining))
             })
             .collect();
+        let mut places = None;
         for (task, run, draining) in runs {
-            if self.may_move(task, run, draining, now) || self.may_wait(task, run, now) {
+            // A worker that isn't draining stays up until its tasks have moved.
+            let moves = self.may_move(task, run, draining, now)
+                && (draining || {
+                    let places = places.get_or_insert_with(|| self.free_places(now));
+                    self.claim_place(places, task.step)
+                });
+            if moves || self.may_wait(task, run, now) {
                 self.stop_run(task, run, now);
             }
         }
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -25,6 +25,7 @@
 mod orders;
 mod pacing;
 mod placement;
+mod places;
 mod pool_scheduler;
 mod ready_step;
 mod registry;
--- /dev/null
+++ b/crates/cornelpoint/tests/scheduler/lasting_tasks.rs
@@ -0,0 +1,214 @@
+//! Tasks that last, while workers are vacated.
+
+use std::collections::BTreeSet;
+
+use cornelpoint::job::RawStep;
+use cornelpoint::job::TaskId;
+use cornelpoint::scheduler::Action;
+use cornelpoint::scheduler::IncarnationIndex;
+use cornelpoint::scheduler::PoolScheduler;
+use cornelpoint::worker::ActiveRun;
+use cornelpoint::worker::CompletionKind;
+use cornelpoint::worker::OrderOutcome;
+use cornelpoint::worker::RunCompletion;
+use cornelpoint::worker::WorkerReport;
+
+use crate::support::at;
+use crate::support::job;
+use crate::support::job_id;
+use crate::support::ready_scheduler;
+use crate::support::step;
+use crate::support::store_batches;
+
+const INTERVAL_MS: u64 = 100;
+
+/// A run on a worker, with the time of its end if it is being stopped.
+struct ActiveTask {
+    worker: IncarnationIndex,
+    task: TaskId,
+    run: u64,
+    ends_ms: Option<u64>,
+}
+
+/// A scheduler whose workers carry out its orders at once; stops take an interval.
+struct World {
+    scheduler: PoolScheduler,
+    active: Vec<ActiveTask>,
+    completions: Vec<(IncarnationIndex, RunCompletion)>,
+    sequences: Vec<u64>,
+    now_ms: u64,
+    /// Time between the end of a run and the next one of its task, by task.
+    stopped: Vec<(TaskId, u64)>,
+    longest_away_ms: u64,
+}
+
+impl World {
+    fn new(workers: &[&str]) -> Self {
+        Self {
+            scheduler: ready_scheduler(workers),
+            active: Vec::new(),
+            completions: Vec::new(),
+            sequences: vec![0; workers.len()],
+            now_ms: 100,
+            stopped: Vec::new(),
+            longest_away_ms: 0,
+        }
+    }
+
+    fn accept(&mut self, number: u64, raw: RawStep) {
+        let (record, spec) = job(vec![raw]);
+        let now = at(self.now_ms);
+        self.scheduler
+            .submit_from_inbox(job_id(number), record, spec, now);
+    }
+
+    fn runs_of(&self, number: u64) -> usize {
+        let runs = self.active.iter();
+        runs.filter(|active| active.task.step.job == job_id(number) && active.ends_ms.is_none())
+            .count()
+    }
+
+    fn end_runs(&mut self) {
+        let now_ms = self.now_ms;
+        let ended = |active: &ActiveTask| active.ends_ms.is_some_and(|ends_ms| ends_ms <= now_ms);
+        let (over, active) = std::mem::take(&mut self.active)
+            .into_iter()
+            .partition(ended);
+        self.active = active;
+        let over: Vec<ActiveTask> = over;
+        for run in over {
+            let sequence = &mut self.sequences[run.worker as usize];
+            *sequence += 1;
+            self.stopped.push((run.task, now_ms));
+            let completion = RunCompletion {
+                sequence: *sequence,
+                task: run.task,
+                run: run.run,
+                kind: CompletionKind::Stopped,
+                checkpoint: String::new(),
+            };
+            self.completions.push((run.worker, completion));
+        }
+    }
+
+    fn report(&self, worker: IncarnationIndex) -> WorkerReport {
+        let active = self.active.iter().filter(|active| active.worker == worker);
+        let running = active.map(|active| ActiveRun {
+            task: active.task,
+            run: active.run,
+            checkpoint: String::new(),
+            speed_percent: 100,
+            gauge: 0,
+        });
+        let completions = self.completions.iter();
+        let completions = completions.filter(|(of, _)| *of == worker);
+        WorkerReport {
+            born_unix_ms: 5,
+            clock_ms: self.now_ms + 1000,
+            running: running.collect(),
+            completions: completions
+                .map(|(_, completion)| completion.clone())
+                .collect(),
+        }
+    }
+
+    fn carry_out(&mut self, action: &Action) {
+        let now = at(self.now_ms);
+        let done = OrderOutcome::Done {
+            clock_ms: self.now_ms + 1000,
+        };
+        match *action {
+            Action::Start {
+                incarnation,
+                task,
+                run,
+                ..
+            } => {
+                self.active.push(ActiveTask {
+                    worker: incarnation,
+                    task,
+                    run,
+                    ends_ms: None,
+                });
+                if let Some(index) = self.stopped.iter().position(|(of, _)| *of == task) {
+                    let (_, since_ms) = self.stopped.remove(index);
+                    self.longest_away_ms = self.longest_away_ms.max(self.now_ms - since_ms);
+                }
+                self.scheduler
+                    .start_replied(incarnation, task, run, done, now);
+            }
+            Action::Stop {
+                incarnation,
+                task,
+                run,
+            } => {
+                for active in &mut self.active {
+                    if active.task == task && active.run == run {
+                        active.ends_ms = Some(self.now_ms + INTERVAL_MS);
+                    }
+                }
+                self.scheduler
+                    .stop_replied(incarnation, task, run, done, now);
+            }
+            Action::RenewLease {
+                incarnation,
+                acknowledged,
+                ..
+            } => {
+                self.completions.retain(|(worker, completion)| {
+                    *worker != incarnation || completion.sequence > acknowledged
+                });
+                let report = self.report(incarnation);
+                self.scheduler.renewal_replied(incarnation, Ok(report), now);
+            }
+            Action::Pace { .. } | Action::RequestAdvice { .. } => {}
+        }
+    }
+
+    /// Lets time pass to the next interval.
+    fn advance(&mut self) {
+        self.now_ms += INTERVAL_MS;
+        self.end_runs();
+        for _ in 0..4 {
+            store_batches(&mut self.scheduler, self.now_ms);
+            self.scheduler.confirm_ownership(self.now_ms);
+            self.scheduler.tick(at(self.now_ms));
+            for action in self.scheduler.take_actions() {
+                self.carry_out(&action);
+            }
+        }
+        let waiting = self.stopped.iter();
+        let waiting = waiting.map(|(_, since_ms)| self.now_ms - since_ms);
+        self.longest_away_ms = self.longest_away_ms.max(waiting.max().unwrap_or(0));
+    }
+
+    fn advance_by(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        while self.now_ms < end_ms {
+            self.advance();
+        }
+    }
+}
+
+fn lasting(replicas: u64, cpu_millicores: u64, memory_mb: u64) -> RawStep {
+    RawStep {
+        long_running: true,
+        memory_mb,
+        ..step(replicas, cpu_millicores)
+    }
+}
+
+/// Guards against tasks that last and are stopped to vacate their worker though no other
+/// has room for them.
+#[test]
+fn a_task_that_lasts_is_not_stopped_before_there_is_a_place_for_it() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.accept(1, lasting(2, 1000, 10_000));
+    world.advance_by(1000);
+    assert_eq!(world.runs_of(1), 2);
+    world
+        .scheduler
+        .vacate(&BTreeSet::from(["w1".to_owned()]), at(world.now_ms));
+    world.advance_by(5000);
+    assert_eq!(world.longest_away_ms, 0);
+}
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -9,6 +9,7 @@
 mod fake_store;
 mod fake_worker;
 mod inbox;
+mod lasting_tasks;
 mod objectives;
 mod occurrences;
 mod odd_entries;
--- a/crates/cornelpoint/tests/scheduler/predecessor_stops.rs
+++ b/crates/cornelpoint/tests/scheduler/predecessor_stops.rs
@@ -64,7 +64,7 @@
 
 /// Returns a successor's scheduler for a step with two long-running tasks, of
 /// which one may be unavailable. Both workers list their runs at 10 ms, and the
-/// first is to be vacated.
+/// first is to be vacated. A third has room for its task.
 fn successor() -> PoolScheduler {
     let mut scheduler = PoolScheduler::new(POOL, 2, SchedulerSettings::default());
     let queue = queue();
@@ -79,13 +79,19 @@
     let progress = JobProgress::default();
     scheduler.restore(job_id(1), record, spec, Some(&progress), at(0));
     scheduler.confirm_ownership(0);
-    scheduler.apply_registry(&[entry("w1", 5), entry("w2", 5)], true, at(0));
+    let entries = ["w1", "w2", "w3"].map(|id| entry(id, 5));
+    scheduler.apply_registry(&entries, true, at(0));
     scheduler.vacate(&BTreeSet::from(["w1".to_owned()]), at(0));
     scheduler.tick(at(0));
     store_batches(&mut scheduler, 0);
     for incarnation in [0, 1] {
         scheduler.renewal_replied(incarnation, Ok(listed(incarnation, 10)), at(10));
     }
+    let empty = WorkerReport {
+        running: Vec::new(),
+        ..listed(2, 10)
+    };
+    scheduler.renewal_replied(2, Ok(empty), at(10));
     scheduler
 }
 
