Report the workers that a pool's tasks that last lack

The fleet's manager learns of cores and of each step's limit of tasks a worker, not of memory, nor of steps that take workers from each other.

The owner counts, at most four times a second, the workers that its tasks that last lack: those that wait or are on workers that leave, each against the room beside tasks that last on the workers that stay. While there are any, and 6 s after, the pool's least number of workers is the usable ones, those, and one to which tasks can move; the manager then stops vacating its workers, sends it machines and takes none from it. A step that needs a label asks for none: whether a machine will have it isn't known. Tests, the first two failing before: a_pool_asks_for_the_workers_that_its_tasks_that_last_lack, a_pool_lacks_workers_while_its_tasks_that_last_cannot_leave, a_pool_with_room_for_tasks_that_last_lacks_no_workers.

--- a/crates/cornelpoint/src/scheduler/load.rs
+++ b/crates/cornelpoint/src/scheduler/load.rs
@@ -131,7 +131,7 @@
             late_core_ms: load.late_core_ms,
             offered_millicores: self.offered_millicores(now),
             refused_core_ms: recent.map(|(_, _, work)| work).sum(),
-            least_workers: self.least_workers(),
+            least_workers: self.least_workers().max(self.least_workers_lately(now)),
             workers: u32::try_from(usable.count()).unwrap_or(u32::MAX),
             vacated: self.vacated(),
             cheapest: self.cheapest(now),
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -18,6 +18,7 @@
 mod intake;
 mod job_entry;
 mod job_rows;
+mod lacking_workers;
 mod lease_renewal;
 mod load;
 mod newest_incarnations;
--- a/crates/cornelpoint/src/scheduler/places.rs
+++ b/crates/cornelpoint/src/scheduler/places.rs
@@ -67,6 +67,24 @@
         places
     }
 
+    /// Returns the room that tasks that last leave on the workers that stay, also on
+    /// those that may get no tasks at the moment.
+    pub(super) fn places_beside_lasting(&self) -> Places {
+        let workers = self.incarnations.iter();
+        let staying = workers
+            .filter(|(_, worker)| worker.listed && !worker.vacating && !worker.entry.draining);
+        Places {
+            workers: staying
+                .map(|(&incarnation, worker)| Place {
+                    incarnation,
+                    used: self.used_by_lasting(worker),
+                    claims: BTreeMap::new(),
+                })
+                .collect(),
+            without_place: BTreeSet::new(),
+        }
+    }
+
     /// Takes a place for one more task of a step. Returns whether there was one.
     pub(super) fn claim_place(&self, places: &mut Places, id: StepId) -> bool {
         let Some(job) = self.jobs.get(&id.job) else {
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -20,6 +20,7 @@
 use super::batch::WorkerRecord;
 use super::instant::Instant;
 use super::job_entry::JobEntry;
+use super::lacking_workers::LackingWorkers;
 use super::load::Load;
 use super::placement::ReadyKey;
 use super::ready_step::ReadyStep;
@@ -94,6 +95,7 @@
     last_tick_ms: u64,
     /// When a step that waits for workers was last logged.
     pub(super) wait_logged_ms: u64,
+    pub(super) lacking_workers: LackingWorkers,
     /// Whether tasks wait only until orders to start are answered.
     pub(super) starts_limited: bool,
     pub(super) fenced: bool,
@@ -170,6 +172,7 @@
             changed_workers: WorkerSet::All,
             last_tick_ms: 0,
             wait_logged_ms: 0,
+            lacking_workers: LackingWorkers::default(),
             starts_limited: false,
             fenced: false,
             vacating: BTreeSet::new(),
@@ -251,6 +254,7 @@
             self.place_ready_steps(now);
         }
         self.log_waiting_step(now);
+        self.check_lacking_workers(now);
         self.send_due_renewals(now);
         self.expire_final_jobs(now);
     }
--- a/crates/cornelpoint/tests/scheduler/lasting_tasks.rs
+++ b/crates/cornelpoint/tests/scheduler/lasting_tasks.rs
@@ -212,3 +212,42 @@
     world.advance_by(5000);
     assert_eq!(world.longest_away_ms, 0);
 }
+
+/// Guards against a task that lasts and waits though there are spare machines: its pool
+/// counted its load in cores only, and asked for none.
+#[test]
+fn a_pool_asks_for_the_workers_that_its_tasks_that_last_lack() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.accept(1, lasting(3, 1000, 10_000));
+    world.advance_by(1000);
+    assert_eq!(world.runs_of(1), 2);
+    let report = world.scheduler.report(at(world.now_ms));
+    assert!(report.least_workers > report.workers);
+}
+
+/// Guards against workers that are vacated for ever: their tasks that last have no other
+/// place, and nobody stops vacating them.
+#[test]
+fn a_pool_lacks_workers_while_its_tasks_that_last_cannot_leave() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.accept(1, lasting(2, 1000, 10_000));
+    world.advance_by(1000);
+    world
+        .scheduler
+        .vacate(&BTreeSet::from(["w1".to_owned()]), at(world.now_ms));
+    world.advance_by(1000);
+    let report = world.scheduler.report(at(world.now_ms));
+    // The fleet's manager stops vacating a pool's workers from then on.
+    assert!(report.least_workers > report.workers + 1);
+}
+
+/// A pool whose tasks that last have room lacks no workers, however busy they are.
+#[test]
+fn a_pool_with_room_for_tasks_that_last_lacks_no_workers() {
+    let mut world = World::new(&["w1", "w2"]);
+    world.accept(1, step(8, 1000));
+    world.accept(2, lasting(2, 1000, 10_000));
+    world.advance_by(1000);
+    let report = world.scheduler.report(at(world.now_ms));
+    assert_eq!(report.least_workers, 1);
+}
