--- a/crates/cornelpoint/tests/scheduler/lasting_tasks.rs
+++ b/crates/cornelpoint/tests/scheduler/lasting_tasks.rs
@@ -1,4 +1,4 @@
-//! Tasks that last, while workers are vacated.
+//! Tasks that last, while workers are vacated or busy with short tasks.
 
 use std::collections::BTreeSet;
 
@@ -21,8 +21,12 @@
 use crate::support::store_batches;
 
 const INTERVAL_MS: u64 = 100;
+/// Job whose tasks last.
+const LASTING: u64 = 1;
+/// Duration of the other tasks.
+const SHORT_MS: u64 = 900;
 
-/// A run on a worker, with the time of its end if it is being stopped.
+/// A run on a worker, with the time of its end if it is short or being stopped.
 struct ActiveTask {
     worker: IncarnationIndex,
     task: TaskId,
@@ -79,12 +83,17 @@
         for run in over {
             let sequence = &mut self.sequences[run.worker as usize];
             *sequence += 1;
-            self.stopped.push((run.task, now_ms));
+            let kind = if run.task.step.job == job_id(LASTING) {
+                self.stopped.push((run.task, now_ms));
+                CompletionKind::Stopped
+            } else {
+                CompletionKind::Done
+            };
             let completion = RunCompletion {
                 sequence: *sequence,
                 task: run.task,
                 run: run.run,
-                kind: CompletionKind::Stopped,
+                kind,
                 checkpoint: String::new(),
             };
             self.completions.push((run.worker, completion));
@@ -124,11 +133,12 @@
                 run,
                 ..
             } => {
+                let is_short = task.step.job != job_id(LASTING);
                 self.active.push(ActiveTask {
                     worker: incarnation,
                     task,
                     run,
-                    ends_ms: None,
+                    ends_ms: is_short.then_some(self.now_ms + SHORT_MS),
                 });
                 if let Some(index) = self.stopped.iter().position(|(of, _)| *of == task) {
                     let (_, since_ms) = self.stopped.remove(index);
@@ -203,9 +213,9 @@
 #[test]
 fn a_task_that_lasts_is_not_stopped_before_there_is_a_place_for_it() {
     let mut world = World::new(&["w1", "w2"]);
-    world.accept(1, lasting(2, 1000, 10_000));
+    world.accept(LASTING, lasting(2, 1000, 10_000));
     world.advance_by(1000);
-    assert_eq!(world.runs_of(1), 2);
+    assert_eq!(world.runs_of(LASTING), 2);
     world
         .scheduler
         .vacate(&BTreeSet::from(["w1".to_owned()]), at(world.now_ms));
@@ -218,9 +228,9 @@
 #[test]
 fn a_pool_asks_for_the_workers_that_its_tasks_that_last_lack() {
     let mut world = World::new(&["w1", "w2"]);
-    world.accept(1, lasting(3, 1000, 10_000));
+    world.accept(LASTING, lasting(3, 1000, 10_000));
     world.advance_by(1000);
-    assert_eq!(world.runs_of(1), 2);
+    assert_eq!(world.runs_of(LASTING), 2);
     let report = world.scheduler.report(at(world.now_ms));
     assert!(report.least_workers > report.workers);
 }
@@ -230,7 +240,7 @@
 #[test]
 fn a_pool_lacks_workers_while_its_tasks_that_last_cannot_leave() {
     let mut world = World::new(&["w1", "w2"]);
-    world.accept(1, lasting(2, 1000, 10_000));
+    world.accept(LASTING, lasting(2, 1000, 10_000));
     world.advance_by(1000);
     world
         .scheduler
@@ -245,9 +255,24 @@
 #[test]
 fn a_pool_with_room_for_tasks_that_last_lacks_no_workers() {
     let mut world = World::new(&["w1", "w2"]);
-    world.accept(1, step(8, 1000));
-    world.accept(2, lasting(2, 1000, 10_000));
+    world.accept(2, step(8, 1000));
+    world.accept(LASTING, lasting(2, 1000, 10_000));
     world.advance_by(1000);
     let report = world.scheduler.report(at(world.now_ms));
     assert_eq!(report.least_workers, 1);
 }
+
+/// Guards against a task that lasts and never starts in a busy pool: the room that a short
+/// task leaves is too small for it and is taken by the next short one.
+#[test]
+fn short_tasks_keep_no_task_that_lasts_from_starting() {
+    let mut world = World::new(&["w1", "w2"]);
+    for round in 0..120 {
+        world.accept(100 + round, step(1, 1000));
+        if round == 20 {
+            world.accept(LASTING, lasting(1, 2000, 1000));
+        }
+        world.advance();
+    }
+    assert_eq!(world.runs_of(LASTING), 1);
+}
