Tests of what passes from an incarnation of a worker to the next one

Each fails with one or more hunks of the restart changes taken out that no other test noticed: the stop of a moved run, the end of orders to a former incarnation, the clock in the answer to an order, crashes beside unreported runs, an unlisted restarted worker, a successor's wait for a restarted worker, and acknowledgements to a worker that did not answer.

--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -16,6 +16,8 @@
 mod predecessor_stops;
 mod random_schedules;
 mod refused_rows;
+mod restart_details;
+mod restart_support;
 mod restarts;
 mod step_kinds;
 mod stored_progress;
