--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -18,6 +18,7 @@
 mod refused_rows;
 mod restart_details;
 mod restart_support;
+mod restart_suspicions;
 mod restarts;
 mod step_kinds;
 mod stored_progress;
