--- a/crates/cornelpoint/tests/scheduler/random_schedules.rs
+++ b/crates/cornelpoint/tests/scheduler/random_schedules.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// The same, with orders that are carried out late, by the incarnation after the one that
+/// they were sent to.
+#[test]
+fn tasks_run_twice_when_late_orders_reach_the_next_incarnation() {
+    for seed in schedules() {
+        let world = World::new(seed, Mutant::None).with_restarts();
+        let world = world.with_orders_that_outlast_restarts().run();
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 #[test]
 fn a_worker_that_takes_orders_of_a_fenced_owner_is_detected() {
     assert!(schedules_with_violations(Mutant::NoFence) > 0);
--- a/crates/cornelpoint/tests/scheduler/world/mod.rs
+++ b/crates/cornelpoint/tests/scheduler/world/mod.rs
@@ -64,6 +64,8 @@
     mutant: Mutant,
     /// Whether workers restart under their identifiers.
     restarts: bool,
+    /// Whether late orders reach the incarnation after the one that they were sent to.
+    orders_outlast_restarts: bool,
     /// Faults of takeovers, partitions and registry readings, with an idle time between
     /// two phases of faults.
     views: Option<Views>,
@@ -102,6 +104,7 @@
             random,
             mutant,
             restarts: false,
+            orders_outlast_restarts: false,
             views: None,
             listed: Vec::new(),
             now_ms: 0,
@@ -120,6 +123,12 @@
         }
     }
 
+    /// Lets the next incarnation of a worker carry out orders that are late.
+    pub(crate) fn with_orders_that_outlast_restarts(mut self) -> Self {
+        self.orders_outlast_restarts = true;
+        self
+    }
+
     /// Lets workers restart under their identifiers. The registry shows it late.
     pub(crate) fn with_restarts(mut self) -> Self {
         self.restarts = true;
@@ -355,11 +364,13 @@
         }
     }
 
-    /// Carries out an order that the incarnation with this start has received. A worker
-    /// that restarts loses the orders that it has not carried out.
+    /// Carries out an order that the incarnation with this start has received. Unless
+    /// orders outlast restarts, a worker loses those that it has not carried out.
     fn carry_out_late(&mut self, owner: usize, action: &Action, born_unix_ms: u64) {
         let worker = self.worker_of(owner, action);
-        if worker.is_some_and(|worker| self.workers[worker].born_unix_ms == born_unix_ms) {
+        let reaches_worker =
+            worker.is_some_and(|worker| self.workers[worker].born_unix_ms == born_unix_ms);
+        if reaches_worker || self.orders_outlast_restarts {
             self.carry_out(owner, action);
         }
     }
