Count no crash for a worker that left as planned and restarted

Runs of a former incarnation that was leaving count none, as for workers that don't restart. Also: the handling of runs that a report doesn't list is in a file of its own, and the comments on waits name their sources.

--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -36,6 +36,7 @@
 mod silences;
 mod task_entry;
 mod tickets;
+mod unlisted_runs;
 mod unstored_jobs;
 mod waiting_tasks;
 mod worker_choice;
--- a/crates/cornelpoint/src/scheduler/restarts.rs
+++ b/crates/cornelpoint/src/scheduler/restarts.rs
@@ -8,6 +8,7 @@
 use super::pool_scheduler::PoolScheduler;
 use super::scheduler_event::EndEvidence;
 use super::task_entry::Phase;
+use super::worker_state::WorkerState;
 
 impl PoolScheduler {
     /// Replaces an incarnation by the next one of its worker. Orders name the worker only:
@@ -20,6 +21,8 @@
         now: Instant,
     ) -> IncarnationIndex {
         let unreported = self.take_unreported_runs(former);
+        let worker = self.incarnations.get(&former);
+        let was_leaving = worker.is_some_and(WorkerState::is_leaving);
         self.end_incarnation_beside(former, evidence, !unreported.is_empty(), now);
         // Its runs are settled once the new incarnation has reported.
         self.ended_predecessors.remove(&entry.id);
@@ -38,6 +41,7 @@
             if let Some(worker) = self.incarnations.get_mut(&restarted) {
                 worker.reserve(task, number, need);
                 worker.uncertain.insert((task, number), lost);
+                worker.former_was_leaving = was_leaving;
                 worker.expect_former_orders(now.steady_ms, max_lease_ms);
             }
         }
--- a/crates/cornelpoint/src/scheduler/settings.rs
+++ b/crates/cornelpoint/src/scheduler/settings.rs
@@ -37,7 +37,7 @@
             // Outlasts a takeover (1.5 s to detect, 1 s to rebuild the state).
             // The tasks of a lost worker are freed after the same time.
             lease_ms: 4000,
-            // The longest of the deployments' bounds.
+            // The longest that the platform has named.
             max_lease_ms: 10_000,
             // A quarter of the lease, so that three renewals in a row may be
             // lost.
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -21,7 +21,8 @@
 /// Margin after the end of a lease for the worker's own delay in ending its
 /// runs.
 const LEASE_MARGIN_MS: u64 = 100;
-/// Longest time that an order may be on its way: the timeout of a lease renewal.
+/// Longest time for which this process waits for the answer to an order or a renewal,
+/// 1.8 s. The platform sets no bound to how late it is carried out.
 const ORDER_DELAY_MS: u64 = 2000;
 /// Difference by which the clock of a worker that has not restarted may seem to be set
 /// back: answers on different connections overtake each other.
@@ -53,9 +54,10 @@
     pub(super) applied_completion: u64,
     /// Completions up to this sequence number are stored.
     pub(super) stored_completion: u64,
-    /// Completions up to this sequence number are acknowledged to the worker, by the
-    /// latest renewal that it has answered and by the one in flight.
+    /// Completions up to this sequence number are acknowledged by a renewal that the
+    /// worker has answered.
     pub(super) acknowledged_completion: u64,
+    /// The same once the renewal in flight is answered.
     pub(super) acknowledging_completion: u64,
     /// Completions that are applied and not stored: the sequence number of the last
     /// one in a report, and the number of changes of jobs up to it.
@@ -94,7 +96,10 @@
     pub(super) lease_end_known_ms: Option<u64>,
     /// Runs ordered from the worker's former incarnation that it may have or have had.
     pub(super) uncertain: BTreeMap<(TaskId, u64), LostRun>,
+    /// Whether the former incarnation was leaving as planned.
+    pub(super) former_was_leaving: bool,
     /// Until when runs may last that were ordered from the worker's former incarnation.
+    /// Their deadlines are by its clock, so that only the longest lease bounds them.
     pub(super) former_orders_end_ms: u64,
     /// Runs of tasks that may crash it, with the times of their starts, until it is
     /// heard of long enough after.
@@ -163,6 +168,7 @@
             failed_renewals: 0,
             lease_end_known_ms: None,
             uncertain: BTreeMap::new(),
+            former_was_leaving: false,
             former_orders_end_ms: 0,
             trials: BTreeMap::new(),
         }
