--- a/crates/cornelpoint/src/scheduler/orders.rs
+++ b/crates/cornelpoint/src/scheduler/orders.rs
@@ -132,6 +132,7 @@
             Rejection::Ticket => {
                 self.tickets.remove(&task.step);
             }
+            // The end of the worker is handled with the answer.
             Rejection::OldRun | Rejection::OtherLife => {}
             Rejection::Unhealthy | Rejection::Malformed => self.penalize(incarnation, now),
         }
--- a/crates/cornelpoint/tests/scheduler/world/mod.rs
+++ b/crates/cornelpoint/tests/scheduler/world/mod.rs
@@ -4,6 +4,7 @@
 mod event;
 mod faults;
 mod mutant;
+mod orders;
 mod views;
 
 use std::cmp::Reverse;
@@ -15,13 +16,9 @@
 use cornelpoint::job::JobStatus;
 use cornelpoint::job::RawStep;
 use cornelpoint::job::TaskId;
-use cornelpoint::scheduler::Action;
 use cornelpoint::scheduler::Batch;
 use cornelpoint::scheduler::BatchOutcome;
 use cornelpoint::scheduler::PoolScheduler;
-use cornelpoint::scheduler::RenewalFailure;
-use cornelpoint::worker::Completeness;
-use cornelpoint::worker::CompletionKind;
 use cornelpoint::worker::RegistryEntry;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -331,178 +328,6 @@
         };
         self.push(10, Event::Committed(owner, outcome));
     }
-
-    /// Sends an action, which arrives, is lost, or arrives seconds late without
-    /// an answer.
-    fn send(&mut self, owner: usize, action: Action) {
-        let Some(worker) = self.worker_of(owner, &action) else {
-            return;
-        };
-        let injects_faults = self.injects_faults();
-        if self.owners[owner].partitioned_from.contains(&worker) {
-            if self.views.is_some() {
-                self.send_into_partition(owner, action);
-                return;
-            }
-            self.push(300, Event::Reply(owner, no_answer(&action)));
-        } else if injects_faults && self.chance(5) {
-            self.push(300, Event::Reply(owner, no_answer(&action)));
-            let late_ms = self.random.random_range(500..9000);
-            let born_unix_ms = self.workers[worker].born_unix_ms;
-            self.push(late_ms, Event::LateOrder(owner, action, born_unix_ms));
-        } else {
-            let reply = self.carry_out(owner, &action);
-            let lost = injects_faults && self.chance(5);
-            let reply = if lost {
-                Some(no_answer(&action))
-            } else {
-                reply
-            };
-            if let Some(reply) = reply {
-                self.push(20, Event::Reply(owner, reply));
-            }
-        }
-    }
-
-    /// Carries out an order that the incarnation with this start has received. Unless
-    /// orders outlast restarts, a worker loses those that it has not carried out.
-    fn carry_out_late(&mut self, owner: usize, action: &Action, born_unix_ms: u64) {
-        let worker = self.worker_of(owner, action);
-        let reaches_worker =
-            worker.is_some_and(|worker| self.workers[worker].born_unix_ms == born_unix_ms);
-        if reaches_worker || self.orders_outlast_restarts {
-            self.carry_out(owner, action);
-        }
-    }
-
-    fn worker_of(&self, owner: usize, action: &Action) -> Option<usize> {
-        let incarnation = match action {
-            Action::Start { incarnation, .. }
-            | Action::Stop { incarnation, .. }
-            | Action::RenewLease { incarnation, .. }
-            | Action::Pace { incarnation, .. } => *incarnation,
-            Action::RequestAdvice { .. } => return None,
-        };
-        let (_, id) = self.owners[owner].scheduler.worker_address(incarnation)?;
-        self.workers.iter().position(|worker| worker.id == id)
-    }
-
-    fn carry_out(&mut self, owner: usize, action: &Action) -> Option<Reply> {
-        let number = self.worker_of(owner, action)?;
-        let token = self.owners[owner].token;
-        let now_ms = self.now_ms;
-        match *action {
-            Action::Start {
-                incarnation,
-                task,
-                run,
-                deadline_clock_ms,
-                ..
-            } => {
-                let work = self.work(task);
-                let was_running = self.workers[number].runs(task);
-                let order = (task, run, deadline_clock_ms);
-                let outcome = self.workers[number].start(now_ms, token, order, work);
-                if !was_running && self.workers[number].runs(task) {
-                    self.check_start(number, task);
-                }
-                Some(Reply::Start(incarnation, task, run, outcome))
-            }
-            Action::Stop {
-                incarnation,
-                task,
-                run,
-            } => {
-                let outcome = self.workers[number].stop(now_ms, token, task, run);
-                Some(Reply::Stop(incarnation, task, run, outcome))
-            }
-            Action::RenewLease {
-                incarnation,
-                acknowledged,
-                deadline_clock_ms,
-                ..
-            } => {
-                let answer = self.workers[number].renew_lease(
-                    now_ms,
-                    token,
-                    acknowledged,
-                    deadline_clock_ms,
-                );
-                let outcome = match answer {
-                    Some((mut report, acknowledged_completions)) => {
-                        if self.mutant == Mutant::UnmarkedReports {
-                            report.completeness = Completeness::Complete;
-                        }
-                        for (completion, ended_ms) in acknowledged_completions {
-                            if completion.kind == CompletionKind::Done {
-                                self.check_done(completion.task, ended_ms);
-                            }
-                        }
-                        Ok(report)
-                    }
-                    None => Err(RenewalFailure::Fenced),
-                };
-                Some(Reply::Renewal(incarnation, outcome))
-            }
-            Action::Pace { .. } | Action::RequestAdvice { .. } => None,
-        }
-    }
-
-    fn work(&mut self, task: TaskId) -> (u64, bool, u64) {
-        let is_long = self.views.is_some() && self.chance(40);
-        let longest_ms = if is_long {
-            views::LONGEST_WORK_MS
-        } else {
-            1500
-        };
-        let work_ms = self.random.random_range(200..longest_ms);
-        let fails = self.injects_faults() && self.chance(2);
-        let cpu_millicores = if task.step.step == 0 { 1000 } else { 1500 };
-        (work_ms, fails, cpu_millicores)
-    }
-
-    /// Restarts workers at random; their clocks and counts begin anew.
-    fn restart_workers(&mut self) {
-        for number in 0..WORKERS {
-            if self.random.random_range(0..250) == 0 {
-                let id = self.workers[number].id.clone();
-                let permille = self.random.random_range(981..=1000);
-                self.workers[number] = FakeWorker::new(&id, self.now_ms, permille, true);
-            }
-        }
-    }
-
-    /// Records that the end of a run as done is acknowledged.
-    fn check_done(&mut self, task: TaskId, ended_ms: u64) {
-        self.acknowledged_done.insert(task);
-        let started_ms = self.started_ms.get(&task).copied().unwrap_or(0);
-        if started_ms > ended_ms {
-            self.violations.push(format!(
-                "{started_ms} ms: {task} restarted after its run that ended at {ended_ms} ms"
-            ));
-        }
-    }
-
-    fn check_start(&mut self, worker: usize, task: TaskId) {
-        let now_ms = self.now_ms;
-        self.started_ms.insert(task, now_ms);
-        let elsewhere = (0..WORKERS).any(|other| other != worker && self.workers[other].runs(task));
-        if elsewhere {
-            self.violations.push(format!(
-                "{now_ms} ms: second run of {task} while one is active"
-            ));
-        }
-        if self.acknowledged_done.contains(&task) {
-            self.violations.push(format!(
-                "{now_ms} ms: {task} restarted after its completion was acknowledged"
-            ));
-        }
-        if self.workers[worker].used_millicores() > CAPACITY_MILLICORES {
-            self.violations.push(format!(
-                "{now_ms} ms: worker over capacity after the start of {task}"
-            ));
-        }
-    }
 }
 
 fn listed(workers: &[FakeWorker]) -> Vec<RegistryEntry> {
