--- a/review/standins-2/src/manager.rs
+++ b/review/standins-2/src/manager.rs
@@ -19,16 +19,22 @@
     child: Child,
 }
 
-/// Returns a port that is free for TCP and UDP.
-fn free_port() -> std::io::Result<u16> {
-    for _ in 0..50 {
+/// Returns ports that are free for TCP and UDP; all are held until the last is chosen.
+fn free_ports() -> std::io::Result<[u16; 3]> {
+    let mut held = Vec::new();
+    let mut ports = Vec::new();
+    while ports.len() < 3 && held.len() < 50 {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let port = listener.local_addr()?.port();
-        if UdpSocket::bind(("127.0.0.1", port)).is_ok() {
-            return Ok(port);
+        let datagrams = UdpSocket::bind(("127.0.0.1", port));
+        if datagrams.is_ok() {
+            ports.push(port);
         }
+        held.push((listener, datagrams));
     }
-    Err(std::io::Error::other("no free port"))
+    ports
+        .try_into()
+        .map_err(|_| std::io::Error::other("no free ports"))
 }
 
 impl Manager {
@@ -39,8 +45,7 @@
         store: SocketAddr,
         cloud: SocketAddr,
     ) -> std::io::Result<Self> {
-        let (front, ready) = (free_port()?, free_port()?);
-        let internal = free_port()?;
+        let [front, ready, internal] = free_ports()?;
         let settings = settings(name, front, ready, internal, store, cloud);
         let path: PathBuf = folder.join(format!("{name}.toml"));
         fs::write(&path, settings)?;
