Bind calls to the incarnation of a worker that they are meant for

The task is started again elsewhere 4.5 s later while the first run goes on.

Cause: calls name a worker, while deadlines and acknowledgements mean something to one of its incarnations only. One that nobody had heard of took a deadline by its former clock, which the platform cuts to its longest lease, 6 s or 10 s; owner and successor wait for 4 s.

Evidence: a_worker_that_restarted_unseen_gets_a_lease_by_the_clock_of_its_former_incarnation, with real processes, failed before: a lease of 10,594 ms. With the mutant UnboundCalls the model runs tasks twice.

Fix: each new connection begins with a question whose answer names the incarnation. It ends with that process, so that an order without an answer was carried out there or nowhere. A start for another incarnation is sent by that one's clock, for what is left of the lease; a renewal isn't sent, the answer to the question is its first report. No wait changes.

The model binds calls like the manager, and gains unseen restarts followed by cuts, with tasks longer than a lease.

--- a/crates/cornelpoint-manager/src/http/endpoint.rs
+++ b/crates/cornelpoint-manager/src/http/endpoint.rs
@@ -19,6 +19,9 @@
 use tokio::time::timeout_at;
 
 use super::call_error::CallError;
+use super::peer_check::Admission;
+use super::peer_check::CheckedResponse;
+use super::peer_check::PeerCheck;
 
 /// Timeout for opening a connection. One way within a region takes about 1 ms; a
 /// lost first packet is retransmitted only after 1 s.
@@ -100,6 +103,97 @@
         self.exchange(call, head_timeout, body, &|| true).await
     }
 
+    /// Sends a call like [`Self::send_while`], to one process only: each new connection is
+    /// checked before the call is sent. A connection that has been checked stays with its
+    /// process.
+    pub(crate) async fn send_checked(
+        &self,
+        call: &Call,
+        timeout: Duration,
+        may_send: &dyn Fn() -> bool,
+        check: PeerCheck<'_>,
+    ) -> Result<CheckedResponse, CallError> {
+        let deadline = Instant::now() + timeout;
+        let permit = timeout_at(deadline, self.permits.acquire()).await;
+        let Ok(Ok(_permit)) = permit else {
+            return Err(CallError::Busy);
+        };
+        let body = BodyTimeout::Deadline;
+        while let Some(mut sender) = self.take_idle() {
+            if !may_send() {
+                return Err(CallError::Busy);
+            }
+            let response = self.converse(&mut sender, call, deadline, body).await?;
+            if let Some(response) = response {
+                self.keep(sender);
+                return Ok(CheckedResponse::Answered(response));
+            }
+        }
+        let mut sender = self.connect(deadline).await?;
+        if !may_send() {
+            return Err(CallError::Busy);
+        }
+        let asked = self.converse(&mut sender, check.question, deadline, body);
+        let is_question = call == check.question;
+        let answer = match asked.await {
+            Ok(Some(answer)) => answer,
+            Err(error) if is_question => return Err(error),
+            Ok(None) | Err(_) => return Err(CallError::NotSent),
+        };
+        let admission = (check.admit)(&answer);
+        let call = match &admission {
+            Admission::Intended if is_question => {
+                self.keep(sender);
+                return Ok(CheckedResponse::Answered(answer));
+            }
+            Admission::Intended => call,
+            Admission::Instead(call) => call,
+            Admission::Refused => return Ok(CheckedResponse::Refused(answer)),
+        };
+        if !may_send() {
+            return Err(CallError::Busy);
+        }
+        let response = self.converse(&mut sender, call, deadline, body).await?;
+        let response = response.ok_or(CallError::NotSent)?;
+        if matches!(admission, Admission::Intended) {
+            self.keep(sender);
+        }
+        Ok(CheckedResponse::Answered(response))
+    }
+
+    /// Sends a call on a connection; `None` if it was closed before the call was written.
+    async fn converse(
+        &self,
+        sender: &mut SendRequest<Full<Bytes>>,
+        call: &Call,
+        deadline: Instant,
+        body_timeout: BodyTimeout,
+    ) -> Result<Option<Response>, CallError> {
+        let Some(request) = self.request(call) else {
+            return Err(CallError::NotSent);
+        };
+        let sent = Instant::now();
+        let response = match timeout_at(deadline, sender.send_request(request)).await {
+            Ok(Err(error)) if error.is_canceled() => return Ok(None),
+            Err(_) | Ok(Err(_)) => {
+                self.drop_idle(sent);
+                return Err(CallError::NoAnswer);
+            }
+            Ok(Ok(response)) => response,
+        };
+        let status = response.status().as_u16();
+        let body = response.into_body();
+        let body = match body_timeout {
+            BodyTimeout::Deadline => timeout_at(deadline, read_body(body, None)).await,
+            BodyTimeout::Idle(idle) => Ok(read_body(body, Some(idle)).await),
+        };
+        let Ok(Some(body)) = body else {
+            self.drop_idle(sent);
+            return Err(CallError::NoAnswer);
+        };
+        Ok(Some(Response { status, body }))
+    }
+
     /// Sends a call. The head of the response has to arrive within `head_timeout`.
     async fn exchange(
         &self,
@@ -118,43 +212,31 @@
                 Some(sender) => (sender, true),
                 None => (self.connect(deadline).await?, false),
             };
-            let Some(request) = self.request(call) else {
-                return Err(CallError::NotSent);
-            };
             if !may_send() {
                 return Err(CallError::Busy);
             }
-            let sent = Instant::now();
-            match timeout_at(deadline, sender.send_request(request)).await {
-                Ok(Err(error)) if reused && error.is_canceled() => {}
-                Ok(Err(error)) if error.is_canceled() => return Err(CallError::NotSent),
-                Err(_) | Ok(Err(_)) => {
-                    self.drop_idle(sent);
-                    return Err(CallError::NoAnswer);
-                }
-                Ok(Ok(response)) => {
-                    let status = response.status().as_u16();
-                    let body = response.into_body();
-                    let body = match body_timeout {
-                        BodyTimeout::Deadline => timeout_at(deadline, read_body(body, None)).await,
-                        BodyTimeout::Idle(idle) => Ok(read_body(body, Some(idle)).await),
-                    };
-                    let Ok(Some(body)) = body else {
-                        self.drop_idle(sent);
-                        return Err(CallError::NoAnswer);
-                    };
-                    if !sender.is_closed() {
-                        let since = Instant::now();
-                        self.idle
-                            .borrow_mut()
-                            .push(IdleConnection { sender, since });
-                    }
-                    return Ok(Response { status, body });
+            let response = self.converse(&mut sender, call, deadline, body_timeout);
+            match response.await? {
+                Some(response) => {
+                    self.keep(sender);
+                    return Ok(response);
                 }
+                None if reused => {}
+                None => return Err(CallError::NotSent),
             }
         }
     }
 
+    /// Keeps a connection for the next call, unless the server has closed it.
+    fn keep(&self, sender: SendRequest<Full<Bytes>>) {
+        if !sender.is_closed() {
+            let since = Instant::now();
+            self.idle
+                .borrow_mut()
+                .push(IdleConnection { sender, since });
+        }
+    }
+
     fn take_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.borrow_mut();
         while let Some(connection) = idle.pop() {
--- a/crates/cornelpoint-manager/src/http/mod.rs
+++ b/crates/cornelpoint-manager/src/http/mod.rs
@@ -2,11 +2,15 @@
 
 mod call_error;
 mod endpoint;
+mod peer_check;
 mod server;
 
 pub(crate) use self::call_error::CallError;
 pub(crate) use self::endpoint::HttpEndpoint;
 pub(crate) use self::endpoint::Response;
+pub(crate) use self::peer_check::Admission;
+pub(crate) use self::peer_check::CheckedResponse;
+pub(crate) use self::peer_check::PeerCheck;
 pub(crate) use self::server::Reply;
 pub(crate) use self::server::ServerControl;
 pub(crate) use self::server::listen;
--- a/crates/cornelpoint-manager/src/pool_host/orders.rs
+++ b/crates/cornelpoint-manager/src/pool_host/orders.rs
@@ -1,4 +1,5 @@
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cornelpoint::job::StepId;
@@ -18,8 +19,11 @@
 use super::host::PoolHost;
 use super::worker_link::WorkerLink;
 use crate::clock;
+use crate::http::Admission;
 use crate::http::CallError;
+use crate::http::CheckedResponse;
 use crate::http::HttpEndpoint;
+use crate::http::PeerCheck;
 use crate::http::Response;
 use crate::metrics::ProcessMetrics;
 
@@ -31,6 +35,18 @@
 /// Timeout of a request to the advice service, which handles one at a time.
 const ADVICE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// An order to start, before it is sent to an incarnation of its worker.
+#[derive(Clone, Debug)]
+struct PendingStart {
+    task: TaskId,
+    run: u64,
+    spec: Arc<str>,
+    deadline_clock_ms: u64,
+    lease_end_ms: u64,
+    checkpoint: String,
+    ticket: Option<String>,
+}
+
 impl PoolHost {
     /// Starts to carry out an action; its outcome updates the scheduler later.
     pub(super) fn execute(self: &Rc<Self>, action: Action) {
@@ -41,6 +57,7 @@
                 run,
                 spec,
                 deadline_clock_ms,
+                lease_end_ms,
                 checkpoint,
                 ticket,
             } => {
@@ -49,16 +66,16 @@
                 };
                 debug!(self.log, "Starting a run."; "task" => %task, "run" => run,
                     "worker" => &link.id, "deadline_clock_ms" => deadline_clock_ms);
-                let order = workers::StartOrder {
+                let order = PendingStart {
                     task,
                     run,
-                    spec: &spec,
+                    spec,
                     deadline_clock_ms,
-                    checkpoint: &checkpoint,
-                    ticket: ticket.as_deref(),
+                    lease_end_ms,
+                    checkpoint,
+                    ticket,
                 };
-                let call = workers::start_call(&link.id, self.fencing_token, &order);
-                spawn_local(Rc::clone(self).send_start(link, incarnation, call, task, run));
+                spawn_local(Rc::clone(self).send_start(link, incarnation, order));
             }
             Action::Stop {
                 incarnation,
@@ -103,7 +120,7 @@
                 debug!(self.log, "Setting the pace of a run."; "task" => %task, "run" => run,
                     "worker" => &link.id, "percent" => percent);
                 let call = workers::pace_call(&link.id, self.fencing_token, task, run, percent);
-                spawn_local(Rc::clone(self).send_pace(link, call, task));
+                spawn_local(Rc::clone(self).send_pace(link, incarnation, call, task));
             }
             Action::RequestAdvice { step, incarnations } => {
                 spawn_local(Rc::clone(self).request_advice(step, incarnations));
@@ -125,11 +142,15 @@
         self: Rc<Self>,
         link: Rc<WorkerLink>,
         incarnation: IncarnationIndex,
-        call: Call,
-        task: TaskId,
-        run: u64,
+        order: PendingStart,
     ) {
-        let outcome = self.send_order(&link.orders, &call).await;
+        let (task, run) = (order.task, order.run);
+        let call = order.call(&link.id, self.fencing_token, order.deadline_clock_ms);
+        let translate = |clock_ms| {
+            let lease_ms = order.lease_end_ms.saturating_sub(clock::now().steady_ms);
+            (lease_ms > 0).then(|| order.call(&link.id, self.fencing_token, clock_ms + lease_ms))
+        };
+        let outcome = self.send_order(&link, incarnation, &call, &translate).await;
         let outcome_label = match outcome {
             OrderOutcome::Done { .. } => "done",
             OrderOutcome::Rejected(_) => "rejected",
@@ -153,12 +174,18 @@
         task: TaskId,
         run: u64,
     ) {
-        let outcome = self.send_order(&link.orders, &call).await;
+        let outcome = self.send_order(&link, incarnation, &call, &|_| None).await;
         self.apply(|scheduler, now| scheduler.stop_replied(incarnation, task, run, outcome, now));
     }
 
-    async fn send_pace(self: Rc<Self>, link: Rc<WorkerLink>, call: Call, task: TaskId) {
-        let outcome = self.send_order(&link.orders, &call).await;
+    async fn send_pace(
+        self: Rc<Self>,
+        link: Rc<WorkerLink>,
+        incarnation: IncarnationIndex,
+        call: Call,
+        task: TaskId,
+    ) {
+        let outcome = self.send_order(&link, incarnation, &call, &|_| None).await;
         if !matches!(outcome, OrderOutcome::Done { .. }) {
             info!(self.log, "Pace order failed."; "task" => %task, "worker" => &link.id,
                 "outcome" => ?outcome);
@@ -173,7 +200,19 @@
         wait_ms: u64,
     ) {
         let timeout = Duration::from_millis(wait_ms) + RENEWAL_TIMEOUT;
-        let outcome = match self.send_confirmed(&link.renewals, &call, timeout).await {
+        let sent = self.send_confirmed(
+            &link,
+            &link.renewals,
+            incarnation,
+            &call,
+            &|_| None,
+            timeout,
+        );
+        // A report of the next incarnation counts as its first one.
+        let answer = sent.await.map(|response| match response {
+            CheckedResponse::Answered(answer) | CheckedResponse::Refused(answer) => answer,
+        });
+        let outcome = match answer {
             Ok(answer) if answer.status == 200 => self.parse_report(&link, &answer.body),
             Ok(answer) if answer.status == 409 => Err(RenewalFailure::Fenced),
             Ok(answer) if answer.status == 421 => Err(RenewalFailure::OtherIncarnation),
@@ -261,9 +300,26 @@
         }
     }
 
-    async fn send_order(&self, endpoint: &HttpEndpoint, call: &Call) -> OrderOutcome {
-        match self.send_confirmed(endpoint, call, ORDER_TIMEOUT).await {
-            Ok(answer) => workers::parse_order_outcome(answer.status, &answer.body),
+    /// Sends an order to an incarnation. `translate` makes the order for the next incarnation
+    /// of the worker, by a reading of that one's clock, if it may be sent there.
+    async fn send_order(
+        &self,
+        link: &WorkerLink,
+        incarnation: IncarnationIndex,
+        call: &Call,
+        translate: &dyn Fn(u64) -> Option<Call>,
+    ) -> OrderOutcome {
+        let endpoint = &link.orders;
+        let sent = self.send_confirmed(link, endpoint, incarnation, call, translate, ORDER_TIMEOUT);
+        match sent.await {
+            Ok(CheckedResponse::Answered(answer)) => {
+                workers::parse_order_outcome(answer.status, &answer.body)
+            }
+            Ok(CheckedResponse::Refused(answer)) => {
+                info!(self.log, "Order not sent: another incarnation may answer.";
+                    "worker" => &link.id, "status" => answer.status);
+                OrderOutcome::NotSent
+            }
             Err(CallError::NotSent) => OrderOutcome::NotSent,
             Err(CallError::Busy) => OrderOutcome::Busy,
             Err(CallError::NoAnswer) => OrderOutcome::NoAnswer,
@@ -272,13 +328,55 @@
 
     /// Sends a call to a worker, unless this process may no longer order: a successor
     /// may have taken over, whose token the worker need not know yet.
+    ///
+    /// Calls name the worker, but deadlines and acknowledgements mean something to one of its
+    /// incarnations only. A connection ends with its incarnation, so that a call without an
+    /// answer was carried out by the one that has been identified there, or by none.
     async fn send_confirmed(
         &self,
+        link: &WorkerLink,
         endpoint: &HttpEndpoint,
+        incarnation: IncarnationIndex,
         call: &Call,
+        translate: &dyn Fn(u64) -> Option<Call>,
         timeout: Duration,
-    ) -> Result<Response, CallError> {
+    ) -> Result<CheckedResponse, CallError> {
+        let intended = self.scheduler.borrow().worker_born_unix_ms(incarnation);
+        let Some(intended) = intended else {
+            return Err(CallError::NotSent);
+        };
+        let admit = |answer: &Response| {
+            let found = workers::parse_incarnation(&answer.body);
+            let Some(found) = found.filter(|_| answer.status == 200) else {
+                return Admission::Refused;
+            };
+            if intended == 0 || [0, intended].contains(&found.born_unix_ms) {
+                return Admission::Intended;
+            }
+            info!(self.log, "Worker has restarted."; "worker" => &link.id,
+                "known_born_unix_ms" => intended, "born_unix_ms" => found.born_unix_ms);
+            translate(found.clock_ms).map_or(Admission::Refused, Admission::Instead)
+        };
+        let question = workers::report_call(&link.id, self.fencing_token);
+        let check = PeerCheck {
+            question: &question,
+            admit: &admit,
+        };
         let may_send = || !self.stopped.get() && self.is_confirmed(clock::now());
-        endpoint.send_while(call, timeout, &may_send).await
+        endpoint.send_checked(call, timeout, &may_send, check).await
+    }
+}
+
+impl PendingStart {
+    fn call(&self, worker: &str, fencing_token: u64, deadline_clock_ms: u64) -> Call {
+        let order = workers::StartOrder {
+            task: self.task,
+            run: self.run,
+            spec: &self.spec,
+            deadline_clock_ms,
+            checkpoint: &self.checkpoint,
+            ticket: self.ticket.as_deref(),
+        };
+        workers::start_call(worker, fencing_token, &order)
     }
 }
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -9,6 +9,7 @@
 mod late_claims;
 mod load;
 mod odd_entries;
+mod restarted_workers;
 mod slow_link;
 mod slow_links;
 
--- a/crates/cornelpoint/src/scheduler/action.rs
+++ b/crates/cornelpoint/src/scheduler/action.rs
@@ -21,6 +21,9 @@
         spec: Arc<str>,
         /// End of the lease, by the worker's clock.
         deadline_clock_ms: u64,
+        /// Latest end of the lease, by this process's monotonic clock. Another incarnation
+        /// of the worker, whose clock began anew, must not run the task for longer.
+        lease_end_ms: u64,
         /// Checkpoint to resume from; empty for none.
         checkpoint: String,
         /// Ticket issued by the advice service.
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -352,6 +352,7 @@
             run,
             spec,
             deadline_clock_ms,
+            lease_end_ms: now.steady_ms + lease_ms,
             checkpoint: entry.checkpoint.clone(),
             ticket,
         });
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -244,6 +244,13 @@
         Some((&worker.entry.address, &worker.entry.id))
     }
 
+    /// Returns the start of a worker incarnation in milliseconds since 1970, 0 if it is not
+    /// known yet.
+    #[must_use]
+    pub fn worker_born_unix_ms(&self, incarnation: IncarnationIndex) -> Option<u64> {
+        Some(self.incarnations.get(&incarnation)?.entry.born_unix_ms)
+    }
+
     /// Processes all that is due: occurrences, expired leases, evacuation,
     /// placement, lease renewals and expired jobs.
     pub fn tick(&mut self, now: Instant) {
--- a/crates/cornelpoint/tests/scheduler/fake_worker.rs
+++ b/crates/cornelpoint/tests/scheduler/fake_worker.rs
@@ -67,7 +67,7 @@
         }
     }
 
-    fn clock_ms(&self, now_ms: u64) -> u64 {
+    pub(crate) fn clock_ms(&self, now_ms: u64) -> u64 {
         1000 + (now_ms - self.born_ms) * self.clock_permille / 1000
     }
 
--- a/crates/cornelpoint/tests/scheduler/random_schedules.rs
+++ b/crates/cornelpoint/tests/scheduler/random_schedules.rs
@@ -47,6 +47,17 @@
     }
 }
 
+/// Guards against orders that are carried out by an incarnation that nobody has heard of,
+/// and that it lists only once a cut has ended.
+#[test]
+fn tasks_run_twice_when_restarted_workers_are_cut_off() {
+    for seed in schedules() {
+        let world = World::new(seed, Mutant::None).with_restarts();
+        let world = world.with_cuts_after_restarts().run();
+        assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
 /// Successors within a partition, registry readings that miss workers, workers that leave,
 /// and slow clocks that were read long ago.
 #[test]
@@ -68,6 +79,16 @@
     }
 }
 
+/// Guards against calls that are carried out by an incarnation whose clock and completions
+/// the owner doesn't know.
+#[test]
+fn calls_that_are_not_bound_to_an_incarnation_are_detected() {
+    let worlds = schedules().map(|seed| World::new(seed, Mutant::UnboundCalls));
+    let mut worlds = worlds.map(|world| world.with_restarts().with_cuts_after_restarts().run());
+    let is_second_run = |violation: &String| violation.contains("second run");
+    assert!(worlds.any(|world| world.violations.iter().any(is_second_run)));
+}
+
 #[test]
 fn a_worker_that_takes_orders_of_a_fenced_owner_is_detected() {
     assert!(schedules_with_violations(Mutant::NoFence) > 0);
--- a/crates/cornelpoint/tests/scheduler/world/mod.rs
+++ b/crates/cornelpoint/tests/scheduler/world/mod.rs
@@ -1,6 +1,7 @@
 //! Simulation of owners, workers and the store in virtual time, under a seeded
 //! schedule of kills, partitions, and lost and late answers.
 
+mod cuts;
 mod event;
 mod faults;
 mod mutant;
@@ -24,6 +25,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use self::cuts::Cuts;
 use self::event::Event;
 use self::event::Reply;
 use self::event::no_answer;
@@ -61,6 +63,9 @@
     mutant: Mutant,
     /// Whether workers restart under their identifiers.
     restarts: bool,
+    /// Workers whose first start after a restart gets no answer and is followed by a cut, and
+    /// until when they are cut off; `None` without these faults.
+    cuts: Option<Cuts>,
     /// Whether late orders reach the incarnation after the one that they were sent to.
     orders_outlast_restarts: bool,
     /// Faults of takeovers, partitions and registry readings, with an idle time between
@@ -101,6 +106,7 @@
             random,
             mutant,
             restarts: false,
+            cuts: None,
             orders_outlast_restarts: false,
             views: None,
             listed: Vec::new(),
@@ -132,9 +138,20 @@
         self
     }
 
+    /// Cuts workers off before the answer to the first start after a restart.
+    pub(crate) fn with_cuts_after_restarts(mut self) -> Self {
+        self.cuts = Some(Cuts::default());
+        self
+    }
+
     pub(crate) fn run(mut self) -> Self {
         self.take_over(true);
-        let end_ms = self.views.as_ref().map_or(END_MS, |_| views::END_MS);
+        let has_long_tasks = self.views.is_some() || self.cuts.is_some();
+        let end_ms = if has_long_tasks {
+            views::END_MS
+        } else {
+            END_MS
+        };
         while self.now_ms < end_ms {
             self.now_ms += 20;
             for worker in &mut self.workers {
@@ -142,7 +159,9 @@
             }
             let is_late = self.restarts || self.views.is_some();
             if !is_late || self.now_ms.is_multiple_of(REGISTRY_INTERVAL_MS) {
-                self.listed = listed(&self.workers);
+                let entries = listed(&self.workers);
+                let before = std::mem::replace(&mut self.listed, entries);
+                self.keep_entries_of_cut_workers(&before);
                 self.limit_view();
             }
             self.deliver();
--- a/crates/cornelpoint/tests/scheduler/world/mutant.rs
+++ b/crates/cornelpoint/tests/scheduler/world/mutant.rs
@@ -2,6 +2,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Mutant {
     None,
+    /// Calls are carried out by whatever incarnation is at the worker's address.
+    UnboundCalls,
     /// Workers accept orders of fenced owners.
     NoFence,
     /// Completions are acknowledged before they are stored.
--- a/crates/cornelpoint/tests/scheduler/world/orders.rs
+++ b/crates/cornelpoint/tests/scheduler/world/orders.rs
@@ -5,6 +5,7 @@
 use cornelpoint::scheduler::RenewalFailure;
 use cornelpoint::worker::Completeness;
 use cornelpoint::worker::CompletionKind;
+use cornelpoint::worker::OrderOutcome;
 use rand::RngExt;
 
 use super::CAPACITY_MILLICORES;
@@ -24,6 +25,12 @@
         let Some(worker) = self.worker_of(owner, &action) else {
             return;
         };
+        let Some(action) = self.bind(owner, worker, action) else {
+            return;
+        };
+        if self.cuts.is_some() && self.send_into_cut(owner, worker, &action) {
+            return;
+        }
         let injects_faults = self.injects_faults();
         if self.owners[owner].partitioned_from.contains(&worker) {
             if self.views.is_some() {
@@ -50,6 +57,66 @@
         }
     }
 
+    /// Makes of an action what the incarnation gets that the connection leads to. One that
+    /// the owner doesn't know is identified first.
+    fn bind(&mut self, owner: usize, worker: usize, action: Action) -> Option<Action> {
+        let (Action::Start { incarnation, .. }
+        | Action::Stop { incarnation, .. }
+        | Action::RenewLease { incarnation, .. }
+        | Action::Pace { incarnation, .. }) = action
+        else {
+            return None;
+        };
+        let known = self.owners[owner]
+            .scheduler
+            .worker_born_unix_ms(incarnation);
+        let found = &self.workers[worker];
+        let is_known = known == Some(found.born_unix_ms) || self.mutant == Mutant::UnboundCalls;
+        let now_ms = self.now_ms;
+        match action {
+            action if is_known => Some(action),
+            Action::Start {
+                incarnation,
+                task,
+                run,
+                spec,
+                lease_end_ms,
+                checkpoint,
+                ticket,
+                ..
+            } => Some(Action::Start {
+                incarnation,
+                task,
+                run,
+                spec,
+                deadline_clock_ms: found.clock_ms(now_ms) + lease_end_ms - now_ms,
+                lease_end_ms,
+                checkpoint,
+                ticket,
+            }),
+            Action::RenewLease {
+                incarnation,
+                wait_ms,
+                ..
+            } => Some(Action::RenewLease {
+                incarnation,
+                acknowledged: 0,
+                deadline_clock_ms: None,
+                wait_ms,
+            }),
+            Action::Stop {
+                incarnation,
+                task,
+                run,
+            } => {
+                let reply = Reply::Stop(incarnation, task, run, OrderOutcome::NotSent);
+                self.push(20, Event::Reply(owner, reply));
+                None
+            }
+            Action::Pace { .. } | Action::RequestAdvice { .. } => None,
+        }
+    }
+
     /// Carries out an order that the incarnation with this start has received. Unless
     /// orders outlast restarts, a worker loses those that it has not carried out.
     pub(super) fn carry_out_late(&mut self, owner: usize, action: &Action, born_unix_ms: u64) {
@@ -135,7 +202,8 @@
     }
 
     fn work(&mut self, task: TaskId) -> (u64, bool, u64) {
-        let is_long = self.views.is_some() && self.chance(40);
+        let has_long_tasks = self.views.is_some() || self.cuts.is_some();
+        let is_long = has_long_tasks && self.chance(40);
         let longest_ms = if is_long {
             views::LONGEST_WORK_MS
         } else {
@@ -154,6 +222,7 @@
                 let id = self.workers[number].id.clone();
                 let permille = self.random.random_range(981..=1000);
                 self.workers[number] = FakeWorker::new(&id, self.now_ms, permille, true);
+                self.cut_at_next_start(number);
             }
         }
     }
