--- a/crates/cornelpoint-manager/src/pool_host/orders.rs
+++ b/crates/cornelpoint-manager/src/pool_host/orders.rs
@@ -159,7 +159,7 @@
         let mut links = self.links.borrow_mut();
         let link = links
             .entry(incarnation)
-            .or_insert_with(|| Rc::new(WorkerLink::new(address, id)));
+            .or_insert_with(|| Rc::new(WorkerLink::new(address, id, self.fencing_token)));
         Some(Rc::clone(link))
     }
 
@@ -385,9 +385,8 @@
             let translated = (outgoing.translate)(found.clock_ms);
             translated.map_or(Admission::Refused, Admission::Instead)
         };
-        let question = workers::report_call(&link.id, self.fencing_token);
         let check = PeerCheck {
-            question: &question,
+            question: &link.question,
             admit: &admit,
         };
         let may_send = || {
--- a/crates/cornelpoint-manager/src/pool_host/worker_link.rs
+++ b/crates/cornelpoint-manager/src/pool_host/worker_link.rs
@@ -1,5 +1,8 @@
 use std::cell::Cell;
 
+use cornelpoint_platform::call::Call;
+use cornelpoint_platform::workers;
+
 use crate::http::HttpEndpoint;
 
 /// Maximum number of connections for orders. Workers respond within milliseconds,
@@ -10,6 +13,8 @@
 #[derive(Debug)]
 pub(super) struct WorkerLink {
     pub(super) id: String,
+    /// Asks for a report on each new connection.
+    pub(super) question: Call,
     pub(super) orders: HttpEndpoint,
     /// Separate from orders, since a lease renewal waits at the worker.
     pub(super) renewals: HttpEndpoint,
@@ -18,9 +23,10 @@
 }
 
 impl WorkerLink {
-    pub(super) fn new(address: &str, id: &str) -> Self {
+    pub(super) fn new(address: &str, id: &str, fencing_token: u64) -> Self {
         Self {
             id: id.to_owned(),
+            question: workers::report_call(id, fencing_token),
             orders: HttpEndpoint::new(address, MAX_ORDER_CONNECTIONS),
             renewals: HttpEndpoint::new(address, 1),
             unresponsive: Cell::new(false),
