--- a/crates/cornelpoint-manager/tests/takeover/odd_entries.rs
+++ b/crates/cornelpoint-manager/tests/takeover/odd_entries.rs
@@ -92,9 +92,13 @@
         "service": POOL,
         "address": "127.0.0.1:9",
         "zone": "a",
+        "version": "v1",
+        "slots": 8,
         "state": "ready",
+        "cold_remaining_ms": 0,
         "capacity": { "cpu": 1000, "mem_mb": 1000 },
         "labels": ["a"],
+        "sequence": 1,
         "born": 1,
         "clock_ms": 1,
     });
