Test the quorum of workers without the model

Six tests: how long a successor waits beside a quorum, a half with and without the first worker, and one worker; the bound of earlier owners and of predecessors of older versions; workers that have ended; an owner that grants nothing to a minority, asks idle workers while the store is silent, and doubts a row whose write had no answer.

No change of the product.

--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -32,4 +32,5 @@
 mod surge;
 mod unplaceable_steps;
 mod vacating;
+mod worker_quorum;
 mod world;
--- a/crates/cornelpoint/tests/scheduler/restart_support.rs
+++ b/crates/cornelpoint/tests/scheduler/restart_support.rs
@@ -38,6 +38,8 @@
     pub(crate) starts: Vec<(u64, Order)>,
     pub(crate) stops: Vec<(u64, Order)>,
     pub(crate) acknowledged: Vec<u64>,
+    /// Times of the renewals that grant a lease.
+    pub(crate) granted_ms: Vec<u64>,
 }
 
 pub(crate) fn report(born_unix_ms: u64, now_ms: u64) -> WorkerReport {
@@ -84,6 +86,7 @@
             Action::RenewLease {
                 incarnation,
                 acknowledged,
+                deadline_clock_ms,
                 ..
             } => {
                 let Some((_, id)) = scheduler.worker_address(incarnation) else {
@@ -91,6 +94,7 @@
                 };
                 let outcome = answer(id).ok_or(RenewalFailure::NoAnswer);
                 orders.acknowledged.push(acknowledged);
+                orders.granted_ms.extend(deadline_clock_ms.map(|_| now_ms));
                 scheduler.renewal_replied(incarnation, outcome, at(now_ms + 2));
             }
             Action::Start {
@@ -123,6 +127,7 @@
         all.starts.extend(orders.starts);
         all.stops.extend(orders.stops);
         all.acknowledged.extend(orders.acknowledged);
+        all.granted_ms.extend(orders.granted_ms);
     }
     all
 }
