Collect the answers of a quorum only when the store is silent

Cause: a confirmation may be a second old in calm times, since a stored batch delays the next store heartbeat, and answers were collected from 0.7 s on: idle workers were asked three times a second in a surge.

Fix: collect after 1.1 s. The wait of a successor rests on the limits of 1.5 s and 1.2 s, which stay.

--- a/crates/cornelpoint/src/scheduler/worker_quorum.rs
+++ b/crates/cornelpoint/src/scheduler/worker_quorum.rs
@@ -12,9 +12,9 @@
 /// Age up to which an answered renewal counts for the quorum: two answers of a worker that
 /// is asked every [`RENEWAL_INTERVAL_MS`] and may wait as long, and as much for delays.
 const MAX_ANSWER_AGE_MS: u64 = 1200;
-/// Time without a confirmation after which an owner collects the answers of a quorum. Leaves
-/// time for renewals that wait at a worker since before.
-const COLLECT_AFTER_MS: u64 = 700;
+/// Time without a confirmation after which an owner collects the answers of a quorum: longer
+/// than two intervals of its store heartbeats, which a batch that is stored delays.
+const COLLECT_AFTER_MS: u64 = 1100;
 /// Interval at which it then renews leases.
 const RENEWAL_INTERVAL_MS: u64 = 300;
 /// Rows of workers that the store may hold at most: more than one only while it leaves writes
