--- a/crates/cornelpoint-manager/benches/owner_surge/main.rs
+++ b/crates/cornelpoint-manager/benches/owner_surge/main.rs
@@ -122,6 +122,7 @@
         objective_ms: 600,
         timeout_ms: 3000,
         advice: None,
+        public: false,
     }
 }
 
--- a/crates/cornelpoint-manager/src/edge/jobs.rs
+++ b/crates/cornelpoint-manager/src/edge/jobs.rs
@@ -64,6 +64,7 @@
         accepted_unix_ms: clock::now().unix_ms,
         priority: queue.priority,
         max_attempts: queue.max_attempts,
+        tenant: None,
         job: raw,
     };
     let request = PoolRequest::Submit {
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -289,6 +289,7 @@
         let mut scheduler = self.scheduler.borrow_mut();
         scheduler.set_queues(catalog.queues.iter());
         scheduler.set_pools(catalog.pools.keys().map(String::as_str));
+        scheduler.set_tenants(catalog.tenants.as_ref());
     }
 
     /// Returns the pool's status for the heartbeat to peers.
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -94,6 +94,7 @@
         if let Some(catalog) = node.catalog() {
             scheduler.set_queues(catalog.queues.iter());
             scheduler.set_pools(catalog.pools.keys().map(String::as_str));
+            scheduler.set_tenants(catalog.tenants.as_ref());
         }
         let row_bytes = node.settings.row_bytes;
         let writer = ShardWriter::new(&claim.shard, owner.clone(), owner_version, row_bytes);
--- a/crates/cornelpoint-manager/tests/takeover/fleet.rs
+++ b/crates/cornelpoint-manager/tests/takeover/fleet.rs
@@ -175,5 +175,6 @@
         objective_ms: 60_000,
         timeout_ms: 3000,
         advice: None,
+        public: false,
     }
 }
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -321,6 +321,7 @@
         accepted_unix_ms: 1,
         priority: fleet.queue.priority,
         max_attempts: fleet.queue.max_attempts,
+        tenant: None,
         job: raw,
     };
     let row = RowKey::new(INBOX_TABLE, POOL, format!("submit/{job}"));
--- a/crates/cornelpoint/benches/scheduling/main.rs
+++ b/crates/cornelpoint/benches/scheduling/main.rs
@@ -98,6 +98,7 @@
         accepted_unix_ms: at(100).unix_ms,
         priority: 0,
         max_attempts: 3,
+        tenant: None,
         job: raw,
     };
     (record, spec)
@@ -116,6 +117,7 @@
         objective_ms: 600_000,
         timeout_ms: 3000,
         advice: None,
+        public: false,
     };
     scheduler.set_queues(std::iter::once(&queue));
     let entries: Vec<RegistryEntry> = (0..workers).map(entry).collect();
--- a/crates/cornelpoint/src/catalog/queue.rs
+++ b/crates/cornelpoint/src/catalog/queue.rs
@@ -1,5 +1,7 @@
 use std::collections::BTreeMap;
 
+use crate::tenant::Tenants;
+
 /// A queue, to which callers submit jobs and whose jobs run in one pool.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Queue {
@@ -24,6 +26,8 @@
     pub timeout_ms: u64,
     /// Parameters of the advice service, if placement needs its tickets.
     pub advice: Option<Advice>,
+    /// Whether callers need no key.
+    pub public: bool,
 }
 
 /// The advice service's response times and ticket validity for a queue.
@@ -70,6 +74,8 @@
     pub pools: BTreeMap<String, PoolInfo>,
     /// Limits on callers' requests.
     pub limits: HttpLimits,
+    /// Tenants; `None` if the configuration has none, so that callers need no keys.
+    pub tenants: Option<Tenants>,
 }
 
 impl Catalog {
@@ -82,7 +88,13 @@
     /// use cornelpoint::catalog::HttpLimits;
     ///
     /// let limits = HttpLimits { max_body_bytes: 1024, header_timeout_ms: 1000, idle_timeout_ms: 1000 };
-    /// let catalog = Catalog { version: 1, queues: Vec::new(), pools: BTreeMap::new(), limits };
+    /// let catalog = Catalog {
+    ///     version: 1,
+    ///     queues: Vec::new(),
+    ///     pools: BTreeMap::new(),
+    ///     limits,
+    ///     tenants: None,
+    /// };
     /// assert!(catalog.queue_of("example", "/a/").is_none());
     /// ```
     #[must_use]
--- a/crates/cornelpoint/src/job/job_record.rs
+++ b/crates/cornelpoint/src/job/job_record.rs
@@ -19,6 +19,9 @@
     pub priority: u32,
     /// Number of failed runs of one task after which the job fails.
     pub max_attempts: u32,
+    /// Tenant whose key the caller presented; `None` where callers need no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<String>,
     /// The job as the caller submitted it.
     pub job: RawJob,
 }
--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod scheduler;
 pub mod slots;
 pub mod template;
+pub mod tenant;
 pub mod worker;
 pub mod workspace;
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -10,6 +10,7 @@
 use crate::job::JobStatus;
 use crate::job::StepId;
 use crate::job::TaskId;
+use crate::tenant::Tenants;
 
 use super::action::Action;
 use super::action::IncarnationIndex;
@@ -54,6 +55,8 @@
     pub(super) queues: BTreeMap<String, QueueRules>,
     /// All pools of the configuration; empty before one is known.
     pub(super) known_pools: BTreeSet<String>,
+    /// Tenants of the configuration; none where callers need no keys.
+    pub(super) tenants: Tenants,
     pub(super) jobs: HashMap<JobId, JobEntry>,
     /// Jobs that are not final. Final ones are kept for minutes, so that most jobs
     /// are final.
@@ -155,6 +158,7 @@
             settings,
             queues: BTreeMap::new(),
             known_pools: BTreeSet::new(),
+            tenants: Tenants::default(),
             jobs: HashMap::new(),
             active_jobs: BTreeSet::new(),
             incarnations: BTreeMap::new(),
@@ -236,6 +240,12 @@
         self.known_pools = pools.map(str::to_owned).collect();
     }
 
+    /// Updates the tenants of the configuration in force.
+    pub fn set_tenants(&mut self, tenants: Option<&Tenants>) {
+        self.tenants = tenants.cloned().unwrap_or_default();
+        self.changed_workers = WorkerSet::All;
+    }
+
     /// Returns the actions that have become necessary since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
--- a/crates/cornelpoint/tests/scheduler/support.rs
+++ b/crates/cornelpoint/tests/scheduler/support.rs
@@ -54,6 +54,7 @@
         accepted_unix_ms: UNIX_BASE_MS,
         priority: 0,
         max_attempts: 3,
+        tenant: None,
         job: raw,
     };
     (record, spec)
@@ -71,6 +72,7 @@
         objective_ms: 600,
         timeout_ms: 3000,
         advice: None,
+        public: false,
     }
 }
 
