Check callers' keys at the edge, also without the store

Calls with unknown and revoked keys were carried out, since nothing read the tenants of the configuration. Each call is now checked when its head has been read, and a submission again once its body has been read. Where no configuration has tenants and the settings don't call for them, nothing changes.

The configuration counts as current from when the read that confirmed it was sent, and only if the response was complete. A process whose reads don't confirm it asks one peer at a time; peers state the age by their own reads. A newest row that can't be parsed, or was removed, ends the confirmation.

Jobs carry the name of their tenant, and other tenants' calls for them are answered 410, by the owner and from the rows in the store. Owners of earlier versions ignore the caller in requests, and requests without one are served as before.

--- a/crates/cornelpoint-manager/src/edge/callers.rs
+++ b/crates/cornelpoint-manager/src/edge/callers.rs
@@ -8,10 +8,11 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::HOST;
 use slog::info;
 
 use super::jobs;
+use super::keys::CallHead;
+use super::keys::refusal_reply;
 use super::peers::request_owner;
 use crate::clock;
 use crate::http::CallError;
@@ -59,22 +60,21 @@
     let Some(catalog) = node.catalog() else {
         return rejection(503, NO_CATALOG_RETRY_S);
     };
-    let host = request
-        .headers()
-        .get(HOST)
-        .and_then(|host| host.to_str().ok());
-    let path = request.uri().path().to_owned();
-    let queue = host.and_then(|host| catalog.queue_of(host, &path));
-    let Some(queue) = queue else {
+    let head = CallHead::of(&request);
+    let Some(queue) = catalog.queue_of(&head.host, &head.path) else {
         return reply(404, "");
     };
+    let rest = &head.path[queue.path_prefix.len()..];
+    let caller = match head.check(&node, rest) {
+        Ok(caller) => caller,
+        Err(refusal) => return refusal_reply(refusal),
+    };
     let deadline_ms = request
         .headers()
         .get(callers::DEADLINE_HEADER)
         .and_then(|value| value.to_str().ok()?.parse().ok());
     let deadline_ms: u64 = deadline_ms.unwrap_or(queue.timeout_ms);
     let timeout = Duration::from_millis(deadline_ms.min(queue.timeout_ms.max(1)));
-    let rest = &path[queue.path_prefix.len()..];
     let method = request.method().clone();
     if rest.is_empty() {
         return match method {
@@ -89,16 +89,22 @@
             let max_bytes = catalog.limits.max_body_bytes;
             match read_body(request.into_body(), max_bytes).await {
                 Some(body) => {
+                    // The body may have taken seconds, in which the key may have been
+                    // revoked.
+                    let caller = match head.check(&node, rest) {
+                        Ok(caller) => caller,
+                        Err(refusal) => return refusal_reply(refusal),
+                    };
                     let started = Instant::now();
-                    let answer = jobs::submit(&node, queue, job, &body, timeout).await;
+                    let answer = jobs::submit(&node, queue, job, &body, &caller, timeout).await;
                     record_submission(&node, answer.status().as_u16(), started.elapsed());
                     answer
                 }
                 None => reply(413, ""),
             }
         }
-        (Method::GET, Ok(job)) => jobs::status(&node, queue, job, timeout).await,
-        (Method::DELETE, Ok(job)) => jobs::cancel(&node, queue, job, timeout).await,
+        (Method::GET, Ok(job)) => jobs::status(&node, queue, job, &caller, timeout).await,
+        (Method::DELETE, Ok(job)) => jobs::cancel(&node, queue, job, &caller, timeout).await,
         (Method::GET | Method::DELETE, Err(_)) => reply(410, ""),
         _ => reply(405, ""),
     }
--- a/crates/cornelpoint-manager/src/edge/jobs.rs
+++ b/crates/cornelpoint-manager/src/edge/jobs.rs
@@ -9,6 +9,7 @@
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobSpec;
 use cornelpoint::job::JobStatus;
+use cornelpoint::tenant::Caller;
 use cornelpoint_platform::callers;
 use slog::info;
 
@@ -22,6 +23,7 @@
 use crate::message::PoolRequest;
 use crate::message::PoolResponse;
 use crate::node::Node;
+use crate::node::OTHER_TENANT;
 use crate::store::INBOX_TABLE;
 use crate::store::JOB_TABLE;
 use crate::store::PROGRESS_TABLE;
@@ -48,6 +50,7 @@
     queue: &Queue,
     job: JobId,
     body: &[u8],
+    caller: &Caller,
     timeout: Duration,
 ) -> Reply {
     let raw = match callers::parse_job(body) {
@@ -64,7 +67,7 @@
         accepted_unix_ms: clock::now().unix_ms,
         priority: queue.priority,
         max_attempts: queue.max_attempts,
-        tenant: None,
+        tenant: caller.tenant().map(str::to_owned),
         job: raw,
     };
     let request = PoolRequest::Submit {
@@ -79,6 +82,8 @@
         Ok(PoolResponse::Refused { retry_after_ms }) => {
             rejection(429, retry_after_ms.div_ceil(1000))
         }
+        // The identifier is that of another tenant's job.
+        Ok(PoolResponse::UnknownJob) => reply(410, ""),
         Ok(_) => reply(504, ""),
         // The owner may still accept the job.
         Err(CallError::NoAnswer) if is_owner_slow(node, &queue.pool) => {
@@ -126,8 +131,17 @@
 }
 
 /// Returns a job's status from its owner, or else from the store.
-pub(super) async fn status(node: &Rc<Node>, queue: &Queue, job: JobId, timeout: Duration) -> Reply {
-    let request = PoolRequest::Status { job };
+pub(super) async fn status(
+    node: &Rc<Node>,
+    queue: &Queue,
+    job: JobId,
+    caller: &Caller,
+    timeout: Duration,
+) -> Reply {
+    let request = PoolRequest::Status {
+        job,
+        caller: caller.clone(),
+    };
     let limit = timeout.min(OWNER_TIMEOUT);
     if let Ok(PoolResponse::Status(status)) = request_owner(node, &queue.pool, request, limit).await
     {
@@ -136,7 +150,7 @@
     if !node.store.is_available() {
         return rejection(503, ISOLATED_RETRY_S);
     }
-    match stored_status(node, queue, job).await {
+    match stored_status(node, queue, job, caller).await {
         Some(Some(status)) => reply(200, callers::status_body(status)),
         Some(None) => reply(410, ""),
         None => rejection(503, 1),
@@ -144,8 +158,13 @@
 }
 
 /// Reads a job's status from the store; `None` if a read fails, `Some(None)` if
-/// the job is not stored.
-async fn stored_status(node: &Rc<Node>, queue: &Queue, job: JobId) -> Option<Option<JobStatus>> {
+/// the job is not stored or is another tenant's.
+async fn stored_status(
+    node: &Rc<Node>,
+    queue: &Queue,
+    job: JobId,
+    caller: &Caller,
+) -> Option<Option<JobStatus>> {
     let id = job.to_string();
     let progress = node
         .store
@@ -153,6 +172,13 @@
         .await?;
     let progress = progress.and_then(|value| decode::<JobProgress>(&value));
     if let Some(progress) = progress {
+        // A progress doesn't name the tenant.
+        if !caller.is_unchecked() {
+            let record = node.store.read_value(JOB_TABLE, &queue.pool, &id).await?;
+            if !may_access(node, queue, job, caller, record.as_deref()) {
+                return Some(None);
+            }
+        }
         let running = !progress.status.is_final();
         return Some(Some(if running {
             JobStatus::Running
@@ -167,17 +193,54 @@
         .store
         .read_row(INBOX_TABLE, &queue.pool, &submission)
         .await?;
-    if inbox.is_some() {
-        return Some(Some(JobStatus::Pending));
+    if let Some(row) = inbox {
+        let allowed = may_access(node, queue, job, caller, row.value.as_deref());
+        return Some(allowed.then_some(JobStatus::Pending));
+    }
+    if caller.is_unchecked() {
+        let record = node.store.read_row(JOB_TABLE, &queue.pool, &id).await?;
+        return Some(record.map(|_| JobStatus::Pending));
+    }
+    let record = node.store.read_value(JOB_TABLE, &queue.pool, &id).await?;
+    let allowed = record.is_some_and(|value| may_access(node, queue, job, caller, Some(&value)));
+    Some(allowed.then_some(JobStatus::Pending))
+}
+
+/// Whether a caller may see a job with this record. One that can't be decoded, or is no
+/// longer stored, shows no tenant and is accessible only where keys aren't checked.
+fn may_access(
+    node: &Node,
+    queue: &Queue,
+    job: JobId,
+    caller: &Caller,
+    record: Option<&[u8]>,
+) -> bool {
+    if caller.is_unchecked() {
+        return true;
     }
-    let record = node.store.read_row(JOB_TABLE, &queue.pool, &id).await?;
-    Some(record.map(|_| JobStatus::Pending))
+    let Some(record) = record.and_then(decode::<JobRecord>) else {
+        return false;
+    };
+    let allowed = caller.may_access(record.tenant.as_deref());
+    if !allowed {
+        node.call_refused(OTHER_TENANT, &job.to_string(), &queue.name);
+    }
+    allowed
 }
 
 /// Cancels a job through the pool's owner; stores the cancellation in the
 /// owner's inbox if the owner can't be reached or does not know the job.
-pub(super) async fn cancel(node: &Rc<Node>, queue: &Queue, job: JobId, timeout: Duration) -> Reply {
-    let request = PoolRequest::Cancel { job };
+pub(super) async fn cancel(
+    node: &Rc<Node>,
+    queue: &Queue,
+    job: JobId,
+    caller: &Caller,
+    timeout: Duration,
+) -> Reply {
+    let request = PoolRequest::Cancel {
+        job,
+        caller: caller.clone(),
+    };
     let limit = timeout.min(OWNER_STORE_TIMEOUT);
     match request_owner(node, &queue.pool, request, limit).await {
         Ok(PoolResponse::Cancelled | PoolResponse::Status(_)) => return reply(200, ""),
@@ -186,7 +249,7 @@
         Err(error) => info!(node.edge_log, "Owner unreachable; cancelling through its inbox.";
             "job" => %job, "pool" => &queue.pool, "error" => %error),
     }
-    match stored_status(node, queue, job).await {
+    match stored_status(node, queue, job, caller).await {
         Some(None) => return reply(410, ""),
         Some(Some(status)) if status.is_final() => return reply(200, ""),
         Some(Some(_)) => {}
--- a/crates/cornelpoint-manager/src/edge/mod.rs
+++ b/crates/cornelpoint-manager/src/edge/mod.rs
@@ -3,9 +3,11 @@
 mod callers;
 mod inbox_writer;
 mod jobs;
+mod keys;
 mod peers;
 
 pub(crate) use self::callers::handle_balancer;
 pub(crate) use self::callers::handle_caller;
 pub(crate) use self::inbox_writer::InboxWriter;
+pub(crate) use self::peers::CONFIGURATION_PATH;
 pub(crate) use self::peers::handle_peer;
--- a/crates/cornelpoint-manager/src/edge/peers.rs
+++ b/crates/cornelpoint-manager/src/edge/peers.rs
@@ -11,6 +11,7 @@
 use crate::http::Reply;
 use crate::http::read_body;
 use crate::http::reply;
+use crate::message::ConfigurationRequest;
 use crate::message::PoolRequest;
 use crate::message::PoolResponse;
 use crate::node::Node;
@@ -20,21 +21,32 @@
 /// Largest body of a peer's request: a job and its envelope.
 const MAX_MESSAGE_BYTES: usize = 1_048_576;
 const PATH_PREFIX: &str = "/pool/";
+/// Path at which peers ask for a confirmation of the configuration.
+pub(crate) const CONFIGURATION_PATH: &str = "/configuration";
 /// Path that serves the metrics.
 const METRICS_PATH: &str = "/metrics";
 
-/// Handles a peer's request to the owner of a pool, or for the metrics.
+/// Handles a peer's request to the owner of a pool, for a confirmation of the configuration,
+/// or for the metrics.
 pub(crate) async fn handle_peer(node: Rc<Node>, request: Request<Incoming>) -> Reply {
     let path = request.uri().path().to_owned();
     if path == METRICS_PATH {
         return reply(200, node.metrics.text());
     }
-    let Some(pool) = path.strip_prefix(PATH_PREFIX) else {
+    let pool = path.strip_prefix(PATH_PREFIX);
+    if pool.is_none() && path != CONFIGURATION_PATH {
         return reply(404, "");
-    };
+    }
     let Some(body) = read_body(request.into_body(), MAX_MESSAGE_BYTES).await else {
         return reply(400, "");
     };
+    let Some(pool) = pool else {
+        let request = decode::<ConfigurationRequest>(&body);
+        return request.map_or_else(
+            || reply(400, ""),
+            |request| reply(200, encode(&node.answer_configuration(&request))),
+        );
+    };
     let Some(message) = decode::<PoolRequest>(&body) else {
         return reply(400, "");
     };
--- a/crates/cornelpoint-manager/src/message/request.rs
+++ b/crates/cornelpoint-manager/src/message/request.rs
@@ -1,6 +1,7 @@
 use cornelpoint::job::JobId;
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobStatus;
+use cornelpoint::tenant::Caller;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -13,10 +14,18 @@
 pub(crate) enum PoolRequest {
     /// Submit a job.
     Submit { job: JobId, record: Box<JobRecord> },
-    /// Cancel a job.
-    Cancel { job: JobId },
+    /// Cancel a job. Processes of earlier versions name no caller, and ignore it.
+    Cancel {
+        job: JobId,
+        #[serde(default, skip_serializing_if = "Caller::is_unchecked")]
+        caller: Caller,
+    },
     /// Return a job's status.
-    Status { job: JobId },
+    Status {
+        job: JobId,
+        #[serde(default, skip_serializing_if = "Caller::is_unchecked")]
+        caller: Caller,
+    },
     /// Return the number of waiting jobs of a queue.
     Waiting { queue: String },
 }
@@ -34,7 +43,7 @@
     Cancelled,
     /// The job's status.
     Status(JobStatus),
-    /// The owner knows no such job.
+    /// The owner knows no such job, or the job is another tenant's.
     UnknownJob,
     /// Number of waiting jobs.
     Waiting(usize),
--- a/crates/cornelpoint-manager/src/metrics/process_metrics.rs
+++ b/crates/cornelpoint-manager/src/metrics/process_metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::registry::Registry;
 
 use super::labels::Outcome;
+use super::labels::Reason;
 use super::labels::Source;
 use crate::clock;
 
@@ -32,8 +33,12 @@
     pub(crate) store_calls: Family<Outcome, Counter>,
     /// Orders to the machine API, by outcome.
     pub(crate) machine_orders: Family<Outcome, Counter>,
+    /// Questions to peers for a confirmation of the configuration, by outcome.
+    pub(crate) peer_questions: Family<Outcome, Counter>,
     /// Shards claimed by this process.
     pub(crate) takeovers: Counter,
+    refused_calls: Family<Reason, Counter>,
+    confirmations: Family<Source, Counter>,
     waiting_counts: Family<Source, Counter>,
     configuration_version: Gauge,
     configuration_age_ms: Gauge,
@@ -50,6 +55,9 @@
         let final_jobs = Family::default();
         let store_calls = Family::default();
         let machine_orders = Family::default();
+        let peer_questions = Family::default();
+        let refused_calls = Family::default();
+        let confirmations = Family::default();
         let takeovers = Counter::default();
         let waiting_counts = Family::default();
         let configuration_version = Gauge::default();
@@ -66,6 +74,12 @@
         registry.register("takeovers", "Shards taken over", takeovers.clone());
         let counts = waiting_counts.clone();
         registry.register("waiting_counts", "Answers to count requests", counts);
+        let help = "Questions to peers for a confirmation of the configuration";
+        registry.register("peer_questions", help, peer_questions.clone());
+        let help = "Callers' calls refused for their keys";
+        registry.register("refused_calls", help, refused_calls.clone());
+        let help = "Confirmations of the configuration";
+        registry.register("confirmations", help, confirmations.clone());
         let version = configuration_version.clone();
         registry.register("configuration_version", "Version in force", version);
         let age = configuration_age_ms.clone();
@@ -82,7 +96,10 @@
             final_jobs,
             store_calls,
             machine_orders,
+            peer_questions,
             takeovers,
+            refused_calls,
+            confirmations,
             waiting_counts,
             configuration_version,
             configuration_age_ms,
@@ -119,9 +136,15 @@
         self.configuration_version.set(version);
     }
 
-    /// Records when a read that confirmed the configuration was sent.
-    pub(crate) fn configuration_confirmed(&self, sent_ms: u64) {
-        self.configuration_confirmed_ms.set(sent_ms);
+    /// Records a confirmation of the configuration and from when it counts.
+    pub(crate) fn configuration_confirmed(&self, confirmed_ms: u64, source: &'static str) {
+        self.configuration_confirmed_ms.set(confirmed_ms);
+        self.confirmations.get_or_create(&Source { source }).inc();
+    }
+
+    /// Adds one to the calls that are refused for their keys.
+    pub(crate) fn call_refused(&self, reason: &'static str) {
+        self.refused_calls.get_or_create(&Reason { reason }).inc();
     }
 
     /// Encodes all metrics in the `OpenMetrics` text format.
--- a/crates/cornelpoint-manager/src/node/mod.rs
+++ b/crates/cornelpoint-manager/src/node/mod.rs
@@ -3,10 +3,14 @@
 
 mod claims;
 mod cluster;
+mod configuration;
 mod feeds;
 mod heartbeats;
+mod peer_confirmations;
+mod refusals;
 mod shutdown;
 mod state;
 
 pub(crate) use self::claims::lease_expiry_ms;
+pub(crate) use self::refusals::OTHER_TENANT;
 pub(crate) use self::state::Node;
--- /dev/null
+++ b/crates/cornelpoint-manager/src/node/peer_confirmations.rs
@@ -0,0 +1,118 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use cornelpoint::tenant::ConfirmationSource;
+use cornelpoint_platform::call::Call;
+use cornelpoint_platform::call::Method;
+use slog::info;
+
+use super::state::Node;
+use crate::clock;
+use crate::edge::CONFIGURATION_PATH;
+use crate::message::ConfigurationRequest;
+use crate::message::ConfigurationResponse;
+use crate::metrics::ProcessMetrics;
+use crate::store::decode;
+use crate::store::encode;
+
+/// Age of the confirmation from which peers are asked. With a store that answers, the age
+/// varies between 0.5 s and 1 s; unknown keys are refused for good up to 1.5 s.
+const ASK_AGE_MS: u64 = 1150;
+/// Timeout of a question. Peers answer from memory.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time between checks of the age, and between a question without an answer and the next.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between an answer and the next question. While the store is slow for all processes,
+/// no answer of a peer is recent enough to end the questions.
+const ANSWERED_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Outcome of a question to a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PeerOutcome {
+    Confirmed,
+    /// The peer has not confirmed its configuration itself, or not late enough.
+    NotConfirmed,
+    NoAnswer,
+}
+
+impl PeerOutcome {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Confirmed => "confirmed",
+            Self::NotConfirmed => "not_confirmed",
+            Self::NoAnswer => "no_answer",
+        }
+    }
+}
+
+impl Node {
+    /// Confirms the configuration through peers while reads of the store don't.
+    pub(super) async fn confirm_through_peers(self: Rc<Self>) {
+        let mut last_asked = String::new();
+        let mut last_outcome = None;
+        let mut interval = CHECK_INTERVAL;
+        loop {
+            tokio::time::sleep(interval).await;
+            interval = CHECK_INTERVAL;
+            let age_ms = self.configuration_age_ms();
+            if !self.checks_keys() || age_ms.is_some_and(|age_ms| age_ms <= ASK_AGE_MS) {
+                continue;
+            }
+            let Some((peer, address)) = self.next_peer(&last_asked) else {
+                continue;
+            };
+            let outcome = self.ask_peer(&address).await;
+            ProcessMetrics::count(&self.metrics.peer_questions, outcome.label());
+            if last_outcome.replace(outcome) != Some(outcome) {
+                info!(self.platform_log, "Asked a peer to confirm the configuration.";
+                    "peer" => &peer, "outcome" => outcome.label(), "age_before_ms" => age_ms,
+                    "age_ms" => self.configuration_age_ms());
+            }
+            if outcome != PeerOutcome::NoAnswer {
+                interval = ANSWERED_INTERVAL;
+            }
+            last_asked = peer;
+        }
+    }
+
+    /// Returns the name and address of the next peer after `last` that can reach the store.
+    fn next_peer(&self, last: &str) -> Option<(String, String)> {
+        let planner = self.planner.borrow();
+        let peers = || planner.peers_with_store(clock::now().steady_ms);
+        let next = peers().find(|(name, _)| *name > last);
+        let (name, address) = next.or_else(|| peers().next())?;
+        Some((name.to_owned(), address.to_owned()))
+    }
+
+    async fn ask_peer(&self, address: &str) -> PeerOutcome {
+        let request = ConfigurationRequest {
+            version: self.catalog().map_or(0, |catalog| catalog.version),
+        };
+        let call = Call {
+            method: Method::Post,
+            path: CONFIGURATION_PATH.to_owned(),
+            headers: Vec::new(),
+            body: encode(&request),
+        };
+        // The answer counts from here, however long the question waits.
+        let sent_ms = clock::now().steady_ms;
+        let answer = self.peer(address).send(&call, ASK_TIMEOUT).await;
+        let response = answer
+            .ok()
+            .and_then(|answer| decode::<ConfigurationResponse>(&answer.body));
+        let Some(response) = response else {
+            return PeerOutcome::NoAnswer;
+        };
+        if let Some(text) = &response.configuration {
+            self.apply_peer_configuration(text.as_bytes());
+        }
+        let confirmed = self.configuration.update(|confirmation| {
+            confirmation.peer_answered(response.version, response.age_ms, sent_ms)
+        });
+        if !confirmed {
+            return PeerOutcome::NotConfirmed;
+        }
+        self.record_confirmation(ConfirmationSource::Peer);
+        PeerOutcome::Confirmed
+    }
+}
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -24,6 +24,8 @@
 use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 
+use super::configuration::ConfigurationState;
+use super::refusals::RefusalLog;
 use crate::clock;
 use crate::edge;
 use crate::edge::InboxWriter;
@@ -80,6 +82,9 @@
     pub(crate) platform_log: Logger,
     pub(crate) main_log: Logger,
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    /// The text of the configuration and how recently it was confirmed.
+    pub(super) configuration: ConfigurationState,
+    pub(super) refusals: RefusalLog,
     pub(crate) waves: RefCell<BTreeMap<u64, WaveOrder>>,
     pub(crate) planner: RefCell<OwnershipPlanner>,
     pub(crate) planner_changed: Notify,
@@ -140,6 +145,8 @@
             platform_log: log.component(Component::Platform),
             main_log: log.component(Component::Main),
             catalog: RefCell::default(),
+            configuration: ConfigurationState::default(),
+            refusals: RefusalLog::default(),
             waves: RefCell::default(),
             planner: RefCell::new(planner),
             planner_changed: Notify::new(),
@@ -169,6 +176,7 @@
         spawn_local(Rc::clone(&node).receive_heartbeats(Rc::clone(&socket)));
         spawn_local(Rc::clone(&node).send_heartbeats(socket));
         spawn_local(Rc::clone(&node).follow_operator());
+        spawn_local(Rc::clone(&node).confirm_through_peers());
         spawn_local(Rc::clone(&node).follow_cluster());
         spawn_local(Rc::clone(&node).claim_shards());
         spawn_local(Rc::clone(&node).write_store_heartbeats());
--- a/crates/cornelpoint-manager/src/pool_host/requests.rs
+++ b/crates/cornelpoint-manager/src/pool_host/requests.rs
@@ -7,6 +7,7 @@
 use cornelpoint::job::JobSpec;
 use cornelpoint::scheduler::CancelAnswer;
 use cornelpoint::scheduler::SubmitAnswer;
+use cornelpoint::tenant::Caller;
 use slog::info;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -15,6 +16,7 @@
 use crate::message::MAX_COUNT_AGE_MS;
 use crate::message::PoolRequest;
 use crate::message::PoolResponse;
+use crate::node::OTHER_TENANT;
 
 /// Longest wait for the store before the caller is told that the outcome is
 /// uncertain.
@@ -27,8 +29,16 @@
     pub(crate) async fn handle_request(self: &Rc<Self>, request: PoolRequest) -> PoolResponse {
         match request {
             PoolRequest::Submit { job, record } => self.submit(job, *record).await,
-            PoolRequest::Cancel { job } => self.cancel(job).await,
-            PoolRequest::Status { job } => {
+            PoolRequest::Cancel { job, caller } => {
+                if !self.may_access(job, &caller) {
+                    return PoolResponse::UnknownJob;
+                }
+                self.cancel(job).await
+            }
+            PoolRequest::Status { job, caller } => {
+                if !self.may_access(job, &caller) {
+                    return PoolResponse::UnknownJob;
+                }
                 let status = self.scheduler.borrow().status(job);
                 status.map_or(PoolResponse::UnknownJob, PoolResponse::Status)
             }
@@ -36,6 +46,20 @@
         }
     }
 
+    /// Whether a caller may see a job; also if the job is unknown.
+    fn may_access(&self, job: JobId, caller: &Caller) -> bool {
+        let scheduler = self.scheduler.borrow();
+        let Some(record) = scheduler.job_record(job) else {
+            return true;
+        };
+        let allowed = caller.may_access(record.tenant.as_deref());
+        if !allowed {
+            self.node
+                .call_refused(OTHER_TENANT, &job.to_string(), &record.queue);
+        }
+        allowed
+    }
+
     fn waiting(&self, queue: &str) -> PoolResponse {
         let age_ms = self.view_age_ms();
         if age_ms > MAX_COUNT_AGE_MS {
@@ -48,6 +72,10 @@
         let Ok(spec) = JobSpec::try_from(record.job.clone()) else {
             return PoolResponse::UnknownJob;
         };
+        let tenant = record.tenant.clone().map(Caller::Tenant);
+        if !self.may_access(id, &tenant.unwrap_or_default()) {
+            return PoolResponse::UnknownJob;
+        }
         let queue = record.queue.clone();
         let answer = self.apply(|scheduler, now| scheduler.submit(id, record, spec, now));
         match answer {
--- a/crates/cornelpoint-manager/tests/takeover/caller.rs
+++ b/crates/cornelpoint-manager/tests/takeover/caller.rs
@@ -10,6 +10,7 @@
 use ureq::Agent;
 use ureq::Body;
 use ureq::Error;
+use ureq::RequestBuilder;
 use ureq::http::Response;
 
 /// Longest wait for a response.
@@ -29,6 +30,7 @@
     agent: Agent,
     address: SocketAddr,
     queue: Queue,
+    key: Option<String>,
 }
 
 impl Caller {
@@ -42,6 +44,16 @@
             agent: Agent::new_with_config(config),
             address,
             queue: queue.clone(),
+            key: None,
+        }
+    }
+
+    /// Returns the same caller with this key.
+    pub fn with_key(&self, key: &str) -> Self {
+        let key = Some(key.to_owned());
+        Self {
+            key,
+            ..self.clone()
         }
     }
 
@@ -60,7 +72,8 @@
     /// there was none.
     pub fn submit_body(&self, job: JobId, body: &[u8]) -> Option<u16> {
         let request = self.agent.post(self.url(&job.to_string()));
-        let answer = request
+        let answer = self
+            .authorized(request)
             .header("host", &self.queue.host)
             .header("content-type", "application/json")
             .send(body);
@@ -69,9 +82,21 @@
 
     /// Cancels a job; whether that was acknowledged.
     pub fn cancel(&self, job: JobId) -> bool {
+        self.cancel_status(job) == Some(200)
+    }
+
+    /// Cancels a job; returns the status of the response, `None` if there was none.
+    pub fn cancel_status(&self, job: JobId) -> Option<u16> {
         let request = self.agent.delete(self.url(&job.to_string()));
+        let request = self.authorized(request);
         let answer = request.header("host", &self.queue.host).call();
-        answer.is_ok_and(|answer| answer.status() == 200)
+        Some(answer.ok()?.status().as_u16())
+    }
+
+    /// Asks for a job, or for the number of waiting jobs; returns the status of the
+    /// response, `None` if there was none.
+    pub fn get_status(&self, rest: &str) -> Option<u16> {
+        Some(self.get_response(rest)?.status().as_u16())
     }
 
     /// Returns a job's status; `None` unless it is answered.
@@ -100,11 +125,18 @@
     }
 
     fn get_response(&self, rest: &str) -> Option<Response<Body>> {
-        let request = self.agent.get(self.url(rest));
+        let request = self.authorized(self.agent.get(self.url(rest)));
         let answer: Result<Response<Body>, Error> = request.header("host", &self.queue.host).call();
         answer.ok()
     }
 
+    fn authorized<B>(&self, request: RequestBuilder<B>) -> RequestBuilder<B> {
+        match &self.key {
+            Some(key) => request.header("authorization", format!("Token {key}")),
+            None => request,
+        }
+    }
+
     fn url(&self, rest: &str) -> String {
         format!("http://{}{}{rest}", self.address, self.queue.path_prefix)
     }
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod fleet;
 mod instance;
+mod keys;
 mod large_jobs;
 mod late_claims;
 mod load;
--- a/crates/cornelpoint/src/ownership/planner.rs
+++ b/crates/cornelpoint/src/ownership/planner.rs
@@ -150,6 +150,16 @@
             .is_some_and(|peer| self.unresponsive_ms(peer) > now_ms)
     }
 
+    /// Returns the names and addresses of the responsive peers that can reach the store, in
+    /// the order of their names.
+    pub fn peers_with_store(&self, now_ms: u64) -> impl Iterator<Item = (&str, &str)> {
+        let peers = self.peers.iter().filter(move |(_, state)| {
+            let has_store = state.peer.has_store && !state.peer.leaving;
+            has_store && self.unresponsive_ms(state) > now_ms
+        });
+        peers.map(|(name, state)| (name.as_str(), state.peer.address.as_str()))
+    }
+
     /// Returns when a peer counts as unresponsive unless another heartbeat of it
     /// arrives. Among many processes, heartbeats are further apart.
     fn unresponsive_ms(&self, peer: &PeerState) -> u64 {
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -352,6 +352,12 @@
         Some(JobStatus::Running)
     }
 
+    /// Returns the record of a job; `None` if the job is unknown.
+    #[must_use]
+    pub fn job_record(&self, job: JobId) -> Option<&JobRecord> {
+        Some(&self.jobs.get(&job)?.record)
+    }
+
     /// Returns the number of accepted jobs of a queue of which no task has
     /// started.
     #[must_use]
--- a/crates/cornelpoint/src/tenant/confirmation.rs
+++ b/crates/cornelpoint/src/tenant/confirmation.rs
@@ -21,6 +21,21 @@
     Peer,
 }
 
+impl ConfirmationSource {
+    /// Returns the source as in logs and metrics.
+    ///
+    /// ```
+    /// assert_eq!(cornelpoint::tenant::ConfirmationSource::Peer.label(), "peer");
+    /// ```
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// A newest configuration that can't be parsed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct UnreadableRow {
@@ -130,18 +145,27 @@
         self.unreadable.is_some()
     }
 
+    /// Returns the time from which the configuration in force is confirmed.
+    #[must_use]
+    pub fn confirmed_ms(&self) -> Option<u64> {
+        let confirmed_ms = self.store_ms.max(self.peer_ms);
+        confirmed_ms.filter(|_| self.unreadable.is_none())
+    }
+
     /// Returns the time since the configuration in force was known to be the newest; `None`
     /// if it is not confirmed.
     #[must_use]
     pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
-        self.age_since(self.store_ms.max(self.peer_ms), now_ms)
+        let confirmed_ms = self.confirmed_ms()?;
+        Some(now_ms.saturating_sub(confirmed_ms))
     }
 
     /// Returns the same by this process's reads of the store only, for peers that ask. An
     /// answer that rests on another peer's could be passed on for ever.
     #[must_use]
     pub fn store_age_ms(&self, now_ms: u64) -> Option<u64> {
-        self.age_since(self.store_ms, now_ms)
+        let confirmed_ms = self.store_ms.filter(|_| self.unreadable.is_none())?;
+        Some(now_ms.saturating_sub(confirmed_ms))
     }
 
     /// Returns where the latest confirmation comes from.
@@ -153,9 +177,4 @@
             ConfirmationSource::Store
         }
     }
-
-    fn age_since(&self, confirmed_ms: Option<u64>, now_ms: u64) -> Option<u64> {
-        let confirmed_ms = confirmed_ms.filter(|_| self.unreadable.is_none())?;
-        Some(now_ms.saturating_sub(confirmed_ms))
-    }
 }
--- a/crates/cornelpoint/src/tenant/permission.rs
+++ b/crates/cornelpoint/src/tenant/permission.rs
@@ -20,6 +20,22 @@
     Unconfirmed,
 }
 
+impl Refusal {
+    /// Returns the reason as in logs and metrics.
+    ///
+    /// ```
+    /// assert_eq!(cornelpoint::tenant::Refusal::UnknownKey.reason(), "unknown_key");
+    /// ```
+    #[must_use]
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::MissingKey => "missing_key",
+            Self::UnknownKey => "unknown_key",
+            Self::Unconfirmed => "unconfirmed",
+        }
+    }
+}
+
 /// Decision on one call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Permission {
--- a/crates/cornelpoint/tests/keys.rs
+++ b/crates/cornelpoint/tests/keys.rs
@@ -56,6 +56,9 @@
     flight: Option<(u64, Option<usize>)>,
 }
 
+/// The row that a peer applies, and the age of its confirmation.
+type PeerAnswer = (usize, Option<u64>);
+
 struct World {
     random: ChaCha8Rng,
     mutant: Mutant,
@@ -64,7 +67,8 @@
     next_key: u64,
     /// The process under test and its peer, which also loses the store at times.
     processes: [Process; 2],
-    question: Option<(u64, Option<(usize, Option<u64>)>)>,
+    /// Question in flight: when it was sent and the answer, if there is one.
+    question: Option<(u64, Option<PeerAnswer>)>,
     allowed: usize,
     unknown: usize,
     violations: BTreeMap<&'static str, usize>,
@@ -181,10 +185,11 @@
             None => self.question = Some((now_ms, None)),
             Some((sent_ms, None)) => {
                 let through_peer = self.mutant == Mutant::PeerThroughPeer;
-                let age_ms = match through_peer {
+                let age_ms = if through_peer {
                     // Its own peer has no confirmation but that of this process.
-                    true => self.processes[0].known.age_ms(now_ms).map(|_| 0),
-                    false => peer.known.store_age_ms(now_ms),
+                    self.processes[0].known.age_ms(now_ms).map(|_| 0)
+                } else {
+                    peer.known.store_age_ms(now_ms)
                 };
                 let answer = peer.applied.map(|row| (row, age_ms));
                 self.question = answer.map(|answer| (sent_ms, Some(answer)));
