Test keys across a pause, versions, and announced tenants

The test of a pause passed with the age ignored: the response of the process's long poll was waiting in its socket and told of the revocation first. Two tests are new: tenants that only the settings announce, and requests of earlier versions.

--- a/crates/cornelpoint-manager/tests/takeover/instance.rs
+++ b/crates/cornelpoint-manager/tests/takeover/instance.rs
@@ -45,6 +45,12 @@
         self.process = spawn(&self.settings_path, output);
     }
 
+    /// Adds a line before the others of the settings file, which the next process reads.
+    pub fn add_setting(&self, line: &str) {
+        let text = fs::read_to_string(&self.settings_path).unwrap();
+        fs::write(&self.settings_path, format!("{line}\n{text}")).unwrap();
+    }
+
     pub fn pause(&self) {
         self.signal(Signal::STOP);
     }
--- a/crates/cornelpoint-manager/tests/takeover/keys.rs
+++ b/crates/cornelpoint-manager/tests/takeover/keys.rs
@@ -2,23 +2,32 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
 use cornelpoint::catalog::Queue;
+use cornelpoint::job::JobId;
+use cornelpoint::job::JobStatus;
 use cornelpoint::job::Resources;
 use platform_standin::callers::job_body;
 use platform_standin::operator;
 use platform_standin::store::ReadFault;
+use serde::Deserialize;
+use serde::Serialize;
+use ureq::Agent;
 
 use crate::TRANSACTION_DURATION;
 use crate::caller::Caller;
 use crate::caller::job;
 use crate::fleet::Fleet;
+use crate::fleet::POOL;
 use crate::fleet::wait_until;
 use crate::instance::Instance;
 
+/// First internal port of an instance.
+const INTERNAL_PORT: u16 = 7060;
 /// Table of the operator's rows.
 const OPERATOR_TABLE: &str = "op";
 /// Time after a revocation at which the tests call. The bound is 5 s.
@@ -184,14 +193,15 @@
     }
 }
 
-/// Guards against a process that counts the time of a pause as nothing: the first call after
-/// it comes before the first read.
+/// Guards against a process that counts the time of a pause as nothing. The network forgets
+/// its connections to the store meanwhile, so that the first call comes before the first read.
 #[test]
 fn revoked_key_is_accepted_after_a_pause() {
     let fleet = start("keys_pause");
     let instance = fleet.others()[0];
     let north = keyed(&fleet, instance, NORTH);
     assert_eq!(north.get_status(""), Some(200));
+    fleet.store.silence_connections(&instance.name);
     instance.pause();
     revoke_north(&fleet);
     thread::sleep(REVOKED);
@@ -226,6 +236,52 @@
     }
 }
 
+/// Guards against a process that lets everybody in because the configuration lacks the
+/// tenants that its settings announce.
+#[test]
+fn calls_are_carried_out_while_the_configuration_has_no_tenants() {
+    let mut fleet = Fleet::start("keys_announced", TRANSACTION_DURATION);
+    let queues = [fleet.queue.clone(), public_queue(&fleet)];
+    let value = operator::configuration(2, &queues);
+    fleet.store.write(&operator::configuration_row(), &value);
+    let instance = &mut fleet.instances[0];
+    instance.add_setting("contracts = [\"tenants\"]");
+    instance.kill();
+    instance.restart();
+    let instance = &fleet.instances[0];
+    let north = keyed(&fleet, instance, NORTH);
+    wait_until("the key is unknown", || north.get_status("") == Some(401));
+    assert_eq!(fleet.caller(instance).submit_status(job(1)), Some(401));
+    let public = public(&fleet, instance);
+    wait_until("a public route is served", || public.waiting() == Some(0));
+}
+
+/// Guards against requests of processes of earlier versions, which name no caller, that can't
+/// be decoded while versions are mixed.
+#[test]
+fn request_without_a_caller_is_refused_by_the_owner() {
+    #[derive(Serialize)]
+    enum EarlierRequest {
+        Status { job: JobId },
+    }
+    #[derive(Debug, PartialEq, Eq, Deserialize)]
+    enum EarlierResponse {
+        Status(JobStatus),
+        UnknownJob,
+    }
+    let fleet = start("keys_versions");
+    let owner = fleet.owner();
+    assert!(keyed(&fleet, owner, NORTH).submit(job(1)));
+    let address = SocketAddr::new(owner.caller_address.ip(), INTERNAL_PORT);
+    let body = rmp_serde::to_vec_named(&EarlierRequest::Status { job: job(1) }).unwrap();
+    let config = Agent::config_builder().proxy(None).build();
+    let request = Agent::new_with_config(config).post(format!("http://{address}/pool/{POOL}"));
+    let mut answer = request.send(&body).unwrap();
+    let answer = answer.body_mut().read_to_vec().unwrap();
+    let answer: EarlierResponse = rmp_serde::from_slice(&answer).unwrap();
+    assert_eq!(answer, EarlierResponse::Status(JobStatus::Pending));
+}
+
 /// Guards against a key that is checked once for a connection, or only before the body: the
 /// head of the second call is sent while the key is valid, its last bytes after the bound.
 #[test]
