Ask peers for a confirmation in an order of each process's own

The processes of a zone lose the store together and asked the peers in the order of their names, all the same one at a time.

Tests: takeover keys::, run and passed.

--- a/crates/cornelpoint-manager/src/node/peer_confirmations.rs
+++ b/crates/cornelpoint-manager/src/node/peer_confirmations.rs
@@ -1,3 +1,6 @@
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -48,7 +51,7 @@
 impl Node {
     /// Confirms the configuration through peers while reads of the store don't.
     pub(super) async fn confirm_through_peers(self: Rc<Self>) {
-        let mut last_asked = String::new();
+        let mut last_rank = 0;
         let mut last_outcome = None;
         let mut interval = CHECK_INTERVAL;
         loop {
@@ -58,7 +61,7 @@
             if !self.checks_keys() || age_ms.is_some_and(|age_ms| age_ms <= ASK_AGE_MS) {
                 continue;
             }
-            let Some((peer, address)) = self.next_peer(&last_asked) else {
+            let Some((rank, peer, address)) = self.next_peer(last_rank) else {
                 continue;
             };
             let outcome = self.ask_peer(&address).await;
@@ -71,17 +74,23 @@
             if outcome != PeerOutcome::NoAnswer {
                 interval = ANSWERED_INTERVAL;
             }
-            last_asked = peer;
+            last_rank = rank;
         }
     }
 
-    /// Returns the name and address of the next peer after `last` that can reach the store.
-    fn next_peer(&self, last: &str) -> Option<(String, String)> {
+    /// Returns the rank, the name and the address of the peer to ask after one of rank `last`.
+    /// The processes of a zone lose the store together, so that each has an order of its own.
+    fn next_peer(&self, last: u64) -> Option<(u64, String, String)> {
         let planner = self.planner.borrow();
-        let peers = || planner.peers_with_store(clock::now().steady_ms);
-        let next = peers().find(|(name, _)| *name > last);
-        let (name, address) = next.or_else(|| peers().next())?;
-        Some((name.to_owned(), address.to_owned()))
+        let peers = planner.peers_with_store(clock::now().steady_ms);
+        let ranked = peers.map(|(name, address)| {
+            let mut hasher = DefaultHasher::new();
+            (&self.settings.node, name).hash(&mut hasher);
+            (hasher.finish(), name, address)
+        });
+        let next = ranked.min_by_key(|(rank, ..)| (*rank <= last, *rank))?;
+        let (rank, name, address) = next;
+        Some((rank, name.to_owned(), address.to_owned()))
     }
 
     async fn ask_peer(&self, address: &str) -> PeerOutcome {
