Sleep until peers have to be asked about the configuration

Each process woke up ten times a second to look at the age of its configuration, also where no keys are checked. The task now sleeps until the age can reach the limit, and until a configuration asks for keys where none does.

--- a/crates/cornelpoint-manager/src/node/configuration.rs
+++ b/crates/cornelpoint-manager/src/node/configuration.rs
@@ -4,6 +4,7 @@
 
 use cornelpoint::tenant::Confirmation;
 use cornelpoint::tenant::ConfirmationSource;
+use tokio::sync::Notify;
 
 use super::state::Node;
 use crate::clock;
@@ -16,6 +17,8 @@
     confirmation: Cell<Confirmation>,
     /// Kept for peers that have lost the store, once keys are checked.
     text: RefCell<Option<Rc<str>>>,
+    /// Notified when a configuration has been applied.
+    pub(super) applied: Notify,
 }
 
 impl ConfigurationState {
--- a/crates/cornelpoint-manager/src/node/feeds.rs
+++ b/crates/cornelpoint-manager/src/node/feeds.rs
@@ -188,6 +188,7 @@
             let text = std::str::from_utf8(value).ok();
             self.configuration.set_text(text.map(Rc::from));
         }
+        self.configuration.applied.notify_one();
         Some(version)
     }
 }
--- a/crates/cornelpoint-manager/src/node/peer_confirmations.rs
+++ b/crates/cornelpoint-manager/src/node/peer_confirmations.rs
@@ -23,8 +23,8 @@
 const ASK_AGE_MS: u64 = 1150;
 /// Timeout of a question. Peers answer from memory.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time between checks of the age, and between a question without an answer and the next.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between a question without an answer and the next one.
+const UNANSWERED_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between an answer and the next question. While the store is slow for all processes,
 /// no answer of a peer is recent enough to end the questions.
 const ANSWERED_INTERVAL: Duration = Duration::from_millis(400);
@@ -53,15 +53,18 @@
     pub(super) async fn confirm_through_peers(self: Rc<Self>) {
         let mut last_rank = 0;
         let mut last_outcome = None;
-        let mut interval = CHECK_INTERVAL;
         loop {
-            tokio::time::sleep(interval).await;
-            interval = CHECK_INTERVAL;
+            if !self.checks_keys() {
+                self.configuration.applied.notified().await;
+                continue;
+            }
             let age_ms = self.configuration_age_ms();
-            if !self.checks_keys() || age_ms.is_some_and(|age_ms| age_ms <= ASK_AGE_MS) {
+            if let Some(left_ms) = age_ms.and_then(|age_ms| ASK_AGE_MS.checked_sub(age_ms)) {
+                tokio::time::sleep(Duration::from_millis(left_ms + 1)).await;
                 continue;
             }
             let Some((rank, peer, address)) = self.next_peer(last_rank) else {
+                tokio::time::sleep(UNANSWERED_INTERVAL).await;
                 continue;
             };
             let outcome = self.ask_peer(&address).await;
@@ -71,10 +74,12 @@
                     "peer" => &peer, "outcome" => outcome.label(), "age_before_ms" => age_ms,
                     "age_ms" => self.configuration_age_ms());
             }
-            if outcome != PeerOutcome::NoAnswer {
-                interval = ANSWERED_INTERVAL;
-            }
             last_rank = rank;
+            let interval = match outcome {
+                PeerOutcome::NoAnswer => UNANSWERED_INTERVAL,
+                PeerOutcome::Confirmed | PeerOutcome::NotConfirmed => ANSWERED_INTERVAL,
+            };
+            tokio::time::sleep(interval).await;
         }
     }
 
