Test what bodies and heads without an end make a process hold

Clients outside the documented limits ended a process: it ran out of memory. The new test target starts a manager process with 64 MB and 500 descriptors (200 of them reserved for files) and sends it bodies that stop short of their end, whole, piece by piece and in chunks, on the callers' and the internal port, and connections without a whole head. It checks the peak of the resident memory, the open descriptors, and that an ordinary job is accepted while the crowd holds its connections.

--- /dev/null
+++ b/crates/cornelpoint-manager/tests/body_limits/main.rs
@@ -0,0 +1,232 @@
+//! Clients that send bodies or heads and never end them, against a real manager process
+//! with lowered limits. The tests check that the process lives within its limits and that
+//! an ordinary request is answered while the clients still hold their connections; they
+//! check no times and no share of served requests. One of them runs at a time.
+
+mod crowd;
+mod process;
+mod request;
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use cornelpoint::job::Resources;
+use platform_standin::callers::job_body;
+
+use crate::crowd::Crowd;
+use crate::crowd::exchange;
+use crate::process::Process;
+use crate::request::chunked;
+use crate::request::cut;
+use crate::request::whole;
+
+/// Memory limit in the settings of each process.
+const MEMORY_MB: u64 = 64;
+/// Descriptor limit in the settings of each process.
+const MAX_DESCRIPTORS: u64 = 500;
+/// Descriptors that the platform reserves for files.
+const RESERVED_DESCRIPTORS: u64 = 200;
+/// Largest body of a caller, by the operator's limits.
+const MAX_BODY_BYTES: usize = 262_144;
+/// Largest body of a peer.
+const MAX_MESSAGE_BYTES: usize = 1_048_576;
+/// Clients with bodies of [`MAX_BODY_BYTES`]: 79 MB, if each is held.
+const LARGE_BODIES: usize = 300;
+/// Clients with bodies in chunks of one byte.
+const SMALL_CHUNKS: usize = 30;
+/// Clients with bodies of [`MAX_MESSAGE_BYTES`]: 84 MB, if each is held.
+const LARGE_MESSAGES: usize = 80;
+/// Clients that send no whole head.
+const HEADS: usize = 400;
+/// Bytes that a client sends at a time, where bodies arrive piece by piece.
+const PIECE_BYTES: usize = 16_384;
+/// Resources of a submitted job's task.
+const NEED: Resources = Resources {
+    cpu_millicores: 10,
+    memory_mb: 16,
+    accelerators: 0,
+};
+
+/// Held by the test that runs.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Guards against a process that holds every body of legal size that never ends.
+#[test]
+fn whole_bodies_that_stop_short_stay_within_the_limits() {
+    withstands("whole_bodies", |process| {
+        let request = cut(whole_request(process), 1);
+        Crowd::send(process.caller_address, LARGE_BODIES, &request, usize::MAX)
+    });
+}
+
+/// The same where every client makes progress until it stops.
+#[test]
+fn bodies_sent_piece_by_piece_that_stop_short_stay_within_the_limits() {
+    withstands("pieces", |process| {
+        let request = cut(whole_request(process), 1);
+        Crowd::send(process.caller_address, LARGE_BODIES, &request, PIECE_BYTES)
+    });
+}
+
+/// The same for bodies whose length isn't known before they end.
+#[test]
+fn large_chunks_that_stop_short_stay_within_the_limits() {
+    withstands("large_chunks", |process| {
+        let request = chunked_request(process, MAX_BODY_BYTES / 4);
+        Crowd::send(
+            process.caller_address,
+            LARGE_BODIES,
+            &cut(request, 5),
+            PIECE_BYTES,
+        )
+    });
+}
+
+/// Guards against chunks that each keep more memory than their bytes.
+#[test]
+fn chunks_of_one_byte_that_stop_short_stay_within_the_limits() {
+    withstands("small_chunks", |process| {
+        let request = chunked_request(process, 1);
+        Crowd::send(
+            process.caller_address,
+            SMALL_CHUNKS,
+            &cut(request, 5),
+            PIECE_BYTES,
+        )
+    });
+}
+
+/// Guards against the same on the port of the messages between processes, whose limit is
+/// four times as high.
+#[test]
+fn messages_to_the_internal_port_that_stop_short_stay_within_the_limits() {
+    withstands("internal_port", |process| {
+        let body = vec![b' '; MAX_MESSAGE_BYTES];
+        let path = format!("/pool/{}", process.queue.pool);
+        let request = cut(whole("peer", &path, &body), 1);
+        Crowd::send(
+            process.internal_address,
+            LARGE_MESSAGES,
+            &request,
+            PIECE_BYTES,
+        )
+    });
+}
+
+/// The same for messages in chunks of one byte.
+#[test]
+fn messages_in_chunks_of_one_byte_stay_within_the_limits() {
+    withstands("internal_chunks", |process| {
+        let path = format!("/pool/{}", process.queue.pool);
+        let request = chunked("peer", &path, &vec![b' '; MAX_BODY_BYTES], 1);
+        Crowd::send(
+            process.internal_address,
+            SMALL_CHUNKS,
+            &cut(request, 5),
+            PIECE_BYTES,
+        )
+    });
+}
+
+/// Guards against a process that runs out of descriptors by connections without a request.
+#[test]
+fn connections_without_a_request_stay_within_the_limits() {
+    withstands("no_request", |process| {
+        Crowd::send(process.caller_address, HEADS, b"", 1)
+    });
+}
+
+/// The same for heads that never end.
+#[test]
+fn heads_that_stop_short_stay_within_the_limits() {
+    withstands("part_of_a_head", |process| {
+        let head = b"POST /plan/0000000000000001 HTTP/1.1\r\nhost: plan.exam";
+        Crowd::send(process.caller_address, HEADS, head, usize::MAX)
+    });
+}
+
+/// Guards against callers that crowd the other ports out.
+#[test]
+fn other_ports_answer_while_callers_crowd_theirs() {
+    let _only = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let process = Process::start("other_ports");
+    let request = cut(whole_request(&process), 1);
+    let crowd = Crowd::send(process.caller_address, LARGE_BODIES, &request, usize::MAX);
+    process.settle();
+    let statuses = [
+        process.get(
+            process.ready_address,
+            cornelpoint_platform::callers::READY_PATH,
+        ),
+        process.get(process.internal_address, "/metrics"),
+    ];
+    assert_eq!(statuses, [Some(200); 2]);
+    drop(crowd);
+}
+
+/// Guards against limits that refuse a single request within the documented limits.
+#[test]
+fn single_requests_of_the_largest_size_are_served() {
+    let _only = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let process = Process::start("largest_size");
+    let send = |number: u64, chunk_bytes: Option<usize>, body_bytes: usize| {
+        let path = format!("{}{number:016x}", process.queue.path_prefix);
+        let body = legal_body(body_bytes);
+        let host = &process.queue.host;
+        let request = match chunk_bytes {
+            None => whole(host, &path, &body),
+            Some(chunk_bytes) => chunked(host, &path, &body, chunk_bytes),
+        };
+        exchange(process.caller_address, &request)
+    };
+    assert_eq!(send(1, None, MAX_BODY_BYTES), Some(200));
+    assert_eq!(send(2, Some(MAX_BODY_BYTES), MAX_BODY_BYTES), Some(200));
+    assert_eq!(send(3, Some(1), MAX_BODY_BYTES), Some(200));
+    assert_eq!(
+        send(4, Some(MAX_BODY_BYTES + 1), MAX_BODY_BYTES + 1),
+        Some(413)
+    );
+}
+
+/// Starts a process, lets a crowd at it, and checks what it holds and that it answers.
+fn withstands(test: &str, attack: impl FnOnce(&Process) -> Crowd) {
+    let _only = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let process = Process::start(test);
+    let before = process.settle();
+    let crowd = attack(&process);
+    let usage = process.settle();
+    let status = process.submit(u64::MAX);
+    println!(
+        "{test}: {before:?} before, {usage:?}, {} open, {status:?}",
+        crowd.open()
+    );
+    assert!(usage.peak_kb <= MEMORY_MB * 1000, "{usage:?}");
+    let max_descriptors = MAX_DESCRIPTORS - RESERVED_DESCRIPTORS;
+    assert!(usage.descriptors <= max_descriptors, "{usage:?}");
+    assert_eq!(status, Some(200), "an ordinary job isn't accepted");
+}
+
+/// Returns a valid job of this size.
+fn legal_body(bytes: usize) -> Vec<u8> {
+    let mut body = job_body(NEED, 10);
+    body.resize(bytes, b' ');
+    body
+}
+
+fn whole_request(process: &Process) -> Vec<u8> {
+    whole(
+        &process.queue.host,
+        "/plan/0000000000000001",
+        &legal_body(MAX_BODY_BYTES),
+    )
+}
+
+fn chunked_request(process: &Process, chunk_bytes: usize) -> Vec<u8> {
+    let body = legal_body(MAX_BODY_BYTES);
+    chunked(
+        &process.queue.host,
+        "/plan/0000000000000001",
+        &body,
+        chunk_bytes,
+    )
+}
