Bound what connections and their bodies hold in a process

The size of one body was bounded, not that of all bodies, and neither was the number of connections. Each chunk of a body kept the read buffer that it arrived in, so that a chunk of one byte held many times its size; read buffers grew up to 400 kB.

Each listener now has a share of the process's memory and descriptors. Connections count with their read buffers, which are limited to 20 kB; bodies are copied to segments and count with these and with what their parsed form takes. A body that there is no room for is refused with 503 and Retry-After before it is read. Room is made by closing bodies that make no progress first, then connections without a request, then bodies slower than the one that needs room; a request that is being answered is never closed. A body is refused with 408 after 15 s without progress and after 60 s in all.

--- a/crates/cornelpoint-manager/src/edge/callers.rs
+++ b/crates/cornelpoint-manager/src/edge/callers.rs
@@ -16,7 +16,6 @@
 use crate::clock;
 use crate::http::CallError;
 use crate::http::Reply;
-use crate::http::read_body;
 use crate::http::reply;
 use crate::message::MAX_COUNT_AGE_MS;
 use crate::message::PoolRequest;
@@ -87,14 +86,14 @@
         (Method::POST, Err(error)) => reply(400, error.to_string()),
         (Method::POST, Ok(job)) => {
             let max_bytes = catalog.limits.max_body_bytes;
-            match read_body(request.into_body(), max_bytes).await {
-                Some(body) => {
+            match node.servers.read_body(request, max_bytes).await {
+                Ok(body) => {
                     let started = Instant::now();
                     let answer = jobs::submit(&node, queue, job, &body, timeout).await;
                     record_submission(&node, answer.status().as_u16(), started.elapsed());
                     answer
                 }
-                None => reply(413, ""),
+                Err(error) => error.reply(),
             }
         }
         (Method::GET, Ok(job)) => jobs::status(&node, queue, job, timeout).await,
--- a/crates/cornelpoint-manager/src/edge/peers.rs
+++ b/crates/cornelpoint-manager/src/edge/peers.rs
@@ -8,8 +8,8 @@
 
 use crate::clock;
 use crate::http::CallError;
+use crate::http::Port;
 use crate::http::Reply;
-use crate::http::read_body;
 use crate::http::reply;
 use crate::message::PoolRequest;
 use crate::message::PoolResponse;
@@ -19,6 +19,8 @@
 
 /// Largest body of a peer's request: a job and its envelope.
 const MAX_MESSAGE_BYTES: usize = 1_048_576;
+/// Status of a request that its receiver had no room to read, and has not carried out.
+const NO_ROOM_STATUS: u16 = 503;
 const PATH_PREFIX: &str = "/pool/";
 /// Path that serves the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -27,13 +29,19 @@
 pub(crate) async fn handle_peer(node: Rc<Node>, request: Request<Incoming>) -> Reply {
     let path = request.uri().path().to_owned();
     if path == METRICS_PATH {
+        for port in Port::ALL {
+            let held = node.servers.held(port);
+            node.metrics
+                .connections_held(port.label(), held.connections, held.bytes);
+        }
         return reply(200, node.metrics.text());
     }
     let Some(pool) = path.strip_prefix(PATH_PREFIX) else {
         return reply(404, "");
     };
-    let Some(body) = read_body(request.into_body(), MAX_MESSAGE_BYTES).await else {
-        return reply(400, "");
+    let body = match node.servers.read_body(request, MAX_MESSAGE_BYTES).await {
+        Ok(body) => body,
+        Err(error) => return error.reply(),
     };
     let Some(message) = decode::<PoolRequest>(&body) else {
         return reply(400, "");
@@ -88,6 +96,9 @@
         body: encode(&request),
     };
     let answer = node.peer(&address).send(&call, timeout).await?;
+    if answer.status == NO_ROOM_STATUS {
+        return Err(CallError::Busy);
+    }
     node.owner_contacts
         .borrow_mut()
         .entry(address)
--- /dev/null
+++ b/crates/cornelpoint-manager/src/http/connection_table.rs
@@ -0,0 +1,307 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::connection_limits::BODY_BYTES;
+use super::connection_limits::CONNECTION_BYTES;
+use super::connection_limits::PortLimits;
+
+/// Time after which a body that makes no progress, or a connection without a whole head,
+/// may be closed where room is short. The pieces of a body on an open path follow each
+/// other within milliseconds; a lost packet is sent again within 200 ms to 400 ms.
+const STALL_MS: u64 = 500;
+
+/// Identifies a connection of one listener.
+pub(crate) type ConnectionId = u64;
+
+/// The connections of one listener, what each holds, and which are closed to make room.
+///
+/// Room is made in this order: bodies that make no progress, the longest first;
+/// connections without a request, the longest first; bodies that arrive more slowly than
+/// the one that needs room, the slowest first. Where descriptors are short, connections
+/// without a request are first. A request that is being answered is never closed.
+#[derive(Debug)]
+pub(crate) struct ConnectionTable {
+    limits: PortLimits,
+    connections: BTreeMap<ConnectionId, Connection>,
+    /// Connections without a request, by the time since when.
+    waiting: BTreeSet<(u64, ConnectionId)>,
+    /// Connections with a body under way.
+    receiving: BTreeSet<ConnectionId>,
+    held_bytes: usize,
+    next_id: ConnectionId,
+}
+
+/// What a listener's connections hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Held {
+    pub(crate) connections: usize,
+    pub(crate) bytes: usize,
+}
+
+/// Outcome of a request for room.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Room {
+    /// Whether there is room.
+    pub(crate) granted: bool,
+    /// Connections that the caller has to close; they no longer count.
+    pub(crate) closed: Vec<Closed>,
+}
+
+/// A connection that has to be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Closed {
+    pub(crate) id: ConnectionId,
+    pub(crate) reason: &'static str,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Connection {
+    stage: Stage,
+    /// Size of the body's buffer, and of what is on its way there.
+    body_bytes: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Stage {
+    /// Without a request, or with a part of its head.
+    Waiting { since_ms: u64 },
+    /// A body is under way.
+    Receiving(Progress),
+    /// A request is being answered.
+    Answering,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    started_ms: u64,
+    /// When the latest part arrived.
+    latest_ms: u64,
+    received_bytes: u64,
+}
+
+impl Progress {
+    fn is_young(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.started_ms) < STALL_MS
+    }
+
+    fn is_stalled(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.latest_ms) >= STALL_MS
+    }
+
+    fn bytes_per_s(&self, now_ms: u64) -> u64 {
+        let elapsed_ms = now_ms.saturating_sub(self.started_ms).max(1);
+        self.received_bytes * 1000 / elapsed_ms
+    }
+}
+
+impl ConnectionTable {
+    pub(crate) fn new(limits: PortLimits) -> Self {
+        Self {
+            limits,
+            connections: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            receiving: BTreeSet::new(),
+            held_bytes: 0,
+            next_id: 0,
+        }
+    }
+
+    /// Returns what the connections hold.
+    pub(crate) fn held(&self) -> Held {
+        Held {
+            connections: self.connections.len(),
+            bytes: self.held_bytes,
+        }
+    }
+
+    /// Adds a connection; returns its identifier if there was or could be made room, and
+    /// the connections to close.
+    pub(crate) fn open(&mut self, now_ms: u64) -> (Option<ConnectionId>, Vec<Closed>) {
+        let mut closed = Vec::new();
+        while self.connections.len() >= self.limits.max_connections {
+            let longest = self.longest_waiting(u64::MAX, None);
+            let victim = longest.or_else(|| self.most_stalled(now_ms, None));
+            let Some(victim) = victim.or_else(|| self.slowest(now_ms, None)) else {
+                return (None, closed);
+            };
+            closed.push(self.take(victim));
+        }
+        let mut room = self.make_room(CONNECTION_BYTES, None, now_ms);
+        closed.append(&mut room.closed);
+        if !room.granted {
+            return (None, closed);
+        }
+        let id = self.next_id;
+        self.next_id += 1;
+        let stage = Stage::Waiting { since_ms: now_ms };
+        let connection = Connection {
+            stage,
+            body_bytes: 0,
+        };
+        self.connections.insert(id, connection);
+        self.waiting.insert((now_ms, id));
+        self.held_bytes += CONNECTION_BYTES;
+        (Some(id), closed)
+    }
+
+    /// Removes a connection that has been closed.
+    pub(crate) fn close(&mut self, id: ConnectionId) {
+        let Some(connection) = self.connections.remove(&id) else {
+            return;
+        };
+        self.held_bytes -= CONNECTION_BYTES + connection.body_bytes;
+        self.leave(id, connection.stage);
+    }
+
+    /// Records that a request's head has been read.
+    pub(crate) fn begin_request(&mut self, id: ConnectionId) {
+        self.enter(id, Stage::Answering);
+    }
+
+    /// Records that a request has been answered and what it held is free.
+    pub(crate) fn end_request(&mut self, id: ConnectionId, now_ms: u64) {
+        self.resize(id, 0);
+        self.enter(id, Stage::Waiting { since_ms: now_ms });
+    }
+
+    /// Makes room for a body before any of it is read.
+    pub(crate) fn begin_body(&mut self, id: ConnectionId, now_ms: u64) -> Room {
+        let progress = Progress {
+            started_ms: now_ms,
+            latest_ms: now_ms,
+            received_bytes: 0,
+        };
+        self.enter(id, Stage::Receiving(progress));
+        self.grow(id, 0, now_ms)
+    }
+
+    /// Records that a part of a body has arrived.
+    pub(crate) fn record_progress(&mut self, id: ConnectionId, bytes: usize, now_ms: u64) {
+        let connection = self.connections.get_mut(&id);
+        if let Some(Stage::Receiving(progress)) = connection.map(|entry| &mut entry.stage) {
+            progress.latest_ms = now_ms;
+            progress.received_bytes += bytes as u64;
+        }
+    }
+
+    /// Makes room for a body's buffer of this size.
+    pub(crate) fn grow(&mut self, id: ConnectionId, buffer_bytes: usize, now_ms: u64) -> Room {
+        let Some(connection) = self.connections.get(&id) else {
+            return Room::default();
+        };
+        let body_bytes = BODY_BYTES + buffer_bytes;
+        let additional_bytes = body_bytes.saturating_sub(connection.body_bytes);
+        let room = self.make_room(additional_bytes, Some(id), now_ms);
+        if room.granted {
+            self.resize(id, body_bytes);
+        }
+        room
+    }
+
+    /// Records that a body is complete, or won't be read. Its buffer stays counted until
+    /// the request has been answered.
+    pub(crate) fn end_body(&mut self, id: ConnectionId) {
+        self.enter(id, Stage::Answering);
+    }
+
+    fn make_room(&mut self, bytes: usize, for_id: Option<ConnectionId>, now_ms: u64) -> Room {
+        let mut room = Room::default();
+        while self.held_bytes + bytes > self.limits.max_bytes {
+            let stalled = self.most_stalled(now_ms, for_id);
+            let idle_before_ms = now_ms.saturating_sub(STALL_MS);
+            let victim = stalled
+                .or_else(|| self.longest_waiting(idle_before_ms, for_id))
+                .or_else(|| self.slowest(now_ms, for_id));
+            let Some(victim) = victim else {
+                return room;
+            };
+            room.closed.push(self.take(victim));
+        }
+        room.granted = true;
+        room
+    }
+
+    /// Returns the connection that has been without a request for the longest time, if it
+    /// has been since a time before `before_ms`.
+    fn longest_waiting(&self, before_ms: u64, except: Option<ConnectionId>) -> Option<Closed> {
+        let mut waiting = self.waiting.iter();
+        let (since_ms, id) = waiting.find(|(_, id)| Some(*id) != except)?;
+        (*since_ms < before_ms).then_some(Closed {
+            id: *id,
+            reason: "idle_closed",
+        })
+    }
+
+    fn most_stalled(&self, now_ms: u64, except: Option<ConnectionId>) -> Option<Closed> {
+        let stalled = self
+            .progresses(except)
+            .filter(|(_, progress)| progress.is_stalled(now_ms));
+        let (id, _) = stalled.min_by_key(|(_, progress)| progress.latest_ms)?;
+        let reason = "stalled_closed";
+        Some(Closed { id, reason })
+    }
+
+    /// Returns the slowest body that is slower than the one for which room is made. A body
+    /// that has just begun counts as faster than all others.
+    fn slowest(&self, now_ms: u64, for_id: Option<ConnectionId>) -> Option<Closed> {
+        let own = for_id.and_then(|id| self.progress(id));
+        let own = own.filter(|own| !own.is_young(now_ms));
+        let limit = own.map_or(u64::MAX, |own| own.bytes_per_s(now_ms));
+        let others = self
+            .progresses(for_id)
+            .filter(|(_, progress)| !progress.is_young(now_ms));
+        let rates = others.map(|(id, progress)| (progress.bytes_per_s(now_ms), id));
+        let (rate, id) = rates.min()?;
+        let reason = "slow_closed";
+        (rate < limit).then_some(Closed { id, reason })
+    }
+
+    fn progresses(
+        &self,
+        except: Option<ConnectionId>,
+    ) -> impl Iterator<Item = (ConnectionId, Progress)> {
+        let ids = self.receiving.iter().copied();
+        let others = ids.filter(move |id| Some(*id) != except);
+        others.filter_map(|id| Some((id, self.progress(id)?)))
+    }
+
+    fn progress(&self, id: ConnectionId) -> Option<Progress> {
+        match self.connections.get(&id)?.stage {
+            Stage::Receiving(progress) => Some(progress),
+            Stage::Waiting { .. } | Stage::Answering => None,
+        }
+    }
+
+    fn take(&mut self, closed: Closed) -> Closed {
+        self.close(closed.id);
+        closed
+    }
+
+    fn resize(&mut self, id: ConnectionId, body_bytes: usize) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            self.held_bytes = self.held_bytes - connection.body_bytes + body_bytes;
+            connection.body_bytes = body_bytes;
+        }
+    }
+
+    fn enter(&mut self, id: ConnectionId, stage: Stage) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        let left = std::mem::replace(&mut connection.stage, stage);
+        self.leave(id, left);
+        match stage {
+            Stage::Waiting { since_ms } => _ = self.waiting.insert((since_ms, id)),
+            Stage::Receiving(_) => _ = self.receiving.insert(id),
+            Stage::Answering => {}
+        }
+    }
+
+    fn leave(&mut self, id: ConnectionId, stage: Stage) {
+        match stage {
+            Stage::Waiting { since_ms } => _ = self.waiting.remove(&(since_ms, id)),
+            Stage::Receiving(_) => _ = self.receiving.remove(&id),
+            Stage::Answering => {}
+        }
+    }
+}
--- a/crates/cornelpoint-manager/src/http/mod.rs
+++ b/crates/cornelpoint-manager/src/http/mod.rs
@@ -1,11 +1,19 @@
 //! HTTP/1 on the event loop: a client with pooled connections and a small server.
 
+mod body_reader;
+mod body_segments;
 mod call_error;
+mod connection_limits;
+mod connection_table;
+mod connections;
 mod endpoint;
 mod peer_check;
 mod server;
 
 pub(crate) use self::call_error::CallError;
+pub(crate) use self::connection_limits::BodyTimeouts;
+pub(crate) use self::connection_limits::Port;
+pub(crate) use self::connection_limits::ServerLimits;
 pub(crate) use self::endpoint::HttpEndpoint;
 pub(crate) use self::endpoint::Response;
 pub(crate) use self::peer_check::Admission;
@@ -14,6 +22,5 @@
 pub(crate) use self::server::Reply;
 pub(crate) use self::server::ServerControl;
 pub(crate) use self::server::listen;
-pub(crate) use self::server::read_body;
 pub(crate) use self::server::reply;
 pub(crate) use self::server::serve;
--- a/crates/cornelpoint-manager/src/http/server.rs
+++ b/crates/cornelpoint-manager/src/http/server.rs
@@ -6,9 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Bytes;
@@ -21,6 +19,16 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
+use tokio::task::yield_now;
+
+use super::body_reader::BodyError;
+use super::connection_limits::Port;
+use super::connection_limits::READ_BUFFER_BYTES;
+use super::connection_limits::ServerLimits;
+use super::connection_table::Held;
+use super::connections::Connections;
+use super::connections::OnRefusal;
+use super::connections::OpenConnection;
 
 /// Timeout for reading a request's header; the operator's default limit.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -31,15 +39,26 @@
 /// A response to a request.
 pub(crate) type Reply = Response<Full<Bytes>>;
 
-/// Shuts down a server's connections after their current requests.
-#[derive(Debug, Default)]
+/// Limits what a process's servers hold, and shuts their connections down after their
+/// current requests.
+#[derive(Debug)]
 pub(crate) struct ServerControl {
     closing: Cell<bool>,
     changed: Notify,
-    connections: Cell<usize>,
+    connections: Rc<Connections>,
 }
 
 impl ServerControl {
+    /// Creates servers with shares of the process's memory and descriptors.
+    pub(crate) fn new(limits: &ServerLimits, on_refusal: OnRefusal) -> Self {
+        let connections = Connections::new(limits, on_refusal);
+        Self {
+            closing: Cell::new(false),
+            changed: Notify::new(),
+            connections: Rc::new(connections),
+        }
+    }
+
     /// Closes each connection once its current request has been answered.
     pub(crate) fn close(&self) {
         self.closing.set(true);
@@ -48,48 +67,57 @@
 
     /// Returns the number of connections that are still open.
     pub(crate) fn connections(&self) -> usize {
-        self.connections.get()
+        self.connections.open_count()
     }
-}
-
-/// Counts a connection until it is dropped.
-struct OpenConnection(Rc<ServerControl>);
 
-impl OpenConnection {
-    fn new(control: &Rc<ServerControl>) -> Self {
-        control.connections.set(control.connections.get() + 1);
-        Self(Rc::clone(control))
+    /// Returns what the connections of a listener hold.
+    pub(crate) fn held(&self, port: Port) -> Held {
+        self.connections.held(port)
     }
-}
 
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
+    /// Reads a request's body, of at most `max_bytes` and as far as there is room.
+    pub(crate) async fn read_body(
+        &self,
+        request: Request<Incoming>,
+        max_bytes: usize,
+    ) -> Result<Bytes, BodyError> {
+        self.connections.read_body(request, max_bytes).await
     }
 }
 
 /// Serves connections until the task is dropped.
-pub(crate) async fn serve<H, F>(listener: TcpListener, control: Rc<ServerControl>, handler: H)
-where
+pub(crate) async fn serve<H, F>(
+    listener: TcpListener,
+    port: Port,
+    control: Rc<ServerControl>,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Reply> + 'static,
 {
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve_connection(
-                    stream,
-                    Rc::clone(&control),
-                    handler.clone(),
-                ));
-            }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        let (open, has_closed_others) = control.connections.open(port);
+        if let Some(open) = open {
+            let control = Rc::clone(&control);
+            spawn_local(serve_connection(stream, open, control, handler.clone()));
+        }
+        if has_closed_others {
+            // Lets the tasks of the closed connections end, which frees their descriptors.
+            yield_now().await;
         }
     }
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, control: Rc<ServerControl>, handler: H)
-where
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    open: OpenConnection,
+    control: Rc<ServerControl>,
+    handler: H,
+) where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Reply> + 'static,
 {
@@ -97,33 +125,41 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let _open = OpenConnection::new(&control);
-    let service = service_fn(move |request| {
+    let key = open.key;
+    let connections = Rc::clone(&control.connections);
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(key);
+        connections.begin_request(key);
+        let connections = Rc::clone(&connections);
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move {
+            let answer = answer.await;
+            connections.end_request(key);
+            Ok::<_, Infallible>(answer)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(READ_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     let changed = control.changed.notified();
     if !control.closing.get() {
         tokio::select! {
+            biased;
+            () = open.handle.closed.notified() => return,
             // Errors of a single connection need no handling.
             _ = connection.as_mut() => return,
             () = changed => {}
         }
     }
     connection.as_mut().graceful_shutdown();
-    drop(connection.await);
-}
-
-/// Reads a request's body; `None` if it exceeds the limit or the connection
-/// breaks.
-pub(crate) async fn read_body(body: Incoming, max_bytes: usize) -> Option<Bytes> {
-    let collected = Limited::new(body, max_bytes).collect().await.ok()?;
-    Some(collected.to_bytes())
+    tokio::select! {
+        biased;
+        () = open.handle.closed.notified() => {}
+        _ = connection => {}
+    }
 }
 
 /// Builds a response; a body is sent as JSON.
--- a/crates/cornelpoint-manager/src/metrics/labels.rs
+++ b/crates/cornelpoint-manager/src/metrics/labels.rs
@@ -11,3 +11,16 @@
 pub(crate) struct Source {
     pub(crate) source: &'static str,
 }
+
+/// Label set of what is counted by listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Listener {
+    pub(crate) port: &'static str,
+}
+
+/// Label set of refusals, by listener and reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Refusal {
+    pub(crate) port: &'static str,
+    pub(crate) reason: &'static str,
+}
--- a/crates/cornelpoint-manager/src/metrics/process_metrics.rs
+++ b/crates/cornelpoint-manager/src/metrics/process_metrics.rs
@@ -9,7 +9,9 @@
 use prometheus_client::metrics::histogram::exponential_buckets;
 use prometheus_client::registry::Registry;
 
+use super::labels::Listener;
 use super::labels::Outcome;
+use super::labels::Refusal;
 use super::labels::Source;
 use crate::clock;
 
@@ -35,6 +37,9 @@
     /// Shards claimed by this process.
     pub(crate) takeovers: Counter,
     waiting_counts: Family<Source, Counter>,
+    refusals: Family<Refusal, Counter>,
+    connections: Family<Listener, Gauge>,
+    connection_bytes: Family<Listener, Gauge>,
     configuration_version: Gauge,
     configuration_age_ms: Gauge,
     configuration_confirmed_ms: Cell<u64>,
@@ -52,6 +57,9 @@
         let machine_orders = Family::default();
         let takeovers = Counter::default();
         let waiting_counts = Family::default();
+        let refusals = Family::default();
+        let connections = Family::default();
+        let connection_bytes = Family::default();
         let configuration_version = Gauge::default();
         let configuration_age_ms = Gauge::default();
         let buckets = || exponential_buckets(MIN_BUCKET_S, 2.0, BUCKET_COUNT);
@@ -66,6 +74,11 @@
         registry.register("takeovers", "Shards taken over", takeovers.clone());
         let counts = waiting_counts.clone();
         registry.register("waiting_counts", "Answers to count requests", counts);
+        let help = "Requests refused and connections closed by the limits";
+        registry.register("refusals", help, refusals.clone());
+        registry.register("connections", "Open connections", connections.clone());
+        let help = "Bytes that connections and their bodies hold";
+        registry.register("connection_bytes", help, connection_bytes.clone());
         let version = configuration_version.clone();
         registry.register("configuration_version", "Version in force", version);
         let age = configuration_age_ms.clone();
@@ -84,6 +97,9 @@
             machine_orders,
             takeovers,
             waiting_counts,
+            refusals,
+            connections,
+            connection_bytes,
             configuration_version,
             configuration_age_ms,
             configuration_confirmed_ms: Cell::new(0),
@@ -103,6 +119,22 @@
         self.waiting_counts.get_or_create(&Source { source }).inc();
     }
 
+    /// Adds one to the refusals of a listener for a reason.
+    pub(crate) fn record_refusal(&self, port: &'static str, reason: &'static str) {
+        let refusal = Refusal { port, reason };
+        self.refusals.get_or_create(&refusal).inc();
+    }
+
+    /// Records what the connections of a listener hold.
+    pub(crate) fn connections_held(&self, port: &'static str, connections: usize, bytes: usize) {
+        let listener = Listener { port };
+        let to_gauge = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        let connections = to_gauge(connections);
+        self.connections.get_or_create(&listener).set(connections);
+        let bytes = to_gauge(bytes);
+        self.connection_bytes.get_or_create(&listener).set(bytes);
+    }
+
     /// Records the time taken to answer a submission.
     pub(crate) fn observe_submission(&self, took: Duration) {
         self.submission_seconds.observe(took.as_secs_f64());
--- a/crates/cornelpoint-manager/src/node/mod.rs
+++ b/crates/cornelpoint-manager/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod feeds;
 mod heartbeats;
+mod refusal_recorder;
 mod shutdown;
 mod state;
 
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -24,12 +24,16 @@
 use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 
+use super::refusal_recorder::RefusalRecorder;
 use crate::clock;
 use crate::edge;
 use crate::edge::InboxWriter;
 use crate::fleet_host::FleetHost;
+use crate::http::BodyTimeouts;
 use crate::http::HttpEndpoint;
+use crate::http::Port;
 use crate::http::ServerControl;
+use crate::http::ServerLimits;
 use crate::http::listen;
 use crate::http::serve;
 use crate::metrics::ProcessMetrics;
@@ -130,6 +134,14 @@
         let metrics = Rc::new(ProcessMetrics::new());
         let store_log = log.component(Component::Platform);
         let store = StoreClient::new(&settings.store_address, Rc::clone(&metrics), store_log);
+        let refusals = RefusalRecorder::new(Rc::clone(&metrics), log.component(Component::Edge));
+        let limits = ServerLimits {
+            memory_bytes: settings.memory_bytes,
+            max_descriptors: settings.max_descriptors,
+            body_timeouts: BodyTimeouts::default(),
+        };
+        let on_refusal = Box::new(move |port, reason| refusals.record(port, reason));
+        let servers = Rc::new(ServerControl::new(&limits, on_refusal));
         let node = Rc::new(Self {
             started_unix_ms: now.unix_ms,
             address: address.clone(),
@@ -161,7 +173,7 @@
             heartbeats: RefCell::default(),
             heartbeat_requested: Notify::new(),
             load_reported_ms: Cell::new(0),
-            servers: Rc::default(),
+            servers,
             settings,
         });
         node.serve_all().await?;
@@ -178,20 +190,23 @@
     async fn serve_all(self: &Rc<Self>) -> io::Result<()> {
         let internal = bind(&self.address).await?;
         let node = Rc::clone(self);
-        spawn_local(serve(internal, Rc::clone(&self.servers), move |request| {
+        let servers = Rc::clone(&self.servers);
+        spawn_local(serve(internal, Port::Peers, servers, move |request| {
             edge::handle_peer(Rc::clone(&node), request)
         }));
         if let Some(address) = &self.settings.caller_address {
             let callers = bind(address).await?;
             let node = Rc::clone(self);
-            spawn_local(serve(callers, Rc::clone(&self.servers), move |request| {
+            let servers = Rc::clone(&self.servers);
+            spawn_local(serve(callers, Port::Callers, servers, move |request| {
                 edge::handle_caller(Rc::clone(&node), request)
             }));
         }
         if let Some(address) = &self.settings.ready_address {
             let balancer = bind(address).await?;
             let node = Rc::clone(self);
-            spawn_local(serve(balancer, Rc::clone(&self.servers), move |request| {
+            let servers = Rc::clone(&self.servers);
+            spawn_local(serve(balancer, Port::Balancer, servers, move |request| {
                 edge::handle_balancer(Rc::clone(&node), request)
             }));
         }
