--- /dev/null
+++ b/crates/cornelpoint-manager/tests/connection_table.rs
@@ -0,0 +1,162 @@
+//! Decisions on what connections and their bodies may hold, and which are closed.
+
+#[path = "../src/http/connection_limits.rs"]
+#[expect(dead_code, reason = "only the shares and sizes are used here")]
+mod connection_limits;
+#[path = "../src/http/connection_table.rs"]
+mod connection_table;
+
+use std::time::Duration;
+
+use self::connection_limits::BODY_BYTES;
+use self::connection_limits::BodyTimeouts;
+use self::connection_limits::CONNECTION_BYTES;
+use self::connection_limits::Port;
+use self::connection_limits::PortLimits;
+use self::connection_limits::ServerLimits;
+use self::connection_table::ConnectionId;
+use self::connection_table::ConnectionTable;
+use self::connection_table::Held;
+
+/// Largest body of a caller, by the operator's limits.
+const BODY: usize = 262_144;
+
+fn table(max_connections: usize, max_bytes: usize) -> ConnectionTable {
+    ConnectionTable::new(PortLimits {
+        max_connections,
+        max_bytes,
+    })
+}
+
+/// Opens a connection for which nothing needs to be closed.
+fn open(table: &mut ConnectionTable, now_ms: u64) -> ConnectionId {
+    let (id, closed) = table.open(now_ms);
+    assert!(closed.is_empty(), "{closed:?}");
+    id.unwrap()
+}
+
+/// Opens a connection on which a body has begun.
+fn receive(table: &mut ConnectionTable, now_ms: u64, bytes: usize) -> ConnectionId {
+    let id = open(table, now_ms);
+    table.begin_request(id);
+    assert!(table.begin_body(id, now_ms).granted);
+    assert!(table.grow(id, bytes, now_ms).granted);
+    table.record_progress(id, bytes, now_ms);
+    id
+}
+
+/// Guards against stalled clients that lock others out.
+#[test]
+fn the_body_without_progress_for_the_longest_time_makes_room() {
+    let each = CONNECTION_BYTES + BODY_BYTES + BODY;
+    let mut table = table(100, 3 * each);
+    let steady = receive(&mut table, 0, BODY);
+    let stalled = receive(&mut table, 10, BODY);
+    table.record_progress(steady, 1, 900);
+    let id = open(&mut table, 1000);
+    table.begin_request(id);
+    assert!(table.begin_body(id, 1000).granted);
+    let room = table.grow(id, 2 * BODY, 1000);
+    let closed: Vec<_> = room.closed.iter().map(|closed| closed.id).collect();
+    assert_eq!((room.granted, closed), (true, vec![stalled]));
+}
+
+/// Guards against a crowd that displaces bodies which have just begun.
+#[test]
+fn a_body_is_refused_while_all_others_make_progress() {
+    let mut table = table(100, 2 * (CONNECTION_BYTES + BODY_BYTES) + BODY);
+    let first = receive(&mut table, 0, BODY);
+    let second = open(&mut table, 100);
+    table.begin_request(second);
+    let begun = table.begin_body(second, 100);
+    let grown = table.grow(second, BODY, 100);
+    assert!(begun.granted && !grown.granted, "{grown:?}");
+    assert!(begun.closed.is_empty() && grown.closed.is_empty());
+    assert!(table.grow(first, BODY, 100).granted);
+}
+
+/// Guards against clients that hold room by a byte now and then.
+#[test]
+fn a_body_that_trickles_gives_way_to_a_new_one() {
+    let mut table = table(100, 2 * (CONNECTION_BYTES + BODY_BYTES) + BODY);
+    let trickling = receive(&mut table, 0, 10_000);
+    for now_ms in (0..3000).step_by(100) {
+        table.record_progress(trickling, 1, now_ms);
+    }
+    let new = open(&mut table, 3000);
+    table.begin_request(new);
+    assert!(table.begin_body(new, 3000).granted);
+    let room = table.grow(new, BODY, 3000);
+    assert!(room.granted);
+    assert_eq!(room.closed[0].id, trickling);
+}
+
+/// Guards against a request that is carried out and whose caller is told that it was not.
+#[test]
+fn a_request_that_is_being_answered_is_never_closed() {
+    let mut table = table(1, CONNECTION_BYTES + BODY_BYTES + BODY);
+    let id = receive(&mut table, 0, BODY);
+    table.end_body(id);
+    assert_eq!(table.open(60_000), (None, Vec::new()));
+    table.end_request(id, 60_000);
+    let (next, closed) = table.open(60_001);
+    assert_eq!(closed[0].id, id);
+    assert!(next.is_some());
+}
+
+/// Guards against closing a connection in use while others are idle.
+#[test]
+fn the_connection_that_is_idle_for_the_longest_time_is_closed_first() {
+    let mut table = table(3, usize::MAX);
+    let body = receive(&mut table, 0, 1);
+    let busy = open(&mut table, 1);
+    let idle = open(&mut table, 2);
+    table.begin_request(busy);
+    table.end_request(busy, 50);
+    let (_, closed) = table.open(60_000);
+    assert_eq!(closed[0].id, idle);
+    let (_, closed) = table.open(60_001);
+    assert_eq!(closed[0].id, busy);
+    assert!(table.grow(body, 2, 60_002).granted);
+}
+
+/// Guards against room that is never given back.
+#[test]
+fn what_a_connection_held_is_free_once_it_is_closed() {
+    let mut table = table(10, usize::MAX);
+    let ids: Vec<_> = (0..5)
+        .map(|now_ms| receive(&mut table, now_ms, BODY))
+        .collect();
+    table.end_body(ids[0]);
+    table.end_request(ids[0], 10);
+    let one = CONNECTION_BYTES + BODY_BYTES + BODY;
+    let expected = Held {
+        connections: 5,
+        bytes: 4 * one + CONNECTION_BYTES,
+    };
+    assert_eq!(table.held(), expected);
+    for id in ids {
+        table.close(id);
+        table.close(id);
+    }
+    assert_eq!(table.held(), Held::default());
+}
+
+/// Guards against defaults that a client within the documented limits meets, on the
+/// smallest instance, and against shares that are more than there is.
+#[test]
+fn shares_of_the_smallest_instance_hold_many_largest_bodies() {
+    let limits = ServerLimits {
+        memory_bytes: 160_000_000,
+        max_descriptors: 4100,
+        body_timeouts: BodyTimeouts::default(),
+    };
+    let [callers, peers, balancer] = Port::ALL.map(|port| PortLimits::new(port, &limits));
+    let largest = CONNECTION_BYTES + BODY_BYTES + 5 * BODY;
+    assert!(callers.max_bytes >= 25 * largest, "{callers:?}");
+    assert!(peers.max_bytes >= 8 * largest, "{peers:?}");
+    assert!(callers.max_bytes + peers.max_bytes + balancer.max_bytes < 160_000_000 / 2);
+    let shares = [callers, peers, balancer].map(|share| share.max_connections);
+    assert!(shares.iter().sum::<usize>() <= 3900 * 3 / 4, "{shares:?}");
+    assert!(BodyTimeouts::default().idle >= Duration::from_secs(15));
+}
