Keep room for small bodies and count what a parsed body takes

While they are answered they can't be closed, so large bodies now fill three quarters of a listener's room at most. Where all bodies make progress, a small one displaces one that is more than twice as large. Two more tests with a real process: complete bodies, and clients that come again whenever they are refused.

--- a/crates/cornelpoint-manager/src/http/body_reader.rs
+++ b/crates/cornelpoint-manager/src/http/body_reader.rs
@@ -17,9 +17,10 @@
 use super::server::Reply;
 use super::server::reply;
 
-/// What a parsed job takes for each byte of its body: the job, its record and the message
-/// to the owner. A list of small numbers takes four times its text.
-const PARSED_BYTES_PER_BYTE: usize = 4;
+/// What the parsed form takes for each byte of a body until it is answered. A list of small
+/// numbers takes four times its text, and twice that while it is parsed; the job is held
+/// once more in the message to the owner.
+const PARSED_BYTES_PER_BYTE: usize = 12;
 /// `Retry-After` of a body that there is no room for. Bodies that make no progress leave
 /// within less than that.
 const NO_ROOM_RETRY_S: u64 = 1;
--- a/crates/cornelpoint-manager/src/http/connection_limits.rs
+++ b/crates/cornelpoint-manager/src/http/connection_limits.rs
@@ -9,6 +9,9 @@
 /// Part of the memory of connections that callers may hold, in thousandths; peers have the
 /// rest, so that callers can't lock them out.
 const CALLER_MEMORY_PERMILLE: u64 = 750;
+/// Part of a listener's memory that large bodies may fill, in thousandths. While they are
+/// answered they can't be closed, and small ones need room.
+const LARGE_BODY_PERMILLE: u64 = 750;
 /// Descriptors that the platform reserves for files.
 const RESERVED_DESCRIPTORS: u64 = 200;
 /// Part of the descriptors for callers, in thousandths.
@@ -17,7 +20,7 @@
 /// store, peers and workers have the rest.
 const PEER_DESCRIPTORS_PERMILLE: u64 = 200;
 /// Connections of readiness checks; the load balancer opens a few.
-const BALANCER_CONNECTIONS: usize = 32;
+const BALANCER_CONNECTIONS: u64 = 32;
 
 /// Largest read buffer of a connection. It has to hold the largest head, 16,384 bytes by
 /// the operator's limits.
@@ -68,6 +71,8 @@
     pub(crate) max_connections: usize,
     /// What the connections and their bodies may hold together.
     pub(crate) max_bytes: usize,
+    /// The same as far as a large body may add to it.
+    pub(crate) large_body_bytes: usize,
 }
 
 impl PortLimits {
@@ -76,19 +81,24 @@
         let bytes = permille(limits.memory_bytes, MEMORY_PERMILLE);
         let caller_bytes = permille(bytes, CALLER_MEMORY_PERMILLE);
         let descriptors = limits.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-        match port {
-            Port::Callers => Self {
-                max_connections: to_usize(permille(descriptors, CALLER_DESCRIPTORS_PERMILLE)),
-                max_bytes: to_usize(caller_bytes),
-            },
-            Port::Peers => Self {
-                max_connections: to_usize(permille(descriptors, PEER_DESCRIPTORS_PERMILLE)),
-                max_bytes: to_usize(bytes - caller_bytes),
-            },
-            Port::Balancer => Self {
-                max_connections: BALANCER_CONNECTIONS,
-                max_bytes: BALANCER_CONNECTIONS * CONNECTION_BYTES,
-            },
+        let (max_connections, max_bytes) = match port {
+            Port::Callers => (
+                permille(descriptors, CALLER_DESCRIPTORS_PERMILLE),
+                caller_bytes,
+            ),
+            Port::Peers => (
+                permille(descriptors, PEER_DESCRIPTORS_PERMILLE),
+                bytes - caller_bytes,
+            ),
+            Port::Balancer => (
+                BALANCER_CONNECTIONS,
+                BALANCER_CONNECTIONS * CONNECTION_BYTES as u64,
+            ),
+        };
+        Self {
+            max_connections: to_usize(max_connections),
+            max_bytes: to_usize(max_bytes),
+            large_body_bytes: to_usize(permille(max_bytes, LARGE_BODY_PERMILLE)),
         }
     }
 }
--- a/crates/cornelpoint-manager/src/http/connection_table.rs
+++ b/crates/cornelpoint-manager/src/http/connection_table.rs
@@ -9,6 +9,10 @@
 /// may be closed where room is short. The pieces of a body on an open path follow each
 /// other within milliseconds; a lost packet is sent again within 200 ms to 400 ms.
 const STALL_MS: u64 = 500;
+/// Size above which a body is large. Most jobs have a few kilobytes.
+const LARGE_BODY_BYTES: usize = BODY_BYTES + 65_536;
+/// A body displaces one that arrives just as fast if that is so many times as large.
+const DISPLACED_SIZE_RATIO: usize = 2;
 
 /// Identifies a connection of one listener.
 pub(crate) type ConnectionId = u64;
@@ -17,8 +21,10 @@
 ///
 /// Room is made in this order: bodies that make no progress, the longest first;
 /// connections without a request, the longest first; bodies that arrive more slowly than
-/// the one that needs room, the slowest first. Where descriptors are short, connections
-/// without a request are first. A request that is being answered is never closed.
+/// the one that needs room, the slowest first; bodies that are much larger than that one,
+/// the largest first, so that many large bodies at once don't lock small ones out. Where
+/// descriptors are short, connections without a request are first. A request that is being
+/// answered is never closed.
 #[derive(Debug)]
 pub(crate) struct ConnectionTable {
     limits: PortLimits,
@@ -54,6 +60,15 @@
     pub(crate) reason: &'static str,
 }
 
+/// Room that a connection or its body needs.
+#[derive(Clone, Copy, Debug)]
+struct Need {
+    id: Option<ConnectionId>,
+    additional_bytes: usize,
+    /// Size of the body with this room.
+    body_bytes: usize,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Connection {
     stage: Stage,
@@ -120,13 +135,18 @@
         let mut closed = Vec::new();
         while self.connections.len() >= self.limits.max_connections {
             let longest = self.longest_waiting(u64::MAX, None);
-            let victim = longest.or_else(|| self.most_stalled(now_ms, None));
-            let Some(victim) = victim.or_else(|| self.slowest(now_ms, None)) else {
+            let victim = longest.or_else(|| self.least_useful(BODY_BYTES, None, now_ms));
+            let Some(victim) = victim else {
                 return (None, closed);
             };
             closed.push(self.take(victim));
         }
-        let mut room = self.make_room(CONNECTION_BYTES, None, now_ms);
+        let need = Need {
+            id: None,
+            additional_bytes: CONNECTION_BYTES,
+            body_bytes: BODY_BYTES,
+        };
+        let mut room = self.make_room(need, now_ms);
         closed.append(&mut room.closed);
         if !room.granted {
             return (None, closed);
@@ -191,7 +211,12 @@
         };
         let body_bytes = BODY_BYTES + buffer_bytes;
         let additional_bytes = body_bytes.saturating_sub(connection.body_bytes);
-        let room = self.make_room(additional_bytes, Some(id), now_ms);
+        let need = Need {
+            id: Some(id),
+            additional_bytes,
+            body_bytes,
+        };
+        let room = self.make_room(need, now_ms);
         if room.granted {
             self.resize(id, body_bytes);
         }
@@ -204,14 +229,19 @@
         self.enter(id, Stage::Answering);
     }
 
-    fn make_room(&mut self, bytes: usize, for_id: Option<ConnectionId>, now_ms: u64) -> Room {
+    fn make_room(&mut self, need: Need, now_ms: u64) -> Room {
         let mut room = Room::default();
-        while self.held_bytes + bytes > self.limits.max_bytes {
-            let stalled = self.most_stalled(now_ms, for_id);
+        let max_bytes = if need.body_bytes > LARGE_BODY_BYTES {
+            self.limits.large_body_bytes
+        } else {
+            self.limits.max_bytes
+        };
+        while self.held_bytes + need.additional_bytes > max_bytes {
             let idle_before_ms = now_ms.saturating_sub(STALL_MS);
-            let victim = stalled
-                .or_else(|| self.longest_waiting(idle_before_ms, for_id))
-                .or_else(|| self.slowest(now_ms, for_id));
+            let victim = self
+                .most_stalled(now_ms, need.id)
+                .or_else(|| self.longest_waiting(idle_before_ms, need.id))
+                .or_else(|| self.least_useful(need.body_bytes, need.id, now_ms));
             let Some(victim) = victim else {
                 return room;
             };
@@ -221,6 +251,18 @@
         room
     }
 
+    /// Returns the body to close so that a connection or a body of this size gets room.
+    fn least_useful(
+        &self,
+        body_bytes: usize,
+        for_id: Option<ConnectionId>,
+        now_ms: u64,
+    ) -> Option<Closed> {
+        self.most_stalled(now_ms, for_id)
+            .or_else(|| self.slowest(now_ms, for_id))
+            .or_else(|| self.largest(body_bytes, for_id))
+    }
+
     /// Returns the connection that has been without a request for the longest time, if it
     /// has been since a time before `before_ms`.
     fn longest_waiting(&self, before_ms: u64, except: Option<ConnectionId>) -> Option<Closed> {
@@ -256,6 +298,14 @@
         (rate < limit).then_some(Closed { id, reason })
     }
 
+    fn largest(&self, body_bytes: usize, except: Option<ConnectionId>) -> Option<Closed> {
+        let others = self.progresses(except);
+        let sizes = others.filter_map(|(id, _)| Some((self.connections.get(&id)?.body_bytes, id)));
+        let (size, id) = sizes.max()?;
+        let reason = "large_closed";
+        (size >= DISPLACED_SIZE_RATIO * body_bytes).then_some(Closed { id, reason })
+    }
+
     fn progresses(
         &self,
         except: Option<ConnectionId>,
--- a/crates/cornelpoint-manager/tests/body_limits/main.rs
+++ b/crates/cornelpoint-manager/tests/body_limits/main.rs
@@ -9,9 +9,14 @@
 
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
 
 use cornelpoint::job::Resources;
 use platform_standin::callers::job_body;
+use serde_json::json;
 
 use crate::crowd::Crowd;
 use crate::crowd::exchange;
@@ -36,6 +41,13 @@
 const SMALL_CHUNKS: usize = 30;
 /// Clients with bodies of [`MAX_MESSAGE_BYTES`]: 84 MB, if each is held.
 const LARGE_MESSAGES: usize = 80;
+/// Crowds that come again, and clients of each.
+const RETURNING_CROWDS: usize = 4;
+const RETURNING_CLIENTS: usize = 60;
+/// Attempts of an ordinary client to submit its job, as many as the users' clients make.
+const ATTEMPTS: u64 = 5;
+/// `Retry-After` of a refusal for want of room.
+const BETWEEN_ATTEMPTS: Duration = Duration::from_secs(1);
 /// Clients that send no whole head.
 const HEADS: usize = 400;
 /// Bytes that a client sends at a time, where bodies arrive piece by piece.
@@ -145,6 +157,49 @@
     });
 }
 
+/// Guards against what complete bodies make a process hold until they are answered. Every
+/// step of the jobs names the first one as often as there is room for.
+#[test]
+fn complete_bodies_whose_parsed_form_is_large_stay_within_the_limits() {
+    withstands("complete_bodies", |process| {
+        let request = whole(&process.queue.host, "/plan/0000000000000001", &wide_job());
+        Crowd::send(process.caller_address, LARGE_BODIES, &request, usize::MAX)
+    });
+}
+
+/// Guards against clients that come again at once whenever their connections are closed.
+#[test]
+fn an_ordinary_job_is_accepted_while_refused_clients_come_again() {
+    let _only = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let process = Process::start("come_again");
+    let request = cut(whole_request(&process), 1);
+    let ended = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..RETURNING_CROWDS {
+            scope.spawn(|| {
+                while !ended.load(Ordering::Relaxed) {
+                    Crowd::send(
+                        process.caller_address,
+                        RETURNING_CLIENTS,
+                        &request,
+                        PIECE_BYTES,
+                    );
+                }
+            });
+        }
+        let accepted = (1..=ATTEMPTS).any(|number| {
+            thread::sleep(BETWEEN_ATTEMPTS);
+            process.submit(number) == Some(200)
+        });
+        let descriptors = process.descriptors();
+        ended.store(true, Ordering::Relaxed);
+        assert!(accepted, "an ordinary job isn't accepted");
+        assert!(descriptors <= MAX_DESCRIPTORS - RESERVED_DESCRIPTORS);
+    });
+    let usage = process.settle();
+    assert!(usage.peak_kb <= MEMORY_MB * 1000, "{usage:?}");
+}
+
 /// Guards against callers that crowd the other ports out.
 #[test]
 fn other_ports_answer_while_callers_crowd_theirs() {
@@ -213,6 +268,16 @@
     body
 }
 
+/// Returns a valid job that takes several times its size once it is parsed.
+fn wide_job() -> Vec<u8> {
+    let first = json!({ "replicas": 1, "cpu": 10, "mem_mb": 16, "estimate_ms": 10 });
+    let mut second = first.clone();
+    second["after"] = vec![0; (MAX_BODY_BYTES - 1000) / 2].into();
+    json!({ "spec": "task", "steps": [first, second] })
+        .to_string()
+        .into_bytes()
+}
+
 fn whole_request(process: &Process) -> Vec<u8> {
     whole(
         &process.queue.host,
--- a/crates/cornelpoint-manager/tests/connection_table.rs
+++ b/crates/cornelpoint-manager/tests/connection_table.rs
@@ -25,6 +25,7 @@
     ConnectionTable::new(PortLimits {
         max_connections,
         max_bytes,
+        large_body_bytes: max_bytes,
     })
 }
 
@@ -75,6 +76,50 @@
     assert!(table.grow(first, BODY, 100).granted);
 }
 
+/// Guards against many large bodies at once that lock ordinary jobs out.
+#[test]
+fn a_small_body_displaces_the_largest_while_all_make_progress() {
+    let mut table = table(100, 4 * (CONNECTION_BYTES + BODY_BYTES) + BODY + 100_000);
+    receive(&mut table, 0, 100_000);
+    let largest = receive(&mut table, 0, BODY);
+    receive(&mut table, 0, 4096);
+    let small = open(&mut table, 100);
+    table.begin_request(small);
+    let begun = table.begin_body(small, 100);
+    let grown = table.grow(small, 4096, 100);
+    assert!(begun.granted && grown.granted);
+    let closed: Vec<_> = [begun.closed, grown.closed].concat();
+    assert_eq!(
+        closed.iter().map(|closed| closed.id).collect::<Vec<_>>(),
+        [largest]
+    );
+}
+
+/// Guards against large bodies whose answers are awaited and that leave no room.
+#[test]
+fn large_bodies_leave_a_part_of_the_room_to_small_ones() {
+    let mut table = ConnectionTable::new(PortLimits {
+        max_connections: 100,
+        max_bytes: 10_000_000,
+        large_body_bytes: 7_500_000,
+    });
+    let mut answered = 0;
+    loop {
+        let id = open(&mut table, 0);
+        table.begin_request(id);
+        if !table.begin_body(id, 0).granted || !table.grow(id, 5 * BODY, 0).granted {
+            break;
+        }
+        table.end_body(id);
+        answered += 1;
+    }
+    assert!(answered >= 4, "{answered}");
+    assert!(table.held().bytes <= 7_500_000 + CONNECTION_BYTES + BODY_BYTES);
+    let small = open(&mut table, 100);
+    table.begin_request(small);
+    assert!(table.begin_body(small, 100).granted);
+}
+
 /// Guards against clients that hold room by a byte now and then.
 #[test]
 fn a_body_that_trickles_gives_way_to_a_new_one() {
@@ -152,9 +197,11 @@
         body_timeouts: BodyTimeouts::default(),
     };
     let [callers, peers, balancer] = Port::ALL.map(|port| PortLimits::new(port, &limits));
-    let largest = CONNECTION_BYTES + BODY_BYTES + 5 * BODY;
-    assert!(callers.max_bytes >= 25 * largest, "{callers:?}");
-    assert!(peers.max_bytes >= 8 * largest, "{peers:?}");
+    let under_way = CONNECTION_BYTES + BODY_BYTES + BODY;
+    assert!(callers.large_body_bytes >= 80 * under_way, "{callers:?}");
+    let answered = under_way + 12 * BODY;
+    assert!(callers.large_body_bytes >= 9 * answered, "{callers:?}");
+    assert!(peers.large_body_bytes >= 3 * answered, "{peers:?}");
     assert!(callers.max_bytes + peers.max_bytes + balancer.max_bytes < 160_000_000 / 2);
     let shares = [callers, peers, balancer].map(|share| share.max_connections);
     assert!(shares.iter().sum::<usize>() <= 3900 * 3 / 4, "{shares:?}");
