--- a/crates/cornelpoint-manager/tests/body_limits/main.rs
+++ b/crates/cornelpoint-manager/tests/body_limits/main.rs
@@ -197,6 +197,7 @@
         assert!(descriptors <= MAX_DESCRIPTORS - RESERVED_DESCRIPTORS);
     });
     let usage = process.settle();
+    println!("come_again: {usage:?}");
     assert!(usage.peak_kb <= MEMORY_MB * 1000, "{usage:?}");
 }
 
--- a/crates/cornelpoint-manager/tests/body_timeouts.rs
+++ b/crates/cornelpoint-manager/tests/body_timeouts.rs
@@ -173,6 +173,10 @@
             stream.write_all(request.as_bytes()).await.unwrap();
         }
         assert_eq!(server.control.held(Port::Callers).connections, 1);
+        let longer = request.replace("x: ", &format!("y: {long}\r\nx: "));
+        let mut stream = server.connect(&longer).await;
+        let head = answer(&mut stream).await;
+        assert!(head.starts_with("http/1.1 431"), "{head}");
     });
 }
 
