--- a/crates/cornelpoint-manager/src/edge/callers.rs
+++ b/crates/cornelpoint-manager/src/edge/callers.rs
@@ -17,7 +17,6 @@
 use crate::clock;
 use crate::http::CallError;
 use crate::http::Reply;
-use crate::http::read_body;
 use crate::http::reply;
 use crate::message::MAX_COUNT_AGE_MS;
 use crate::message::PoolRequest;
@@ -87,8 +86,8 @@
         (Method::POST, Err(error)) => reply(400, error.to_string()),
         (Method::POST, Ok(job)) => {
             let max_bytes = catalog.limits.max_body_bytes;
-            match read_body(request.into_body(), max_bytes).await {
-                Some(body) => {
+            match node.servers.read_body(request, max_bytes).await {
+                Ok(body) => {
                     // The body may have taken seconds, in which the key may have been
                     // revoked.
                     let caller = match head.check(&node, rest) {
@@ -100,7 +99,7 @@
                     record_submission(&node, answer.status().as_u16(), started.elapsed());
                     answer
                 }
-                None => reply(413, ""),
+                Err(error) => error.reply(),
             }
         }
         (Method::GET, Ok(job)) => jobs::status(&node, queue, job, &caller, timeout).await,
--- a/crates/cornelpoint-manager/src/node/mod.rs
+++ b/crates/cornelpoint-manager/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod feeds;
 mod heartbeats;
 mod peer_confirmations;
+mod refusal_recorder;
 mod refusals;
 mod shutdown;
 mod state;
