Keep what a tenant has running over all pools within its limit

Cause: limits of tenants were not enforced at all, and each pool's owner sees its own runs only.

Change: quota/ decides for one pool from a row that all owners share; the scheduler counts reservations by tenant and asks it before each start. A step whose tenant has no room waits and holds back only later steps of the same tenant. Without limits in the configuration nothing is counted, written or asked.

--- a/crates/cornelpoint/src/job/resources.rs
+++ b/crates/cornelpoint/src/job/resources.rs
@@ -64,6 +64,23 @@
         }
     }
 
+    /// Returns the sum of `count` of these.
+    ///
+    /// ```
+    /// use cornelpoint::job::Resources;
+    ///
+    /// let task = Resources { cpu_millicores: 500, memory_mb: 100, accelerators: 0 };
+    /// assert_eq!(task.times(2), task.plus(task));
+    /// ```
+    #[must_use]
+    pub fn times(self, count: u64) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
     /// Returns what is left without `other`, at least zero.
     #[must_use]
     pub fn minus(self, other: Self) -> Self {
--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ownership;
 pub mod platform;
 pub mod queue;
+pub mod quota;
 pub mod rendezvous;
 pub mod replication;
 pub mod request;
--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -120,7 +120,7 @@
         if self.is_commit_stalled(now) {
             return Some(STALLED_RETRY_AFTER_MS);
         }
-        if !self.fits_some_worker(spec) {
+        if !self.fits_some_worker(spec) || self.exceeds_tenant_limit(record, spec) {
             return Some(INFEASIBLE_RETRY_AFTER_MS);
         }
         if spec.is_long_running() || spec.schedule.is_some() {
@@ -269,6 +269,19 @@
         workers_needed.max().unwrap_or(1)
     }
 
+    /// Whether a task, or a gang as a whole, exceeds the limit of the job's tenant by
+    /// itself.
+    fn exceeds_tenant_limit(&self, record: &JobRecord, spec: &JobSpec) -> bool {
+        let (Some(quota), Some(tenant)) = (&self.quota, &record.tenant) else {
+            return false;
+        };
+        spec.steps.iter().any(|step| {
+            let tasks = if step.gang { step.replicas } else { 1 };
+            let need = step.reserved().times(u64::from(tasks));
+            !quota.could_ever_run(tenant, need)
+        })
+    }
+
     /// Whether each task by itself fits some known worker.
     fn fits_some_worker(&self, spec: &JobSpec) -> bool {
         if self.incarnations.is_empty() {
--- a/crates/cornelpoint/src/scheduler/completions.rs
+++ b/crates/cornelpoint/src/scheduler/completions.rs
@@ -23,7 +23,7 @@
             return;
         }
         worker.applied_completion = completion.sequence;
-        worker.release(completion.task, completion.run);
+        worker.release(completion.task, completion.run, &mut self.tenant_use);
         match completion.kind {
             CompletionKind::Done => worker.consecutive_failures = 0,
             CompletionKind::Failed => worker.consecutive_failures += 1,
--- a/crates/cornelpoint/src/scheduler/gangs.rs
+++ b/crates/cornelpoint/src/scheduler/gangs.rs
@@ -6,7 +6,9 @@
 use super::instant::Instant;
 use super::placement::ReadyKey;
 use super::pool_scheduler::PoolScheduler;
+use super::ready_step::PlacementPass;
 use super::worker_set::WorkerSet;
+use super::worker_state::Reservation;
 
 impl PoolScheduler {
     /// Places all tasks of a gang under one run number, or none of them.
@@ -16,6 +18,7 @@
         step: &Step,
         indexes: &[u32],
         needs_ticket: bool,
+        pass: &mut PlacementPass,
         now: Instant,
     ) {
         if indexes.len() < step.replicas as usize {
@@ -26,6 +29,14 @@
             self.mark_unplaceable(key);
             return;
         }
+        if !self.tenant_has_room(key, step.reserved(), indexes.len(), pass, now) {
+            return;
+        }
+        let tenant = self.jobs.get(&key.step.job).and_then(|job| job.tenant);
+        let reservation = Reservation {
+            need: step.reserved(),
+            tenant,
+        };
         let runs = indexes
             .iter()
             .map(|&index| self.next_run_of(key.step.task(index)));
@@ -44,7 +55,7 @@
                 return;
             };
             if let Some(worker) = self.incarnations.get_mut(&incarnation) {
-                worker.reserve(task, run, step.reserved());
+                worker.reserve(task, run, reservation, &mut self.tenant_use);
             }
             taken.push((incarnation, task));
         }
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -130,8 +130,12 @@
         let age_ms = now.unix_ms.saturating_sub(record.accepted_unix_ms);
         let first_ms = self.first_rejected_ms(id).unwrap_or(now.steady_ms);
         let objective = self.objective(&record, &spec, first_ms.saturating_sub(age_ms));
+        let has_limits = self.quota.is_some();
+        let tenant = record.tenant.as_deref().filter(|_| has_limits);
+        let tenant = tenant.map(|tenant| self.tenant_use.index_of(tenant));
         let entry = JobEntry {
             record,
+            tenant,
             spec,
             status,
             final_unix_ms: progress.map_or(0, |progress| progress.final_unix_ms),
--- a/crates/cornelpoint/src/scheduler/job_entry.rs
+++ b/crates/cornelpoint/src/scheduler/job_entry.rs
@@ -9,6 +9,7 @@
 use crate::job::StepProgress;
 use crate::job::TaskId;
 use crate::job::TaskProgress;
+use crate::quota::TenantIndex;
 
 use super::objective::Objective;
 use super::task_entry::TaskEntry;
@@ -17,6 +18,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct JobEntry {
     pub(super) record: JobRecord,
+    /// The job's tenant; `None` where limits of tenants aren't in force.
+    pub(super) tenant: Option<TenantIndex>,
     pub(super) spec: JobSpec,
     pub(super) status: JobStatus,
     pub(super) final_unix_ms: u64,
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -16,6 +16,7 @@
 use super::task_entry::Run;
 use super::worker_state::Contact;
 use super::worker_state::Renewal;
+use super::worker_state::Reservation;
 use super::worker_state::WorkerState;
 
 impl PoolScheduler {
@@ -207,12 +208,20 @@
             self.stop_unwanted_run(incarnation, reported.task, reported.run, now);
             return;
         };
-        let need = step.reserved();
+        let reservation = Reservation {
+            need: step.reserved(),
+            tenant: job.tenant,
+        };
         let may_copy = step.speculative;
         let Some(task) = job.task_mut(reported.task) else {
             // The job was final before this term of ownership, or its occurrence is done.
             if let Some(worker) = self.incarnations.get_mut(&incarnation) {
-                worker.reserve(reported.task, reported.run, need);
+                worker.reserve(
+                    reported.task,
+                    reported.run,
+                    reservation,
+                    &mut self.tenant_use,
+                );
             }
             self.stop_unwanted_run(incarnation, reported.task, reported.run, now);
             return;
@@ -263,7 +272,12 @@
         self.remove_ready(reported.task);
         let lease_ms = self.settings.lease_ms;
         if let Some(worker) = self.incarnations.get_mut(&incarnation) {
-            worker.reserve(reported.task, reported.run, need);
+            worker.reserve(
+                reported.task,
+                reported.run,
+                reservation,
+                &mut self.tenant_use,
+            );
             // A predecessor may have renewed the lease just before.
             worker.extend_lease(now.steady_ms, lease_ms);
             let started_in_this_term = reported.run >= first_run;
@@ -325,7 +339,7 @@
     /// Releases the capacity reserved for a run on a worker.
     pub(super) fn release_run(&mut self, incarnation: IncarnationIndex, task: TaskId, run: u64) {
         if let Some(worker) = self.incarnations.get_mut(&incarnation) {
-            worker.release(task, run);
+            worker.release(task, run, &mut self.tenant_use);
             self.changed_workers.insert(incarnation);
             self.placement_needed = true;
         }
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -5,6 +5,9 @@
 use crate::job::Step;
 use crate::job::StepId;
 use crate::job::TaskId;
+use crate::quota::PoolDemand;
+use crate::quota::TenantIndex;
+use crate::quota::WaitReason;
 
 use super::action::Action;
 use super::action::IncarnationIndex;
@@ -12,9 +15,15 @@
 use super::pool_scheduler::PoolScheduler;
 use super::ready_step::PlacementPass;
 use super::ready_step::ReadyStep;
+use super::scheduler_event::SchedulerEvent;
 use super::task_entry::Phase;
 use super::task_entry::Run;
 use super::worker_set::WorkerSet;
+use super::worker_state::Reservation;
+
+/// Time for which a step waits for its tenant's limit before this is logged, and interval
+/// of the log lines.
+const TENANT_WAIT_LOG_MS: u64 = 1000;
 
 /// Placement order of the steps that wait for workers: long-running steps
 /// first, then by priority, then by earliest objective.
@@ -96,10 +105,12 @@
             return;
         }
         let need = job.step(id.step.step).reserved();
+        let tenant = job.tenant;
         if let Some(key) = self.ready_key(id.step) {
             let step = self.ready.entry(key).or_insert_with(|| ReadyStep {
                 tasks: BTreeSet::new(),
                 need,
+                tenant,
                 unplaceable: false,
                 since_ms: now.steady_ms,
             });
@@ -166,8 +177,15 @@
             changed_workers: std::mem::take(&mut self.changed_workers),
             too_large: Vec::new(),
             without_tickets: Vec::new(),
+            held_tenants: Vec::new(),
+            unreported: self.unreported_use(),
         };
-        for key in self.placeable_steps(&pass, now) {
+        self.tenants_wait = false;
+        for (key, tenant) in self.placeable_steps(&pass, now) {
+            if tenant.is_some_and(|tenant| pass.held_tenants.contains(&tenant)) {
+                self.consider_all_workers(key);
+                continue;
+            }
             self.place_step(key, &mut pass, now);
             if self.starts_limited {
                 // The steps behind have not been compared with these workers yet.
@@ -179,7 +197,11 @@
     }
 
     /// Returns the steps that some worker may have room for, in placement order.
-    fn placeable_steps(&self, pass: &PlacementPass, now: Instant) -> Vec<ReadyKey> {
+    fn placeable_steps(
+        &self,
+        pass: &PlacementPass,
+        now: Instant,
+    ) -> Vec<(ReadyKey, Option<TenantIndex>)> {
         let largest_free = self.largest_free(&WorkerSet::All, now);
         let largest_changed = self.largest_free(&pass.changed_workers, now);
         // Steps that need tickets request them before there is room.
@@ -192,9 +214,9 @@
             };
             needs_tickets || free.is_some_and(|free| free.fits(Resources::default(), step.need))
         });
-        let (late, in_time): (Vec<ReadyKey>, Vec<ReadyKey>) = placeable
-            .map(|(key, _)| *key)
-            .partition(|key| key.is_batch && key.latest_start_ms < now.steady_ms);
+        let (late, in_time): (Vec<_>, Vec<_>) = placeable
+            .map(|(key, step)| (*key, step.tenant))
+            .partition(|(key, _)| key.is_batch && key.latest_start_ms < now.steady_ms);
         // Jobs that can still meet their objective go first: a late job has
         // little value.
         in_time.into_iter().chain(late).collect()
@@ -251,7 +273,7 @@
         let step = job.step(key.step.step).clone();
         if step.gang {
             // Its members may need a changed worker together with others.
-            self.place_gang(key, &step, &indexes, needs_ticket, now);
+            self.place_gang(key, &step, &indexes, needs_ticket, pass, now);
             return;
         }
         let all = WorkerSet::All;
@@ -261,6 +283,9 @@
                 self.starts_limited = true;
                 return;
             }
+            if !self.tenant_has_room(key, need, 1, pass, now) {
+                return;
+            }
             let among = if unplaceable {
                 &pass.changed_workers
             } else {
@@ -287,6 +312,79 @@
         }
     }
 
+    /// Compares a step with all workers at the next pass. It was not compared with those
+    /// that have changed.
+    fn consider_all_workers(&mut self, key: ReadyKey) {
+        if let Some(step) = self.ready.get_mut(&key) {
+            step.unplaceable = false;
+        }
+    }
+
+    /// Whether the limit of a step's tenant has room for some more of its tasks.
+    pub(super) fn tenant_has_room(
+        &mut self,
+        key: ReadyKey,
+        need: Resources,
+        tasks: usize,
+        pass: &mut PlacementPass,
+        now: Instant,
+    ) -> bool {
+        let (Some(quota), Some(ready)) = (&self.quota, self.ready.get(&key)) else {
+            return true;
+        };
+        let Some(tenant) = ready.tenant else {
+            return true;
+        };
+        let name = self.tenant_use.name(tenant);
+        let used = self.tenant_use.used(tenant);
+        let need = need.times(tasks as u64);
+        let room = quota.room(name, used, pass.unreported, now.steady_ms);
+        if room.is_ok_and(|room| room.fits(Resources::default(), need)) {
+            return true;
+        }
+        self.tenants_wait = true;
+        let waited_ms = now.steady_ms.saturating_sub(ready.since_ms);
+        if now.steady_ms >= self.tenant_wait_logged_ms + TENANT_WAIT_LOG_MS
+            && waited_ms >= TENANT_WAIT_LOG_MS
+        {
+            self.tenant_wait_logged_ms = now.steady_ms;
+            self.events.push(SchedulerEvent::TenantWaits {
+                tenant: name.to_owned(),
+                step: key.step,
+                tasks: ready.tasks.len(),
+                need,
+                waited_ms,
+                reason: room.err().unwrap_or(WaitReason::Allotment),
+                used,
+                allotted: quota.allotment(name).allotted,
+                limit: quota.limit(name).unwrap_or_default(),
+            });
+        }
+        if quota.could_ever_run(name, need) {
+            pass.held_tenants.push(tenant);
+        }
+        self.consider_all_workers(key);
+        false
+    }
+
+    /// Returns the most that runs may hold which a predecessor started on workers that have
+    /// not reported yet.
+    pub(super) fn unreported_use(&self) -> Resources {
+        let Some(quota) = &self.quota else {
+            return Resources::default();
+        };
+        if !quota.is_in_force() {
+            return Resources::default();
+        }
+        let workers = self.predecessor_incarnations.keys().map(|id| {
+            let incarnation = self.incarnation_of_id.get(id)?;
+            Some(self.incarnations.get(incarnation)?.entry.capacity)
+        });
+        let sum = workers.reduce(|sum, capacity| Some(sum?.plus(capacity?)));
+        sum.unwrap_or(Some(Resources::default()))
+            .unwrap_or(PoolDemand::UNKNOWN)
+    }
+
     pub(super) fn mark_unplaceable(&mut self, key: ReadyKey) {
         if let Some(step) = self.ready.get_mut(&key) {
             step.unplaceable = true;
@@ -311,6 +409,11 @@
     ) {
         let lease_ms = self.settings.lease_ms;
         let suspect = self.is_suspect(task);
+        let tenant = self.jobs.get(&task.step.job).and_then(|job| job.tenant);
+        let reservation = Reservation {
+            need: step.reserved(),
+            tenant,
+        };
         let ticket = self
             .tickets
             .get(&task.step)
@@ -321,7 +424,7 @@
         let Some(deadline_clock_ms) = worker.extend_lease(now.steady_ms, lease_ms) else {
             return;
         };
-        worker.reserve(task, run, step.reserved());
+        worker.reserve(task, run, reservation, &mut self.tenant_use);
         worker.starts_in_flight += 1;
         if suspect {
             worker.begin_trial(task, run, now.steady_ms);
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -10,6 +10,12 @@
 use crate::job::JobStatus;
 use crate::job::StepId;
 use crate::job::TaskId;
+use crate::quota::PoolDemand;
+use crate::quota::PoolQuota;
+use crate::quota::QuotaCall;
+use crate::quota::QuotaReply;
+use crate::quota::QuotaRow;
+use crate::quota::TenantUse;
 use crate::tenant::Tenants;
 
 use super::action::Action;
@@ -39,6 +45,9 @@
 /// Run numbers reserved for one term of ownership, so that a successor's
 /// numbers exceed those of a predecessor whose last starts it can't know.
 const RUNS_PER_TERM: u64 = 100_000;
+/// Shortest time until a call for the tenants' limits is considered again while steps wait
+/// for them.
+const QUOTA_POLL_MS: u64 = 20;
 /// Interval at which the confirmation of ownership is checked.
 const CONFIRMATION_POLL_MS: u64 = 100;
 
@@ -57,6 +66,14 @@
     pub(super) known_pools: BTreeSet<String>,
     /// Tenants of the configuration; none where callers need no keys.
     pub(super) tenants: Tenants,
+    /// What tenants may start; `None` where their limits aren't in force.
+    pub(super) quota: Option<PoolQuota>,
+    /// What tenants use of the pool; empty where their limits aren't in force.
+    pub(super) tenant_use: TenantUse,
+    /// Whether steps waited for their tenants' limits at the last pass.
+    pub(super) tenants_wait: bool,
+    /// When a step that waits for its tenant's limit was last logged.
+    pub(super) tenant_wait_logged_ms: u64,
     pub(super) jobs: HashMap<JobId, JobEntry>,
     /// Jobs that are not final. Final ones are kept for minutes, so that most jobs
     /// are final.
@@ -159,6 +176,10 @@
             queues: BTreeMap::new(),
             known_pools: BTreeSet::new(),
             tenants: Tenants::default(),
+            quota: None,
+            tenant_use: TenantUse::default(),
+            tenants_wait: false,
+            tenant_wait_logged_ms: 0,
             jobs: HashMap::new(),
             active_jobs: BTreeSet::new(),
             incarnations: BTreeMap::new(),
@@ -246,6 +267,96 @@
         self.changed_workers = WorkerSet::All;
     }
 
+    /// Keeps tenants within their limits from now on. Has to be called before jobs are
+    /// restored or submitted. Tasks of tenants with limits start only while the
+    /// configuration was confirmed no longer ago than `max_configuration_age_ms`.
+    pub fn enforce_limits(&mut self, max_configuration_age_ms: u64) {
+        let quota = PoolQuota::new(&self.pool, self.fencing_token, max_configuration_age_ms);
+        self.quota = Some(quota);
+    }
+
+    /// Updates the limits of tenants in a configuration, and the pools that may run tasks.
+    pub fn set_limits<'a>(
+        &mut self,
+        configuration: u64,
+        tenants: Option<&Tenants>,
+        pools: impl Iterator<Item = &'a str>,
+    ) {
+        if let Some(quota) = &mut self.quota {
+            let none = Tenants::default();
+            quota.set_limits(configuration, tenants.unwrap_or(&none), pools);
+            self.placement_needed = true;
+        }
+    }
+
+    /// Records that the read of the configuration that last confirmed it was sent at
+    /// `sent_ms`.
+    pub fn confirm_configuration(&mut self, sent_ms: u64) {
+        if let Some(quota) = &mut self.quota
+            && quota.configuration_confirmed(sent_ms)
+        {
+            self.placement_needed |= self.tenants_wait;
+        }
+    }
+
+    /// Returns the call to the store that is due for the tenants' limits. What becomes of
+    /// it has to be passed to [`Self::quota_replied`].
+    pub fn due_quota_call(&mut self, now: Instant) -> Option<QuotaCall> {
+        let quota = self.quota.as_ref()?;
+        if self.fenced || !quota.is_call_possible(now.steady_ms) {
+            return None;
+        }
+        let demand = self.tenant_demand();
+        self.quota.as_mut()?.due_call(&demand, now.steady_ms)
+    }
+
+    /// Returns what the tenants use and wait for.
+    #[must_use]
+    pub fn tenant_demand(&self) -> PoolDemand {
+        let mut demand = PoolDemand {
+            unreported: self.unreported_use(),
+            ..PoolDemand::default()
+        };
+        for (tenant, used) in self.tenant_use.iter() {
+            demand.tenants.entry(tenant.to_owned()).or_default().used = used;
+        }
+        for step in self.ready.values() {
+            let Some(tenant) = step.tenant else { continue };
+            let tenant = self.tenant_use.name(tenant);
+            if let Some(tenant) = demand.tenants.get_mut(tenant) {
+                let need = step.need.times(step.tasks.len() as u64);
+                tenant.waiting = tenant.waiting.plus(need);
+            }
+        }
+        for worker in self.incarnations.values().filter(|worker| worker.listed) {
+            demand.capacity = demand.capacity.plus(worker.entry.capacity);
+        }
+        demand
+    }
+
+    /// Applies what became of a call for the tenants' limits.
+    pub fn quota_replied(&mut self, reply: QuotaReply, now: Instant) {
+        if let Some(quota) = &mut self.quota {
+            quota.replied(reply, now.steady_ms);
+            self.placement_needed |= self.tenants_wait;
+        }
+    }
+
+    /// Applies the shared row of the tenants' limits as read for another purpose.
+    pub fn quota_row_read(&mut self, row: QuotaRow) {
+        if let Some(quota) = &mut self.quota
+            && quota.row_read(row)
+        {
+            self.placement_needed |= self.tenants_wait;
+        }
+    }
+
+    /// Returns the quota; `None` where limits of tenants aren't in force.
+    #[must_use]
+    pub fn quota(&self) -> Option<&PoolQuota> {
+        self.quota.as_ref()
+    }
+
     /// Returns the actions that have become necessary since the last call.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
@@ -323,6 +434,9 @@
         let orphaned_tasks = unconfirmed.then_some(now.steady_ms + CONFIRMATION_POLL_MS);
         let evacuation = self.evacuation_due_ms(now);
         let penalties = self.penalty_due_ms(now);
+        let waits = self.quota.as_ref().filter(|_| self.tenants_wait);
+        let quota_call = waits.and_then(PoolQuota::due_ms);
+        let quota_call = quota_call.map(|due_ms| due_ms.max(now.steady_ms + QUOTA_POLL_MS));
         renewals
             .chain(lease_ends)
             .chain(scheduled_occurrences)
@@ -332,6 +446,7 @@
             .chain(penalties)
             .chain(self.next_collection_ms)
             .chain(self.silences.due_ms())
+            .chain(quota_call)
             .min()
     }
 
--- a/crates/cornelpoint/src/scheduler/ready_step.rs
+++ b/crates/cornelpoint/src/scheduler/ready_step.rs
@@ -2,6 +2,7 @@
 
 use crate::job::Resources;
 use crate::job::StepId;
+use crate::quota::TenantIndex;
 
 use super::worker_set::WorkerSet;
 
@@ -11,6 +12,8 @@
     pub(super) tasks: BTreeSet<u32>,
     /// Resources that one task takes.
     pub(super) need: Resources,
+    /// Tenant of the step's job; `None` where limits of tenants aren't in force.
+    pub(super) tenant: Option<TenantIndex>,
     /// Whether no worker could take a task at the last placement pass. Then only
     /// workers that have changed since can.
     pub(super) unplaceable: bool,
@@ -26,6 +29,11 @@
     pub(super) too_large: Vec<Resources>,
     /// Steps that need tickets and have none.
     pub(super) without_tickets: Vec<StepId>,
+    /// Tenants whose limits have no room for a step, so that their later steps wait, too:
+    /// small tasks would hold back large ones for as long as they come.
+    pub(super) held_tenants: Vec<TenantIndex>,
+    /// What runs of a predecessor may hold that aren't known.
+    pub(super) unreported: Resources,
 }
 
 impl PlacementPass {
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -230,7 +230,9 @@
             self.incarnation_of_id.remove(&worker.entry.id);
         }
         let mut lost = Vec::new();
-        for &(task, run) in worker.runs.keys() {
+        for (&(task, run), reservation) in &worker.runs {
+            self.tenant_use
+                .release(reservation.tenant, reservation.need);
             lost.push(self.lose_run(task, run, &worker, RunLoss::LifeEnded));
             self.drop_run(task, run, now);
             self.orphaned_tasks.push((now.steady_ms, task));
@@ -267,7 +269,7 @@
             };
             let before = worker.clone();
             for &(task, run) in before.runs.keys() {
-                worker.release(task, run);
+                worker.release(task, run, &mut self.tenant_use);
             }
             let mut lost = Vec::new();
             for &(task, run) in before.runs.keys() {
--- a/crates/cornelpoint/src/scheduler/restarts.rs
+++ b/crates/cornelpoint/src/scheduler/restarts.rs
@@ -1,4 +1,3 @@
-use crate::job::Resources;
 use crate::worker::RegistryEntry;
 use crate::worker::WorkerReport;
 
@@ -8,6 +7,7 @@
 use super::pool_scheduler::PoolScheduler;
 use super::scheduler_event::EndEvidence;
 use super::task_entry::Phase;
+use super::worker_state::Reservation;
 use super::worker_state::WorkerState;
 
 impl PoolScheduler {
@@ -27,7 +27,7 @@
         // Its runs are settled once the new incarnation has reported.
         self.ended_predecessors.remove(&entry.id);
         let restarted = self.add_incarnation(entry);
-        for (lost, number, need) in unreported {
+        for (lost, number, reservation) in unreported {
             let task = lost.task();
             let job = self.jobs.get_mut(&task.step.job);
             let Some(run) = job.and_then(|job| job.task_mut(task)?.run_mut(number)) else {
@@ -39,7 +39,7 @@
             }
             let max_lease_ms = self.settings.max_lease_ms;
             if let Some(worker) = self.incarnations.get_mut(&restarted) {
-                worker.reserve(task, number, need);
+                worker.reserve(task, number, reservation, &mut self.tenant_use);
                 worker.uncertain.insert((task, number), lost);
                 worker.former_was_leaving = was_leaving;
                 worker.expect_former_orders(now.steady_ms, max_lease_ms);
@@ -52,16 +52,16 @@
     fn take_unreported_runs(
         &mut self,
         incarnation: IncarnationIndex,
-    ) -> Vec<(LostRun, u64, Resources)> {
+    ) -> Vec<(LostRun, u64, Reservation)> {
         let Some(worker) = self.incarnations.get(&incarnation).cloned() else {
             return Vec::new();
         };
         let mut unreported = Vec::new();
-        for (&(task, number), &need) in &worker.runs {
+        for (&(task, number), &reservation) in &worker.runs {
             let job = self.jobs.get(&task.step.job);
             let run = job.and_then(|job| job.task(task)?.run(number));
             if run.is_some_and(|run| !run.reported) {
-                unreported.push((self.lost_run(task, number, &worker), number, need));
+                unreported.push((self.lost_run(task, number, &worker), number, reservation));
                 self.release_run(incarnation, task, number);
             }
         }
--- a/crates/cornelpoint/src/scheduler/scheduler_event.rs
+++ b/crates/cornelpoint/src/scheduler/scheduler_event.rs
@@ -2,6 +2,7 @@
 use crate::job::Resources;
 use crate::job::StepId;
 use crate::job::TaskId;
+use crate::quota::WaitReason;
 
 /// A change in the known state of a run or task, to be logged.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -98,6 +99,27 @@
         /// What keeps workers from running its tasks.
         obstacles: WorkerObstacles,
     },
+    /// A step waits for its tenant's limit. At most one is told of in a second.
+    TenantWaits {
+        /// Name of the tenant.
+        tenant: String,
+        /// The step.
+        step: StepId,
+        /// Number of tasks that wait.
+        tasks: usize,
+        /// Resources that are needed at once.
+        need: Resources,
+        /// For how long it has waited for workers or for the limit.
+        waited_ms: u64,
+        /// Why nothing may start.
+        reason: WaitReason,
+        /// What the tenant uses of the pool.
+        used: Resources,
+        /// The pool's allotment.
+        allotted: Resources,
+        /// The tenant's limit over all pools.
+        limit: Resources,
+    },
     /// The store refuses the rows of a job. An accepted job is stored again only with
     /// its next change; another is rejected.
     JobUnstorable {
--- a/crates/cornelpoint/src/scheduler/waiting_tasks.rs
+++ b/crates/cornelpoint/src/scheduler/waiting_tasks.rs
@@ -74,6 +74,6 @@
     pub(super) fn used_by_lasting(&self, worker: &WorkerState) -> Resources {
         let runs = worker.runs.iter();
         let lasting = runs.filter(|((task, _), _)| self.is_long_running(*task));
-        lasting.fold(Resources::default(), |used, (_, need)| used.plus(*need))
+        lasting.fold(Resources::default(), |used, (_, run)| used.plus(run.need))
     }
 }
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -4,6 +4,8 @@
 use crate::job::Resources;
 use crate::job::StepId;
 use crate::job::TaskId;
+use crate::quota::TenantIndex;
+use crate::quota::TenantUse;
 use crate::worker::Completeness;
 use crate::worker::RegistryEntry;
 
@@ -47,7 +49,7 @@
     /// Latest end of a lease sent to it, by the worker's clock.
     pub(super) deadline_clock_ms: u64,
     /// Runs that may occupy capacity, with the resources reserved for them.
-    pub(super) runs: BTreeMap<(TaskId, u64), Resources>,
+    pub(super) runs: BTreeMap<(TaskId, u64), Reservation>,
     pub(super) used: Resources,
     pub(super) tasks_of_step: BTreeMap<StepId, u32>,
     /// Completions up to this sequence number are applied in memory.
@@ -106,6 +108,14 @@
     trials: BTreeMap<(TaskId, u64), u64>,
 }
 
+/// What is reserved for a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Reservation {
+    pub(super) need: Resources,
+    /// Tenant of the run's job; `None` where limits of tenants aren't in force.
+    pub(super) tenant: Option<TenantIndex>,
+}
+
 /// Whether a worker responds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Contact {
@@ -320,9 +330,17 @@
     }
 
     /// Reserves capacity for a run.
-    pub(super) fn reserve(&mut self, task: TaskId, run: u64, need: Resources) {
-        if self.runs.insert((task, run), need).is_none() {
+    pub(super) fn reserve(
+        &mut self,
+        task: TaskId,
+        run: u64,
+        reservation: Reservation,
+        tenants: &mut TenantUse,
+    ) {
+        let Reservation { need, tenant } = reservation;
+        if self.runs.insert((task, run), reservation).is_none() {
             self.used = self.used.plus(need);
+            tenants.reserve(tenant, need);
             *self.tasks_of_step.entry(task.step).or_default() += 1;
         }
     }
@@ -345,13 +363,14 @@
     }
 
     /// Releases the capacity reserved for a run.
-    pub(super) fn release(&mut self, task: TaskId, run: u64) {
+    pub(super) fn release(&mut self, task: TaskId, run: u64, tenants: &mut TenantUse) {
         self.trials.remove(&(task, run));
         self.uncertain.remove(&(task, run));
-        let Some(need) = self.runs.remove(&(task, run)) else {
+        let Some(Reservation { need, tenant }) = self.runs.remove(&(task, run)) else {
             return;
         };
         self.used = self.used.minus(need);
+        tenants.release(tenant, need);
         if let Some(count) = self.tasks_of_step.get_mut(&task.step) {
             *count -= 1;
             if *count == 0 {
