Read, write and follow the shared row of the tenants' limits

Cause: the decisions of quota/ need the row in the store.

Change: pool_host/quota.rs carries the calls out, one in progress for each pool, and follows the row by one long poll for each process that hosts a pool while limits are in force. An owner takes the age of its configuration from the reads of the operator's rows. Log lines for each committed write and for steps that wait, gauges by tenant.

--- a/crates/cornelpoint-manager/src/edge/peers.rs
+++ b/crates/cornelpoint-manager/src/edge/peers.rs
@@ -27,6 +27,7 @@
 pub(crate) async fn handle_peer(node: Rc<Node>, request: Request<Incoming>) -> Reply {
     let path = request.uri().path().to_owned();
     if path == METRICS_PATH {
+        node.record_tenants();
         return reply(200, node.metrics.text());
     }
     let Some(pool) = path.strip_prefix(PATH_PREFIX) else {
--- a/crates/cornelpoint-manager/src/metrics/labels.rs
+++ b/crates/cornelpoint-manager/src/metrics/labels.rs
@@ -6,6 +6,21 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Label set of what a tenant has of a pool.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TenantResource {
+    pub(crate) pool: String,
+    pub(crate) tenant: String,
+    pub(crate) kind: &'static str,
+    pub(crate) resource: &'static str,
+}
+
+/// Label set of counters that are split by reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Reason {
+    pub(crate) reason: &'static str,
+}
+
 /// Label set of counters that are split by where an answer came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct Source {
--- a/crates/cornelpoint-manager/src/metrics/process_metrics.rs
+++ b/crates/cornelpoint-manager/src/metrics/process_metrics.rs
@@ -1,6 +1,8 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use cornelpoint::job::Resources;
+use cornelpoint::quota::WaitReason;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -10,7 +12,9 @@
 use prometheus_client::registry::Registry;
 
 use super::labels::Outcome;
+use super::labels::Reason;
 use super::labels::Source;
+use super::labels::TenantResource;
 use crate::clock;
 
 /// Upper bound of the first histogram bucket, in seconds.
@@ -35,6 +39,8 @@
     /// Shards claimed by this process.
     pub(crate) takeovers: Counter,
     waiting_counts: Family<Source, Counter>,
+    tenant_resources: Family<TenantResource, Gauge>,
+    tenant_waits: Family<Reason, Counter>,
     configuration_version: Gauge,
     configuration_age_ms: Gauge,
     configuration_confirmed_ms: Cell<u64>,
@@ -52,6 +58,8 @@
         let machine_orders = Family::default();
         let takeovers = Counter::default();
         let waiting_counts = Family::default();
+        let tenant_resources = Family::default();
+        let tenant_waits = Family::default();
         let configuration_version = Gauge::default();
         let configuration_age_ms = Gauge::default();
         let buckets = || exponential_buckets(MIN_BUCKET_S, 2.0, BUCKET_COUNT);
@@ -66,6 +74,12 @@
         registry.register("takeovers", "Shards taken over", takeovers.clone());
         let counts = waiting_counts.clone();
         registry.register("waiting_counts", "Answers to count requests", counts);
+        let resources = tenant_resources.clone();
+        let help = "What tenants with limits have of the pools owned here";
+        registry.register("tenant_resources", help, resources);
+        let waits = tenant_waits.clone();
+        let help = "Log lines on steps that wait for their tenants' limits";
+        registry.register("tenant_waits", help, waits);
         let version = configuration_version.clone();
         registry.register("configuration_version", "Version in force", version);
         let age = configuration_age_ms.clone();
@@ -84,6 +98,8 @@
             machine_orders,
             takeovers,
             waiting_counts,
+            tenant_resources,
+            tenant_waits,
             configuration_version,
             configuration_age_ms,
             configuration_confirmed_ms: Cell::new(0),
@@ -124,6 +140,57 @@
         self.configuration_confirmed_ms.set(sent_ms);
     }
 
+    /// Returns when the read of the configuration was sent that last confirmed it; `None`
+    /// if none has.
+    pub(crate) fn configuration_confirmed_ms(&self) -> Option<u64> {
+        let confirmed_ms = self.configuration_confirmed_ms.get();
+        (confirmed_ms > 0).then_some(confirmed_ms)
+    }
+
+    /// Forgets what tenants have of pools.
+    pub(crate) fn clear_tenants(&self) {
+        self.tenant_resources.clear();
+    }
+
+    /// Records what a tenant has of a pool; `kind` is allotted, used or wanted.
+    pub(crate) fn record_tenant(
+        &self,
+        pool: &str,
+        tenant: &str,
+        kind: &'static str,
+        amount: Resources,
+    ) {
+        let amounts = [
+            ("cpu_millicores", amount.cpu_millicores),
+            ("memory_mb", amount.memory_mb),
+            ("accelerators", amount.accelerators),
+        ];
+        for (resource, amount) in amounts {
+            let labels = TenantResource {
+                pool: pool.to_owned(),
+                tenant: tenant.to_owned(),
+                kind,
+                resource,
+            };
+            let gauge = self.tenant_resources.get_or_create(&labels);
+            gauge.set(i64::try_from(amount).unwrap_or(i64::MAX));
+        }
+    }
+
+    /// Adds one to the waits for tenants' limits.
+    pub(crate) fn record_tenant_wait(&self, reason: WaitReason) {
+        let reason = match reason {
+            WaitReason::ConfigurationUnconfirmed => "configuration_unconfirmed",
+            WaitReason::Unread => "unread",
+            WaitReason::Unreadable => "unreadable",
+            WaitReason::Unregistered => "unregistered",
+            WaitReason::LimitsUnrecorded => "limits_unrecorded",
+            WaitReason::Uncounted => "uncounted",
+            WaitReason::Allotment => "allotment",
+        };
+        self.tenant_waits.get_or_create(&Reason { reason }).inc();
+    }
+
     /// Encodes all metrics in the `OpenMetrics` text format.
     pub(crate) fn text(&self) -> String {
         let confirmed_ms = self.configuration_confirmed_ms.get();
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -172,6 +172,9 @@
         spawn_local(Rc::clone(&node).follow_cluster());
         spawn_local(Rc::clone(&node).claim_shards());
         spawn_local(Rc::clone(&node).write_store_heartbeats());
+        if node.settings.has_tenant_limits {
+            spawn_local(Rc::clone(&node).follow_quota());
+        }
         node.run_until_stopped().await
     }
 
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -22,6 +22,7 @@
 use tokio::task::spawn_local;
 
 use super::pass_delays::PassDelays;
+use super::takeover::set_limits;
 use super::worker_link::WorkerLink;
 use crate::clock;
 use crate::message::OwnedPool;
@@ -97,11 +98,16 @@
         let mut scheduler = self.scheduler.borrow_mut();
         let mut actions = Vec::new();
         let mut batch = None;
+        let mut quota_call = None;
         if self.is_confirmed(now) {
             scheduler.confirm_ownership(self.confirmed_ms());
+            if let Some(confirmed_ms) = self.configuration_confirmed_ms() {
+                scheduler.confirm_configuration(confirmed_ms);
+            }
             scheduler.tick(now);
             actions = scheduler.take_actions();
             batch = scheduler.begin_batch(now);
+            quota_call = scheduler.due_quota_call(now);
         }
         let events = scheduler.take_events();
         let fenced = scheduler.is_fenced();
@@ -126,6 +132,9 @@
         for action in actions {
             self.execute(action);
         }
+        if let Some(call) = quota_call {
+            self.execute_quota_call(call);
+        }
         if let Some(batch) = batch {
             spawn_local(Rc::clone(self).commit(batch));
         }
@@ -200,6 +209,24 @@
                 "waited_ms" => waited_ms, "unplaceable" => unplaceable,
                 "waits_for_predecessor" => waits_for_predecessor,
                 "obstacles" => ?obstacles, "fencing_token" => self.fencing_token),
+            SchedulerEvent::TenantWaits {
+                tenant,
+                step,
+                tasks,
+                need,
+                waited_ms,
+                reason,
+                used,
+                allotted,
+                limit,
+            } => {
+                self.node.metrics.record_tenant_wait(reason);
+                info!(self.log, "A step waits for its tenant's limit."; "step" => %step,
+                    "pool" => &self.pool, "tenant" => tenant, "reason" => ?reason,
+                    "tasks" => tasks, "need" => ?need, "waited_ms" => waited_ms,
+                    "used" => ?used, "allotted" => ?allotted, "limit" => ?limit,
+                    "fencing_token" => self.fencing_token);
+            }
             SchedulerEvent::JobUnstorable {
                 job,
                 bytes,
@@ -290,6 +317,7 @@
         scheduler.set_queues(catalog.queues.iter());
         scheduler.set_pools(catalog.pools.keys().map(String::as_str));
         scheduler.set_tenants(catalog.tenants.as_ref());
+        set_limits(&mut scheduler, catalog);
     }
 
     /// Returns the pool's status for the heartbeat to peers.
--- a/crates/cornelpoint-manager/src/pool_host/mod.rs
+++ b/crates/cornelpoint-manager/src/pool_host/mod.rs
@@ -6,6 +6,7 @@
 mod inbox;
 mod orders;
 mod pass_delays;
+mod quota;
 mod registry_view;
 mod requests;
 mod takeover;
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cornelpoint::catalog::Catalog;
 use cornelpoint::job::JobId;
 use cornelpoint::job::JobProgress;
 use cornelpoint::job::JobRecord;
@@ -91,10 +92,14 @@
             ..SchedulerSettings::default()
         };
         let mut scheduler = PoolScheduler::new(&claim.shard, claim.fencing_token, settings);
+        if node.settings.has_tenant_limits {
+            scheduler.enforce_limits(node.settings.bounds.configuration_ms);
+        }
         if let Some(catalog) = node.catalog() {
             scheduler.set_queues(catalog.queues.iter());
             scheduler.set_pools(catalog.pools.keys().map(String::as_str));
             scheduler.set_tenants(catalog.tenants.as_ref());
+            set_limits(&mut scheduler, &catalog);
         }
         let row_bytes = node.settings.row_bytes;
         let writer = ShardWriter::new(&claim.shard, owner.clone(), owner_version, row_bytes);
@@ -213,6 +218,13 @@
     }
 }
 
+/// Updates the limits of tenants, and the pools that run tasks.
+pub(super) fn set_limits(scheduler: &mut PoolScheduler, catalog: &Catalog) {
+    let pools = catalog.pools.values().filter(|pool| !pool.spare);
+    let pools = pools.map(|pool| pool.name.as_str());
+    scheduler.set_limits(catalog.version, catalog.tenants.as_ref(), pools);
+}
+
 /// Converts a time of the store's clock to one of the local monotonic clock.
 fn to_steady_ms(node: &Rc<Node>, store_ms: u64) -> u64 {
     clock::now().steady_ms + store_ms.saturating_sub(node.store.clock_ms())
--- a/crates/cornelpoint-manager/src/store/mod.rs
+++ b/crates/cornelpoint-manager/src/store/mod.rs
@@ -19,6 +19,8 @@
 pub(crate) use self::tables::JOB_TABLE;
 pub(crate) use self::tables::OWNER_KEY;
 pub(crate) use self::tables::PROGRESS_TABLE;
+pub(crate) use self::tables::QUOTA_KEY;
+pub(crate) use self::tables::QUOTA_TABLE;
 pub(crate) use self::tables::STORE_HEARTBEAT_KEY;
 pub(crate) use self::tables::STORE_HEARTBEAT_TABLE;
 pub(crate) use self::tables::WAVE_TABLE;
--- a/crates/cornelpoint-manager/src/store/tables.rs
+++ b/crates/cornelpoint-manager/src/store/tables.rs
@@ -21,6 +21,10 @@
 pub(crate) const STORE_HEARTBEAT_KEY: &str = "beat";
 /// Machines that have begun their maintenance, by wave.
 pub(crate) const WAVE_TABLE: &str = "cornelpoint-wave";
+/// What each pool may use of the limits of tenants; one row.
+pub(crate) const QUOTA_TABLE: &str = "cornelpoint-quota";
+/// Key of that row.
+pub(crate) const QUOTA_KEY: &str = "allotments";
 /// Key of a shard's owner row.
 pub(crate) const OWNER_KEY: &str = "owner";
 /// Key of the row that lists a shard's workers.
