Test the tenants' limits over several pools under random faults

The model found four faults that are corrected here: starts in the proportion to which a lowered limit is exceeded (others may hold more than their part), starts beyond a removed limit before the row says so, starts before any configuration is known, and limits that were raised and lowered again while an owner heard nothing.

--- a/crates/cornelpoint/src/quota/pool_quota.rs
+++ b/crates/cornelpoint/src/quota/pool_quota.rs
@@ -96,6 +96,8 @@
     max_configuration_age_ms: u64,
     /// When the read of the configuration was sent that last confirmed it.
     confirmed_ms: Option<u64>,
+    /// Configuration that it confirmed.
+    confirmed_configuration: u64,
     configuration: u64,
     limits: BTreeMap<String, Limit>,
     /// Pools of the configuration that may run tasks of tenants, this one included.
@@ -131,6 +133,7 @@
             fencing_token,
             max_configuration_age_ms,
             confirmed_ms: None,
+            confirmed_configuration: 0,
             configuration: 0,
             limits: BTreeMap::new(),
             pools: BTreeSet::from([pool.to_owned()]),
@@ -179,8 +182,20 @@
     /// Returns whether that is news.
     pub fn configuration_confirmed(&mut self, sent_ms: u64) -> bool {
         let before_ms = self.confirmed_ms;
-        self.confirmed_ms = before_ms.max(Some(sent_ms));
-        self.confirmed_ms != before_ms
+        if before_ms.is_some_and(|at_ms| at_ms >= sent_ms) {
+            return false;
+        }
+        let had_gap =
+            before_ms.is_some_and(|at_ms| at_ms + self.max_configuration_age_ms <= sent_ms);
+        if had_gap && self.configuration != self.confirmed_configuration {
+            // A limit may have been raised and lowered again meanwhile.
+            for tenant in self.limits.keys() {
+                self.lowered.insert(tenant.clone(), self.configuration);
+            }
+        }
+        self.confirmed_configuration = self.configuration;
+        self.confirmed_ms = Some(sent_ms);
+        true
     }
 
     /// Whether any tenant has a limit.
@@ -200,6 +215,22 @@
         limits.get(tenant).map(|limit| limit.0)
     }
 
+    /// Returns the limit that starts have to keep. Where a limit is removed, other pools have
+    /// to know that this one's use isn't counted any more, so that the former limit counts
+    /// until the row has the new ones.
+    fn limit_for_starts(&self, tenant: &str) -> Option<Resources> {
+        let limit = self.limit(tenant);
+        let recorded = self.row.as_ref();
+        let recorded = recorded.and_then(|(_, table)| table.limits.get(tenant));
+        let Some(recorded) = recorded else {
+            return limit;
+        };
+        let limit = limit.unwrap_or_default();
+        Some(combine(limit, recorded.0, |limit, recorded| {
+            if limit > 0 { limit } else { recorded }
+        }))
+    }
+
     /// Whether a need fits a tenant's limit while nothing of the tenant runs.
     #[must_use]
     pub fn could_ever_run(&self, tenant: &str, need: Resources) -> bool {
@@ -232,7 +263,10 @@
         unreported: Resources,
         now_ms: u64,
     ) -> Result<Resources, WaitReason> {
-        let Some(limit) = self.limit(tenant) else {
+        if self.configuration == 0 {
+            return Err(WaitReason::ConfigurationUnconfirmed);
+        }
+        let Some(limit) = self.limit_for_starts(tenant) else {
             return Ok(PoolDemand::UNKNOWN);
         };
         let age_ms = self.confirmed_ms.map(|at_ms| now_ms.saturating_sub(at_ms));
@@ -272,7 +306,9 @@
         let mut room = [u64::MAX; 3];
         for resource in 0..3 {
             if limit[resource] > 0 {
-                let usable = scale(least[resource], limit[resource], sum[resource]);
+                // Beyond the limit, others may hold more than their part of it.
+                let is_within = sum[resource] <= limit[resource];
+                let usable = if is_within { least[resource] } else { 0 };
                 room[resource] = usable.saturating_sub(held[resource]);
             }
         }
@@ -617,17 +653,6 @@
     }
 }
 
-/// Returns the part of an allotment that may be used where all allotments together exceed
-/// the limit. The sum only falls then, so that the parts of pools that know older rows
-/// are smaller ones.
-fn scale(allotted: u64, limit: u64, sum: u64) -> u64 {
-    if sum <= limit {
-        return allotted;
-    }
-    let part = u128::from(allotted) * u128::from(limit) / u128::from(sum);
-    u64::try_from(part).unwrap_or(allotted)
-}
-
 /// Returns what the pool's entry is to say that it wants. Small changes aren't worth a
 /// write.
 fn settled_wanted(before: Resources, now: Resources) -> Resources {
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -344,10 +344,11 @@
         }
         self.tenants_wait = true;
         let waited_ms = now.steady_ms.saturating_sub(ready.since_ms);
-        if now.steady_ms >= self.tenant_wait_logged_ms + TENANT_WAIT_LOG_MS
-            && waited_ms >= TENANT_WAIT_LOG_MS
-        {
+        let log_due = self.is_tenant_wait_due(now);
+        if log_due {
             self.tenant_wait_logged_ms = now.steady_ms;
+        }
+        if log_due && waited_ms >= TENANT_WAIT_LOG_MS {
             self.events.push(SchedulerEvent::TenantWaits {
                 tenant: name.to_owned(),
                 step: key.step,
@@ -367,6 +368,11 @@
         false
     }
 
+    /// Whether it is time to tell of a step that waits for its tenant's limit.
+    pub(super) fn is_tenant_wait_due(&self, now: Instant) -> bool {
+        self.tenants_wait && now.steady_ms >= self.tenant_wait_logged_ms + TENANT_WAIT_LOG_MS
+    }
+
     /// Returns the most that runs may hold which a predecessor started on workers that have
     /// not reported yet.
     pub(super) fn unreported_use(&self) -> Resources {
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -394,7 +394,8 @@
         self.end_penalties(self.last_tick_ms, now);
         self.release_withheld_tasks(now);
         self.last_tick_ms = now.steady_ms;
-        if self.placement_needed && self.may_grant_leases(0, now) {
+        let is_pass_due = self.placement_needed || self.is_tenant_wait_due(now);
+        if is_pass_due && self.may_grant_leases(0, now) {
             self.place_ready_steps(now);
         }
         self.log_waiting_step(now);
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -30,6 +30,7 @@
 mod stored_progress;
 mod support;
 mod surge;
+mod tenant_limits;
 mod unplaceable_steps;
 mod vacating;
 mod worker_quorum;
