--- a/crates/cornelpoint-manager/src/pool_host/orders.rs
+++ b/crates/cornelpoint-manager/src/pool_host/orders.rs
@@ -41,6 +41,8 @@
     call: &'a Call,
     /// Whether runs may go on for longer, or begin, because of it.
     grants_lease: bool,
+    /// Task that the call starts.
+    starts: Option<TaskId>,
     /// Makes the call for the next incarnation of the worker, by a reading of that one's
     /// clock, if it may be sent there.
     translate: &'a dyn Fn(u64) -> Option<Call>,
@@ -52,6 +54,7 @@
         Self {
             call,
             grants_lease: false,
+            starts: None,
             translate: &|_| None,
         }
     }
@@ -178,6 +181,7 @@
         let outgoing = OutgoingCall {
             call: &call,
             grants_lease: true,
+            starts: Some(task),
             translate: &translate,
         };
         let outcome = self.send_order(&link, incarnation, outgoing).await;
@@ -396,7 +400,8 @@
             } else {
                 self.is_confirmed(now)
             };
-            may_send && !self.stopped.get()
+            let may_start = |task| self.scheduler.borrow().may_send_start(task, now);
+            may_send && outgoing.starts.is_none_or(may_start) && !self.stopped.get()
         };
         endpoint
             .send_checked(outgoing.call, timeout, &may_send, check)
--- a/crates/cornelpoint/src/job/resources.rs
+++ b/crates/cornelpoint/src/job/resources.rs
@@ -54,13 +54,14 @@
             .min(count(free.accelerators, need.accelerators))
     }
 
-    /// Returns the sum of both.
+    /// Returns the sum of both, at most `u64::MAX` of each resource: other programs may have
+    /// written the entries of workers.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
         Self {
-            cpu_millicores: self.cpu_millicores + other.cpu_millicores,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_millicores: self.cpu_millicores.saturating_add(other.cpu_millicores),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
--- a/crates/cornelpoint/src/quota/pool_quota.rs
+++ b/crates/cornelpoint/src/quota/pool_quota.rs
@@ -269,8 +269,7 @@
         let Some(limit) = self.limit_for_starts(tenant) else {
             return Ok(PoolDemand::UNKNOWN);
         };
-        let age_ms = self.confirmed_ms.map(|at_ms| now_ms.saturating_sub(at_ms));
-        if age_ms.is_none_or(|age_ms| age_ms >= self.max_configuration_age_ms) {
+        if !self.is_confirmed(now_ms) {
             return Err(WaitReason::ConfigurationUnconfirmed);
         }
         if self.unreadable {
@@ -319,6 +318,18 @@
         Ok(room)
     }
 
+    /// Whether a start of a tenant's task that was decided on may still be ordered.
+    #[must_use]
+    pub fn may_send(&self, tenant: &str, now_ms: u64) -> bool {
+        self.limit_for_starts(tenant).is_none() || (self.is_confirmed(now_ms) && !self.fenced)
+    }
+
+    /// Whether the configuration was confirmed recently enough.
+    fn is_confirmed(&self, now_ms: u64) -> bool {
+        let age_ms = self.confirmed_ms.map(|at_ms| now_ms.saturating_sub(at_ms));
+        age_ms.is_some_and(|age_ms| age_ms < self.max_configuration_age_ms)
+    }
+
     /// Returns the pool's entry in the write in progress, unless that can't be carried out
     /// any more.
     fn entry_in_progress(&self) -> Option<&PoolEntry> {
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -299,6 +299,17 @@
         }
     }
 
+    /// Whether an order to start a task may still be sent: the process may have been paused
+    /// since it was decided on, and its tenant's limit lowered.
+    #[must_use]
+    pub fn may_send_start(&self, task: TaskId, now: Instant) -> bool {
+        let tenant = self.jobs.get(&task.step.job).and_then(|job| job.tenant);
+        let (Some(quota), Some(tenant)) = (&self.quota, tenant) else {
+            return true;
+        };
+        quota.may_send(self.tenant_use.name(tenant), now.steady_ms)
+    }
+
     /// Returns the call to the store that is due for the tenants' limits. What becomes of
     /// it has to be passed to [`Self::quota_replied`].
     pub fn due_quota_call(&mut self, now: Instant) -> Option<QuotaCall> {
@@ -328,7 +339,8 @@
                 tenant.waiting = tenant.waiting.plus(need);
             }
         }
-        for worker in self.incarnations.values().filter(|worker| worker.listed) {
+        let workers = self.incarnations.values();
+        for worker in workers.filter(|worker| worker.listed && !worker.is_unresponsive()) {
             demand.capacity = demand.capacity.plus(worker.entry.capacity);
         }
         demand
--- /dev/null
+++ b/crates/cornelpoint/tests/quota/decisions.rs
@@ -0,0 +1,123 @@
+//! Single decisions about rows that are odd, and about writes without an answer.
+
+use cornelpoint::job::Resources;
+use cornelpoint::quota::PoolDemand;
+use cornelpoint::quota::PoolQuota;
+use cornelpoint::quota::QuotaCall;
+use cornelpoint::quota::QuotaReply;
+use cornelpoint::quota::QuotaRow;
+use cornelpoint::quota::QuotaTable;
+use cornelpoint::quota::QuotaWrite;
+use cornelpoint::quota::TenantDemand;
+use cornelpoint::quota::WaitReason;
+use cornelpoint::tenant::RawTenant;
+use cornelpoint::tenant::Tenants;
+
+const TENANT: &str = "north";
+
+fn cores(cores: u64) -> Resources {
+    Resources {
+        cpu_millicores: cores * 1000,
+        ..Resources::default()
+    }
+}
+
+fn demand(used: u64, waiting: u64) -> PoolDemand {
+    let demand = TenantDemand {
+        used: cores(used),
+        waiting: cores(waiting),
+    };
+    PoolDemand {
+        tenants: [(TENANT.to_owned(), demand)].into(),
+        capacity: cores(100),
+        ..PoolDemand::default()
+    }
+}
+
+fn write(quota: &mut PoolQuota, demand: &PoolDemand, now_ms: u64) -> QuotaWrite {
+    match quota.due_call(demand, now_ms) {
+        Some(QuotaCall::Write(write)) => write,
+        other => panic!("expected a write, found {other:?}"),
+    }
+}
+
+fn room(quota: &PoolQuota, now_ms: u64) -> Result<u64, WaitReason> {
+    let room = quota.room(TENANT, Resources::default(), Resources::default(), now_ms);
+    room.map(|room| room.cpu_millicores)
+}
+
+/// Returns the quota of a pool that may use the whole limit of 16 cores, and the row, which
+/// has version 2.
+fn quota_with_all() -> (PoolQuota, QuotaRow) {
+    let tenants = Tenants::check(vec![Some(RawTenant {
+        name: TENANT.to_owned(),
+        keys: Vec::new(),
+        weight_milli: 1000,
+        limit: cores(16),
+    })]);
+    let mut quota = PoolQuota::new("a", 1, 1_000_000);
+    quota.set_limits(1, &tenants, ["a"].into_iter());
+    quota.configuration_confirmed(1);
+    assert_eq!(quota.due_call(&demand(0, 16), 1), Some(QuotaCall::Read));
+    let table = Some(QuotaTable::default());
+    quota.replied(QuotaReply::Row(QuotaRow { version: 0, table }), 2);
+    let written = write(&mut quota, &demand(0, 16), 3);
+    quota.replied(QuotaReply::Committed { version: 2 }, 4);
+    assert_eq!(room(&quota, 5), Ok(16_000));
+    let table = Some(written.table);
+    (quota, QuotaRow { version: 2, table })
+}
+
+/// Guards against an allotment that is used although a write without an answer may still
+/// give it back, also after the row was read with the version that the write names.
+#[test]
+fn a_reduction_without_an_answer_counts_until_the_row_has_another_version() {
+    let (mut quota, row) = quota_with_all();
+    assert_eq!(quota.due_call(&demand(0, 0), 1000), None);
+    let reduction = write(&mut quota, &demand(0, 0), 4000);
+    assert_eq!(room(&quota, 4000), Ok(12_000));
+    quota.replied(QuotaReply::Unanswered, 5500);
+    assert!(!quota.row_read(row));
+    assert_eq!(room(&quota, 5501), Ok(12_000));
+    let again = write(&mut quota, &demand(0, 16), 6000);
+    assert_eq!(again.expected_version, reduction.expected_version);
+    quota.replied(QuotaReply::Committed { version: 3 }, 6010);
+    assert_eq!(room(&quota, 6011), Ok(16_000));
+}
+
+/// Guards against starts under a row that can't be decoded, and against an end of all starts
+/// once an operator has removed it.
+#[test]
+fn a_row_that_can_not_be_decoded_stops_starts_until_it_is_removed() {
+    let (mut quota, _) = quota_with_all();
+    let row = QuotaRow {
+        version: 3,
+        table: None,
+    };
+    quota.row_read(row.clone());
+    assert_eq!(room(&quota, 10), Err(WaitReason::Unreadable));
+    assert_eq!(quota.due_call(&demand(1, 0), 1000), Some(QuotaCall::Read));
+    quota.replied(QuotaReply::Row(row), 1010);
+    assert_eq!(quota.due_call(&demand(1, 0), 1100), None);
+    let table = Some(QuotaTable::default());
+    quota.row_read(QuotaRow { version: 0, table });
+    let written = write(&mut quota, &demand(1, 0), 3000);
+    assert_eq!(written.expected_version, 0);
+    quota.replied(QuotaReply::Committed { version: 5 }, 3010);
+    assert_eq!(room(&quota, 3011), Ok(8000));
+}
+
+/// Guards against a predecessor that starts or writes beside its successor.
+#[test]
+fn a_higher_token_ends_starts_and_writes() {
+    let (mut quota, mut row) = quota_with_all();
+    row.version = 3;
+    let entry = row
+        .table
+        .as_mut()
+        .and_then(|table| table.pools.get_mut("a"));
+    entry.unwrap().fencing_token = 2;
+    quota.row_read(row);
+    assert_eq!(room(&quota, 10), Err(WaitReason::Unregistered));
+    assert_eq!(quota.due_call(&demand(0, 16), 9000), None);
+}
--- a/crates/cornelpoint/tests/quota/main.rs
+++ b/crates/cornelpoint/tests/quota/main.rs
@@ -1,6 +1,7 @@
 //! The tenants' limits over several pools, under random faults of the store, the owners and
 //! the workers.
 
+mod decisions;
 mod model;
 
 use std::ops::Range;
--- a/crates/cornelpoint/tests/quota/model/world.rs
+++ b/crates/cornelpoint/tests/quota/model/world.rs
@@ -143,6 +143,10 @@
         self.random.random_range(range)
     }
 
+    fn one_of(&mut self, choices: &[u64]) -> u64 {
+        choices[self.random.random_range(0..choices.len())]
+    }
+
     /// Runs for a time, or until a start breaks a limit.
     pub(crate) fn run(&mut self, duration_ms: u64) {
         let end_ms = self.now_ms + duration_ms;
@@ -194,7 +198,7 @@
         for pool in 0..POOLS.len() {
             for tenant in 0..TENANTS.len() {
                 if self.chance(150) {
-                    let most = [0, 0, 4, 60][self.within(0..4) as usize];
+                    let most = self.one_of(&[0, 0, 4, 60]);
                     self.pools[pool].waiting[tenant] = cores(most);
                 }
             }
@@ -205,7 +209,7 @@
         let is_due = self.now_ms >= self.configurations.changed_ms() + CONFIGURATION_MS;
         if is_due && self.chance(300) {
             let limits = (0..TENANTS.len()).map(|_| {
-                let limit = cores([4, 10, 16, 40, 60, 80][self.within(0..6) as usize]);
+                let limit = cores(self.one_of(&[4, 10, 16, 40, 60, 80]));
                 let cpu_millicores = limit.cpu_millicores * self.within(0..5).min(1);
                 Resources {
                     cpu_millicores,
@@ -220,7 +224,7 @@
         }
         for pool in 0..POOLS.len() {
             if self.chance(700) {
-                let worker = self.within(0..WORKERS as u64) as usize;
+                let worker = self.random.random_range(0..WORKERS);
                 let until_ms = self.now_ms + self.within(500..9000);
                 self.pools[pool].workers[worker].silent_until_ms = until_ms;
             }
@@ -447,7 +451,7 @@
         for tenant in 0..TENANTS.len() {
             for _ in 0..4 {
                 let need = cores(self.within(1..4));
-                let worker = self.within(0..WORKERS as u64) as usize;
+                let worker = self.random.random_range(0..WORKERS);
                 let (now_ms, mutant) = (self.now_ms, self.mutant);
                 let Pool {
                     owners,
--- a/crates/cornelpoint/tests/scheduler/tenant_limits.rs
+++ b/crates/cornelpoint/tests/scheduler/tenant_limits.rs
@@ -15,12 +15,14 @@
 use cornelpoint::tenant::RawTenant;
 use cornelpoint::tenant::Tenants;
 use cornelpoint::worker::CompletionKind;
+use cornelpoint::worker::RegistryEntry;
 use cornelpoint::worker::RunCompletion;
 use cornelpoint::worker::WorkerReport;
 
 use crate::support::POOL;
 use crate::support::answer_renewals;
 use crate::support::at;
+use crate::support::entry;
 use crate::support::job;
 use crate::support::job_id;
 use crate::support::ready_scheduler;
@@ -106,10 +108,21 @@
     }
 }
 
+/// Entries of the workers, and of two that claim more than a number can hold: their sum made
+/// owners fail.
+fn odd_entries() -> Vec<RegistryEntry> {
+    let mut entries = ["w1", "w2", "x1", "x2"].map(|id| entry(id, 5));
+    for entry in &mut entries[2..] {
+        entry.capacity.cpu_millicores = u64::MAX;
+    }
+    entries.into()
+}
+
 /// Guards against starts without an allotment, and against a tenant that holds back others.
 #[test]
 fn a_step_waits_for_its_tenants_limit_and_others_go_on() {
     let mut scheduler = limited_scheduler(&["w1", "w2"]);
+    scheduler.apply_registry(&odd_entries(), true, at(5));
     submit(&mut scheduler, 1, "north", 4, 10);
     submit(&mut scheduler, 2, "south", 2, 10);
     let started = starts(&mut scheduler, 100);
