--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -37,6 +37,13 @@
     pub(super) step: StepId,
 }
 
+/// A step that some worker may have room for.
+struct PlaceableStep {
+    key: ReadyKey,
+    tenant: Option<TenantIndex>,
+    unplaceable: bool,
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     reason = "steps and tasks are bounded when a job is checked"
@@ -181,12 +188,15 @@
             unreported: self.unreported_use(),
         };
         self.tenants_wait = false;
-        for (key, tenant) in self.placeable_steps(&pass, now) {
-            if tenant.is_some_and(|tenant| pass.held_tenants.contains(&tenant)) {
-                self.consider_all_workers(key);
+        for step in self.placeable_steps(&pass, now) {
+            let mut held = pass.held_tenants.iter();
+            if held.any(|held| Some(*held) == step.tenant) {
+                if step.unplaceable {
+                    self.consider_all_workers(step.key);
+                }
                 continue;
             }
-            self.place_step(key, &mut pass, now);
+            self.place_step(step.key, &mut pass, now);
             if self.starts_limited {
                 // The steps behind have not been compared with these workers yet.
                 self.changed_workers.extend(pass.changed_workers);
@@ -197,11 +207,7 @@
     }
 
     /// Returns the steps that some worker may have room for, in placement order.
-    fn placeable_steps(
-        &self,
-        pass: &PlacementPass,
-        now: Instant,
-    ) -> Vec<(ReadyKey, Option<TenantIndex>)> {
+    fn placeable_steps(&self, pass: &PlacementPass, now: Instant) -> Vec<PlaceableStep> {
         let largest_free = self.largest_free(&WorkerSet::All, now);
         let largest_changed = self.largest_free(&pass.changed_workers, now);
         // Steps that need tickets request them before there is room.
@@ -215,8 +221,12 @@
             needs_tickets || free.is_some_and(|free| free.fits(Resources::default(), step.need))
         });
         let (late, in_time): (Vec<_>, Vec<_>) = placeable
-            .map(|(key, step)| (*key, step.tenant))
-            .partition(|(key, _)| key.is_batch && key.latest_start_ms < now.steady_ms);
+            .map(|(key, step)| PlaceableStep {
+                key: *key,
+                tenant: step.tenant,
+                unplaceable: step.unplaceable,
+            })
+            .partition(|step| step.key.is_batch && step.key.latest_start_ms < now.steady_ms);
         // Jobs that can still meet their objective go first: a late job has
         // little value.
         in_time.into_iter().chain(late).collect()
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -8,6 +8,7 @@
 use crate::job::JobId;
 use crate::job::JobRecord;
 use crate::job::JobStatus;
+use crate::job::Resources;
 use crate::job::StepId;
 use crate::job::TaskId;
 use crate::quota::PoolDemand;
@@ -15,6 +16,7 @@
 use crate::quota::QuotaCall;
 use crate::quota::QuotaReply;
 use crate::quota::QuotaRow;
+use crate::quota::TenantDemand;
 use crate::quota::TenantUse;
 use crate::tenant::Tenants;
 
@@ -328,17 +330,22 @@
             unreported: self.unreported_use(),
             ..PoolDemand::default()
         };
-        for (tenant, used) in self.tenant_use.iter() {
-            demand.tenants.entry(tenant.to_owned()).or_default().used = used;
-        }
+        let tenants = self.tenant_use.iter();
+        let tenants = tenants.map(|(tenant, used)| {
+            let waiting = Resources::default();
+            (tenant, TenantDemand { used, waiting })
+        });
+        let mut tenants: Vec<(&str, TenantDemand)> = tenants.collect();
         for step in self.ready.values() {
-            let Some(tenant) = step.tenant else { continue };
-            let tenant = self.tenant_use.name(tenant);
-            if let Some(tenant) = demand.tenants.get_mut(tenant) {
+            let tenant = step.tenant.and_then(|tenant| tenants.get_mut(tenant));
+            if let Some((_, tenant)) = tenant {
                 let need = step.need.times(step.tasks.len() as u64);
                 tenant.waiting = tenant.waiting.plus(need);
             }
         }
+        let tenants = tenants.into_iter();
+        let tenants = tenants.map(|(tenant, demand)| (tenant.to_owned(), demand));
+        demand.tenants = tenants.collect();
         let workers = self.incarnations.values();
         for worker in workers.filter(|worker| worker.listed && !worker.is_unresponsive()) {
             demand.capacity = demand.capacity.plus(worker.entry.capacity);
