--- a/crates/cornelpoint/benches/scheduling/main.rs
+++ b/crates/cornelpoint/benches/scheduling/main.rs
@@ -18,6 +18,8 @@
 use cornelpoint::scheduler::Instant;
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::SchedulerSettings;
+use cornelpoint::tenant::RawTenant;
+use cornelpoint::tenant::Tenants;
 use cornelpoint::worker::RegistryEntry;
 use cornelpoint::worker::WorkerReport;
 
@@ -25,6 +27,7 @@
 const QUEUE: &str = "quote-layout";
 const WORKER_COUNTS: [u32; 4] = [50, 350, 3_000, 19_000];
 const JOBS: u32 = 200;
+const WAITING_STEPS: [u64; 3] = [0, 200, 2000];
 const TASKS: u64 = 8;
 
 fn main() {
@@ -32,6 +35,55 @@
     for workers in WORKER_COUNTS {
         measure(workers);
     }
+    println!("steps that wait for tenants' limits  pass us  demand us");
+    for steps in WAITING_STEPS {
+        measure_limited(steps);
+    }
+}
+
+/// Measures a pass over steps of 20 tenants of which none may start, beside 350 workers.
+fn measure_limited(steps: u64) {
+    const TENANTS: u64 = 20;
+    const PASSES: u64 = 200;
+    let mut scheduler = scheduler(350);
+    scheduler.enforce_limits(1_000_000);
+    let tenants = (0..TENANTS).map(|number| {
+        Some(RawTenant {
+            name: format!("tenant-{number}"),
+            keys: Vec::new(),
+            weight_milli: 1000,
+            limit: Resources {
+                cpu_millicores: 100_000,
+                ..Resources::default()
+            },
+        })
+    });
+    let tenants = Tenants::check(tenants.collect());
+    scheduler.set_limits(1, Some(&tenants), std::iter::once(POOL));
+    scheduler.confirm_configuration(1);
+    for number in 0..steps {
+        let (mut record, spec) = job();
+        record.tenant = Some(format!("tenant-{}", number % TENANTS));
+        scheduler.submit_from_inbox(id(number), record, spec, at(100));
+    }
+    store_batches(&mut scheduler, 200);
+    scheduler.tick(at(1000));
+    let began = Clock::now();
+    for pass in 0..PASSES {
+        scheduler.confirm_configuration(2 + pass);
+        scheduler.tick(at(1001));
+    }
+    let pass_us = micros(began) / f64::from(u32::try_from(PASSES).expect("a small number"));
+    let began = Clock::now();
+    std::hint::black_box(scheduler.tenant_demand());
+    let demand_us = micros(began);
+    assert!(
+        scheduler
+            .take_actions()
+            .iter()
+            .all(|action| !matches!(action, Action::Start { .. }))
+    );
+    println!("{steps:>35}  {pass_us:>7.1}  {demand_us:>9.1}");
 }
 
 fn measure(workers: u32) {
