--- a/crates/cornelpoint-manager/src/edge/peers.rs
+++ b/crates/cornelpoint-manager/src/edge/peers.rs
@@ -38,6 +38,7 @@
             node.metrics
                 .connections_held(port.label(), held.connections, held.bytes);
         }
+        node.record_tenants();
         return reply(200, node.metrics.text());
     }
     let pool = path.strip_prefix(PATH_PREFIX);
--- a/crates/cornelpoint-manager/src/metrics/process_metrics.rs
+++ b/crates/cornelpoint-manager/src/metrics/process_metrics.rs
@@ -1,6 +1,8 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use cornelpoint::job::Resources;
+use cornelpoint::quota::WaitReason;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -14,6 +16,7 @@
 use super::labels::Reason;
 use super::labels::Refusal;
 use super::labels::Source;
+use super::labels::TenantResource;
 use crate::clock;
 
 /// Upper bound of the first histogram bucket, in seconds.
@@ -45,6 +48,8 @@
     refusals: Family<Refusal, Counter>,
     connections: Family<Listener, Gauge>,
     connection_bytes: Family<Listener, Gauge>,
+    tenant_resources: Family<TenantResource, Gauge>,
+    tenant_waits: Family<Reason, Counter>,
     configuration_version: Gauge,
     configuration_age_ms: Gauge,
     configuration_confirmed_ms: Cell<u64>,
@@ -68,6 +73,8 @@
         let refusals = Family::default();
         let connections = Family::default();
         let connection_bytes = Family::default();
+        let tenant_resources = Family::default();
+        let tenant_waits = Family::default();
         let configuration_version = Gauge::default();
         let configuration_age_ms = Gauge::default();
         let buckets = || exponential_buckets(MIN_BUCKET_S, 2.0, BUCKET_COUNT);
@@ -93,6 +100,12 @@
         registry.register("connections", "Open connections", connections.clone());
         let help = "Bytes that connections and their bodies hold";
         registry.register("connection_bytes", help, connection_bytes.clone());
+        let resources = tenant_resources.clone();
+        let help = "What tenants with limits have of the pools owned here";
+        registry.register("tenant_resources", help, resources);
+        let waits = tenant_waits.clone();
+        let help = "Log lines on steps that wait for their tenants' limits";
+        registry.register("tenant_waits", help, waits);
         let version = configuration_version.clone();
         registry.register("configuration_version", "Version in force", version);
         let age = configuration_age_ms.clone();
@@ -117,6 +130,8 @@
             refusals,
             connections,
             connection_bytes,
+            tenant_resources,
+            tenant_waits,
             configuration_version,
             configuration_age_ms,
             configuration_confirmed_ms: Cell::new(0),
@@ -179,6 +194,50 @@
         self.refused_calls.get_or_create(&Reason { reason }).inc();
     }
 
+    /// Forgets what tenants have of pools.
+    pub(crate) fn clear_tenants(&self) {
+        self.tenant_resources.clear();
+    }
+
+    /// Records what a tenant has of a pool; `kind` is allotted, used or wanted.
+    pub(crate) fn record_tenant(
+        &self,
+        pool: &str,
+        tenant: &str,
+        kind: &'static str,
+        amount: Resources,
+    ) {
+        let amounts = [
+            ("cpu_millicores", amount.cpu_millicores),
+            ("memory_mb", amount.memory_mb),
+            ("accelerators", amount.accelerators),
+        ];
+        for (resource, amount) in amounts {
+            let labels = TenantResource {
+                pool: pool.to_owned(),
+                tenant: tenant.to_owned(),
+                kind,
+                resource,
+            };
+            let gauge = self.tenant_resources.get_or_create(&labels);
+            gauge.set(i64::try_from(amount).unwrap_or(i64::MAX));
+        }
+    }
+
+    /// Adds one to the waits for tenants' limits.
+    pub(crate) fn record_tenant_wait(&self, reason: WaitReason) {
+        let reason = match reason {
+            WaitReason::ConfigurationUnconfirmed => "configuration_unconfirmed",
+            WaitReason::Unread => "unread",
+            WaitReason::Unreadable => "unreadable",
+            WaitReason::Unregistered => "unregistered",
+            WaitReason::LimitsUnrecorded => "limits_unrecorded",
+            WaitReason::Uncounted => "uncounted",
+            WaitReason::Allotment => "allotment",
+        };
+        self.tenant_waits.get_or_create(&Reason { reason }).inc();
+    }
+
     /// Encodes all metrics in the `OpenMetrics` text format.
     pub(crate) fn text(&self) -> String {
         let confirmed_ms = self.configuration_confirmed_ms.get();
--- a/crates/cornelpoint/src/job/resources.rs
+++ b/crates/cornelpoint/src/job/resources.rs
@@ -54,13 +54,31 @@
             .min(count(free.accelerators, need.accelerators))
     }
 
-    /// Returns the sum of both.
+    /// Returns the sum of both, at most `u64::MAX` of each resource: other programs may have
+    /// written the entries of workers.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
         Self {
-            cpu_millicores: self.cpu_millicores + other.cpu_millicores,
-            memory_mb: self.memory_mb + other.memory_mb,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_millicores: self.cpu_millicores.saturating_add(other.cpu_millicores),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// Returns the sum of `count` of these.
+    ///
+    /// ```
+    /// use cornelpoint::job::Resources;
+    ///
+    /// let task = Resources { cpu_millicores: 500, memory_mb: 100, accelerators: 0 };
+    /// assert_eq!(task.times(2), task.plus(task));
+    /// ```
+    #[must_use]
+    pub fn times(self, count: u64) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
         }
     }
 
