--- a/crates/cornelpoint/src/quota/pool_quota.rs
+++ b/crates/cornelpoint/src/quota/pool_quota.rs
@@ -46,7 +46,7 @@
     LimitsUnrecorded,
     /// Some pool has not counted yet what it uses of the tenant.
     Uncounted,
-    /// The pool's allotment is used up.
+    /// The pool's allotment has no room.
     Allotment,
 }
 
@@ -311,11 +311,7 @@
                 room[resource] = usable.saturating_sub(held[resource]);
             }
         }
-        let room = from_array(room);
-        if room == Resources::default() {
-            return Err(WaitReason::Allotment);
-        }
-        Ok(room)
+        Ok(from_array(room))
     }
 
     /// Whether a start of a tenant's task that was decided on may still be ordered.
