Share a full pool between tenants, and weigh the loss to callers

Admission was a set of methods of PoolScheduler; who was refused depended on the order of arrival.

cornelpoint::admission now takes the decision, from a view of the pool and the time. Where the configuration has tenants, a job waits for the work that its tenant's share puts before it, and waiting steps are placed by shares; jobs beyond a tenant's weight in jobs a second come last. Where callers compete for too little capacity (contract pressure), the value of a job for its room decides how long it may wait, steps that can't be in time are put off, Retry-After names a second with room that is not promised to others, and a new owner counts listed workers that haven't reported.

--- a/crates/cornelpoint-manager/src/metrics/process_metrics.rs
+++ b/crates/cornelpoint-manager/src/metrics/process_metrics.rs
@@ -24,6 +24,8 @@
     registry: Registry,
     /// Submitted jobs, by outcome.
     pub(crate) submissions: Family<Outcome, Counter>,
+    /// Jobs refused by the pools that this process owns, by reason.
+    pub(crate) refusals: Family<Outcome, Counter>,
     /// Orders to start a task, by outcome.
     pub(crate) starts: Family<Outcome, Counter>,
     /// Jobs that became final, by their status.
@@ -46,6 +48,7 @@
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("cornelpoint");
         let submissions = Family::default();
+        let refusals = Family::default();
         let starts = Family::default();
         let final_jobs = Family::default();
         let store_calls = Family::default();
@@ -58,6 +61,7 @@
         let submission_seconds = Histogram::new(buckets());
         let store_seconds = Histogram::new(buckets());
         registry.register("hand_ins", "Jobs handed in", submissions.clone());
+        registry.register("refusals", "Jobs refused by owners", refusals.clone());
         registry.register("starts", "Orders to start a task", starts.clone());
         registry.register("final_jobs", "Jobs that became final", final_jobs.clone());
         registry.register("store_calls", "Calls to the store", store_calls.clone());
@@ -78,6 +82,7 @@
         Self {
             registry,
             submissions,
+            refusals,
             starts,
             final_jobs,
             store_calls,
--- a/crates/cornelpoint-manager/src/pool_host/requests.rs
+++ b/crates/cornelpoint-manager/src/pool_host/requests.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cornelpoint::admission::RefusalReason;
 use cornelpoint::inbox::InboxKey;
 use cornelpoint::job::JobId;
 use cornelpoint::job::JobRecord;
@@ -15,6 +16,7 @@
 use crate::message::MAX_COUNT_AGE_MS;
 use crate::message::PoolRequest;
 use crate::message::PoolResponse;
+use crate::metrics::ProcessMetrics;
 
 /// Longest wait for the store before the caller is told that the outcome is
 /// uncertain.
@@ -49,6 +51,7 @@
             return PoolResponse::UnknownJob;
         };
         let queue = record.queue.clone();
+        let tenant = record.tenant.clone();
         let answer = self.apply(|scheduler, now| scheduler.submit(id, record, spec, now));
         match answer {
             SubmitAnswer::Accepted => PoolResponse::Accepted,
@@ -62,8 +65,16 @@
                 self.node.report_load();
                 let mut scheduler = self.scheduler.borrow_mut();
                 let load = scheduler.recent_load(crate::clock::now());
+                let verdict = scheduler.last_verdict().copied().unwrap_or_default();
+                let reason = verdict.refused.map_or("unknown", RefusalReason::name);
+                ProcessMetrics::count(&self.node.metrics.refusals, reason);
                 info!(self.log, "Job rejected."; "job" => %id, "queue" => queue,
-                    "wait_ms" => load.wait_ms(), "backlog_core_ms" => load.backlog_core_ms,
+                    "tenant" => tenant, "reason" => reason,
+                    "wait_ms" => verdict.wait_ms, "allowed_ms" => verdict.allowed_ms,
+                    "share_class" => ?verdict.class,
+                    "pool_wait_ms" => load.wait_ms(), "backlog_core_ms" => load.backlog_core_ms,
+                    "capacity_millicores" => load.capacity_millicores,
+                    "promised_returns" => scheduler.promised_returns(),
                     "retry_after_ms" => retry_after_ms);
                 PoolResponse::Refused { retry_after_ms }
             }
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -88,6 +88,7 @@
             max_lease_ms: node.settings.bounds.max_lease_ms,
             stop_ms: node.settings.bounds.stop_ms,
             row_bytes: node.settings.row_bytes,
+            weighs_loss: node.settings.weighs_loss,
             ..SchedulerSettings::default()
         };
         let mut scheduler = PoolScheduler::new(&claim.shard, claim.fencing_token, settings);
--- a/crates/cornelpoint/src/scheduler/duration_model.rs
+++ b/crates/cornelpoint/src/admission/duration_model.rs
@@ -13,7 +13,7 @@
 /// tenth. A linear regression of the logarithm of the duration on that of the
 /// estimate weights estimates by how well they have predicted durations so far.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct DurationModel {
+pub(crate) struct DurationModel {
     tasks: u32,
     mean_estimate: f64,
     mean_duration: f64,
@@ -23,7 +23,7 @@
 
 impl DurationModel {
     /// Updates the model with a finished task.
-    pub(super) fn learn(&mut self, estimate_ms: u64, took_ms: u64) {
+    pub(crate) fn learn(&mut self, estimate_ms: u64, took_ms: u64) {
         let (estimate, duration) = (logarithm(estimate_ms), logarithm(took_ms));
         self.tasks = self.tasks.saturating_add(1);
         let weight = 1.0 / f64::from(self.tasks).min(AVERAGING_WINDOW_TASKS);
@@ -38,7 +38,7 @@
     }
 
     /// Returns the expected duration of a task, given the caller's estimate.
-    pub(super) fn expected_ms(&self, estimate_ms: u64) -> u64 {
+    pub(crate) fn expected_ms(&self, estimate_ms: u64) -> u64 {
         if self.tasks < MIN_TASKS {
             return estimate_ms;
         }
--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -4,6 +4,7 @@
 //! time and returns actions. No component opens a socket, starts a thread,
 //! reads a clock or writes a log, so each can be embedded and tested by itself.
 
+pub mod admission;
 pub mod catalog;
 pub mod claim;
 pub mod configuration;
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 
+use crate::admission::ShareClass;
 use crate::inbox::InboxKey;
 use crate::job::IndexSet;
 use crate::job::JobId;
@@ -57,12 +58,21 @@
                 SubmitAnswer::Storing
             };
         }
-        self.record_offered(id, &record, &spec, now);
-        if let Some(retry_after_ms) = self.rejection_retry_after_ms(id, &record, &spec, now) {
-            self.record_rejected(id, &record, &spec, now);
-            return SubmitAnswer::Rejected { retry_after_ms };
+        let work = self.expected_work_core_ms(&record, &spec);
+        if spec.schedule.is_none() {
+            self.admission.record_offered(id, work, now.steady_ms);
+        }
+        let verdict = self.admit(id, &record, &spec, now);
+        if verdict.refused.is_some() {
+            self.admission.record_rejected(id, work, now.steady_ms);
+            return SubmitAnswer::Rejected {
+                retry_after_ms: verdict.retry_after_ms,
+            };
         }
         self.insert_job(id, record, spec, None, now);
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            entry.share_class = verdict.class;
+        }
         self.add_to_recent_load(id, now);
         self.unstored.insert(id, Urgency::Awaited);
         self.urgent = true;
@@ -128,8 +138,13 @@
     ) {
         let status = progress.map_or(JobStatus::Pending, |progress| progress.status);
         let age_ms = now.unix_ms.saturating_sub(record.accepted_unix_ms);
-        let first_ms = self.first_rejected_ms(id).unwrap_or(now.steady_ms);
+        let first_ms = self
+            .admission
+            .first_rejected_ms(id)
+            .unwrap_or(now.steady_ms);
         let objective = self.objective(&record, &spec, first_ms.saturating_sub(age_ms));
+        let work = self.expected_work_core_ms(&record, &spec);
+        let value_milli = self.admission.value_milli(&record.queue, work);
         let entry = JobEntry {
             record,
             spec,
@@ -139,6 +154,8 @@
             stored_status: progress.map(|progress| progress.status),
             accepted: progress.is_some(),
             inherited: progress.is_some(),
+            share_class: ShareClass::Owed,
+            value_milli,
             objective,
             occurrences: BTreeMap::new(),
             done_occurrences: IndexSet::default(),
--- a/crates/cornelpoint/src/scheduler/job_entry.rs
+++ b/crates/cornelpoint/src/scheduler/job_entry.rs
@@ -1,10 +1,13 @@
 use std::collections::BTreeMap;
 
+use crate::admission::ShareClass;
+use crate::admission::dominant_millicores;
 use crate::job::IndexSet;
 use crate::job::JobProgress;
 use crate::job::JobRecord;
 use crate::job::JobSpec;
 use crate::job::JobStatus;
+use crate::job::Resources;
 use crate::job::Step;
 use crate::job::StepProgress;
 use crate::job::TaskId;
@@ -28,6 +31,10 @@
     pub(super) accepted: bool,
     /// Whether a predecessor may have started tasks of the job.
     pub(super) inherited: bool,
+    /// Whether the job's tenant was owed capacity for it when it was submitted.
+    pub(super) share_class: ShareClass,
+    /// Value of the job if it is in time, in thousandths of that of a mean job.
+    pub(super) value_milli: u64,
     /// Time by which the job has to be done to be of full value.
     pub(super) objective: Objective,
     /// Occurrences that have begun, without those that are done and have no runs left.
@@ -90,6 +97,25 @@
         self.objective.due_ms() < now_ms || waits_too_long
     }
 
+    /// Returns the expected work of the tasks that are not done, in core-milliseconds.
+    pub(super) fn left_core_ms(&self) -> u64 {
+        let steps = self.occurrences.values();
+        let steps = steps.flat_map(|steps| steps.iter().zip(&self.spec.steps).enumerate());
+        let short = steps.filter(|(_, (_, step))| !step.fills && !step.long_running);
+        let work = short.map(|(index, (entry, step))| {
+            let cpu = u64::from(entry.remaining) * step.resources.cpu_millicores;
+            cpu * self.objective.step_ms(index) / 1000
+        });
+        work.sum()
+    }
+
+    /// Returns the expected work of a task by the resource of which it takes the largest
+    /// part of a pool, in core-milliseconds.
+    pub(super) fn dominant_core_ms(&self, step: u16, pool: Resources) -> u64 {
+        let need = self.step(step).reserved();
+        dominant_millicores(need, pool) * self.objective.step_ms(usize::from(step)) / 1000
+    }
+
     pub(super) fn task(&self, task: TaskId) -> Option<&TaskEntry> {
         let steps = self.occurrences.get(&task.step.occurrence)?;
         let step = steps.get(usize::from(task.step.step))?;
--- a/crates/cornelpoint/src/scheduler/load.rs
+++ b/crates/cornelpoint/src/scheduler/load.rs
@@ -1,10 +1,14 @@
+use crate::admission::PoolView;
+use crate::admission::TenantBacklog;
+use crate::admission::dominant_millicores;
 use crate::fleet::PoolReport;
 use crate::job::JobId;
+use crate::job::Resources;
 
-use super::admission::REJECTED_DEMAND_WINDOW_MS;
 use super::instant::Instant;
 use super::job_entry::JobEntry;
 use super::pool_scheduler::PoolScheduler;
+use super::worker_state::Contact;
 
 /// Age up to which a load is used to admit jobs. In a surge hundreds of jobs a second
 /// are submitted, and each computation walks over all active jobs.
@@ -35,27 +39,55 @@
             .saturating_sub(self.lasting_millicores);
         self.backlog_core_ms * 1000 / free.max(1)
     }
+}
+
+impl From<&PoolView> for Load {
+    fn from(view: &PoolView) -> Self {
+        Self {
+            capacity_millicores: view.capacity.cpu_millicores,
+            lasting_millicores: view.lasting_millicores,
+            backlog_core_ms: view.backlog_core_ms,
+            late_core_ms: view.late_core_ms,
+        }
+    }
+}
 
-    /// Adds the work of a job that is not final.
-    fn add(&mut self, job: &JobEntry, now: Instant) {
-        let mut work = 0;
-        for steps in job.occurrences.values() {
-            for (step_index, (entry, step)) in steps.iter().zip(&job.spec.steps).enumerate() {
-                if step.fills {
-                    continue;
-                }
-                let cpu = u64::from(entry.remaining) * step.resources.cpu_millicores;
-                if step.long_running {
-                    self.lasting_millicores += cpu;
-                } else {
-                    work += cpu * job.objective.step_ms(step_index) / 1000;
-                }
+/// Adds the work of a job that is not final.
+fn add_job(view: &mut PoolView, job: &JobEntry, has_tenants: bool, now: Instant) {
+    let mut work = 0;
+    let mut dominant = 0;
+    for steps in job.occurrences.values() {
+        for (step_index, (entry, step)) in steps.iter().zip(&job.spec.steps).enumerate() {
+            if step.fills {
+                continue;
+            }
+            let count = u64::from(entry.remaining);
+            let cpu = count * step.resources.cpu_millicores;
+            if step.long_running {
+                view.lasting_millicores += cpu;
+                continue;
             }
+            let step_ms = job.objective.step_ms(step_index);
+            work += cpu * step_ms / 1000;
+            if has_tenants {
+                let dominant_millicores = dominant_millicores(step.resources, view.capacity);
+                dominant += count * dominant_millicores * step_ms / 1000;
+            }
+        }
+    }
+    if job.misses_objective(now.steady_ms) {
+        view.late_core_ms += work;
+        return;
+    }
+    view.backlog_core_ms += work;
+    if dominant > 0 {
+        let tenant = job.record.tenant.as_deref().unwrap_or_default();
+        if !view.tenants.contains_key(tenant) {
+            view.tenants
+                .insert(tenant.to_owned(), TenantBacklog::default());
         }
-        if job.misses_objective(now.steady_ms) {
-            self.late_core_ms += work;
-        } else {
-            self.backlog_core_ms += work;
+        if let Some(backlog) = view.tenants.get_mut(tenant) {
+            backlog.add(job.share_class, dominant);
         }
     }
 }
@@ -64,35 +96,62 @@
     /// Returns the current load of the pool.
     #[must_use]
     pub fn load(&self, now: Instant) -> Load {
-        let mut load = Load {
-            capacity_millicores: self.usable_millicores(now),
-            ..Load::default()
+        Load::from(&self.pool_view(now))
+    }
+
+    /// Returns what admission knows of the pool now.
+    fn pool_view(&self, now: Instant) -> PoolView {
+        let joining = self.incarnations.values().filter(|worker| {
+            let is_new = worker.contact == Contact::Unknown || !worker.recorded;
+            is_new && worker.listed && !worker.entry.draining && !worker.vacating
+        });
+        let joining = joining.map(|worker| worker.entry.capacity.cpu_millicores);
+        let mut view = PoolView {
+            capacity: self.usable_capacity(now),
+            joining_millicores: joining.sum(),
+            ..PoolView::default()
         };
+        let has_tenants = self.admission.shares().is_active();
         for job in self.active() {
-            load.add(job, now);
+            add_job(&mut view, job, has_tenants, now);
+        }
+        view
+    }
+
+    /// Takes out a recent view of the pool, to which the jobs admitted since are added.
+    pub(super) fn recent_view(&mut self, now: Instant) -> PoolView {
+        match self.recent_load.take() {
+            Some((at_ms, view)) if now.steady_ms < at_ms + MAX_LOAD_AGE_MS => {
+                self.recent_load_ms = at_ms;
+                view
+            }
+            _ => {
+                self.recent_load_ms = now.steady_ms;
+                self.pool_view(now)
+            }
         }
-        load
+    }
+
+    /// Keeps a view that was taken out.
+    pub(super) fn put_back_view(&mut self, view: PoolView) {
+        self.recent_load = Some((self.recent_load_ms, view));
     }
 
     /// Returns the load for the admission of a job: a recent one, to which the jobs
     /// admitted since are added.
     pub fn recent_load(&mut self, now: Instant) -> Load {
-        if let Some((at_ms, load)) = self.recent_load
-            && now.steady_ms < at_ms + MAX_LOAD_AGE_MS
-        {
-            return load;
-        }
-        let load = self.load(now);
-        self.recent_load = Some((now.steady_ms, load));
+        let view = self.recent_view(now);
+        let load = Load::from(&view);
+        self.put_back_view(view);
         load
     }
 
     /// Adds a job to the recent load.
     pub(super) fn add_to_recent_load(&mut self, id: JobId, now: Instant) {
-        if let Some((_, load)) = &mut self.recent_load
+        if let Some((_, view)) = &mut self.recent_load
             && let Some(job) = self.jobs.get(&id)
         {
-            load.add(job, now);
+            add_job(view, job, self.admission.shares().is_active(), now);
         }
     }
 
@@ -100,26 +159,22 @@
     /// workers.
     #[must_use]
     pub fn is_overloaded(&self, now: Instant) -> bool {
-        self.offered_millicores(now) > self.usable_millicores(now)
+        self.offered_millicores(now) > self.usable_capacity(now).cpu_millicores
     }
 
-    fn usable_millicores(&self, now: Instant) -> u64 {
+    pub(super) fn usable_capacity(&self, now: Instant) -> Resources {
         let usable = self
             .incarnations
             .values()
             .filter(|worker| Self::is_usable(worker, now));
-        usable
-            .map(|worker| worker.entry.capacity.cpu_millicores)
-            .sum()
+        let capacities = usable.map(|worker| worker.entry.capacity);
+        capacities.fold(Resources::default(), Resources::plus)
     }
 
     /// Returns the pool's report to the owner of the fleet.
     #[must_use]
     pub fn report(&self, now: Instant) -> PoolReport {
         let load = self.load(now);
-        let rejected = self.load_estimate.rejected.iter();
-        let recent =
-            rejected.filter(|(at_ms, _, _)| at_ms + REJECTED_DEMAND_WINDOW_MS > now.steady_ms);
         let usable = self
             .incarnations
             .values()
@@ -130,7 +185,7 @@
             backlog_core_ms: load.backlog_core_ms,
             late_core_ms: load.late_core_ms,
             offered_millicores: self.offered_millicores(now),
-            refused_core_ms: recent.map(|(_, _, work)| work).sum(),
+            refused_core_ms: self.admission.rejected_core_ms(now.steady_ms),
             least_workers: self.least_workers().max(self.least_workers_lately(now)),
             workers: u32::try_from(usable.count()).unwrap_or(u32::MAX),
             vacated: self.vacated(),
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -11,7 +11,6 @@
 mod batch;
 mod completions;
 mod crashes;
-mod duration_model;
 mod evacuation;
 mod gangs;
 mod instant;
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -1,5 +1,9 @@
 use std::collections::BTreeSet;
 
+use crate::admission::QueuedStep;
+use crate::admission::WaitingWork;
+use crate::admission::density;
+use crate::admission::order_by_loss;
 use crate::job::JobId;
 use crate::job::Resources;
 use crate::job::Step;
@@ -197,9 +201,80 @@
             .partition(|key| key.is_batch && key.latest_start_ms < now.steady_ms);
         // Jobs that can still meet their objective go first: a late job has
         // little value.
+        let (in_time, put_off) = self.split_by_loss(in_time, now);
+        let late = put_off.into_iter().chain(late).collect();
+        let in_time = self.order_by_share(in_time, now);
+        let late = self.order_by_share(late, now);
         in_time.into_iter().chain(late).collect()
     }
 
+    /// Puts off the steps that lose least where not all can be in time, if callers compete
+    /// for too little capacity.
+    fn split_by_loss(&self, keys: Vec<ReadyKey>, now: Instant) -> (Vec<ReadyKey>, Vec<ReadyKey>) {
+        if !self.settings.weighs_loss {
+            return (keys, Vec::new());
+        }
+        let free_millicores = self.free_millicores(now);
+        let (batch, mut kept): (Vec<ReadyKey>, Vec<ReadyKey>) =
+            keys.into_iter().partition(|key| key.is_batch);
+        let waiting = batch.into_iter().filter_map(|key| {
+            let job = self.jobs.get(&key.step.job)?;
+            Some(WaitingWork {
+                key,
+                priority: key.priority,
+                work_core_ms: self.waiting_core_ms(&key),
+                latest_start_ms: key.latest_start_ms,
+                density: density(job.value_milli, job.left_core_ms()),
+            })
+        });
+        let waiting: Vec<WaitingWork<ReadyKey>> = waiting.collect();
+        let (in_time, put_off) = order_by_loss(&waiting, free_millicores, now.steady_ms);
+        kept.extend(in_time);
+        (kept, put_off)
+    }
+
+    /// Orders steps by the shares of their tenants, where the configuration has tenants.
+    /// Long-running steps, which come first, keep their place.
+    fn order_by_share(&self, keys: Vec<ReadyKey>, now: Instant) -> Vec<ReadyKey> {
+        let shares = self.admission.shares();
+        if !shares.is_active() {
+            return keys;
+        }
+        let (batch, mut ordered): (Vec<ReadyKey>, Vec<ReadyKey>) =
+            keys.into_iter().partition(|key| key.is_batch);
+        let capacity = self.usable_capacity(now);
+        let steps = batch.into_iter().filter_map(|key| {
+            let job = self.jobs.get(&key.step.job)?;
+            let tasks = self.ready.get(&key)?.tasks.len() as u64;
+            Some(QueuedStep {
+                key,
+                tenant: job.record.tenant.as_deref(),
+                class: job.share_class,
+                priority: key.priority,
+                dominant_core_ms: tasks * job.dominant_core_ms(key.step.step, capacity),
+            })
+        });
+        let free_millicores = self.free_millicores(now);
+        ordered.extend(shares.order(steps.collect(), free_millicores, now.steady_ms));
+        ordered
+    }
+
+    fn free_millicores(&self, now: Instant) -> u64 {
+        let lasting = self.recent_load.as_ref();
+        let lasting_millicores = lasting.map_or(0, |(_, view)| view.lasting_millicores);
+        let capacity = self.usable_capacity(now).cpu_millicores;
+        capacity.saturating_sub(lasting_millicores).max(1)
+    }
+
+    /// Returns the expected work of a step's waiting tasks, in core-milliseconds.
+    fn waiting_core_ms(&self, key: &ReadyKey) -> u64 {
+        let (Some(step), Some(job)) = (self.ready.get(key), self.jobs.get(&key.step.job)) else {
+            return 0;
+        };
+        let step_ms = job.objective.step_ms(usize::from(key.step.step));
+        step.tasks.len() as u64 * step.need.cpu_millicores * step_ms / 1000
+    }
+
     fn starts_in_flight(&self) -> usize {
         let workers = self.incarnations.values();
         workers.map(|worker| worker.starts_in_flight).sum()
@@ -328,10 +403,20 @@
         }
         worker.renew_by(now.steady_ms + self.settings.renewal_wait_ms);
         self.remove_ready(task);
+        let recent = self.recent_load.as_ref();
+        let capacity = recent.map(|(_, view)| view.capacity).unwrap_or_default();
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
         let spec = job.spec.spec.clone();
+        let dominant_core_ms = job.dominant_core_ms(task.step.step, capacity);
+        if !step.long_running {
+            self.admission.record_started(
+                job.record.tenant.as_deref(),
+                dominant_core_ms,
+                now.steady_ms,
+            );
+        }
         let Some(entry) = job.task_mut(task) else {
             return;
         };
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -2,6 +2,8 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use crate::admission::Admission;
+use crate::admission::PoolView;
 use crate::catalog::Advice;
 use crate::catalog::Queue;
 use crate::inbox::InboxKey;
@@ -14,7 +16,6 @@
 
 use super::action::Action;
 use super::action::IncarnationIndex;
-use super::admission::LoadEstimate;
 use super::batch::BatchInFlight;
 use super::batch::FULL_BATCH_BYTES;
 use super::batch::MAX_BATCH_ROWS;
@@ -22,7 +23,6 @@
 use super::instant::Instant;
 use super::job_entry::JobEntry;
 use super::lacking_workers::LackingWorkers;
-use super::load::Load;
 use super::placement::ReadyKey;
 use super::ready_step::ReadyStep;
 use super::scheduler_event::SchedulerEvent;
@@ -96,9 +96,11 @@
     pub(super) stored_rows: StoredRows,
     /// When to collect the answers of a quorum again; `None` while that isn't needed.
     pub(super) next_collection_ms: Option<u64>,
-    pub(super) load_estimate: LoadEstimate,
+    pub(super) admission: Admission,
     /// The load as of a time in milliseconds; `None` once workers have changed.
-    pub(super) recent_load: Option<(u64, Load)>,
+    pub(super) recent_load: Option<(u64, PoolView)>,
+    /// Time of the load that is taken out for a decision.
+    pub(super) recent_load_ms: u64,
     pub(super) actions: Vec<Action>,
     pub(super) events: Vec<SchedulerEvent>,
     pub(super) placement_needed: bool,
@@ -183,8 +185,9 @@
             fenced_workers: FencedWorkers::default(),
             stored_rows: StoredRows::default(),
             next_collection_ms: None,
-            load_estimate: LoadEstimate::default(),
+            admission: Admission::new(settings.weighs_loss),
             recent_load: None,
+            recent_load_ms: 0,
             actions: Vec::new(),
             events: Vec::new(),
             placement_needed: false,
@@ -243,6 +246,8 @@
     /// Updates the tenants of the configuration in force.
     pub fn set_tenants(&mut self, tenants: Option<&Tenants>) {
         self.tenants = tenants.cloned().unwrap_or_default();
+        self.admission.set_tenants(&self.tenants);
+        self.recent_load = None;
         self.changed_workers = WorkerSet::All;
     }
 
