Replay admission with the workers of the scheduler's tests

The replay had its own entries, jobs and workers. It now uses those of the surge test; its digests of decisions without tenants and pressure are the same.

--- a/crates/cornelpoint/tests/admission/caller_loss.rs
+++ b/crates/cornelpoint/tests/scheduler/admission/caller_loss.rs
@@ -2,10 +2,10 @@
 
 use cornelpoint::scheduler::SchedulerSettings;
 
-use crate::replay::Outcome;
-use crate::replay::Replay;
-use crate::replay::Scenario;
-use crate::replay::replay;
+use super::replay::Outcome;
+use super::replay::Replay;
+use super::replay::Scenario;
+use super::replay::replay;
 
 const SEEDS: u64 = 4;
 
--- a/crates/cornelpoint/tests/admission/fair_shares.rs
+++ b/crates/cornelpoint/tests/scheduler/admission/fair_shares.rs
@@ -2,8 +2,8 @@
 
 use cornelpoint::scheduler::SchedulerSettings;
 
-use crate::replay::Scenario;
-use crate::replay::replay;
+use super::replay::Scenario;
+use super::replay::replay;
 
 const SEEDS: u64 = 4;
 /// Largest, middle and smallest tenant.
--- a/crates/cornelpoint/tests/admission/replay.rs
+++ b/crates/cornelpoint/tests/scheduler/admission/replay.rs
@@ -3,35 +3,33 @@
 
 use std::collections::BTreeMap;
 
-use cornelpoint::catalog::Queue;
 use cornelpoint::job::JobId;
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobSpec;
-use cornelpoint::job::RawJob;
 use cornelpoint::job::RawStep;
 use cornelpoint::job::Resources;
-use cornelpoint::job::TaskId;
 use cornelpoint::scheduler::Action;
 use cornelpoint::scheduler::BatchOutcome;
-use cornelpoint::scheduler::Instant;
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::SchedulerSettings;
 use cornelpoint::scheduler::SubmitAnswer;
 use cornelpoint::tenant::RawTenant;
 use cornelpoint::tenant::Tenants;
-use cornelpoint::worker::ActiveRun;
-use cornelpoint::worker::CompletionKind;
 use cornelpoint::worker::OrderOutcome;
 use cornelpoint::worker::RegistryEntry;
-use cornelpoint::worker::RunCompletion;
-use cornelpoint::worker::WorkerReport;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-pub(crate) const POOL: &str = "quoting";
-pub(crate) const QUEUE: &str = "quote-layout";
-const UNIX_BASE_MS: u64 = 1_700_000_000_000;
+use crate::support::POOL;
+use crate::support::at;
+use crate::support::entry;
+use crate::support::job;
+use crate::support::job_id;
+use crate::support::queue;
+use crate::support::step;
+use crate::surge::Worker;
+
 pub(crate) const TENANTS: usize = 20;
 pub(crate) const WORKERS: usize = 24;
 /// Workers that join the pool in a surge, and when.
@@ -102,21 +100,6 @@
     pub(crate) trace: Vec<u64>,
 }
 
-#[derive(Default)]
-struct Worker {
-    active: Vec<(TaskId, u64, u64)>,
-    completions: Vec<RunCompletion>,
-    last_sequence: u64,
-    renewal_ms: Option<u64>,
-}
-
-pub(crate) fn at(steady_ms: u64) -> Instant {
-    Instant {
-        steady_ms,
-        unix_ms: UNIX_BASE_MS + steady_ms,
-    }
-}
-
 pub(crate) fn tenant_name(tenant: usize) -> String {
     format!("t{tenant:02}")
 }
@@ -144,40 +127,15 @@
     Tenants::check(raw.collect())
 }
 
-pub(crate) fn entry(number: usize) -> RegistryEntry {
-    RegistryEntry {
-        id: format!("w{number}"),
-        pool: POOL.to_owned(),
-        address: format!("w{number}:80"),
-        zone: "a".to_owned(),
-        draining: false,
-        cold_remaining_ms: 0,
-        capacity: Resources {
-            cpu_millicores: WORKER_MILLICORES,
-            memory_mb: 64_000,
-            accelerators: 0,
-        },
-        labels: vec!["a".to_owned(), "r1".to_owned()],
-        born_unix_ms: 5,
-        clock_ms: 0,
-        machine: Some(format!("machine-{number}")),
-    }
-}
-
-pub(crate) fn queue() -> Queue {
-    Queue {
-        name: QUEUE.to_owned(),
-        host: "example".to_owned(),
-        path_prefix: "/a/".to_owned(),
-        pool: POOL.to_owned(),
-        priority: 0,
-        max_attempts: 3,
-        stretch_permille: 1600,
-        objective_ms: 600,
-        timeout_ms: 3000,
-        advice: None,
-        public: false,
-    }
+/// Returns the entries of workers that are larger than those of other tests.
+pub(crate) fn entries(count: usize) -> Vec<RegistryEntry> {
+    let entries = (0..count).map(|number| {
+        let mut listed = entry(&format!("w{number}"), 5);
+        listed.capacity.cpu_millicores = WORKER_MILLICORES;
+        listed.capacity.memory_mb = 64_000;
+        listed
+    });
+    entries.collect()
 }
 
 /// Replays a scenario.
@@ -187,9 +145,8 @@
     if scenario.has_tenants {
         scheduler.set_tenants(Some(&tenants()));
     }
-    let entries: Vec<RegistryEntry> = (0..WORKERS).map(entry).collect();
     scheduler.confirm_ownership(0);
-    scheduler.apply_registry(&entries, true, at(0));
+    scheduler.apply_registry(&entries(WORKERS), true, at(0));
     let mut world = World {
         scheduler,
         random: ChaCha8Rng::seed_from_u64(scenario.seed),
@@ -203,7 +160,7 @@
     let mut now_ms = 0;
     while now_ms < END_MS {
         if now_ms == JOIN_MS {
-            let entries: Vec<RegistryEntry> = (0..WORKERS + JOINING_WORKERS).map(entry).collect();
+            let entries = entries(WORKERS + JOINING_WORKERS);
             world.scheduler.apply_registry(&entries, true, at(now_ms));
         }
         world.step(scenario, now_ms);
@@ -229,7 +186,7 @@
 }
 
 fn id_of(job: usize) -> JobId {
-    format!("{:016x}", job + 1).parse().expect("a job ID")
+    job_id(job as u64 + 1)
 }
 
 impl World {
@@ -273,27 +230,12 @@
         let tasks = tasks.round().max(1.0);
         let duration_ms = (2.0_f64).powf(self.random.random_range(-1.0..1.0)) * 740.0;
         let estimate_ms = duration_ms * self.random.random_range(0.1..1.9);
-        let raw = RawJob {
-            spec: "work".to_owned(),
-            steps: vec![RawStep {
-                replicas: tasks as u64,
-                cpu_millicores: 3100,
-                memory_mb: 100,
-                estimate_ms: estimate_ms as u64,
-                ..RawStep::default()
-            }],
-            ..RawJob::default()
-        };
-        let spec = JobSpec::try_from(raw.clone()).expect("a valid job");
-        let record = JobRecord {
-            queue: QUEUE.to_owned(),
-            pool: POOL.to_owned(),
-            accepted_unix_ms: UNIX_BASE_MS + now_ms,
-            priority: 0,
-            max_attempts: 3,
-            tenant: Some(tenant_name(tenant)),
-            job: raw,
-        };
+        let (mut record, spec) = job(vec![RawStep {
+            estimate_ms: estimate_ms as u64,
+            ..step(tasks as u64, 3100)
+        }]);
+        record.accepted_unix_ms = at(now_ms).unix_ms;
+        record.tenant = Some(tenant_name(tenant));
         let owed = self.owed_jobs[tenant] >= 1.0;
         if owed {
             self.owed_jobs[tenant] -= 1.0;
@@ -332,39 +274,8 @@
 
     fn run_workers(&mut self, now_ms: u64) {
         for (&incarnation, worker) in &mut self.workers {
-            let ended = worker
-                .active
-                .extract_if(.., |(_, _, end_ms)| *end_ms <= now_ms);
-            for (task, run, _) in ended {
-                worker.last_sequence += 1;
-                worker.completions.push(RunCompletion {
-                    sequence: worker.last_sequence,
-                    task,
-                    run,
-                    kind: CompletionKind::Done,
-                    checkpoint: String::new(),
-                });
-            }
-            let has_news = !worker.completions.is_empty();
-            if worker
-                .renewal_ms
-                .is_some_and(|at_ms| has_news || at_ms <= now_ms)
-            {
-                worker.renewal_ms = None;
-                let running = worker.active.iter().map(|&(task, run, _)| ActiveRun {
-                    task,
-                    run,
-                    checkpoint: String::new(),
-                    speed_percent: 100,
-                    gauge: 0,
-                });
-                let report = WorkerReport {
-                    born_unix_ms: 5,
-                    clock_ms: now_ms + 1000,
-                    running: running.collect(),
-                    completions: worker.completions.clone(),
-                    ..WorkerReport::default()
-                };
+            worker.end_runs(now_ms);
+            if let Some(report) = worker.due_report(now_ms) {
                 self.scheduler
                     .renewal_replied(incarnation, Ok(report), at(now_ms));
             }
@@ -396,10 +307,8 @@
                     ..
                 } => {
                     let worker = self.workers.entry(incarnation).or_default();
-                    worker
-                        .completions
-                        .retain(|ended| ended.sequence > acknowledged);
-                    worker.renewal_ms = Some(now_ms + wait_ms);
+                    worker.acknowledge(acknowledged, now_ms);
+                    worker.renewal = Some(now_ms + wait_ms);
                 }
                 _ => {}
             }
--- a/crates/cornelpoint/tests/admission/unchanged.rs
+++ b/crates/cornelpoint/tests/scheduler/admission/unchanged.rs
@@ -3,8 +3,8 @@
 use cornelpoint::scheduler::SchedulerSettings;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::replay::Scenario;
-use crate::replay::replay;
+use super::replay::Scenario;
+use super::replay::replay;
 
 /// Guards against a change of what is admitted, in which order it starts and when callers
 /// retry, where the configuration has no tenants and the settings no `pressure`. The
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a pool's scheduler: single decisions, and successive owners with
 //! simulated workers and a store under random schedules of faults.
 
+mod admission;
 mod capacity;
 mod crash_world;
 mod crashes;
--- a/crates/cornelpoint/tests/scheduler/surge.rs
+++ b/crates/cornelpoint/tests/scheduler/surge.rs
@@ -125,18 +125,19 @@
 /// Longest time from a completion to its acknowledgement.
 const MAX_ACKNOWLEDGE_MS: u64 = 1200;
 
+/// Worker that ends its runs at given times.
 #[derive(Default)]
-struct Worker {
+pub(crate) struct Worker {
     /// Active runs with the times of their ends.
-    active: Vec<(TaskId, u64, u64)>,
+    pub(crate) active: Vec<(TaskId, u64, u64)>,
     /// Completions with the times at which they were listed.
     completions: Vec<(RunCompletion, u64)>,
     last_sequence: u64,
-    renewal: Option<u64>,
+    pub(crate) renewal: Option<u64>,
 }
 
 impl Worker {
-    fn end_runs(&mut self, now_ms: u64) {
+    pub(crate) fn end_runs(&mut self, now_ms: u64) {
         let (ended, active) = std::mem::take(&mut self.active)
             .into_iter()
             .partition(|(_, _, end_ms)| *end_ms <= now_ms);
@@ -156,7 +157,7 @@
     }
 
     /// Acknowledges completions; returns the longest time that one had waited.
-    fn acknowledge(&mut self, sequence: u64, now_ms: u64) -> u64 {
+    pub(crate) fn acknowledge(&mut self, sequence: u64, now_ms: u64) -> u64 {
         let (acknowledged, left): (Vec<_>, Vec<_>) = std::mem::take(&mut self.completions)
             .into_iter()
             .partition(|(completion, _)| completion.sequence <= sequence);
@@ -165,6 +166,17 @@
         waits.max().unwrap_or(0)
     }
 
+    /// Returns the report on a lease renewal, if there is something to report or the
+    /// renewal's wait is over.
+    pub(crate) fn due_report(&mut self, now_ms: u64) -> Option<WorkerReport> {
+        let at_ms = self.renewal?;
+        if at_ms > now_ms && self.completions.is_empty() {
+            return None;
+        }
+        self.renewal = None;
+        Some(self.report(now_ms))
+    }
+
     fn report(&self, now_ms: u64) -> WorkerReport {
         let running = self.active.iter().map(|&(task, run, _)| ActiveRun {
             task,
@@ -219,10 +231,7 @@
         }
         for (&incarnation, worker) in &mut workers {
             worker.end_runs(now_ms);
-            let due = worker.renewal.is_some_and(|at_ms| at_ms <= now_ms);
-            if due || (worker.renewal.is_some() && !worker.completions.is_empty()) {
-                worker.renewal = None;
-                let report = worker.report(now_ms);
+            if let Some(report) = worker.due_report(now_ms) {
                 scheduler.renewal_replied(incarnation, Ok(report), at(now_ms));
             }
         }
