Admit large jobs as often as others, and keep the first submission of a returning job

What is known of a refused job was dropped before its objective was set, so that a returning job could count as new once 512 others had been refused.

--- a/crates/cornelpoint/src/admission/admission_control.rs
+++ b/crates/cornelpoint/src/admission/admission_control.rs
@@ -239,8 +239,6 @@
                 .saturating_sub(allowed_ms)
                 .clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
             self.promise_return(offer, &mut verdict, view, first_ms, now_ms);
-        } else {
-            self.returns.remove(offer.id);
         }
         if let Some(sizes) = self.sizes_of_queue.get_mut(offer.queue) {
             sizes.record_decision(offer.work_core_ms, verdict.refused.is_none());
@@ -249,6 +247,12 @@
         verdict
     }
 
+    /// Gives up the room kept for a job that is now accepted, and what is known of its
+    /// earlier attempts.
+    pub fn forget_return(&mut self, id: JobId) {
+        self.returns.remove(id);
+    }
+
     /// Records a decision that was made without [`Self::decide`], for the log.
     pub fn record_verdict(&mut self, verdict: Verdict) -> Verdict {
         self.last_verdict = Some(verdict);
--- a/crates/cornelpoint/src/admission/job_sizes.rs
+++ b/crates/cornelpoint/src/admission/job_sizes.rs
@@ -7,9 +7,9 @@
 /// Weight that earlier jobs keep with each new one, for the rate of admission by size.
 const RETENTION: f64 = 0.99;
 /// Rate of admission of the large jobs, relative to that of all jobs of the queue, below
-/// which they go first. Callers need half the rate of the whole queue; the rest makes up
-/// for large jobs being late more often.
-const MIN_RELATIVE_RATE: f64 = 0.7;
+/// which they go first. They must be served at least half as often, and once admitted they
+/// are late more often: 0.7 left the largest tenth at 0.39 in one of eight replays.
+const MIN_RELATIVE_RATE: f64 = 1.0;
 
 /// Sizes of the recent jobs of a queue, and how many were admitted, by size.
 #[derive(Clone, Debug, Default)]
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -73,6 +73,7 @@
         if let Some(entry) = self.jobs.get_mut(&id) {
             entry.share_class = verdict.class;
         }
+        self.admission.forget_return(id);
         self.add_to_recent_load(id, now);
         self.unstored.insert(id, Urgency::Awaited);
         self.urgent = true;
--- a/crates/cornelpoint/tests/scheduler/admission/caller_loss.rs
+++ b/crates/cornelpoint/tests/scheduler/admission/caller_loss.rs
@@ -7,9 +7,9 @@
 use super::replay::Scenario;
 use super::replay::replay;
 
-const SEEDS: u64 = 4;
+const SEEDS: u64 = 8;
 
-fn replays(weighs_loss: bool) -> Vec<Replay> {
+fn replays(has_tenants: bool, weighs_loss: bool) -> Vec<Replay> {
     let settings = SchedulerSettings {
         weighs_loss,
         ..SchedulerSettings::default()
@@ -18,7 +18,7 @@
         replay(&Scenario {
             seed,
             flooding: Some(0),
-            has_tenants: true,
+            has_tenants,
             settings,
         })
     });
@@ -30,7 +30,7 @@
 /// seven times for each job that was refused for good.
 #[test]
 fn less_is_lost_with_fewer_refusals() {
-    let (before, after) = (replays(false), replays(true));
+    let (before, after) = (replays(true, false), replays(true, true));
     let value = |replays: &[Replay]| replays.iter().map(Replay::value).sum::<f64>();
     assert!(value(&after) > value(&before));
     let refusals = |replays: &[Replay]| replays.iter().map(Replay::refusals).sum::<u32>();
@@ -42,7 +42,7 @@
 /// often as all jobs.
 #[test]
 fn large_jobs_do_not_starve() {
-    for replay in replays(true) {
+    for replay in replays(true, true).iter().chain(&replays(false, true)) {
         let jobs = replay.outcomes.iter().filter(|job| job.is_of_surge());
         let mut jobs: Vec<&Outcome> = jobs.collect();
         jobs.sort_by(|one, other| other.work_core_ms.total_cmp(&one.work_core_ms));
