Stop runs of lower priority for tasks of priority 0 that would be late

With the contract pressure, a task of priority 0 waited for runs of other priorities to end. The runs that lose least are now stopped for it, once a task, never what lasts, is a gang or has may_miss. A mutant that stops tasks twice fails the test.

--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -154,6 +154,14 @@
             } => info!(self.log, "Worker ended."; "worker" => worker,
                 "born_unix_ms" => born_unix_ms, "evidence" => ?evidence, "runs" => runs,
                 "fencing_token" => self.fencing_token),
+            SchedulerEvent::RunsPreempted {
+                step,
+                tasks,
+                waited_ms,
+                stopped,
+            } => info!(self.log, "Runs stopped for tasks of priority 0."; "step" => %step,
+                "tasks" => tasks, "waited_ms" => waited_ms, "stopped" => ?stopped,
+                "fencing_token" => self.fencing_token),
             SchedulerEvent::UnexpectedRun {
                 task,
                 run,
--- a/crates/cornelpoint/src/scheduler/evacuation.rs
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -1,11 +1,15 @@
 use std::collections::BTreeSet;
 use std::collections::HashSet;
 
+use crate::admission::ShareClass;
+use crate::admission::StoppableRun;
+use crate::admission::runs_to_stop;
 use crate::job::JobId;
 use crate::job::TaskId;
 
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
+use super::scheduler_event::SchedulerEvent;
 use super::task_entry::Phase;
 use super::task_entry::Run;
 use super::worker_set::WorkerSet;
@@ -14,6 +18,15 @@
 /// Interval at which the runs of workers that are being vacated are checked
 /// again.
 const EVACUATION_INTERVAL_MS: u64 = 250;
+/// Time for which a task of priority 0 waits before runs are stopped for it: most workers
+/// free some room sooner.
+const MIN_PREEMPTION_WAIT_MS: u64 = 100;
+/// Longest time between the end of the stopped runs and the latest start of the task that
+/// waits: what can wait for longer gets the room of runs that end by themselves.
+const MAX_PREEMPTION_LEAD_MS: u64 = 500;
+/// Largest number of runs that are stopped at the same time, so that a mistaken estimate
+/// costs little.
+const MAX_PREEMPTED_RUNS: usize = 32;
 /// Largest number of workers that are offered at the same time.
 const MAX_CHEAPEST_WORKERS: usize = 16;
 
@@ -144,6 +157,114 @@
         }
     }
 
+    /// Stops runs of jobs of lower priority where tasks of priority 0 wait for capacity and
+    /// can still be in time, if callers compete for too little capacity.
+    ///
+    /// No task is stopped twice: an owner doesn't know what its predecessor stopped, so it
+    /// stops no task of a job that it has inherited. Tenants' shares come first: only runs
+    /// of the same tenant, or beyond their tenant's weight, are stopped for another one.
+    pub(super) fn preempt(&mut self, now: Instant) {
+        if !self.settings.weighs_loss || now.steady_ms < self.next_preemption_ms {
+            return;
+        }
+        let stop_ms = self.settings.stop_ms;
+        let urgent = self.ready.iter().skip_while(|(key, _)| !key.is_batch);
+        let mut urgent = urgent.take_while(|(key, _)| key.priority == 0);
+        let waiting = urgent.find_map(|(key, ready)| {
+            let job = self.jobs.get(&key.step.job)?;
+            let step = job.step(key.step.step);
+            let waits = ready.since_ms + MIN_PREEMPTION_WAIT_MS <= now.steady_ms;
+            let after_stop_ms = now.steady_ms + stop_ms;
+            let is_due = (after_stop_ms..=after_stop_ms + MAX_PREEMPTION_LEAD_MS)
+                .contains(&key.latest_start_ms);
+            let is_placeable = job.stored_status.is_some()
+                && !job.inherited
+                && job.share_class == ShareClass::Owed
+                && !step.gang
+                && !step.is_restricted();
+            (waits && is_due && is_placeable).then_some((key.step, job, ready))
+        });
+        let Some((step, job, ready)) = waiting else {
+            return;
+        };
+        let runs = self.stoppable_runs(job.record.tenant.as_deref(), now);
+        let usable = self
+            .incarnations
+            .iter()
+            .filter(|(_, worker)| Self::is_usable(worker, now));
+        let free = usable.map(|(&index, worker)| {
+            let free = worker.entry.capacity.minus(worker.used);
+            (index, free)
+        });
+        let tasks = ready.tasks.len();
+        let stopped = runs_to_stop(ready.need, tasks, &free.collect(), runs, MAX_PREEMPTED_RUNS);
+        if stopped.is_empty() {
+            return;
+        }
+        // By then the runs have ended and the waiting tasks have started.
+        self.next_preemption_ms = now.steady_ms + stop_ms;
+        self.events.push(SchedulerEvent::RunsPreempted {
+            step,
+            tasks,
+            waited_ms: now.steady_ms - ready.since_ms,
+            stopped: stopped.iter().map(|(task, _)| *task).collect(),
+        });
+        for (task, run) in stopped {
+            let entry = self.jobs.get_mut(&task.step.job);
+            if let Some(entry) = entry.and_then(|job| job.task_mut(task)) {
+                entry.preempted = true;
+            }
+            self.stop_run(task, run, now);
+        }
+    }
+
+    /// Returns the runs that may be stopped for a job of priority 0 of a tenant.
+    fn stoppable_runs(
+        &self,
+        tenant: Option<&str>,
+        now: Instant,
+    ) -> Vec<StoppableRun<(TaskId, u64)>> {
+        let has_shares = self.admission.shares().is_active();
+        let usable = self
+            .incarnations
+            .iter()
+            .filter(|(_, worker)| Self::is_usable(worker, now));
+        let runs = usable.flat_map(|(&index, worker)| {
+            worker
+                .runs
+                .iter()
+                .map(move |(&key, &taken)| (index, key, taken))
+        });
+        let stoppable = runs.filter_map(|(worker, (id, number), taken)| {
+            let job = self.jobs.get(&id.step.job)?;
+            let step = job.step(id.step.step);
+            let task = job.task(id)?;
+            let run = task.run(number)?;
+            let is_of_tenant = job.record.tenant.as_deref() == tenant;
+            let yields = !has_shares || is_of_tenant || job.share_class == ShareClass::Excess;
+            let is_protected = step.long_running || step.may_miss.is_some() || step.gang;
+            let is_stoppable = job.record.priority > 0
+                && yields
+                && !is_protected
+                && !job.inherited
+                && !task.preempted
+                && task.runs.len() == 1
+                && matches!(run.phase, Phase::Running { .. });
+            let age_ms = now.steady_ms.saturating_sub(run.started_ms);
+            let step_ms = job.objective.step_ms(usize::from(id.step.step));
+            // A run that is soon done frees its worker about as soon as if it were stopped.
+            let ends_soon = age_ms + self.settings.stop_ms >= step_ms;
+            let lost_ms = if step.saves_progress { 0 } else { age_ms };
+            (is_stoppable && !ends_soon).then_some(StoppableRun {
+                key: (id, number),
+                worker,
+                taken,
+                lost_core_ms: taken.cpu_millicores * lost_ms / 1000,
+            })
+        });
+        stoppable.collect()
+    }
+
     /// Whether a run may be stopped since its job is late anyway and it resumes from
     /// where it was. Its machine then serves a surge sooner.
     fn may_wait(&self, id: TaskId, number: u64, now: Instant) -> bool {
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -101,6 +101,8 @@
     pub(super) recent_load: Option<(u64, PoolView)>,
     /// Time of the load that is taken out for a decision.
     pub(super) recent_load_ms: u64,
+    /// When runs may be stopped again for jobs that go before them.
+    pub(super) next_preemption_ms: u64,
     pub(super) actions: Vec<Action>,
     pub(super) events: Vec<SchedulerEvent>,
     pub(super) placement_needed: bool,
@@ -188,6 +190,7 @@
             admission: Admission::new(settings.weighs_loss),
             recent_load: None,
             recent_load_ms: 0,
+            next_preemption_ms: 0,
             actions: Vec::new(),
             events: Vec::new(),
             placement_needed: false,
@@ -291,6 +294,7 @@
         if self.placement_needed && self.may_grant_leases(0, now) {
             self.place_ready_steps(now);
         }
+        self.preempt(now);
         self.log_waiting_step(now);
         self.check_lacking_workers(now);
         self.send_due_renewals(now);
--- a/crates/cornelpoint/src/scheduler/scheduler_event.rs
+++ b/crates/cornelpoint/src/scheduler/scheduler_event.rs
@@ -44,6 +44,17 @@
         /// Number of its runs.
         runs: usize,
     },
+    /// Runs of lower priority are stopped for tasks of priority 0 that would be late.
+    RunsPreempted {
+        /// Step that waits.
+        step: StepId,
+        /// Number of its tasks that wait.
+        tasks: usize,
+        /// Time for which they have waited.
+        waited_ms: u64,
+        /// Tasks whose runs are stopped.
+        stopped: Vec<TaskId>,
+    },
     /// A worker reports a run that the scheduler had dropped, or one of a task that
     /// has other runs.
     UnexpectedRun {
--- a/crates/cornelpoint/src/scheduler/task_entry.rs
+++ b/crates/cornelpoint/src/scheduler/task_entry.rs
@@ -13,6 +13,8 @@
     /// When the task was last left without a run; relevant to long-running
     /// tasks.
     pub(super) idle_since_ms: u64,
+    /// Whether a run of the task was stopped for a job that goes before it.
+    pub(super) preempted: bool,
 }
 
 impl TaskEntry {
--- a/crates/cornelpoint/tests/scheduler/admission/mod.rs
+++ b/crates/cornelpoint/tests/scheduler/admission/mod.rs
@@ -10,5 +10,6 @@
 mod caller_loss;
 mod fair_shares;
 mod new_owner;
+mod preemption;
 mod replay;
 mod unchanged;
