--- a/crates/cornelpoint-manager/src/metrics/process_metrics.rs
+++ b/crates/cornelpoint-manager/src/metrics/process_metrics.rs
@@ -31,7 +31,7 @@
     /// Submitted jobs, by outcome.
     pub(crate) submissions: Family<Outcome, Counter>,
     /// Jobs refused by the pools that this process owns, by reason.
-    pub(crate) refusals: Family<Outcome, Counter>,
+    pub(crate) job_refusals: Family<Outcome, Counter>,
     /// Orders to start a task, by outcome.
     pub(crate) starts: Family<Outcome, Counter>,
     /// Jobs that became final, by their status.
@@ -63,7 +63,7 @@
     pub(crate) fn new() -> Self {
         let mut registry = Registry::with_prefix("cornelpoint");
         let submissions = Family::default();
-        let refusals = Family::default();
+        let job_refusals = Family::default();
         let starts = Family::default();
         let final_jobs = Family::default();
         let store_calls = Family::default();
@@ -84,7 +84,11 @@
         let submission_seconds = Histogram::new(buckets());
         let store_seconds = Histogram::new(buckets());
         registry.register("hand_ins", "Jobs handed in", submissions.clone());
-        registry.register("refusals", "Jobs refused by owners", refusals.clone());
+        registry.register(
+            "job_refusals",
+            "Jobs refused by owners",
+            job_refusals.clone(),
+        );
         registry.register("starts", "Orders to start a task", starts.clone());
         registry.register("final_jobs", "Jobs that became final", final_jobs.clone());
         registry.register("store_calls", "Calls to the store", store_calls.clone());
@@ -122,7 +126,7 @@
         Self {
             registry,
             submissions,
-            refusals,
+            job_refusals,
             starts,
             final_jobs,
             store_calls,
--- a/crates/cornelpoint-manager/src/pool_host/requests.rs
+++ b/crates/cornelpoint-manager/src/pool_host/requests.rs
@@ -95,7 +95,7 @@
                 let load = scheduler.recent_load(crate::clock::now());
                 let verdict = scheduler.last_verdict().copied().unwrap_or_default();
                 let reason = verdict.refused.map_or("unknown", RefusalReason::name);
-                ProcessMetrics::count(&self.node.metrics.refusals, reason);
+                ProcessMetrics::count(&self.node.metrics.job_refusals, reason);
                 info!(self.log, "Job rejected."; "job" => %id, "queue" => queue,
                     "tenant" => tenant, "reason" => reason,
                     "wait_ms" => verdict.wait_ms, "allowed_ms" => verdict.allowed_ms,
--- a/crates/cornelpoint/src/scheduler/load.rs
+++ b/crates/cornelpoint/src/scheduler/load.rs
@@ -108,7 +108,7 @@
         let joining = joining.map(|worker| worker.entry.capacity.cpu_millicores);
         let mut view = PoolView {
             capacity: self.usable_capacity(now),
-            joining_millicores: joining.sum(),
+            joining_millicores: joining.fold(0, u64::saturating_add),
             ..PoolView::default()
         };
         let has_tenants = self.admission.shares().is_active();
