Add up capacities of odd registry entries without an overflow

The view of a pool sums what all workers have, those included that have not reported. Entries of other programs may name any capacity: with two of them the sum overflowed and the process ended, which takeover's odd_entries::processes_stop_following_the_registry_at_an_odd_entry showed. The sums saturate, and a worker that doesn't answer no longer counts as joining.

--- a/crates/cornelpoint/src/admission/admission_control.rs
+++ b/crates/cornelpoint/src/admission/admission_control.rs
@@ -322,7 +322,7 @@
         let mut capacity = view.capacity.cpu_millicores;
         if self.weighs_loss {
             // Workers that have not reported to a new owner yet serve what it has inherited.
-            capacity += view.joining_millicores;
+            capacity = capacity.saturating_add(view.joining_millicores);
         }
         if capacity == 0 {
             // Machines are already being moved to a pool that has none.
@@ -352,7 +352,7 @@
             let free_millicores = self.free_millicores(view);
             self.returns.remove(offer.id);
             let left_ms = (first_ms + offer.slack_ms).saturating_sub(now_ms);
-            let in_time_core_ms = verdict.wait_ms * free_millicores / 1000;
+            let in_time_core_ms = verdict.wait_ms.saturating_mul(free_millicores) / 1000;
             let in_time = self
                 .returns
                 .first_free_s(in_time_core_ms, free_millicores, now_ms);
--- a/crates/cornelpoint/src/admission/return_book.rs
+++ b/crates/cornelpoint/src/admission/return_book.rs
@@ -96,7 +96,7 @@
             let until_s = now_ms / 1000 + second;
             let promised = self.promised_core_ms.range(..=until_s);
             let promised: u64 = promised.map(|(_, (_, all))| all).sum();
-            ahead_core_ms + promised <= free_millicores * second
+            ahead_core_ms + promised <= free_millicores.saturating_mul(*second)
         })
     }
 
--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -220,8 +220,8 @@
         let cpu = view.map_or(need.cpu_millicores, |view| {
             dominant_millicores(need, view.capacity)
         });
-        let cpu = u64::from(step.replicas) * cpu;
-        cpu * admission.expected_ms(&record.queue, step.estimate_ms) / 1000
+        let cpu = u64::from(step.replicas).saturating_mul(cpu);
+        cpu.saturating_mul(admission.expected_ms(&record.queue, step.estimate_ms)) / 1000
     });
     work.sum()
 }
--- a/crates/cornelpoint/src/scheduler/job_entry.rs
+++ b/crates/cornelpoint/src/scheduler/job_entry.rs
@@ -113,7 +113,8 @@
     /// part of a pool, in core-milliseconds.
     pub(super) fn dominant_core_ms(&self, step: u16, pool: Resources) -> u64 {
         let need = self.step(step).reserved();
-        dominant_millicores(need, pool) * self.objective.step_ms(usize::from(step)) / 1000
+        let step_ms = self.objective.step_ms(usize::from(step));
+        dominant_millicores(need, pool).saturating_mul(step_ms) / 1000
     }
 
     pub(super) fn task(&self, task: TaskId) -> Option<&TaskEntry> {
--- a/crates/cornelpoint/src/scheduler/load.rs
+++ b/crates/cornelpoint/src/scheduler/load.rs
@@ -71,7 +71,10 @@
             work += cpu * step_ms / 1000;
             if has_tenants {
                 let dominant_millicores = dominant_millicores(step.resources, view.capacity);
-                dominant += count * dominant_millicores * step_ms / 1000;
+                dominant += count
+                    .saturating_mul(dominant_millicores)
+                    .saturating_mul(step_ms)
+                    / 1000;
             }
         }
     }
@@ -102,13 +105,20 @@
     /// Returns what admission knows of the pool now.
     fn pool_view(&self, now: Instant) -> PoolView {
         let joining = self.incarnations.values().filter(|worker| {
-            let is_new = worker.contact == Contact::Unknown || !worker.recorded;
+            let is_new = match worker.contact {
+                Contact::Unknown => true,
+                Contact::Responsive => !worker.recorded,
+                Contact::Unresponsive { .. } => false,
+            };
             is_new && worker.listed && !worker.entry.draining && !worker.vacating
         });
-        let joining = joining.map(|worker| worker.entry.capacity.cpu_millicores);
+        // Entries of other programs may name any capacity.
+        let joining_millicores = joining.fold(0_u64, |sum, worker| {
+            sum.saturating_add(worker.entry.capacity.cpu_millicores)
+        });
         let mut view = PoolView {
             capacity: self.usable_capacity(now),
-            joining_millicores: joining.sum(),
+            joining_millicores,
             ..PoolView::default()
         };
         let has_tenants = self.admission.shares().is_active();
@@ -167,8 +177,14 @@
             .incarnations
             .values()
             .filter(|worker| Self::is_usable(worker, now));
-        let capacities = usable.map(|worker| worker.entry.capacity);
-        capacities.fold(Resources::default(), Resources::plus)
+        usable.fold(Resources::default(), |sum, worker| {
+            let capacity = worker.entry.capacity;
+            Resources {
+                cpu_millicores: sum.cpu_millicores.saturating_add(capacity.cpu_millicores),
+                memory_mb: sum.memory_mb.saturating_add(capacity.memory_mb),
+                accelerators: sum.accelerators.saturating_add(capacity.accelerators),
+            }
+        })
     }
 
     /// Returns the pool's report to the owner of the fleet.
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -251,7 +251,8 @@
                 tenant: job.record.tenant.as_deref(),
                 class: job.share_class,
                 priority: key.priority,
-                dominant_core_ms: tasks * job.dominant_core_ms(key.step.step, capacity),
+                dominant_core_ms: tasks
+                    .saturating_mul(job.dominant_core_ms(key.step.step, capacity)),
             })
         });
         let free_millicores = self.free_millicores(now);
--- a/crates/cornelpoint/tests/scheduler/admission/new_owner.rs
+++ b/crates/cornelpoint/tests/scheduler/admission/new_owner.rs
@@ -39,3 +39,24 @@
     let unchanged = submit_to_new_owner(false);
     assert!(matches!(unchanged, SubmitAnswer::Rejected { .. }));
 }
+
+/// Guards against entries of other programs, which may name any capacity: the sum over all
+/// workers overflowed, and the process ended.
+#[test]
+fn capacities_of_any_size_are_added_up() {
+    let settings = SchedulerSettings {
+        weighs_loss: true,
+        ..SchedulerSettings::default()
+    };
+    let mut scheduler = PoolScheduler::new(POOL, 1, settings);
+    scheduler.set_queues(std::iter::once(&queue()));
+    let mut listed = entries(2);
+    for entry in &mut listed {
+        entry.capacity.cpu_millicores = u64::MAX;
+        entry.capacity.memory_mb = u64::MAX;
+    }
+    scheduler.apply_registry(&listed, true, at(20));
+    let (record, spec) = job(vec![step(8, 5000)]);
+    let answer = scheduler.submit(job_id(1), record, spec, at(30));
+    assert_eq!(answer, SubmitAnswer::Storing);
+}
