--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -217,24 +217,7 @@
                 "waited_ms" => waited_ms, "unplaceable" => unplaceable,
                 "waits_for_predecessor" => waits_for_predecessor,
                 "obstacles" => ?obstacles, "fencing_token" => self.fencing_token),
-            SchedulerEvent::TenantWaits {
-                tenant,
-                step,
-                tasks,
-                need,
-                waited_ms,
-                reason,
-                used,
-                allotted,
-                limit,
-            } => {
-                self.node.metrics.record_tenant_wait(reason);
-                info!(self.log, "A step waits for its tenant's limit."; "step" => %step,
-                    "pool" => &self.pool, "tenant" => tenant, "reason" => ?reason,
-                    "tasks" => tasks, "need" => ?need, "waited_ms" => waited_ms,
-                    "used" => ?used, "allotted" => ?allotted, "limit" => ?limit,
-                    "fencing_token" => self.fencing_token);
-            }
+            event @ SchedulerEvent::TenantWaits { .. } => self.log_tenant_wait(event),
             SchedulerEvent::JobUnstorable {
                 job,
                 bytes,
--- a/crates/cornelpoint-manager/src/pool_host/quota.rs
+++ b/crates/cornelpoint-manager/src/pool_host/quota.rs
@@ -8,6 +8,7 @@
 use cornelpoint::quota::QuotaRow;
 use cornelpoint::quota::QuotaTable;
 use cornelpoint::quota::QuotaWrite;
+use cornelpoint::scheduler::SchedulerEvent;
 use cornelpoint_platform::store::Row;
 use cornelpoint_platform::store::RowKey;
 use cornelpoint_platform::store::Transaction;
@@ -46,6 +47,30 @@
         Some(clock::now().steady_ms.saturating_sub(age_ms))
     }
 
+    /// Logs a step that waits for its tenant's limit, and counts it for the metrics.
+    pub(super) fn log_tenant_wait(&self, event: SchedulerEvent) {
+        let SchedulerEvent::TenantWaits {
+            tenant,
+            step,
+            tasks,
+            need,
+            waited_ms,
+            reason,
+            used,
+            allotted,
+            limit,
+        } = event
+        else {
+            return;
+        };
+        self.node.metrics.record_tenant_wait(reason);
+        info!(self.log, "A step waits for its tenant's limit."; "step" => %step,
+            "pool" => &self.pool, "tenant" => tenant, "reason" => ?reason,
+            "tasks" => tasks, "need" => ?need, "waited_ms" => waited_ms,
+            "used" => ?used, "allotted" => ?allotted, "limit" => ?limit,
+            "fencing_token" => self.fencing_token);
+    }
+
     /// Starts to carry out a call for the tenants' limits; its outcome updates the
     /// scheduler later.
     pub(super) fn execute_quota_call(self: &Rc<Self>, call: QuotaCall) {
