Refuse keyed calls after the configuration's version went back

A caller whose key was revoked by a configuration with a lower version than the one in force was answered 200 for good: the row was ignored, but the read that showed it counted as a confirmation of the configuration in force. Peers that started after it confirmed likewise.

A row with a lower version is now treated as one that can't be parsed: keyed calls are answered 503 until the operator writes a version that isn't lower, and one line is logged. A response to a read that was sent before a peer sent the version in force is only late, and confirms as before. A peer with a lower version no longer confirms; one that reads the store has the version in force after its next read.

Tests: takeover keys::key_is_accepted_after_the_version_of_the_configuration_went_back failed before, at the call 5.1 s after the row, and passes now, as do the other ten of keys with real processes. keys::lower_version_confirms_unless_the_response_is_late covers late responses and peers; it needs the new time of `applied` and was not run on the code before.

--- a/crates/cornelpoint-manager/src/node/feeds.rs
+++ b/crates/cornelpoint-manager/src/node/feeds.rs
@@ -80,9 +80,17 @@
         let found = found.unwrap_or(missing);
         let now_ms = clock::now().steady_ms;
         let complete = !rows.has_more;
-        self.configuration.update(|confirmation| {
+        let is_unreadable = self.configuration.update(|confirmation| {
             confirmation.read_answered(found, sent_ms, complete, now_ms);
+            confirmation.is_unreadable()
         });
+        if let ConfigurationRead::Parsed { version } = found
+            && is_unreadable
+        {
+            warn!(self.platform_log, "Configuration with a lower version; ignored.";
+                "version" => version, "in_force" => self.catalog().map(|it| it.version),
+                "read" => read);
+        }
         if complete {
             self.record_confirmation(ConfirmationSource::Store);
         }
@@ -138,9 +146,10 @@
     pub(super) fn apply_peer_configuration(&self, value: &[u8]) {
         let age_ms = self.configuration_age_ms().unwrap_or_default();
         let version = self.apply_catalog(value, "peer", age_ms);
+        let now_ms = clock::now().steady_ms;
         self.configuration.update(|confirmation| match version {
-            Some(version) => confirmation.applied(version),
-            None => confirmation.unreadable_seen(clock::now().steady_ms),
+            Some(version) => confirmation.applied(version, now_ms),
+            None => confirmation.unreadable_seen(now_ms),
         });
     }
 
--- a/crates/cornelpoint-manager/tests/takeover/keys.rs
+++ b/crates/cornelpoint-manager/tests/takeover/keys.rs
@@ -75,7 +75,7 @@
     Caller::new(instance.caller_address, &public_queue(fleet))
 }
 
-/// Guards against calls that are carried out with no key, a key that nobody holds, or the
+/// Guards against calls that are carried out with no key, a key of no tenant, or the
 /// key of another tenant, at the owner and elsewhere.
 #[test]
 fn calls_are_carried_out_without_a_valid_key() {
@@ -236,8 +236,31 @@
     }
 }
 
-/// Guards against a process that lets everybody in because the configuration lacks the
-/// tenants that its settings announce.
+/// Guards against a key that stays valid because the configuration without it has a lower
+/// version than the one in force.
+#[test]
+fn key_is_accepted_after_the_version_of_the_configuration_went_back() {
+    let fleet = start("keys_version");
+    write_tenants(&fleet, 5, &[("north", &[NORTH]), ("east", &["key-east"])]);
+    for instance in &fleet.instances {
+        let east = keyed(&fleet, instance, "key-east");
+        wait_until("a key is accepted", || east.get_status("") == Some(200));
+    }
+    write_tenants(&fleet, 4, &[("east", &["key-east"])]);
+    thread::sleep(REVOKED);
+    for instance in &fleet.instances {
+        let north = keyed(&fleet, instance, NORTH);
+        assert_eq!(north.get_status(""), Some(503));
+    }
+    write_tenants(&fleet, 6, &[("north", &[NORTH])]);
+    for instance in &fleet.instances {
+        let north = keyed(&fleet, instance, NORTH);
+        wait_until("a key is accepted", || north.get_status("") == Some(200));
+    }
+}
+
+/// Guards against a process that accepts calls without a key because the configuration lacks
+/// the tenants that its settings announce.
 #[test]
 fn calls_are_carried_out_while_the_configuration_has_no_tenants() {
     let mut fleet = Fleet::start("keys_announced", TRANSACTION_DURATION);
--- a/crates/cornelpoint/src/tenant/confirmation.rs
+++ b/crates/cornelpoint/src/tenant/confirmation.rs
@@ -36,7 +36,7 @@
     }
 }
 
-/// A newest configuration that can't be parsed.
+/// A newest configuration that can't be applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct UnreadableRow {
     seen_ms: u64,
@@ -66,10 +66,17 @@
 /// assert_eq!(known.store_age_ms(350), Some(250));
 /// known.read_answered(ConfigurationRead::Unreadable, 400, true, 410);
 /// assert_eq!(known.age_ms(420), None);
+/// known.read_answered(ConfigurationRead::Parsed { version: 8 }, 500, true, 510);
+/// assert_eq!(known.age_ms(520), Some(20));
+/// // A lower version is not applied, so that nothing is confirmed.
+/// known.read_answered(ConfigurationRead::Parsed { version: 7 }, 600, true, 610);
+/// assert_eq!(known.age_ms(620), None);
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Confirmation {
     version: u64,
+    /// When the version came into force.
+    applied_ms: u64,
     has_version: bool,
     store_ms: Option<u64>,
     peer_ms: Option<u64>,
@@ -78,15 +85,21 @@
 
 impl Confirmation {
     /// Records that a configuration is in force. Versions never go back.
-    pub fn applied(&mut self, version: u64) {
-        self.version = self.version.max(version);
+    pub fn applied(&mut self, version: u64, now_ms: u64) {
+        if version > self.version || !self.has_version {
+            self.version = version;
+            self.applied_ms = now_ms;
+        }
         self.has_version = true;
     }
 
     /// Records the response to a read of the store. A response is `complete` if no further
     /// rows may follow.
     ///
-    /// The response may be late, so that it confirms from when the read was sent.
+    /// The response may be late, so that it confirms from when the read was sent. For the same
+    /// reason a lower version than the one in force, which a peer may have sent meanwhile, is
+    /// the newest one only if the read was sent after that came into force. It may then revoke
+    /// keys, but isn't applied.
     pub fn read_answered(
         &mut self,
         read: ConfigurationRead,
@@ -96,8 +109,13 @@
     ) {
         match read {
             ConfigurationRead::Unreadable => self.unreadable_seen(now_ms),
+            ConfigurationRead::Parsed { version }
+                if self.has_version && version < self.version && sent_ms >= self.applied_ms =>
+            {
+                self.unreadable_seen(now_ms);
+            }
             ConfigurationRead::Parsed { version } => {
-                self.applied(version);
+                self.applied(version, now_ms);
                 self.unreadable = None;
             }
             ConfigurationRead::Unchanged => {}
@@ -107,7 +125,7 @@
         }
     }
 
-    /// Records that the newest configuration can't be parsed.
+    /// Records that the newest configuration can't be applied.
     pub fn unreadable_seen(&mut self, now_ms: u64) {
         self.unreadable = Some(UnreadableRow {
             seen_ms: now_ms,
@@ -119,14 +137,15 @@
     /// version and the age of its own confirmation by the store. Returns whether it confirms
     /// the configuration in force.
     ///
-    /// A newer configuration that came with the answer has to be applied before. After a row
-    /// that can't be parsed, only a newer version confirms that the store confirmed later.
+    /// A newer configuration that came with the answer has to be applied before. A peer with an
+    /// older one doesn't confirm: it may have started after the version went back. After a row
+    /// that can't be applied, only a newer version confirms that the store confirmed later.
     pub fn peer_answered(&mut self, version: u64, age_ms: Option<u64>, sent_ms: u64) -> bool {
         let confirmed_ms = age_ms.and_then(|age_ms| sent_ms.checked_sub(age_ms));
         let Some(confirmed_ms) = confirmed_ms.filter(|_| self.has_version) else {
             return false;
         };
-        if version > self.version {
+        if version != self.version {
             return false;
         }
         if let Some(row) = self.unreadable {
@@ -139,7 +158,8 @@
         true
     }
 
-    /// Whether the newest configuration can't be parsed.
+    /// Whether the newest configuration can't be applied: it can't be parsed, was removed, or
+    /// has a lower version than the one in force.
     #[must_use]
     pub fn is_unreadable(&self) -> bool {
         self.unreadable.is_some()
--- a/crates/cornelpoint/tests/keys.rs
+++ b/crates/cornelpoint/tests/keys.rs
@@ -200,7 +200,7 @@
                 }
                 let process = &mut self.processes[0];
                 process.applied = process.applied.max(Some(row));
-                process.known.applied(version(row));
+                process.known.applied(version(row), now_ms);
                 process.known.peer_answered(version(row), age_ms, sent_ms);
             }
         }
@@ -287,6 +287,28 @@
     assert!(unknown > schedules, "only {unknown} keys were unknown");
 }
 
+/// Guards against a lower version that is taken for a late response, and the reverse: one that
+/// was read before a peer sent the version in force.
+#[test]
+fn lower_version_confirms_unless_the_response_is_late() {
+    let lower = ConfigurationRead::Parsed { version: 4 };
+    let mut known = Confirmation::default();
+    known.read_answered(ConfigurationRead::Parsed { version: 3 }, 100, true, 110);
+    known.applied(5, 200);
+    known.read_answered(lower, 150, true, 210);
+    assert_eq!(known.confirmed_ms(), Some(150));
+    // Another process may have started after the version went back.
+    assert!(!known.peer_answered(4, Some(0), 205));
+    assert_eq!(known.confirmed_ms(), Some(150));
+    known.read_answered(lower, 210, true, 220);
+    assert_eq!(known.confirmed_ms(), None);
+    assert!(!known.peer_answered(5, Some(0), 300));
+    known.read_answered(ConfigurationRead::Unchanged, 310, true, 320);
+    assert_eq!(known.confirmed_ms(), None);
+    known.read_answered(ConfigurationRead::Parsed { version: 6 }, 330, true, 340);
+    assert_eq!(known.confirmed_ms(), Some(330));
+}
+
 /// Guards against a model that can't tell the rules from wrong ones.
 #[test]
 fn wrong_rules_break_the_bounds() {
