--- a/crates/cornelpoint-manager/src/node/feeds.rs
+++ b/crates/cornelpoint-manager/src/node/feeds.rs
@@ -23,7 +23,7 @@
 /// Delay before a failed store request is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
-/// Kind of a read, as in logs: all rows.
+/// Label of a read of all rows, in logs.
 const FULL_READ: &str = "full read";
 
 impl Node {
--- a/crates/cornelpoint-manager/src/node/peer_confirmations.rs
+++ b/crates/cornelpoint-manager/src/node/peer_confirmations.rs
@@ -33,7 +33,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PeerOutcome {
     Confirmed,
-    /// The peer has not confirmed its configuration itself, or not late enough.
+    /// The peer has not confirmed its configuration itself, or has another version.
     NotConfirmed,
     NoAnswer,
 }
@@ -84,7 +84,7 @@
     }
 
     /// Returns the rank, the name and the address of the peer to ask after one of rank `last`.
-    /// The processes of a zone lose the store together, so that each has an order of its own.
+    /// The processes of a zone lose the store together, so that each asks in an order of its own.
     fn next_peer(&self, last: u64) -> Option<(u64, String, String)> {
         let planner = self.planner.borrow();
         let peers = planner.peers_with_store(clock::now().steady_ms);
--- a/crates/cornelpoint-manager/src/node/refusals.rs
+++ b/crates/cornelpoint-manager/src/node/refusals.rs
@@ -9,8 +9,8 @@
 /// Reason for the refusal of a call for a job of another tenant.
 pub(crate) const OTHER_TENANT: &str = "other_tenant";
 
-/// Shortest time between two lines that tell of refusals for the same reason. Callers with a
-/// wrong key may send thousands of calls a second.
+/// Shortest time between two log lines about refusals for the same reason. Callers with a wrong
+/// key may send thousands of calls a second.
 const LOG_INTERVAL_MS: u64 = 1000;
 
 /// Longest text that is logged as a job's identifier.
@@ -24,7 +24,7 @@
     count: u64,
 }
 
-/// Counts refusals between the lines that tell of them.
+/// Counts refusals between the log lines about them.
 #[derive(Debug, Default)]
 pub(super) struct RefusalLog {
     by_reason: RefCell<BTreeMap<&'static str, Refusals>>,
--- a/crates/cornelpoint-manager/tests/takeover/keys.rs
+++ b/crates/cornelpoint-manager/tests/takeover/keys.rs
@@ -193,8 +193,8 @@
     }
 }
 
-/// Guards against a process that counts the time of a pause as nothing. The network forgets
-/// its connections to the store meanwhile, so that the first call comes before the first read.
+/// Guards against a process that ignores the time of a pause. Its connections to the store get
+/// no responses afterwards, so that the first call comes before the first read.
 #[test]
 fn revoked_key_is_accepted_after_a_pause() {
     let fleet = start("keys_pause");
--- a/crates/cornelpoint/src/tenant/confirmation.rs
+++ b/crates/cornelpoint/src/tenant/confirmation.rs
@@ -1,4 +1,4 @@
-/// What a read of the operator's rows says of the configuration.
+/// What a read of the operator's rows shows of the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConfigurationRead {
     /// There is no newer row than the last one that was read.
@@ -181,7 +181,7 @@
     }
 
     /// Returns the same by this process's reads of the store only, for peers that ask. An
-    /// answer that rests on another peer's could be passed on for ever.
+    /// answer that rests on another peer's could be passed on indefinitely.
     #[must_use]
     pub fn store_age_ms(&self, now_ms: u64) -> Option<u64> {
         let confirmed_ms = self.store_ms.filter(|_| self.unreadable.is_none())?;
--- a/crates/cornelpoint/src/tenant/tenants.rs
+++ b/crates/cornelpoint/src/tenant/tenants.rs
@@ -73,7 +73,7 @@
     /// Checks the tenants of a configuration; `None` stands for an entry that can't be
     /// parsed.
     ///
-    /// A faulty entry authenticates nobody, so that a mistake never lets a caller in.
+    /// A faulty entry authenticates nobody, so that a mistake never admits a caller.
     ///
     /// ```
     /// use cornelpoint::job::Resources;
