--- a/crates/cornelpoint/src/admission/admission_control.rs
+++ b/crates/cornelpoint/src/admission/admission_control.rs
@@ -22,8 +22,9 @@
 /// three seconds.
 const MAX_WAIT_PERCENT_OF_SLACK: u64 = 220;
 /// The same where callers compete for too little capacity, for the job that loses least of
-/// the recent ones, and for the one that loses most.
-const PRESSURE_WAIT_PERCENT_OF_SLACK: (u64, u64) = (60, 200);
+/// the recent ones, and for the one that loses most. From 60 to 200 percent, jobs were refused
+/// on played days that machines on their way to the pool would have served in time.
+const PRESSURE_WAIT_PERCENT_OF_SLACK: (u64, u64) = (120, 260);
 /// Number of recent jobs with which the loss of a job is compared.
 const COMPARED_JOBS: usize = 64;
 /// Shortest time after which a rejected caller may retry.
