Copy late runs of steps that allow it

Three tasks in a hundred take seven times as long, and nothing ever made use of a step's permission to run copies: a job of eight tasks waited for its slow one.

The type LearnedDurations keeps recent ratios of measured to expected durations by image or queue, and to the median of the step's own tasks once more than half of these are done. A run above the highest tenth gets a copy if it is expected to end earlier by half the usual time, in room that no step waits for, on another rack, within a tenth of the pool's CPU. The owner starts the copy as a further run; the first end counts and the other run is stopped. A successor adopts both; a third run is stopped. Steps without the permission take no new path, and gangs, fillers and tasks that last never get a copy.

A run that a copy overtook counts as twice its age. The median of the tasks done so far was tried as the measure: it is too low, as the short ones end first, and copies came later.

--- a/crates/cornelpoint-manager/src/metrics/process_metrics.rs
+++ b/crates/cornelpoint-manager/src/metrics/process_metrics.rs
@@ -1,6 +1,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use cornelpoint::speculation::CopyOutcome;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -34,6 +35,8 @@
     pub(crate) machine_orders: Family<Outcome, Counter>,
     /// Shards claimed by this process.
     pub(crate) takeovers: Counter,
+    /// Copies of late runs, by outcome.
+    copies: Family<Outcome, Counter>,
     waiting_counts: Family<Source, Counter>,
     configuration_version: Gauge,
     configuration_age_ms: Gauge,
@@ -50,6 +53,7 @@
         let final_jobs = Family::default();
         let store_calls = Family::default();
         let machine_orders = Family::default();
+        let copies = Family::default();
         let takeovers = Counter::default();
         let waiting_counts = Family::default();
         let configuration_version = Gauge::default();
@@ -63,6 +67,7 @@
         registry.register("store_calls", "Calls to the store", store_calls.clone());
         let orders = machine_orders.clone();
         registry.register("machine_orders", "Orders for machines", orders);
+        registry.register("copies", "Copies of late runs", copies.clone());
         registry.register("takeovers", "Shards taken over", takeovers.clone());
         let counts = waiting_counts.clone();
         registry.register("waiting_counts", "Answers to count requests", counts);
@@ -82,6 +87,7 @@
             final_jobs,
             store_calls,
             machine_orders,
+            copies,
             takeovers,
             waiting_counts,
             configuration_version,
@@ -97,6 +103,17 @@
         family.get_or_create(&Outcome { outcome }).inc();
     }
 
+    /// Adds one to the copies of late runs, by outcome.
+    pub(crate) fn count_copy(&self, outcome: CopyOutcome) {
+        let outcome = match outcome {
+            CopyOutcome::Won => "won",
+            CopyOutcome::Lost => "lost",
+            CopyOutcome::Failed => "failed",
+            CopyOutcome::Cancelled => "cancelled",
+        };
+        Self::count(&self.copies, outcome);
+    }
+
     /// Adds one to the answers to requests for a waiting count, by the source of
     /// the count.
     pub(crate) fn record_waiting_count(&self, source: &'static str) {
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -187,6 +187,23 @@
             } => info!(self.log, "Predecessor fenced by a quorum of workers.";
                 "pool" => &self.pool, "recorded" => recorded, "fenced" => fenced,
                 "wait_ms" => wait_ms, "fencing_token" => self.fencing_token),
+            SchedulerEvent::CopyStarted {
+                copied,
+                run,
+                worker,
+                late_worker,
+            } => info!(self.log, "Copy of a late run started."; "task" => %copied.task,
+                "run" => run, "worker" => worker, "late_run" => copied.run,
+                "late_worker" => late_worker, "age_ms" => copied.age_ms,
+                "usual_ms" => copied.usual_ms, "late_from_ms" => copied.late_ms,
+                "gain_ms" => copied.gain_ms, "pool" => &self.pool,
+                "fencing_token" => self.fencing_token),
+            SchedulerEvent::CopyEnded { task, run, outcome } => {
+                self.node.metrics.count_copy(outcome);
+                info!(self.log, "Copy of a late run ended."; "task" => %task, "run" => run,
+                    "outcome" => ?outcome, "pool" => &self.pool,
+                    "fencing_token" => self.fencing_token);
+            }
             SchedulerEvent::StepWaits {
                 step,
                 tasks,
--- a/crates/cornelpoint/src/job/step.rs
+++ b/crates/cornelpoint/src/job/step.rs
@@ -75,6 +75,26 @@
         self.required_label.is_some() || self.max_per_worker.is_some()
     }
 
+    /// Whether a task may have two runs at the same time: copies are allowed and the task
+    /// ends by itself, alone, and uses capacity of its own.
+    ///
+    /// ```
+    /// use cornelpoint::job::JobSpec;
+    /// use cornelpoint::job::RawJob;
+    /// use cornelpoint::job::RawStep;
+    ///
+    /// let copied = RawStep { replicas: 1, speculative: true, ..RawStep::default() };
+    /// let gang = RawStep { gang: true, ..copied.clone() };
+    /// let steps = vec![copied, gang];
+    /// let job = JobSpec::try_from(RawJob { steps, ..RawJob::default() }).unwrap();
+    /// assert!(job.steps[0].allows_copies());
+    /// assert!(!job.steps[1].allows_copies());
+    /// ```
+    #[must_use]
+    pub fn allows_copies(&self) -> bool {
+        self.speculative && !self.long_running && !self.gang && !self.fills
+    }
+
     /// Returns the estimated work of all tasks, in core-milliseconds; 0 for
     /// fillers and long-running tasks.
     #[must_use]
--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod retry;
 pub mod scheduler;
 pub mod slots;
+pub mod speculation;
 pub mod template;
 pub mod tenant;
 pub mod worker;
--- a/crates/cornelpoint/src/scheduler/completions.rs
+++ b/crates/cornelpoint/src/scheduler/completions.rs
@@ -1,11 +1,17 @@
 use crate::job::JobStatus;
+use crate::job::StepId;
 use crate::job::TaskId;
+use crate::speculation::CopyOutcome;
+use crate::speculation::DurationSource;
+use crate::speculation::StepProfile;
 use crate::worker::CompletionKind;
 use crate::worker::RunCompletion;
 
 use super::action::IncarnationIndex;
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
+use super::scheduler_event::SchedulerEvent;
+use super::task_entry::Run;
 use super::unstored_jobs::Urgency;
 
 impl PoolScheduler {
@@ -37,17 +43,21 @@
         let Some(task) = job.task_mut(completion.task) else {
             return;
         };
-        let started_ms = task.remove_run(completion.run).map(|run| run.started_ms);
+        let ended = task.remove_run(completion.run);
+        let started_ms = ended.map(|run| run.started_ms);
         task.last_run = task.last_run.max(completion.run);
-        if !completion.checkpoint.is_empty() {
-            task.checkpoint.clone_from(&completion.checkpoint);
-        }
+        task.keep_checkpoint(completion.run, &completion.checkpoint);
         if task.runs.is_empty() {
             task.idle_since_ms = now.steady_ms;
         }
         let done = task.done;
         match completion.kind {
             CompletionKind::Done if !done => {
+                let outcome = self.copies.settle_done(completion.task, completion.run);
+                self.log_copy(completion.task, outcome);
+                if let Some(ended) = ended {
+                    self.learn_usual(completion.task, ended, now);
+                }
                 if let Some(started_ms) = started_ms {
                     self.learn_duration(completion.task, now.steady_ms.saturating_sub(started_ms));
                 }
@@ -63,11 +73,52 @@
                 self.make_ready(completion.task, now);
             }
         }
+        let outcome = self.copies.run_ended(completion.task, completion.run);
+        self.log_copy(completion.task, outcome);
         if let Some(job) = self.jobs.get_mut(&completion.task.step.job) {
             job.forget_done_occurrence(completion.task.step.occurrence);
         }
     }
 
+    fn log_copy(&mut self, task: TaskId, outcome: Option<(u64, CopyOutcome)>) {
+        if let Some((run, outcome)) = outcome {
+            self.events
+                .push(SchedulerEvent::CopyEnded { task, run, outcome });
+        }
+    }
+
+    /// Returns what is known of a step's tasks, unless nothing is learned from them: from
+    /// tasks that last, and from fillers, whose speed depends on others.
+    pub(super) fn profile(&self, id: StepId) -> Option<StepProfile> {
+        let job = self.jobs.get(&id.job)?;
+        let step = job.step(id.step);
+        let queue = &job.record.queue;
+        (!step.long_running && !step.fills).then(|| StepProfile {
+            step: id,
+            source: DurationSource::new(step.image.as_deref(), queue),
+            tasks: step.replicas,
+            expected_ms: self.expected_ms(queue, step.estimate_ms),
+        })
+    }
+
+    /// Learns from a run that has ended done, and from the one that it overtook. It is not
+    /// known when runs of a predecessor were started.
+    fn learn_usual(&mut self, id: TaskId, ended: Run, now: Instant) {
+        let Some(profile) = self.profile(id.step) else {
+            return;
+        };
+        if ended.adopted_ms.is_none() {
+            let took_ms = now.steady_ms.saturating_sub(ended.started_ms);
+            self.learned.learn(&profile, took_ms);
+        }
+        let task = self.jobs.get(&id.step.job).and_then(|job| job.task(id));
+        let others = task.into_iter().flat_map(|task| &task.runs);
+        for run in others.filter(|run| run.adopted_ms.is_none()) {
+            let age_ms = now.steady_ms.saturating_sub(run.started_ms);
+            self.learned.learn_stopped(&profile, age_ms);
+        }
+    }
+
     fn task_done(&mut self, id: TaskId, now: Instant) {
         self.unstored.insert(id.step.job, Urgency::Progress);
         let Some(job) = self.jobs.get_mut(&id.step.job) else {
@@ -107,7 +158,7 @@
 
     /// Opens the steps that depended on this one, or completes the occurrence.
     fn open_following_steps(&mut self, id: TaskId, now: Instant) {
-        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+        let Some(job) = self.jobs.get(&id.step.job) else {
             return;
         };
         let Some(steps) = job.occurrences.get(&id.step.occurrence) else {
@@ -116,6 +167,12 @@
         if steps[usize::from(id.step.step)].remaining > 0 {
             return;
         }
+        if let Some(profile) = self.profile(id.step) {
+            self.learned.step_done(&profile);
+        }
+        let Some(job) = self.jobs.get(&id.step.job) else {
+            return;
+        };
         if job.done_occurrences.contains(id.step.occurrence) {
             if job.is_done() {
                 self.finish(id.step.job, JobStatus::Completed, now);
@@ -176,7 +233,10 @@
         }
         for (task, run) in active_runs {
             self.stop_run(task, run, now);
+            let outcome = self.copies.settle_final(task);
+            self.log_copy(task, outcome);
         }
+        self.learned.forget_job(id);
         self.remove_ready_of_job(id);
         self.scheduled_occurrences.retain(|&(_, job, _)| job != id);
         self.unstored.insert(id, Urgency::Awaited);
@@ -202,6 +262,8 @@
         if task.runs.is_empty() {
             task.idle_since_ms = now.steady_ms;
         }
+        let outcome = self.copies.run_ended(id, run);
+        self.log_copy(id, outcome);
         if let Some(job) = self.jobs.get_mut(&id.step.job) {
             job.forget_done_occurrence(id.step.occurrence);
         }
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -208,7 +208,7 @@
             return;
         };
         let need = step.reserved();
-        let may_copy = step.speculative;
+        let may_copy = step.allows_copies();
         let Some(task) = job.task_mut(reported.task) else {
             // The job was final before this term of ownership, or its occurrence is done.
             if let Some(worker) = self.incarnations.get_mut(&incarnation) {
@@ -218,9 +218,7 @@
             return;
         };
         task.last_run = task.last_run.max(reported.run);
-        if !reported.checkpoint.is_empty() {
-            task.checkpoint.clone_from(&reported.checkpoint);
-        }
+        task.keep_checkpoint(reported.run, &reported.checkpoint);
         let done = task.done;
         if let Some(run) = task.run_mut(reported.run) {
             run.percent = reported.speed_percent;
@@ -248,6 +246,7 @@
             return;
         }
         let others = task.runs.len();
+        let latest_run = task.runs.iter().map(|run| run.number).max();
         task.runs.push(Run {
             number: reported.run,
             incarnation,
@@ -261,13 +260,20 @@
             pace: 100,
         });
         self.remove_ready(reported.task);
+        let is_surplus = others > usize::from(may_copy);
+        if let Some(latest_run) = latest_run.filter(|_| !is_surplus) {
+            // A predecessor started a copy, which is the later one.
+            let copy = latest_run.max(reported.run);
+            self.copies.add(reported.task, copy, need.cpu_millicores);
+        }
+        self.watch_run(reported.task, reported.run, now);
         let lease_ms = self.settings.lease_ms;
         if let Some(worker) = self.incarnations.get_mut(&incarnation) {
             worker.reserve(reported.task, reported.run, need);
             // A predecessor may have renewed the lease just before.
             worker.extend_lease(now.steady_ms, lease_ms);
             let started_in_this_term = reported.run >= first_run;
-            if others > 0 || started_in_this_term {
+            if is_surplus || started_in_this_term {
                 self.events.push(SchedulerEvent::UnexpectedRun {
                     task: reported.task,
                     run: reported.run,
@@ -276,7 +282,7 @@
                 });
             }
         }
-        if is_final || done || (others > 0 && !may_copy) {
+        if is_final || done || is_surplus {
             self.stop_unwanted_run(incarnation, reported.task, reported.run, now);
         } else {
             self.mark_job_running(reported.task);
--- a/crates/cornelpoint/src/scheduler/load.rs
+++ b/crates/cornelpoint/src/scheduler/load.rs
@@ -103,7 +103,7 @@
         self.offered_millicores(now) > self.usable_millicores(now)
     }
 
-    fn usable_millicores(&self, now: Instant) -> u64 {
+    pub(super) fn usable_millicores(&self, now: Instant) -> u64 {
         let usable = self
             .incarnations
             .values()
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -346,6 +346,8 @@
             percent: 0,
             pace: 100,
         });
+        let checkpoint = entry.checkpoint.clone();
+        self.watch_run(task, run, now);
         self.actions.push(Action::Start {
             incarnation,
             task,
@@ -353,7 +355,7 @@
             spec,
             deadline_clock_ms,
             lease_end_ms: now.steady_ms + lease_ms,
-            checkpoint: entry.checkpoint.clone(),
+            checkpoint,
             ticket,
         });
     }
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -10,6 +10,8 @@
 use crate::job::JobStatus;
 use crate::job::StepId;
 use crate::job::TaskId;
+use crate::speculation::Copies;
+use crate::speculation::LearnedDurations;
 use crate::tenant::Tenants;
 
 use super::action::Action;
@@ -97,6 +99,9 @@
     /// When to collect the answers of a quorum again; `None` while that isn't needed.
     pub(super) next_collection_ms: Option<u64>,
     pub(super) load_estimate: LoadEstimate,
+    /// What is usual for tasks.
+    pub(super) learned: LearnedDurations,
+    pub(super) copies: Copies,
     /// The load as of a time in milliseconds; `None` once workers have changed.
     pub(super) recent_load: Option<(u64, Load)>,
     pub(super) actions: Vec<Action>,
@@ -184,6 +189,8 @@
             stored_rows: StoredRows::default(),
             next_collection_ms: None,
             load_estimate: LoadEstimate::default(),
+            learned: LearnedDurations::default(),
+            copies: Copies::default(),
             recent_load: None,
             actions: Vec::new(),
             events: Vec::new(),
@@ -286,6 +293,9 @@
         if self.placement_needed && self.may_grant_leases(0, now) {
             self.place_ready_steps(now);
         }
+        if self.may_grant_leases(0, now) {
+            self.copy_late_runs(now);
+        }
         self.log_waiting_step(now);
         self.check_lacking_workers(now);
         self.send_due_renewals(now);
@@ -332,6 +342,7 @@
             .chain(penalties)
             .chain(self.next_collection_ms)
             .chain(self.silences.due_ms())
+            .chain(self.late_run_due_ms(now))
             .min()
     }
 
--- a/crates/cornelpoint/src/scheduler/scheduler_event.rs
+++ b/crates/cornelpoint/src/scheduler/scheduler_event.rs
@@ -2,6 +2,8 @@
 use crate::job::Resources;
 use crate::job::StepId;
 use crate::job::TaskId;
+use crate::speculation::ChosenCopy;
+use crate::speculation::CopyOutcome;
 
 /// A change in the known state of a run or task, to be logged.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -81,6 +83,26 @@
         /// Longest time for which it is withheld.
         for_ms: u64,
     },
+    /// A copy of a late run was ordered.
+    CopyStarted {
+        /// The late run, and what decided on its copy.
+        copied: ChosenCopy,
+        /// Number of the copy.
+        run: u64,
+        /// Identifier of the worker that runs the copy.
+        worker: String,
+        /// Identifier of the worker of the late run.
+        late_worker: String,
+    },
+    /// It is known how a copy turned out.
+    CopyEnded {
+        /// The task.
+        task: TaskId,
+        /// Number of the copy.
+        run: u64,
+        /// How it turned out.
+        outcome: CopyOutcome,
+    },
     /// A step that lasts waits for workers.
     StepWaits {
         /// The step.
--- a/crates/cornelpoint/src/scheduler/task_entry.rs
+++ b/crates/cornelpoint/src/scheduler/task_entry.rs
@@ -26,6 +26,15 @@
         self.runs.iter_mut().find(|run| run.number == number)
     }
 
+    /// Keeps a checkpoint that a run has reported. While a task has two runs, those of the
+    /// earlier one count: the other one may have begun from an older checkpoint.
+    pub(super) fn keep_checkpoint(&mut self, number: u64, checkpoint: &str) {
+        let is_earliest = self.runs.iter().all(|run| number <= run.number);
+        if !checkpoint.is_empty() && is_earliest {
+            checkpoint.clone_into(&mut self.checkpoint);
+        }
+    }
+
     /// Removes and returns the run with this number.
     pub(super) fn remove_run(&mut self, number: u64) -> Option<Run> {
         let index = self.runs.iter().position(|run| run.number == number)?;
--- a/crates/cornelpoint/src/scheduler/worker_choice.rs
+++ b/crates/cornelpoint/src/scheduler/worker_choice.rs
@@ -2,13 +2,27 @@
 
 use crate::job::Step;
 use crate::job::StepId;
+use crate::job::TaskId;
+use crate::speculation::CandidateRun;
+use crate::speculation::ChosenCopy;
+use crate::speculation::PoolView;
 
 use super::action::IncarnationIndex;
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
+use super::scheduler_event::SchedulerEvent;
+use super::task_entry::Run;
 use super::worker_set::WorkerSet;
 use super::worker_state::WorkerState;
 
+/// Times at which runs are looked at are multiples of this, so that few ticks look at all.
+const LOOK_INTERVAL_MS: u64 = 50;
+/// Longest time until a run is looked at again: meanwhile, other tasks of its step may show
+/// that it is late.
+const MAX_LOOK_INTERVAL_MS: u64 = 250;
+/// Largest number of runs that one tick looks at.
+const MAX_LOOKS: usize = 256;
+
 impl PoolScheduler {
     /// Chooses one of some workers for one more task of a step. A suspect takes the
     /// worker with the fewest runs, and none on which another suspect is being tried.
@@ -126,6 +140,192 @@
         left == 0
     }
 
+    /// Looks at a run once it may be late, if its task may have a copy.
+    pub(super) fn watch_run(&mut self, task: TaskId, run: u64, now: Instant) {
+        let job = self.jobs.get(&task.step.job);
+        let allows_copies = job.is_some_and(|job| job.step(task.step.step).allows_copies());
+        if allows_copies && let Some(profile) = self.profile(task.step) {
+            // Later ends of other tasks may show that the estimate is too high.
+            self.look_after(task, run, profile.expected_ms / 2, now);
+        }
+    }
+
+    fn look_after(&mut self, task: TaskId, run: u64, delay_ms: u64, now: Instant) {
+        let delay_ms = delay_ms.clamp(LOOK_INTERVAL_MS, MAX_LOOK_INTERVAL_MS);
+        let at_ms = (now.steady_ms + delay_ms).next_multiple_of(LOOK_INTERVAL_MS);
+        self.copies.watch(task, run, at_ms);
+    }
+
+    /// Returns when a run is to be looked at that may be late.
+    pub(super) fn late_run_due_ms(&self, now: Instant) -> Option<u64> {
+        let due_ms = self.copies.due_ms()?;
+        // Looks may be overdue while no leases may be granted.
+        Some(due_ms.max(now.steady_ms + LOOK_INTERVAL_MS))
+    }
+
+    /// Starts copies of late runs in room that no step waits for.
+    pub(super) fn copy_late_runs(&mut self, now: Instant) {
+        let mut candidates = Vec::new();
+        for _ in 0..MAX_LOOKS {
+            let Some((task, number)) = self.copies.take_due(now.steady_ms) else {
+                break;
+            };
+            let job = self.jobs.get(&task.step.job);
+            let job = job.filter(|job| !job.status.is_final());
+            let entry = job.and_then(|job| job.task(task));
+            let entry = entry.filter(|entry| !entry.done);
+            let Some(run) = entry.and_then(|entry| entry.run(number)) else {
+                continue;
+            };
+            let age_ms = now.steady_ms.saturating_sub(run.started_ms);
+            let Some(profile) = self.profile(task.step) else {
+                continue;
+            };
+            let late_ms = self.learned.late_ms(&profile);
+            let late_ms = late_ms.unwrap_or(u64::MAX);
+            self.look_after(task, number, late_ms.saturating_sub(age_ms), now);
+            if age_ms <= late_ms || !self.may_be_copied(task, now) {
+                continue;
+            }
+            candidates.push(CandidateRun {
+                task,
+                run: number,
+                profile,
+                age_ms,
+                rest_ms: self.rest_ms(task, now),
+                cpu_millicores: self.cpu_millicores(task.step),
+                in_time: self.may_be_in_time(task, now),
+            });
+        }
+        if candidates.is_empty() {
+            return;
+        }
+        let view = PoolView {
+            candidates,
+            steps_wait: !self.ready.is_empty(),
+            capacity_millicores: self.usable_millicores(now),
+            copies: self.copies.count(),
+            copies_millicores: self.copies.millicores(),
+        };
+        for copied in self.learned.choose_copies(&view) {
+            self.start_copy(copied, now);
+        }
+    }
+
+    /// Whether a task may get a copy, however late it is: it has a single run, which is
+    /// active, and no run of it has failed or may have crashed a worker. The failure of a
+    /// copy must not use up the last attempt.
+    fn may_be_copied(&self, id: TaskId, now: Instant) -> bool {
+        let Some(job) = self.jobs.get(&id.step.job) else {
+            return false;
+        };
+        // A worker that has not reported to this owner may run a copy.
+        let is_blocked = job.inherited && !self.predecessor_incarnations.is_empty();
+        let is_single = job.task(id).is_some_and(|task| {
+            task.failed_runs.is_empty() && task.runs.len() == 1 && task.runs[0].is_confirmed()
+        });
+        job.step(id.step.step).allows_copies()
+            && is_single
+            && !is_blocked
+            && self.queue_rules(&job.record).max_attempts > 1
+            && !self.is_suspect(id)
+            && !self.is_withheld(id, now)
+    }
+
+    /// Returns the longest time that other tasks are expected to take which open the next
+    /// step, or end the occurrence, together with this one. Those that are late as well
+    /// don't count: they may get a copy.
+    fn rest_ms(&self, id: TaskId, now: Instant) -> u64 {
+        let Some(job) = self.jobs.get(&id.step.job) else {
+            return 0;
+        };
+        let Some(steps) = job.occurrences.get(&id.step.occurrence) else {
+            return 0;
+        };
+        let opens_another = job
+            .spec
+            .steps
+            .iter()
+            .any(|step| step.after.contains(&id.step.step));
+        let steps = steps.iter().enumerate().filter(|(step_index, step)| {
+            let is_same = *step_index == usize::from(id.step.step);
+            step.open && (is_same || !opens_another)
+        });
+        let left = steps.flat_map(|(step_index, step)| {
+            let expected_ms = job.objective.step_ms(step_index);
+            let tasks = step.tasks.iter().enumerate();
+            let others = tasks.filter(move |(index, task)| {
+                let is_same = step_index == usize::from(id.step.step);
+                let is_task = is_same && *index == id.index as usize;
+                !task.done && !is_task
+            });
+            others.map(move |(_, task)| {
+                let started_ms = task.runs.iter().map(|run| run.started_ms).min();
+                let age_ms = started_ms.map_or(0, |at_ms| now.steady_ms.saturating_sub(at_ms));
+                expected_ms.saturating_sub(age_ms)
+            })
+        });
+        left.max().unwrap_or(0)
+    }
+
+    fn may_be_in_time(&self, id: TaskId, now: Instant) -> bool {
+        let step_index = usize::from(id.step.step);
+        let job = self.jobs.get(&id.step.job);
+        job.is_some_and(|job| job.latest_start_ms(id.step.occurrence, step_index) >= now.steady_ms)
+    }
+
+    fn cpu_millicores(&self, id: StepId) -> u64 {
+        let job = self.jobs.get(&id.job);
+        job.map_or(0, |job| job.step(id.step).reserved().cpu_millicores)
+    }
+
+    /// Starts a copy on another worker and rack, if one of them has room.
+    fn start_copy(&mut self, copied: ChosenCopy, now: Instant) {
+        let id = copied.task;
+        let Some(job) = self.jobs.get(&id.step.job) else {
+            return;
+        };
+        let needs_ticket = self.queue_rules(&job.record).advice.is_some();
+        if (needs_ticket && !self.has_tickets(id.step, now)) || self.starts_limited {
+            return;
+        }
+        let step = job.step(id.step.step).clone();
+        let Some(late) = job.task(id).and_then(|task| task.run(copied.run)).copied() else {
+            return;
+        };
+        let elsewhere = self.workers_elsewhere(&late, &step);
+        let chosen = self.choose_worker(id.step, &step, &elsewhere, needs_ticket, false, now);
+        let Some(incarnation) = chosen else {
+            return;
+        };
+        let run = self.next_run_of(id);
+        self.start(id, &step, incarnation, run, now);
+        let worker = self.incarnations.get(&incarnation);
+        let Some(worker) = worker.filter(|worker| worker.runs.contains_key(&(id, run))) else {
+            return;
+        };
+        let late_worker = self.incarnations.get(&late.incarnation);
+        self.events.push(SchedulerEvent::CopyStarted {
+            copied,
+            run,
+            worker: worker.entry.id.clone(),
+            late_worker: late_worker.map_or_else(String::new, |worker| worker.entry.id.clone()),
+        });
+        self.copies.add(id, run, step.reserved().cpu_millicores);
+    }
+
+    /// Returns the workers that share no rack with the worker of a run. A label that the
+    /// step requires is common to all workers that may run it.
+    fn workers_elsewhere(&self, run: &Run, step: &Step) -> WorkerSet {
+        let late = self.incarnations.get(&run.incarnation);
+        let elsewhere = self.incarnations.iter().filter(|(incarnation, worker)| {
+            let racks = late.into_iter().flat_map(WorkerState::racks);
+            let mut racks = racks.filter(|rack| step.required_label.as_deref() != Some(*rack));
+            **incarnation != run.incarnation && racks.all(|rack| !has_label(worker, Some(rack)))
+        });
+        WorkerSet::Some(elsewhere.map(|(&incarnation, _)| incarnation).collect())
+    }
+
     /// Returns the racks in use by a step that has to stay on a single rack.
     fn used_racks(&self, id: StepId, step: &Step) -> BTreeSet<String> {
         if !step.same_rack {
@@ -135,7 +335,7 @@
             .incarnations
             .values()
             .filter(|worker| worker.tasks_of(id) > 0);
-        used.flat_map(|worker| worker.entry.labels.iter().skip(1).cloned())
+        used.flat_map(|worker| worker.racks().map(str::to_owned))
             .collect()
     }
 }
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -174,6 +174,11 @@
         }
     }
 
+    /// Returns the labels that name its rack. The first label names its kind.
+    pub(super) fn racks(&self) -> impl Iterator<Item = &str> {
+        self.entry.labels.iter().skip(1).map(String::as_str)
+    }
+
     /// Returns the record of this incarnation to be stored.
     pub(super) fn record(&self) -> WorkerRecord {
         WorkerRecord {
--- /dev/null
+++ b/crates/cornelpoint/src/speculation/mod.rs
@@ -0,0 +1,16 @@
+//! Copies of late tasks: what is usual for a task, when a run is late, and which late runs
+//! get a copy.
+
+mod copies;
+mod copy_choice;
+mod learned_durations;
+mod ratio_history;
+
+pub use self::copies::Copies;
+pub use self::copies::CopyOutcome;
+pub use self::copy_choice::CandidateRun;
+pub use self::copy_choice::ChosenCopy;
+pub use self::copy_choice::PoolView;
+pub use self::learned_durations::DurationSource;
+pub use self::learned_durations::LearnedDurations;
+pub use self::learned_durations::StepProfile;
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -2,6 +2,9 @@
 //! simulated workers and a store under random schedules of faults.
 
 mod capacity;
+mod copies;
+mod copy_pool;
+mod copy_replay;
 mod crash_world;
 mod crashes;
 mod cut_reports;
--- a/crates/cornelpoint/tests/scheduler/random_schedules.rs
+++ b/crates/cornelpoint/tests/scheduler/random_schedules.rs
@@ -58,6 +58,32 @@
     }
 }
 
+/// Guards against second runs of tasks whose step doesn't allow copies, against capacity
+/// that is used twice, and against jobs that don't finish, while other steps have copies.
+#[test]
+fn copies_of_late_runs_break_no_rule() {
+    let mut copies = 0;
+    for seed in schedules() {
+        let worlds = [
+            World::new(seed, Mutant::None).with_copies(),
+            World::new(seed, Mutant::None)
+                .with_copies()
+                .with_restarts()
+                .with_cuts_after_restarts(),
+            World::new(seed, Mutant::None)
+                .with_copies()
+                .with_limited_views(),
+        ];
+        for world in worlds {
+            let world = world.run();
+            assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}");
+            copies += world.copies_made;
+        }
+    }
+    let schedules = schedules().count();
+    assert!(copies > schedules, "only {copies} copies");
+}
+
 /// Successors within a partition, registry readings that miss workers, workers that leave,
 /// and slow clocks that were read long ago.
 #[test]
--- a/crates/cornelpoint/tests/scheduler/world/faults.rs
+++ b/crates/cornelpoint/tests/scheduler/world/faults.rs
@@ -38,6 +38,8 @@
     fn loss_interval(&self) -> i32 {
         if self.views.is_some() && self.now_ms > FAULTS_END_MS {
             700
+        } else if self.copies {
+            400
         } else {
             150
         }
