Give slow and hanging workers work last

The fullest worker that fits gets the next task, so a worker that was slow or ended none of its runs stayed the first choice: of 160 tasks that three workers shared, one that took five times as long was given 56.

A worker is slow if the median of its last eight runs is at least twice the usual time; failed runs, and runs that last twice the usual time without an end, count as slow. The choice of workers ranks such a worker after all others that fit. After 2 s, or longer each time that it fails the trial, it counts like others again, for one run first and for twice as many after each usual one. The ranking keeps no task that fits from starting. Tasks of one step tell what is usual only if they ran on several workers. No copy goes to a slow worker.

Checked by three tests, two of which fail without the ranking; the third shows that a slow worker gets what fits nowhere else.

--- a/crates/cornelpoint/src/scheduler/completions.rs
+++ b/crates/cornelpoint/src/scheduler/completions.rs
@@ -32,7 +32,10 @@
         worker.release(completion.task, completion.run);
         match completion.kind {
             CompletionKind::Done => worker.consecutive_failures = 0,
-            CompletionKind::Failed => worker.consecutive_failures += 1,
+            CompletionKind::Failed => {
+                worker.consecutive_failures += 1;
+                worker.pace.record_slow(now.steady_ms);
+            }
             _ => {}
         }
         self.changed_workers.insert(incarnation);
@@ -109,7 +112,12 @@
         };
         if ended.adopted_ms.is_none() {
             let took_ms = now.steady_ms.saturating_sub(ended.started_ms);
-            self.learned.learn(&profile, took_ms);
+            let ratio = self.learned.ratio_to_usual(&profile, took_ms);
+            self.learned.learn(&profile, ended.incarnation, took_ms);
+            let worker = self.incarnations.get_mut(&ended.incarnation);
+            if let (Some(worker), Some(ratio), false) = (worker, ratio, ended.overdue) {
+                worker.pace.record(ratio, now.steady_ms);
+            }
         }
         let task = self.jobs.get(&id.step.job).and_then(|job| job.task(id));
         let others = task.into_iter().flat_map(|task| &task.runs);
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -256,6 +256,7 @@
             started_ms: now.steady_ms,
             reported: true,
             adopted_ms: Some(now.steady_ms),
+            overdue: false,
             percent: reported.speed_percent,
             pace: 100,
         });
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -343,6 +343,7 @@
             started_ms: now.steady_ms,
             reported: false,
             adopted_ms: None,
+            overdue: false,
             percent: 0,
             pace: 100,
         });
--- a/crates/cornelpoint/src/scheduler/task_entry.rs
+++ b/crates/cornelpoint/src/scheduler/task_entry.rs
@@ -54,6 +54,8 @@
     pub(super) reported: bool,
     /// When a report first listed it, if a predecessor started it.
     pub(super) adopted_ms: Option<u64>,
+    /// Whether it is known to last much longer than usual.
+    pub(super) overdue: bool,
     /// Share of full speed that the worker last reported.
     pub(super) percent: u64,
     /// Share of full speed that was last ordered, in percent.
--- a/crates/cornelpoint/src/scheduler/worker_choice.rs
+++ b/crates/cornelpoint/src/scheduler/worker_choice.rs
@@ -6,6 +6,7 @@
 use crate::speculation::CandidateRun;
 use crate::speculation::ChosenCopy;
 use crate::speculation::PoolView;
+use crate::speculation::WorkerPace;
 
 use super::action::IncarnationIndex;
 use super::instant::Instant;
@@ -20,6 +21,9 @@
 /// Longest time until a run is looked at again: meanwhile, other tasks of its step may show
 /// that it is late.
 const MAX_LOOK_INTERVAL_MS: u64 = 250;
+/// The same for runs of tasks without copies, from which only the pace of workers is
+/// learned.
+const OVERDUE_INTERVAL_MS: u64 = 500;
 /// Largest number of runs that one tick looks at.
 const MAX_LOOKS: usize = 256;
 
@@ -62,6 +66,7 @@
             (
                 !worker.is_on_trial(),
                 fewest_at_risk,
+                !worker.is_last_choice(now),
                 stays,
                 on_preferred_rack,
                 on_used_rack,
@@ -140,13 +145,35 @@
         left == 0
     }
 
-    /// Looks at a run once it may be late, if its task may have a copy.
+    /// Looks at a run once it may be late, if its task may have a copy, or once its
+    /// worker may be slow.
     pub(super) fn watch_run(&mut self, task: TaskId, run: u64, now: Instant) {
-        let job = self.jobs.get(&task.step.job);
-        let allows_copies = job.is_some_and(|job| job.step(task.step.step).allows_copies());
-        if allows_copies && let Some(profile) = self.profile(task.step) {
+        let Some(profile) = self.profile(task.step) else {
+            return;
+        };
+        if self.allows_copies(task.step) {
             // Later ends of other tasks may show that the estimate is too high.
             self.look_after(task, run, profile.expected_ms / 2, now);
+        } else {
+            let at_ms = now.steady_ms + 2 * profile.expected_ms;
+            let at_ms = at_ms.next_multiple_of(OVERDUE_INTERVAL_MS);
+            self.copies.watch(task, run, at_ms);
+        }
+    }
+
+    fn allows_copies(&self, id: StepId) -> bool {
+        let job = self.jobs.get(&id.job);
+        job.is_some_and(|job| job.step(id.step).allows_copies())
+    }
+
+    /// Looks at a run again unless nothing more is to be learned from it.
+    fn look_again(&mut self, task: TaskId, run: u64, until_late_ms: u64, now: Instant) {
+        if self.allows_copies(task.step) {
+            self.look_after(task, run, until_late_ms, now);
+        } else if self.known_run(task, run).is_some_and(|run| !run.overdue) {
+            let at_ms = now.steady_ms + OVERDUE_INTERVAL_MS;
+            let at_ms = at_ms.next_multiple_of(OVERDUE_INTERVAL_MS);
+            self.copies.watch(task, run, at_ms);
         }
     }
 
@@ -156,6 +183,28 @@
         self.copies.watch(task, run, at_ms);
     }
 
+    fn known_run(&self, task: TaskId, run: u64) -> Option<&Run> {
+        let job = self.jobs.get(&task.step.job)?;
+        job.task(task)?.run(run)
+    }
+
+    /// Counts a run against its worker that lasts much longer than usual: a worker that
+    /// hangs ends none of its runs.
+    fn note_overdue(&mut self, task: TaskId, number: u64, ratio: Option<f64>, now: Instant) {
+        if !ratio.is_some_and(WorkerPace::is_slow_ratio) {
+            return;
+        }
+        let job = self.jobs.get_mut(&task.step.job);
+        let run = job.and_then(|job| job.task_mut(task)?.run_mut(number));
+        let Some(run) = run.filter(|run| !run.overdue) else {
+            return;
+        };
+        run.overdue = true;
+        if let Some(worker) = self.incarnations.get_mut(&run.incarnation) {
+            worker.pace.record_slow(now.steady_ms);
+        }
+    }
+
     /// Returns when a run is to be looked at that may be late.
     pub(super) fn late_run_due_ms(&self, now: Instant) -> Option<u64> {
         let due_ms = self.copies.due_ms()?;
@@ -181,9 +230,11 @@
             let Some(profile) = self.profile(task.step) else {
                 continue;
             };
+            let ratio = self.learned.ratio_to_usual(&profile, age_ms);
+            self.note_overdue(task, number, ratio, now);
             let late_ms = self.learned.late_ms(&profile);
             let late_ms = late_ms.unwrap_or(u64::MAX);
-            self.look_after(task, number, late_ms.saturating_sub(age_ms), now);
+            self.look_again(task, number, late_ms.saturating_sub(age_ms), now);
             if age_ms <= late_ms || !self.may_be_copied(task, now) {
                 continue;
             }
@@ -293,7 +344,7 @@
         let Some(late) = job.task(id).and_then(|task| task.run(copied.run)).copied() else {
             return;
         };
-        let elsewhere = self.workers_elsewhere(&late, &step);
+        let elsewhere = self.workers_elsewhere(&late, &step, now);
         let chosen = self.choose_worker(id.step, &step, &elsewhere, needs_ticket, false, now);
         let Some(incarnation) = chosen else {
             return;
@@ -314,14 +365,16 @@
         self.copies.add(id, run, step.reserved().cpu_millicores);
     }
 
-    /// Returns the workers that share no rack with the worker of a run. A label that the
+    /// Returns the workers that are not slow and share no rack with the worker of a run. A label that the
     /// step requires is common to all workers that may run it.
-    fn workers_elsewhere(&self, run: &Run, step: &Step) -> WorkerSet {
+    fn workers_elsewhere(&self, run: &Run, step: &Step, now: Instant) -> WorkerSet {
         let late = self.incarnations.get(&run.incarnation);
         let elsewhere = self.incarnations.iter().filter(|(incarnation, worker)| {
             let racks = late.into_iter().flat_map(WorkerState::racks);
             let mut racks = racks.filter(|rack| step.required_label.as_deref() != Some(*rack));
-            **incarnation != run.incarnation && racks.all(|rack| !has_label(worker, Some(rack)))
+            **incarnation != run.incarnation
+                && !worker.is_last_choice(now)
+                && racks.all(|rack| !has_label(worker, Some(rack)))
         });
         WorkerSet::Some(elsewhere.map(|(&incarnation, _)| incarnation).collect())
     }
@@ -340,6 +393,13 @@
     }
 }
 
+impl WorkerState {
+    /// Whether the worker gets tasks only if no other one has room.
+    fn is_last_choice(&self, now: Instant) -> bool {
+        self.pace.is_last_choice(self.runs.len(), now.steady_ms)
+    }
+}
+
 pub(super) fn has_label(worker: &WorkerState, label: Option<&str>) -> bool {
     label.is_none_or(|label| worker.entry.labels.iter().any(|own| own == label))
 }
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -4,6 +4,7 @@
 use crate::job::Resources;
 use crate::job::StepId;
 use crate::job::TaskId;
+use crate::speculation::WorkerPace;
 use crate::worker::Completeness;
 use crate::worker::RegistryEntry;
 
@@ -70,6 +71,8 @@
     pub(super) penalty_until_ms: u64,
     /// Runs that failed in a row.
     pub(super) consecutive_failures: u32,
+    /// How long its runs take in relation to what is usual.
+    pub(super) pace: WorkerPace,
     /// Whether the store records that this incarnation may run tasks.
     pub(super) recorded: bool,
     /// Whether its machine is to be vacated.
@@ -155,6 +158,7 @@
             starts_in_flight: 0,
             penalty_until_ms: 0,
             consecutive_failures: 0,
+            pace: WorkerPace::default(),
             recorded: false,
             vacating: false,
             due: false,
--- a/crates/cornelpoint/src/speculation/copy_choice.rs
+++ b/crates/cornelpoint/src/speculation/copy_choice.rs
@@ -88,7 +88,7 @@
     /// let mut learned = LearnedDurations::default();
     /// assert_eq!(learned.late_ms(&profile), None);
     /// for _ in 0..40 {
-    ///     learned.learn(&profile, 1200);
+    ///     learned.learn(&profile, 1, 1200);
     /// }
     /// assert_eq!(learned.late_ms(&profile), Some(1200));
     /// ```
--- a/crates/cornelpoint/src/speculation/learned_durations.rs
+++ b/crates/cornelpoint/src/speculation/learned_durations.rs
@@ -13,6 +13,10 @@
 /// Largest number of images and queues of which durations are kept.
 const MAX_SOURCES: usize = 512;
 
+/// Share of the highest tenth of ratios to estimates up to which the usual ratio is raised.
+/// With a half, a slow worker that runs a third of a pool's tasks would seem usual.
+const HIGH_SHARE: f64 = 0.4;
+
 /// What the durations of tasks are learned by.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum DurationSource {
@@ -63,6 +67,16 @@
     last_learned: u64,
 }
 
+/// Durations of the tasks of a step that are done.
+#[derive(Clone, Debug, Default)]
+struct StepDurations {
+    /// Sorted durations, in milliseconds.
+    sorted_ms: Vec<u64>,
+    worker: Option<u32>,
+    /// Whether the tasks ran on more than one worker.
+    is_mixed: bool,
+}
+
 /// What is usual for the tasks of a step: a unit of time and the history of ratios to it.
 pub(super) struct Usual<'a> {
     pub(super) unit_ms: u64,
@@ -77,13 +91,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct LearnedDurations {
     histories: HashMap<DurationSource, SourceHistory>,
-    /// Sorted durations, in milliseconds.
-    steps: BTreeMap<StepId, Vec<u64>>,
+    steps: BTreeMap<StepId, StepDurations>,
     learned: u64,
 }
 
 impl LearnedDurations {
-    /// Records the duration of a finished task.
+    /// Records the duration of a finished task, and the number of its worker.
     ///
     /// ```
     /// use cornelpoint::job::StepId;
@@ -98,21 +111,23 @@
     ///     expected_ms: 1000,
     /// };
     /// let mut learned = LearnedDurations::default();
-    /// for took_ms in [600, 700, 800] {
+    /// for (worker, took_ms) in [(1, 600), (2, 700), (1, 800)] {
     ///     assert_eq!(learned.ratio_to_usual(&profile, 1600), None);
-    ///     learned.learn(&profile, took_ms);
+    ///     learned.learn(&profile, worker, took_ms);
     /// }
     /// assert_eq!(learned.ratio_to_usual(&profile, 1600), Some(2.0));
     /// ```
-    pub fn learn(&mut self, profile: &StepProfile, took_ms: u64) {
+    pub fn learn(&mut self, profile: &StepProfile, worker: u32, took_ms: u64) {
         let to_expected = ratio(took_ms, profile.expected_ms);
         self.history_mut(&profile.source)
             .to_expected
             .record(to_expected);
         let durations = self.steps.entry(profile.step).or_default();
-        if durations.len() < MAX_SIBLINGS {
-            let index = durations.partition_point(|known| *known < took_ms);
-            durations.insert(index, took_ms);
+        durations.is_mixed |= *durations.worker.get_or_insert(worker) != worker;
+        let sorted_ms = &mut durations.sorted_ms;
+        if sorted_ms.len() < MAX_SIBLINGS {
+            let index = sorted_ms.partition_point(|known| *known < took_ms);
+            sorted_ms.insert(index, took_ms);
         }
     }
 
@@ -140,6 +155,7 @@
         let Some(durations) = self.steps.remove(&profile.step) else {
             return;
         };
+        let durations = durations.sorted_ms;
         let Some(median_ms) = durations.get(durations.len() / 2).copied() else {
             return;
         };
@@ -167,15 +183,21 @@
     }
 
     /// Returns the ratio of a duration, or of the age of a run, to what is usual for the
-    /// tasks of its step, or `None` if too little is known.
+    /// tasks of its step, or `None` if too little is known. Tasks of the step tell it only
+    /// if they ran on several workers: one of them may be slow.
     #[must_use]
     pub fn ratio_to_usual(&self, profile: &StepProfile, took_ms: u64) -> Option<f64> {
-        if let Some(median_ms) = self.sibling_median_ms(profile) {
+        let durations = self.steps.get(&profile.step);
+        if durations.is_some_and(|durations| durations.is_mixed)
+            && let Some(median_ms) = self.sibling_median_ms(profile)
+        {
             return Some(ratio(took_ms, median_ms));
         }
-        let history = self.histories.get(&profile.source)?;
-        let usual = history.to_expected.quantile(50)?;
-        Some(ratio(took_ms, profile.expected_ms) / usual.max(f64::EPSILON))
+        let to_expected = &self.histories.get(&profile.source)?.to_expected;
+        let (median, high) = (to_expected.quantile(50)?, to_expected.quantile(90)?);
+        // Where estimates are far off, twice the median is nothing unusual.
+        let usual = median.max(high * HIGH_SHARE).max(f64::EPSILON);
+        Some(ratio(took_ms, profile.expected_ms) / usual)
     }
 
     /// Returns what is usual for the tasks of a step, or `None` if too little is known.
@@ -204,7 +226,7 @@
             return None;
         }
         let durations = self.steps.get(&profile.step)?;
-        let median_ms = durations.get(tasks.min(MAX_SIBLINGS) / 2)?;
+        let median_ms = durations.sorted_ms.get(tasks.min(MAX_SIBLINGS) / 2)?;
         Some((*median_ms).max(1))
     }
 
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -29,6 +29,7 @@
 mod restart_suspicions;
 mod restarts;
 mod silences;
+mod slow_workers;
 mod step_kinds;
 mod stored_progress;
 mod support;
