Hold workers for tasks that last and find no room

In a busy pool a task that lasts and needs more than one short task leaves never started: the next short task took the room.

A new test shows that a task that fits no worker holds none; it fails if that is not checked. Wide tasks that end by themselves hold no worker yet.

--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -14,6 +14,7 @@
 mod duration_model;
 mod evacuation;
 mod gangs;
+mod held_workers;
 mod instant;
 mod intake;
 mod job_entry;
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -275,7 +275,9 @@
                     // The other tasks of the step need no worker of their own.
                     continue;
                 }
-                if !step.is_restricted() && !needs_ticket {
+                // A held worker may have room for the step that it is held for.
+                let held = !self.held_workers.is_empty();
+                if !step.is_restricted() && !needs_ticket && !held {
                     pass.too_large.push(need);
                 }
                 break;
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -21,6 +21,7 @@
 use super::batch::FULL_BATCH_BYTES;
 use super::batch::MAX_BATCH_ROWS;
 use super::batch::WorkerRecord;
+use super::held_workers::HeldWorkers;
 use super::instant::Instant;
 use super::job_entry::JobEntry;
 use super::lacking_workers::LackingWorkers;
@@ -114,6 +115,7 @@
     /// When a step that waits for workers was last logged.
     pub(super) wait_logged_ms: u64,
     pub(super) lacking_workers: LackingWorkers,
+    pub(super) held_workers: HeldWorkers,
     /// Whether tasks wait only until orders to start are answered.
     pub(super) starts_limited: bool,
     pub(super) fenced: bool,
@@ -199,6 +201,7 @@
             last_tick_ms: 0,
             wait_logged_ms: 0,
             lacking_workers: LackingWorkers::default(),
+            held_workers: HeldWorkers::default(),
             starts_limited: false,
             fenced: false,
             vacating: BTreeSet::new(),
@@ -296,6 +299,7 @@
         if self.may_grant_leases(0, now) {
             self.copy_late_runs(now);
         }
+        self.hold_workers(now);
         self.log_waiting_step(now);
         self.check_lacking_workers(now);
         self.send_due_renewals(now);
@@ -343,6 +347,7 @@
             .chain(self.next_collection_ms)
             .chain(self.silences.due_ms())
             .chain(self.late_run_due_ms(now))
+            .chain(self.held_workers_due_ms(now))
             .min()
     }
 
--- a/crates/cornelpoint/src/scheduler/worker_choice.rs
+++ b/crates/cornelpoint/src/scheduler/worker_choice.rs
@@ -97,7 +97,7 @@
     }
 
     /// Whether a worker may run one more task of a step, regardless of its room.
-    fn may_run(
+    pub(super) fn may_run(
         &self,
         incarnation: IncarnationIndex,
         worker: &WorkerState,
@@ -107,6 +107,7 @@
         now: Instant,
     ) -> bool {
         Self::is_usable(worker, now)
+            && !self.held_workers.keeps_out(incarnation, id)
             && step
                 .max_per_worker
                 .is_none_or(|limit| worker.tasks_of(id) < limit)
--- a/crates/cornelpoint/tests/scheduler/lasting_tasks.rs
+++ b/crates/cornelpoint/tests/scheduler/lasting_tasks.rs
@@ -277,3 +277,20 @@
     }
     assert_eq!(world.runs_of(LASTING), 1);
 }
+
+/// Guards against workers that are held for a task that fits none of them, or for longer than
+/// until it starts.
+#[test]
+fn short_tasks_get_all_room_that_no_task_that_lasts_can_use() {
+    let ends = |cpu_millicores: u64| {
+        let mut world = World::new(&["w1", "w2"]);
+        world.accept(LASTING, lasting(1, cpu_millicores, 1000));
+        for round in 0..120 {
+            world.accept(100 + round, step(1, 1000));
+            world.advance();
+        }
+        world.sequences.iter().sum::<u64>()
+    };
+    // The first starts at once; the second needs more than a worker has.
+    assert!(ends(5000) >= ends(0));
+}
