--- a/crates/cornelpoint/src/scheduler/worker_choice.rs
+++ b/crates/cornelpoint/src/scheduler/worker_choice.rs
@@ -216,6 +216,7 @@
     /// Starts copies of late runs in room that no step waits for.
     pub(super) fn copy_late_runs(&mut self, now: Instant) {
         let mut candidates = Vec::new();
+        let steps_wait = !self.ready.is_empty();
         for _ in 0..MAX_LOOKS {
             let Some((task, number)) = self.copies.take_due(now.steady_ms) else {
                 break;
@@ -236,7 +237,7 @@
             let late_ms = self.learned.late_ms(&profile);
             let late_ms = late_ms.unwrap_or(u64::MAX);
             self.look_again(task, number, late_ms.saturating_sub(age_ms), now);
-            if age_ms <= late_ms || !self.may_be_copied(task, now) {
+            if age_ms <= late_ms || steps_wait || !self.may_be_copied(task, now) {
                 continue;
             }
             candidates.push(CandidateRun {
@@ -254,7 +255,7 @@
         }
         let view = PoolView {
             candidates,
-            steps_wait: !self.ready.is_empty(),
+            steps_wait,
             capacity_millicores: self.usable_millicores(now),
             copies: self.copies.count(),
             copies_millicores: self.copies.millicores(),
