Settle copies whose orders get no answer in a test; copy no copy

A copy that outlived the late run and its worker could itself get a copy, which then hid the outcome of the first one. Such a task keeps its single run now. The new test shows that the answer to the order of a copy may be lost, whether the order was carried out or not.

--- a/crates/cornelpoint/src/scheduler/worker_choice.rs
+++ b/crates/cornelpoint/src/scheduler/worker_choice.rs
@@ -279,6 +279,7 @@
         });
         job.step(id.step.step).allows_copies()
             && is_single
+            && !self.copies.has_copy(id)
             && !is_blocked
             && self.queue_rules(&job.record).max_attempts > 1
             && !self.is_suspect(id)
--- a/crates/cornelpoint/src/speculation/copies.rs
+++ b/crates/cornelpoint/src/speculation/copies.rs
@@ -57,6 +57,12 @@
         self.copies.insert(task, copy);
     }
 
+    /// Whether a copy of a task may occupy a worker.
+    #[must_use]
+    pub fn has_copy(&self, task: TaskId) -> bool {
+        self.copies.contains_key(&task)
+    }
+
     /// Returns the number of copies that may occupy workers.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/crates/cornelpoint/tests/scheduler/copies.rs
+++ b/crates/cornelpoint/tests/scheduler/copies.rs
@@ -72,6 +72,10 @@
     run.kind = kind;
 }
 
+fn is_copy(event: &SchedulerEvent) -> bool {
+    matches!(event, SchedulerEvent::CopyStarted { .. })
+}
+
 fn outcomes(pool: &CopyPool) -> Vec<CopyOutcome> {
     let ended = pool.events.iter().filter_map(|event| match event {
         SchedulerEvent::CopyEnded { outcome, .. } => Some(*outcome),
@@ -192,6 +196,33 @@
     assert_done_once(&mut pool, CopyOutcome::Won);
 }
 
+/// Guards against a copy that is forgotten since the answer to its order was lost, and
+/// against one that counts for ever though its order was.
+#[test]
+fn a_copy_whose_order_gets_no_answer_is_settled() {
+    for (carried_out, outcome) in [(true, CopyOutcome::Won), (false, CopyOutcome::Failed)] {
+        let mut pool = learned_pool();
+        pool.accept(LATE, vec![speculative()]);
+        pool.advance_by(200, SLOW_MS);
+        pool.unanswered = Some(carried_out);
+        while !pool.events.iter().any(is_copy) {
+            pool.advance_by(20, SLOW_MS);
+        }
+        pool.unanswered = None;
+        if carried_out {
+            pool.advance_by(100, SLOW_MS);
+            end(&mut pool, 1, CompletionKind::Done);
+            assert_done_once(&mut pool, outcome);
+        } else {
+            pool.advance_by(3000, SLOW_MS);
+            assert_eq!(outcomes(&pool), [outcome]);
+            pool.advance_by(500, SLOW_MS);
+            // Another copy was made.
+            assert_eq!(pool.runs_of(late_task()).len(), 2);
+        }
+    }
+}
+
 /// Guards against runs that go on after their job was cancelled.
 #[test]
 fn a_cancelled_job_stops_both_runs() {
--- a/crates/cornelpoint/tests/scheduler/copy_pool.rs
+++ b/crates/cornelpoint/tests/scheduler/copy_pool.rs
@@ -54,6 +54,8 @@
     /// Workers that answer nothing.
     pub(crate) silent: Vec<IncarnationIndex>,
     pub(crate) work_ms: u64,
+    /// Whether orders to start get no answer, and whether they are carried out.
+    pub(crate) unanswered: Option<bool>,
 }
 
 impl CopyPool {
@@ -73,6 +75,7 @@
             renewals: BTreeMap::new(),
             silent: Vec::new(),
             work_ms: 0,
+            unanswered: None,
         }
     }
 
@@ -155,18 +158,21 @@
                 checkpoint,
                 ..
             } => {
-                self.active.push(SimulatedRun {
-                    worker: incarnation,
-                    task,
-                    run,
-                    started_ms: self.now_ms,
-                    ends_ms: self.now_ms + work(task, run, incarnation),
-                    kind: CompletionKind::Done,
-                    checkpoint: String::new(),
-                    from: checkpoint,
-                });
+                if self.unanswered != Some(false) {
+                    self.active.push(SimulatedRun {
+                        worker: incarnation,
+                        task,
+                        run,
+                        started_ms: self.now_ms,
+                        ends_ms: self.now_ms + work(task, run, incarnation),
+                        kind: CompletionKind::Done,
+                        checkpoint: String::new(),
+                        from: checkpoint,
+                    });
+                }
+                let outcome = self.unanswered.map_or(done, |_| OrderOutcome::NoAnswer);
                 self.scheduler
-                    .start_replied(incarnation, task, run, done, now);
+                    .start_replied(incarnation, task, run, outcome, now);
             }
             Action::Stop {
                 incarnation,
