--- a/crates/cornelpoint-cli/src/command_line/command.rs
+++ b/crates/cornelpoint-cli/src/command_line/command.rs
@@ -4,6 +4,7 @@
 use clap::Subcommand;
 use clap_complete::Shell;
 
+use super::configuration_command::ConfigurationCommand;
 use super::shared_arguments::KeeperArguments;
 use super::template_command::TemplateCommand;
 use super::workspace_command::WorkspaceCommand;
@@ -19,6 +20,9 @@
     /// Check, compare and accept a workspace's configuration.
     #[command(subcommand)]
     Workspace(WorkspaceCommand),
+    /// Check a configuration of the manager before it is sent to the platform.
+    #[command(subcommand)]
+    Configuration(ConfigurationCommand),
     /// Show the generation at each keeper and gateway, and the endpoints that take no new work.
     Status(KeeperArguments),
     /// Print the internal state of a process as JSON.
--- a/crates/cornelpoint-cli/src/execution/mod.rs
+++ b/crates/cornelpoint-cli/src/execution/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod check;
 mod completions;
+mod configuration;
 mod diff;
 mod dump;
 mod failure;
@@ -21,6 +22,9 @@
     let command_output = match &settings.action {
         Action::CheckTemplate { file } => check::template(file),
         Action::CheckWorkspace { files } => check::workspace(files),
+        Action::CheckConfiguration { file, against } => {
+            configuration::run(file, against.as_deref())
+        }
         Action::Diff { files, keeper } => diff::run(files, *keeper),
         Action::Accept {
             source,
--- a/crates/cornelpoint-cli/src/settings/action.rs
+++ b/crates/cornelpoint-cli/src/settings/action.rs
@@ -21,6 +21,13 @@
         /// Files of the configuration.
         files: FileArguments,
     },
+    /// Check a configuration of the manager.
+    CheckConfiguration {
+        /// File with the configuration.
+        file: PathBuf,
+        /// File with the configuration in force.
+        against: Option<PathBuf>,
+    },
     /// Compare the files with the newest accepted configuration.
     Diff {
         /// Files of the configuration.
--- a/crates/cornelpoint-cli/src/settings/settings.rs
+++ b/crates/cornelpoint-cli/src/settings/settings.rs
@@ -13,6 +13,7 @@
 use crate::command_line::ChangeArguments;
 use crate::command_line::Command;
 use crate::command_line::CommandLine;
+use crate::command_line::ConfigurationCommand;
 use crate::command_line::DrainArguments;
 use crate::command_line::KeeperArguments;
 use crate::command_line::TemplateCommand;
@@ -47,6 +48,9 @@
         let action = match command_line.command {
             Command::Template(TemplateCommand::Check { file }) => Action::CheckTemplate { file },
             Command::Workspace(command) => workspace(command, environment)?,
+            Command::Configuration(ConfigurationCommand::Check { file, against }) => {
+                Action::CheckConfiguration { file, against }
+            }
             Command::Status(target) => Action::Status {
                 keeper: keeper(&target)?,
             },
--- a/crates/cornelpoint-cli/tests/command_line.rs
+++ b/crates/cornelpoint-cli/tests/command_line.rs
@@ -121,6 +121,53 @@
     "]].assert_eq(&report);
 }
 
+/// Guards against a fault that passes with exit code 0, and against keys in the output.
+#[test]
+fn a_configuration_of_the_manager_is_checked_before_it_is_sent() {
+    let lines = [
+        "cornelpoint configuration check FOLDER/../platform/examples/in-force.json",
+        "cornelpoint configuration check FOLDER/../platform/examples/next.json --against FOLDER/../platform/examples/in-force.json",
+        "cornelpoint configuration check FOLDER/../platform/examples/in-force.json --against FOLDER/../platform/examples/in-force.json",
+        "cornelpoint configuration check FOLDER/kandy.template.json",
+        "cornelpoint configuration check FOLDER/none.json",
+    ];
+    let report = report(&lines, &Environment::default());
+    expect![[r#"
+        $ cornelpoint configuration check FOLDER/../platform/examples/in-force.json
+        configuration 7: errors: 0, warnings: 0, changes: 0
+        [Done]
+        $ cornelpoint configuration check FOLDER/../platform/examples/next.json --against FOLDER/../platform/examples/in-force.json
+        error: queue "bulk": its pool "cpus" isn't defined (define the pool, or name another one)
+        warning: tenant "south": has no valid key (give it a key of its own, or remove it)
+        change: version: 7 before, 8 now
+        change: queue "orders": timeout in ms 4000 before, 5000 now
+        change, warning: queue "reports": removed
+        change: queue "bulk": added
+        change, warning: tenant "north": limit in millicores 64000 before, 32000 now
+        change: tenant "north": keys removed: 1, added: 1
+        change, warning: tenant "south": loses all keys it has: 1, new keys: 0
+        configuration 8: errors: 1, warnings: 4, changes: 7
+        [Findings]
+        $ cornelpoint configuration check FOLDER/../platform/examples/in-force.json --against FOLDER/../platform/examples/in-force.json
+        change, error: version: 7 isn't higher than 7, the one in force
+        configuration 7: errors: 1, warnings: 0, changes: 1
+        [Findings]
+        $ cornelpoint configuration check FOLDER/kandy.template.json
+        error: FOLDER/kandy.template.json: configuration can't be read: key must be a string at line 2 column 5 (mend the file; nothing else is checked in it)
+        configuration: errors: 1, warnings: 0, changes: 0
+        [Findings]
+        $ cornelpoint configuration check FOLDER/none.json
+        expected a readable file FOLDER/none.json, found: No such file or directory (os error 2)
+        [Failed]
+    "#]]
+    .assert_eq(&report);
+    for line in &lines[..3] {
+        let data = command_output(line, &Environment::default()).data;
+        assert!(data["findings"].is_array() && data["changes"].is_array());
+        assert!(!report.contains("example-") && !data.to_string().contains("example-"));
+    }
+}
+
 #[test]
 fn missing_and_malformed_arguments_are_reported() {
     let report = report(
