Make copies trials once they only lose

The pool now keeps a record of outcomes: after eight losses in a row one copy is tried in 5 s, until one wins.

--- a/crates/cornelpoint/src/scheduler/worker_choice.rs
+++ b/crates/cornelpoint/src/scheduler/worker_choice.rs
@@ -259,6 +259,7 @@
             capacity_millicores: self.usable_capacity(now).cpu_millicores,
             copies: self.copies.count(),
             copies_millicores: self.copies.millicores(),
+            most_copies: self.copies.most_copies(now.steady_ms),
         };
         for copied in self.learned.choose_copies(&view) {
             self.start_copy(copied, now);
@@ -370,6 +371,7 @@
             late_worker: late_worker.map_or_else(String::new, |worker| worker.entry.id.clone()),
         });
         self.copies.add(id, run, step.reserved().cpu_millicores);
+        self.copies.copy_started(now.steady_ms);
     }
 
     /// Returns the workers that are not slow and share no rack with the worker of a run. A
--- a/crates/cornelpoint/src/speculation/copies.rs
+++ b/crates/cornelpoint/src/speculation/copies.rs
@@ -3,6 +3,8 @@
 
 use crate::job::TaskId;
 
+use super::copy_record::CopyRecord;
+
 /// How a copy turned out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CopyOutcome {
@@ -19,9 +21,10 @@
 /// Copies that may occupy workers, and runs that may become late.
 #[derive(Clone, Debug, Default)]
 pub struct Copies {
-    copies: BTreeMap<TaskId, RunningCopy>,
+    by_task: BTreeMap<TaskId, RunningCopy>,
     /// Runs by the time at which they are looked at.
     due: BTreeSet<(u64, TaskId, u64)>,
+    record: CopyRecord,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -54,51 +57,64 @@
             cpu_millicores,
             settled: false,
         };
-        self.copies.insert(task, copy);
+        self.by_task.insert(task, copy);
     }
 
     /// Whether a copy of a task may occupy a worker.
     #[must_use]
     pub fn has_copy(&self, task: TaskId) -> bool {
-        self.copies.contains_key(&task)
+        self.by_task.contains_key(&task)
     }
 
     /// Returns the number of copies that may occupy workers.
     #[must_use]
     pub fn count(&self) -> usize {
-        self.copies.len()
+        self.by_task.len()
     }
 
     /// Returns the CPU that they reserve.
     #[must_use]
     pub fn millicores(&self) -> u64 {
-        self.copies.values().map(|copy| copy.cpu_millicores).sum()
+        self.by_task.values().map(|copy| copy.cpu_millicores).sum()
+    }
+
+    /// Records that a copy is ordered.
+    pub fn copy_started(&mut self, now_ms: u64) {
+        self.record.copy_started(now_ms);
+    }
+
+    /// Returns how many copies may start now, by how earlier ones have turned out.
+    #[must_use]
+    pub fn most_copies(&self, now_ms: u64) -> usize {
+        self.record.most_copies(now_ms)
     }
 
     /// Returns the outcome of a task's copy once a run of the task has ended done.
     pub fn settle_done(&mut self, task: TaskId, run: u64) -> Option<(u64, CopyOutcome)> {
-        let copy = self.copies.get_mut(&task).filter(|copy| !copy.settled)?;
+        let copy = self.by_task.get_mut(&task).filter(|copy| !copy.settled)?;
         copy.settled = true;
         let outcome = if copy.run == run {
             CopyOutcome::Won
         } else {
             CopyOutcome::Lost
         };
-        Some((copy.run, outcome))
+        let copy_run = copy.run;
+        self.record.record_outcome(outcome);
+        Some((copy_run, outcome))
     }
 
     /// Returns the outcome of a task's copy once its job is final.
     pub fn settle_final(&mut self, task: TaskId) -> Option<(u64, CopyOutcome)> {
-        let copy = self.copies.get_mut(&task).filter(|copy| !copy.settled)?;
+        let copy = self.by_task.get_mut(&task).filter(|copy| !copy.settled)?;
         copy.settled = true;
         Some((copy.run, CopyOutcome::Cancelled))
     }
 
     /// Records that a run is over. Returns the outcome if it was a copy without one.
     pub fn run_ended(&mut self, task: TaskId, run: u64) -> Option<(u64, CopyOutcome)> {
-        let copy = self.copies.get(&task).filter(|copy| copy.run == run)?;
+        let copy = self.by_task.get(&task).filter(|copy| copy.run == run)?;
         let outcome = (!copy.settled).then_some((run, CopyOutcome::Failed));
-        self.copies.remove(&task);
+        self.by_task.remove(&task);
         outcome
     }
 
--- a/crates/cornelpoint/src/speculation/copy_choice.rs
+++ b/crates/cornelpoint/src/speculation/copy_choice.rs
@@ -51,6 +51,8 @@
     pub copies: usize,
     /// CPU that these reserve.
     pub copies_millicores: u64,
+    /// Copies that may start now, by how earlier ones have turned out.
+    pub most_copies: usize,
 }
 
 /// A run that gets a copy, with what decided it.
@@ -112,6 +114,7 @@
     ///     capacity_millicores: 64_000,
     ///     copies: 0,
     ///     copies_millicores: 0,
+    ///     most_copies: usize::MAX,
     /// };
     /// assert!(LearnedDurations::default().choose_copies(&view).is_empty());
     /// ```
@@ -130,7 +133,7 @@
             let share = pool.capacity_millicores * MAX_COPIES_PERCENT / 100;
             // A small pool may make one copy whatever its share is.
             let fits = copies == 0 || millicores + run.cpu_millicores <= share;
-            if copies >= MAX_COPIES || !fits {
+            if chosen.len() >= pool.most_copies || copies >= MAX_COPIES || !fits {
                 continue;
             }
             copies += 1;
--- a/crates/cornelpoint/src/speculation/mod.rs
+++ b/crates/cornelpoint/src/speculation/mod.rs
@@ -3,6 +3,7 @@
 
 mod copies;
 mod copy_choice;
+mod copy_record;
 mod learned_durations;
 mod ratio_history;
 mod worker_pace;
@@ -12,6 +13,7 @@
 pub use self::copy_choice::CandidateRun;
 pub use self::copy_choice::ChosenCopy;
 pub use self::copy_choice::PoolView;
+pub use self::copy_record::CopyRecord;
 pub use self::learned_durations::DurationSource;
 pub use self::learned_durations::LearnedDurations;
 pub use self::learned_durations::StepProfile;
--- a/crates/cornelpoint/tests/speculation.rs
+++ b/crates/cornelpoint/tests/speculation.rs
@@ -2,6 +2,8 @@
 
 use cornelpoint::job::StepId;
 use cornelpoint::speculation::CandidateRun;
+use cornelpoint::speculation::CopyOutcome;
+use cornelpoint::speculation::CopyRecord;
 use cornelpoint::speculation::DurationSource;
 use cornelpoint::speculation::LearnedDurations;
 use cornelpoint::speculation::PoolView;
@@ -54,6 +56,7 @@
         capacity_millicores: 40_000,
         copies: 0,
         copies_millicores: 0,
+        most_copies: usize::MAX,
     }
 }
 
@@ -91,6 +94,7 @@
     let used = PoolView {
         copies: 3,
         copies_millicores: 3000,
+        most_copies: usize::MAX,
         ..all
     };
     assert_eq!(chosen(&learned, &used).len(), 1);
@@ -112,3 +116,27 @@
     }
     assert_eq!(chosen(&learned, &late), [0; 0]);
 }
+
+/// Guards against copies that only cost work: where tasks last long by themselves, a copy
+/// takes as long as the run that it copies.
+#[test]
+fn copies_that_only_lose_become_trials() {
+    let late = |number| candidate(number, 1700, 0);
+    let learned = learned();
+    let mut record = CopyRecord::default();
+    for _ in 0..8 {
+        record.record_outcome(CopyOutcome::Lost);
+    }
+    record.copy_started(0);
+    let choose = |record: &CopyRecord, now_ms| {
+        let view = PoolView {
+            most_copies: record.most_copies(now_ms),
+            ..view(vec![late(1), late(2)])
+        };
+        chosen(&learned, &view).len()
+    };
+    assert_eq!(choose(&record, 1000), 0);
+    assert_eq!(choose(&record, 6000), 1);
+    record.record_outcome(CopyOutcome::Won);
+    assert_eq!(choose(&record, 6001), 2);
+}
