Check a tenant's limit again when an order is sent

A start could bring a tenant above a limit that was lowered while its owner was paused. The order was decided on before the pause and waited for its worker; once the newer configuration was confirmed, only its age and the fencing token were checked before the order was sent.

The order is sent now only if the run, which is reserved already, still has room beside the others of its tenant. Otherwise it counts as not sent, and the task is queued again.

Test a_start_is_not_sent_once_the_limit_is_below_it, which fails without the change.

--- a/crates/cornelpoint/src/quota/pool_quota.rs
+++ b/crates/cornelpoint/src/quota/pool_quota.rs
@@ -31,6 +31,7 @@
 /// Time for which an allotment has to exceed the demand before it is reduced, if no other
 /// pool wants it. Queues peak in turn, some seconds apart.
 const HOLD_MS: u64 = 2000;
+
 /// Why no more tasks of a tenant may start for now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WaitReason {
@@ -314,12 +315,6 @@
         Ok(from_array(room))
     }
 
-    /// Whether a start of a tenant's task that was decided on may still be ordered.
-    #[must_use]
-    pub fn may_send(&self, tenant: &str, now_ms: u64) -> bool {
-        self.limit_for_starts(tenant).is_none() || (self.is_confirmed(now_ms) && !self.fenced)
-    }
-
     /// Whether the configuration was confirmed recently enough.
     fn is_confirmed(&self, now_ms: u64) -> bool {
         let age_ms = self.confirmed_ms.map(|at_ms| now_ms.saturating_sub(at_ms));
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -323,11 +323,18 @@
     /// since it was decided on, and its tenant's limit lowered.
     #[must_use]
     pub fn may_send_start(&self, task: TaskId, now: Instant) -> bool {
-        let tenant = self.jobs.get(&task.step.job).and_then(|job| job.tenant);
-        let (Some(quota), Some(tenant)) = (&self.quota, tenant) else {
+        let Some(job) = self.jobs.get(&task.step.job) else {
             return true;
         };
-        quota.may_send(self.tenant_use.name(tenant), now.steady_ms)
+        let (Some(quota), Some(tenant)) = (&self.quota, job.tenant) else {
+            return true;
+        };
+        // The run is reserved already.
+        let need = job.step(task.step.step).reserved();
+        let others = self.tenant_use.used(tenant).minus(need);
+        let name = self.tenant_use.name(tenant);
+        let room = quota.room(name, others, self.unreported_use(), now.steady_ms);
+        room.is_ok_and(|room| room.fits(Resources::default(), need))
     }
 
     /// Returns the call to the store that is due for the tenants' limits. What becomes of
--- a/crates/cornelpoint/tests/scheduler/tenant_limits.rs
+++ b/crates/cornelpoint/tests/scheduler/tenant_limits.rs
@@ -216,3 +216,18 @@
     assert_eq!(starts(&mut scheduler, 1000).len(), 4);
     assert_eq!(scheduler.due_quota_call(at(1000)), None);
 }
+
+/// Guards against an order that is sent, after a pause, under a limit that was lowered since
+/// the start was decided on.
+#[test]
+fn a_start_is_not_sent_once_the_limit_is_below_it() {
+    let mut scheduler = limited_scheduler(&["w1"]);
+    submit(&mut scheduler, 1, "north", 1, 10);
+    carry_out_calls(&mut scheduler, &row(5, 0, 0), 20);
+    let started = starts(&mut scheduler, 30);
+    let task = started[0].1.parse().unwrap();
+    assert!(scheduler.may_send_start(task, at(40)));
+    scheduler.set_limits(2, Some(&tenants(500)), [POOL, "other"].into_iter());
+    scheduler.confirm_configuration(5000);
+    assert!(!scheduler.may_send_start(task, at(5010)));
+}
