Hold no workers for steps that wait for their tenant's limit

While a step that lasts waited for its tenant's limit, up to one worker in eight (one at least) got no tasks of others, for as long as the step waited: in a small pool nothing else started. The choice of held workers looked at their room only, and each released worker was held again.

A worker is held now only while the limit has room for a task of the step, and released otherwise.

Test no_worker_is_held_for_a_step_without_room_in_its_tenants_limit, which fails without the change.

--- a/crates/cornelpoint/src/scheduler/waiting_tasks.rs
+++ b/crates/cornelpoint/src/scheduler/waiting_tasks.rs
@@ -59,7 +59,7 @@
         }
         let mut held = std::mem::take(&mut self.held_workers);
         let released = held.release(now.steady_ms, |incarnation, step| {
-            self.may_have_room(incarnation, step, now)
+            self.step_may_start(step, now) && self.may_have_room(incarnation, step, now)
         });
         if waits && held.begin_choice(now.steady_ms) {
             self.choose_held_workers(&mut held, now);
@@ -85,6 +85,9 @@
             if is_blocked || job.stored_status.is_none() || job.step(key.step.step).gang {
                 continue;
             }
+            if !self.may_use(ready.tenant, ready.need, now) {
+                continue;
+            }
             let tasks = ready.tasks.iter();
             let tasks = tasks.filter(|&&index| !self.is_withheld(key.step.task(index), now));
             let incarnations = self.incarnations.iter();
@@ -104,6 +107,12 @@
         }
     }
 
+    /// Whether the limit of a step's tenant has room for one of its tasks that wait.
+    fn step_may_start(&self, id: StepId, now: Instant) -> bool {
+        let ready = self.ready_key(id).and_then(|key| self.ready.get(&key));
+        ready.is_some_and(|ready| self.may_use(ready.tenant, ready.need, now))
+    }
+
     /// Whether a task of a step that waits would fit a worker beside the tasks that last
     /// there.
     fn may_have_room(&self, incarnation: IncarnationIndex, id: StepId, now: Instant) -> bool {
--- a/crates/cornelpoint/tests/scheduler/tenant_limits.rs
+++ b/crates/cornelpoint/tests/scheduler/tenant_limits.rs
@@ -1,5 +1,6 @@
 //! Limits of tenants on what runs.
 
+use cornelpoint::job::RawStep;
 use cornelpoint::job::Resources;
 use cornelpoint::quota::Allotment;
 use cornelpoint::quota::Limit;
@@ -55,7 +56,17 @@
 }
 
 fn submit(scheduler: &mut PoolScheduler, number: u64, tenant: &str, tasks: u64, now_ms: u64) {
-    let (mut record, spec) = job(vec![step(tasks, 1000)]);
+    submit_step(scheduler, number, tenant, step(tasks, 1000), now_ms);
+}
+
+fn submit_step(
+    scheduler: &mut PoolScheduler,
+    number: u64,
+    tenant: &str,
+    raw: RawStep,
+    now_ms: u64,
+) {
+    let (mut record, spec) = job(vec![raw]);
     record.tenant = Some(tenant.to_owned());
     let answer = scheduler.submit(job_id(number), record, spec, at(now_ms));
     assert_eq!(answer, SubmitAnswer::Storing);
@@ -217,6 +228,26 @@
     assert_eq!(scheduler.due_quota_call(at(1000)), None);
 }
 
+fn lasting(cpu_millicores: u64) -> RawStep {
+    RawStep {
+        long_running: true,
+        ..step(1, cpu_millicores)
+    }
+}
+
+/// Guards against a worker that is held, and idle, for a step that waits for its tenant's
+/// limit.
+#[test]
+fn no_worker_is_held_for_a_step_without_room_in_its_tenants_limit() {
+    let mut scheduler = limited_scheduler(&["w1"]);
+    submit_step(&mut scheduler, 1, "north", lasting(1000), 10);
+    for now_ms in [20, 600, 700] {
+        assert!(starts(&mut scheduler, now_ms).is_empty());
+    }
+    submit(&mut scheduler, 2, "south", 2, 800);
+    assert_eq!(starts(&mut scheduler, 900).len(), 2);
+}
+
 /// Guards against an order that is sent, after a pause, under a limit that was lowered since
 /// the start was decided on.
 #[test]
