Let small tasks of a tenant pass one that waits for tasks that last

A step that doesn't fit its tenant's limit beside the tenant's tasks that last held back all later steps of the tenant in the pool, though they fit, until one of the lasting tasks was cancelled. The rule that keeps small tasks from holding back large ones took it that each run ends by itself.

Later steps wait now only for a step that fits the limit beside what the tenant's lasting tasks use in the pool, which is counted with each reservation. Nothing is computed where no step waits for a limit.

Test a_step_that_waits_for_lasting_tasks_holds_back_no_others, which fails without the change.

--- a/crates/cornelpoint/src/quota/tenant_use.rs
+++ b/crates/cornelpoint/src/quota/tenant_use.rs
@@ -14,15 +14,25 @@
 /// let core = Resources { cpu_millicores: 1000, ..Resources::default() };
 /// let mut tenants = TenantUse::default();
 /// let north = tenants.index_of("north");
-/// tenants.reserve(Some(north), core);
+/// tenants.reserve(Some(north), core, false);
+/// tenants.reserve(Some(north), core, true);
+/// assert_eq!(tenants.used(north), core.times(2));
+/// tenants.release(Some(north), core, false);
 /// assert_eq!(tenants.used(north), core);
-/// tenants.release(Some(north), core);
-/// assert_eq!(tenants.used(north), Resources::default());
+/// assert_eq!(tenants.used_by_lasting(north), core);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct TenantUse {
     indexes: HashMap<String, TenantIndex>,
-    tenants: Vec<(String, Resources)>,
+    tenants: Vec<(String, Use)>,
+}
+
+/// What one tenant uses.
+#[derive(Clone, Copy, Debug, Default)]
+struct Use {
+    all: Resources,
+    /// The part of it that tasks use which run until they are cancelled.
+    lasting: Resources,
 }
 
 impl TenantUse {
@@ -33,21 +43,27 @@
         }
         let index = self.tenants.len();
         self.indexes.insert(tenant.to_owned(), index);
-        self.tenants.push((tenant.to_owned(), Resources::default()));
+        self.tenants.push((tenant.to_owned(), Use::default()));
         index
     }
 
-    /// Counts the resources of one more run.
-    pub fn reserve(&mut self, tenant: Option<TenantIndex>, need: Resources) {
+    /// Counts the resources of one more run, whose task may last until it is cancelled.
+    pub fn reserve(&mut self, tenant: Option<TenantIndex>, need: Resources, lasts: bool) {
         if let Some((_, used)) = tenant.and_then(|index| self.tenants.get_mut(index)) {
-            *used = used.plus(need);
+            used.all = used.all.plus(need);
+            if lasts {
+                used.lasting = used.lasting.plus(need);
+            }
         }
     }
 
     /// Counts a run no longer.
-    pub fn release(&mut self, tenant: Option<TenantIndex>, need: Resources) {
+    pub fn release(&mut self, tenant: Option<TenantIndex>, need: Resources, lasts: bool) {
         if let Some((_, used)) = tenant.and_then(|index| self.tenants.get_mut(index)) {
-            *used = used.minus(need);
+            used.all = used.all.minus(need);
+            if lasts {
+                used.lasting = used.lasting.minus(need);
+            }
         }
     }
 
@@ -56,7 +72,15 @@
     pub fn used(&self, tenant: TenantIndex) -> Resources {
         self.tenants
             .get(tenant)
-            .map_or(Resources::default(), |(_, used)| *used)
+            .map_or(Resources::default(), |(_, used)| used.all)
+    }
+
+    /// Returns what a tenant's tasks use that last until they are cancelled.
+    #[must_use]
+    pub fn used_by_lasting(&self, tenant: TenantIndex) -> Resources {
+        self.tenants
+            .get(tenant)
+            .map_or(Resources::default(), |(_, used)| used.lasting)
     }
 
     /// Returns a tenant's name.
@@ -69,6 +93,6 @@
     pub fn iter(&self) -> impl Iterator<Item = (&str, Resources)> {
         self.tenants
             .iter()
-            .map(|(name, used)| (name.as_str(), *used))
+            .map(|(name, used)| (name.as_str(), used.all))
     }
 }
--- a/crates/cornelpoint/src/scheduler/gangs.rs
+++ b/crates/cornelpoint/src/scheduler/gangs.rs
@@ -36,6 +36,7 @@
         let reservation = Reservation {
             need: step.reserved(),
             tenant,
+            lasts: step.long_running,
         };
         let runs = indexes
             .iter()
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -212,6 +212,7 @@
         let reservation = Reservation {
             need: step.reserved(),
             tenant: job.tenant,
+            lasts: step.long_running,
         };
         let may_copy = step.allows_copies();
         let Some(task) = job.task_mut(reported.task) else {
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -453,7 +453,9 @@
                 limit: quota.limit(name).unwrap_or_default(),
             });
         }
-        if quota.could_ever_run(name, need) {
+        // Tasks that last may never make room.
+        let beside = self.tenant_use.used_by_lasting(tenant);
+        if quota.could_ever_run(name, need.plus(beside)) {
             pass.held_tenants.push(tenant);
         }
         self.consider_all_workers(key);
@@ -527,6 +529,7 @@
         let reservation = Reservation {
             need: step.reserved(),
             tenant,
+            lasts: step.long_running,
         };
         let ticket = self
             .tickets
--- a/crates/cornelpoint/src/scheduler/registry.rs
+++ b/crates/cornelpoint/src/scheduler/registry.rs
@@ -232,7 +232,7 @@
         let mut lost = Vec::new();
         for (&(task, run), reservation) in &worker.runs {
             self.tenant_use
-                .release(reservation.tenant, reservation.need);
+                .release(reservation.tenant, reservation.need, reservation.lasts);
             lost.push(self.lose_run(task, run, &worker, RunLoss::LifeEnded));
             self.drop_run(task, run, now);
             self.orphaned_tasks.push((now.steady_ms, task));
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -117,6 +117,8 @@
     pub(super) need: Resources,
     /// Tenant of the run's job; `None` where limits of tenants aren't in force.
     pub(super) tenant: Option<TenantIndex>,
+    /// Whether its task lasts until it is cancelled.
+    pub(super) lasts: bool,
 }
 
 /// Whether a worker responds.
@@ -346,10 +348,14 @@
         reservation: Reservation,
         tenants: &mut TenantUse,
     ) {
-        let Reservation { need, tenant } = reservation;
+        let Reservation {
+            need,
+            tenant,
+            lasts,
+        } = reservation;
         if self.runs.insert((task, run), reservation).is_none() {
             self.used = self.used.plus(need);
-            tenants.reserve(tenant, need);
+            tenants.reserve(tenant, need, lasts);
             *self.tasks_of_step.entry(task.step).or_default() += 1;
         }
     }
@@ -375,11 +381,16 @@
     pub(super) fn release(&mut self, task: TaskId, run: u64, tenants: &mut TenantUse) {
         self.trials.remove(&(task, run));
         self.uncertain.remove(&(task, run));
-        let Some(Reservation { need, tenant }) = self.runs.remove(&(task, run)) else {
+        let Some(reservation) = self.runs.remove(&(task, run)) else {
             return;
         };
+        let Reservation {
+            need,
+            tenant,
+            lasts,
+        } = reservation;
         self.used = self.used.minus(need);
-        tenants.release(tenant, need);
+        tenants.release(tenant, need, lasts);
         if let Some(count) = self.tasks_of_step.get_mut(&task.step) {
             *count -= 1;
             if *count == 0 {
--- a/crates/cornelpoint/tests/scheduler/tenant_limits.rs
+++ b/crates/cornelpoint/tests/scheduler/tenant_limits.rs
@@ -262,3 +262,18 @@
     scheduler.confirm_configuration(5000);
     assert!(!scheduler.may_send_start(task, at(5010)));
 }
+
+/// Guards against small tasks that wait for ever behind one that doesn't fit beside tasks
+/// that last.
+#[test]
+fn a_step_that_waits_for_lasting_tasks_holds_back_no_others() {
+    let mut scheduler = limited_scheduler(&["w1"]);
+    submit_step(&mut scheduler, 1, "north", lasting(1000), 10);
+    carry_out_calls(&mut scheduler, &row(5, 2000, 0), 20);
+    assert_eq!(starts(&mut scheduler, 30).len(), 1);
+    submit_step(&mut scheduler, 2, "north", lasting(1500), 40);
+    submit(&mut scheduler, 3, "north", 1, 40);
+    let started = starts(&mut scheduler, 50);
+    assert_eq!(started.len(), 1, "{started:?}");
+    assert!(started[0].1.starts_with("0000000000000003"));
+}
