Give tasks that need most of a limit room beside other pools

Two pools whose next tasks of a tenant each need most of its limit never started either of them, nor anything behind them: each kept what the other one needed. A task of nearly the whole limit never started beside an idle pool, which keeps a sixteenth of its part, though admission accepts it.

A pool that runs nothing of the tenant and has a step that fits neither its allotment nor its share at rest now claims the whole limit in its entry: others keep no more than they need, and of several such pools all but the first by name give up what they have and claim nothing until it has started. An entry keeps its form; use and the bound on the sum are as before.

--- a/crates/cornelpoint/src/quota/demand.rs
+++ b/crates/cornelpoint/src/quota/demand.rs
@@ -9,6 +9,9 @@
     pub used: Resources,
     /// Resources of the tasks that wait for workers.
     pub waiting: Resources,
+    /// Need of the step that waits for the tenant's limit, for one task or a gang; zero if
+    /// none does.
+    pub blocked: Resources,
 }
 
 /// What a pool needs, as far as it matters to the tenants' limits.
--- a/crates/cornelpoint/src/quota/pool_quota.rs
+++ b/crates/cornelpoint/src/quota/pool_quota.rs
@@ -554,8 +554,11 @@
         demand: &PoolDemand,
         now_ms: u64,
     ) -> Allotment {
-        let TenantDemand { used, waiting } =
-            demand.tenants.get(tenant).copied().unwrap_or_default();
+        let TenantDemand {
+            used,
+            waiting,
+            blocked,
+        } = demand.tenants.get(tenant).copied().unwrap_or_default();
         let held = self.held(tenant, used, demand.unreported);
         let limit = to_array(limit.0);
         let before = table.allotment(&self.pool, tenant);
@@ -563,6 +566,7 @@
         let sum = to_array(table.allotted(tenant));
         let held = to_array(held);
         let waiting = to_array(waiting);
+        let blocked = to_array(blocked);
         let capacity = to_array(demand.capacity);
         let pools = self.pools.len() as u64;
         let others = table.pools.iter().filter(|(pool, _)| **pool != self.pool);
@@ -570,6 +574,11 @@
         let others: Vec<([u64; 3], [u64; 3])> = others
             .map(|other| (to_array(other.allotted), to_array(other.wanted)))
             .collect();
+        // Entries of pools that the configuration no longer has stay as they are.
+        let earlier = table.pools.range(..self.pool.clone());
+        let earlier = earlier.filter(|(pool, _)| self.pools.contains(*pool));
+        let earlier = earlier.filter_map(|(_, entry)| entry.tenants.get(tenant));
+        let earlier: Vec<[u64; 3]> = earlier.map(|other| to_array(other.wanted)).collect();
         let idle_since_ms = self.idle_since_ms.get(tenant).copied();
         let mut next = [0; 3];
         let mut wanted = [0; 3];
@@ -587,6 +596,13 @@
                 pools,
                 others_want: claims.clone().next().is_some(),
                 others_lack_share: claims.clone().any(|(has, _)| has[resource] < rest),
+                blocked: blocked[resource].min(waiting[resource]),
+                others_claim: claims
+                    .clone()
+                    .any(|(_, wanted)| wanted[resource] >= limit[resource]),
+                earlier_claims: earlier
+                    .iter()
+                    .any(|wanted| wanted[resource] >= limit[resource]),
                 idle: idle_since_ms.is_some_and(|since_ms| since_ms + HOLD_MS <= now_ms),
             };
             let target = situation.target();
@@ -596,7 +612,7 @@
         }
         let next = Allotment {
             allotted: from_array(next),
-            wanted: settled_wanted(before.wanted, from_array(wanted)),
+            wanted: settled_wanted(before.wanted, from_array(wanted), from_array(limit)),
         };
         let is_reduced = exceeds && next.allotted != before.allotted;
         if !exceeds {
@@ -656,15 +672,18 @@
 }
 
 /// Returns what the pool's entry is to say that it wants. Small changes aren't worth a
-/// write.
-fn settled_wanted(before: Resources, now: Resources) -> Resources {
-    combine(before, now, |before, now| {
+/// write, unless they make or end a claim of the whole limit.
+fn settled_wanted(before: Resources, now: Resources, limit: Resources) -> Resources {
+    let (before, now, limit) = (to_array(before), to_array(now), to_array(limit));
+    from_array(std::array::from_fn(|resource| {
+        let (before, now, limit) = (before[resource], now[resource], limit[resource]);
         let is_similar = before > 0
             && now > 0
             && now <= before.saturating_mul(2)
-            && before <= now.saturating_mul(2);
+            && before <= now.saturating_mul(2)
+            && (before >= limit) == (now >= limit);
         if is_similar { before } else { now }
-    })
+    }))
 }
 
 fn combine(left: Resources, right: Resources, with: impl Fn(u64, u64) -> u64) -> Resources {
--- a/crates/cornelpoint/src/quota/target.rs
+++ b/crates/cornelpoint/src/quota/target.rs
@@ -6,12 +6,15 @@
 /// Part of the demand that is allotted beyond it, one in this many. Less takes more
 /// writes while demand grows, more keeps from other pools what isn't used.
 const HEADROOM_PARTS: u64 = 4;
-
 /// Difference to the target from which an idle allotment is reduced, in parts of the limit:
 /// smaller steps would take more writes than they are worth.
 const STEP_PARTS: u64 = 32;
 
 /// One resource of one tenant, as a pool sees it.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a fact about other pools that is independent of the rest"
+)]
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Situation {
     pub(super) limit: u64,
@@ -25,6 +28,12 @@
     pub(super) others_want: bool,
     /// Whether a pool wants more that has less than its share at rest.
     pub(super) others_lack_share: bool,
+    /// Need of a step that waits for the limit; 0 if none does.
+    pub(super) blocked: u64,
+    /// Whether a pool claims all that others don't use.
+    pub(super) others_claim: bool,
+    /// Whether a pool does that goes before this one.
+    pub(super) earlier_claims: bool,
     /// Whether the allotment has exceeded the demand for the hold time.
     pub(super) idle: bool,
 }
@@ -33,6 +42,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Target {
     pub(super) allotted: u64,
+    /// What the pool lacks. The whole limit claims all that others don't use.
     pub(super) wanted: u64,
     /// Whether the allotment exceeds what a pool keeps without demand.
     pub(super) exceeds: bool,
@@ -57,7 +67,20 @@
         }
         let most = self.limit - self.others_allotted;
         let rest = Self::rest_share(self.limit, self.pools);
-        let kept = self.limit / (KEPT_PARTS * self.pools.max(1));
+        // What runs makes room when it ends; pools that run nothing may wait for each other.
+        let is_stuck = self.held == 0 && self.blocked > rest;
+        if is_stuck && self.blocked > allotted && self.earlier_claims {
+            return Target {
+                allotted: 0,
+                wanted: 0,
+                exceeds: false,
+            };
+        }
+        let kept = if self.others_claim {
+            0
+        } else {
+            self.limit / (KEPT_PARTS * self.pools.max(1))
+        };
         let generous = self.demand + self.demand / HEADROOM_PARTS;
         let resting = generous.max(rest);
         let exceeds = allotted > resting + self.limit / STEP_PARTS;
@@ -84,9 +107,14 @@
         } else {
             next
         };
+        let wanted = if is_stuck && self.blocked > next {
+            self.limit
+        } else {
+            self.demand.saturating_sub(next).min(self.limit - 1)
+        };
         Target {
             allotted: next,
-            wanted: self.demand.saturating_sub(next),
+            wanted,
             exceeds,
         }
     }
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -194,7 +194,7 @@
         self.tenants_wait = false;
         for step in self.placeable_steps(&pass, now) {
             let mut held = pass.held_tenants.iter();
-            if held.any(|held| Some(*held) == step.tenant) {
+            if held.any(|(held, _)| Some(*held) == step.tenant) {
                 if step.unplaceable {
                     self.consider_all_workers(step.key);
                 }
@@ -207,6 +207,7 @@
                 break;
             }
         }
+        self.held_tenants = pass.held_tenants;
         self.request_tickets(pass.without_tickets, now);
     }
 
@@ -456,7 +457,7 @@
         // Tasks that last may never make room.
         let beside = self.tenant_use.used_by_lasting(tenant);
         if quota.could_ever_run(name, need.plus(beside)) {
-            pass.held_tenants.push(tenant);
+            pass.held_tenants.push((tenant, need));
         }
         self.consider_all_workers(key);
         false
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -19,6 +19,7 @@
 use crate::quota::QuotaReply;
 use crate::quota::QuotaRow;
 use crate::quota::TenantDemand;
+use crate::quota::TenantIndex;
 use crate::quota::TenantUse;
 use crate::speculation::Copies;
 use crate::speculation::LearnedDurations;
@@ -77,6 +78,8 @@
     pub(super) tenant_use: TenantUse,
     /// Whether steps waited for their tenants' limits at the last pass.
     pub(super) tenants_wait: bool,
+    /// Tenants whose limits had no room for a step at the last pass, and what it needs.
+    pub(super) held_tenants: Vec<(TenantIndex, Resources)>,
     /// When a step that waits for its tenant's limit was last logged.
     pub(super) tenant_wait_logged_ms: u64,
     pub(super) jobs: HashMap<JobId, JobEntry>,
@@ -192,6 +195,7 @@
             quota: None,
             tenant_use: TenantUse::default(),
             tenants_wait: false,
+            held_tenants: Vec::new(),
             tenant_wait_logged_ms: 0,
             jobs: HashMap::new(),
             active_jobs: BTreeSet::new(),
@@ -357,10 +361,18 @@
         };
         let tenants = self.tenant_use.iter();
         let tenants = tenants.map(|(tenant, used)| {
-            let waiting = Resources::default();
-            (tenant, TenantDemand { used, waiting })
+            let demand = TenantDemand {
+                used,
+                ..TenantDemand::default()
+            };
+            (tenant, demand)
         });
         let mut tenants: Vec<(&str, TenantDemand)> = tenants.collect();
+        for &(tenant, need) in &self.held_tenants {
+            if let Some((_, tenant)) = tenants.get_mut(tenant) {
+                tenant.blocked = need;
+            }
+        }
         for step in self.ready.values() {
             let tenant = step.tenant.and_then(|tenant| tenants.get_mut(tenant));
             if let Some((_, tenant)) = tenant {
--- a/crates/cornelpoint/src/scheduler/ready_step.rs
+++ b/crates/cornelpoint/src/scheduler/ready_step.rs
@@ -30,8 +30,9 @@
     /// Steps that need tickets and have none.
     pub(super) without_tickets: Vec<StepId>,
     /// Tenants whose limits have no room for a step, so that their later steps wait, too:
-    /// small tasks would hold back large ones for as long as they come.
-    pub(super) held_tenants: Vec<TenantIndex>,
+    /// small tasks would hold back large ones for as long as they come. With the need of
+    /// the step.
+    pub(super) held_tenants: Vec<(TenantIndex, Resources)>,
     /// What runs of a predecessor may hold that aren't known.
     pub(super) unreported: Resources,
 }
--- a/crates/cornelpoint/tests/quota/decisions.rs
+++ b/crates/cornelpoint/tests/quota/decisions.rs
@@ -26,6 +26,7 @@
     let demand = TenantDemand {
         used: cores(used),
         waiting: cores(waiting),
+        blocked: cores(waiting),
     };
     PoolDemand {
         tenants: [(TENANT.to_owned(), demand)].into(),
@@ -146,3 +147,58 @@
     quota.replied(QuotaReply::Committed { version: 5 }, 3010);
     assert_eq!(room(&quota, 3011), Ok(u64::MAX));
 }
+
+/// Lets two pools write to one row, without faults, until one of them has room for what it
+/// waits for; returns which.
+fn first_with_room(limit: u64, waiting: [u64; 2]) -> Option<usize> {
+    let mut pools = ["a", "b"].map(|pool| {
+        let mut quota = PoolQuota::new(pool, 1, 1_000_000);
+        quota.set_limits(1, &tenants(limit), ["a", "b"].into_iter());
+        quota.configuration_confirmed(1);
+        quota
+    });
+    let mut row = QuotaRow {
+        version: 0,
+        table: Some(QuotaTable::default()),
+    };
+    for now_ms in (10..60_000).step_by(10) {
+        for (index, waiting) in waiting.into_iter().enumerate() {
+            // At first both take what they have at rest.
+            let waiting = if now_ms < 1000 { 0 } else { waiting };
+            let quota = &mut pools[index];
+            if waiting > 0 && room(quota, now_ms).is_ok_and(|room| room >= waiting * 1000) {
+                return Some(index);
+            }
+            match quota.due_call(&demand(0, waiting), now_ms) {
+                Some(QuotaCall::Read) => quota.replied(QuotaReply::Row(row.clone()), now_ms),
+                Some(QuotaCall::Write(write)) => {
+                    assert_eq!(write.expected_version, row.version);
+                    let version = row.version + 1;
+                    row.version = version;
+                    row.table = Some(write.table);
+                    quota.replied(QuotaReply::Committed { version }, now_ms);
+                }
+                None => {}
+            }
+            for quota in &mut pools {
+                quota.row_read(row.clone());
+            }
+        }
+    }
+    None
+}
+
+/// Guards against two pools that each keep what the other one's task needs, so that neither
+/// ever starts.
+#[test]
+fn one_of_two_pools_gets_room_for_a_large_task() {
+    for need in [5, 11, 13, 16] {
+        assert!(first_with_room(16, [need; 2]).is_some(), "{need}");
+    }
+}
+
+/// Guards against a task within the limit that never starts since an idle pool keeps a part.
+#[test]
+fn a_task_as_large_as_the_limit_gets_room() {
+    assert_eq!(first_with_room(16, [16, 0]), Some(0));
+}
--- a/crates/cornelpoint/tests/quota/model/owner.rs
+++ b/crates/cornelpoint/tests/quota/model/owner.rs
@@ -10,6 +10,7 @@
 use super::world::CONFIGURATION_MS;
 use super::world::Mutant;
 use super::world::TENANTS;
+use super::world::cores;
 
 /// A run that an owner counts.
 #[derive(Clone, Copy)]
@@ -88,6 +89,8 @@
             let demand = TenantDemand {
                 used: self.used(tenant),
                 waiting,
+                // Need of the largest task.
+                blocked: cores(3),
             };
             (TENANTS[tenant].to_owned(), demand)
         });
