--- a/crates/cornelpoint/src/quota/pool_quota.rs
+++ b/crates/cornelpoint/src/quota/pool_quota.rs
@@ -180,7 +180,7 @@
     }
 
     /// Records that a read that was sent at `sent_ms` has confirmed the configuration.
-    /// Returns whether that is news.
+    /// Returns whether it is more recent than the last one.
     pub fn configuration_confirmed(&mut self, sent_ms: u64) -> bool {
         let before_ms = self.confirmed_ms;
         if before_ms.is_some_and(|at_ms| at_ms >= sent_ms) {
@@ -416,7 +416,8 @@
         }
     }
 
-    /// Applies the row as read by whomever. Returns whether it is newer than the one known.
+    /// Applies the row, for whatever purpose it was read. Returns whether it is newer than the
+    /// one known.
     ///
     /// A row that is gone counts as new: an operator has removed it, see the design note.
     pub fn row_read(&mut self, row: QuotaRow) -> bool {
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -479,7 +479,7 @@
         room.is_ok_and(|room| room.fits(Resources::default(), need))
     }
 
-    /// Whether it is time to tell of a step that waits for its tenant's limit.
+    /// Whether a step that waits for its tenant's limit is due to be logged.
     pub(super) fn is_tenant_wait_due(&self, now: Instant) -> bool {
         self.tenants_wait && now.steady_ms >= self.tenant_wait_logged_ms + TENANT_WAIT_LOG_MS
     }
