--- a/crates/cornelpoint/src/quota/pool_quota.rs
+++ b/crates/cornelpoint/src/quota/pool_quota.rs
@@ -31,6 +31,7 @@
 /// Time for which an allotment has to exceed the demand before it is reduced, if no other
 /// pool wants it. Queues peak in turn, some seconds apart.
 const HOLD_MS: u64 = 2000;
+
 /// Why no more tasks of a tenant may start for now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WaitReason {
@@ -179,7 +180,7 @@
     }
 
     /// Records that a read that was sent at `sent_ms` has confirmed the configuration.
-    /// Returns whether that is news.
+    /// Returns whether it is more recent than the last one.
     pub fn configuration_confirmed(&mut self, sent_ms: u64) -> bool {
         let before_ms = self.confirmed_ms;
         if before_ms.is_some_and(|at_ms| at_ms >= sent_ms) {
@@ -314,12 +315,6 @@
         Ok(from_array(room))
     }
 
-    /// Whether a start of a tenant's task that was decided on may still be ordered.
-    #[must_use]
-    pub fn may_send(&self, tenant: &str, now_ms: u64) -> bool {
-        self.limit_for_starts(tenant).is_none() || (self.is_confirmed(now_ms) && !self.fenced)
-    }
-
     /// Whether the configuration was confirmed recently enough.
     fn is_confirmed(&self, now_ms: u64) -> bool {
         let age_ms = self.confirmed_ms.map(|at_ms| now_ms.saturating_sub(at_ms));
@@ -421,7 +416,8 @@
         }
     }
 
-    /// Applies the row as read by whomever. Returns whether it is newer than the one known.
+    /// Applies the row, for whatever purpose it was read. Returns whether it is newer than the
+    /// one known.
     ///
     /// A row that is gone counts as new: an operator has removed it, see the design note.
     pub fn row_read(&mut self, row: QuotaRow) -> bool {
@@ -559,8 +555,11 @@
         demand: &PoolDemand,
         now_ms: u64,
     ) -> Allotment {
-        let TenantDemand { used, waiting } =
-            demand.tenants.get(tenant).copied().unwrap_or_default();
+        let TenantDemand {
+            used,
+            waiting,
+            blocked,
+        } = demand.tenants.get(tenant).copied().unwrap_or_default();
         let held = self.held(tenant, used, demand.unreported);
         let limit = to_array(limit.0);
         let before = table.allotment(&self.pool, tenant);
@@ -568,6 +567,7 @@
         let sum = to_array(table.allotted(tenant));
         let held = to_array(held);
         let waiting = to_array(waiting);
+        let blocked = to_array(blocked);
         let capacity = to_array(demand.capacity);
         let pools = self.pools.len() as u64;
         let others = table.pools.iter().filter(|(pool, _)| **pool != self.pool);
@@ -575,6 +575,11 @@
         let others: Vec<([u64; 3], [u64; 3])> = others
             .map(|other| (to_array(other.allotted), to_array(other.wanted)))
             .collect();
+        // Entries of pools that the configuration no longer has stay as they are.
+        let earlier = table.pools.range(..self.pool.clone());
+        let earlier = earlier.filter(|(pool, _)| self.pools.contains(*pool));
+        let earlier = earlier.filter_map(|(_, entry)| entry.tenants.get(tenant));
+        let earlier: Vec<[u64; 3]> = earlier.map(|other| to_array(other.wanted)).collect();
         let idle_since_ms = self.idle_since_ms.get(tenant).copied();
         let mut next = [0; 3];
         let mut wanted = [0; 3];
@@ -592,6 +597,13 @@
                 pools,
                 others_want: claims.clone().next().is_some(),
                 others_lack_share: claims.clone().any(|(has, _)| has[resource] < rest),
+                blocked: blocked[resource].min(waiting[resource]),
+                others_claim: claims
+                    .clone()
+                    .any(|(_, wanted)| wanted[resource] >= limit[resource]),
+                earlier_claims: earlier
+                    .iter()
+                    .any(|wanted| wanted[resource] >= limit[resource]),
                 idle: idle_since_ms.is_some_and(|since_ms| since_ms + HOLD_MS <= now_ms),
             };
             let target = situation.target();
@@ -601,7 +613,7 @@
         }
         let next = Allotment {
             allotted: from_array(next),
-            wanted: settled_wanted(before.wanted, from_array(wanted)),
+            wanted: settled_wanted(before.wanted, from_array(wanted), from_array(limit)),
         };
         let is_reduced = exceeds && next.allotted != before.allotted;
         if !exceeds {
@@ -661,15 +673,18 @@
 }
 
 /// Returns what the pool's entry is to say that it wants. Small changes aren't worth a
-/// write.
-fn settled_wanted(before: Resources, now: Resources) -> Resources {
-    combine(before, now, |before, now| {
+/// write, unless they make or end a claim of the whole limit.
+fn settled_wanted(before: Resources, now: Resources, limit: Resources) -> Resources {
+    let (before, now, limit) = (to_array(before), to_array(now), to_array(limit));
+    from_array(std::array::from_fn(|resource| {
+        let (before, now, limit) = (before[resource], now[resource], limit[resource]);
         let is_similar = before > 0
             && now > 0
             && now <= before.saturating_mul(2)
-            && before <= now.saturating_mul(2);
+            && before <= now.saturating_mul(2)
+            && (before >= limit) == (now >= limit);
         if is_similar { before } else { now }
-    })
+    }))
 }
 
 fn combine(left: Resources, right: Resources, with: impl Fn(u64, u64) -> u64) -> Resources {
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -194,7 +194,7 @@
         self.tenants_wait = false;
         for step in self.placeable_steps(&pass, now) {
             let mut held = pass.held_tenants.iter();
-            if held.any(|held| Some(*held) == step.tenant) {
+            if held.any(|(held, _)| Some(*held) == step.tenant) {
                 if step.unplaceable {
                     self.consider_all_workers(step.key);
                 }
@@ -207,6 +207,7 @@
                 break;
             }
         }
+        self.held_tenants = pass.held_tenants;
         self.request_tickets(pass.without_tickets, now);
     }
 
@@ -453,8 +454,10 @@
                 limit: quota.limit(name).unwrap_or_default(),
             });
         }
-        if quota.could_ever_run(name, need) {
-            pass.held_tenants.push(tenant);
+        // Tasks that last may never make room.
+        let beside = self.tenant_use.used_by_lasting(tenant);
+        if quota.could_ever_run(name, need.plus(beside)) {
+            pass.held_tenants.push((tenant, need));
         }
         self.consider_all_workers(key);
         false
@@ -476,7 +479,7 @@
         room.is_ok_and(|room| room.fits(Resources::default(), need))
     }
 
-    /// Whether it is time to tell of a step that waits for its tenant's limit.
+    /// Whether a step that waits for its tenant's limit is due to be logged.
     pub(super) fn is_tenant_wait_due(&self, now: Instant) -> bool {
         self.tenants_wait && now.steady_ms >= self.tenant_wait_logged_ms + TENANT_WAIT_LOG_MS
     }
@@ -527,6 +530,7 @@
         let reservation = Reservation {
             need: step.reserved(),
             tenant,
+            lasts: step.long_running,
         };
         let ticket = self
             .tickets
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -19,6 +19,7 @@
 use crate::quota::QuotaReply;
 use crate::quota::QuotaRow;
 use crate::quota::TenantDemand;
+use crate::quota::TenantIndex;
 use crate::quota::TenantUse;
 use crate::speculation::Copies;
 use crate::speculation::LearnedDurations;
@@ -77,6 +78,8 @@
     pub(super) tenant_use: TenantUse,
     /// Whether steps waited for their tenants' limits at the last pass.
     pub(super) tenants_wait: bool,
+    /// Tenants whose limits had no room for a step at the last pass, and what it needs.
+    pub(super) held_tenants: Vec<(TenantIndex, Resources)>,
     /// When a step that waits for its tenant's limit was last logged.
     pub(super) tenant_wait_logged_ms: u64,
     pub(super) jobs: HashMap<JobId, JobEntry>,
@@ -192,6 +195,7 @@
             quota: None,
             tenant_use: TenantUse::default(),
             tenants_wait: false,
+            held_tenants: Vec::new(),
             tenant_wait_logged_ms: 0,
             jobs: HashMap::new(),
             active_jobs: BTreeSet::new(),
@@ -323,11 +327,18 @@
     /// since it was decided on, and its tenant's limit lowered.
     #[must_use]
     pub fn may_send_start(&self, task: TaskId, now: Instant) -> bool {
-        let tenant = self.jobs.get(&task.step.job).and_then(|job| job.tenant);
-        let (Some(quota), Some(tenant)) = (&self.quota, tenant) else {
+        let Some(job) = self.jobs.get(&task.step.job) else {
             return true;
         };
-        quota.may_send(self.tenant_use.name(tenant), now.steady_ms)
+        let (Some(quota), Some(tenant)) = (&self.quota, job.tenant) else {
+            return true;
+        };
+        // The run is reserved already.
+        let need = job.step(task.step.step).reserved();
+        let others = self.tenant_use.used(tenant).minus(need);
+        let name = self.tenant_use.name(tenant);
+        let room = quota.room(name, others, self.unreported_use(), now.steady_ms);
+        room.is_ok_and(|room| room.fits(Resources::default(), need))
     }
 
     /// Returns the call to the store that is due for the tenants' limits. What becomes of
@@ -350,10 +361,18 @@
         };
         let tenants = self.tenant_use.iter();
         let tenants = tenants.map(|(tenant, used)| {
-            let waiting = Resources::default();
-            (tenant, TenantDemand { used, waiting })
+            let demand = TenantDemand {
+                used,
+                ..TenantDemand::default()
+            };
+            (tenant, demand)
         });
         let mut tenants: Vec<(&str, TenantDemand)> = tenants.collect();
+        for &(tenant, need) in &self.held_tenants {
+            if let Some((_, tenant)) = tenants.get_mut(tenant) {
+                tenant.blocked = need;
+            }
+        }
         for step in self.ready.values() {
             let tenant = step.tenant.and_then(|tenant| tenants.get_mut(tenant));
             if let Some((_, tenant)) = tenant {
