--- a/crates/cornelpoint/src/quota/mod.rs
+++ b/crates/cornelpoint/src/quota/mod.rs
@@ -5,7 +5,9 @@
 //! its own pool's entry only, by a write on the condition of the row's version. The
 //! [`PoolQuota`] of a pool decides what may start and which write is due.
 
+mod amounts;
 mod demand;
+mod due_calls;
 mod pool_quota;
 mod quota_call;
 mod quota_table;
