--- a/crates/cornelpoint-manager/src/node/refusals.rs
+++ b/crates/cornelpoint-manager/src/node/call_refusals.rs
@@ -26,11 +26,11 @@
 
 /// Counts refusals between the log lines about them.
 #[derive(Debug, Default)]
-pub(super) struct RefusalLog {
+pub(super) struct CallRefusals {
     by_reason: RefCell<BTreeMap<&'static str, Refusals>>,
 }
 
-impl RefusalLog {
+impl CallRefusals {
     /// Counts a refusal. If a line is due, returns the number of refusals since the last one.
     fn count(&self, reason: &'static str, now_ms: u64) -> Option<u64> {
         let mut by_reason = self.by_reason.borrow_mut();
@@ -50,7 +50,7 @@
     pub(crate) fn call_refused(&self, reason: &'static str, job: &str, route: &str) {
         self.metrics.call_refused(reason);
         let now_ms = clock::now().steady_ms;
-        let Some(count) = self.refusals.count(reason, now_ms) else {
+        let Some(count) = self.call_refusals.count(reason, now_ms) else {
             return;
         };
         let confirmation = self.configuration.confirmation();
--- a/crates/cornelpoint-manager/src/node/refusal_recorder.rs
+++ b/crates/cornelpoint-manager/src/node/listener_refusals.rs
@@ -12,7 +12,7 @@
 const LOG_INTERVAL_MS: u64 = 1000;
 
 /// Counts and logs requests and connections that the limits of the process refuse.
-pub(super) struct RefusalRecorder {
+pub(super) struct ListenerRefusals {
     metrics: Rc<ProcessMetrics>,
     log: Logger,
     logged_ms: Cell<u64>,
@@ -20,7 +20,7 @@
     unlogged: Cell<u64>,
 }
 
-impl RefusalRecorder {
+impl ListenerRefusals {
     pub(super) fn new(metrics: Rc<ProcessMetrics>, log: Logger) -> Self {
         Self {
             metrics,
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -24,9 +24,9 @@
 use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 
+use super::call_refusals::CallRefusals;
 use super::configuration::ConfigurationState;
-use super::refusal_recorder::RefusalRecorder;
-use super::refusals::RefusalLog;
+use super::listener_refusals::ListenerRefusals;
 use crate::clock;
 use crate::edge;
 use crate::edge::InboxWriter;
@@ -88,7 +88,7 @@
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
     /// The text of the configuration and how recently it was confirmed.
     pub(super) configuration: ConfigurationState,
-    pub(super) refusals: RefusalLog,
+    pub(super) call_refusals: CallRefusals,
     pub(crate) waves: RefCell<BTreeMap<u64, WaveOrder>>,
     pub(crate) planner: RefCell<OwnershipPlanner>,
     pub(crate) planner_changed: Notify,
@@ -139,7 +139,7 @@
         let metrics = Rc::new(ProcessMetrics::new());
         let store_log = log.component(Component::Platform);
         let store = StoreClient::new(&settings.store_address, Rc::clone(&metrics), store_log);
-        let refusals = RefusalRecorder::new(Rc::clone(&metrics), log.component(Component::Edge));
+        let refusals = ListenerRefusals::new(Rc::clone(&metrics), log.component(Component::Edge));
         let limits = ServerLimits {
             memory_bytes: settings.memory_bytes,
             max_descriptors: settings.max_descriptors,
@@ -158,7 +158,7 @@
             main_log: log.component(Component::Main),
             catalog: RefCell::default(),
             configuration: ConfigurationState::default(),
-            refusals: RefusalLog::default(),
+            call_refusals: CallRefusals::default(),
             waves: RefCell::default(),
             planner: RefCell::new(planner),
             planner_changed: Notify::new(),
