--- a/crates/cornelpoint-manager/src/fleet_host/host.rs
+++ b/crates/cornelpoint-manager/src/fleet_host/host.rs
@@ -115,7 +115,9 @@
             fencing_token: claim.fencing_token,
             writer,
             manager: RefCell::new(manager),
-            api: HttpEndpoint::new(&address, MAX_CONNECTIONS),
+            // The platform may not check fencing tokens, so that a late order would be carried
+            // out after those of the next owner.
+            api: HttpEndpoint::resetting(&address, MAX_CONNECTIONS),
             begun: RefCell::new(begun),
             last_to_vacate: RefCell::default(),
             log: node.pool_log.clone(),
--- a/crates/cornelpoint-manager/src/http/endpoint.rs
+++ b/crates/cornelpoint-manager/src/http/endpoint.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
@@ -57,6 +58,8 @@
     address: String,
     idle: RefCell<Vec<IdleConnection>>,
     permits: Semaphore,
+    /// Whether connections are reset when they are closed.
+    resets: bool,
 }
 
 impl HttpEndpoint {
@@ -67,6 +70,17 @@
             address: address.to_owned(),
             idle: RefCell::new(Vec::new()),
             permits: Semaphore::new(max_connections),
+            resets: false,
+        }
+    }
+
+    /// Creates a pool whose connections are reset when they are closed. What was sent on one
+    /// without a response is then discarded; otherwise the operating system delivers it once a
+    /// partition ends, seconds after the caller has given up.
+    pub(crate) fn resetting(address: &str, max_connections: usize) -> Self {
+        Self {
+            resets: true,
+            ..Self::new(address, max_connections)
         }
     }
 
@@ -265,6 +279,11 @@
         // With Nagle's algorithm, small requests would wait for an
         // acknowledgement.
         stream.set_nodelay(true).map_err(|_| CallError::NotSent)?;
+        if self.resets {
+            SockRef::from(&stream)
+                .set_linger(Some(Duration::ZERO))
+                .map_err(|_| CallError::NotSent)?;
+        }
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|_| CallError::NotSent)?;
