--- a/crates/cornelpoint-cli/benches/gateway_latency/fleet.rs
+++ b/crates/cornelpoint-cli/benches/gateway_latency/fleet.rs
@@ -111,7 +111,10 @@
         platform_poll_ms: 1_000,
         sync_interval_ms: 500,
         slot_lease_ms: 1_000,
+        memory_mb: 80,
+        max_descriptors: 4100,
         control_connections: 256,
+        max_message_bytes: 2_097_152,
     }
 }
 
@@ -127,6 +130,8 @@
         platform_timeout_ms: 1_000,
         keeper_timeout_ms: 1_000,
         view_interval_ms: 100,
+        memory_mb: 80,
+        max_descriptors: 4100,
         max_connections: 2_048,
         max_header_bytes: 16 * 1024,
         header_timeout_ms: 5_000,
--- a/crates/cornelpoint-cli/src/fleet/entry.rs
+++ b/crates/cornelpoint-cli/src/fleet/entry.rs
@@ -88,7 +88,10 @@
         platform_poll_ms: 500,
         sync_interval_ms: 500,
         slot_lease_ms: 900,
+        memory_mb: 80,
+        max_descriptors: 4100,
         control_connections: 256,
+        max_message_bytes: 2_097_152,
     }
 }
 
@@ -104,6 +107,8 @@
         platform_timeout_ms: 500,
         keeper_timeout_ms: 300,
         view_interval_ms: 200,
+        memory_mb: 80,
+        max_descriptors: 4100,
         max_connections: 2_048,
         max_header_bytes: 16 * 1024,
         header_timeout_ms: 5_000,
--- a/crates/cornelpoint-cli/tests/command_line.rs
+++ b/crates/cornelpoint-cli/tests/command_line.rs
@@ -259,7 +259,10 @@
         platform_poll_ms: 100,
         sync_interval_ms: 100,
         slot_lease_ms: 1_000,
+        memory_mb: 80,
+        max_descriptors: 4100,
         control_connections: 256,
+        max_message_bytes: 2_097_152,
     };
     Keeper::start(&settings, Logger::root(Discard, o!())).unwrap()
 }
--- a/crates/cornelpoint-cli/tests/support/mod.rs
+++ b/crates/cornelpoint-cli/tests/support/mod.rs
@@ -258,7 +258,10 @@
             platform_poll_ms: 200,
             sync_interval_ms: 200,
             slot_lease_ms: 1500,
+            memory_mb: 80,
+            max_descriptors: 4100,
             control_connections: 256,
+            max_message_bytes: 2_097_152,
         };
         let keeper = Keeper::start(&settings, logger()).unwrap();
         seeds.push(keeper.gossip_address());
@@ -304,6 +307,8 @@
                 platform_timeout_ms: 500,
                 keeper_timeout_ms: 300,
                 view_interval_ms: 100,
+                memory_mb: 80,
+                max_descriptors: 4100,
                 max_connections: 200,
                 max_header_bytes: 16_384,
                 header_timeout_ms: 2000,
--- a/crates/cornelpoint-daemon/src/settings/gateway_reader.rs
+++ b/crates/cornelpoint-daemon/src/settings/gateway_reader.rs
@@ -5,7 +5,11 @@
 use cornelpoint::finding::Findings;
 
 use super::gateway_settings::GatewaySettings;
+use super::limits::DEFAULT_MAX_DESCRIPTORS;
+use super::limits::DEFAULT_MEMORY_MB;
+use super::limits::DESCRIPTORS_RANGE;
 use super::limits::MAX_TIMEOUT_MS;
+use super::limits::MEMORY_RANGE_MB;
 use super::limits::check_distinct;
 use super::limits::check_not_empty;
 
@@ -29,6 +33,12 @@
     let platform_timeout_ms = reader.integer_or("platform_timeout_ms", 10..=MAX_TIMEOUT_MS, 500);
     let keeper_timeout_ms = reader.integer_or("keeper_timeout_ms", 10..=MAX_TIMEOUT_MS, 300);
     let view_interval_ms = reader.integer_or("view_interval_ms", 10..=10_000, 200);
+    let memory_mb = reader.integer_or("memory_mb", MEMORY_RANGE_MB, DEFAULT_MEMORY_MB);
+    let max_descriptors = reader.integer_or(
+        "max_descriptors",
+        DESCRIPTORS_RANGE,
+        DEFAULT_MAX_DESCRIPTORS,
+    );
     let max_connections = reader.integer_u32_or("max_connections", 1..=65_535, 2_048);
     let max_header_bytes = reader.integer_u32_or("max_header_bytes", 1_024..=1_048_576, 16_384);
     let header_timeout_ms = reader.integer_or("header_timeout_ms", 100..=MAX_TIMEOUT_MS, 5_000);
@@ -51,6 +61,8 @@
         platform_timeout_ms: platform_timeout_ms?,
         keeper_timeout_ms: keeper_timeout_ms?,
         view_interval_ms: view_interval_ms?,
+        memory_mb: memory_mb?,
+        max_descriptors: max_descriptors?,
         max_connections: max_connections?,
         max_header_bytes: max_header_bytes?,
         header_timeout_ms: header_timeout_ms?,
--- a/crates/cornelpoint-daemon/src/settings/gateway_settings.rs
+++ b/crates/cornelpoint-daemon/src/settings/gateway_settings.rs
@@ -26,7 +26,12 @@
     pub keeper_timeout_ms: u64,
     /// Interval at which a keeper is polled for updates, in milliseconds.
     pub view_interval_ms: u64,
-    /// Maximum number of callers' connections.
+    /// Memory that the process may use, in megabytes of 1,000,000 bytes; it bounds what
+    /// clients can make the process hold.
+    pub memory_mb: u64,
+    /// Number of file descriptors that the process may open.
+    pub max_descriptors: u64,
+    /// Maximum number of callers' connections; memory and descriptors may allow fewer.
     pub max_connections: u32,
     /// Maximum size of a request line with its headers, in bytes.
     pub max_header_bytes: u32,
--- a/crates/cornelpoint-daemon/src/settings/keeper_settings.rs
+++ b/crates/cornelpoint-daemon/src/settings/keeper_settings.rs
@@ -31,6 +31,14 @@
     pub sync_interval_ms: u64,
     /// Lease duration of a lent slot, in milliseconds.
     pub slot_lease_ms: u64,
-    /// Maximum number of connections to the HTTP interface, with one thread each.
+    /// Memory that the process may use, in megabytes of 1,000,000 bytes; it bounds what
+    /// clients can make the process hold.
+    pub memory_mb: u64,
+    /// Number of file descriptors that the process may open.
+    pub max_descriptors: u64,
+    /// Maximum number of connections to the HTTP interface, with one thread each; memory
+    /// and descriptors may allow fewer.
     pub control_connections: usize,
+    /// Largest body of a message to the HTTP interface, in bytes; memory may allow less.
+    pub max_message_bytes: u64,
 }
--- a/crates/cornelpoint-daemon/src/settings/limits.rs
+++ b/crates/cornelpoint-daemon/src/settings/limits.rs
@@ -1,8 +1,23 @@
+use std::ops::RangeInclusive;
+
 use cornelpoint::document::ObjectReader;
 use cornelpoint::document::Value;
 
 /// Longest timeout that settings may specify.
 pub(super) const MAX_TIMEOUT_MS: u64 = 60_000;
+/// Memory that a process may be given. Below 32 MB there is no room beside the process's
+/// own state.
+pub(super) const MEMORY_RANGE_MB: RangeInclusive<u64> = 32..=1_048_576;
+/// Half of the smallest entry instance, which runs a gateway and a keeper.
+pub(super) const DEFAULT_MEMORY_MB: u64 = 80;
+/// File descriptors that a process may be given.
+pub(super) const DESCRIPTORS_RANGE: RangeInclusive<u64> = 128..=1_048_576;
+/// File descriptors of a process on the smallest entry instance.
+pub(super) const DEFAULT_MAX_DESCRIPTORS: u64 = 4100;
+/// Largest message that may be configured.
+pub(super) const MESSAGE_RANGE_BYTES: RangeInclusive<u64> = 65_536..=67_108_864;
+/// Holds the configuration of some 19,000 endpoints, of 103 bytes each.
+pub(super) const DEFAULT_MAX_MESSAGE_BYTES: u64 = 2_097_152;
 
 /// Adds a finding when two fields that must differ are equal.
 pub(super) fn check_distinct(reader: &mut ObjectReader<'_>, first: &str, second: &str) {
--- a/crates/cornelpoint-daemon/tests/keeper.rs
+++ b/crates/cornelpoint-daemon/tests/keeper.rs
@@ -51,7 +51,10 @@
             platform_poll_ms: 100,
             sync_interval_ms: 100,
             slot_lease_ms: 900,
+            memory_mb: 80,
+            max_descriptors: 4100,
             control_connections: 256,
+            max_message_bytes: 2_097_152,
         };
         Self {
             keeper: Keeper::start(&settings, Logger::root(Discard, o!())).unwrap(),
--- a/crates/cornelpoint-daemon/tests/settings.rs
+++ b/crates/cornelpoint-daemon/tests/settings.rs
@@ -113,7 +113,7 @@
         settings:4:31: control_listen: expected another value than listen, found `10.20.1.1:8080`
         settings:5:24: keepers: expected at least one element, found none
         settings:6:25: platform: expected an IP number and a port, such as 10.0.0.1:7100, found `platform:9000`
-        settings:7:31: max_conections: expected field: one of instance, availability_zone, listen, control_listen, keepers, platform, metrics, platform_timeout_ms, keeper_timeout_ms, view_interval_ms, max_connections, max_header_bytes, header_timeout_ms, body_timeout_ms, idle_timeout_ms, connect_timeout_ms, max_idle_per_endpoint, stop_notice_ms, stop_timeout_ms, found `max_conections` (did you mean `max_connections`?)
+        settings:7:31: max_conections: expected field: one of instance, availability_zone, listen, control_listen, keepers, platform, metrics, platform_timeout_ms, keeper_timeout_ms, view_interval_ms, memory_mb, max_descriptors, max_connections, max_header_bytes, header_timeout_ms, body_timeout_ms, idle_timeout_ms, connect_timeout_ms, max_idle_per_endpoint, stop_notice_ms, stop_timeout_ms, found `max_conections` (did you mean `max_connections`?)
         settings:8:32: stop_timeout_ms: expected a whole number from 0 to 3600000, found -1
     "]].assert_eq(&format!("{findings}\n"));
 }
--- a/crates/cornelpoint-manager/tests/body_limits/main.rs
+++ b/crates/cornelpoint-manager/tests/body_limits/main.rs
@@ -3,9 +3,7 @@
 //! an ordinary request is answered while the clients still hold their connections; they
 //! check no times and no share of served requests. One of them runs at a time.
 
-mod crowd;
 mod process;
-mod request;
 
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -15,15 +13,15 @@
 use std::time::Duration;
 
 use cornelpoint::job::Resources;
+use cornelpoint_standin::crowd::Crowd;
+use cornelpoint_standin::crowd::chunked;
+use cornelpoint_standin::crowd::cut;
+use cornelpoint_standin::crowd::exchange;
+use cornelpoint_standin::crowd::whole;
 use platform_standin::callers::job_body;
 use serde_json::json;
 
-use crate::crowd::Crowd;
-use crate::crowd::exchange;
 use crate::process::Process;
-use crate::request::chunked;
-use crate::request::cut;
-use crate::request::whole;
 
 /// Memory limit in the settings of each process.
 const MEMORY_MB: u64 = 64;
@@ -178,12 +176,12 @@
         for _ in 0..RETURNING_CROWDS {
             scope.spawn(|| {
                 while !ended.load(Ordering::Relaxed) {
-                    Crowd::send(
+                    drop(Crowd::send(
                         process.caller_address,
                         RETURNING_CLIENTS,
                         &request,
                         PIECE_BYTES,
-                    );
+                    ));
                 }
             });
         }
@@ -191,12 +189,12 @@
             thread::sleep(BETWEEN_ATTEMPTS);
             process.submit(number) == Some(200)
         });
-        let descriptors = process.descriptors();
+        let descriptors = process.meter.descriptors();
         ended.store(true, Ordering::Relaxed);
         assert!(accepted, "an ordinary job isn't accepted");
         assert!(descriptors <= MAX_DESCRIPTORS - RESERVED_DESCRIPTORS);
     });
-    let usage = process.settle();
+    let usage = process.meter.settle();
     println!("come_again: {usage:?}");
     assert!(usage.peak_kb <= MEMORY_MB * 1000, "{usage:?}");
 }
@@ -208,7 +206,7 @@
     let process = Process::start("other_ports");
     let request = cut(whole_request(&process), 1);
     let crowd = Crowd::send(process.caller_address, LARGE_BODIES, &request, usize::MAX);
-    process.settle();
+    let _ = process.meter.settle();
     let statuses = [
         process.get(
             process.ready_address,
@@ -248,9 +246,9 @@
 fn withstands(test: &str, attack: impl FnOnce(&Process) -> Crowd) {
     let _only = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let process = Process::start(test);
-    let before = process.settle();
+    let before = process.meter.settle();
     let crowd = attack(&process);
-    let usage = process.settle();
+    let usage = process.meter.settle();
     let status = process.submit(u64::MAX);
     println!(
         "{test}: {before:?} before, {usage:?}, {} open, {status:?}",
--- a/crates/cornelpoint-manager/tests/body_limits/process.rs
+++ b/crates/cornelpoint-manager/tests/body_limits/process.rs
@@ -13,6 +13,7 @@
 use std::time::Instant;
 
 use cornelpoint::catalog::Queue;
+use cornelpoint_standin::crowd::ProcessMeter;
 use platform_standin::callers::job_body;
 use platform_standin::operator;
 use platform_standin::settings::InstanceSettings;
@@ -27,15 +28,8 @@
 const INTERNAL_PORT: u16 = 7060;
 /// Longest wait for a condition that nothing prevents.
 const PATIENCE: Duration = Duration::from_secs(20);
-/// Longest wait until the process has handled what it was sent.
-const SETTLING: Duration = Duration::from_secs(120);
-/// Interval between samples of the process.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
-/// Consecutive samples without processor time after which a process counts as settled.
-const QUIET_SAMPLES: usize = 4;
-/// Processor time in a sample's interval below which the process is quiet; its
-/// heartbeats and feeds use some.
-const QUIET_TICKS: u64 = 2;
+/// Interval at which a condition is checked.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout of an ordinary request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 /// Last byte of the next process's address.
@@ -47,17 +41,11 @@
     pub internal_address: SocketAddr,
     pub ready_address: SocketAddr,
     pub queue: Queue,
+    pub meter: ProcessMeter,
     child: Child,
     _store: StoreStandIn,
 }
 
-/// The most that a process held.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Usage {
-    pub peak_kb: u64,
-    pub descriptors: u64,
-}
-
 impl Process {
     /// Starts a process and waits until it owns the pool of its queue.
     pub fn start(test: &str) -> Self {
@@ -95,6 +83,7 @@
             internal_address: SocketAddr::new(settings.ip, INTERNAL_PORT),
             ready_address: SocketAddr::new(settings.ip, READY_PORT),
             queue,
+            meter: ProcessMeter::new(child.id()),
             child,
             _store: store,
         };
@@ -104,39 +93,11 @@
                 started.elapsed() < PATIENCE,
                 "the process doesn't own the pool"
             );
-            thread::sleep(SAMPLE_INTERVAL);
+            thread::sleep(POLL_INTERVAL);
         }
         process
     }
 
-    /// Waits until the process has handled what it was sent; returns the most that it held.
-    pub fn settle(&self) -> Usage {
-        let started = Instant::now();
-        let mut usage = Usage::default();
-        let mut quiet = 0;
-        let mut ticks = self.cpu_ticks();
-        while quiet < QUIET_SAMPLES {
-            assert!(started.elapsed() < SETTLING, "the process never settles");
-            usage.descriptors = usage.descriptors.max(self.descriptors());
-            thread::sleep(SAMPLE_INTERVAL);
-            let now = self.cpu_ticks();
-            quiet = if now - ticks <= QUIET_TICKS {
-                quiet + 1
-            } else {
-                0
-            };
-            ticks = now;
-        }
-        usage.peak_kb = self.status_kb("VmHWM:");
-        usage
-    }
-
-    /// Returns the number of open descriptors.
-    pub fn descriptors(&self) -> u64 {
-        let open = fs::read_dir(format!("/proc/{}/fd", self.child.id()));
-        open.expect("the process has ended").count() as u64
-    }
-
     /// Submits a small job on a new connection; the status of the answer, `None` without
     /// one.
     pub fn submit(&self, number: u64) -> Option<u16> {
@@ -163,23 +124,6 @@
     fn waiting_status(&self) -> Option<u16> {
         self.get(self.caller_address, &self.queue.path_prefix)
     }
-
-    /// Returns a field of the process's status; fails if the process has ended.
-    fn status_kb(&self, field: &str) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix(field));
-        let line = line.expect("the process has ended");
-        line.trim().trim_end_matches(" kB").parse().unwrap()
-    }
-
-    fn cpu_ticks(&self) -> u64 {
-        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
-        // The process's name, in parentheses, may contain spaces; the times in user
-        // and system mode are the 12th and 13th field after it.
-        let (_, fields) = stat.rsplit_once(')').unwrap();
-        let times = fields.split_whitespace().skip(11).take(2);
-        times.map(|time| time.parse::<u64>().unwrap()).sum()
-    }
 }
 
 impl Drop for Process {
--- a/crates/cornelpoint-manager/tests/body_limits/crowd.rs
+++ b/crates/cornelpoint-standin/src/crowd/clients.rs
@@ -9,6 +9,7 @@
 
 /// Clients that hold their connections open until they are dropped. What a process
 /// refuses or closes is no fault here.
+#[derive(Debug)]
 pub struct Crowd {
     connections: Vec<Option<TcpStream>>,
 }
@@ -16,6 +17,17 @@
 impl Crowd {
     /// Opens connections and sends the same bytes on each, in pieces of at most this size,
     /// a piece on each connection in turn.
+    ///
+    /// ```
+    /// use std::net::TcpListener;
+    ///
+    /// use cornelpoint_standin::crowd::Crowd;
+    ///
+    /// let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let crowd = Crowd::send(listener.local_addr().unwrap(), 3, b"GET / HT", 4);
+    /// assert_eq!(crowd.open(), 3);
+    /// ```
+    #[must_use]
     pub fn send(address: SocketAddr, clients: usize, bytes: &[u8], piece_bytes: usize) -> Self {
         let open = || {
             let stream = TcpStream::connect(address).ok()?;
@@ -36,13 +48,16 @@
         Self { connections }
     }
 
-    /// Number of clients whose connections took all that was sent.
+    /// Returns the number of clients whose connections took all that was sent.
+    #[must_use]
     pub fn open(&self) -> usize {
         self.connections.iter().flatten().count()
     }
 }
 
-/// Sends a request on one connection; returns the status of the answer.
+/// Sends a request on one connection; returns the status of the answer, `None` without one
+/// within 30 s.
+#[must_use]
 pub fn exchange(address: SocketAddr, request: &[u8]) -> Option<u16> {
     let mut stream = TcpStream::connect(address).ok()?;
     stream
--- a/crates/cornelpoint-standin/src/lib.rs
+++ b/crates/cornelpoint-standin/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod clock;
+pub mod crowd;
 pub mod endpoint;
 pub mod fault_plan;
 pub mod history;
