--- a/crates/cornelpoint-manager/src/http/connection_limits.rs
+++ b/crates/cornelpoint-manager/src/http/connection_limits.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use cornelpoint::connection_budget::BudgetLimits;
+use cornelpoint::connection_budget::permille;
 use tokio::time::Instant;
 
 /// Part of the process's memory that connections from outside and their bodies may hold,
@@ -20,7 +22,7 @@
 /// store, peers and workers have the rest.
 const PEER_DESCRIPTORS_PERMILLE: u64 = 200;
 /// Connections of readiness checks; the load balancer opens a few.
-const BALANCER_CONNECTIONS: u64 = 32;
+const BALANCER_CONNECTIONS: usize = 32;
 
 /// Largest read buffer of a connection. It has to hold the largest head, 16,384 bytes by
 /// the operator's limits.
@@ -65,52 +67,34 @@
     }
 }
 
-/// Limits of a listener.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct PortLimits {
-    pub(crate) max_connections: usize,
-    /// What the connections and their bodies may hold together.
-    pub(crate) max_bytes: usize,
-    /// The same as far as a large body may add to it.
-    pub(crate) large_body_bytes: usize,
-}
-
-impl PortLimits {
-    /// Returns a listener's share of the process's memory and descriptors.
-    pub(crate) fn new(port: Port, limits: &ServerLimits) -> Self {
-        let bytes = permille(limits.memory_bytes, MEMORY_PERMILLE);
-        let caller_bytes = permille(bytes, CALLER_MEMORY_PERMILLE);
-        let descriptors = limits.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
-        let (max_connections, max_bytes) = match port {
-            Port::Callers => (
-                permille(descriptors, CALLER_DESCRIPTORS_PERMILLE),
-                caller_bytes,
-            ),
-            Port::Peers => (
-                permille(descriptors, PEER_DESCRIPTORS_PERMILLE),
-                bytes - caller_bytes,
-            ),
-            Port::Balancer => (
-                BALANCER_CONNECTIONS,
-                BALANCER_CONNECTIONS * CONNECTION_BYTES as u64,
-            ),
-        };
-        Self {
-            max_connections: to_usize(max_connections),
-            max_bytes: to_usize(max_bytes),
-            large_body_bytes: to_usize(permille(max_bytes, LARGE_BODY_PERMILLE)),
-        }
+/// Returns a listener's share of the process's memory and descriptors.
+pub(crate) fn port_limits(port: Port, limits: &ServerLimits) -> BudgetLimits {
+    let bytes = permille(limits.memory_bytes, MEMORY_PERMILLE) as u64;
+    let caller_bytes = permille(bytes, CALLER_MEMORY_PERMILLE);
+    let descriptors = limits.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+    let (max_connections, max_bytes) = match port {
+        Port::Callers => (
+            permille(descriptors, CALLER_DESCRIPTORS_PERMILLE),
+            caller_bytes,
+        ),
+        Port::Peers => (
+            permille(descriptors, PEER_DESCRIPTORS_PERMILLE),
+            permille(bytes, 1000 - CALLER_MEMORY_PERMILLE),
+        ),
+        Port::Balancer => (
+            BALANCER_CONNECTIONS,
+            BALANCER_CONNECTIONS * CONNECTION_BYTES,
+        ),
+    };
+    BudgetLimits {
+        max_connections,
+        max_bytes,
+        large_body_bytes: permille(max_bytes as u64, LARGE_BODY_PERMILLE),
+        connection_bytes: CONNECTION_BYTES,
+        body_bytes: BODY_BYTES,
     }
 }
 
-fn permille(value: u64, part: u64) -> u64 {
-    value.saturating_mul(part) / 1000
-}
-
-fn to_usize(value: u64) -> usize {
-    usize::try_from(value).unwrap_or(usize::MAX)
-}
-
 /// How long a body may be under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct BodyTimeouts {
--- a/crates/cornelpoint-manager/src/http/connections.rs
+++ b/crates/cornelpoint-manager/src/http/connections.rs
@@ -4,19 +4,19 @@
 use std::fmt;
 use std::rc::Rc;
 
+use cornelpoint::connection_budget::Closed;
+use cornelpoint::connection_budget::ConnectionId;
+use cornelpoint::connection_budget::ConnectionTable;
+use cornelpoint::connection_budget::Held;
+use cornelpoint::connection_budget::Room;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::body_segments::BodySegments;
 use super::connection_limits::BodyTimeouts;
 use super::connection_limits::Port;
-use super::connection_limits::PortLimits;
 use super::connection_limits::ServerLimits;
-use super::connection_table::Closed;
-use super::connection_table::ConnectionId;
-use super::connection_table::ConnectionTable;
-use super::connection_table::Held;
-use super::connection_table::Room;
+use super::connection_limits::port_limits;
 
 /// Called for each refused request and each connection that is closed to make room, with
 /// the reason.
@@ -55,7 +55,7 @@
 impl Connections {
     pub(super) fn new(limits: &ServerLimits, on_refusal: OnRefusal) -> Self {
         let ports = Port::ALL.map(|port| {
-            let limits = PortLimits::new(port, limits);
+            let limits = port_limits(port, limits);
             RefCell::new(PortConnections {
                 table: ConnectionTable::new(limits),
                 handles: HashMap::new(),
@@ -166,7 +166,7 @@
 
     fn report(&self, port: Port, closed: Vec<Closed>) {
         for closed in closed {
-            self.refuse(port, closed.reason);
+            self.refuse(port, closed.reason.as_str());
         }
     }
 
--- a/crates/cornelpoint-manager/src/http/mod.rs
+++ b/crates/cornelpoint-manager/src/http/mod.rs
@@ -4,7 +4,6 @@
 mod body_segments;
 mod call_error;
 mod connection_limits;
-mod connection_table;
 mod connections;
 mod endpoint;
 mod peer_check;
--- a/crates/cornelpoint-manager/src/http/server.rs
+++ b/crates/cornelpoint-manager/src/http/server.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use cornelpoint::connection_budget::Held;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -25,7 +26,6 @@
 use super::connection_limits::Port;
 use super::connection_limits::READ_BUFFER_BYTES;
 use super::connection_limits::ServerLimits;
-use super::connection_table::Held;
 use super::connections::Connections;
 use super::connections::OnRefusal;
 use super::connections::OpenConnection;
--- a/crates/cornelpoint-manager/src/http/connection_table.rs
+++ b/crates/cornelpoint/src/connection_budget/connection_table.rs
@@ -1,63 +1,81 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use super::connection_limits::BODY_BYTES;
-use super::connection_limits::CONNECTION_BYTES;
-use super::connection_limits::PortLimits;
+use super::budget_limits::BudgetLimits;
+use super::closed::CloseReason;
+use super::closed::Closed;
 
-/// Time after which a body that makes no progress, or a connection without a whole head,
-/// may be closed where room is short. The pieces of a body on an open path follow each
+/// Time after which a body or an answer that makes no progress, or a connection without a
+/// whole head, may be closed where room is short. The pieces of a body on an open path follow each
 /// other within milliseconds; a lost packet is sent again within 200 ms to 400 ms.
 const STALL_MS: u64 = 500;
 /// Size above which a body is large. Most jobs have a few kilobytes.
-const LARGE_BODY_BYTES: usize = BODY_BYTES + 65_536;
+const LARGE_BODY_BYTES: usize = 65_536;
 /// A body displaces one that arrives just as fast if that is so many times as large.
 const DISPLACED_SIZE_RATIO: usize = 2;
 
-/// Identifies a connection of one listener.
-pub(crate) type ConnectionId = u64;
+/// Identifies a connection of one table.
+pub type ConnectionId = u64;
 
-/// The connections of one listener, what each holds, and which are closed to make room.
+/// The connections of one listener or kind of client, what each holds, and which are closed
+/// to make room.
 ///
-/// Room is made in this order: bodies that make no progress, the longest first;
+/// Room is made in this order: bodies and answers that make no progress, the longest first;
 /// connections without a request, the longest first; bodies that arrive more slowly than
 /// the one that needs room, the slowest first; bodies that are much larger than that one,
 /// the largest first, so that many large bodies at once don't lock small ones out. Where
 /// descriptors are short, connections without a request are first. A request that is being
-/// answered is never closed.
+/// answered is never closed; once its answer is being sent, it is closed only if the client
+/// doesn't read.
+///
+/// ```
+/// use cornelpoint::connection_budget::BudgetLimits;
+/// use cornelpoint::connection_budget::CloseReason;
+/// use cornelpoint::connection_budget::ConnectionTable;
+///
+/// let mut table = ConnectionTable::new(BudgetLimits {
+///     max_connections: 1,
+///     max_bytes: 1_000_000,
+///     large_body_bytes: 750_000,
+///     connection_bytes: 40_960,
+///     body_bytes: 0,
+/// });
+/// let (idle, _) = table.open(0);
+/// let (newcomer, closed) = table.open(10);
+/// assert!(newcomer.is_some());
+/// assert_eq!(Some(closed[0].id), idle);
+/// assert_eq!(closed[0].reason, CloseReason::Idle);
+/// ```
 #[derive(Debug)]
-pub(crate) struct ConnectionTable {
-    limits: PortLimits,
+pub struct ConnectionTable {
+    limits: BudgetLimits,
     connections: BTreeMap<ConnectionId, Connection>,
     /// Connections without a request, by the time since when.
     waiting: BTreeSet<(u64, ConnectionId)>,
     /// Connections with a body under way.
     receiving: BTreeSet<ConnectionId>,
+    /// Connections with an answer under way.
+    sending: BTreeSet<ConnectionId>,
     held_bytes: usize,
     next_id: ConnectionId,
 }
 
-/// What a listener's connections hold.
+/// What the connections of a table hold.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Held {
-    pub(crate) connections: usize,
-    pub(crate) bytes: usize,
+pub struct Held {
+    /// Number of connections.
+    pub connections: usize,
+    /// What they, their bodies and their answers hold, in bytes.
+    pub bytes: usize,
 }
 
 /// Outcome of a request for room.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Room {
+pub struct Room {
     /// Whether there is room.
-    pub(crate) granted: bool,
-    /// Connections that the caller has to close; they no longer count.
-    pub(crate) closed: Vec<Closed>,
-}
-
-/// A connection that has to be closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Closed {
-    pub(crate) id: ConnectionId,
-    pub(crate) reason: &'static str,
+    pub granted: bool,
+    /// Connections that have to be closed; they no longer count.
+    pub closed: Vec<Closed>,
 }
 
 /// Room that a connection or its body needs.
@@ -84,6 +102,8 @@
     Receiving(Progress),
     /// A request is being answered.
     Answering,
+    /// An answer is under way.
+    Sending(Progress),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -91,10 +111,18 @@
     started_ms: u64,
     /// When the latest part arrived.
     latest_ms: u64,
-    received_bytes: u64,
+    bytes: u64,
 }
 
 impl Progress {
+    fn new(now_ms: u64) -> Self {
+        Self {
+            started_ms: now_ms,
+            latest_ms: now_ms,
+            bytes: 0,
+        }
+    }
+
     fn is_young(&self, now_ms: u64) -> bool {
         now_ms.saturating_sub(self.started_ms) < STALL_MS
     }
@@ -105,24 +133,28 @@
 
     fn bytes_per_s(&self, now_ms: u64) -> u64 {
         let elapsed_ms = now_ms.saturating_sub(self.started_ms).max(1);
-        self.received_bytes * 1000 / elapsed_ms
+        self.bytes * 1000 / elapsed_ms
     }
 }
 
 impl ConnectionTable {
-    pub(crate) fn new(limits: PortLimits) -> Self {
+    /// Creates an empty table.
+    #[must_use]
+    pub fn new(limits: BudgetLimits) -> Self {
         Self {
             limits,
             connections: BTreeMap::new(),
             waiting: BTreeSet::new(),
             receiving: BTreeSet::new(),
+            sending: BTreeSet::new(),
             held_bytes: 0,
             next_id: 0,
         }
     }
 
     /// Returns what the connections hold.
-    pub(crate) fn held(&self) -> Held {
+    #[must_use]
+    pub fn held(&self) -> Held {
         Held {
             connections: self.connections.len(),
             bytes: self.held_bytes,
@@ -131,11 +163,12 @@
 
     /// Adds a connection; returns its identifier if there was or could be made room, and
     /// the connections to close.
-    pub(crate) fn open(&mut self, now_ms: u64) -> (Option<ConnectionId>, Vec<Closed>) {
+    pub fn open(&mut self, now_ms: u64) -> (Option<ConnectionId>, Vec<Closed>) {
         let mut closed = Vec::new();
         while self.connections.len() >= self.limits.max_connections {
             let longest = self.longest_waiting(u64::MAX, None);
-            let victim = longest.or_else(|| self.least_useful(BODY_BYTES, None, now_ms));
+            let victim =
+                longest.or_else(|| self.least_useful(self.limits.body_bytes, None, now_ms));
             let Some(victim) = victim else {
                 return (None, closed);
             };
@@ -143,8 +176,8 @@
         }
         let need = Need {
             id: None,
-            additional_bytes: CONNECTION_BYTES,
-            body_bytes: BODY_BYTES,
+            additional_bytes: self.limits.connection_bytes,
+            body_bytes: self.limits.body_bytes,
         };
         let mut room = self.make_room(need, now_ms);
         closed.append(&mut room.closed);
@@ -160,56 +193,57 @@
         };
         self.connections.insert(id, connection);
         self.waiting.insert((now_ms, id));
-        self.held_bytes += CONNECTION_BYTES;
+        self.held_bytes += self.limits.connection_bytes;
         (Some(id), closed)
     }
 
     /// Removes a connection that has been closed.
-    pub(crate) fn close(&mut self, id: ConnectionId) {
+    pub fn close(&mut self, id: ConnectionId) {
         let Some(connection) = self.connections.remove(&id) else {
             return;
         };
-        self.held_bytes -= CONNECTION_BYTES + connection.body_bytes;
+        self.held_bytes -= self.limits.connection_bytes + connection.body_bytes;
         self.leave(id, connection.stage);
     }
 
     /// Records that a request's head has been read.
-    pub(crate) fn begin_request(&mut self, id: ConnectionId) {
+    pub fn begin_request(&mut self, id: ConnectionId) {
         self.enter(id, Stage::Answering);
     }
 
     /// Records that a request has been answered and what it held is free.
-    pub(crate) fn end_request(&mut self, id: ConnectionId, now_ms: u64) {
+    pub fn end_request(&mut self, id: ConnectionId, now_ms: u64) {
         self.resize(id, 0);
         self.enter(id, Stage::Waiting { since_ms: now_ms });
     }
 
     /// Makes room for a body before any of it is read.
-    pub(crate) fn begin_body(&mut self, id: ConnectionId, now_ms: u64) -> Room {
-        let progress = Progress {
-            started_ms: now_ms,
-            latest_ms: now_ms,
-            received_bytes: 0,
-        };
-        self.enter(id, Stage::Receiving(progress));
+    pub fn begin_body(&mut self, id: ConnectionId, now_ms: u64) -> Room {
+        self.enter(id, Stage::Receiving(Progress::new(now_ms)));
         self.grow(id, 0, now_ms)
     }
 
-    /// Records that a part of a body has arrived.
-    pub(crate) fn record_progress(&mut self, id: ConnectionId, bytes: usize, now_ms: u64) {
+    /// Records that an answer is being sent.
+    pub fn begin_answer(&mut self, id: ConnectionId, now_ms: u64) {
+        self.enter(id, Stage::Sending(Progress::new(now_ms)));
+    }
+
+    /// Records that a part of a body has arrived, or a part of an answer has been taken.
+    pub fn record_progress(&mut self, id: ConnectionId, bytes: usize, now_ms: u64) {
         let connection = self.connections.get_mut(&id);
-        if let Some(Stage::Receiving(progress)) = connection.map(|entry| &mut entry.stage) {
+        let stage = connection.map(|entry| &mut entry.stage);
+        if let Some(Stage::Receiving(progress) | Stage::Sending(progress)) = stage {
             progress.latest_ms = now_ms;
-            progress.received_bytes += bytes as u64;
+            progress.bytes += bytes as u64;
         }
     }
 
-    /// Makes room for a body's buffer of this size.
-    pub(crate) fn grow(&mut self, id: ConnectionId, buffer_bytes: usize, now_ms: u64) -> Room {
+    /// Makes room for a body's buffer of this size, or for a body and its answer.
+    pub fn grow(&mut self, id: ConnectionId, buffer_bytes: usize, now_ms: u64) -> Room {
         let Some(connection) = self.connections.get(&id) else {
             return Room::default();
         };
-        let body_bytes = BODY_BYTES + buffer_bytes;
+        let body_bytes = self.limits.body_bytes + buffer_bytes;
         let additional_bytes = body_bytes.saturating_sub(connection.body_bytes);
         let need = Need {
             id: Some(id),
@@ -225,13 +259,14 @@
 
     /// Records that a body is complete, or won't be read. Its buffer stays counted until
     /// the request has been answered.
-    pub(crate) fn end_body(&mut self, id: ConnectionId) {
+    pub fn end_body(&mut self, id: ConnectionId) {
         self.enter(id, Stage::Answering);
     }
 
     fn make_room(&mut self, need: Need, now_ms: u64) -> Room {
         let mut room = Room::default();
-        let max_bytes = if need.body_bytes > LARGE_BODY_BYTES {
+        let is_large = need.body_bytes > self.limits.body_bytes + LARGE_BODY_BYTES;
+        let max_bytes = if is_large {
             self.limits.large_body_bytes
         } else {
             self.limits.max_bytes
@@ -270,16 +305,18 @@
         let (since_ms, id) = waiting.find(|(_, id)| Some(*id) != except)?;
         (*since_ms < before_ms).then_some(Closed {
             id: *id,
-            reason: "idle_closed",
+            reason: CloseReason::Idle,
         })
     }
 
     fn most_stalled(&self, now_ms: u64, except: Option<ConnectionId>) -> Option<Closed> {
+        let sending = self.progresses_of(&self.sending, except);
         let stalled = self
             .progresses(except)
+            .chain(sending)
             .filter(|(_, progress)| progress.is_stalled(now_ms));
         let (id, _) = stalled.min_by_key(|(_, progress)| progress.latest_ms)?;
-        let reason = "stalled_closed";
+        let reason = CloseReason::Stalled;
         Some(Closed { id, reason })
     }
 
@@ -294,7 +331,7 @@
             .filter(|(_, progress)| !progress.is_young(now_ms));
         let rates = others.map(|(id, progress)| (progress.bytes_per_s(now_ms), id));
         let (rate, id) = rates.min()?;
-        let reason = "slow_closed";
+        let reason = CloseReason::Slow;
         (rate < limit).then_some(Closed { id, reason })
     }
 
@@ -302,7 +339,7 @@
         let others = self.progresses(except);
         let sizes = others.filter_map(|(id, _)| Some((self.connections.get(&id)?.body_bytes, id)));
         let (size, id) = sizes.max()?;
-        let reason = "large_closed";
+        let reason = CloseReason::Large;
         (size >= DISPLACED_SIZE_RATIO * body_bytes).then_some(Closed { id, reason })
     }
 
@@ -310,14 +347,22 @@
         &self,
         except: Option<ConnectionId>,
     ) -> impl Iterator<Item = (ConnectionId, Progress)> {
-        let ids = self.receiving.iter().copied();
+        self.progresses_of(&self.receiving, except)
+    }
+
+    fn progresses_of<'a>(
+        &'a self,
+        ids: &'a BTreeSet<ConnectionId>,
+        except: Option<ConnectionId>,
+    ) -> impl Iterator<Item = (ConnectionId, Progress)> + 'a {
+        let ids = ids.iter().copied();
         let others = ids.filter(move |id| Some(*id) != except);
         others.filter_map(|id| Some((id, self.progress(id)?)))
     }
 
     fn progress(&self, id: ConnectionId) -> Option<Progress> {
         match self.connections.get(&id)?.stage {
-            Stage::Receiving(progress) => Some(progress),
+            Stage::Receiving(progress) | Stage::Sending(progress) => Some(progress),
             Stage::Waiting { .. } | Stage::Answering => None,
         }
     }
@@ -343,6 +388,7 @@
         match stage {
             Stage::Waiting { since_ms } => _ = self.waiting.insert((since_ms, id)),
             Stage::Receiving(_) => _ = self.receiving.insert(id),
+            Stage::Sending(_) => _ = self.sending.insert(id),
             Stage::Answering => {}
         }
     }
@@ -351,6 +397,7 @@
         match stage {
             Stage::Waiting { since_ms } => _ = self.waiting.remove(&(since_ms, id)),
             Stage::Receiving(_) => _ = self.receiving.remove(&id),
+            Stage::Sending(_) => _ = self.sending.remove(&id),
             Stage::Answering => {}
         }
     }
--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod claim;
 pub mod configuration;
+pub mod connection_budget;
 pub mod deployment;
 pub mod dispatch;
 pub mod document;
--- a/crates/cornelpoint-manager/tests/connection_table.rs
+++ b/crates/cornelpoint/tests/connection_budget.rs
@@ -1,31 +1,23 @@
 //! Decisions on what connections and their bodies may hold, and which are closed.
 
-#[path = "../src/http/connection_limits.rs"]
-#[expect(dead_code, reason = "only the shares and sizes are used here")]
-mod connection_limits;
-#[path = "../src/http/connection_table.rs"]
-mod connection_table;
-
-use std::time::Duration;
-
-use self::connection_limits::BODY_BYTES;
-use self::connection_limits::BodyTimeouts;
-use self::connection_limits::CONNECTION_BYTES;
-use self::connection_limits::Port;
-use self::connection_limits::PortLimits;
-use self::connection_limits::ServerLimits;
-use self::connection_table::ConnectionId;
-use self::connection_table::ConnectionTable;
-use self::connection_table::Held;
-
+use cornelpoint::connection_budget::BudgetLimits;
+use cornelpoint::connection_budget::ConnectionId;
+use cornelpoint::connection_budget::ConnectionTable;
+use cornelpoint::connection_budget::Held;
+
+/// What a connection and a body count for beside the body's buffer.
+const CONNECTION_BYTES: usize = 40_960;
+const BODY_BYTES: usize = 40_960;
 /// Largest body of a caller, by the operator's limits.
 const BODY: usize = 262_144;
 
 fn table(max_connections: usize, max_bytes: usize) -> ConnectionTable {
-    ConnectionTable::new(PortLimits {
+    ConnectionTable::new(BudgetLimits {
         max_connections,
         max_bytes,
         large_body_bytes: max_bytes,
+        connection_bytes: CONNECTION_BYTES,
+        body_bytes: BODY_BYTES,
     })
 }
 
@@ -98,10 +90,12 @@
 /// Guards against large bodies whose answers are awaited and that leave no room.
 #[test]
 fn large_bodies_leave_a_part_of_the_room_to_small_ones() {
-    let mut table = ConnectionTable::new(PortLimits {
+    let mut table = ConnectionTable::new(BudgetLimits {
         max_connections: 100,
         max_bytes: 10_000_000,
         large_body_bytes: 7_500_000,
+        connection_bytes: CONNECTION_BYTES,
+        body_bytes: BODY_BYTES,
     });
     let mut answered = 0;
     loop {
@@ -187,23 +181,25 @@
     assert_eq!(table.held(), Held::default());
 }
 
-/// Guards against defaults that a client within the documented limits meets, on the
-/// smallest instance, and against shares that are more than there is.
+/// Guards against clients that hold room by not reading their answers, and against closing
+/// one that reads.
 #[test]
-fn shares_of_the_smallest_instance_hold_many_largest_bodies() {
-    let limits = ServerLimits {
-        memory_bytes: 160_000_000,
-        max_descriptors: 4100,
-        body_timeouts: BodyTimeouts::default(),
-    };
-    let [callers, peers, balancer] = Port::ALL.map(|port| PortLimits::new(port, &limits));
-    let under_way = CONNECTION_BYTES + BODY_BYTES + BODY;
-    assert!(callers.large_body_bytes >= 80 * under_way, "{callers:?}");
-    let answered = under_way + 12 * BODY;
-    assert!(callers.large_body_bytes >= 9 * answered, "{callers:?}");
-    assert!(peers.large_body_bytes >= 3 * answered, "{peers:?}");
-    assert!(callers.max_bytes + peers.max_bytes + balancer.max_bytes < 160_000_000 / 2);
-    let shares = [callers, peers, balancer].map(|share| share.max_connections);
-    assert!(shares.iter().sum::<usize>() <= 3900 * 3 / 4, "{shares:?}");
-    assert!(BodyTimeouts::default().idle >= Duration::from_secs(15));
+fn an_answer_that_nobody_reads_makes_room() {
+    let mut table = table(
+        100,
+        2 * (CONNECTION_BYTES + BODY_BYTES + BODY) + CONNECTION_BYTES,
+    );
+    let [read, unread] = [0, 1].map(|now_ms| receive(&mut table, now_ms, BODY));
+    for id in [read, unread] {
+        table.end_body(id);
+        table.begin_answer(id, 100);
+    }
+    table.record_progress(read, 16_384, 900);
+    let new = open(&mut table, 1000);
+    table.begin_request(new);
+    let begun = table.begin_body(new, 1000);
+    assert!(begun.granted);
+    assert_eq!(begun.closed[0].id, unread);
+    assert!(table.grow(new, BODY, 1000).granted);
+    assert!(!table.grow(new, 2 * BODY, 1100).granted);
 }
