--- a/crates/cornelpoint-daemon/src/keeper/command.rs
+++ b/crates/cornelpoint-daemon/src/keeper/command.rs
@@ -10,6 +10,7 @@
 use cornelpoint::replication::Update;
 
 use super::keeper_dump::KeeperDump;
+use super::state_handle::WaitingGossip;
 use crate::message::DrainReport;
 use crate::message::EndpointSign;
 use crate::message::KeeperStatus;
@@ -27,7 +28,7 @@
 #[derive(Debug)]
 pub(super) enum Command {
     /// A gossip datagram was received.
-    Gossip(GossipMessage),
+    Gossip(GossipMessage, WaitingGossip),
     /// A gateway requests updates.
     View(ViewRequest, ReplyTo<View>),
     /// A gateway reports the slots that it uses and requests more.
@@ -54,6 +55,8 @@
     Status(ReplyTo<KeeperStatus>),
     /// Requests a dump of the whole state.
     Dump(ReplyTo<Box<KeeperDump>>),
+    /// Replies once all earlier commands have been handled.
+    Handled(ReplyTo<()>),
     /// Leaves the membership; no slots are lent afterwards.
     Leave(ReplyTo<()>),
     /// Ends the state loop.
--- a/crates/cornelpoint-daemon/src/keeper/state_loop.rs
+++ b/crates/cornelpoint-daemon/src/keeper/state_loop.rs
@@ -74,7 +74,8 @@
 
     fn handle(&mut self, command: Command, now_ms: u64) {
         match command {
-            Command::Gossip(message) => {
+            Command::Gossip(message, waiting) => {
+                drop(waiting);
                 let outgoing = self.state.receive_gossip(message, now_ms);
                 self.send(outgoing);
             }
@@ -111,6 +112,7 @@
             Command::Members(to) => drop(to.try_send(self.state.present_members())),
             Command::Status(to) => drop(to.try_send(self.state.status(now_ms))),
             Command::Dump(to) => drop(to.try_send(Box::new(self.state.dump(now_ms)))),
+            Command::Handled(to) => drop(to.try_send(())),
             Command::Leave(to) => {
                 let outgoing = self.state.leave();
                 self.send(outgoing);
--- a/crates/cornelpoint/src/membership/members.rs
+++ b/crates/cornelpoint/src/membership/members.rs
@@ -254,7 +254,7 @@
             Some(known) => member.supersedes(&known.member),
             None => true,
         };
-        if !is_newer {
+        if !is_newer || (known.is_none() && !self.has_room_for_member()) {
             return;
         }
         let transmissions = self.settings.update_transmissions;
@@ -269,6 +269,24 @@
         self.version += 1;
     }
 
+    /// Returns whether another member can be added; forgets the one that has been absent for
+    /// the longest time if there is no room.
+    fn has_room_for_member(&mut self) -> bool {
+        if self.known.len() < self.settings.max_members {
+            return true;
+        }
+        let absent = self
+            .known
+            .values()
+            .filter(|known| !known.member.is_present());
+        let oldest = absent.min_by_key(|known| known.since_ms);
+        let Some(instance) = oldest.map(|known| known.member.instance.clone()) else {
+            return false;
+        };
+        self.known.remove(&instance);
+        true
+    }
+
     fn refute(&mut self, update: &Member) {
         let disputed = update.status != MemberStatus::Live && self.own.status == MemberStatus::Live;
         if update.incarnation > self.own.incarnation
--- a/crates/cornelpoint/src/membership/membership_settings.rs
+++ b/crates/cornelpoint/src/membership/membership_settings.rs
@@ -22,6 +22,9 @@
     pub rejoin_every_probes: u64,
     /// Time for which a member that failed or left is kept, in milliseconds.
     pub failed_retention_ms: u64,
+    /// Most members that are known besides the own one. An update about a further one is
+    /// ignored, unless one that failed or left can be forgotten.
+    pub max_members: usize,
     /// Time without a tick from which on the process counts as paused, in
     /// milliseconds.
     pub pause_ms: u64,
@@ -39,6 +42,7 @@
             update_transmissions: 8,
             rejoin_every_probes: 5,
             failed_retention_ms: 600_000,
+            max_members: 2_000,
             pause_ms: 1_000,
         }
     }
--- a/crates/cornelpoint/tests/membership/main.rs
+++ b/crates/cornelpoint/tests/membership/main.rs
@@ -4,6 +4,14 @@
 
 mod network;
 
+use cornelpoint::membership::GossipMessage;
+use cornelpoint::membership::Member;
+use cornelpoint::membership::MemberStatus;
+use cornelpoint::membership::Membership;
+use cornelpoint::membership::MembershipSettings;
+use cornelpoint::name::AvailabilityZone;
+use cornelpoint::name::InstanceId;
+
 use self::network::Network;
 
 /// Longest time until the other members must know that a member has failed.
@@ -113,3 +121,55 @@
     network.run_ms(10_000);
     assert!(network.max_updates() <= 9);
 }
+
+/// Guards against datagrams that make a process remember members without end.
+#[test]
+fn no_more_than_the_limit_of_members_is_known() {
+    let member = |name: &str, status: MemberStatus| Member {
+        instance: InstanceId::try_from(name).unwrap(),
+        availability_zone: AvailabilityZone::try_from("a").unwrap(),
+        incarnation: 1,
+        status,
+        keeper_address: ([127, 0, 0, 1], 7001).into(),
+        gossip_address: ([127, 0, 0, 1], 7002).into(),
+    };
+    let settings = MembershipSettings {
+        max_members: 3,
+        ..MembershipSettings::default()
+    };
+    let own = member("own", MemberStatus::Live);
+    let mut membership = Membership::new(own, Vec::new(), settings, 1, 0);
+    let updates = [
+        ("failed", MemberStatus::Failed),
+        ("one", MemberStatus::Live),
+        ("two", MemberStatus::Live),
+        ("three", MemberStatus::Live),
+    ];
+    let updates = updates.map(|(name, status)| member(name, status));
+    for (now_ms, from) in (1..).zip(updates) {
+        let updates = Vec::new();
+        let sequence = now_ms;
+        let ping = GossipMessage::Ping {
+            sequence,
+            from,
+            updates,
+        };
+        membership.receive(ping, now_ms);
+    }
+    let known: Vec<_> = membership
+        .members()
+        .map(|member| member.instance.as_str().to_owned())
+        .collect();
+    assert_eq!(known, ["own", "one", "three", "two"]);
+    let further = GossipMessage::Ping {
+        sequence: 9,
+        from: member("four", MemberStatus::Live),
+        updates: vec![member("one", MemberStatus::Left)],
+    };
+    membership.receive(further, 9);
+    let present: Vec<_> = membership
+        .present()
+        .map(|member| member.instance.as_str().to_owned())
+        .collect();
+    assert_eq!(present, ["own", "three", "two"]);
+}
