--- a/crates/cornelpoint-daemon/src/caller_edge/answer.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/answer.rs
@@ -10,6 +10,12 @@
 const FIRST_FINAL_STATUS: u16 = 200;
 const NO_CONTENT: u16 = 204;
 const NOT_MODIFIED: u16 = 304;
+/// Largest body that is sent in one write with the head.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
+
+/// `retry-after` of a refusal for want of room: clients that make no progress are closed
+/// within less than that.
+const OVERLOADED_RETRY_S: &str = "1";
 
 /// HTTP answer to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,6 +55,9 @@
         if refusal == Refusal::BadMethod {
             headers.push(Header::new("allow", "DELETE, GET, HEAD, PATCH, POST, PUT"));
         }
+        if refusal == Refusal::Overloaded {
+            headers.push(Header::new("retry-after", OVERLOADED_RETRY_S));
+        }
         Self {
             status: refusal.status(),
             headers,
@@ -77,14 +86,26 @@
         Self::refused(rejection.refusal, &rejection.detail)
     }
 
-    /// Encodes the answer as the bytes to send.
+    /// Encodes the answer as the bytes to send, with its whole body.
     pub(super) fn encode(&self, options: EncodeOptions) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(256 + self.body.len());
+        let (mut bytes, rest) = self.encode_start(options);
+        bytes.extend_from_slice(rest);
+        bytes
+    }
+
+    /// Encodes the head and a small body as the first bytes to send; returns what of the body
+    /// follows. A large one isn't copied.
+    pub(super) fn encode_start(&self, options: EncodeOptions) -> (Vec<u8>, &[u8]) {
+        let mut bytes = Vec::with_capacity(256);
         self.encode_head(options, &mut bytes);
-        if options.body == BodyMode::Sent && self.may_have_body() {
-            bytes.extend_from_slice(&self.body);
+        if options.body != BodyMode::Sent || !self.may_have_body() {
+            return (bytes, &[]);
         }
-        bytes
+        if self.body.len() > MAX_COPIED_BYTES {
+            return (bytes, &self.body);
+        }
+        bytes.extend_from_slice(&self.body);
+        (bytes, &[])
     }
 
     fn encode_head(&self, options: EncodeOptions, bytes: &mut Vec<u8>) {
--- a/crates/cornelpoint-daemon/src/caller_edge/body.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/body.rs
@@ -1,17 +1,19 @@
 use std::time::Instant;
 
+use cornelpoint::connection_budget::ConnectionId;
 use cornelpoint::request::Refusal;
 
 use super::buffered_stream::BufferedStream;
 use super::buffered_stream::ReadOutcome;
 use super::caller_handler::BodyLimit;
+use super::chunked_decoder::ChunkStep;
 use super::chunked_decoder::ChunkedDecoder;
 use super::framing::Framing;
 use super::head_parser::ParsedHead;
+use super::open_connections::ConnectionHandle;
+use super::open_connections::OpenConnections;
 use super::rejection::Rejection;
 
-/// Largest capacity reserved before any byte of a body has been received.
-const MAX_RESERVE_BYTES: usize = 64 * 1024;
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// Why a body could not be read.
@@ -29,27 +31,131 @@
     }
 }
 
-/// Reads the body that follows a head, up to its size limit and until its
-/// deadline.
-pub(super) fn read(
-    buffered: &mut BufferedStream,
-    parsed: &ParsedHead,
-    limit: BodyLimit,
-    deadline: Instant,
-) -> Result<Vec<u8>, BodyFailure> {
-    if let Framing::Length(length_bytes) = parsed.framing {
-        check_length(length_bytes, limit)?;
+/// Reads the body that follows a head, within its size limit, until its deadline, and as long
+/// as there is room for it.
+pub(super) struct BodyReader<'a> {
+    pub(super) buffered: &'a mut BufferedStream,
+    pub(super) connections: &'a OpenConnections,
+    pub(super) handle: &'a ConnectionHandle,
+    pub(super) id: ConnectionId,
+    pub(super) limit: BodyLimit,
+    /// What the decoded form takes for each byte of a complete body.
+    pub(super) decoded_bytes_per_byte: usize,
+    pub(super) deadline: Instant,
+}
+
+impl BodyReader<'_> {
+    /// Returns the whole body.
+    pub(super) fn read(&mut self, parsed: &ParsedHead) -> Result<Vec<u8>, BodyFailure> {
+        let length = match parsed.framing {
+            Framing::Empty => return Ok(Vec::new()),
+            Framing::Length(length_bytes) => {
+                check_length(length_bytes, self.limit)?;
+                Some(usize::try_from(length_bytes).map_err(|_| BodyFailure::Closed)?)
+            }
+            Framing::Chunked => None,
+        };
+        if !self.connections.begin_body(self.id) {
+            return Err(no_room().into());
+        }
+        if parsed.expects_continue && self.buffered.bytes().is_empty() {
+            send_continue(self.buffered, self.deadline)?;
+        }
+        match length {
+            Some(length) => self.read_length(length)?,
+            None => self.read_chunked()?,
+        }
+        self.complete()
     }
-    if parsed.framing == Framing::Empty {
-        return Ok(Vec::new());
+
+    fn read_length(&mut self, length: usize) -> Result<(), BodyFailure> {
+        let mut left = length;
+        loop {
+            let taken = left.min(self.buffered.bytes().len());
+            self.append(taken, left, true)?;
+            left -= taken;
+            if left == 0 {
+                return Ok(());
+            }
+            self.fill()?;
+        }
     }
-    if parsed.expects_continue && buffered.bytes().is_empty() {
-        send_continue(buffered, deadline)?;
+
+    fn read_chunked(&mut self) -> Result<(), BodyFailure> {
+        let max_bytes = usize::try_from(self.limit.max_bytes).unwrap_or(usize::MAX);
+        let mut decoder = ChunkedDecoder::new(self.limit.max_bytes);
+        loop {
+            while !self.buffered.bytes().is_empty() {
+                let step = decoder.step(self.buffered.bytes())?;
+                match step {
+                    ChunkStep::Framing { consumed } => self.buffered.consume(consumed),
+                    ChunkStep::Data { bytes } => {
+                        let left = max_bytes - self.handle.body().len();
+                        self.append(bytes, left, false)?;
+                    }
+                    ChunkStep::Done => return Ok(()),
+                }
+            }
+            if decoder.is_done() {
+                return Ok(());
+            }
+            self.fill()?;
+        }
     }
-    match parsed.framing {
-        Framing::Empty => Ok(Vec::new()),
-        Framing::Length(length_bytes) => read_length(buffered, length_bytes, deadline),
-        Framing::Chunked => read_chunked(buffered, limit, deadline),
+
+    /// Moves bytes from the read buffer to the body, of which at most `left_bytes` are to
+    /// come.
+    fn append(
+        &mut self,
+        count: usize,
+        left_bytes: usize,
+        length_is_known: bool,
+    ) -> Result<(), BodyFailure> {
+        let mut piece = &self.buffered.bytes()[..count];
+        loop {
+            let mut body = self.handle.body();
+            piece = body.fill(piece);
+            let left_bytes = left_bytes - (count - piece.len());
+            if piece.is_empty() {
+                break;
+            }
+            let segment_bytes = body.next_segment_bytes(left_bytes, length_is_known);
+            let held_bytes = body.capacity() + segment_bytes;
+            drop(body);
+            if !self.connections.hold(self.id, held_bytes) {
+                return Err(no_room().into());
+            }
+            self.handle.body().add_segment(segment_bytes);
+        }
+        self.buffered.consume(count);
+        Ok(())
+    }
+
+    fn complete(&mut self) -> Result<Vec<u8>, BodyFailure> {
+        let body = std::mem::take(&mut *self.handle.body());
+        // It is held in segments and as a whole until the segments are free.
+        let decoded_bytes = body.len() * (1 + self.decoded_bytes_per_byte);
+        let held_bytes = decoded_bytes.max(body.capacity() + body.len());
+        if !self.connections.hold(self.id, held_bytes) {
+            return Err(no_room().into());
+        }
+        self.connections.end_body(self.id);
+        Ok(body.into_vec())
+    }
+
+    fn fill(&mut self) -> Result<(), BodyFailure> {
+        match self.buffered.fill(self.deadline) {
+            ReadOutcome::Bytes => {
+                let count = self.buffered.bytes().len();
+                self.connections.record_progress(self.id, count);
+                Ok(())
+            }
+            ReadOutcome::Closed => Err(BodyFailure::Closed),
+            ReadOutcome::TimedOut => Err(BodyFailure::Rejected(Rejection::new(
+                Refusal::SlowCaller,
+                "expected the whole body in time",
+            ))),
+        }
     }
 }
 
@@ -70,48 +176,9 @@
     }
 }
 
-fn read_length(
-    buffered: &mut BufferedStream,
-    length_bytes: u64,
-    deadline: Instant,
-) -> Result<Vec<u8>, BodyFailure> {
-    let length = usize::try_from(length_bytes).map_err(|_| BodyFailure::Closed)?;
-    let mut body = Vec::with_capacity(length.min(MAX_RESERVE_BYTES));
-    loop {
-        let wanted = length - body.len();
-        let taken = wanted.min(buffered.bytes().len());
-        body.extend_from_slice(&buffered.bytes()[..taken]);
-        buffered.consume(taken);
-        if body.len() == length {
-            return Ok(body);
-        }
-        fill(buffered, deadline)?;
-    }
-}
-
-fn read_chunked(
-    buffered: &mut BufferedStream,
-    limit: BodyLimit,
-    deadline: Instant,
-) -> Result<Vec<u8>, BodyFailure> {
-    let mut decoder = ChunkedDecoder::new(limit.max_bytes);
-    loop {
-        let taken = decoder.push(buffered.bytes())?;
-        buffered.consume(taken);
-        if decoder.is_done() {
-            return Ok(decoder.into_body());
-        }
-        fill(buffered, deadline)?;
-    }
-}
-
-fn fill(buffered: &mut BufferedStream, deadline: Instant) -> Result<(), BodyFailure> {
-    match buffered.fill(deadline) {
-        ReadOutcome::Bytes => Ok(()),
-        ReadOutcome::Closed => Err(BodyFailure::Closed),
-        ReadOutcome::TimedOut => Err(BodyFailure::Rejected(Rejection::new(
-            Refusal::SlowCaller,
-            "expected the whole body in time",
-        ))),
-    }
+fn no_room() -> Rejection {
+    Rejection::new(
+        Refusal::Overloaded,
+        "expected room for the body, found none left",
+    )
 }
--- a/crates/cornelpoint-daemon/src/caller_edge/buffered_stream.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/buffered_stream.rs
@@ -2,16 +2,16 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
-use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use super::open_connections::ConnectionHandle;
 use crate::socket_timeout::CachedTimeout;
 
-/// Number of bytes requested by one read.
-const READ_CHUNK_BYTES: usize = 8 * 1024;
-/// Largest buffer capacity that an idle connection keeps.
-const MAX_IDLE_CAPACITY_BYTES: usize = 32 * 1024;
+/// Number of bytes requested by one read, and the largest buffer capacity that an idle
+/// connection keeps.
+pub(super) const READ_CHUNK_BYTES: usize = 8 * 1024;
 
 /// Time for a caller to receive an error answer while it is still sending.
 const LINGER_TIMEOUT_MS: u64 = 500;
@@ -33,30 +33,43 @@
 /// consumed.
 #[derive(Debug)]
 pub(super) struct BufferedStream {
-    stream: TcpStream,
+    handle: Arc<ConnectionHandle>,
     buffer: Vec<u8>,
+    /// Number of bytes at the start of the buffer that have been consumed.
+    consumed: usize,
     timeout: CachedTimeout,
 }
 
 impl BufferedStream {
     /// Creates an empty buffer over a connection.
-    pub(super) fn new(stream: TcpStream) -> Self {
+    pub(super) fn new(handle: Arc<ConnectionHandle>) -> Self {
         Self {
-            stream,
+            handle,
             buffer: Vec::new(),
+            consumed: 0,
             timeout: CachedTimeout::default(),
         }
     }
 
+    /// What the buffer holds, free room included.
+    pub(super) fn capacity(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// The bytes not yet consumed.
     pub(super) fn bytes(&self) -> &[u8] {
-        &self.buffer
+        &self.buffer[self.consumed..]
     }
 
     /// Removes the first `count` bytes from the buffer.
     pub(super) fn consume(&mut self, count: usize) {
-        self.buffer.drain(..count);
-        if self.buffer.is_empty() && self.buffer.capacity() > MAX_IDLE_CAPACITY_BYTES {
+        self.consumed += count;
+        if self.consumed < self.buffer.len() {
+            return;
+        }
+        self.consumed = 0;
+        self.buffer.clear();
+        if self.buffer.capacity() > READ_CHUNK_BYTES {
             self.buffer = Vec::new();
         }
     }
@@ -64,7 +77,7 @@
     /// Removes the line ends that precede a request.
     pub(super) fn skip_line_ends(&mut self) {
         let is_end = |byte: &&u8| matches!(**byte, b'\r' | b'\n');
-        let count = self.buffer.iter().take_while(is_end).count();
+        let count = self.bytes().iter().take_while(is_end).count();
         self.consume(count);
     }
 
@@ -72,7 +85,12 @@
     pub(super) fn fill(&mut self, deadline: Instant) -> ReadOutcome {
         loop {
             let remaining = deadline.saturating_duration_since(Instant::now());
-            if remaining.is_zero() || self.timeout.limit_read(&self.stream, remaining).is_err() {
+            if remaining.is_zero()
+                || self
+                    .timeout
+                    .limit_read(&self.handle.stream, remaining)
+                    .is_err()
+            {
                 return ReadOutcome::TimedOut;
             }
             match self.read() {
@@ -90,10 +108,15 @@
         let mut written = 0;
         while written < bytes.len() {
             let remaining = deadline.saturating_duration_since(Instant::now());
-            if remaining.is_zero() || self.timeout.limit_write(&self.stream, remaining).is_err() {
+            if remaining.is_zero()
+                || self
+                    .timeout
+                    .limit_write(&self.handle.stream, remaining)
+                    .is_err()
+            {
                 return false;
             }
-            match self.stream.write(&bytes[written..]) {
+            match (&self.handle.stream).write(&bytes[written..]) {
                 Ok(0) => return false,
                 Ok(count) => written += count,
                 Err(error) if is_temporary(error.kind()) => {}
@@ -108,23 +131,25 @@
     /// connection reset.
     pub(super) fn linger(&mut self) {
         // Fails only when the connection is already closed.
-        let _ = self.stream.shutdown(Shutdown::Write);
+        let _ = self.handle.stream.shutdown(Shutdown::Write);
         let deadline = Instant::now() + Duration::from_millis(LINGER_TIMEOUT_MS);
         let mut dropped = 0;
         while dropped < MAX_LINGER_BYTES {
-            let taken = self.buffer.len();
+            let taken = self.bytes().len();
             self.consume(taken);
             if self.fill(deadline) != ReadOutcome::Bytes {
                 return;
             }
-            dropped += self.buffer.len();
+            dropped += self.bytes().len();
         }
     }
 
     fn read(&mut self) -> Result<usize, ErrorKind> {
+        self.buffer.drain(..self.consumed);
+        self.consumed = 0;
         let filled = self.buffer.len();
         self.buffer.resize(filled + READ_CHUNK_BYTES, 0);
-        let result = self.stream.read(&mut self.buffer[filled..]);
+        let result = (&self.handle.stream).read(&mut self.buffer[filled..]);
         let count = result.as_ref().map_or(0, |count| *count);
         self.buffer.truncate(filled + count);
         result.map_err(|error| error.kind())
--- a/crates/cornelpoint-daemon/src/caller_edge/caller_handler.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/caller_handler.rs
@@ -1,9 +1,12 @@
 use std::time::Instant;
 
+use cornelpoint::connection_budget::ClientClass;
+use cornelpoint::connection_budget::CloseReason;
 use cornelpoint::request::Refusal;
 
 use super::answer::Answer;
 use super::request_head::RequestHead;
+use super::request_room::RequestRoom;
 
 /// Size limit of a request body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,10 +24,17 @@
     pub body: Vec<u8>,
     /// When the first byte of the request was read.
     pub received_at: Instant,
+    /// Room of the request; its answer needs some as well.
+    pub room: RequestRoom,
 }
 
 /// Handles the requests that the edge reads from callers.
 pub trait CallerHandler: Send + Sync {
+    /// Returns the kind of client that a request comes from, whose room it takes.
+    fn classify(&self, _head: &RequestHead) -> ClientClass {
+        ClientClass::Callers
+    }
+
     /// Admits a request before its body is read, and limits the body's size.
     ///
     /// # Errors
@@ -37,4 +47,7 @@
 
     /// Records in the metrics that the edge itself rejected a caller's bytes.
     fn record_rejection(&self, _refusal: Refusal) {}
+
+    /// Records in the metrics that a connection was closed to make room for others.
+    fn record_closed(&self, _reason: CloseReason) {}
 }
--- a/crates/cornelpoint-daemon/src/caller_edge/chunked_decoder.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/chunked_decoder.rs
@@ -16,12 +16,24 @@
     Done,
 }
 
+/// What the next bytes of a chunked body are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ChunkStep {
+    /// So many bytes of sizes, line ends or trailers.
+    Framing { consumed: usize },
+    /// So many bytes of the body.
+    Data { bytes: usize },
+    /// The body has ended.
+    Done,
+}
+
 /// Incremental decoder of the chunked transfer coding, with a size limit.
 #[derive(Debug)]
 pub(super) struct ChunkedDecoder {
     state: State,
     line: Vec<u8>,
-    body: Vec<u8>,
+    /// Bytes of the body so far.
+    body_bytes: u64,
     max_bytes: u64,
     trailer_bytes: usize,
 }
@@ -32,7 +44,7 @@
         Self {
             state: State::Size,
             line: Vec::new(),
-            body: Vec::new(),
+            body_bytes: 0,
             max_bytes,
             trailer_bytes: 0,
         }
@@ -43,32 +55,23 @@
         self.state == State::Done
     }
 
-    /// Returns the body decoded so far.
-    pub(super) fn into_body(self) -> Vec<u8> {
-        self.body
-    }
-
-    /// Decodes bytes up to the end of the body; returns how many were consumed.
-    pub(super) fn push(&mut self, bytes: &[u8]) -> Result<usize, Rejection> {
-        let mut taken = 0;
-        while taken < bytes.len() && !self.is_done() {
-            taken += self.step(&bytes[taken..])?;
-        }
-        Ok(taken)
-    }
-
-    fn step(&mut self, bytes: &[u8]) -> Result<usize, Rejection> {
+    /// Decodes the next bytes, up to the end of a line or of a chunk's data.
+    pub(super) fn step(&mut self, bytes: &[u8]) -> Result<ChunkStep, Rejection> {
         match self.state {
-            State::Data { remaining_bytes } => Ok(self.take_data(bytes, remaining_bytes)),
-            State::Size | State::DataEnd | State::Trailer => self.take_line(bytes),
-            State::Done => Ok(0),
+            State::Data { remaining_bytes } => Ok(ChunkStep::Data {
+                bytes: self.take_data(bytes, remaining_bytes),
+            }),
+            State::Size | State::DataEnd | State::Trailer => Ok(ChunkStep::Framing {
+                consumed: self.take_line(bytes)?,
+            }),
+            State::Done => Ok(ChunkStep::Done),
         }
     }
 
     fn take_data(&mut self, bytes: &[u8], remaining_bytes: u64) -> usize {
         let wanted = usize::try_from(remaining_bytes).unwrap_or(usize::MAX);
         let taken = wanted.min(bytes.len());
-        self.body.extend_from_slice(&bytes[..taken]);
+        self.body_bytes += taken as u64;
         let remaining_bytes = remaining_bytes - taken as u64;
         self.state = match remaining_bytes {
             0 => State::DataEnd,
@@ -108,7 +111,7 @@
 
     fn start_chunk(&mut self, text: &[u8]) -> Result<(), Rejection> {
         let size = chunk_size(text)?;
-        let total = (self.body.len() as u64).saturating_add(size);
+        let total = self.body_bytes.saturating_add(size);
         if total > self.max_bytes {
             let max_bytes = self.max_bytes;
             let detail = format!("expected a body of at most {max_bytes} bytes, found more");
--- a/crates/cornelpoint-daemon/src/caller_edge/edge_settings.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/edge_settings.rs
@@ -1,12 +1,16 @@
 use std::net::SocketAddr;
 
+use cornelpoint::connection_budget::ListenerLimits;
+use cornelpoint::connection_budget::ProcessLimits;
+
 /// Address and limits of the edge towards callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EdgeSettings {
     /// Address to listen on; port 0 takes any free port.
     pub listen: SocketAddr,
-    /// Maximum number of open connections; further ones are rejected with 503.
-    pub max_connections: usize,
+    /// What the connections may hold. Where room is short, connections without a request are
+    /// closed; what finds no room is rejected with 503.
+    pub limits: ListenerLimits,
     /// Maximum size of a request line with its headers, in bytes.
     pub max_header_bytes: usize,
     /// Time to receive the request line and the headers, from their first byte
@@ -23,6 +27,10 @@
 }
 
 impl EdgeSettings {
+    const DEFAULT_LIMITS: ProcessLimits = ProcessLimits {
+        memory_bytes: 160_000_000,
+        max_descriptors: 4100,
+    };
     const DEFAULT_MAX_CONNECTIONS: usize = 1024;
     const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
     const DEFAULT_HEADER_TIMEOUT_MS: u64 = 5_000;
@@ -42,7 +50,7 @@
     pub fn new(listen: SocketAddr) -> Self {
         Self {
             listen,
-            max_connections: Self::DEFAULT_MAX_CONNECTIONS,
+            limits: Self::DEFAULT_LIMITS.gateway_callers(Self::DEFAULT_MAX_CONNECTIONS),
             max_header_bytes: Self::DEFAULT_MAX_HEADER_BYTES,
             header_timeout_ms: Self::DEFAULT_HEADER_TIMEOUT_MS,
             body_timeout_ms: Self::DEFAULT_BODY_TIMEOUT_MS,
--- a/crates/cornelpoint-daemon/src/caller_edge/mod.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/mod.rs
@@ -3,7 +3,8 @@
 //! One thread accepts connections, each connection has its own thread, and one
 //! thread rejects connections over the limit. The number of threads, the sizes of
 //! headers and bodies, and all waiting times are limited, so that a slow or
-//! hostile caller uses a bounded amount of resources.
+//! hostile caller uses a bounded amount of resources. What all connections hold together is
+//! bounded by `cornelpoint::connection_budget`.
 //! `docs/design/edges.md` records why this is not done through `rouille`.
 
 mod answer;
@@ -13,16 +14,17 @@
 mod caller_handler;
 mod chunked_decoder;
 mod connection;
-mod connection_table;
 mod drain_outcome;
 mod edge_error;
 mod edge_settings;
 mod framing;
 mod head_parser;
 mod header;
+mod open_connections;
 mod reject_connections;
 mod rejection;
 mod request_head;
+mod request_room;
 mod server;
 mod target;
 
@@ -36,4 +38,5 @@
 pub use self::edge_settings::EdgeSettings;
 pub use self::header::Header;
 pub use self::request_head::RequestHead;
+pub use self::request_room::RequestRoom;
 pub use self::server::CallerEdge;
--- a/crates/cornelpoint-daemon/src/caller_edge/server.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/server.rs
@@ -16,22 +16,29 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cornelpoint::connection_budget::ConnectionId;
 use error_stack::Report;
 use error_stack::ResultExt;
+use socket2::SockRef;
 
 use super::caller_handler::CallerHandler;
 use super::connection::Connection;
-use super::connection_table::ConnectionId;
-use super::connection_table::ConnectionTable;
 use super::drain_outcome::DrainOutcome;
 use super::edge_error::EdgeError;
 use super::edge_settings::EdgeSettings;
+use super::open_connections::ConnectionHandle;
+use super::open_connections::OpenConnections;
+use super::open_connections::Opened;
 use super::reject_connections;
 
 /// Delay after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY_MS: u64 = 10;
 /// Connect timeout of the connection that wakes the accepting thread.
 const WAKE_TIMEOUT_MS: u64 = 200;
+/// Buffers of a connection in the operating system, which doubles these sizes. Without a limit
+/// they grow up to megabytes for clients that send without reading.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+const SEND_BUFFER_BYTES: usize = 64 * 1024;
 
 /// An HTTP/1.1 server for callers.
 ///
@@ -81,7 +88,7 @@
 struct Shared {
     settings: EdgeSettings,
     handler: Arc<dyn CallerHandler>,
-    table: ConnectionTable,
+    connections: Arc<OpenConnections>,
 }
 
 impl CallerEdge {
@@ -99,10 +106,17 @@
         };
         let listener = TcpListener::bind(settings.listen).change_context(listen_error)?;
         let address = listener.local_addr().change_context(listen_error)?;
+        let socket = SockRef::from(&listener);
+        socket
+            .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+            .and_then(|()| socket.set_send_buffer_size(SEND_BUFFER_BYTES))
+            .change_context(listen_error)?;
+        let recorder = Arc::clone(&handler);
+        let on_closed = Box::new(move |reason| recorder.record_closed(reason));
         let shared = Arc::new(Shared {
             settings,
             handler,
-            table: ConnectionTable::new(settings.max_connections),
+            connections: Arc::new(OpenConnections::new(settings.limits, on_closed)),
         });
         let acceptor = start_threads(listener, &shared).change_context(EdgeError::Thread)?;
         Ok(Self {
@@ -121,14 +135,14 @@
     /// Number of open connections.
     #[must_use]
     pub fn connections(&self) -> usize {
-        self.shared.table.len()
+        self.shared.connections.len()
     }
 
     /// Stops accepting connections. Idle connections are closed at once, others
     /// after their current answer. Returns once the address is free; further
     /// calls do nothing.
     pub fn stop_accepting(&self) {
-        self.shared.table.stop();
+        self.shared.connections.stop();
         let mut acceptor = self.acceptor.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(thread) = acceptor.take() else {
             return;
@@ -147,7 +161,7 @@
     /// after `stop_accepting`.
     #[must_use]
     pub fn wait_idle(&self, deadline: Instant) -> DrainOutcome {
-        self.shared.table.wait_idle(deadline)
+        self.shared.connections.wait_idle(deadline)
     }
 }
 
@@ -174,7 +188,7 @@
 
 fn start_threads(listener: TcpListener, shared: &Arc<Shared>) -> io::Result<JoinHandle<()>> {
     let (sender, receiver) = sync_channel(reject_connections::QUEUE_LENGTH);
-    let max_connections = shared.settings.max_connections;
+    let max_connections = shared.settings.limits.connections.max_connections;
     thread::Builder::new()
         .name("turn-away".to_owned())
         .stack_size(shared.settings.stack_bytes)
@@ -186,7 +200,7 @@
 }
 
 fn accept(listener: &TcpListener, shared: &Arc<Shared>, over_limit: &SyncSender<TcpStream>) {
-    while !shared.table.is_stopping() {
+    while !shared.connections.is_stopping() {
         match listener.accept() {
             Ok((stream, _)) => admit(stream, shared, over_limit),
             Err(_) => thread::sleep(Duration::from_millis(ACCEPT_RETRY_DELAY_MS)),
@@ -195,18 +209,15 @@
 }
 
 fn admit(stream: TcpStream, shared: &Arc<Shared>, over_limit: &SyncSender<TcpStream>) {
-    let Ok(watched) = stream.try_clone() else {
-        return;
-    };
-    if let Some(id) = shared.table.insert(watched) {
-        spawn(stream, id, shared);
-    } else if !shared.table.is_stopping() {
+    match shared.connections.open(stream) {
+        Opened::Added(id, handle) => spawn(handle, id, shared),
         // When the queue is full too, the connection is closed without an answer.
-        let _ = over_limit.try_send(stream);
+        Opened::Refused(stream) => drop(over_limit.try_send(stream)),
+        Opened::Stopping => {}
     }
 }
 
-fn spawn(stream: TcpStream, id: ConnectionId, shared: &Arc<Shared>) {
+fn spawn(handle: Arc<ConnectionHandle>, id: ConnectionId, shared: &Arc<Shared>) {
     let guard = ConnectionGuard {
         id,
         shared: Arc::clone(shared),
@@ -214,31 +225,38 @@
     let spawned = thread::Builder::new()
         .name("caller".to_owned())
         .stack_size(shared.settings.stack_bytes)
-        .spawn(move || guard.serve(stream));
+        .spawn(move || guard.serve(handle));
     // When no thread starts, dropping the closure closes the connection and
-    // removes it from the table.
+    // removes it from the open ones.
     drop(spawned);
 }
 
-/// Removes a connection from the table when its thread ends, also by a panic.
+/// Removes a connection from the open ones when its thread ends, also by a panic.
 struct ConnectionGuard {
     id: ConnectionId,
     shared: Arc<Shared>,
 }
 
 impl ConnectionGuard {
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, handle: Arc<ConnectionHandle>) {
         // With Nagle's algorithm an answer could wait for the previous one's
         // acknowledgement.
-        let _ = stream.set_nodelay(true);
+        let _ = handle.stream.set_nodelay(true);
         let shared = &self.shared;
         let handler = shared.handler.as_ref();
-        Connection::new(stream, self.id, &shared.table, &shared.settings, handler).serve();
+        Connection::new(
+            handle,
+            self.id,
+            &shared.connections,
+            &shared.settings,
+            handler,
+        )
+        .serve();
     }
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.shared.table.remove(self.id);
+        self.shared.connections.remove(self.id);
     }
 }
--- a/crates/cornelpoint-daemon/src/control/control_request.rs
+++ b/crates/cornelpoint-daemon/src/control/control_request.rs
@@ -18,8 +18,7 @@
     /// Path without its query.
     #[must_use]
     pub fn path(&self) -> &str {
-        let end = self.target.find('?').unwrap_or(self.target.len());
-        self.target.split_at(end).0
+        path_of(&self.target)
     }
 
     /// Body; empty when the request has none.
@@ -28,3 +27,8 @@
         &self.body
     }
 }
+
+/// Returns a target's path without its query.
+pub(super) fn path_of(target: &str) -> &str {
+    target.split('?').next().unwrap_or(target)
+}
--- a/crates/cornelpoint-daemon/src/control/control_server.rs
+++ b/crates/cornelpoint-daemon/src/control/control_server.rs
@@ -4,8 +4,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cornelpoint::connection_budget::ClientClass;
+use cornelpoint::connection_budget::CloseReason;
+use cornelpoint::connection_budget::ListenerLimits;
+use cornelpoint::request::Refusal;
+
 use super::control_error::ControlError;
 use super::control_request::ControlRequest;
+use super::control_request::path_of;
 use crate::caller_edge::Answer;
 use crate::caller_edge::BodyLimit;
 use crate::caller_edge::CallerEdge;
@@ -13,14 +19,28 @@
 use crate::caller_edge::CallerRequest;
 use crate::caller_edge::EdgeSettings;
 use crate::caller_edge::RequestHead;
+use crate::metrics::Metrics;
 
-/// Largest message accepted.
-const MAX_MESSAGE_BYTES: u64 = 16 * 1024 * 1024;
 /// Stack size of a connection's thread.
 const STACK_BYTES: usize = 512 * 1024;
 /// Longest wait for requests in progress when the server stops.
 const STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Address and limits of a control interface.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Address to listen on; port 0 takes any free port.
+    pub listen: SocketAddr,
+    /// What the connections may hold.
+    pub limits: ListenerLimits,
+    /// Largest body of a request, in bytes.
+    pub max_message_bytes: u64,
+    /// Returns the kind of client that requests a path.
+    pub classify: fn(path: &str) -> ClientClass,
+    /// Counts what is refused and closed.
+    pub metrics: Metrics,
+}
+
 /// A running control interface with one thread per connection.
 ///
 /// It uses the same HTTP server as the callers' edge. `rouille` shares threads
@@ -37,19 +57,19 @@
     ///
     /// When listening on the address fails.
     pub fn start(
-        listen: SocketAddr,
-        max_connections: usize,
+        settings: ControlSettings,
         handler: impl Fn(&ControlRequest) -> Answer + Send + Sync + 'static,
     ) -> Result<Self, ControlError> {
-        let settings = EdgeSettings {
-            max_connections,
+        let edge_settings = EdgeSettings {
+            limits: settings.limits,
             stack_bytes: STACK_BYTES,
-            ..EdgeSettings::new(listen)
+            ..EdgeSettings::new(settings.listen)
         };
-        let handler = Arc::new(ControlHandler { handler });
-        let edge = CallerEdge::start(settings, handler).map_err(|report| ControlError::Listen {
-            found: format!("{report:?}"),
-        })?;
+        let handler = Arc::new(ControlHandler { settings, handler });
+        let edge =
+            CallerEdge::start(edge_settings, handler).map_err(|report| ControlError::Listen {
+                found: format!("{report:?}"),
+            })?;
         Ok(Self { edge })
     }
 
@@ -77,13 +97,18 @@
 }
 
 struct ControlHandler<F> {
+    settings: ControlSettings,
     handler: F,
 }
 
 impl<F: Fn(&ControlRequest) -> Answer + Send + Sync> CallerHandler for ControlHandler<F> {
+    fn classify(&self, head: &RequestHead) -> ClientClass {
+        (self.settings.classify)(path_of(&head.target))
+    }
+
     fn admit(&self, _head: &RequestHead) -> Result<BodyLimit, Answer> {
         Ok(BodyLimit {
-            max_bytes: MAX_MESSAGE_BYTES,
+            max_bytes: self.settings.max_message_bytes,
         })
     }
 
@@ -95,4 +120,11 @@
         };
         (self.handler)(&request)
     }
+    fn record_rejection(&self, refusal: Refusal) {
+        self.settings.metrics.count_refusal(refusal);
+    }
+
+    fn record_closed(&self, reason: CloseReason) {
+        self.settings.metrics.count_closed(reason);
+    }
 }
--- a/crates/cornelpoint-daemon/src/control/mod.rs
+++ b/crates/cornelpoint-daemon/src/control/mod.rs
@@ -13,6 +13,7 @@
 pub use self::control_error::ControlError;
 pub use self::control_request::ControlRequest;
 pub use self::control_server::ControlServer;
+pub use self::control_server::ControlSettings;
 pub use self::reply::json_body;
 pub use self::reply::json_reply;
 pub use self::reply::msgpack_body;
--- a/crates/cornelpoint-daemon/src/endpoint_client/client.rs
+++ b/crates/cornelpoint-daemon/src/endpoint_client/client.rs
@@ -63,9 +63,23 @@
         request: &OutgoingRequest<'_>,
         deadline: Instant,
         reuse: Reuse,
+    ) -> SendOutcome {
+        self.send_holding(address, request, deadline, reuse, &|_| true)
+    }
+
+    /// Sends a request like [`Self::send`]. Before more of the answer's body is read, `hold` is
+    /// asked for room for so many bytes of it in all; without room, the outcome is
+    /// [`Refusal::AnswerDropped`](cornelpoint::request::Refusal::AnswerDropped).
+    pub fn send_holding(
+        &self,
+        address: SocketAddr,
+        request: &OutgoingRequest<'_>,
+        deadline: Instant,
+        reuse: Reuse,
+        hold: &dyn Fn(usize) -> bool,
     ) -> SendOutcome {
         let connection = self.connection(address, reuse);
-        let outcome = connection.send(request, deadline);
+        let outcome = connection.send(request, deadline, hold);
         if connection.is_open() {
             self.pool.put(address, connection);
         }
--- a/crates/cornelpoint-daemon/src/endpoint_client/connection.rs
+++ b/crates/cornelpoint-daemon/src/endpoint_client/connection.rs
@@ -1,4 +1,5 @@
 use std::io::ErrorKind;
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,6 +28,8 @@
 
 /// Bytes of a buffer beyond the largest head.
 const BUFFER_SLACK_BYTES: usize = 1024;
+/// Bytes of an answer's body that are read at a time.
+const READ_BYTES: usize = 8 * 1024;
 /// Status with which an endpoint reports that it did not start a request.
 const NOT_STARTED_STATUS: u16 = 503;
 
@@ -62,7 +65,12 @@
     }
 
     /// Sends a request and waits for its answer.
-    pub(super) fn send(&self, outgoing: &OutgoingRequest<'_>, deadline: Instant) -> SendOutcome {
+    pub(super) fn send(
+        &self,
+        outgoing: &OutgoingRequest<'_>,
+        deadline: Instant,
+        hold: &dyn Fn(usize) -> bool,
+    ) -> SendOutcome {
         self.watch.start_request();
         let left = deadline.saturating_duration_since(Instant::now());
         if left.is_zero() {
@@ -71,7 +79,7 @@
         match self.run(outgoing, left) {
             None => SendOutcome::NotSent(NotSent::Unsendable),
             Some(Err(error)) => self.failure(&error),
-            Some(Ok(response)) => self.read(response, outgoing),
+            Some(Ok(response)) => self.read(response, outgoing, hold),
         }
     }
 
@@ -93,7 +101,12 @@
         Some(result)
     }
 
-    fn read(&self, mut response: Response<Body>, outgoing: &OutgoingRequest<'_>) -> SendOutcome {
+    fn read(
+        &self,
+        mut response: Response<Body>,
+        outgoing: &OutgoingRequest<'_>,
+        hold: &dyn Fn(usize) -> bool,
+    ) -> SendOutcome {
         let Some(headers) = headers_of(response.headers()) else {
             return SendOutcome::Broken(Refusal::AnswerMalformed);
         };
@@ -110,13 +123,14 @@
             .body_mut()
             .with_config()
             .limit(outgoing.max_answer_bytes);
-        let body = limited.read_to_vec();
+        let body = read_body(limited.reader(), declared_bytes(&head, outgoing), hold);
         if reports_not_started(&head) {
             let leaving = head.header(OutgoingRequest::LEAVING_HEADER) == Some("yes");
             return SendOutcome::NotStarted { leaving };
         }
         match body {
-            Err(error) => self.failure(&error),
+            Err(BodyError::Failed(error)) => self.failure(&error),
+            Err(BodyError::NoRoom) => SendOutcome::Broken(Refusal::AnswerDropped),
             Ok(_) if self.watch.has_ended() => SendOutcome::Broken(Refusal::AnswerCut),
             Ok(_) if self.watch.has_surplus() => SendOutcome::Broken(Refusal::AnswerMalformed),
             Ok(body) => SendOutcome::Answered(complete_answer(head, body)),
@@ -132,6 +146,62 @@
     }
 }
 
+/// Why the body of an answer was not read.
+enum BodyError {
+    Failed(Error),
+    NoRoom,
+}
+
+/// Returns the length that the head of an answer declares for a body that follows.
+fn declared_bytes(head: &EndpointAnswer, outgoing: &OutgoingRequest<'_>) -> usize {
+    if outgoing.method == Method::Head {
+        return 0;
+    }
+    let length = head.header("content-length");
+    length.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+/// Reads a body into a buffer of its declared length, or one that grows in steps.
+fn read_body(
+    mut reader: impl Read,
+    declared_bytes: usize,
+    hold: &dyn Fn(usize) -> bool,
+) -> Result<Vec<u8>, BodyError> {
+    let mut body = Vec::new();
+    reserve(&mut body, declared_bytes, hold)?;
+    let mut piece = [0; READ_BYTES];
+    loop {
+        let count = match reader.read(&mut piece) {
+            Ok(0) => return Ok(body),
+            Ok(count) => count,
+            Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+            Err(error) => return Err(BodyError::Failed(Error::from(error))),
+        };
+        if body.len() + count > body.capacity() {
+            let wanted = (body.capacity() * 2).max(READ_BYTES);
+            reserve(&mut body, wanted, hold)?;
+        }
+        body.extend_from_slice(&piece[..count]);
+    }
+}
+
+/// Grows a buffer to a capacity. The old one is held until its bytes have been moved.
+fn reserve(
+    body: &mut Vec<u8>,
+    capacity: usize,
+    hold: &dyn Fn(usize) -> bool,
+) -> Result<(), BodyError> {
+    if !hold(body.capacity() + capacity) {
+        return Err(BodyError::NoRoom);
+    }
+    body.reserve_exact(capacity - body.len());
+    if hold(body.capacity()) {
+        Ok(())
+    } else {
+        Err(BodyError::NoRoom)
+    }
+}
+
 fn agent_config(settings: &ClientSettings) -> Config {
     let buffer_bytes = settings.max_header_bytes + BUFFER_SLACK_BYTES;
     Agent::config_builder()
--- a/crates/cornelpoint-daemon/src/endpoint_client/send_outcome.rs
+++ b/crates/cornelpoint-daemon/src/endpoint_client/send_outcome.rs
@@ -18,7 +18,8 @@
     },
     /// The request may have run, but there is no usable answer:
     /// [`Refusal::AnswerLate`], [`Refusal::AnswerCut`],
-    /// [`Refusal::AnswerTooLarge`] or [`Refusal::AnswerMalformed`].
+    /// [`Refusal::AnswerTooLarge`], [`Refusal::AnswerMalformed`] or
+    /// [`Refusal::AnswerDropped`].
     Broken(Refusal),
 }
 
--- a/crates/cornelpoint-daemon/src/gateway/gateway_builder.rs
+++ b/crates/cornelpoint-daemon/src/gateway/gateway_builder.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cornelpoint::claim::Claimant;
+use cornelpoint::connection_budget::ProcessLimits;
 use cornelpoint::dispatch::Dispatcher;
 use cornelpoint::dispatch::DispatcherSettings;
 use cornelpoint::name::InstanceId;
@@ -19,6 +20,7 @@
 use super::pause_detector::PauseDetector;
 use super::request_handler::RequestHandler;
 use super::routes::Routes;
+use super::routes::classify;
 use super::serving_state::ServingState;
 use super::slot_exchanger::SlotExchanger;
 use crate::caller_edge::CallerEdge;
@@ -28,12 +30,17 @@
 use crate::claim_store::RunningClaimStore;
 use crate::clock::MonotonicClock;
 use crate::control::ControlClient;
+use crate::control::ControlSettings;
 use crate::endpoint_client::ClientSettings;
 use crate::endpoint_client::EndpointClient;
 use crate::metrics::Metrics;
 use crate::platform_client::PlatformClient;
+use crate::settings::BYTES_PER_MB;
 use crate::settings::GatewaySettings;
 
+/// Largest body of a request to the control port. None needs one, but some tools send one.
+const MAX_CONTROL_BODY_BYTES: u64 = 4096;
+
 /// Creates the components of a gateway from what they share.
 #[derive(Debug)]
 pub(super) struct GatewayBuilder<'a> {
@@ -121,9 +128,20 @@
         }
     }
 
+    pub(super) fn build_control_settings(&self) -> ControlSettings {
+        ControlSettings {
+            listen: self.settings.control_listen,
+            limits: self.process_limits().gateway_control(),
+            max_message_bytes: MAX_CONTROL_BODY_BYTES,
+            classify,
+            metrics: self.metrics.clone(),
+        }
+    }
+
     pub(super) fn build_edge_settings(&self) -> EdgeSettings {
+        let max_connections = self.settings.max_connections as usize;
         EdgeSettings {
-            max_connections: self.settings.max_connections as usize,
+            limits: self.process_limits().gateway_callers(max_connections),
             max_header_bytes: self.settings.max_header_bytes as usize,
             header_timeout_ms: self.settings.header_timeout_ms,
             body_timeout_ms: self.settings.body_timeout_ms,
@@ -140,6 +158,13 @@
         }
     }
 
+    fn process_limits(&self) -> ProcessLimits {
+        ProcessLimits {
+            memory_bytes: self.settings.memory_mb * BYTES_PER_MB,
+            max_descriptors: self.settings.max_descriptors,
+        }
+    }
+
     fn keeper_timeout(&self) -> Duration {
         Duration::from_millis(self.settings.keeper_timeout_ms)
     }
--- a/crates/cornelpoint-daemon/src/gateway/request_handler.rs
+++ b/crates/cornelpoint-daemon/src/gateway/request_handler.rs
@@ -7,6 +7,7 @@
 use cornelpoint::claim::Fingerprint;
 use cornelpoint::configuration::Configuration;
 use cornelpoint::configuration::Service;
+use cornelpoint::connection_budget::CloseReason;
 use cornelpoint::dispatch::Assignment;
 use cornelpoint::dispatch::DispatchAction;
 use cornelpoint::dispatch::NewRequest;
@@ -83,6 +84,10 @@
     fn record_rejection(&self, refusal: Refusal) {
         self.metrics.count_refusal(refusal);
     }
+
+    fn record_closed(&self, reason: CloseReason) {
+        self.metrics.count_closed(reason);
+    }
 }
 
 impl RequestHandler {
@@ -238,9 +243,14 @@
         };
         let deadline = forwarded.options.deadline;
         let start = Instant::now();
-        let outcome = self
-            .client
-            .send(assignment.address, &request, deadline, reuse);
+        let room = &forwarded.request.room;
+        let outcome = self.client.send_holding(
+            assignment.address,
+            &request,
+            deadline,
+            reuse,
+            &|answer_bytes| room.hold_answer(answer_bytes),
+        );
         self.count_send(&outcome, start);
         claim.end_send(&outcome);
         sends.record(outcome)
--- a/crates/cornelpoint-daemon/src/gateway/routes.rs
+++ b/crates/cornelpoint-daemon/src/gateway/routes.rs
@@ -1,5 +1,7 @@
 use std::sync::Arc;
 
+use cornelpoint::connection_budget::ClientClass;
+
 use super::decision_handle::DecisionHandle;
 use super::gateway_dump::GatewayDump;
 use super::serving_state::ServingState;
@@ -12,6 +14,14 @@
 use crate::control::text_reply;
 use crate::settings::GatewaySettings;
 
+/// Returns the kind of client that requests a path of the control port.
+pub(super) fn classify(path: &str) -> ClientClass {
+    match path {
+        "/health" => ClientClass::Balancer,
+        _ => ClientClass::Operators,
+    }
+}
+
 /// The gateway's HTTP interface for operators and the balancer.
 #[derive(Debug)]
 pub(super) struct Routes {
--- a/crates/cornelpoint-daemon/src/gateway/running.rs
+++ b/crates/cornelpoint-daemon/src/gateway/running.rs
@@ -32,8 +32,6 @@
 const EVENT_QUEUE_LENGTH: usize = 8192;
 /// Leaving endpoints that may be queued for the announcement to a keeper.
 const LEAVING_QUEUE_LENGTH: usize = 64;
-/// Largest number of connections for dumps and health checks.
-const MAX_CONTROL_CONNECTIONS: usize = 32;
 /// Longest wait for the claim store's last writes when the gateway stops.
 const CLAIM_STOP_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for idle slots to return to their holders before the gateway ends.
@@ -81,10 +79,8 @@
         let edge = Arc::new(edge);
         let routes = builder.build_routes(claims.store(), Arc::clone(&edge));
         let control =
-            ControlServer::start(settings.control_listen, MAX_CONTROL_CONNECTIONS, move |r| {
-                routes.answer(r)
-            })
-            .change_context(GatewayError::Control)?;
+            ControlServer::start(builder.build_control_settings(), move |r| routes.answer(r))
+                .change_context(GatewayError::Control)?;
         let decision_loop = builder.build_decision_loop(event_sender, events, leaving_sender);
         let keeper_sync = builder.build_keeper_sync(leaving_endpoints);
         let threads = vec![
--- a/crates/cornelpoint-daemon/src/gateway/send_history.rs
+++ b/crates/cornelpoint-daemon/src/gateway/send_history.rs
@@ -103,6 +103,7 @@
         Refusal::AnswerCut => "the endpoint's answer was cut; the request may have run",
         Refusal::AnswerTooLarge => "the endpoint's answer is too large; the request may have run",
         Refusal::AnswerMalformed => "the endpoint's answer is not HTTP; the request may have run",
+        Refusal::AnswerDropped => "no room is left for the answer; the request may have run",
         Refusal::KeyReused => "the idempotency key was used for another request",
         Refusal::ClaimUnavailable => "the idempotency key could not be claimed",
         Refusal::ClaimUnresolved => "an earlier try with the same key may have run",
--- a/crates/cornelpoint-daemon/src/keeper/mod.rs
+++ b/crates/cornelpoint-daemon/src/keeper/mod.rs
@@ -12,6 +12,7 @@
 mod operator;
 mod peer_sync;
 mod platform_poller;
+mod reply_gate;
 mod routes;
 mod running;
 mod slot_holders;
--- a/crates/cornelpoint-daemon/src/keeper/routes.rs
+++ b/crates/cornelpoint-daemon/src/keeper/routes.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cornelpoint::connection_budget::ClientClass;
 use cornelpoint::name::InstanceId;
 use cornelpoint::replication::Update;
 use serde::Serialize;
@@ -10,6 +11,7 @@
 use super::command::DrainAnswer;
 use super::command::ReplyTo;
 use super::operator::Operator;
+use super::reply_gate::ReplyGate;
 use super::state_handle::StateHandle;
 use crate::caller_edge::Answer;
 use crate::control::ControlClient;
@@ -27,10 +29,24 @@
 /// Longest wait for the keeper that a request is forwarded to.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest wait until other replies with the whole state have been built.
+const REPLY_WAIT: Duration = Duration::from_secs(1);
+
+/// Returns the kind of client that requests a path.
+pub(super) fn classify(path: &str) -> ClientClass {
+    match path {
+        "/health" => ClientClass::Balancer,
+        _ if path.starts_with("/peer/") => ClientClass::Peers,
+        _ => ClientClass::Operators,
+    }
+}
+
 /// Routes of the keeper's HTTP interface.
 #[derive(Clone, Debug)]
 pub(super) struct Routes {
     pub(super) state_handle: StateHandle,
+    pub(super) peer_replies: ReplyGate,
+    pub(super) operator_replies: ReplyGate,
     pub(super) operator: Operator,
 }
 
@@ -38,25 +54,30 @@
     pub(super) fn answer(&self, request: &ControlRequest) -> Answer {
         match (request.method(), request.path()) {
             ("GET", "/health") => self.health(),
-            ("GET", "/dump") => self.dump(),
-            ("POST", "/peer/view") => {
+            ("GET", "/dump") => one_at_a_time(&self.operator_replies, || self.dump()),
+            ("POST", "/peer/view") => one_at_a_time(&self.peer_replies, || {
                 self.reply(request, |q: ViewRequest, to| Command::View(q, to))
-            }
+            }),
             ("POST", "/peer/slots") => {
                 self.reply(request, |q: SlotExchange, to| Command::Slots(q, to))
             }
-            ("POST", "/peer/sync") => {
+            ("POST", "/peer/sync") => one_at_a_time(&self.peer_replies, || {
                 self.reply(request, |q: SyncRequest, to| Command::Sync(q, to))
-            }
+            }),
             ("POST", "/peer/push") => self.acknowledge(request, |q: Update| Command::Apply(q)),
             ("POST", "/peer/sign") => {
                 self.acknowledge(request, |q: EndpointSign| Command::Announcement(q))
             }
-            ("POST", "/peer/status") => self.reply(request, |(): (), to| Command::Status(to)),
+            ("POST", "/peer/status") => one_at_a_time(&self.peer_replies, || {
+                self.reply(request, |(): (), to| Command::Status(to))
+            }),
             ("POST", "/peer/drained") => match msgpack_body::<InstanceId>(request) {
                 Ok(instance) => msgpack_reply(&drain_report(&self.state_handle, &instance)),
                 Err(error) => text_reply(400, &error.to_string()),
             },
+            ("GET", "/operator/status") => one_at_a_time(&self.operator_replies, || {
+                self.operator.answer("GET", "/operator/status", request)
+            }),
             (method, path) if path.starts_with("/operator/") => {
                 self.operator.answer(method, path, request)
             }
@@ -106,7 +127,7 @@
     ) -> Answer {
         match msgpack_body(request) {
             Ok(message) => {
-                self.state_handle.send(command(message));
+                self.state_handle.send_and_wait(command(message));
                 msgpack_reply(&())
             }
             Err(error) => text_reply(400, &error.to_string()),
@@ -114,6 +135,14 @@
     }
 }
 
+/// Builds a reply that may hold the whole state while no other one is built.
+fn one_at_a_time(gate: &ReplyGate, build: impl FnOnce() -> Answer) -> Answer {
+    match gate.enter(REPLY_WAIT) {
+        Some(_permit) => build(),
+        None => state_unresponsive(),
+    }
+}
+
 /// Returns the progress of a drain, requested from the keeper that holds the
 /// endpoint's slots; `None` when the endpoint is unknown or that keeper does not
 /// answer.
--- a/crates/cornelpoint-daemon/src/keeper/running.rs
+++ b/crates/cornelpoint-daemon/src/keeper/running.rs
@@ -9,6 +9,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use cornelpoint::connection_budget::ProcessLimits;
 use cornelpoint::membership::Member;
 use cornelpoint::membership::MemberStatus;
 use cornelpoint::membership::Membership;
@@ -27,7 +28,9 @@
 use super::operator::Operator;
 use super::peer_sync::PeerSync;
 use super::platform_poller::PlatformPoller;
+use super::reply_gate::ReplyGate;
 use super::routes::Routes;
+use super::routes::classify;
 use super::state::State;
 use super::state_handle::StateHandle;
 use super::state_loop::StateLoop;
@@ -35,9 +38,11 @@
 use crate::clock::unix_ms;
 use crate::control::ControlClient;
 use crate::control::ControlServer;
+use crate::control::ControlSettings;
 use crate::metrics::GaugeThread;
 use crate::metrics::Metrics;
 use crate::platform_client::PlatformClient;
+use crate::settings::BYTES_PER_MB;
 use crate::settings::KeeperSettings;
 
 /// Capacity of the state loop's command queue.
@@ -89,16 +94,16 @@
 
         let routes = Routes {
             state_handle: state_handle.clone(),
+            peer_replies: ReplyGate::default(),
+            operator_replies: ReplyGate::default(),
             operator: Operator::new(
                 state_handle.clone(),
                 platform.clone(),
                 settings.workspace.clone(),
             ),
         };
-        let control =
-            ControlServer::start(settings.listen, settings.control_connections, move |r| {
-                routes.answer(r)
-            })
+        let control_settings = control_settings(settings, metrics.clone());
+        let control = ControlServer::start(control_settings, move |r| routes.answer(r))
             .change_context(KeeperError::Control)?;
 
         let membership = Membership::new(
@@ -195,6 +200,20 @@
     }
 }
 
+fn control_settings(settings: &KeeperSettings, metrics: Metrics) -> ControlSettings {
+    let limits = ProcessLimits {
+        memory_bytes: settings.memory_mb * BYTES_PER_MB,
+        max_descriptors: settings.max_descriptors,
+    };
+    ControlSettings {
+        listen: settings.listen,
+        limits: limits.keeper(settings.control_connections),
+        max_message_bytes: settings.max_message_bytes,
+        classify,
+        metrics,
+    }
+}
+
 /// Returns this keeper's own member entry. Its first incarnation is the start
 /// time, so that a restarted keeper supersedes all earlier gossip about it.
 fn own_member(
--- a/crates/cornelpoint-daemon/src/metrics/counter.rs
+++ b/crates/cornelpoint-daemon/src/metrics/counter.rs
@@ -7,6 +7,8 @@
     Claim,
     /// Claims that could not be written in time.
     ClaimFailure,
+    /// Connections of clients that were closed to make room for others; tag `reason`.
+    ConnectionClosed,
     /// Calls to a keeper that got no usable answer.
     KeeperFailure,
     /// Requests sent to an endpoint that did not start them.
@@ -27,6 +29,7 @@
         Self::Answered,
         Self::Claim,
         Self::ClaimFailure,
+        Self::ConnectionClosed,
         Self::KeeperFailure,
         Self::NotStarted,
         Self::PlatformFailure,
@@ -42,6 +45,7 @@
             Self::Answered => "request.answered",
             Self::Claim => "claim.written",
             Self::ClaimFailure => "claim.failed",
+            Self::ConnectionClosed => "connection.closed",
             Self::KeeperFailure => "keeper.failed",
             Self::NotStarted => "endpoint.not_started",
             Self::PlatformFailure => "platform.failed",
--- a/crates/cornelpoint-daemon/src/metrics/metrics_sender.rs
+++ b/crates/cornelpoint-daemon/src/metrics/metrics_sender.rs
@@ -14,6 +14,7 @@
 use cadence::QueuingMetricSink;
 use cadence::StatsdClient;
 use cadence::Timed;
+use cornelpoint::connection_budget::CloseReason;
 use cornelpoint::request::Refusal;
 use cornelpoint::request::RunState;
 use error_stack::Report;
@@ -101,6 +102,14 @@
         tagged.with_tag("reason", refusal.as_str()).send();
     }
 
+    /// Counts one connection that was closed to make room for others.
+    pub fn count_closed(&self, reason: CloseReason) {
+        let tagged = self
+            .client
+            .incr_with_tags(Counter::ConnectionClosed.as_str());
+        tagged.with_tag("reason", reason.as_str()).send();
+    }
+
     /// Reports the current value of a gauge.
     pub fn gauge(&self, gauge: Gauge, level: u64) {
         let _ = self.client.gauge(gauge.as_str(), level);
--- a/crates/cornelpoint-daemon/src/settings/gateway_reader.rs
+++ b/crates/cornelpoint-daemon/src/settings/gateway_reader.rs
@@ -39,7 +39,7 @@
         DESCRIPTORS_RANGE,
         DEFAULT_MAX_DESCRIPTORS,
     );
-    let max_connections = reader.integer_u32_or("max_connections", 1..=65_535, 2_048);
+    let max_connections = reader.integer_u32_or("max_connections", 1..=65_535, 512);
     let max_header_bytes = reader.integer_u32_or("max_header_bytes", 1_024..=1_048_576, 16_384);
     let header_timeout_ms = reader.integer_or("header_timeout_ms", 100..=MAX_TIMEOUT_MS, 5_000);
     let body_timeout_ms = reader.integer_or("body_timeout_ms", 100..=MAX_TIMEOUT_MS, 20_000);
--- a/crates/cornelpoint-daemon/src/settings/limits.rs
+++ b/crates/cornelpoint-daemon/src/settings/limits.rs
@@ -5,6 +5,8 @@
 
 /// Longest timeout that settings may specify.
 pub(super) const MAX_TIMEOUT_MS: u64 = 60_000;
+/// Unit of the memory in settings.
+pub(crate) const BYTES_PER_MB: u64 = 1_000_000;
 /// Memory that a process may be given. Below 32 MB there is no room beside the process's
 /// own state.
 pub(super) const MEMORY_RANGE_MB: RangeInclusive<u64> = 32..=1_048_576;
@@ -16,8 +18,9 @@
 pub(super) const DEFAULT_MAX_DESCRIPTORS: u64 = 4100;
 /// Largest message that may be configured.
 pub(super) const MESSAGE_RANGE_BYTES: RangeInclusive<u64> = 65_536..=67_108_864;
-/// Holds the configuration of some 19,000 endpoints, of 103 bytes each.
-pub(super) const DEFAULT_MAX_MESSAGE_BYTES: u64 = 2_097_152;
+/// Fits in the default memory, and holds the configuration of 17,000 endpoints, of 103 bytes
+/// each.
+pub(super) const DEFAULT_MAX_MESSAGE_BYTES: u64 = 1_835_008;
 
 /// Adds a finding when two fields that must differ are equal.
 pub(super) fn check_distinct(reader: &mut ObjectReader<'_>, first: &str, second: &str) {
--- a/crates/cornelpoint-daemon/src/settings/mod.rs
+++ b/crates/cornelpoint-daemon/src/settings/mod.rs
@@ -13,5 +13,6 @@
 
 pub use self::gateway_settings::GatewaySettings;
 pub use self::keeper_settings::KeeperSettings;
+pub(crate) use self::limits::BYTES_PER_MB;
 pub use self::settings_arguments::SettingsArguments;
 pub use self::settings_error::SettingsError;
