--- a/crates/cornelpoint-daemon/tests/request_limits/main.rs
+++ b/crates/cornelpoint-daemon/tests/request_limits/main.rs
@@ -4,6 +4,7 @@
 //! still hold their connections; they check no times and no share of served requests. One of
 //! them runs at a time.
 
+mod mixed_crowds;
 mod processes;
 
 use std::net::SocketAddr;
@@ -13,6 +14,7 @@
 use std::thread;
 use std::time::Duration;
 
+use cornelpoint::configuration::Generation;
 use cornelpoint::membership::GossipMessage;
 use cornelpoint::membership::Member;
 use cornelpoint::membership::MemberStatus;
@@ -22,6 +24,7 @@
 use cornelpoint::replication::MarkCause;
 use cornelpoint::replication::Update;
 use cornelpoint_daemon::control::ControlClient;
+use cornelpoint_daemon::message::SyncRequest;
 use cornelpoint_standin::crowd::Crowd;
 use cornelpoint_standin::crowd::chunked;
 use cornelpoint_standin::crowd::cut;
@@ -239,6 +242,20 @@
         unread("unread_keeper", Port::Keeper, "/dump");
     }
 
+    /// Guards against many peers that ask for the whole state at once.
+    #[test]
+    fn of_the_keeper_to_peers_stay_within_the_limits() {
+        let message = SyncRequest {
+            position: None,
+            generation: Generation(0),
+        };
+        let message = rmp_serde::to_vec_named(&message).unwrap();
+        let request = whole("entry", "/peer/sync", &message).repeat(UNREAD_REQUESTS);
+        withstands("unread_peers", Port::Keeper, |address| {
+            Crowd::send(address, UNREAD, &request, usize::MAX)
+        });
+    }
+
     #[test]
     fn to_callers_stay_within_the_limits() {
         let path = format!("/quoting/large?request=unread&size={MAX_ANSWER_BYTES}&work_ms=1");
--- a/crates/cornelpoint-daemon/tests/request_limits/processes.rs
+++ b/crates/cornelpoint-daemon/tests/request_limits/processes.rs
@@ -57,6 +57,8 @@
 }
 
 impl Port {
+    pub const ALL: [Self; 3] = [Self::Keeper, Self::GatewayControl, Self::Callers];
+
     /// Path of a request with a body.
     pub fn path(self) -> &'static str {
         match self {
@@ -133,6 +135,16 @@
         ProcessMeter::new(process.id())
     }
 
+    /// Pauses the process that opens a port until the returned value is dropped.
+    pub fn pause(&self, port: Port) -> Paused {
+        let process_id = match port {
+            Port::Keeper => self.keeper.id(),
+            Port::GatewayControl | Port::Callers => self.gateway.id(),
+        };
+        signal("-STOP", process_id);
+        Paused { process_id }
+    }
+
     /// Sends an ordinary request of each kind of client, each on a new connection; returns
     /// those without an answer of success.
     pub fn unanswered(&self) -> Vec<(Port, &'static str, Option<u16>)> {
@@ -152,13 +164,8 @@
     }
 
     fn get(&self, port: Port, path: &str) -> Option<u16> {
-        let config = Agent::config_builder()
-            .http_status_as_error(false)
-            .proxy(None)
-            .timeout_global(Some(REQUEST_TIMEOUT))
-            .build();
         let url = format!("http://{}{path}", self.address(port));
-        let answer = Agent::new_with_config(config).get(url).call();
+        let answer = agent().get(url).call();
         Some(answer.ok()?.status().as_u16())
     }
 }
@@ -178,6 +185,58 @@
     SocketAddr::new(ip, 8091)
 }
 
+/// A process that is paused until this is dropped.
+pub struct Paused {
+    process_id: u32,
+}
+
+impl Drop for Paused {
+    fn drop(&mut self) {
+        signal("-CONT", self.process_id);
+    }
+}
+
+fn signal(option: &str, process_id: u32) {
+    let status = Command::new("/bin/kill")
+        .args([option, &process_id.to_string()])
+        .status();
+    assert!(status.unwrap().success(), "{option}");
+}
+
+/// An ordinary client that goes on using its connection, and opens another one when that has
+/// been closed.
+pub struct KeptConnection {
+    agent: Agent,
+    url: String,
+}
+
+impl KeptConnection {
+    pub fn new(address: SocketAddr, port: Port) -> Self {
+        let path = match port {
+            Port::Callers => "/quoting/kept",
+            Port::Keeper | Port::GatewayControl => "/health",
+        };
+        Self {
+            agent: agent(),
+            url: format!("http://{address}{path}"),
+        }
+    }
+
+    /// Sends a request; it may be refused.
+    pub fn use_once(&mut self) {
+        drop(self.agent.get(&self.url).call());
+    }
+}
+
+fn agent() -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .timeout_global(Some(REQUEST_TIMEOUT))
+        .build();
+    Agent::new_with_config(config)
+}
+
 fn wait_for(expected: &str, condition: impl Fn() -> bool) {
     let started = Instant::now();
     while !condition() {
