--- a/crates/cornelpoint-manager/tests/body_limits/main.rs
+++ b/crates/cornelpoint-manager/tests/body_limits/main.rs
@@ -39,6 +39,9 @@
 const SMALL_CHUNKS: usize = 30;
 /// Clients with bodies of [`MAX_MESSAGE_BYTES`]: 84 MB, if each is held.
 const LARGE_MESSAGES: usize = 80;
+/// Clients that read no answer, and requests of each.
+const UNREAD: usize = 150;
+const UNREAD_REQUESTS: usize = 500;
 /// Crowds that come again, and clients of each.
 const RETURNING_CROWDS: usize = 4;
 const RETURNING_CLIENTS: usize = 60;
@@ -165,6 +168,40 @@
     });
 }
 
+/// Guards against answers that a process holds for clients that send one request behind the
+/// other and read nothing.
+#[test]
+fn answers_that_callers_dont_read_stay_within_the_limits() {
+    withstands("unread_callers", |process| {
+        let host = &process.queue.host;
+        let request = format!(
+            "GET {} HTTP/1.1\r\nhost: {host}\r\n\r\n",
+            process.queue.path_prefix
+        );
+        let requests = request.repeat(UNREAD_REQUESTS);
+        Crowd::send(
+            process.caller_address,
+            UNREAD,
+            requests.as_bytes(),
+            usize::MAX,
+        )
+    });
+}
+
+/// The same for the metrics, whose answer is the largest.
+#[test]
+fn metrics_that_nobody_reads_stay_within_the_limits() {
+    withstands("unread_metrics", |process| {
+        let requests = "GET /metrics HTTP/1.1\r\nhost: peer\r\n\r\n".repeat(UNREAD_REQUESTS);
+        Crowd::send(
+            process.internal_address,
+            UNREAD,
+            requests.as_bytes(),
+            usize::MAX,
+        )
+    });
+}
+
 /// Guards against clients that come again at once whenever their connections are closed.
 #[test]
 fn an_ordinary_job_is_accepted_while_refused_clients_come_again() {
