--- a/crates/cornelpoint-daemon/src/caller_edge/body.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/body.rs
@@ -136,10 +136,9 @@
         // It is held in segments and as a whole until the segments are free.
         let decoded_bytes = body.len() * (1 + self.decoded_bytes_per_byte);
         let held_bytes = decoded_bytes.max(body.capacity() + body.len());
-        if !self.connections.hold(self.id, held_bytes) {
+        if !self.connections.complete_body(self.id, held_bytes) {
             return Err(no_room().into());
         }
-        self.connections.end_body(self.id);
         Ok(body.into_vec())
     }
 
--- a/crates/cornelpoint-daemon/src/caller_edge/open_connections.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/open_connections.rs
@@ -203,8 +203,10 @@
         self.lock().budget.record_progress(id, bytes, now_ms);
     }
 
-    pub(super) fn end_body(&self, id: ConnectionId) {
-        self.lock().budget.end_body(id);
+    /// Makes room for all that a request with a complete body holds; with room, it is carried
+    /// out.
+    pub(super) fn complete_body(&self, id: ConnectionId, bytes: usize) -> bool {
+        self.make_room(|budget, now_ms| budget.complete_body(id, bytes, now_ms))
     }
 
     pub(super) fn begin_answer(&self, id: ConnectionId) {
--- a/crates/cornelpoint-daemon/src/caller_edge/server.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/server.rs
@@ -17,6 +17,7 @@
 use std::time::Instant;
 
 use cornelpoint::connection_budget::ConnectionId;
+use cornelpoint::request::Refusal;
 use error_stack::Report;
 use error_stack::ResultExt;
 use socket2::SockRef;
@@ -211,8 +212,11 @@
 fn admit(stream: TcpStream, shared: &Arc<Shared>, over_limit: &SyncSender<TcpStream>) {
     match shared.connections.open(stream) {
         Opened::Added(id, handle) => spawn(handle, id, shared),
-        // When the queue is full too, the connection is closed without an answer.
-        Opened::Refused(stream) => drop(over_limit.try_send(stream)),
+        Opened::Refused(stream) => {
+            shared.handler.record_rejection(Refusal::Overloaded);
+            // When the queue is full too, the connection is closed without an answer.
+            drop(over_limit.try_send(stream));
+        }
         Opened::Stopping => {}
     }
 }
--- a/crates/cornelpoint/src/connection_budget/connection_table.rs
+++ b/crates/cornelpoint/src/connection_budget/connection_table.rs
@@ -161,6 +161,12 @@
         }
     }
 
+    /// Returns whether a connection is open.
+    #[must_use]
+    pub fn contains(&self, id: ConnectionId) -> bool {
+        self.connections.contains_key(&id)
+    }
+
     /// Adds a connection; returns its identifier if there was or could be made room, and
     /// the connections to close.
     pub fn open(&mut self, now_ms: u64) -> (Option<ConnectionId>, Vec<Closed>) {
--- a/crates/cornelpoint/src/connection_budget/listener_budget.rs
+++ b/crates/cornelpoint/src/connection_budget/listener_budget.rs
@@ -97,8 +97,11 @@
     }
 
     /// Counts a request whose head has been read among those of its kind of client, if there
-    /// was or could be made room.
+    /// was or could be made room, and its connection has not been closed meanwhile.
     pub fn begin_request(&mut self, id: ConnectionId, class: ClientClass, now_ms: u64) -> Room {
+        if !self.connections.contains(id) {
+            return Room::default();
+        }
         let requests = &mut self.classes[class.index()];
         let (request, closed) = requests.table.open(now_ms);
         if let Some(request) = request {
@@ -130,11 +133,16 @@
         self.make_room(id, |table, request| table.grow(request, bytes, now_ms))
     }
 
-    /// Records that a body is complete, or won't be read.
-    pub fn end_body(&mut self, id: ConnectionId) {
-        if let Some((table, request)) = self.request(id) {
-            table.end_body(request);
-        }
+    /// Makes room for all that a request with a complete body holds. With room, its connection
+    /// isn't closed any more to make room for others: the request may be carried out.
+    pub fn complete_body(&mut self, id: ConnectionId, bytes: usize, now_ms: u64) -> Room {
+        self.make_room(id, |table, request| {
+            let room = table.grow(request, bytes, now_ms);
+            if room.granted {
+                table.end_body(request);
+            }
+            room
+        })
     }
 
     /// Records that an answer is being sent.
--- a/crates/cornelpoint/tests/connection_budget.rs
+++ b/crates/cornelpoint/tests/connection_budget.rs
@@ -306,3 +306,37 @@
     let descriptors = callers.connections.max_connections + endpoint_connections;
     assert!(descriptors < 4100 / 2, "{descriptors}");
 }
+
+/// Guards against a request that is carried out after its connection made room, which tells
+/// its client that it may send it again.
+#[test]
+fn a_connection_that_was_closed_gets_no_request() {
+    let mut budget = ListenerBudget::new(&SMALLEST.gateway_callers(1));
+    let (first, _) = budget.open(0);
+    let (_, closed) = budget.open(1);
+    assert_eq!(Some(closed[0].id), first);
+    let room = budget.begin_request(first.unwrap(), ClientClass::Callers, 2);
+    assert!(!room.granted);
+}
+
+/// The same once a body is complete.
+#[test]
+fn a_request_with_a_complete_body_is_never_closed() {
+    let limits = SMALLEST.gateway_callers(100);
+    let mut budget = ListenerBudget::new(&limits);
+    let most = limits.class(ClientClass::Callers).budget.large_body_bytes - 100_000;
+    let mut begin = |now_ms: u64| {
+        let id = budget.open(now_ms).0.unwrap();
+        assert!(
+            budget
+                .begin_request(id, ClientClass::Callers, now_ms)
+                .granted
+        );
+        assert!(budget.begin_body(id, now_ms).granted);
+        (id, budget.complete_body(id, most, now_ms))
+    };
+    let (_, room) = begin(0);
+    assert!(room.granted);
+    let (_, room) = begin(60_000);
+    assert!(!room.granted && room.closed.is_empty(), "{room:?}");
+}
