--- a/crates/cornelpoint-daemon/src/caller_edge/connection.rs
+++ b/crates/cornelpoint-daemon/src/caller_edge/connection.rs
@@ -141,6 +141,7 @@
         };
         let mut answer = self.handler.handle(request);
         if !self.connections.hold(self.id, answer.body.len()) {
+            self.handler.record_rejection(Refusal::AnswerDropped);
             answer = Answer::refused(Refusal::AnswerDropped, "no room is left for the answer");
         }
         self.connections.begin_answer(self.id);
