--- a/crates/cornelpoint-daemon/tests/request_limits/main.rs
+++ b/crates/cornelpoint-daemon/tests/request_limits/main.rs
@@ -4,21 +4,17 @@
 //! still hold their connections; they check no times and no share of served requests. One of
 //! them runs at a time.
 
+mod datagrams;
 mod mixed_crowds;
 mod processes;
 
 use std::net::SocketAddr;
-use std::net::UdpSocket;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
 
 use cornelpoint::configuration::Generation;
-use cornelpoint::membership::GossipMessage;
-use cornelpoint::membership::Member;
-use cornelpoint::membership::MemberStatus;
-use cornelpoint::name::AvailabilityZone;
 use cornelpoint::name::InstanceId;
 use cornelpoint::replication::EndpointMark;
 use cornelpoint::replication::MarkCause;
@@ -59,11 +55,6 @@
 /// Clients that read no answer, and requests of each.
 const UNREAD: usize = 150;
 const UNREAD_REQUESTS: usize = 32;
-/// Datagrams with the largest number of unknown members.
-const DATAGRAMS: u32 = 600;
-const MEMBERS_PER_DATAGRAM: u32 = 400;
-/// Pause between two datagrams, so that most aren't lost.
-const DATAGRAM_PAUSE: Duration = Duration::from_millis(2);
 /// Attempts of ordinary clients, where requests of the crowd wait for as long as their
 /// deadline of 5 s, and the pause between two.
 const WAITING_ATTEMPTS: usize = 10;
@@ -263,29 +254,6 @@
     }
 }
 
-/// Guards against datagrams that make the keeper remember members without end.
-#[test]
-fn unknown_members_in_datagrams_stay_within_the_limits() {
-    withstands("datagrams", Port::Keeper, |address| {
-        let socket = UdpSocket::bind(SocketAddr::new(address.ip(), 0)).unwrap();
-        let gossip_address = processes::gossip_address(address.ip());
-        for number in 0..DATAGRAMS {
-            let members = (0..MEMBERS_PER_DATAGRAM).map(|member| {
-                let instance = format!("unknown-{}", number * MEMBERS_PER_DATAGRAM + member);
-                unknown_member(&instance, address)
-            });
-            let datagram = rmp(&GossipMessage::Ping {
-                sequence: number.into(),
-                from: unknown_member("unknown", address),
-                updates: members.collect(),
-            });
-            socket.send_to(&datagram, gossip_address).unwrap();
-            thread::sleep(DATAGRAM_PAUSE);
-        }
-        Crowd::send(address, 0, b"", 1)
-    });
-}
-
 /// Guards against limits that refuse a single request within the documented limits.
 #[test]
 fn single_requests_of_the_largest_size_are_served() {
@@ -398,17 +366,6 @@
     assert_eq!(unanswered, [], "ordinary requests aren't answered");
 }
 
-fn unknown_member(instance: &str, address: SocketAddr) -> Member {
-    Member {
-        instance: InstanceId::try_from(instance).unwrap(),
-        availability_zone: AvailabilityZone::try_from("a").unwrap(),
-        incarnation: 1,
-        status: MemberStatus::Live,
-        keeper_address: address,
-        gossip_address: SocketAddr::new(address.ip(), 9),
-    }
-}
-
 fn rmp<T: serde::Serialize + ?Sized>(message: &T) -> Vec<u8> {
     rmp_serde::to_vec(message).unwrap()
 }
--- a/crates/cornelpoint/src/connection_budget/connection_table.rs
+++ b/crates/cornelpoint/src/connection_budget/connection_table.rs
@@ -4,11 +4,9 @@
 use super::budget_limits::BudgetLimits;
 use super::closed::CloseReason;
 use super::closed::Closed;
+use super::progress::Progress;
+use super::progress::STALL_MS;
 
-/// Time after which a body or an answer that makes no progress, or a connection without a
-/// whole head, may be closed where room is short. The pieces of a body on an open path follow each
-/// other within milliseconds; a lost packet is sent again within 200 ms to 400 ms.
-const STALL_MS: u64 = 500;
 /// Size above which a body is large. Most jobs have a few kilobytes.
 const LARGE_BODY_BYTES: usize = 65_536;
 /// A body displaces one that arrives just as fast if that is so many times as large.
@@ -106,37 +104,6 @@
     Sending(Progress),
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Progress {
-    started_ms: u64,
-    /// When the latest part arrived.
-    latest_ms: u64,
-    bytes: u64,
-}
-
-impl Progress {
-    fn new(now_ms: u64) -> Self {
-        Self {
-            started_ms: now_ms,
-            latest_ms: now_ms,
-            bytes: 0,
-        }
-    }
-
-    fn is_young(&self, now_ms: u64) -> bool {
-        now_ms.saturating_sub(self.started_ms) < STALL_MS
-    }
-
-    fn is_stalled(&self, now_ms: u64) -> bool {
-        now_ms.saturating_sub(self.latest_ms) >= STALL_MS
-    }
-
-    fn bytes_per_s(&self, now_ms: u64) -> u64 {
-        let elapsed_ms = now_ms.saturating_sub(self.started_ms).max(1);
-        self.bytes * 1000 / elapsed_ms
-    }
-}
-
 impl ConnectionTable {
     /// Creates an empty table.
     #[must_use]
@@ -239,8 +206,7 @@
         let connection = self.connections.get_mut(&id);
         let stage = connection.map(|entry| &mut entry.stage);
         if let Some(Stage::Receiving(progress) | Stage::Sending(progress)) = stage {
-            progress.latest_ms = now_ms;
-            progress.bytes += bytes as u64;
+            progress.record(bytes, now_ms);
         }
     }
 
--- a/crates/cornelpoint/src/connection_budget/mod.rs
+++ b/crates/cornelpoint/src/connection_budget/mod.rs
@@ -12,6 +12,7 @@
 mod listener_budget;
 mod listener_limits;
 mod process_limits;
+mod progress;
 
 pub use self::body_segments::BodySegments;
 pub use self::budget_limits::BudgetLimits;
