--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-3/release/review-3
 [ -x "$program" ] && [ -x target/release/cornelpoint-manager ] || exit 2
-exec "$program" advice review/12/record.txt
+exec "$program" route review/12/record.txt
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -44,7 +44,7 @@
         "advice" => cases::advice(&record, trouble),
         "route" => cases::route(&record, trouble, true),
         "service" => cases::route(&record, trouble, false),
-        "crashes" => cases::crashes(&record, trouble),
+        "tasks" => cases::tasks(&record, trouble),
         "cancel" => cases::cancel(&record, trouble),
         _ => Err(format!("unknown scenario {scenario}")),
     };
--- a/review/standins-3/src/platform.rs
+++ b/review/standins-3/src/platform.rs
@@ -35,10 +35,50 @@
 pub struct Node {
     pub name: String,
     pub front: String,
+    settings: PathBuf,
+    output: PathBuf,
     child: Option<Child>,
 }
 
 impl Node {
+    /// Starts the process as the deploy file says.
+    pub fn start(&mut self) -> Outcome<()> {
+        let deploy = std::fs::read_to_string(DEPLOY_FILE).map_err(text)?;
+        let run = quoted(&deploy, "run = ").ok_or("no command in the deploy file")?;
+        let mut words = run.split(' ');
+        let mut command = Command::new(words.next().unwrap_or_default());
+        command.args(words).env_clear();
+        for kept in ["PATH", "HOME", "LANG"] {
+            if let Ok(value) = std::env::var(kept) {
+                command.env(kept, value);
+            }
+        }
+        for name in ["MIMALLOC_PURGE_DELAY", "MIMALLOC_ARENA_EAGER_COMMIT"] {
+            if let Some(value) = quoted(&deploy, &format!("{name} = ")) {
+                command.env(name, value);
+            }
+        }
+        command.env("CORNELPOINT_CONFIG", &self.settings);
+        let output = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(&self.output)
+            .map_err(text)?;
+        command.stdout(output.try_clone().map_err(text)?).stderr(output);
+        self.child = Some(command.stdin(Stdio::null()).spawn().map_err(text)?);
+        Ok(())
+    }
+
+    /// Returns the memory that the process holds beside its files, in kB; 0 if it has ended.
+    pub fn memory_kb(&self) -> u64 {
+        let Some(child) = &self.child else { return 0 };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+        let value = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        value.unwrap_or(0)
+    }
+
     /// Ends the process without notice.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -95,8 +135,6 @@
 
     /// Starts processes, one in each of as many zones.
     pub fn start_nodes(&mut self, count: usize, advice: &str) -> Outcome<()> {
-        let deploy = std::fs::read_to_string(DEPLOY_FILE).map_err(text)?;
-        let run = quoted(&deploy, "run = ").ok_or("no command in the deploy file")?;
         for number in 0..count {
             let name = format!("front-z-{number}-1");
             let store = self.store.open(&name).map_err(text)?;
@@ -120,30 +158,16 @@
             );
             let path = self.folder.join(format!("{name}.toml"));
             std::fs::write(&path, settings).map_err(text)?;
-            let mut words = run.split(' ');
-            let mut command = Command::new(words.next().unwrap_or_default());
-            command.args(words).env_clear();
-            for kept in ["PATH", "HOME", "LANG"] {
-                if let Ok(value) = std::env::var(kept) {
-                    command.env(kept, value);
-                }
-            }
-            for name in ["MIMALLOC_PURGE_DELAY", "MIMALLOC_ARENA_EAGER_COMMIT"] {
-                if let Some(value) = quoted(&deploy, &format!("{name} = ")) {
-                    command.env(name, value);
-                }
-            }
-            command.env("CORNELPOINT_CONFIG", &path);
-            let output = std::fs::File::create(self.folder.join(format!("{name}.log")));
-            let output = output.map_err(text)?;
-            command.stdout(output.try_clone().map_err(text)?).stderr(output);
-            let child = command.stdin(Stdio::null()).spawn().map_err(text)?;
             self.record.line(&format!("process {name} started, callers at {front}"));
-            self.nodes.push(Node {
+            let mut node = Node {
+                output: self.folder.join(format!("{name}.log")),
                 name,
                 front,
-                child: Some(child),
-            });
+                settings: path,
+                child: None,
+            };
+            node.start()?;
+            self.nodes.push(node);
         }
         Ok(())
     }
