--- a/review/13/run.sh
+++ b/review/15/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-3/release/review-3
 [ -x "$program" ] && [ -x target/release/cornelpoint-manager ] || exit 2
-exec "$program" advice review/13/record.txt
+exec "$program" cancel review/15/record.txt
