--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -343,6 +343,79 @@
     Ok(if lost > 0 { Verdict::Broken(said) } else { Verdict::Held(said) })
 }
 
+/// Rule TWICE: the owner of a pool is killed while many tasks of a job have saved progress.
+pub fn progress(record: &Arc<Record>, trouble: bool) -> Outcome<Verdict> {
+    const STEPS: usize = 2;
+    const REPLICAS: usize = 10_000;
+    const ENDING: usize = 200;
+    let mut deployment = Deployment::new(record)?;
+    let duty: Duty = Arc::new(|task| {
+        let index = task.rsplit_once('.').and_then(|(_, index)| index.parse::<usize>().ok());
+        let is_short = index.is_some_and(|index| index % (STEPS * REPLICAS / ENDING) == 0);
+        let takes_ms = match (task.starts_with('f'), is_short) {
+            (false, _) => 300,
+            (true, true) => 15_000,
+            (true, false) => 100_000,
+        };
+        Some(Duration::from_millis(takes_ms))
+    });
+    start_workers(&deployment, "planners", 8, &duty, None)?;
+    let route = Route::new("r-plan", "/plan/", "planners");
+    deployment.write_manifest(3, std::slice::from_ref(&route), &["planners"]);
+    deployment.start_nodes(3, "")?;
+    deployment.wait_until_ready(&route, &short_job(500, 300))?;
+
+    let fronts: Vec<String> = deployment.nodes.iter().map(|node| node.front.clone()).collect();
+    let client = Client::new(record, &route.host);
+    let id = "f000000000000001";
+    let step = format!(
+        "{{\"replicas\":{REPLICAS},\"cpu\":10,\"mem_mb\":1,\"estimate_ms\":900,\
+         \"saves_progress\":true}}"
+    );
+    let body = format!("{{\"spec\":\"task\",\"steps\":[{}]}}", vec![step; STEPS].join(","));
+    record.line(&format!("a job of {STEPS} steps of {REPLICAS} tasks that save their progress"));
+    if client.post(&fronts[0], &format!("{}{id}", route.prefix), &body) != Some(200) {
+        return Err("the job wasn't accepted".to_owned());
+    }
+    let workers: Vec<Arc<Worker>> = lock(&deployment.workers).clone();
+    let count_noted = || workers.iter().map(|worker| worker.noted().len()).sum::<usize>();
+    let until = Instant::now() + Duration::from_secs(60);
+    while count_noted() < ENDING && Instant::now() < until {
+        thread::sleep(Duration::from_millis(200));
+    }
+    thread::sleep(Duration::from_millis(3000));
+    let runs = deployment.log.all();
+    let started = runs.iter().filter(|run| run.task.starts_with(id)).count();
+    let noted = count_noted();
+    record.line(&format!("{started} tasks started, {noted} ends of all jobs taken note of"));
+    if trouble {
+        let owner = deployment.store.last_writer("planners").ok_or("no process writes")?;
+        for node in &mut deployment.nodes {
+            if node.name == owner {
+                node.kill();
+                record.line(&format!("process {owner} is killed"));
+            }
+        }
+    }
+    thread::sleep(Duration::from_secs(15));
+    let noted: Vec<(String, u64)> = workers.iter().flat_map(|worker| worker.noted()).collect();
+    let runs = deployment.log.all();
+    let twice = noted.iter().filter(|(task, run)| {
+        let ended = runs.iter().find(|seen| seen.task == *task && seen.run == *run);
+        let ended_ms = ended.and_then(|seen| seen.ended_ms);
+        runs.iter().any(|later| {
+            later.task == *task && ended_ms.is_some_and(|ended_ms| later.started_ms > ended_ms)
+        })
+    });
+    let twice = twice.count();
+    let said = format!(
+        "{twice} of {} runs that ended done, with ends taken note of, were followed by another \
+         start of the task; {started} tasks of the job had started",
+        noted.len()
+    );
+    Ok(if twice > 0 { Verdict::Broken(said) } else { Verdict::Held(said) })
+}
+
 /// Rule UNASKED: a job is cancelled while the write of its submission is late.
 pub fn cancel(record: &Arc<Record>, trouble: bool) -> Outcome<Verdict> {
     const CANCEL_MS: u64 = 3000;
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -44,6 +44,7 @@
         "advice" => cases::advice(&record, trouble),
         "route" => cases::route(&record, trouble, true),
         "service" => cases::route(&record, trouble, false),
+        "progress" => cases::progress(&record, trouble),
         "tasks" => cases::tasks(&record, trouble),
         "cancel" => cases::cancel(&record, trouble),
         _ => Err(format!("unknown scenario {scenario}")),
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -135,6 +135,12 @@
         let mut parts: Vec<&str> = all().map(|entry| entry.get("part").text()).collect();
         parts.dedup();
         if parts.len() != 1 || all().count() > MAX_ENTRIES || body.len() > MAX_BYTES {
+            self.record.line(&format!(
+                "store: a transaction of {node} is refused: {} entries, {} bytes, {} parts",
+                all().count(),
+                body.len(),
+                parts.len()
+            ));
             return Some((400, String::new()));
         }
         let changes = writes.iter().chain(removals);
--- a/review/standins-3/src/worker.rs
+++ b/review/standins-3/src/worker.rs
@@ -60,12 +60,29 @@
 /// Whether a ticket is good for a step on this worker.
 pub type Guard = Arc<dyn Fn(&str, &str, &str) -> bool + Send + Sync>;
 
+/// Tasks whose names begin so save their progress. Only what comes after their first run is
+/// recorded one by one.
+const SAVING: char = 'f';
+
 struct Running {
     run: u64,
     started: Instant,
     takes: Option<Duration>,
 }
 
+impl Running {
+    /// Returns what the task has saved: a text as long as those of the pages, from one second
+    /// of work on.
+    fn saved(&self, task: &str) -> String {
+        if task.starts_with(SAVING) && self.started.elapsed() >= Duration::from_secs(1) {
+            let index = task.rsplit_once('.').map_or("", |(_, index)| index);
+            format!("{:08}{:0>8}", self.run, index)
+        } else {
+            String::new()
+        }
+    }
+}
+
 struct State {
     started: Instant,
     born: u64,
@@ -76,6 +93,8 @@
     finished: Vec<(u64, String, u64, &'static str)>,
     count: u64,
     highest_ended: BTreeMap<String, u64>,
+    /// Runs that have ended done, and whose ends were taken note of.
+    noted: Vec<(String, u64)>,
 }
 
 impl State {
@@ -91,6 +110,7 @@
             finished: Vec::new(),
             count: 0,
             highest_ended: BTreeMap::new(),
+            noted: Vec::new(),
         }
     }
 
@@ -200,6 +220,11 @@
         )
     }
 
+    /// Returns the runs that have ended done, and whose ends were taken note of.
+    pub fn noted(&self) -> Vec<(String, u64)> {
+        lock(&self.state).noted.clone()
+    }
+
     fn advance(&self) {
         let mut state = lock(&self.state);
         if !state.alive {
@@ -232,7 +257,9 @@
         let highest = state.highest_ended.entry(task.to_owned()).or_default();
         *highest = run.max(*highest);
         self.log.end(&self.id, task, run, how, self.record.now_ms());
-        self.record.line(&format!("worker {}: {task} run {run} ends {how}", self.id));
+        if !task.starts_with(SAVING) {
+            self.record.line(&format!("worker {}: {task} run {run} ends {how}", self.id));
+        }
         self.ended.notify_all();
     }
 
@@ -269,6 +296,13 @@
                     state.extend(deadline_ms);
                 }
                 let last_seen = order.get("last_seen").number();
+                let noted: Vec<(String, u64)> = state
+                    .finished
+                    .iter()
+                    .filter(|(number, _, _, how)| *number <= last_seen && *how == "done")
+                    .map(|(_, task, run, _)| (task.clone(), *run))
+                    .collect();
+                state.noted.extend(noted);
                 state.finished.retain(|(number, ..)| *number > last_seen);
                 let wait = Duration::from_millis(order.get("wait_ms").number().min(2000));
                 let deadline = Instant::now() + wait;
@@ -327,10 +361,12 @@
             ended_ms: None,
             how: "",
         });
-        self.record.line(&format!(
-            "worker {}: {task} run {run} starts, fencing token {}",
-            self.id, state.fence
-        ));
+        if run > 1 || !task.starts_with(SAVING) {
+            self.record.line(&format!(
+                "worker {}: {task} run {run} starts, fencing token {}",
+                self.id, state.fence
+            ));
+        }
         (200, clock(state))
     }
 }
@@ -346,7 +382,7 @@
 fn lists(state: &State) -> String {
     let running = state.running.iter().map(|(task, running)| {
         let cpu = 100;
-        format!("[\"{task}\",{},\"\",100,{cpu}]", running.run)
+        format!("[\"{task}\",{},\"{}\",100,{cpu}]", running.run, running.saved(task))
     });
     let running: Vec<String> = running.collect();
     let finished = state.finished.iter().take(500);
