--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -312,6 +312,11 @@
                 record.line(&format!("platform: process {} held {held_kb} kB, ended", node.name));
                 restarts[index] = Some(Instant::now() + Duration::from_secs(1));
             }
+            if restarts[index].is_none() && node.has_ended() {
+                node.kill();
+                record.line(&format!("process {} has ended", node.name));
+                restarts[index] = Some(Instant::now() + Duration::from_secs(1));
+            }
             if restarts[index].is_some_and(|at| at <= Instant::now()) {
                 restarts[index] = None;
                 node.start()?;
--- a/review/standins-3/src/platform.rs
+++ b/review/standins-3/src/platform.rs
@@ -3,6 +3,7 @@
 
 use std::io::Error;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::net::UdpSocket;
 use std::path::PathBuf;
 use std::process::Child;
@@ -35,6 +36,7 @@
 pub struct Node {
     pub name: String,
     pub front: String,
+    ports: [u16; 3],
     settings: PathBuf,
     output: PathBuf,
     child: Option<Child>,
@@ -69,6 +71,18 @@
         Ok(())
     }
 
+    /// Whether the process runs and listens on its ports.
+    fn is_up(&mut self) -> bool {
+        let listens = |port: &u16| TcpStream::connect(("127.0.0.1", *port)).is_ok();
+        !self.has_ended() && self.ports.iter().all(listens)
+    }
+
+    /// Whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        let ended = self.child.as_mut().map(Child::try_wait);
+        matches!(ended, Some(Ok(Some(_))))
+    }
+
     /// Returns the memory that the process holds beside its files, in kB; 0 if it has ended.
     pub fn memory_kb(&self) -> u64 {
         let Some(child) = &self.child else { return 0 };
@@ -133,45 +147,71 @@
         })
     }
 
-    /// Starts processes, one in each of as many zones.
+    /// Starts processes, one in each of as many zones. One that can't listen, since another
+    /// program has taken a port of its, is replaced by one with other ports.
     pub fn start_nodes(&mut self, count: usize, advice: &str) -> Outcome<()> {
-        for number in 0..count {
+        for (number, ports) in free_ports(count)?.into_iter().enumerate() {
             let name = format!("front-z-{number}-1");
             let store = self.store.open(&name).map_err(text)?;
-            let [internal, front, ready] = free_ports()?;
-            let front = format!("127.0.0.1:{front}");
-            let settings = format!(
-                "node_name = \"{name}\"\nrole = \"manager\"\nmachine_class = \"front\"\n\
-                 serves = [\"front\"]\nip = \"127.0.0.1\"\nzone = \"z-{number}\"\nregion = \"z\"\n\
-                 internal_ports = [{internal},{internal}]\nseeds = []\nbootstrap = true\n\
-                 discovery = \"platform\"\nentry = \"vip\"\nheartbeat_ms = 1500\n\
-                 contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\
-                 \"platform\",\"advice\",\"upkeep\",\"sharing\"]\ncontrol_mode = \"call\"\n\
-                 advice = \"{advice}\"\n[listen]\nfront = \"{front}\"\n\
-                 ready = \"127.0.0.1:{ready}\"\n[limits]\ncpu_share = 0.25\ncores = 1\n\
-                 memory_mb = 260\nmax_fds = 4100\n[bounds]\n{BOUNDS}[platform]\n\
-                 address = \"{store}\"\nform = \"table\"\nwrites_per_s = 800\n\
-                 reads_per_s = 2000\ntx_ms = 8.0\nappends_per_s = 150\nrow_bytes = 65536\n\
-                 across = false\nhistory_s = 20\n[cloud]\naddress = \"{}\"\nrate_per_s = 64.0\n\
-                 duties = []\nduty_per_s = 64.0\n",
-                self.cloud.address
-            );
-            let path = self.folder.join(format!("{name}.toml"));
-            std::fs::write(&path, settings).map_err(text)?;
-            self.record.line(&format!("process {name} started, callers at {front}"));
-            let mut node = Node {
-                output: self.folder.join(format!("{name}.log")),
-                name,
-                front,
-                settings: path,
-                child: None,
-            };
-            node.start()?;
+            let node = self.start_node(number, ports, &store, advice)?;
             self.nodes.push(node);
         }
+        for _ in 0..3 {
+            thread::sleep(Duration::from_millis(200));
+            for number in 0..count {
+                if !self.nodes[number].is_up() {
+                    let name = self.nodes[number].name.clone();
+                    self.record.line(&format!("process {name} doesn't listen, is replaced"));
+                    let store = self.store.open(&name).map_err(text)?;
+                    let ports = free_ports(1)?[0];
+                    self.nodes[number] = self.start_node(number, ports, &store, advice)?;
+                }
+            }
+        }
         Ok(())
     }
 
+    fn start_node(
+        &self,
+        number: usize,
+        ports: [u16; 3],
+        store: &str,
+        advice: &str,
+    ) -> Outcome<Node> {
+        let name = format!("front-z-{number}-1");
+        let [internal, front, ready] = ports;
+        let front = format!("127.0.0.1:{front}");
+        let settings = format!(
+            "node_name = \"{name}\"\nrole = \"manager\"\nmachine_class = \"front\"\n\
+             serves = [\"front\"]\nip = \"127.0.0.1\"\nzone = \"z-{number}\"\nregion = \"z\"\n\
+             internal_ports = [{internal},{internal}]\nseeds = []\nbootstrap = true\n\
+             discovery = \"platform\"\nentry = \"vip\"\nheartbeat_ms = 1500\n\
+             contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"sched\",\
+             \"platform\",\"advice\",\"upkeep\",\"sharing\"]\ncontrol_mode = \"call\"\n\
+             advice = \"{advice}\"\n[listen]\nfront = \"{front}\"\n\
+             ready = \"127.0.0.1:{ready}\"\n[limits]\ncpu_share = 0.25\ncores = 1\n\
+             memory_mb = 260\nmax_fds = 4100\n[bounds]\n{BOUNDS}[platform]\n\
+             address = \"{store}\"\nform = \"table\"\nwrites_per_s = 800\n\
+             reads_per_s = 2000\ntx_ms = 8.0\nappends_per_s = 150\nrow_bytes = 65536\n\
+             across = false\nhistory_s = 20\n[cloud]\naddress = \"{}\"\nrate_per_s = 64.0\n\
+             duties = []\nduty_per_s = 64.0\n",
+            self.cloud.address
+        );
+        let path = self.folder.join(format!("{name}.toml"));
+        std::fs::write(&path, settings).map_err(text)?;
+        self.record.line(&format!("process {name} started, callers at {front}"));
+        let mut node = Node {
+            output: self.folder.join(format!("{name}.log")),
+            name,
+            front,
+            ports,
+            settings: path,
+            child: None,
+        };
+        node.start()?;
+        Ok(node)
+    }
+
     /// The operator writes a manifest.
     pub fn write_manifest(&self, version: u64, routes: &[Route], services: &[&str]) {
         let services: Vec<String> = services
@@ -320,11 +360,12 @@
     Some(rest.split('"').next()?.to_owned())
 }
 
-/// Ports that are free for TCP and UDP at this moment.
-fn free_ports() -> Outcome<[u16; 3]> {
+/// Ports that are free for TCP and UDP at this moment, three for each process. All are held
+/// until the last one is chosen.
+fn free_ports(processes: usize) -> Outcome<Vec<[u16; 3]>> {
     let mut held = Vec::new();
-    let mut ports = [0; 3];
-    for port in &mut ports {
+    let mut all = vec![[0; 3]; processes];
+    for port in all.iter_mut().flatten() {
         loop {
             let listener = TcpListener::bind("127.0.0.1:0").map_err(text)?;
             *port = listener.local_addr().map_err(text)?.port();
@@ -334,7 +375,7 @@
             }
         }
     }
-    Ok(ports)
+    Ok(all)
 }
 
 fn text(error: Error) -> String {
--- a/review/standins-3/src/record.rs
+++ b/review/standins-3/src/record.rs
@@ -29,6 +29,7 @@
         let ms = self.now_ms();
         let line = format!("{:4}.{:03} s  {text}\n", ms / 1000, ms % 1000);
         let _ = lock(&self.file).write_all(line.as_bytes());
-        print!("{line}");
+        // Nobody may read the output.
+        let _ = std::io::stdout().write_all(line.as_bytes());
     }
 }
