--- a/review/standins-3/src/platform.rs
+++ b/review/standins-3/src/platform.rs
@@ -171,6 +171,15 @@
         Ok(())
     }
 
+    /// Starts a process that was killed again.
+    pub fn restart(&mut self, name: &str) -> Outcome<()> {
+        for node in self.nodes.iter_mut().filter(|node| node.name == name) {
+            node.start()?;
+            self.record.line(&format!("process {name} is started again"));
+        }
+        Ok(())
+    }
+
     fn start_node(
         &self,
         number: usize,
