--- a/crates/cornelpoint-manager/src/node/cluster.rs
+++ b/crates/cornelpoint-manager/src/node/cluster.rs
@@ -36,6 +36,9 @@
 pub(super) struct NodeRow {
     pub(super) address: String,
     pub(super) started_unix_ms: u64,
+    /// Memory that the process may use; 0 in rows of earlier versions.
+    #[serde(default)]
+    pub(super) memory_bytes: u64,
 }
 
 impl Node {
@@ -74,6 +77,7 @@
         let row = NodeRow {
             address: self.address.clone(),
             started_unix_ms: self.started_unix_ms,
+            memory_bytes: self.settings.memory_bytes,
         };
         let key = RowKey::new(CLUSTER_TABLE, "", format!("node/{}", self.settings.node));
         let transaction = Transaction {
@@ -124,6 +128,7 @@
                 && let Some(node) = decode::<NodeRow>(value)
                 && name != self.settings.node
             {
+                self.note_memory(node.memory_bytes);
                 let mut addresses = self.peer_addresses.borrow_mut();
                 addresses.insert(name.to_owned(), (node.address, now_ms));
             }
@@ -132,6 +137,19 @@
         self.planner_changed.notify_one();
     }
 
+    /// Takes note of the memory of another process, which may own a pool later.
+    fn note_memory(&self, memory_bytes: u64) {
+        if memory_bytes > 0 && memory_bytes < self.least_memory_bytes.get() {
+            self.least_memory_bytes.set(memory_bytes);
+            let Some(catalog) = self.catalog() else {
+                return;
+            };
+            for host in self.hosts.borrow().values() {
+                host.set_memory_limits(&catalog);
+            }
+        }
+    }
+
     /// Releases shards that this process owns but does not host: a claim whose
     /// response was lost has been committed.
     fn release_unhosted(self: &Rc<Self>) {
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -14,6 +14,7 @@
 use cornelpoint::ownership::HeartbeatSchedule;
 use cornelpoint::ownership::OwnershipPlanner;
 use cornelpoint::ownership::OwnershipSettings;
+use cornelpoint::scheduler::MemoryLimits;
 use cornelpoint_daemon::log::Component;
 use cornelpoint_daemon::log::RootLog;
 use cornelpoint_platform::settings::NodeSettings;
@@ -86,6 +87,8 @@
     pub(crate) platform_log: Logger,
     pub(crate) main_log: Logger,
     pub(crate) catalog: RefCell<Option<Rc<Catalog>>>,
+    /// Memory of the smallest process that is known.
+    pub(crate) least_memory_bytes: Cell<u64>,
     /// The text of the configuration and how recently it was confirmed.
     pub(super) configuration: ConfigurationState,
     pub(super) call_refusals: CallRefusals,
@@ -157,6 +160,7 @@
             platform_log: log.component(Component::Platform),
             main_log: log.component(Component::Main),
             catalog: RefCell::default(),
+            least_memory_bytes: Cell::new(settings.memory_bytes),
             configuration: ConfigurationState::default(),
             call_refusals: CallRefusals::default(),
             waves: RefCell::default(),
@@ -229,6 +233,11 @@
         self.catalog.borrow().clone()
     }
 
+    /// Returns what the jobs of a pool may hold: they have to fit the smallest process.
+    pub(crate) fn memory_limits(&self, catalog: &Catalog) -> MemoryLimits {
+        MemoryLimits::new(self.least_memory_bytes.get(), catalog.pools.len())
+    }
+
     /// Whether this process reaches neither the store nor most peers; another
     /// process should serve callers then.
     pub(crate) fn is_isolated(&self) -> bool {
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -48,6 +48,9 @@
     /// When the last read that returned all rows of the inbox was sent, by the
     /// monotonic clock.
     pub(super) inbox_read_ms: Cell<u64>,
+    /// Memory that the smallest submission needs which was left in the inbox; `None` if
+    /// all rows have been applied.
+    pub(super) deferred_bytes: Cell<Option<usize>>,
     /// Vacated workers as of the last pass; a change is reported to the fleet's
     /// owner.
     vacated: RefCell<BTreeSet<String>>,
@@ -75,6 +78,7 @@
             links: RefCell::default(),
             waiters: RefCell::default(),
             inbox_read_ms: Cell::new(0),
+            deferred_bytes: Cell::new(None),
             vacated: RefCell::default(),
             log: node.pool_log.clone(),
             stopped: Cell::new(false),
@@ -312,6 +316,14 @@
         scheduler.set_pools(catalog.pools.keys().map(String::as_str));
         scheduler.set_tenants(catalog.tenants.as_ref());
         set_limits(&mut scheduler, catalog);
+        drop(scheduler);
+        self.set_memory_limits(catalog);
+    }
+
+    /// Updates what the pool's jobs may hold.
+    pub(crate) fn set_memory_limits(&self, catalog: &Catalog) {
+        let limits = self.node.memory_limits(catalog);
+        self.scheduler.borrow_mut().set_memory_limits(limits);
     }
 
     /// Returns the pool's status for the heartbeat to peers.
--- a/crates/cornelpoint-manager/src/pool_host/inbox.rs
+++ b/crates/cornelpoint-manager/src/pool_host/inbox.rs
@@ -17,6 +17,7 @@
 use crate::store::FeedHealth;
 use crate::store::FeedOutcome;
 use crate::store::INBOX_TABLE;
+use crate::store::PartitionReader;
 use crate::store::decode;
 
 /// Delay before a failed store request is retried.
@@ -42,15 +43,14 @@
         let mut reads = FeedHealth::new(clock::now().steady_ms);
         while !self.stopped.get() {
             let requested_ms = clock::now().steady_ms;
+            let deferred_bytes = self.deferred_bytes.get();
+            let has_memory = |bytes| self.scheduler.borrow().has_memory_of(bytes);
+            if deferred_bytes.is_some_and(has_memory) {
+                after = None;
+            }
             let Some(version) = after else {
-                if let Some(rows) = self.node.store.read_all(INBOX_TABLE, &self.pool).await {
-                    info!(self.log, "Inbox read in full."; "pool" => &self.pool,
-                        "fencing_token" => self.fencing_token, "version" => rows.version,
-                        "rows" => rows.rows.len(),
-                        "took_ms" => clock::now().steady_ms - requested_ms);
-                    after = Some(rows.version);
-                    self.inbox_read(&mut reads, &rows, requested_ms, "full read");
-                } else {
+                after = self.read_whole_inbox(&mut reads, requested_ms).await;
+                if after.is_none() {
                     self.log_inbox_failure(&mut reads, "full read");
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
@@ -75,6 +75,32 @@
         }
     }
 
+    /// Reads and applies the inbox page by page, up to submissions for which there is no
+    /// memory. Returns the version as of the first page; `None` if a read fails.
+    async fn read_whole_inbox(
+        self: &Rc<Self>,
+        reads: &mut FeedHealth,
+        requested_ms: u64,
+    ) -> Option<u64> {
+        let mut reader = PartitionReader::new(INBOX_TABLE, &self.pool);
+        self.deferred_bytes.set(None);
+        let mut count = 0;
+        loop {
+            // What the pages behind this one hold is not known yet.
+            let page = reader.read_page(&self.node.store).await?;
+            count += page.rows.len();
+            self.inbox_read(reads, &page, requested_ms, "full read");
+            if page.has_more && self.deferred_bytes.get().is_none() {
+                continue;
+            }
+            info!(self.log, "Inbox read in full."; "pool" => &self.pool,
+                "fencing_token" => self.fencing_token, "version" => page.version,
+                "rows" => count, "deferred_bytes" => self.deferred_bytes.get(),
+                "took_ms" => clock::now().steady_ms - requested_ms);
+            return Some(page.version);
+        }
+    }
+
     fn inbox_read(
         self: &Rc<Self>,
         reads: &mut FeedHealth,
@@ -85,15 +111,29 @@
         let unread_ms = self.log_inbox_success(reads, requested_ms);
         let requests = parse_inbox(&self.log, &self.pool, &rows.rows, read, Some(unread_ms));
         if !requests.is_empty() {
-            self.apply(|scheduler, now| apply_inbox(scheduler, requests, now));
+            let deferred = self.apply(|scheduler, now| apply_inbox(scheduler, requests, now));
+            self.defer(deferred);
         }
-        if !rows.has_more {
+        if !rows.has_more && self.deferred_bytes.get().is_none() {
             // The response may have been delayed; it is at least as new as its
             // request.
             self.inbox_read_ms.set(requested_ms);
         }
     }
 
+    /// Takes note of submissions that were left in the inbox.
+    fn defer(&self, bytes: Option<usize>) {
+        let Some(bytes) = bytes else { return };
+        let before = self.deferred_bytes.get();
+        if before.is_none() {
+            warn!(self.log, "No memory for jobs in the inbox; they wait there.";
+                "pool" => &self.pool, "smallest_bytes" => bytes,
+                "fencing_token" => self.fencing_token);
+        }
+        let bytes = before.map_or(bytes, |before| before.min(bytes));
+        self.deferred_bytes.set(Some(bytes));
+    }
+
     /// Logs the first success after failures; returns the time since the
     /// success before was requested.
     fn log_inbox_success(&self, reads: &mut FeedHealth, requested_ms: u64) -> u64 {
@@ -119,30 +159,43 @@
     }
 }
 
-/// Applies all rows of a pool's inbox before its scheduling starts; returns their
-/// number.
+/// Applies the rows of a pool's inbox before its scheduling starts; returns their number,
+/// and the memory that the smallest submission needs which is left there.
 pub(super) fn restore_inbox(
     scheduler: &mut PoolScheduler,
     log: &Logger,
     pool: &str,
     rows: &Rows,
-) -> usize {
+) -> (usize, Option<usize>) {
     let requests = parse_inbox(log, pool, &rows.rows, "takeover", None);
     let count = requests.len();
-    apply_inbox(scheduler, requests, clock::now());
-    count
+    (count, apply_inbox(scheduler, requests, clock::now()))
 }
 
-fn apply_inbox(scheduler: &mut PoolScheduler, requests: Vec<InboxRequest>, now: Instant) {
+/// Applies requests, but for submissions for which there is no memory. Returns what the
+/// smallest of these needs.
+fn apply_inbox(
+    scheduler: &mut PoolScheduler,
+    requests: Vec<InboxRequest>,
+    now: Instant,
+) -> Option<usize> {
+    let mut deferred: Option<usize> = None;
     for request in requests {
         match (request.key, request.job) {
             (InboxKey::Cancel(id), _) => scheduler.cancel_from_inbox(id, now),
             (InboxKey::Submit(id), Some((record, spec))) => {
-                scheduler.submit_from_inbox(id, record, spec, now);
+                let bytes = spec.held_bytes();
+                let is_known = scheduler.job_record(id).is_some();
+                if is_known || scheduler.has_memory_of(bytes) {
+                    scheduler.submit_from_inbox(id, record, spec, now);
+                } else {
+                    deferred = Some(deferred.map_or(bytes, |least| least.min(bytes)));
+                }
             }
             (InboxKey::Submit(_), None) => {}
         }
     }
+    deferred
 }
 
 /// Parses and logs the rows of a pool's inbox; `unread_ms` is the time since the
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -7,6 +7,7 @@
 use cornelpoint::job::JobProgress;
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobSpec;
+use cornelpoint::job::RawJob;
 use cornelpoint::ownership::Claim;
 use cornelpoint::ownership::OwnerRow;
 use cornelpoint::ownership::Recipients;
@@ -42,6 +43,8 @@
 const BUSY_REGISTRY_INTERVAL: Duration = Duration::from_millis(120);
 /// Estimated wait of the accepted work above which the pool counts as busy.
 const BUSY_THRESHOLD_MS: u64 = 300;
+/// Size of the inbox from which the rest is read once the pool is scheduled.
+const FULL_INBOX_BYTES: usize = 4 << 20;
 /// Time after a store outage within which workers restore their entries.
 const REGISTRY_SETTLE_MS: u64 = 2500;
 /// Interval between checks whether the predecessor's process has ended.
@@ -62,6 +65,8 @@
     records: Rows,
     progress: Rows,
     inbox: Rows,
+    /// Whether the inbox has been read to its end.
+    is_inbox_complete: bool,
 }
 
 /// What a new owner knows of the inbox before it starts to schedule.
@@ -69,6 +74,9 @@
     version: u64,
     requested_ms: u64,
     rows: usize,
+    /// Memory that the smallest submission needs which was left in the inbox; `None` if
+    /// all rows have been applied.
+    deferred_bytes: Option<usize>,
 }
 
 impl PoolHost {
@@ -101,6 +109,7 @@
             scheduler.set_pools(catalog.pools.keys().map(String::as_str));
             scheduler.set_tenants(catalog.tenants.as_ref());
             set_limits(&mut scheduler, &catalog);
+            scheduler.set_memory_limits(node.memory_limits(&catalog));
         }
         let row_bytes = node.settings.row_bytes;
         let writer = ShardWriter::new(&claim.shard, owner.clone(), owner_version, row_bytes);
@@ -117,7 +126,13 @@
         let inbox = loop {
             if reader.read(node).await {
                 let stored = reader.into_stored();
-                let rows = restore(node, &claim.shard, &mut scheduler, &stored, leases_end_ms);
+                for values in [&stored.workers, &stored.records, &stored.progress] {
+                    writer.values_read(&values.rows);
+                }
+                let version = stored.inbox.version;
+                let is_complete = stored.is_inbox_complete;
+                let (rows, deferred_bytes) =
+                    restore(node, &claim.shard, &mut scheduler, stored, leases_end_ms);
                 let bounding = predecessor.as_ref().filter(|row| row.grants_by_quorum);
                 if let Some(row) = bounding {
                     scheduler.bound_predecessor(PredecessorBounds {
@@ -126,13 +141,11 @@
                         lease_expiry_ms: lease_expiry_ms(),
                     });
                 }
-                for values in [&stored.workers, &stored.records, &stored.progress] {
-                    writer.values_read(&values.rows);
-                }
                 break RestoredInbox {
-                    version: stored.inbox.version,
+                    version,
                     requested_ms,
                     rows,
+                    deferred_bytes: if is_complete { deferred_bytes } else { Some(0) },
                 };
             }
             if !node.planner.borrow().owns(&claim.shard) {
@@ -143,7 +156,10 @@
             tokio::time::sleep(RETRY_DELAY).await;
         };
         let host = Rc::new(Self::new(node, &claim.shard, writer, scheduler));
-        host.inbox_read_ms.set(inbox.requested_ms);
+        host.deferred_bytes.set(inbox.deferred_bytes);
+        if inbox.deferred_bytes.is_none() {
+            host.inbox_read_ms.set(inbox.requested_ms);
+        }
         if !node.planner.borrow().owns(&claim.shard) {
             return;
         }
@@ -237,7 +253,7 @@
             workers: PartitionReader::new(WORKER_TABLE, pool),
             records: PartitionReader::new(JOB_TABLE, pool),
             progress: PartitionReader::new(PROGRESS_TABLE, pool),
-            inbox: PartitionReader::new(INBOX_TABLE, pool),
+            inbox: PartitionReader::new(INBOX_TABLE, pool).with_full_bytes(FULL_INBOX_BYTES),
         }
     }
 
@@ -266,6 +282,7 @@
             workers: self.workers.into_values(),
             records: self.records.into_values(),
             progress: self.progress.into_values(),
+            is_inbox_complete: self.inbox.is_complete(),
             inbox: self.inbox.into_rows(),
         }
     }
@@ -277,31 +294,38 @@
     node: &Rc<Node>,
     pool: &str,
     scheduler: &mut PoolScheduler,
-    stored: &StoredPool,
+    stored: StoredPool,
     leases_end_ms: u64,
-) -> usize {
+) -> (usize, Option<usize>) {
     let mut workers = stored.workers.rows.iter();
     let workers = workers.find_map(|row| decode::<Vec<WorkerRecord>>(row.value.as_deref()?));
     let workers = workers.unwrap_or_default();
     let worker_count = workers.len();
     scheduler.set_predecessor(workers, leases_end_ms);
-    let progress = stored.progress.rows.iter();
-    let progress: HashMap<&str, JobProgress> = progress
-        .filter_map(|row| Some((row.key.key.as_str(), decode(row.value.as_deref()?)?)))
+    let progress = stored.progress.rows.into_iter();
+    let mut progress: HashMap<String, Vec<u8>> = progress
+        .filter_map(|row| Some((row.key.key, row.value?)))
         .collect();
     let mut count = 0;
-    for row in &stored.records.rows {
+    // Each row is dropped once it is restored: a pool may hold much of the memory.
+    for row in stored.records.rows {
         let record = row.value.as_deref().and_then(decode::<JobRecord>);
         let id = row.key.key.parse::<JobId>().ok();
-        let spec = record
-            .as_ref()
-            .and_then(|record| JobSpec::try_from(record.job.clone()).ok());
-        let (Some(id), Some(record), Some(spec)) = (id, record, spec) else {
+        let progress = progress.remove(&row.key.key);
+        let progress = progress.and_then(|value| decode::<JobProgress>(&value));
+        let is_final = progress.as_ref().is_some_and(|it| it.status.is_final());
+        let spec = record.as_ref().and_then(|record| {
+            if is_final {
+                return Some(JobSpec::released());
+            }
+            JobSpec::try_from(record.job.clone()).ok()
+        });
+        let (Some(id), Some(mut record), Some(spec)) = (id, record, spec) else {
             warn!(node.pool_log, "Job can't be decoded."; "key" => &row.key.key);
             continue;
         };
-        let progress = progress.get(row.key.key.as_str());
-        scheduler.restore(id, record, spec, progress, clock::now());
+        record.job = RawJob::default();
+        scheduler.restore(id, record, spec, progress.as_ref(), clock::now());
         count += 1;
     }
     info!(node.pool_log, "Restored a pool's jobs."; "pool" => pool, "jobs" => count,
--- a/crates/cornelpoint-manager/src/store/partition_reader.rs
+++ b/crates/cornelpoint-manager/src/store/partition_reader.rs
@@ -22,6 +22,8 @@
     from: String,
     rows_per_read: u32,
     complete: bool,
+    /// Size of the values from which no further page is read.
+    full_bytes: usize,
 }
 
 impl PartitionReader {
@@ -34,29 +36,66 @@
             from: String::new(),
             rows_per_read: MAX_ROWS_PER_READ,
             complete: false,
+            full_bytes: usize::MAX,
         }
     }
 
+    /// Stops once the values that have been read take this many bytes.
+    pub(crate) fn with_full_bytes(self, full_bytes: usize) -> Self {
+        Self { full_bytes, ..self }
+    }
+
+    /// Reads the next page; `None` if the read fails. Its rows are not kept.
+    pub(crate) async fn read_page(&mut self, store: &StoreClient) -> Option<Rows> {
+        if !self.read_next(store).await {
+            return None;
+        }
+        Some(Rows {
+            rows: std::mem::take(&mut self.rows),
+            version: self.version,
+            has_more: !self.complete,
+            ..Rows::default()
+        })
+    }
+
+    /// Whether all rows have been read.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.complete
+    }
+
     /// Reads the pages that are left. Returns `false` if a read fails.
     pub(crate) async fn read(&mut self, store: &StoreClient) -> bool {
-        while !self.complete {
-            let call = read_call(self.table, &self.part, &self.from, self.rows_per_read);
-            let Some(page) = store.read(self.table, &call).await else {
-                self.rows_per_read = (self.rows_per_read / 2).max(MIN_ROWS_PER_READ);
+        while !self.complete && self.held_bytes() < self.full_bytes {
+            if !self.read_next(store).await {
                 return false;
-            };
-            if self.version == 0 {
-                self.version = page.version;
             }
-            // The smallest key after the last one read.
-            let last = page.rows.last();
-            self.from = last.map_or(String::new(), |row| format!("{}\0", row.key.key));
-            self.rows.extend(page.rows);
-            self.complete = !page.has_more || self.from.is_empty();
         }
         true
     }
 
+    fn held_bytes(&self) -> usize {
+        let values = self.rows.iter().filter_map(|row| row.value.as_ref());
+        values.map(Vec::len).sum()
+    }
+
+    /// Reads the next page. Returns `false` if the read fails.
+    async fn read_next(&mut self, store: &StoreClient) -> bool {
+        let call = read_call(self.table, &self.part, &self.from, self.rows_per_read);
+        let Some(page) = store.read(self.table, &call).await else {
+            self.rows_per_read = (self.rows_per_read / 2).max(MIN_ROWS_PER_READ);
+            return false;
+        };
+        if self.version == 0 {
+            self.version = page.version;
+        }
+        // The smallest key after the last one read.
+        let last = page.rows.last();
+        self.from = last.map_or(String::new(), |row| format!("{}\0", row.key.key));
+        self.rows.extend(page.rows);
+        self.complete = !page.has_more || self.from.is_empty();
+        true
+    }
+
     /// Returns the number of rows read so far.
     pub(crate) fn row_count(&self) -> usize {
         self.rows.len()
--- a/crates/cornelpoint-manager/tests/body_limits/main.rs
+++ b/crates/cornelpoint-manager/tests/body_limits/main.rs
@@ -3,6 +3,7 @@
 //! an ordinary request is answered while the clients still hold their connections; they
 //! check no times and no share of served requests. One of them runs at a time.
 
+mod large_jobs;
 mod process;
 
 use std::sync::Mutex;
@@ -297,6 +298,22 @@
     assert_eq!(status, Some(200), "an ordinary job isn't accepted");
 }
 
+/// Starts a process, lets callers submit jobs to it, and checks what it holds and that it
+/// accepts an ordinary one.
+fn withstands_jobs(test: &str, submit: impl FnOnce(&Process)) {
+    let _only = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let process = Process::start(test);
+    submit(&process);
+    let usage = process.meter.settle();
+    // Due in the year 2100, so that it doesn't compete for the pool's capacity.
+    let schedule = json!({ "repeat_count": 1, "start_time_ms": 4_102_444_800_000_u64 });
+    let ordinary = large_jobs::body(&schedule, 1, |_| json!({ "replicas": 1 }));
+    let status = process.submit_body(u64::MAX, &ordinary);
+    println!("{test}: {usage:?}, {status:?}");
+    assert!(usage.peak_kb <= MEMORY_MB * 1000, "{usage:?}");
+    assert_eq!(status, Some(200), "an ordinary job isn't accepted");
+}
+
 /// Returns a valid job of this size.
 fn legal_body(bytes: usize) -> Vec<u8> {
     let mut body = job_body(NEED, 10);
--- a/crates/cornelpoint/src/admission/verdict.rs
+++ b/crates/cornelpoint/src/admission/verdict.rs
@@ -7,6 +7,8 @@
     StoreStalled,
     /// A task fits no known worker.
     FitsNoWorker,
+    /// The jobs that are accepted leave too little memory.
+    NoMemory,
     /// Accepted work takes longer than the job's objective allows.
     NoCapacity,
     /// The same, for a tenant whose jobs exceed its share or its weight in jobs a second.
@@ -28,6 +30,7 @@
         match self {
             Self::StoreStalled => "store_stalled",
             Self::FitsNoWorker => "fits_no_worker",
+            Self::NoMemory => "no_memory",
             Self::NoCapacity => "no_capacity",
             Self::BeyondShare => "beyond_share",
             Self::TooLate => "too_late",
--- a/crates/cornelpoint/src/job/index_set.rs
+++ b/crates/cornelpoint/src/job/index_set.rs
@@ -48,6 +48,60 @@
         true
     }
 
+    /// Returns the indexes below `end` that are not in the set.
+    ///
+    /// ```
+    /// use cornelpoint::job::IndexSet;
+    ///
+    /// let done: IndexSet = [0, 4].into_iter().collect();
+    /// assert_eq!(done.complement(6).iter().collect::<Vec<_>>(), [1, 2, 3, 5]);
+    /// ```
+    #[must_use]
+    pub fn complement(&self, end: u32) -> Self {
+        let mut ranges = Vec::with_capacity(self.ranges.len() + 1);
+        let mut next = 0;
+        for &(first, last) in self.ranges.iter().filter(|(first, _)| *first < end) {
+            if next < first {
+                ranges.push((next, first - 1));
+            }
+            next = last + 1;
+        }
+        if next < end {
+            ranges.push((next, end - 1));
+        }
+        Self { ranges }
+    }
+
+    /// Removes an index. Returns `false` if it was not there.
+    ///
+    /// ```
+    /// use cornelpoint::job::IndexSet;
+    ///
+    /// let mut waiting: IndexSet = (0..4).collect();
+    /// assert!(waiting.remove(1));
+    /// assert!(!waiting.remove(1));
+    /// assert_eq!(waiting.iter().collect::<Vec<_>>(), [0, 2, 3]);
+    /// ```
+    pub fn remove(&mut self, index: u32) -> bool {
+        let place = self.ranges.partition_point(|(_, last)| *last < index);
+        let Some(&(first, last)) = self.ranges.get(place).filter(|(first, _)| *first <= index)
+        else {
+            return false;
+        };
+        match (first == index, last == index) {
+            (true, true) => {
+                self.ranges.remove(place);
+            }
+            (true, false) => self.ranges[place].0 = index + 1,
+            (false, true) => self.ranges[place].1 = index - 1,
+            (false, false) => {
+                self.ranges[place].1 = index - 1;
+                self.ranges.insert(place + 1, (index + 1, last));
+            }
+        }
+        true
+    }
+
     /// Whether an index is in the set.
     ///
     /// ```
--- a/crates/cornelpoint/src/job/spec.rs
+++ b/crates/cornelpoint/src/job/spec.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use super::job_error::JobError;
@@ -22,6 +23,13 @@
 /// Maximum number of occurrences of a job, for the same reason.
 const MAX_OCCURRENCES: u64 = 100_000;
 
+/// Estimated memory that a job takes besides its text and its steps.
+const JOB_BYTES: usize = 800;
+/// Estimated memory that a step takes, as submitted, as validated and while it waits.
+const STEP_BYTES: usize = 600;
+/// Estimated memory that the number of an earlier step takes.
+const AFTER_BYTES: usize = 10;
+
 /// A validated job.
 ///
 /// ```
@@ -47,6 +55,16 @@
 }
 
 impl JobSpec {
+    /// Returns what is kept of a final job.
+    #[must_use]
+    pub fn released() -> Self {
+        Self {
+            spec: Arc::from(""),
+            steps: Vec::new(),
+            schedule: None,
+        }
+    }
+
     /// Returns the number of occurrences.
     #[must_use]
     pub fn occurrences(&self) -> u32 {
@@ -60,6 +78,32 @@
         self.steps.iter().any(|step| step.long_running)
     }
 
+    /// Estimates the memory that an owner needs for the job, with one occurrence of which
+    /// no task has been started.
+    ///
+    /// ```
+    /// use cornelpoint::job::JobSpec;
+    /// use cornelpoint::job::RawJob;
+    /// use cornelpoint::job::RawStep;
+    ///
+    /// let job = |replicas| {
+    ///     let steps = vec![RawStep { replicas, ..RawStep::default() }];
+    ///     JobSpec::try_from(RawJob { steps, ..RawJob::default() })
+    /// };
+    /// // Tasks take memory only once they are started.
+    /// assert_eq!(job(1)?.held_bytes(), job(10_000)?.held_bytes());
+    /// # Ok::<(), cornelpoint::job::JobError>(())
+    /// ```
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        let steps = self.steps.iter().map(|step| {
+            let texts = [&step.required_label, &step.preferred_rack, &step.image];
+            let texts = texts.into_iter().flatten().map(|text| 2 * text.len());
+            STEP_BYTES + AFTER_BYTES * step.after.len() + texts.sum::<usize>()
+        });
+        JOB_BYTES + 2 * self.spec.len() + steps.sum::<usize>()
+    }
+
     /// Returns the estimated work of one occurrence, in core-milliseconds.
     #[must_use]
     pub fn work_core_ms(&self) -> u64 {
@@ -137,6 +181,8 @@
         Ok(number) if usize::from(number) < index => Ok(number),
         _ => Err(JobError::After { step: index, after }),
     });
+    // A body may name a step any number of times.
+    let after = after.collect::<Result<BTreeSet<u16>, _>>()?;
     Ok(Step {
         replicas: u32::try_from(raw.replicas).map_err(|_| replicas_error)?,
         resources: Resources {
@@ -145,7 +191,7 @@
             accelerators: raw.accelerators.min(MAX_RESOURCE),
         },
         estimate_ms: raw.estimate_ms.min(MAX_ESTIMATE_MS),
-        after: after.collect::<Result<_, _>>()?,
+        after: after.into_iter().collect(),
         saves_progress: raw.saves_progress,
         gang: raw.gang,
         same_rack: raw.same_rack,
--- a/crates/cornelpoint/src/job/step.rs
+++ b/crates/cornelpoint/src/job/step.rs
@@ -44,6 +44,30 @@
 }
 
 impl Step {
+    /// A step without tasks.
+    pub(crate) const NONE: Self = Self {
+        replicas: 0,
+        resources: Resources {
+            cpu_millicores: 0,
+            memory_mb: 0,
+            accelerators: 0,
+        },
+        estimate_ms: 0,
+        after: Vec::new(),
+        saves_progress: false,
+        gang: false,
+        same_rack: false,
+        required_label: None,
+        preferred_rack: None,
+        max_per_worker: None,
+        speculative: false,
+        long_running: false,
+        image: None,
+        target_ms: None,
+        fills: false,
+        may_miss: None,
+    };
+
     /// Returns the capacity that a task reserves on a worker; fillers reserve no
     /// CPU.
     #[must_use]
--- a/crates/cornelpoint/src/scheduler/admission.rs
+++ b/crates/cornelpoint/src/scheduler/admission.rs
@@ -23,6 +23,9 @@
 const STALLED_RETRY_AFTER_MS: u64 = 2000;
 /// Time after which the caller of a job that fits no known worker may retry.
 const INFEASIBLE_RETRY_AFTER_MS: u64 = 30_000;
+/// Time after which the caller of a job for which there is no memory may retry: accepted
+/// jobs have to end first.
+const NO_MEMORY_RETRY_AFTER_MS: u64 = 5000;
 
 impl PoolScheduler {
     /// Records how long a task took, which may change its job's objective.
@@ -89,6 +92,10 @@
             let verdict = refuse(RefusalReason::FitsNoWorker, INFEASIBLE_RETRY_AFTER_MS);
             return self.admission.record_verdict(verdict);
         }
+        if !self.has_memory_of(spec.held_bytes()) {
+            let verdict = refuse(RefusalReason::NoMemory, NO_MEMORY_RETRY_AFTER_MS);
+            return self.admission.record_verdict(verdict);
+        }
         if spec.is_long_running() || spec.schedule.is_some() {
             return Verdict::default();
         }
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -6,6 +6,7 @@
 use crate::job::JobProgress;
 use crate::job::JobRecord;
 use crate::job::JobStatus;
+use crate::job::RawJob;
 
 use super::action::IncarnationIndex;
 use super::instant::Instant;
@@ -31,6 +32,8 @@
 const LEAST_BATCH_BYTES: usize = 25_000;
 /// Estimated size of the rows that a batch of several jobs doesn't exceed.
 const MAX_BATCH_BYTES: usize = 600_000;
+/// Size of a job from which its record is replaced by one without its steps when it ends.
+const MAX_FINAL_RECORD_BYTES: usize = 8192;
 /// Stored record of a worker incarnation that may run tasks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRecord {
@@ -228,8 +231,15 @@
             in_flight.expired.push(unstored);
             return;
         }
-        if job.stored_status.is_none() {
-            batch.records.push((id, job.record.clone()));
+        // A successor reads the rows of final jobs, too, until they expire.
+        let ends = job.status.is_final() && !job.stored_status.is_some_and(JobStatus::is_final);
+        let is_shortened = ends && job.held_bytes > MAX_FINAL_RECORD_BYTES;
+        if job.stored_status.is_none() || is_shortened {
+            let mut record = job.record.clone();
+            if is_shortened {
+                record.job = RawJob::default();
+            }
+            batch.records.push((id, record));
         }
         batch
             .progress
@@ -309,13 +319,19 @@
         outcome
     }
 
+    fn forget_job(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.remove(&id) {
+            self.held_job_bytes = self.held_job_bytes.saturating_sub(job.held_bytes);
+        }
+    }
+
     /// Removes a job that was never stored, so that nothing of it has started.
     fn remove_unstored_job(&mut self, id: JobId) {
         self.remove_ready_of_job(id);
         self.scheduled_occurrences.retain(|&(_, job, _)| job != id);
         self.retained_final_jobs.retain(|&(_, job)| job != id);
         self.active_jobs.remove(&id);
-        self.jobs.remove(&id);
+        self.forget_job(id);
         self.recent_load = None;
     }
 
@@ -342,6 +358,8 @@
             };
             let previous_status = job.stored_status.replace(status);
             job.accepted = true;
+            // Only its row needs the job as submitted.
+            job.record.job = RawJob::default();
             if is_new {
                 stored.accepted.push(id);
             }
@@ -355,6 +373,7 @@
                     late_ms: job.final_steady_ms.saturating_sub(job.objective.due_ms()),
                 });
             }
+            self.release_job(id);
             // Read while the batch was in flight, which did not remove them.
             for key in [InboxKey::Submit(id), InboxKey::Cancel(id)] {
                 if self.inbox.remove(&key) {
@@ -363,7 +382,7 @@
             }
         }
         for job in in_flight.expired {
-            self.jobs.remove(&job.id);
+            self.forget_job(job.id);
         }
         for (incarnation, sequence) in in_flight.completions {
             if let Some(worker) = self.incarnations.get_mut(&incarnation) {
--- a/crates/cornelpoint/src/scheduler/completions.rs
+++ b/crates/cornelpoint/src/scheduler/completions.rs
@@ -79,8 +79,9 @@
         let outcome = self.copies.run_ended(completion.task, completion.run);
         self.log_copy(completion.task, outcome);
         if let Some(job) = self.jobs.get_mut(&completion.task.step.job) {
-            job.forget_done_occurrence(completion.task.step.occurrence);
+            job.forget_ended(completion.task);
         }
+        self.release_job(completion.task.step.job);
     }
 
     fn log_copy(&mut self, task: TaskId, outcome: Option<(u64, CopyOutcome)>) {
@@ -153,10 +154,12 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else {
             return;
         };
-        let Some(task) = job.task(id).filter(|task| !task.done) else {
+        let step = job.begun_step(id.step);
+        if step.is_none_or(|step| step.is_done(id.index)) {
             return;
-        };
-        let others: Vec<u64> = task.runs.iter().map(|run| run.number).collect();
+        }
+        let runs = job.task(id).into_iter().flat_map(|task| &task.runs);
+        let others: Vec<u64> = runs.map(|run| run.number).collect();
         job.mark_task_done(id);
         for run in others {
             self.stop_run(id, run, now);
@@ -172,7 +175,7 @@
         let Some(steps) = job.occurrences.get(&id.step.occurrence) else {
             return;
         };
-        if steps[usize::from(id.step.step)].remaining > 0 {
+        if steps[usize::from(id.step.step)].remaining() > 0 {
             return;
         }
         if let Some(profile) = self.profile(id.step) {
@@ -233,8 +236,9 @@
         let mut active_runs = Vec::new();
         for (&occurrence, steps) in &job.occurrences {
             for (step_index, step) in steps.iter().enumerate() {
-                for (index, task) in step.tasks.iter().enumerate() {
-                    let task_id = super::placement::task_id(id, occurrence, step_index, index);
+                let step_id = super::placement::task_id(id, occurrence, step_index, 0).step;
+                for (index, task) in step.started() {
+                    let task_id = step_id.task(index);
                     active_runs.extend(task.runs.iter().map(|run| (task_id, run.number)));
                 }
             }
@@ -273,8 +277,9 @@
         let outcome = self.copies.run_ended(id, run);
         self.log_copy(id, outcome);
         if let Some(job) = self.jobs.get_mut(&id.step.job) {
-            job.forget_done_occurrence(id.step.occurrence);
+            job.forget_ended(id);
         }
+        self.release_job(id.step.job);
         true
     }
 }
@@ -286,8 +291,8 @@
         let Some(steps) = self.occurrences.get(&step.occurrence) else {
             return 0;
         };
-        let tasks = &steps[usize::from(step.step)].tasks;
-        let runs = tasks.iter().flat_map(|task| task.failed_runs.iter());
+        let tasks = steps[usize::from(step.step)].started();
+        let runs = tasks.flat_map(|(_, task)| task.failed_runs.iter());
         runs.collect::<std::collections::BTreeSet<_>>().len()
     }
 }
--- a/crates/cornelpoint/src/scheduler/evacuation.rs
+++ b/crates/cornelpoint/src/scheduler/evacuation.rs
@@ -307,15 +307,13 @@
         let Some(steps) = job.occurrences.get(&id.step.occurrence) else {
             return false;
         };
-        let others = steps[usize::from(id.step.step)].tasks.iter().enumerate();
-        let unavailable = others.filter(|(index, task)| {
-            let at_full_speed = task
-                .runs
-                .iter()
-                .any(|run| self.runs_at_full_speed(run, now));
-            *index != id.index as usize && !at_full_speed
+        let others = steps[usize::from(id.step.step)].started();
+        let available = others.filter(|(index, task)| {
+            let mut runs = task.runs.iter();
+            *index != id.index && runs.any(|run| self.runs_at_full_speed(run, now))
         });
-        let unavailable = u32::try_from(unavailable.count()).unwrap_or(u32::MAX);
+        let available = u32::try_from(available.count()).unwrap_or(u32::MAX);
+        let unavailable = step.replicas.saturating_sub(1).saturating_sub(available);
         unavailable < budget || (draining && unavailable == 0)
     }
 
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -149,6 +149,7 @@
         let tenant = tenant.map(|tenant| self.tenant_use.index_of(tenant));
         let work = self.expected_work_core_ms(&record, &spec);
         let value_milli = self.admission.value_milli(&record.queue, work);
+        let held_bytes = spec.held_bytes();
         let entry = JobEntry {
             record,
             tenant,
@@ -162,6 +163,7 @@
             share_class: ShareClass::Owed,
             value_milli,
             objective,
+            held_bytes,
             occurrences: BTreeMap::new(),
             done_occurrences: IndexSet::default(),
             next_occurrence: 0,
@@ -171,7 +173,9 @@
         } else {
             self.active_jobs.insert(id);
         }
+        self.held_job_bytes += held_bytes;
         self.jobs.insert(id, entry);
+        self.release_job(id);
         if !status.is_final() && progress.is_none() {
             self.plan_occurrences(id, now);
         }
@@ -255,6 +259,8 @@
 
     /// Adds the occurrences of a job that are due, and schedules the next one.
     pub(super) fn plan_occurrences(&mut self, id: JobId, now: Instant) {
+        let schedule = self.jobs.get(&id).and_then(|job| job.spec.schedule);
+        let mut free_steps = schedule.map_or(0, |_| self.free_steps());
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -265,16 +271,20 @@
             }
             return;
         };
+        let count = job.spec.steps.len();
+        let mut opened: Vec<u32> = Vec::new();
         for occurrence in job.next_occurrence..schedule.count {
             let due_unix_ms = schedule.due_unix_ms(occurrence);
-            if due_unix_ms > now.unix_ms {
+            let fits = free_steps >= count || !job.has_begun_occurrence();
+            if due_unix_ms > now.unix_ms || !fits {
                 self.scheduled_occurrences
                     .insert((due_unix_ms, id, occurrence));
                 break;
             }
+            free_steps = free_steps.saturating_sub(count);
             job.add_occurrence(occurrence);
+            opened.push(occurrence);
         }
-        let opened: Vec<u32> = job.occurrences.keys().copied().collect();
         for occurrence in opened {
             self.open_steps(id, occurrence, now);
         }
@@ -290,19 +300,57 @@
         if is_planned || step.occurrence >= job.spec.occurrences() || job.status.is_final() {
             return;
         }
+        let first = job.next_occurrence;
         job.add_occurrences_before(step.occurrence + 1);
+        let added: Vec<u32> = job.occurrences.range(first..).map(|(&at, _)| at).collect();
+        for occurrence in added {
+            self.open_steps(step.job, occurrence, now);
+        }
+        self.scheduled_occurrences
+            .retain(|&(_, job, _)| job != step.job);
         self.plan_occurrences(step.job, now);
     }
 
-    /// Opens the scheduled occurrences that are due.
+    /// Opens the scheduled occurrences that are due, as far as memory allows.
     pub(super) fn open_due_occurrences(&mut self, now: Instant) {
-        while let Some(&(due_unix_ms, id, occurrence)) = self.scheduled_occurrences.first() {
-            if due_unix_ms > now.unix_ms {
-                return;
-            }
-            self.scheduled_occurrences
-                .remove(&(due_unix_ms, id, occurrence));
-            self.plan_occurrences(id, now);
+        let is_due = |&(due_unix_ms, _, _): &(u64, JobId, u32)| due_unix_ms <= now.unix_ms;
+        if !self.scheduled_occurrences.first().is_some_and(is_due) {
+            return;
+        }
+        let free_steps = self.free_steps();
+        let due = self
+            .scheduled_occurrences
+            .iter()
+            .take_while(|at| is_due(at));
+        let fitting = due.filter(|(_, id, _)| {
+            let job = self.jobs.get(id);
+            job.is_none_or(|job| job.spec.steps.len() <= free_steps || !job.has_begun_occurrence())
+        });
+        let fitting: Vec<(u64, JobId, u32)> = fitting.copied().collect();
+        for scheduled in fitting {
+            self.scheduled_occurrences.remove(&scheduled);
+            self.plan_occurrences(scheduled.1, now);
+        }
+    }
+
+    /// Returns the number of steps of further occurrences that may begin.
+    fn free_steps(&self) -> usize {
+        let scheduled = self.active().filter(|job| job.spec.schedule.is_some());
+        let begun = scheduled.map(|job| {
+            let further = job.occurrences.len().saturating_sub(1);
+            further * job.spec.steps.len()
+        });
+        self.memory_limits.steps.saturating_sub(begun.sum())
+    }
+
+    /// Releases a job's memory if it is final, stored as such and has no runs.
+    pub(super) fn release_job(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.release() {
+            self.held_job_bytes = self.held_job_bytes.saturating_sub(job.held_bytes);
+            job.held_bytes = 0;
         }
     }
 
--- a/crates/cornelpoint/src/scheduler/job_entry.rs
+++ b/crates/cornelpoint/src/scheduler/job_entry.rs
@@ -7,16 +7,22 @@
 use crate::job::JobRecord;
 use crate::job::JobSpec;
 use crate::job::JobStatus;
+use crate::job::RawJob;
 use crate::job::Resources;
 use crate::job::Step;
+use crate::job::StepId;
 use crate::job::StepProgress;
 use crate::job::TaskId;
 use crate::job::TaskProgress;
 use crate::quota::TenantIndex;
 
 use super::objective::Objective;
+use super::step_entry::StepEntry;
 use super::task_entry::TaskEntry;
 
+/// Stands for the steps of a released job.
+static RELEASED_STEP: Step = Step::NONE;
+
 /// In-memory state of a job.
 #[derive(Clone, Debug)]
 pub(super) struct JobEntry {
@@ -40,23 +46,38 @@
     pub(super) value_milli: u64,
     /// Time by which the job has to be done to be of full value.
     pub(super) objective: Objective,
+    /// Estimated memory that the job holds.
+    pub(super) held_bytes: usize,
     /// Occurrences that have begun, without those that are done and have no runs left.
     pub(super) occurrences: BTreeMap<u32, Vec<StepEntry>>,
     pub(super) done_occurrences: IndexSet,
     pub(super) next_occurrence: u32,
 }
 
-/// In-memory state of a step of one occurrence.
-#[derive(Clone, Debug)]
-pub(super) struct StepEntry {
-    pub(super) tasks: Vec<TaskEntry>,
-    pub(super) remaining: u32,
-    pub(super) open: bool,
-}
-
 impl JobEntry {
     pub(super) fn step(&self, step: u16) -> &Step {
-        &self.spec.steps[usize::from(step)]
+        let step = self.spec.steps.get(usize::from(step));
+        step.unwrap_or(&RELEASED_STEP)
+    }
+
+    /// Releases what only a job that may run needs. Returns whether there was something.
+    pub(super) fn release(&mut self) -> bool {
+        let may_run = !self.status.is_final()
+            || !self.stored_status.is_some_and(JobStatus::is_final)
+            || !self
+                .occurrences
+                .values()
+                .flatten()
+                .all(StepEntry::has_no_runs);
+        if may_run || self.spec.steps.is_empty() {
+            return false;
+        }
+        self.occurrences.clear();
+        self.spec.steps = Vec::new();
+        self.spec.spec = "".into();
+        self.objective = Objective::default();
+        self.record.job = RawJob::default();
+        true
     }
 
     /// Returns when an occurrence has to be done, by the monotonic clock.
@@ -92,10 +113,7 @@
             indexed_steps.map(move |(step_index, step)| (occurrence, step_index, step))
         });
         let waits_too_long = steps.any(|(occurrence, step_index, step)| {
-            let mut tasks = step.tasks.iter();
-            step.open
-                && self.latest_start_ms(occurrence, step_index) < now_ms
-                && tasks.any(|task| !task.done && task.runs.is_empty())
+            step.open && self.latest_start_ms(occurrence, step_index) < now_ms && step.has_idle()
         });
         self.objective.due_ms() < now_ms || waits_too_long
     }
@@ -106,7 +124,7 @@
         let steps = steps.flat_map(|steps| steps.iter().zip(&self.spec.steps).enumerate());
         let short = steps.filter(|(_, (_, step))| !step.fills && !step.long_running);
         let work = short.map(|(index, (entry, step))| {
-            let cpu = u64::from(entry.remaining) * step.resources.cpu_millicores;
+            let cpu = u64::from(entry.remaining()) * step.resources.cpu_millicores;
             cpu * self.objective.step_ms(index) / 1000
         });
         work.sum()
@@ -120,25 +138,40 @@
         dominant_millicores(need, pool).saturating_mul(step_ms) / 1000
     }
 
+    /// Returns a begun step; `None` if its occurrence is done or hasn't begun.
+    pub(super) fn begun_step(&self, id: StepId) -> Option<&StepEntry> {
+        let steps = self.occurrences.get(&id.occurrence)?;
+        steps.get(usize::from(id.step))
+    }
+
+    fn begun_step_mut(&mut self, id: StepId) -> Option<&mut StepEntry> {
+        let steps = self.occurrences.get_mut(&id.occurrence)?;
+        steps.get_mut(usize::from(id.step))
+    }
+
+    /// Returns a task's record; `None` if it has never been started.
     pub(super) fn task(&self, task: TaskId) -> Option<&TaskEntry> {
-        let steps = self.occurrences.get(&task.step.occurrence)?;
-        let step = steps.get(usize::from(task.step.step))?;
-        step.tasks.get(task.index as usize)
+        self.begun_step(task.step)?.task(task.index)
     }
 
+    /// Returns a task's record, which is added if it has none.
     pub(super) fn task_mut(&mut self, task: TaskId) -> Option<&mut TaskEntry> {
-        let steps = self.occurrences.get_mut(&task.step.occurrence)?;
-        let step = steps.get_mut(usize::from(task.step.step))?;
-        step.tasks.get_mut(task.index as usize)
+        self.begun_step_mut(task.step)?.task_mut(task.index)
+    }
+
+    /// Whether a task is not done and has no run.
+    pub(super) fn is_idle(&self, id: TaskId) -> bool {
+        let step = self.begun_step(id.step);
+        step.is_some_and(|step| {
+            let task = step.task(id.index);
+            !step.is_done(id.index) && task.is_none_or(|task| task.runs.is_empty())
+        })
     }
 
     /// Adds an occurrence of which no task is done.
     pub(super) fn add_occurrence(&mut self, occurrence: u32) {
-        let steps = self.spec.steps.iter().map(|step| StepEntry {
-            tasks: vec![TaskEntry::default(); step.replicas as usize],
-            remaining: step.replicas,
-            open: false,
-        });
+        let steps = self.spec.steps.iter();
+        let steps = steps.map(|step| StepEntry::new(step.replicas));
         self.occurrences.insert(occurrence, steps.collect());
         self.next_occurrence = self.next_occurrence.max(occurrence + 1);
     }
@@ -155,17 +188,20 @@
 
     /// Records that a task is done, and its occurrence with the last of its tasks.
     pub(super) fn mark_task_done(&mut self, id: TaskId) {
-        let Some(task) = self.task_mut(id).filter(|task| !task.done) else {
+        let step = self.begun_step_mut(id.step);
+        if !step.is_some_and(|step| step.mark_done(id.index)) {
             return;
-        };
-        task.done = true;
-        task.checkpoint.clear();
-        if let Some(steps) = self.occurrences.get_mut(&id.step.occurrence) {
-            steps[usize::from(id.step.step)].remaining -= 1;
-            if steps.iter().all(|step| step.remaining == 0) {
-                self.done_occurrences.insert(id.step.occurrence);
-            }
         }
+        let steps = self.occurrences.get(&id.step.occurrence);
+        if steps.is_some_and(|steps| steps.iter().all(|step| step.remaining() == 0)) {
+            self.done_occurrences.insert(id.step.occurrence);
+        }
+    }
+
+    /// Whether an occurrence has begun that is not done.
+    pub(super) fn has_begun_occurrence(&self) -> bool {
+        let mut begun = self.occurrences.keys();
+        begun.any(|&occurrence| !self.done_occurrences.contains(occurrence))
     }
 
     /// Whether all occurrences are done.
@@ -173,15 +209,22 @@
         self.done_occurrences.len() >= self.spec.occurrences() as usize
     }
 
+    /// Forgets what is no longer needed after a run of a task has ended.
+    pub(super) fn forget_ended(&mut self, id: TaskId) {
+        if let Some(step) = self.begun_step_mut(id.step) {
+            step.forget_ended(id.index);
+        }
+        self.forget_done_occurrence(id.step.occurrence);
+    }
+
     /// Forgets the tasks of an occurrence of a scheduled job that is done, once none of
     /// them has a run.
     pub(super) fn forget_done_occurrence(&mut self, occurrence: u32) {
         if self.spec.schedule.is_none() || !self.done_occurrences.contains(occurrence) {
             return;
         }
-        let steps = self.occurrences.get(&occurrence).into_iter().flatten();
-        let mut tasks = steps.flat_map(|step| &step.tasks);
-        if tasks.all(|task| task.runs.is_empty()) {
+        let mut steps = self.occurrences.get(&occurrence).into_iter().flatten();
+        if steps.all(StepEntry::has_no_runs) {
             self.occurrences.remove(&occurrence);
         }
     }
@@ -194,7 +237,7 @@
         let after = &self.spec.steps[usize::from(step)].after;
         after
             .iter()
-            .all(|&earlier| steps[usize::from(earlier)].remaining == 0)
+            .all(|&earlier| steps[usize::from(earlier)].remaining() == 0)
     }
 
     /// Returns the job's current progress in the form that is stored.
@@ -212,17 +255,14 @@
         let open = open.filter(|(occurrence, _)| !self.done_occurrences.contains(**occurrence));
         for (&occurrence, steps) in open {
             for (step_index, step) in steps.iter().enumerate() {
-                let done = (0..).zip(&step.tasks).filter(|(_, task)| task.done);
-                let done: IndexSet = done.map(|(index, _)| index).collect();
-                if !done.is_empty() {
-                    let step = step_number(step_index);
+                if !step.done().is_empty() {
                     progress.steps.push(StepProgress {
                         occurrence,
-                        step,
-                        done,
+                        step: step_number(step_index),
+                        done: step.done().clone(),
                     });
                 }
-                for (index, task) in (0..).zip(&step.tasks) {
+                for (index, task) in step.started() {
                     let task = task_progress(occurrence, step_index, index, task);
                     progress.tasks.extend(task);
                 }
--- a/crates/cornelpoint/src/scheduler/load.rs
+++ b/crates/cornelpoint/src/scheduler/load.rs
@@ -61,7 +61,7 @@
             if step.fills {
                 continue;
             }
-            let count = u64::from(entry.remaining);
+            let count = u64::from(entry.remaining());
             let cpu = count * step.resources.cpu_millicores;
             if step.long_running {
                 view.lasting_millicores += cpu;
--- a/crates/cornelpoint/src/scheduler/placement.rs
+++ b/crates/cornelpoint/src/scheduler/placement.rs
@@ -1,9 +1,8 @@
-use std::collections::BTreeSet;
-
 use crate::admission::QueuedStep;
 use crate::admission::WaitingWork;
 use crate::admission::density;
 use crate::admission::order_by_loss;
+use crate::job::IndexSet;
 use crate::job::JobId;
 use crate::job::Resources;
 use crate::job::Step;
@@ -20,6 +19,7 @@
 use super::ready_step::PlacementPass;
 use super::ready_step::ReadyStep;
 use super::scheduler_event::SchedulerEvent;
+use super::step_entry::StepEntry;
 use super::task_entry::Phase;
 use super::task_entry::Run;
 use super::worker_set::WorkerSet;
@@ -68,7 +68,7 @@
             return;
         };
         let count = job.spec.steps.len();
-        let mut waiting = Vec::new();
+        let mut opened = Vec::new();
         for step_index in 0..count {
             let step = task_id(id, occurrence, step_index, 0).step.step;
             let open = job.may_open(occurrence, step);
@@ -79,12 +79,16 @@
                 continue;
             }
             steps[step_index].open = true;
-            let tasks = steps[step_index].tasks.iter().enumerate();
-            let tasks = tasks.filter(|(_, task)| !task.done && task.runs.is_empty());
-            waiting.extend(tasks.map(|(index, _)| task_id(id, occurrence, step_index, index)));
+            let idle = steps[step_index].idle();
+            if !idle.is_empty() && !job.status.is_final() {
+                opened.push((task_id(id, occurrence, step_index, 0).step, idle));
+            }
         }
-        for task in waiting {
-            self.make_ready(task, now);
+        for (step, idle) in opened {
+            if let Some(ready) = self.ready_step(step, now) {
+                ready.tasks = idle;
+                self.placement_needed = true;
+            }
         }
     }
 
@@ -109,28 +113,31 @@
             .occurrences
             .get(&id.step.occurrence)
             .is_some_and(|steps| steps[usize::from(id.step.step)].open);
-        let idle = job
-            .task(id)
-            .is_some_and(|task| !task.done && task.runs.is_empty());
-        if job.status.is_final() || !open || !idle {
+        if job.status.is_final() || !open || !job.is_idle(id) {
             return;
         }
-        let need = job.step(id.step.step).reserved();
-        let tenant = job.tenant;
-        if let Some(key) = self.ready_key(id.step) {
-            let step = self.ready.entry(key).or_insert_with(|| ReadyStep {
-                tasks: BTreeSet::new(),
-                need,
-                tenant,
-                unplaceable: false,
-                since_ms: now.steady_ms,
-            });
+        if let Some(step) = self.ready_step(id.step, now) {
             step.tasks.insert(id.index);
             step.unplaceable = false;
             self.placement_needed = true;
         }
     }
 
+    /// Returns a step's entry in the placement queue, which is added if it has none.
+    fn ready_step(&mut self, id: StepId, now: Instant) -> Option<&mut ReadyStep> {
+        let key = self.ready_key(id)?;
+        let job = self.jobs.get(&id.job)?;
+        let need = job.step(id.step).reserved();
+        let tenant = job.tenant;
+        Some(self.ready.entry(key).or_insert_with(|| ReadyStep {
+            tasks: IndexSet::default(),
+            need,
+            tenant,
+            unplaceable: false,
+            since_ms: now.steady_ms,
+        }))
+    }
+
     /// Considers a waiting step for all workers again.
     pub(super) fn reconsider(&mut self, step: StepId) {
         let key = self.ready_key(step);
@@ -146,7 +153,7 @@
             return;
         };
         if let Some(step) = self.ready.get_mut(&key) {
-            step.tasks.remove(&id.index);
+            step.tasks.remove(id.index);
             if step.tasks.is_empty() {
                 self.ready.remove(&key);
             }
@@ -189,6 +196,7 @@
             too_large: Vec::new(),
             without_tickets: Vec::new(),
             held_tenants: Vec::new(),
+            free_records: self.free_records(),
             unreported: self.unreported_use(),
         };
         self.tenants_wait = false;
@@ -346,9 +354,21 @@
         };
         let need = ready.need;
         let unplaceable = ready.unplaceable;
-        let tasks = ready.tasks.iter().copied();
-        let startable = tasks.filter(|&index| !self.is_withheld(key.step.task(index), now));
-        let indexes: Vec<u32> = startable.collect();
+        let step = job.step(key.step.step);
+        // More can't be started in one pass, but for tasks that no worker may take.
+        let records = job.begun_step(key.step).map_or(0, StepEntry::record_count);
+        let most = if step.gang {
+            usize::MAX
+        } else {
+            self.settings.max_starts_in_flight + records + 1
+        };
+        let tasks = ready.tasks.iter();
+        let has_memory = pass.free_records > 0 || step.gang;
+        let startable = tasks.filter(|&index| {
+            let task = key.step.task(index);
+            !self.is_withheld(task, now) && (has_memory || job.task(task).is_some())
+        });
+        let indexes: Vec<u32> = startable.take(most).collect();
         if indexes.is_empty() {
             return;
         }
@@ -361,8 +381,13 @@
             self.mark_unplaceable(key);
             return;
         }
-        let step = job.step(key.step.step).clone();
+        let step = step.clone();
+        let has_record = |index: &&u32| job.task(key.step.task(**index)).is_some();
+        let new_records = indexes.len() - indexes.iter().filter(has_record).count();
         if step.gang {
+            if new_records > pass.free_records {
+                return;
+            }
             // Its members may need a changed worker together with others.
             self.place_gang(key, &step, &indexes, needs_ticket, pass, now);
             return;
@@ -374,6 +399,11 @@
                 self.starts_limited = true;
                 return;
             }
+            let is_new = !self.has_record(key.step.task(index));
+            if is_new && pass.free_records == 0 {
+                // Tasks that have been started before need no further memory.
+                continue;
+            }
             if !self.tenant_has_room(key, need, 1, pass, now) {
                 return;
             }
@@ -399,12 +429,25 @@
                 break;
             };
             self.start(task, &step, incarnation, self.next_run_of(task), now);
+            pass.free_records = pass.free_records.saturating_sub(usize::from(is_new));
         }
         if !all_placed {
             self.mark_unplaceable(key);
         }
     }
 
+    fn has_record(&self, task: TaskId) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        job.is_some_and(|job| job.task(task).is_some())
+    }
+
+    /// Returns the number of tasks that may be started for the first time.
+    fn free_records(&self) -> usize {
+        let steps = self.active().flat_map(|job| job.occurrences.values());
+        let records = steps.flatten().map(StepEntry::record_count);
+        self.memory_limits.tasks.saturating_sub(records.sum())
+    }
+
     /// Compares a step with all workers at the next pass. It was not compared with those
     /// that have changed.
     fn consider_all_workers(&mut self, key: ReadyKey) {
--- a/crates/cornelpoint/src/scheduler/places.rs
+++ b/crates/cornelpoint/src/scheduler/places.rs
@@ -107,7 +107,7 @@
     /// Returns the tasks that last and wait for workers.
     pub(super) fn waiting_lasting_tasks(&self) -> impl Iterator<Item = TaskId> {
         let lasting = self.ready.iter().take_while(|(key, _)| !key.is_batch);
-        lasting.flat_map(|(key, ready)| ready.tasks.iter().map(|&index| key.step.task(index)))
+        lasting.flat_map(|(key, ready)| ready.tasks.iter().map(|index| key.step.task(index)))
     }
 
     /// Returns the runs of tasks that last on workers that leave.
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -35,6 +35,7 @@
 use super::instant::Instant;
 use super::job_entry::JobEntry;
 use super::lacking_workers::LackingWorkers;
+use super::memory_limits::MemoryLimits;
 use super::placement::ReadyKey;
 use super::ready_step::ReadyStep;
 use super::scheduler_event::SchedulerEvent;
@@ -54,6 +55,8 @@
 /// Shortest time until a call for the tenants' limits is considered again while steps wait
 /// for them.
 const QUOTA_POLL_MS: u64 = 20;
+/// Interval at which occurrences that are due, but wait for memory, are considered again.
+const OCCURRENCE_POLL_MS: u64 = 100;
 /// Interval at which the confirmation of ownership is checked.
 const CONFIRMATION_POLL_MS: u64 = 100;
 
@@ -83,6 +86,9 @@
     /// When a step that waits for its tenant's limit was last logged.
     pub(super) tenant_wait_logged_ms: u64,
     pub(super) jobs: HashMap<JobId, JobEntry>,
+    pub(super) memory_limits: MemoryLimits,
+    /// Estimated memory of the jobs that are not released.
+    pub(super) held_job_bytes: usize,
     /// Jobs that are not final. Final ones are kept for minutes, so that most jobs
     /// are final.
     pub(super) active_jobs: BTreeSet<JobId>,
@@ -198,6 +204,8 @@
             held_tenants: Vec::new(),
             tenant_wait_logged_ms: 0,
             jobs: HashMap::new(),
+            memory_limits: MemoryLimits::default(),
+            held_job_bytes: 0,
             active_jobs: BTreeSet::new(),
             incarnations: BTreeMap::new(),
             incarnation_of_id: HashMap::new(),
@@ -277,6 +285,18 @@
         self.changed_workers = WorkerSet::All;
     }
 
+    /// Updates what the pool's jobs may hold.
+    pub fn set_memory_limits(&mut self, limits: MemoryLimits) {
+        self.memory_limits = limits;
+        self.placement_needed = true;
+    }
+
+    /// Whether there is memory for another job that holds `bytes`.
+    #[must_use]
+    pub fn has_memory_of(&self, bytes: usize) -> bool {
+        self.memory_limits.fits_job(self.held_job_bytes, bytes)
+    }
+
     /// Updates the pools of the configuration in force. Registry entries of other pools
     /// come from other programs.
     pub fn set_pools<'a>(&mut self, pools: impl Iterator<Item = &'a str>) {
@@ -484,10 +504,16 @@
                     .max(now.steady_ms + CONFIRMATION_POLL_MS)
             })
         });
-        let scheduled_occurrences = self
-            .scheduled_occurrences
-            .first()
-            .map(|&(due_unix_ms, _, _)| now.steady_ms + due_unix_ms.saturating_sub(now.unix_ms));
+        let scheduled_occurrences =
+            self.scheduled_occurrences
+                .first()
+                .map(
+                    |&(due_unix_ms, _, _)| match due_unix_ms.checked_sub(now.unix_ms) {
+                        Some(wait_ms) => now.steady_ms + wait_ms,
+                        // It waits until others have ended.
+                        None => now.steady_ms + OCCURRENCE_POLL_MS,
+                    },
+                );
         let predecessor = (!self.predecessor_incarnations.is_empty()).then(|| {
             self.predecessor_leases_end_ms
                 .max(now.steady_ms + CONFIRMATION_POLL_MS)
--- a/crates/cornelpoint/src/scheduler/ready_step.rs
+++ b/crates/cornelpoint/src/scheduler/ready_step.rs
@@ -1,5 +1,4 @@
-use std::collections::BTreeSet;
-
+use crate::job::IndexSet;
 use crate::job::Resources;
 use crate::job::StepId;
 use crate::quota::TenantIndex;
@@ -9,7 +8,7 @@
 /// Tasks of a step that wait for workers.
 #[derive(Clone, Debug)]
 pub(super) struct ReadyStep {
-    pub(super) tasks: BTreeSet<u32>,
+    pub(super) tasks: IndexSet,
     /// Resources that one task takes.
     pub(super) need: Resources,
     /// Tenant of the step's job; `None` where limits of tenants aren't in force.
@@ -33,6 +32,8 @@
     /// small tasks would hold back large ones for as long as they come. With the need of
     /// the step.
     pub(super) held_tenants: Vec<(TenantIndex, Resources)>,
+    /// Number of tasks that may be started for the first time.
+    pub(super) free_records: usize,
     /// What runs of a predecessor may hold that aren't known.
     pub(super) unreported: Resources,
 }
--- a/crates/cornelpoint/src/scheduler/waiting_tasks.rs
+++ b/crates/cornelpoint/src/scheduler/waiting_tasks.rs
@@ -89,7 +89,7 @@
                 continue;
             }
             let tasks = ready.tasks.iter();
-            let tasks = tasks.filter(|&&index| !self.is_withheld(key.step.task(index), now));
+            let tasks = tasks.filter(|&index| !self.is_withheld(key.step.task(index), now));
             let incarnations = self.incarnations.iter();
             let candidates = incarnations
                 .filter(|(incarnation, _)| self.may_have_room(**incarnation, key.step, now));
--- a/crates/cornelpoint/src/scheduler/worker_choice.rs
+++ b/crates/cornelpoint/src/scheduler/worker_choice.rs
@@ -308,17 +308,18 @@
         });
         let left = steps.flat_map(|(step_index, step)| {
             let expected_ms = job.objective.step_ms(step_index);
-            let tasks = step.tasks.iter().enumerate();
+            let is_same = step_index == usize::from(id.step.step);
+            let tasks = step.started();
             let others = tasks.filter(move |(index, task)| {
-                let is_same = step_index == usize::from(id.step.step);
-                let is_task = is_same && *index == id.index as usize;
+                let is_task = is_same && *index == id.index;
                 !task.done && !is_task
             });
-            others.map(move |(_, task)| {
-                let started_ms = task.runs.iter().map(|run| run.started_ms).min();
-                let age_ms = started_ms.map_or(0, |at_ms| now.steady_ms.saturating_sub(at_ms));
-                expected_ms.saturating_sub(age_ms)
-            })
+            let started = others.filter_map(move |(_, task)| {
+                let started_ms = task.runs.iter().map(|run| run.started_ms).min()?;
+                Some(expected_ms.saturating_sub(now.steady_ms.saturating_sub(started_ms)))
+            });
+            let waits = step.has_other_idle(id.index, is_same);
+            started.chain(waits.then_some(expected_ms))
         });
         left.max().unwrap_or(0)
     }
--- a/crates/cornelpoint/tests/scheduler/main.rs
+++ b/crates/cornelpoint/tests/scheduler/main.rs
@@ -17,6 +17,7 @@
 mod inbox;
 mod lasting_tasks;
 mod lost_fences;
+mod memory_limits;
 mod objectives;
 mod occurrences;
 mod odd_entries;
