Find a job by its identifier, whatever later configurations say of its route

Cause: POST, GET and DELETE looked only in the pool that the route has in the newest configuration. Ruled out: a process with an old configuration; all had applied the new one, and the repeat ran on the new service.

Change: processes record in the store what each route leads to before they submit a job there, on the condition that the configuration is the newest, and read these records after they got a configuration. JobPlace is the one place that says in which pools a job may be. A repeat is looked for in former pools first; counts include former queues; a record keeps its queue's advice.

The record's calls left a young idle connection to the store, which made the test route_is_unknown_after_the_idle_connections_went_silent fail in 7 of 7 runs: after a call without a response, a connection that was last used in the two seconds of that wait was kept. It is closed now unless it has answered within 500 ms (3 of 3 passed). All tests of the manager passed.

--- a/crates/cornelpoint-manager/src/edge/callers.rs
+++ b/crates/cornelpoint-manager/src/edge/callers.rs
@@ -2,14 +2,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use cornelpoint::catalog::Catalog;
 use cornelpoint::catalog::Queue;
-use cornelpoint::job::JobId;
+use cornelpoint::job::JobError;
 use cornelpoint_platform::callers;
 use hyper::Method;
 use hyper::Request;
 use hyper::body::Incoming;
 use slog::info;
 
+use super::job_place::JobPlace;
 use super::jobs;
 use super::keys::CallHead;
 use super::keys::refusal_reply;
@@ -26,6 +28,12 @@
 
 /// Timeout of a request to the owner for the count.
 const COUNT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait until the target of a route is recorded.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(800);
+/// `Retry-After` while it can't be recorded; another process may be able to.
+const UNRECORDED_ROUTE_RETRY_S: u64 = 1;
+/// Longest time to answer a request whose queue the configuration no longer has.
+const FORMER_QUEUE_TIMEOUT_MS: u64 = 3000;
 /// `Retry-After` while no configuration has been read yet.
 const NO_CATALOG_RETRY_S: u64 = 1;
 
@@ -60,10 +68,14 @@
         return rejection(503, NO_CATALOG_RETRY_S);
     };
     let head = CallHead::of(&request);
-    let Some(queue) = catalog.queue_of(&head.host, &head.path) else {
+    let queue = catalog.queue_of(&head.host, &head.path);
+    let place = JobPlace::of(&node, &catalog, &head);
+    if queue.is_none() && place.is_none() {
         return reply(404, "");
-    };
-    let rest = &head.path[queue.path_prefix.len()..];
+    }
+    let rest = queue.map_or(head.path.as_str(), |queue| {
+        &head.path[queue.path_prefix.len()..]
+    });
     let caller = match head.check(&node, rest) {
         Ok(caller) => caller,
         Err(refusal) => return refusal_reply(refusal),
@@ -72,43 +84,89 @@
         .headers()
         .get(callers::DEADLINE_HEADER)
         .and_then(|value| value.to_str().ok()?.parse().ok());
-    let deadline_ms: u64 = deadline_ms.unwrap_or(queue.timeout_ms);
-    let timeout = Duration::from_millis(deadline_ms.min(queue.timeout_ms.max(1)));
+    let limit_ms = queue.map_or(FORMER_QUEUE_TIMEOUT_MS, |queue| queue.timeout_ms);
+    let deadline_ms: u64 = deadline_ms.unwrap_or(limit_ms);
+    let timeout = Duration::from_millis(deadline_ms.min(limit_ms.max(1)));
     let method = request.method().clone();
-    if rest.is_empty() {
+    if let Some(queue) = queue
+        && rest.is_empty()
+    {
         return match method {
             Method::GET => waiting_count(&node, queue).await,
             _ => reply(405, ""),
         };
     }
-    let job = rest.parse::<JobId>();
-    match (method, job) {
-        (Method::POST, Err(error)) => reply(400, error.to_string()),
-        (Method::POST, Ok(job)) => {
-            let max_bytes = catalog.limits.max_body_bytes;
-            match node.servers.read_body(request, max_bytes).await {
-                Ok(body) => {
-                    // The body may have taken seconds, in which the key may have been
-                    // revoked.
-                    let caller = match head.check(&node, rest) {
-                        Ok(caller) => caller,
-                        Err(refusal) => return refusal_reply(refusal),
-                    };
-                    let started = Instant::now();
-                    let answer = jobs::submit(&node, queue, job, &body, &caller, timeout).await;
-                    record_submission(&node, answer.status().as_u16(), started.elapsed());
-                    answer
-                }
-                Err(error) => error.reply(),
-            }
-        }
-        (Method::GET, Ok(job)) => jobs::status(&node, queue, job, &caller, timeout).await,
-        (Method::DELETE, Ok(job)) => jobs::cancel(&node, queue, job, &caller, timeout).await,
-        (Method::GET | Method::DELETE, Err(_)) => reply(410, ""),
+    let Some(place) = place else {
+        return match method {
+            Method::POST => reply(400, JobError::Id.to_string()),
+            Method::GET | Method::DELETE => reply(410, ""),
+            _ => reply(405, ""),
+        };
+    };
+    match method {
+        Method::POST => submit(node, &catalog, request, &head, timeout).await,
+        Method::GET => jobs::status(&node, &place, &caller, timeout).await,
+        Method::DELETE => jobs::cancel(&node, &place, &caller, timeout).await,
         _ => reply(405, ""),
     }
 }
 
+/// Handles a submission, which may repeat one that an earlier configuration sent elsewhere.
+async fn submit(
+    node: Rc<Node>,
+    catalog: &Catalog,
+    request: Request<Incoming>,
+    head: &CallHead,
+    timeout: Duration,
+) -> Reply {
+    let max_bytes = catalog.limits.max_body_bytes;
+    let body = match node.servers.read_body(request, max_bytes).await {
+        Ok(body) => body,
+        Err(error) => return error.reply(),
+    };
+    // The body may have taken seconds, in which the configuration may have changed.
+    let Some(catalog) = node.catalog() else {
+        return rejection(503, NO_CATALOG_RETRY_S);
+    };
+    let queue = catalog.queue_of(&head.host, &head.path);
+    let rest = queue.map_or("", |queue| &head.path[queue.path_prefix.len()..]);
+    let caller = match head.check(&node, rest) {
+        Ok(caller) => caller,
+        Err(refusal) => return refusal_reply(refusal),
+    };
+    let started = Instant::now();
+    let answer = async {
+        if let Some(queue) = queue
+            && !is_route_recorded(&node, queue, timeout).await
+        {
+            info!(node.edge_log, "Job not submitted: its route can't be recorded.";
+                "job" => rest, "queue" => &queue.name);
+            return rejection(503, UNRECORDED_ROUTE_RETRY_S);
+        }
+        let Some(place) = JobPlace::of(&node, &catalog, head) else {
+            return reply(404, "");
+        };
+        if !place.former_pools().is_empty()
+            && let Some(answer) = jobs::repeat(&node, &place, &caller, timeout).await
+        {
+            return answer;
+        }
+        match place.queue {
+            Some(queue) => jobs::submit(&node, queue, place.job, &body, &caller, timeout).await,
+            None => reply(404, ""),
+        }
+    };
+    let answer = answer.await;
+    record_submission(&node, answer.status().as_u16(), started.elapsed());
+    answer
+}
+
+async fn is_route_recorded(node: &Rc<Node>, queue: &Queue, limit: Duration) -> bool {
+    let limit = limit.min(RECORD_TIMEOUT);
+    let recorded = tokio::time::timeout(limit, node.is_route_recorded(queue));
+    recorded.await.unwrap_or(false)
+}
+
 fn record_submission(node: &Node, status: u16, took: Duration) {
     let outcome = match status {
         200 => "accepted",
@@ -131,30 +189,40 @@
 }
 
 async fn waiting_count(node: &Rc<Node>, queue: &Queue) -> Reply {
-    let reported = reported_count(node, queue);
-    let answer = match (node.host(&queue.pool), reported) {
-        (None, Some(reported)) => reported,
-        _ => owner_count(node, queue).await,
-    };
-    let answered = match answer.count {
+    let mut total = Some(0);
+    let catalog = node.catalog();
+    for (name, pool) in node.counted_queues(queue) {
+        let has_owner = catalog
+            .as_ref()
+            .is_some_and(|catalog| catalog.pools.contains_key(&pool));
+        if pool != queue.pool && !has_owner {
+            continue;
+        }
+        let reported = reported_count(node, &name, &pool);
+        let answer = match (node.host(&pool), reported) {
+            (None, Some(reported)) => reported,
+            _ => owner_count(node, &name, &pool).await,
+        };
+        total = total.zip(answer.count).map(|(total, count)| total + count);
+        node.metrics.record_waiting_count(answer.source);
+        info!(node.edge_log, "Waiting count answered."; "queue" => name,
+            "pool" => pool, "count" => answer.count, "source" => answer.source,
+            "fencing_token" => answer.fencing_token, "age_ms" => answer.age_ms,
+            "error" => answer.error);
+    }
+    match total {
         Some(count) => reply(200, callers::waiting_body(count)),
         None => rejection(503, 1),
-    };
-    node.metrics.record_waiting_count(answer.source);
-    info!(node.edge_log, "Waiting count answered."; "queue" => &queue.name,
-        "pool" => &queue.pool, "count" => answer.count, "source" => answer.source,
-        "fencing_token" => answer.fencing_token, "age_ms" => answer.age_ms,
-        "error" => answer.error, "status" => answered.status().as_u16());
-    answered
+    }
 }
 
 /// Returns the count in the owner's last heartbeat if it is recent enough.
-fn reported_count(node: &Node, queue: &Queue) -> Option<WaitingCount> {
+fn reported_count(node: &Node, queue: &str, pool: &str) -> Option<WaitingCount> {
     let now_ms = clock::now().steady_ms;
     let all = node.pool_statuses.borrow();
-    let status = all.get(&queue.pool);
+    let status = all.get(pool);
     let fresh = status.filter(|status| status.view_confirmed_ms + MAX_COUNT_AGE_MS > now_ms)?;
-    let count = fresh.waiting.get(&queue.name).copied()?;
+    let count = fresh.waiting.get(queue).copied()?;
     Some(WaitingCount {
         count: Some(count),
         source: "heartbeat",
@@ -165,16 +233,16 @@
 }
 
 /// Requests the count from the owner, in this process or another one.
-async fn owner_count(node: &Rc<Node>, queue: &Queue) -> WaitingCount {
+async fn owner_count(node: &Rc<Node>, queue: &str, pool: &str) -> WaitingCount {
     let requested_ms = clock::now().steady_ms;
     let fencing_token = {
         let planner = node.planner.borrow();
-        planner.owner(&queue.pool).map(|(row, _)| row.fencing_token)
+        planner.owner(pool).map(|(row, _)| row.fencing_token)
     };
     let request = PoolRequest::Waiting {
-        queue: queue.name.clone(),
+        queue: queue.to_owned(),
     };
-    let (count, error) = match request_owner(node, &queue.pool, request, COUNT_TIMEOUT).await {
+    let (count, error) = match request_owner(node, pool, request, COUNT_TIMEOUT).await {
         Ok(PoolResponse::Waiting(count)) => (Some(count), ""),
         Ok(PoolResponse::Outdated { .. }) => (None, "owner's view outdated"),
         Ok(_) => (None, "unexpected response"),
--- a/crates/cornelpoint-manager/src/edge/jobs.rs
+++ b/crates/cornelpoint-manager/src/edge/jobs.rs
@@ -5,15 +5,15 @@
 use cornelpoint::inbox::InboxKey;
 use cornelpoint::inbox::InboxOutcome;
 use cornelpoint::job::JobId;
-use cornelpoint::job::JobProgress;
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobSpec;
-use cornelpoint::job::JobStatus;
 use cornelpoint::tenant::Caller;
 use cornelpoint_platform::callers;
 use slog::info;
 
 use super::callers::rejection;
+use super::job_place::Found;
+use super::job_place::JobPlace;
 use super::peers::is_owner_slow;
 use super::peers::request_owner;
 use crate::clock;
@@ -23,15 +23,8 @@
 use crate::message::PoolRequest;
 use crate::message::PoolResponse;
 use crate::node::Node;
-use crate::node::OTHER_TENANT;
-use crate::store::INBOX_TABLE;
-use crate::store::JOB_TABLE;
-use crate::store::PROGRESS_TABLE;
-use crate::store::decode;
 use crate::store::encode;
 
-/// Timeout of a request to the owner that needs no write to the store.
-const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of a request to the owner that waits for a write to the store.
 const OWNER_STORE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// `Retry-After` where only this process may be isolated; another one can serve
@@ -68,6 +61,7 @@
         priority: queue.priority,
         max_attempts: queue.max_attempts,
         tenant: caller.tenant().map(str::to_owned),
+        advice: queue.advice,
         job: raw,
     };
     let request = PoolRequest::Submit {
@@ -130,132 +124,78 @@
     }
 }
 
-/// Returns a job's status from its owner, or else from the store.
-pub(super) async fn status(
+/// Answers a request that repeats the submission of a job whose route has led elsewhere;
+/// `None` if no such pool has the job.
+pub(super) async fn repeat(
     node: &Rc<Node>,
-    queue: &Queue,
-    job: JobId,
+    place: &JobPlace<'_>,
     caller: &Caller,
     timeout: Duration,
-) -> Reply {
-    let request = PoolRequest::Status {
-        job,
-        caller: caller.clone(),
-    };
-    let limit = timeout.min(OWNER_TIMEOUT);
-    if let Ok(PoolResponse::Status(status)) = request_owner(node, &queue.pool, request, limit).await
-    {
-        return reply(200, callers::status_body(status));
-    }
-    if !node.store.is_available() {
-        return rejection(503, ISOLATED_RETRY_S);
-    }
-    match stored_status(node, queue, job, caller).await {
-        Some(Some(status)) => reply(200, callers::status_body(status)),
-        Some(None) => reply(410, ""),
-        None => rejection(503, 1),
-    }
-}
-
-/// Reads a job's status from the store; `None` if a read fails, `Some(None)` if
-/// the job is not stored or is another tenant's.
-async fn stored_status(
-    node: &Rc<Node>,
-    queue: &Queue,
-    job: JobId,
-    caller: &Caller,
-) -> Option<Option<JobStatus>> {
-    let id = job.to_string();
-    let progress = node
-        .store
-        .read_value(PROGRESS_TABLE, &queue.pool, &id)
-        .await?;
-    let progress = progress.and_then(|value| decode::<JobProgress>(&value));
-    if let Some(progress) = progress {
-        // A progress doesn't name the tenant.
-        if !caller.is_unchecked() {
-            let record = node.store.read_value(JOB_TABLE, &queue.pool, &id).await?;
-            if !may_access(node, queue, job, caller, record.as_deref()) {
-                return Some(None);
-            }
+) -> Option<Reply> {
+    let pools = place.former_pools();
+    let found = place.find(node, pools, &Caller::Unchecked, timeout).await;
+    match found {
+        Found::At { pool, .. } => {
+            info!(node.edge_log, "Repeated job is in the pool of an earlier route.";
+                "job" => %place.job, "pool" => &pool);
+            let visible = place.find(node, &[pool], caller, timeout).await;
+            Some(match visible {
+                Found::At { .. } => reply(200, ""),
+                // The identifier is that of another tenant's job.
+                Found::Nowhere => reply(410, ""),
+                Found::Unknown => reply(504, ""),
+            })
         }
-        let running = !progress.status.is_final();
-        return Some(Some(if running {
-            JobStatus::Running
-        } else {
-            progress.status
-        }));
-    }
-    // The owner moves jobs from its inbox to the job table; in this order one of
-    // the reads finds the row.
-    let submission = InboxKey::Submit(job).to_string();
-    let inbox = node
-        .store
-        .read_row(INBOX_TABLE, &queue.pool, &submission)
-        .await?;
-    if let Some(row) = inbox {
-        let allowed = may_access(node, queue, job, caller, row.value.as_deref());
-        return Some(allowed.then_some(JobStatus::Pending));
-    }
-    if caller.is_unchecked() {
-        let record = node.store.read_row(JOB_TABLE, &queue.pool, &id).await?;
-        return Some(record.map(|_| JobStatus::Pending));
+        Found::Nowhere => None,
+        Found::Unknown => Some(reply(504, "")),
     }
-    let record = node.store.read_value(JOB_TABLE, &queue.pool, &id).await?;
-    let allowed = record.is_some_and(|value| may_access(node, queue, job, caller, Some(&value)));
-    Some(allowed.then_some(JobStatus::Pending))
 }
 
-/// Whether a caller may see a job with this record. One that can't be decoded, or is no
-/// longer stored, shows no tenant and is accessible only where keys aren't checked.
-fn may_access(
-    node: &Node,
-    queue: &Queue,
-    job: JobId,
+/// Returns a job's status from its owner, or else from the store.
+pub(super) async fn status(
+    node: &Rc<Node>,
+    place: &JobPlace<'_>,
     caller: &Caller,
-    record: Option<&[u8]>,
-) -> bool {
-    if caller.is_unchecked() {
-        return true;
-    }
-    let Some(record) = record.and_then(decode::<JobRecord>) else {
-        return false;
-    };
-    let allowed = caller.may_access(record.tenant.as_deref());
-    if !allowed {
-        node.call_refused(OTHER_TENANT, &job.to_string(), &queue.name);
+    timeout: Duration,
+) -> Reply {
+    match place.find(node, &place.pools, caller, timeout).await {
+        Found::At { status, .. } => reply(200, callers::status_body(status)),
+        Found::Nowhere if place.queue.is_none() => reply(404, ""),
+        Found::Nowhere => reply(410, ""),
+        Found::Unknown => rejection(503, ISOLATED_RETRY_S),
     }
-    allowed
 }
 
-/// Cancels a job through the pool's owner; stores the cancellation in the
+/// Cancels a job through its pool's owner; stores the cancellation in the
 /// owner's inbox if the owner can't be reached or does not know the job.
 pub(super) async fn cancel(
     node: &Rc<Node>,
-    queue: &Queue,
-    job: JobId,
+    place: &JobPlace<'_>,
     caller: &Caller,
     timeout: Duration,
 ) -> Reply {
-    let request = PoolRequest::Cancel {
-        job,
-        caller: caller.clone(),
-    };
-    let limit = timeout.min(OWNER_STORE_TIMEOUT);
-    match request_owner(node, &queue.pool, request, limit).await {
-        Ok(PoolResponse::Cancelled | PoolResponse::Status(_)) => return reply(200, ""),
-        Ok(PoolResponse::UnknownJob) => {}
-        Ok(_) => return reply(504, ""),
-        Err(error) => info!(node.edge_log, "Owner unreachable; cancelling through its inbox.";
-            "job" => %job, "pool" => &queue.pool, "error" => %error),
-    }
-    match stored_status(node, queue, job, caller).await {
-        Some(None) => return reply(410, ""),
-        Some(Some(status)) if status.is_final() => return reply(200, ""),
-        Some(Some(_)) => {}
-        None => return rejection(503, STORE_UNAVAILABLE_RETRY_S),
+    let job = place.job;
+    for pool in &place.pools {
+        let request = PoolRequest::Cancel {
+            job,
+            caller: caller.clone(),
+        };
+        let limit = timeout.min(OWNER_STORE_TIMEOUT);
+        match request_owner(node, pool, request, limit).await {
+            Ok(PoolResponse::Cancelled | PoolResponse::Status(_)) => return reply(200, ""),
+            Ok(PoolResponse::UnknownJob) => {}
+            Ok(_) => return reply(504, ""),
+            Err(error) => info!(node.edge_log, "Owner unreachable; cancelling through its inbox.";
+                "job" => %job, "pool" => pool, "error" => %error),
+        }
     }
-    let writer = node.inbox_writer(&queue.pool);
+    let pool = match place.find_stored(node, &place.pools, caller).await {
+        Found::Nowhere => return reply(410, ""),
+        Found::At { status, .. } if status.is_final() => return reply(200, ""),
+        Found::At { pool, .. } => pool,
+        Found::Unknown => return rejection(503, STORE_UNAVAILABLE_RETRY_S),
+    };
+    let writer = node.inbox_writer(&pool);
     let stored = writer.store(node, InboxKey::Cancel(job), Vec::new());
     match stored.await {
         InboxOutcome::Stored => reply(200, ""),
--- a/crates/cornelpoint-manager/src/edge/mod.rs
+++ b/crates/cornelpoint-manager/src/edge/mod.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod inbox_writer;
+mod job_place;
 mod jobs;
 mod keys;
 mod peers;
--- a/crates/cornelpoint-manager/src/http/endpoint.rs
+++ b/crates/cornelpoint-manager/src/http/endpoint.rs
@@ -28,6 +28,10 @@
 /// lost first packet is retransmitted only after 1 s.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time since its last response up to which a connection is kept when a call on another one
+/// gets none.
+const MAX_UNVERIFIED: Duration = Duration::from_millis(500);
+
 /// A response to a call.
 #[derive(Clone, Debug)]
 pub(crate) struct Response {
@@ -262,11 +266,16 @@
     }
 
     /// Closes the connections that have been idle since before `sent`, when a call
-    /// was sent that got no response: the network may have forgotten them, too.
+    /// was sent that got no response: the network may have forgotten them, too. After a long
+    /// wait, that holds for those as well that were used in between.
     fn drop_idle(&self, sent: Instant) {
+        let now = Instant::now();
+        let since = now
+            .checked_sub(MAX_UNVERIFIED)
+            .map_or(sent, |at| at.max(sent));
         self.idle
             .borrow_mut()
-            .retain(|connection| connection.since >= sent);
+            .retain(|connection| connection.since >= since);
     }
 
     async fn connect(&self, deadline: Instant) -> Result<SendRequest<Full<Bytes>>, CallError> {
--- a/crates/cornelpoint-manager/src/node/feeds.rs
+++ b/crates/cornelpoint-manager/src/node/feeds.rs
@@ -118,10 +118,12 @@
         let mut found = None;
         for row in rows {
             if row.key.key == operator::CATALOG_KEY {
+                self.configuration_row_read(row.version);
                 let applied = row
                     .value
                     .as_ref()
                     .and_then(|value| self.apply_catalog(value, read, unread_ms));
+                self.routes_changed();
                 found = Some(match applied {
                     Some(version) => ConfigurationRead::Parsed { version },
                     None => ConfigurationRead::Unreadable,
--- a/crates/cornelpoint-manager/src/node/mod.rs
+++ b/crates/cornelpoint-manager/src/node/mod.rs
@@ -9,6 +9,7 @@
 mod heartbeats;
 mod listener_refusals;
 mod peer_confirmations;
+mod routes;
 mod shutdown;
 mod state;
 
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -28,6 +28,7 @@
 use super::call_refusals::CallRefusals;
 use super::configuration::ConfigurationState;
 use super::listener_refusals::ListenerRefusals;
+use super::routes::RouteState;
 use crate::clock;
 use crate::edge;
 use crate::edge::InboxWriter;
@@ -91,6 +92,7 @@
     pub(crate) least_memory_bytes: Cell<u64>,
     /// The text of the configuration and how recently it was confirmed.
     pub(super) configuration: ConfigurationState,
+    pub(super) routes: RouteState,
     pub(super) call_refusals: CallRefusals,
     pub(crate) waves: RefCell<BTreeMap<u64, WaveOrder>>,
     pub(crate) planner: RefCell<OwnershipPlanner>,
@@ -162,6 +164,7 @@
             catalog: RefCell::default(),
             least_memory_bytes: Cell::new(settings.memory_bytes),
             configuration: ConfigurationState::default(),
+            routes: RouteState::default(),
             call_refusals: CallRefusals::default(),
             waves: RefCell::default(),
             planner: RefCell::new(planner),
@@ -192,6 +195,7 @@
         spawn_local(Rc::clone(&node).receive_heartbeats(Rc::clone(&socket)));
         spawn_local(Rc::clone(&node).send_heartbeats(socket));
         spawn_local(Rc::clone(&node).follow_operator());
+        spawn_local(Rc::clone(&node).follow_routes());
         spawn_local(Rc::clone(&node).confirm_through_peers());
         spawn_local(Rc::clone(&node).follow_cluster());
         spawn_local(Rc::clone(&node).claim_shards());
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -336,11 +336,10 @@
                 .filter(|queue| queue.pool == self.pool);
             queues.map(|queue| queue.name.clone()).collect::<Vec<_>>()
         });
-        let waiting = queues.unwrap_or_default().into_iter().map(|queue| {
-            let count = scheduler.waiting(&queue);
-            (queue, count)
-        });
-        let waiting: BTreeMap<String, usize> = waiting.collect();
+        let queues = queues.unwrap_or_default().into_iter();
+        let mut waiting: BTreeMap<String, usize> = queues.map(|queue| (queue, 0)).collect();
+        // Also of queues that the configuration no longer has.
+        waiting.extend(scheduler.waiting_by_queue());
         OwnedPool {
             fencing_token: self.fencing_token,
             waiting,
--- a/crates/cornelpoint-manager/src/store/mod.rs
+++ b/crates/cornelpoint-manager/src/store/mod.rs
@@ -21,6 +21,7 @@
 pub(crate) use self::tables::PROGRESS_TABLE;
 pub(crate) use self::tables::QUOTA_KEY;
 pub(crate) use self::tables::QUOTA_TABLE;
+pub(crate) use self::tables::ROUTE_TABLE;
 pub(crate) use self::tables::STORE_HEARTBEAT_KEY;
 pub(crate) use self::tables::STORE_HEARTBEAT_TABLE;
 pub(crate) use self::tables::WAVE_TABLE;
--- a/crates/cornelpoint-manager/src/store/tables.rs
+++ b/crates/cornelpoint-manager/src/store/tables.rs
@@ -23,6 +23,8 @@
 pub(crate) const WAVE_TABLE: &str = "cornelpoint-wave";
 /// What each pool may use of the limits of tenants; one row.
 pub(crate) const QUOTA_TABLE: &str = "cornelpoint-quota";
+/// What routes have led to: queues and their pools.
+pub(crate) const ROUTE_TABLE: &str = "cornelpoint-route";
 /// Key of that row.
 pub(crate) const QUOTA_KEY: &str = "allotments";
 /// Key of a shard's owner row.
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -10,6 +10,7 @@
 mod late_claims;
 mod load;
 mod lost_workers;
+mod moved_routes;
 mod odd_entries;
 mod restarted_workers;
 mod slow_link;
@@ -323,6 +324,7 @@
         priority: fleet.queue.priority,
         max_attempts: fleet.queue.max_attempts,
         tenant: None,
+        advice: None,
         job: raw,
     };
     let row = RowKey::new(INBOX_TABLE, POOL, format!("submit/{job}"));
--- a/crates/cornelpoint/benches/scheduling/main.rs
+++ b/crates/cornelpoint/benches/scheduling/main.rs
@@ -151,6 +151,7 @@
         priority: 0,
         max_attempts: 3,
         tenant: None,
+        advice: None,
         job: raw,
     };
     (record, spec)
--- a/crates/cornelpoint/src/catalog/mod.rs
+++ b/crates/cornelpoint/src/catalog/mod.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod check;
 mod queue;
+mod route_history;
 
 pub use self::changes::Change;
 pub use self::changes::changes;
@@ -14,3 +15,5 @@
 pub use self::queue::HttpLimits;
 pub use self::queue::PoolInfo;
 pub use self::queue::Queue;
+pub use self::route_history::RouteHistory;
+pub use self::route_history::RouteTarget;
--- a/crates/cornelpoint/src/catalog/queue.rs
+++ b/crates/cornelpoint/src/catalog/queue.rs
@@ -1,5 +1,8 @@
 use std::collections::BTreeMap;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::tenant::Tenants;
 
 /// A queue, to which callers submit jobs and whose jobs run in one pool.
@@ -31,7 +34,7 @@
 }
 
 /// The advice service's response times and ticket validity for a queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Advice {
     /// Base response time of a call.
     pub decide_ms: u64,
--- a/crates/cornelpoint/src/job/job_record.rs
+++ b/crates/cornelpoint/src/job/job_record.rs
@@ -5,6 +5,7 @@
 use super::job_status::JobStatus;
 use super::raw_job::RawJob;
 use super::raw_job::is_default;
+use crate::catalog::Advice;
 
 /// The stored form of an accepted job, which never changes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -22,6 +23,10 @@
     /// Tenant whose key the caller presented; `None` where callers need no key.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub tenant: Option<String>,
+    /// Parameters of the queue's advice service at that time: the job's tasks need tickets
+    /// also when the configuration no longer has the queue.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advice: Option<Advice>,
     /// The job as the caller submitted it.
     pub job: RawJob,
 }
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -174,6 +174,7 @@
             self.active_jobs.insert(id);
         }
         self.held_job_bytes += held_bytes;
+        self.keep_advice(&entry.record);
         self.jobs.insert(id, entry);
         self.release_job(id);
         if !status.is_final() && progress.is_none() {
@@ -181,6 +182,14 @@
         }
     }
 
+    /// Keeps the rules of a queue with advice that the configuration no longer has.
+    fn keep_advice(&mut self, record: &JobRecord) {
+        if record.advice.is_some() && !self.queues.contains_key(&record.queue) {
+            let rules = self.queue_rules(record);
+            self.queues.insert(record.queue.clone(), rules);
+        }
+    }
+
     fn restore_progress(&mut self, id: JobId, progress: &JobProgress, now: Instant) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -573,6 +573,23 @@
         waiting.count()
     }
 
+    /// Returns the queues that have such jobs, with their numbers.
+    #[must_use]
+    pub fn waiting_by_queue(&self) -> BTreeMap<String, usize> {
+        let mut waiting: BTreeMap<String, usize> = BTreeMap::new();
+        for entry in self.active() {
+            if !entry.accepted || entry.status != JobStatus::Pending {
+                continue;
+            }
+            if let Some(count) = waiting.get_mut(&entry.record.queue) {
+                *count += 1;
+            } else {
+                waiting.insert(entry.record.queue.clone(), 1);
+            }
+        }
+        waiting
+    }
+
     /// Returns the jobs that are not final.
     pub(super) fn active(&self) -> impl Iterator<Item = &JobEntry> {
         let active = self.active_jobs.iter();
@@ -591,7 +608,7 @@
             max_attempts: record.max_attempts,
             stretch_permille: 1000,
             objective_ms: 0,
-            advice: None,
+            advice: record.advice,
         };
         self.queues.get(&record.queue).copied().unwrap_or(stored)
     }
--- a/crates/cornelpoint/tests/scheduler/support.rs
+++ b/crates/cornelpoint/tests/scheduler/support.rs
@@ -55,6 +55,7 @@
         priority: 0,
         max_attempts: 3,
         tenant: None,
+        advice: None,
         job: raw,
     };
     (record, spec)
