Acknowledge no end whose job's progress the store has refused; store it in blocks

Cause: the progress of 20,000 tasks with checkpoints, 1.36 MB, exceeds a transaction. The store refused it; the job was left out of the next batches, and its ends were acknowledged with them, since nothing of it waited any more. Ruled out: a successor that misses rows; there were none.

Change: an end is acknowledged once its own job's changes up to it are stored; a job that is refused waits apart and is tried again. Progress of more than 250 tasks is stored in blocks of 64, only those that have changed, over as many transactions as needed, and removed with the progress that makes them needless. Records with long lists and texts, and the workers' row, count in the size of a batch.

Evidence: an_end_is_acknowledged_whose_job_the_store_refuses and tasks_run_twice_whose_progress_outgrows_a_transaction fail before: the end is acknowledged, one progress outgrows the limit.

--- a/crates/cornelpoint-manager/src/pool_host/commits.rs
+++ b/crates/cornelpoint-manager/src/pool_host/commits.rs
@@ -17,6 +17,7 @@
 use crate::store::INBOX_TABLE;
 use crate::store::JOB_TABLE;
 use crate::store::PROGRESS_TABLE;
+use crate::store::TASK_TABLE;
 use crate::store::WORKER_TABLE;
 use crate::store::WORKERS_KEY;
 use crate::store::WriteOutcome;
@@ -120,6 +121,14 @@
             let key = RowKey::new(PROGRESS_TABLE, &self.pool, id.to_string());
             transaction.writes.push((key, encode(progress)));
         }
+        for (block, progress) in &batch.blocks {
+            let key = RowKey::new(TASK_TABLE, &self.pool, block.to_string());
+            transaction.writes.push((key, encode(progress)));
+        }
+        for block in &batch.obsolete_blocks {
+            let key = RowKey::new(TASK_TABLE, &self.pool, block.to_string());
+            transaction.removals.push(key);
+        }
         for inbox_key in &batch.inbox {
             let key = RowKey::new(INBOX_TABLE, &self.pool, inbox_key.to_string());
             transaction.removals.push(key);
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -1,13 +1,17 @@
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use cornelpoint::catalog::Catalog;
+use cornelpoint::job::BlockKey;
+use cornelpoint::job::BlockProgress;
 use cornelpoint::job::JobId;
 use cornelpoint::job::JobProgress;
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobSpec;
 use cornelpoint::job::RawJob;
+use cornelpoint::job::TaskBlock;
 use cornelpoint::ownership::Claim;
 use cornelpoint::ownership::OwnerRow;
 use cornelpoint::ownership::Recipients;
@@ -31,6 +35,7 @@
 use crate::store::PROGRESS_TABLE;
 use crate::store::PartitionReader;
 use crate::store::ShardWriter;
+use crate::store::TASK_TABLE;
 use crate::store::WORKER_TABLE;
 use crate::store::decode;
 
@@ -56,6 +61,7 @@
     workers: PartitionReader,
     records: PartitionReader,
     progress: PartitionReader,
+    blocks: PartitionReader,
     inbox: PartitionReader,
 }
 
@@ -64,6 +70,7 @@
     workers: Rows,
     records: Rows,
     progress: Rows,
+    blocks: Rows,
     inbox: Rows,
     /// Whether the inbox has been read to its end.
     is_inbox_complete: bool,
@@ -126,7 +133,8 @@
         let inbox = loop {
             if reader.read(node).await {
                 let stored = reader.into_stored();
-                for values in [&stored.workers, &stored.records, &stored.progress] {
+                let values = [&stored.workers, &stored.records, &stored.progress];
+                for values in values.into_iter().chain([&stored.blocks]) {
                     writer.values_read(&values.rows);
                 }
                 let version = stored.inbox.version;
@@ -253,6 +261,7 @@
             workers: PartitionReader::new(WORKER_TABLE, pool),
             records: PartitionReader::new(JOB_TABLE, pool),
             progress: PartitionReader::new(PROGRESS_TABLE, pool),
+            blocks: PartitionReader::new(TASK_TABLE, pool),
             inbox: PartitionReader::new(INBOX_TABLE, pool).with_full_bytes(FULL_INBOX_BYTES),
         }
     }
@@ -269,11 +278,13 @@
         self.workers.read(store).await
             && self.records.read(store).await
             && self.progress.read(store).await
+            && self.blocks.read(store).await
             && self.inbox.read(store).await
     }
 
     fn row_count(&self) -> usize {
-        let readers = [&self.workers, &self.records, &self.progress, &self.inbox];
+        let readers = [&self.workers, &self.records, &self.progress];
+        let readers = readers.into_iter().chain([&self.blocks, &self.inbox]);
         readers.into_iter().map(PartitionReader::row_count).sum()
     }
 
@@ -282,6 +293,7 @@
             workers: self.workers.into_values(),
             records: self.records.into_values(),
             progress: self.progress.into_values(),
+            blocks: self.blocks.into_values(),
             is_inbox_complete: self.inbox.is_complete(),
             inbox: self.inbox.into_rows(),
         }
@@ -306,6 +318,14 @@
     let mut progress: HashMap<String, Vec<u8>> = progress
         .filter_map(|row| Some((row.key.key, row.value?)))
         .collect();
+    let mut blocks: BTreeMap<JobId, Vec<(TaskBlock, Vec<u8>)>> = BTreeMap::new();
+    for row in stored.blocks.rows {
+        if let (Ok(key), Some(value)) = (row.key.key.parse::<BlockKey>(), row.value) {
+            blocks.entry(key.job).or_default().push((key.block, value));
+        } else {
+            warn!(node.pool_log, "Progress of tasks can't be decoded."; "pool" => pool);
+        }
+    }
     let mut count = 0;
     // Each row is dropped once it is restored: a pool may hold much of the memory.
     for row in stored.records.rows {
@@ -325,7 +345,11 @@
             continue;
         };
         record.job = RawJob::default();
-        scheduler.restore(id, record, spec, progress.as_ref(), clock::now());
+        let blocks = blocks.remove(&id).unwrap_or_default().into_iter();
+        let blocks = blocks.filter_map(|(block, value)| Some((block, decode(&value)?)));
+        let blocks: Vec<(TaskBlock, BlockProgress)> = blocks.collect();
+        let progress = progress.unwrap_or_default();
+        scheduler.restore_split(id, record, spec, progress, blocks, clock::now());
         count += 1;
     }
     info!(node.pool_log, "Restored a pool's jobs."; "pool" => pool, "jobs" => count,
--- a/crates/cornelpoint-manager/src/store/mod.rs
+++ b/crates/cornelpoint-manager/src/store/mod.rs
@@ -24,6 +24,7 @@
 pub(crate) use self::tables::ROUTE_TABLE;
 pub(crate) use self::tables::STORE_HEARTBEAT_KEY;
 pub(crate) use self::tables::STORE_HEARTBEAT_TABLE;
+pub(crate) use self::tables::TASK_TABLE;
 pub(crate) use self::tables::WAVE_TABLE;
 pub(crate) use self::tables::WORKER_TABLE;
 pub(crate) use self::tables::WORKERS_KEY;
--- a/crates/cornelpoint-manager/src/store/tables.rs
+++ b/crates/cornelpoint-manager/src/store/tables.rs
@@ -10,6 +10,8 @@
 pub(crate) const JOB_TABLE: &str = "cornelpoint-job";
 /// Progress of jobs; one row per job, overwritten.
 pub(crate) const PROGRESS_TABLE: &str = "cornelpoint-progress";
+/// Progress of tasks of large jobs; several rows per job, overwritten.
+pub(crate) const TASK_TABLE: &str = "cornelpoint-task";
 /// Workers that may run a shard's tasks.
 pub(crate) const WORKER_TABLE: &str = "cornelpoint-worker";
 /// Jobs and cancellations accepted for an owner that could not be reached.
@@ -21,10 +23,10 @@
 pub(crate) const STORE_HEARTBEAT_KEY: &str = "beat";
 /// Machines that have begun their maintenance, by wave.
 pub(crate) const WAVE_TABLE: &str = "cornelpoint-wave";
-/// What each pool may use of the limits of tenants; one row.
-pub(crate) const QUOTA_TABLE: &str = "cornelpoint-quota";
 /// What routes have led to: queues and their pools.
 pub(crate) const ROUTE_TABLE: &str = "cornelpoint-route";
+/// What each pool may use of the limits of tenants; one row.
+pub(crate) const QUOTA_TABLE: &str = "cornelpoint-quota";
 /// Key of that row.
 pub(crate) const QUOTA_KEY: &str = "allotments";
 /// Key of a shard's owner row.
--- a/crates/cornelpoint/src/job/mod.rs
+++ b/crates/cornelpoint/src/job/mod.rs
@@ -11,6 +11,7 @@
 mod schedule;
 mod spec;
 mod step;
+mod task_block;
 mod task_id;
 
 pub use self::index_set::IndexSet;
@@ -27,5 +28,8 @@
 pub use self::schedule::Schedule;
 pub use self::spec::JobSpec;
 pub use self::step::Step;
+pub use self::task_block::BlockKey;
+pub use self::task_block::BlockProgress;
+pub use self::task_block::TaskBlock;
 pub use self::task_id::StepId;
 pub use self::task_id::TaskId;
--- a/crates/cornelpoint/src/job/spec.rs
+++ b/crates/cornelpoint/src/job/spec.rs
@@ -71,6 +71,13 @@
         self.schedule.map_or(1, |schedule| schedule.count)
     }
 
+    /// Returns the number of tasks of all occurrences.
+    #[must_use]
+    pub fn task_count(&self) -> u64 {
+        let tasks = self.steps.iter().map(|step| u64::from(step.replicas));
+        tasks.sum::<u64>().saturating_mul(self.occurrences().into())
+    }
+
     /// Whether the job has long-running steps, so that it never completes by
     /// itself.
     #[must_use]
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -2,19 +2,24 @@
 use serde::Serialize;
 
 use crate::inbox::InboxKey;
+use crate::job::BlockKey;
+use crate::job::BlockProgress;
 use crate::job::JobId;
 use crate::job::JobProgress;
 use crate::job::JobRecord;
 use crate::job::JobStatus;
 use crate::job::RawJob;
+use crate::job::TaskBlock;
 
 use super::action::IncarnationIndex;
 use super::instant::Instant;
+use super::job_rows::Expiry;
 use super::job_rows::JobRows;
 use super::job_rows::RowSize;
 use super::pool_scheduler::PoolScheduler;
 use super::scheduler_event::SchedulerEvent;
 use super::unstored_jobs::UnstoredJob;
+use super::unstored_jobs::Urgency;
 use super::worker_quorum::FencedWorkers;
 use super::worker_quorum::RecordedWorkers;
 use super::worker_state::WorkerState;
@@ -34,6 +39,8 @@
 const MAX_BATCH_BYTES: usize = 600_000;
 /// Size of a job from which its record is replaced by one without its steps when it ends.
 const MAX_FINAL_RECORD_BYTES: usize = 8192;
+/// Estimated size of a worker's record besides its identifier.
+const WORKER_BYTES: usize = 120;
 /// Stored record of a worker incarnation that may run tasks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRecord {
@@ -52,6 +59,10 @@
     pub records: Vec<(JobId, JobRecord)>,
     /// Jobs whose progress has changed.
     pub progress: Vec<(JobId, JobProgress)>,
+    /// Progress of tasks of jobs that are too large to be stored as a whole.
+    pub blocks: Vec<(BlockKey, BlockProgress)>,
+    /// Such progress that is no longer needed.
+    pub obsolete_blocks: Vec<BlockKey>,
     /// Jobs past their retention period, whose rows are to be deleted.
     pub expired: Vec<JobId>,
     /// Rows of the owner's inbox that are to be deleted, because the store has
@@ -106,10 +117,22 @@
     is_new: bool,
 }
 
+/// Whether all that is to be stored of a job is in a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Extent {
+    Whole,
+    Part,
+}
+
 /// Changes that count as stored once the batch in flight is stored.
 #[derive(Clone, Debug, Default)]
 pub(super) struct BatchInFlight {
     jobs: Vec<StoringJob>,
+    /// Blocks, with their jobs' place and the first change that each of them stores.
+    blocks: Vec<(TaskBlock, UnstoredJob)>,
+    obsolete_blocks: Vec<BlockKey>,
+    /// Jobs of which only a part is in the batch.
+    partial: Vec<UnstoredJob>,
     expired: Vec<UnstoredJob>,
     inbox: Vec<InboxKey>,
     completions: Vec<(IncarnationIndex, u64)>,
@@ -128,38 +151,47 @@
             return None;
         }
         self.last_batch_ms = now.steady_ms;
+        self.unstored.retry_refused(now.steady_ms);
         self.committing_since_ms.get_or_insert(now.steady_ms);
         let mut batch = Batch::default();
         let mut in_flight = BatchInFlight::default();
         let mut size = RowSize::default();
+        if self.workers_row_dirty {
+            let workers = self.incarnations.values();
+            let bytes = workers.map(|worker| WORKER_BYTES + worker.entry.id.len());
+            size.add_value(bytes.sum(), self.settings.row_bytes);
+        }
         while in_flight.jobs.len() + in_flight.expired.len() < self.max_batch_jobs
             && size.bytes < self.full_batch_bytes
             && let Some(job) = self.unstored.pop_first()
         {
-            let rows = self.job_rows(job.id, now);
+            let rows = self.job_rows(job.id, size, now);
             let with_job = size.plus(rows.size);
             let max_bytes = MAX_BATCH_BYTES.min(2 * self.full_batch_bytes);
             let is_full = with_job.rows > MAX_BATCH_ROWS || with_job.bytes > max_bytes;
-            if is_full && size.rows > 0 {
+            let has_jobs = !in_flight.jobs.is_empty() || !in_flight.expired.is_empty();
+            if is_full && has_jobs {
                 self.unstored.restore(job);
                 break;
             }
             size = with_job;
-            self.add_job_rows(job, rows, &mut batch, &mut in_flight);
+            if self.add_job_rows(job, rows, &mut batch, &mut in_flight) == Extent::Part {
+                break;
+            }
         }
         let free = MAX_BATCH_ROWS.saturating_sub(size.rows);
         batch.inbox.extend(self.settled_inbox.iter().take(free));
         in_flight.inbox.clone_from(&batch.inbox);
         self.urgent = !self.unstored.is_empty();
-        // Completions are acknowledged only once all jobs that they changed are
-        // stored.
+        // Completions are acknowledged only once the jobs that they changed are stored.
         let completions = self
             .incarnations
             .iter()
             .filter_map(|(&incarnation, worker)| {
-                let mut unstored = worker.unstored_completions.iter().rev();
-                let (sequence, _) =
-                    unstored.find(|(_, changes)| self.unstored.are_taken(*changes))?;
+                let unstored = worker.unstored_completions.iter();
+                let taken = unstored
+                    .take_while(|(_, (job, changes))| self.unstored.are_taken(*job, *changes));
+                let (sequence, _) = taken.last()?;
                 Some((incarnation, *sequence))
             });
         in_flight.completions = completions.collect();
@@ -214,22 +246,23 @@
         }
     }
 
-    /// Adds the rows of a job to a batch.
+    /// Adds the rows of a job to a batch. What does not fit waits for the next one.
     fn add_job_rows(
-        &self,
+        &mut self,
         unstored: UnstoredJob,
         rows: JobRows,
         batch: &mut Batch,
         in_flight: &mut BatchInFlight,
-    ) {
+    ) -> Extent {
         let id = unstored.id;
-        let Some(job) = self.jobs.get(&id) else {
-            return;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return Extent::Whole;
         };
-        if rows.expired {
+        job.forget_obsolete_changes();
+        if rows.expiry == Expiry::Now {
             batch.expired.push(id);
             in_flight.expired.push(unstored);
-            return;
+            return Extent::Whole;
         }
         // A successor reads the rows of final jobs, too, until they expire.
         let ends = job.status.is_final() && !job.stored_status.is_some_and(JobStatus::is_final);
@@ -241,15 +274,48 @@
             }
             batch.records.push((id, record));
         }
+        let has_progress = rows.progress.is_some();
         batch
             .progress
             .extend(rows.progress.map(|progress| (id, progress)));
         batch.inbox.extend(rows.inbox);
-        in_flight.jobs.push(StoringJob {
+        for (block, change, progress) in rows.blocks {
+            job.blocks.writing(block);
+            batch.blocks.push((BlockKey { job: id, block }, progress));
+            in_flight
+                .blocks
+                .push((block, UnstoredJob { change, ..unstored }));
+        }
+        let obsolete = rows.obsolete_blocks.into_iter();
+        let obsolete = obsolete.map(|block| BlockKey { job: id, block });
+        let obsolete: Vec<BlockKey> = obsolete.collect();
+        batch.obsolete_blocks.extend_from_slice(&obsolete);
+        in_flight.obsolete_blocks.extend(obsolete);
+        let storing = StoringJob {
             job: unstored,
             status: job.status,
             is_new: job.stored_status.is_none(),
-        });
+        };
+        if !rows.is_partial {
+            in_flight.jobs.push(storing);
+            if rows.expiry == Expiry::OnceWithoutBlocks {
+                self.unstored.insert(id, Urgency::Progress);
+            }
+            return Extent::Whole;
+        }
+        let left = job.blocks.first_change();
+        if has_progress {
+            in_flight.jobs.push(storing);
+        } else {
+            in_flight.partial.push(unstored);
+        }
+        match left {
+            Some(change) => self.unstored.restore(UnstoredJob { change, ..unstored }),
+            None => {
+                self.unstored.insert(id, Urgency::Progress);
+            }
+        }
+        Extent::Part
     }
 
     /// Returns when [`Self::begin_batch`] will return a batch even if no event
@@ -282,8 +348,14 @@
 
     /// Puts back what was to be stored.
     fn restore_batch(&mut self, in_flight: BatchInFlight) {
+        for (block, job) in in_flight.blocks {
+            if let Some(entry) = self.jobs.get_mut(&job.id) {
+                entry.blocks.change(block, job.change);
+            }
+            self.unstored.restore(job);
+        }
         let jobs = in_flight.jobs.into_iter().map(|storing| storing.job);
-        for job in jobs.chain(in_flight.expired) {
+        for job in jobs.chain(in_flight.partial).chain(in_flight.expired) {
             self.unstored.restore(job);
         }
         self.workers_row_dirty |= !in_flight.incarnations.is_empty();
@@ -296,20 +368,23 @@
         // The store answers.
         self.committing_since_ms = None;
         let mut outcome = StoredJobs::default();
-        let count = in_flight.jobs.len() + in_flight.expired.len();
+        let count = in_flight.jobs.len() + in_flight.partial.len() + in_flight.expired.len();
         self.max_batch_jobs = (count / 2).max(1);
         if count == 1
             && let Some(storing) = in_flight.jobs.pop()
         {
             let id = storing.job.id;
-            let bytes = self.job_rows(id, now).size.bytes;
+            let bytes = self.job_rows(id, RowSize::default(), now).size.bytes;
             let accepted = self.jobs.get(&id).is_some_and(|job| job.accepted);
             self.events.push(SchedulerEvent::JobUnstorable {
                 job: id,
                 bytes,
                 accepted,
             });
-            if !accepted {
+            if accepted {
+                // Nothing that rests on these rows may be acknowledged.
+                self.unstored.refuse(storing.job, now.steady_ms);
+            } else {
                 self.remove_unstored_job(id);
                 outcome.rejected.push(id);
             }
@@ -331,6 +406,7 @@
         self.scheduled_occurrences.retain(|&(_, job, _)| job != id);
         self.retained_final_jobs.retain(|&(_, job)| job != id);
         self.active_jobs.remove(&id);
+        self.unstored.remove(id);
         self.forget_job(id);
         self.recent_load = None;
     }
@@ -347,6 +423,11 @@
             self.inbox.remove(&key);
             self.settled_inbox.remove(&key);
         }
+        for key in in_flight.obsolete_blocks {
+            if let Some(job) = self.jobs.get_mut(&key.job) {
+                job.blocks.removed(key.block);
+            }
+        }
         for storing in in_flight.jobs {
             let StoringJob {
                 job: UnstoredJob { id, .. },
--- a/crates/cornelpoint/src/scheduler/completions.rs
+++ b/crates/cornelpoint/src/scheduler/completions.rs
@@ -1,5 +1,6 @@
 use crate::job::JobStatus;
 use crate::job::StepId;
+use crate::job::TaskBlock;
 use crate::job::TaskId;
 use crate::speculation::CopyOutcome;
 use crate::speculation::DurationSource;
@@ -71,8 +72,7 @@
                 self.task_failed(completion.task, completion.run, now);
             }
             _ => {
-                self.unstored
-                    .insert(completion.task.step.job, Urgency::Progress);
+                self.task_changed(completion.task);
                 self.make_ready(completion.task, now);
             }
         }
@@ -128,8 +128,18 @@
         }
     }
 
+    /// Has a task's progress stored.
+    pub(super) fn task_changed(&mut self, id: TaskId) {
+        let change = self.unstored.insert(id.step.job, Urgency::Progress);
+        if let Some(job) = self.jobs.get_mut(&id.step.job)
+            && job.blocks.are_used()
+        {
+            job.blocks.change(TaskBlock::of(id), change);
+        }
+    }
+
     fn task_done(&mut self, id: TaskId, now: Instant) {
-        self.unstored.insert(id.step.job, Urgency::Progress);
+        self.task_changed(id);
         let Some(job) = self.jobs.get_mut(&id.step.job) else {
             return;
         };
@@ -145,7 +155,11 @@
             vec![id.index]
         };
         for index in indexes {
-            self.mark_done(id.step.task(index), now);
+            let task = id.step.task(index);
+            if gang {
+                self.task_changed(task);
+            }
+            self.mark_done(task, now);
         }
         self.open_following_steps(id, now);
     }
@@ -194,7 +208,7 @@
     }
 
     fn task_failed(&mut self, id: TaskId, run: u64, now: Instant) {
-        self.unstored.insert(id.step.job, Urgency::Progress);
+        self.task_changed(id);
         let Some(job) = self.jobs.get(&id.step.job) else {
             return;
         };
--- a/crates/cornelpoint/src/scheduler/crashes.rs
+++ b/crates/cornelpoint/src/scheduler/crashes.rs
@@ -7,7 +7,6 @@
 use super::scheduler_event::RunLoss;
 use super::scheduler_event::SchedulerEvent;
 use super::task_entry::Run;
-use super::unstored_jobs::Urgency;
 use super::worker_state::WorkerState;
 
 /// Time from the order to start a run within which its worker was last heard of if
@@ -222,7 +221,7 @@
         let crashes = task.crashes;
         // Where a task may be placed depends on whether it is a suspect.
         self.reconsider(id.step);
-        self.unstored.insert(id.step.job, Urgency::Progress);
+        self.task_changed(id);
         if crashes.is_given_up() {
             self.events.push(SchedulerEvent::TaskGivenUp {
                 task: id,
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::ShareClass;
 use crate::inbox::InboxKey;
+use crate::job::BlockProgress;
 use crate::job::IndexSet;
 use crate::job::JobId;
 use crate::job::JobProgress;
@@ -9,12 +10,15 @@
 use crate::job::JobSpec;
 use crate::job::JobStatus;
 use crate::job::StepId;
+use crate::job::StepProgress;
+use crate::job::TaskBlock;
 use crate::job::TaskProgress;
 
 use super::instant::Instant;
 use super::job_entry::JobEntry;
 use super::placement::task_id;
 use super::pool_scheduler::PoolScheduler;
+use super::stored_blocks::StoredBlocks;
 use super::unstored_jobs::Urgency;
 
 /// Answer to a submitted job.
@@ -122,13 +126,56 @@
         progress: Option<&JobProgress>,
         now: Instant,
     ) {
-        let none = JobProgress::default();
-        let progress = progress.unwrap_or(&none);
-        self.insert_job(id, record, spec, Some(progress), now);
-        self.restore_progress(id, progress, now);
+        let progress = progress.cloned().unwrap_or_default();
+        self.restore_split(id, record, spec, progress, Vec::new(), now);
+    }
+
+    /// Restores a job of whose tasks some have stored progress in blocks.
+    pub fn restore_split(
+        &mut self,
+        id: JobId,
+        record: JobRecord,
+        spec: JobSpec,
+        mut progress: JobProgress,
+        blocks: Vec<(TaskBlock, BlockProgress)>,
+        now: Instant,
+    ) {
+        let is_whole = !progress.steps.is_empty() || !progress.tasks.is_empty();
+        let mut written = Vec::with_capacity(blocks.len());
+        for (block, stored) in blocks {
+            written.push(block);
+            progress.steps.push(StepProgress {
+                occurrence: block.occurrence,
+                step: block.step,
+                done: stored.done,
+            });
+            progress.tasks.extend(stored.tasks);
+        }
+        self.insert_job(id, record, spec, Some(&progress), now);
+        self.restore_progress(id, &progress, now);
+        self.restore_blocks(id, is_whole, written);
         self.apply_earlier_cancellation(id, now);
     }
 
+    /// Takes note of the blocks that the store has. An earlier version may have stored the
+    /// progress of a job as a whole that is now stored in blocks.
+    fn restore_blocks(&mut self, id: JobId, is_whole: bool, written: Vec<TaskBlock>) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let has_obsolete = written.iter().any(|block| job.is_obsolete(*block));
+        job.blocks.read(written.into_iter());
+        if is_whole && job.blocks.are_used() {
+            job.blocks.replace_whole();
+            let change = self.unstored.insert(id, Urgency::Progress);
+            for block in job.started_blocks() {
+                job.blocks.change(block, change);
+            }
+        } else if has_obsolete {
+            self.unstored.insert(id, Urgency::Progress);
+        }
+    }
+
     fn insert_job(
         &mut self,
         id: JobId,
@@ -151,6 +198,8 @@
         let value_milli = self.admission.value_milli(&record.queue, work);
         let held_bytes = spec.held_bytes();
         let entry = JobEntry {
+            id,
+            blocks: StoredBlocks::new(spec.task_count()),
             record,
             tenant,
             spec,
--- a/crates/cornelpoint/src/scheduler/job_entry.rs
+++ b/crates/cornelpoint/src/scheduler/job_entry.rs
@@ -1,8 +1,11 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::admission::ShareClass;
 use crate::admission::dominant_millicores;
+use crate::job::BlockProgress;
 use crate::job::IndexSet;
+use crate::job::JobId;
 use crate::job::JobProgress;
 use crate::job::JobRecord;
 use crate::job::JobSpec;
@@ -12,20 +15,25 @@
 use crate::job::Step;
 use crate::job::StepId;
 use crate::job::StepProgress;
+use crate::job::TaskBlock;
 use crate::job::TaskId;
 use crate::job::TaskProgress;
 use crate::quota::TenantIndex;
 
 use super::objective::Objective;
 use super::step_entry::StepEntry;
+use super::stored_blocks::StoredBlocks;
 use super::task_entry::TaskEntry;
 
+/// Largest checkpoint that is stored: a block of tasks has to fit a transaction.
+const MAX_CHECKPOINT_BYTES: usize = 1500;
 /// Stands for the steps of a released job.
 static RELEASED_STEP: Step = Step::NONE;
 
 /// In-memory state of a job.
 #[derive(Clone, Debug)]
 pub(super) struct JobEntry {
+    pub(super) id: JobId,
     pub(super) record: JobRecord,
     /// The job's tenant; `None` where limits of tenants aren't in force.
     pub(super) tenant: Option<TenantIndex>,
@@ -52,6 +60,7 @@
     pub(super) occurrences: BTreeMap<u32, Vec<StepEntry>>,
     pub(super) done_occurrences: IndexSet,
     pub(super) next_occurrence: u32,
+    pub(super) blocks: StoredBlocks,
 }
 
 impl JobEntry {
@@ -74,6 +83,7 @@
         }
         self.occurrences.clear();
         self.spec.steps = Vec::new();
+        self.blocks.forget_changes(|_| true);
         self.spec.spec = "".into();
         self.objective = Objective::default();
         self.record.job = RawJob::default();
@@ -240,6 +250,55 @@
             .all(|&earlier| steps[usize::from(earlier)].remaining() == 0)
     }
 
+    /// Whether the stored progress of a block is no longer needed.
+    pub(super) fn is_obsolete(&self, block: TaskBlock) -> bool {
+        self.status.is_final() || self.done_occurrences.contains(block.occurrence)
+    }
+
+    /// Forgets the changes of blocks that are no longer needed.
+    pub(super) fn forget_obsolete_changes(&mut self) {
+        let is_final = self.status.is_final();
+        let done = &self.done_occurrences;
+        self.blocks
+            .forget_changes(|block| is_final || done.contains(block.occurrence));
+    }
+
+    /// Returns the progress of a block's tasks in the form that is stored.
+    pub(super) fn block_progress(&self, block: TaskBlock) -> BlockProgress {
+        let steps = self.occurrences.get(&block.occurrence);
+        let Some(step) = steps.and_then(|steps| steps.get(usize::from(block.step))) else {
+            return BlockProgress::default();
+        };
+        let indexes = block.indexes();
+        let started = step.started_in(indexes.clone());
+        let tasks = started.filter_map(|(index, task)| {
+            task_progress(block.occurrence, usize::from(block.step), index, task)
+        });
+        BlockProgress {
+            done: indexes.filter(|index| step.is_done(*index)).collect(),
+            tasks: tasks.collect(),
+        }
+    }
+
+    /// Returns the blocks of which a task has been started.
+    pub(super) fn started_blocks(&self) -> BTreeSet<TaskBlock> {
+        let steps = self.occurrences.iter().flat_map(|(&occurrence, steps)| {
+            let steps = steps.iter().enumerate();
+            steps.map(move |(step_index, step)| (occurrence, step_index, step))
+        });
+        let blocks = steps.flat_map(|(occurrence, step_index, step)| {
+            let id = StepId {
+                job: self.id,
+                occurrence,
+                step: step_number(step_index),
+            };
+            let started = step.started().map(|(index, _)| index);
+            let tasks = step.done().iter().chain(started);
+            tasks.map(move |index| TaskBlock::of(id.task(index)))
+        });
+        blocks.collect()
+    }
+
     /// Returns the job's current progress in the form that is stored.
     pub(super) fn progress(&self) -> JobProgress {
         let mut progress = JobProgress {
@@ -251,6 +310,9 @@
             return progress;
         }
         progress.done_occurrences = self.done_occurrences.clone();
+        if self.blocks.are_used() {
+            return progress;
+        }
         let open = self.occurrences.iter();
         let open = open.filter(|(occurrence, _)| !self.done_occurrences.contains(**occurrence));
         for (&occurrence, steps) in open {
@@ -280,6 +342,15 @@
     step_index as u16
 }
 
+/// Returns a checkpoint unless it is too large to be stored. After a takeover, its task may
+/// begin anew.
+fn stored_checkpoint(checkpoint: &str) -> String {
+    if checkpoint.len() > MAX_CHECKPOINT_BYTES {
+        return String::new();
+    }
+    checkpoint.to_owned()
+}
+
 /// Returns the progress of a task that is not done, if there is any.
 fn task_progress(
     occurrence: u32,
@@ -296,7 +367,7 @@
         done: false,
         failed_runs: task.failed_runs.clone(),
         last_run: task.last_run,
-        checkpoint: task.checkpoint.clone(),
+        checkpoint: stored_checkpoint(&task.checkpoint),
         crashes: task.crashes.total,
         crashes_on_start: task.crashes.on_start,
     })
--- a/crates/cornelpoint/src/scheduler/lease_renewal.rs
+++ b/crates/cornelpoint/src/scheduler/lease_renewal.rs
@@ -163,9 +163,10 @@
         for completion in &report.completions {
             self.plan_reported_occurrence(completion.task.step, now);
             self.apply_completion(incarnation, completion, now);
-        }
-        if let Some(worker) = self.incarnations.get_mut(&incarnation) {
-            worker.record_completions(self.unstored.changes());
+            if let Some(worker) = self.incarnations.get_mut(&incarnation) {
+                let job = completion.task.step.job;
+                worker.record_completion(completion.sequence, job, self.unstored.changes());
+            }
         }
         self.resolve_unlisted_runs(incarnation, sent_ms, report, now);
         self.pace_fillers(incarnation, report, now);
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -36,6 +36,7 @@
 mod settings;
 mod silences;
 mod step_entry;
+mod stored_blocks;
 mod task_entry;
 mod tickets;
 mod unlisted_runs;
--- a/crates/cornelpoint/src/scheduler/step_entry.rs
+++ b/crates/cornelpoint/src/scheduler/step_entry.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use crate::job::IndexSet;
 
@@ -48,6 +49,15 @@
         self.started.iter().map(|(&index, task)| (index, task))
     }
 
+    /// Returns the tasks with records in a range of indexes.
+    pub(super) fn started_in(
+        &self,
+        indexes: Range<u32>,
+    ) -> impl Iterator<Item = (u32, &TaskEntry)> {
+        let tasks = self.started.range(indexes);
+        tasks.map(|(&index, task)| (index, task))
+    }
+
     /// Returns the number of records.
     pub(super) fn record_count(&self) -> usize {
         self.started.len()
--- a/crates/cornelpoint/src/scheduler/unlisted_runs.rs
+++ b/crates/cornelpoint/src/scheduler/unlisted_runs.rs
@@ -1,3 +1,5 @@
+use std::collections::HashSet;
+
 use crate::job::TaskId;
 use crate::worker::WorkerReport;
 
@@ -26,16 +28,11 @@
             return;
         }
         let unreadable_since_ms = worker.unreadable_since_ms;
-        let listed = |task: TaskId, run: u64| {
-            report
-                .running
-                .iter()
-                .any(|reported| reported.task == task && reported.run == run)
-        };
-        let missing = worker
-            .runs
-            .keys()
-            .filter(|&&(task, run)| !listed(task, run));
+        let listed = report.running.iter();
+        let listed: HashSet<(TaskId, u64)> = listed
+            .map(|reported| (reported.task, reported.run))
+            .collect();
+        let missing = worker.runs.keys().filter(|run| !listed.contains(run));
         let missing: Vec<(TaskId, u64)> = missing.copied().collect();
         let mut lost_before_restart = Vec::new();
         for (task, number) in missing {
--- a/crates/cornelpoint/src/scheduler/unstored_jobs.rs
+++ b/crates/cornelpoint/src/scheduler/unstored_jobs.rs
@@ -3,6 +3,9 @@
 
 use crate::job::JobId;
 
+/// Time after which rows that the store has refused are written again.
+const REFUSED_RETRY_MS: u64 = 5000;
+
 /// Whether somebody waits for a job's rows to be stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Urgency {
@@ -21,6 +24,13 @@
     pub(super) change: u64,
 }
 
+/// A job whose rows the store has refused.
+#[derive(Clone, Copy, Debug)]
+struct RefusedJob {
+    job: UnstoredJob,
+    retry_ms: u64,
+}
+
 /// Jobs that have changed since their rows were last stored.
 ///
 /// Awaited jobs come first, the others in the order of their changes: in a surge
@@ -31,12 +41,14 @@
     awaited: BTreeMap<u64, JobId>,
     progress: BTreeMap<u64, JobId>,
     places: HashMap<JobId, (Urgency, u64)>,
+    /// Jobs whose rows the store has refused; they wait apart from the others.
+    refused: HashMap<JobId, RefusedJob>,
     changes: u64,
 }
 
 impl UnstoredJobs {
-    /// Adds a change of a job.
-    pub(super) fn insert(&mut self, id: JobId, urgency: Urgency) {
+    /// Adds a change of a job, and returns its number.
+    pub(super) fn insert(&mut self, id: JobId, urgency: Urgency) -> u64 {
         self.changes += 1;
         let change = self.changes;
         self.restore(UnstoredJob {
@@ -44,10 +56,16 @@
             urgency,
             change,
         });
+        change
     }
 
     /// Puts a job back in its place that was taken but not stored.
     pub(super) fn restore(&mut self, job: UnstoredJob) {
+        if let Some(refused) = self.refused.get_mut(&job.id) {
+            refused.job.urgency = refused.job.urgency.min(job.urgency);
+            refused.job.change = refused.job.change.min(job.change);
+            return;
+        }
         let mut place = (job.urgency, job.change);
         if let Some((urgency, change)) = self.places.remove(&job.id) {
             self.jobs_mut(urgency).remove(&change);
@@ -58,6 +76,36 @@
         self.places.insert(job.id, place);
     }
 
+    /// Sets a job aside whose rows the store has refused.
+    pub(super) fn refuse(&mut self, mut job: UnstoredJob, now_ms: u64) {
+        if let Some((urgency, change)) = self.places.remove(&job.id) {
+            self.jobs_mut(urgency).remove(&change);
+            job.urgency = job.urgency.min(urgency);
+            job.change = job.change.min(change);
+        }
+        let retry_ms = now_ms + REFUSED_RETRY_MS;
+        self.refused.insert(job.id, RefusedJob { job, retry_ms });
+    }
+
+    /// Puts refused jobs back that are to be tried again.
+    pub(super) fn retry_refused(&mut self, now_ms: u64) {
+        let due = self.refused.values();
+        let due = due.filter(|refused| refused.retry_ms <= now_ms);
+        let due: Vec<UnstoredJob> = due.map(|refused| refused.job).collect();
+        for job in due {
+            self.refused.remove(&job.id);
+            self.restore(job);
+        }
+    }
+
+    /// Forgets a job.
+    pub(super) fn remove(&mut self, id: JobId) {
+        self.refused.remove(&id);
+        if let Some((urgency, change)) = self.places.remove(&id) {
+            self.jobs_mut(urgency).remove(&change);
+        }
+    }
+
     /// Takes the job that is to be stored first.
     pub(super) fn pop_first(&mut self) -> Option<UnstoredJob> {
         let (urgency, (change, id)) = match self.awaited.pop_first() {
@@ -81,12 +129,12 @@
         self.changes
     }
 
-    /// Whether all changes up to a number are taken.
-    pub(super) fn are_taken(&self, changes: u64) -> bool {
-        let first = [&self.awaited, &self.progress]
-            .into_iter()
-            .filter_map(|jobs| jobs.first_key_value());
-        first.into_iter().all(|(&change, _)| change > changes)
+    /// Whether all changes of a job up to a number are taken.
+    pub(super) fn are_taken(&self, id: JobId, changes: u64) -> bool {
+        let place = self.places.get(&id).map(|(_, change)| *change);
+        let refused = self.refused.get(&id).map(|refused| refused.job.change);
+        let mut waiting = place.into_iter().chain(refused);
+        waiting.all(|change| change > changes)
     }
 
     fn jobs_mut(&mut self, urgency: Urgency) -> &mut BTreeMap<u64, JobId> {
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 
+use crate::job::JobId;
 use crate::job::Resources;
 use crate::job::StepId;
 use crate::job::TaskId;
@@ -62,9 +62,9 @@
     pub(super) acknowledged_completion: u64,
     /// The same once the renewal in flight is answered.
     pub(super) acknowledging_completion: u64,
-    /// Completions that are applied and not stored: the sequence number of the last
-    /// one in a report, and the number of changes of jobs up to it.
-    pub(super) unstored_completions: VecDeque<(u64, u64)>,
+    /// Completions that are applied and not stored, by sequence number: the job, and the
+    /// number of changes of jobs up to it.
+    pub(super) unstored_completions: BTreeMap<u64, (JobId, u64)>,
     pub(super) renewal: Renewal,
     /// Whether a task that lasts is not at full speed there yet.
     pub(super) warms_up: bool,
@@ -164,7 +164,7 @@
             stored_completion: 0,
             acknowledged_completion: 0,
             acknowledging_completion: 0,
-            unstored_completions: VecDeque::new(),
+            unstored_completions: BTreeMap::new(),
             renewal: Renewal::Due { at_ms: 0 },
             warms_up: false,
             starts_in_flight: 0,
@@ -307,14 +307,12 @@
         }
     }
 
-    /// Records that the completions applied so far made jobs change up to a number
-    /// of changes.
-    pub(super) fn record_completions(&mut self, changes: u64) {
-        let recorded = self.unstored_completions.back();
-        let recorded = recorded.map_or(self.stored_completion, |(sequence, _)| *sequence);
-        if self.applied_completion > recorded {
-            self.unstored_completions
-                .push_back((self.applied_completion, changes));
+    /// Records that a completion has been applied, which made its job change up to a
+    /// number of changes.
+    pub(super) fn record_completion(&mut self, sequence: u64, job: JobId, changes: u64) {
+        if sequence > self.stored_completion {
+            let unstored = self.unstored_completions.entry(sequence);
+            unstored.or_insert((job, changes));
         }
     }
 
@@ -323,7 +321,7 @@
         self.stored_completion = self.stored_completion.max(sequence);
         let stored = self.stored_completion;
         self.unstored_completions
-            .retain(|(sequence, _)| *sequence > stored);
+            .retain(|sequence, _| *sequence > stored);
     }
 
     /// Returns the sequence number that the next renewal acknowledges; 0 if there is
--- a/crates/cornelpoint/tests/scheduler/refused_rows.rs
+++ b/crates/cornelpoint/tests/scheduler/refused_rows.rs
@@ -2,12 +2,17 @@
 
 use cornelpoint::job::JobId;
 use cornelpoint::job::JobSpec;
+use cornelpoint::job::JobStatus;
+use cornelpoint::scheduler::Action;
 use cornelpoint::scheduler::Batch;
 use cornelpoint::scheduler::BatchOutcome;
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::scheduler::SchedulerEvent;
 use cornelpoint::scheduler::StoredJobs;
 use cornelpoint::scheduler::SubmitAnswer;
+use cornelpoint::worker::CompletionKind;
+use cornelpoint::worker::RunCompletion;
+use cornelpoint::worker::WorkerReport;
 
 use crate::support::at;
 use crate::support::job;
@@ -87,6 +92,60 @@
     assert!(reported, "{events:?}");
 }
 
+/// Guards against an end that is acknowledged though the store has refused its job's
+/// progress: the worker forgets it, and a successor would start the task again. The end of
+/// another job before it is acknowledged.
+#[test]
+fn an_end_is_acknowledged_whose_job_the_store_refuses() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    for number in [1, REFUSED] {
+        let (record, spec) = job(vec![step(1, 1000)]);
+        scheduler.submit_from_inbox(job_id(number), record, spec, at(100));
+    }
+    scheduler.begin_batch(at(110));
+    scheduler.batch_replied(BatchOutcome::Stored, at(110));
+    scheduler.confirm_ownership(150);
+    let mut started = starts(&mut scheduler, 150);
+    started.sort_by_key(|(_, task, _)| task.clone());
+    assert_eq!(started.len(), 2);
+    let completions = (1..)
+        .zip(started)
+        .map(|(sequence, (_, task, run))| RunCompletion {
+            sequence,
+            task: task.parse().expect("a valid task ID"),
+            run,
+            kind: CompletionKind::Done,
+            checkpoint: String::new(),
+        });
+    let mut report = WorkerReport {
+        born_unix_ms: 5,
+        clock_ms: 2000,
+        completions: completions.collect(),
+        ..WorkerReport::default()
+    };
+    let mut acknowledged = 0;
+    for now_ms in (200..8000).step_by(400) {
+        scheduler.renewal_replied(0, Ok(report.clone()), at(now_ms));
+        store_all(&mut scheduler, now_ms);
+        scheduler.confirm_ownership(now_ms + 300);
+        scheduler.tick(at(now_ms + 300));
+        for action in scheduler.take_actions() {
+            if let Action::RenewLease {
+                acknowledged: up_to,
+                ..
+            } = action
+            {
+                acknowledged = acknowledged.max(up_to);
+                let listed = &mut report.completions;
+                listed.retain(|completion| completion.sequence > up_to);
+            }
+        }
+    }
+    assert_eq!(acknowledged, 1);
+    assert_eq!(scheduler.status(job_id(1)), Some(JobStatus::Completed));
+    assert_eq!(scheduler.status(job_id(REFUSED)), Some(JobStatus::Running));
+}
+
 /// Guards against a pool that stores nothing any more, since its link doesn't carry a
 /// whole batch before the timeout of the call, and the same batch is tried again.
 #[test]
--- a/crates/cornelpoint/tests/scheduler/stored_progress.rs
+++ b/crates/cornelpoint/tests/scheduler/stored_progress.rs
@@ -1,5 +1,9 @@
 //! The size of what is stored of a job, and what a successor makes of it.
 
+use std::collections::BTreeMap;
+
+use cornelpoint::job::BlockKey;
+use cornelpoint::job::BlockProgress;
 use cornelpoint::job::JobProgress;
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobSpec;
@@ -9,6 +13,7 @@
 use cornelpoint::job::TaskId;
 use cornelpoint::job::TaskProgress;
 use cornelpoint::scheduler::Action;
+use cornelpoint::scheduler::Batch;
 use cornelpoint::scheduler::BatchOutcome;
 use cornelpoint::scheduler::PoolScheduler;
 use cornelpoint::worker::ActiveRun;
@@ -26,6 +31,9 @@
 
 /// Largest value of a row, as the platform states.
 const ROW_BYTES: usize = 65_536;
+/// Limits of a transaction.
+const MAX_ENTRIES: usize = 100;
+const MAX_TRANSACTION_BYTES: usize = 1_000_000;
 const INTERVAL_MS: u64 = 10;
 
 /// A worker that ends each run at once, unless `runs_on` says otherwise.
@@ -37,6 +45,9 @@
     completions: Vec<RunCompletion>,
     started: usize,
     progress: JobProgress,
+    blocks: BTreeMap<BlockKey, BlockProgress>,
+    /// Checkpoint that each run reports.
+    checkpoint: String,
     largest_bytes: usize,
 }
 
@@ -50,10 +61,52 @@
             completions: Vec::new(),
             started: 0,
             progress: JobProgress::default(),
+            blocks: BTreeMap::new(),
+            checkpoint: String::new(),
             largest_bytes: 0,
         }
     }
 
+    /// Returns a successor that has read what is stored.
+    fn successor(&self, record: JobRecord, spec: JobSpec, now_ms: u64) -> Self {
+        let mut successor = Self::new(ready_scheduler(&["w1"]));
+        let blocks = self.blocks.iter();
+        let blocks = blocks.map(|(key, progress)| (key.block, progress.clone()));
+        let (progress, blocks) = (self.progress.clone(), blocks.collect());
+        let scheduler = &mut successor.scheduler;
+        scheduler.restore_split(job_id(1), record, spec, progress, blocks, at(now_ms));
+        successor
+    }
+
+    /// Returns the number of tasks that are stored as done, but for done occurrences.
+    fn stored_done(&self) -> usize {
+        let steps = self.progress.steps.iter().map(|step| step.done.len());
+        let blocks = self.blocks.values().map(|block| block.done.len());
+        steps.chain(blocks).sum()
+    }
+
+    /// Applies a batch as the platform's store would, which limits entries and size.
+    fn store(&mut self, batch: Batch) {
+        let progress = batch.progress.iter();
+        let progress = progress.map(|(_, value)| rmp_serde::to_vec_named(value).unwrap().len());
+        let blocks = batch.blocks.iter();
+        let blocks = blocks.map(|(_, value)| rmp_serde::to_vec_named(value).unwrap().len());
+        let sizes: Vec<usize> = progress.chain(blocks).collect();
+        let entries = sizes.len() + batch.obsolete_blocks.len() + batch.records.len();
+        assert!(entries < MAX_ENTRIES, "{entries} entries");
+        let bytes = sizes.iter().sum::<usize>() * 4 / 3;
+        assert!(bytes < MAX_TRANSACTION_BYTES, "{bytes} bytes");
+        let largest = sizes.into_iter().max().unwrap_or(0);
+        self.largest_bytes = self.largest_bytes.max(largest);
+        if let Some((_, progress)) = batch.progress.into_iter().last() {
+            self.progress = progress;
+        }
+        self.blocks.extend(batch.blocks);
+        for key in &batch.obsolete_blocks {
+            self.blocks.remove(key);
+        }
+    }
+
     fn step(&mut self, now_ms: u64, runs_on: impl Fn(TaskId) -> bool) {
         self.scheduler.confirm_ownership(now_ms);
         self.scheduler.tick(at(now_ms));
@@ -99,7 +152,7 @@
             let running = self.running.iter().map(|&(task, run)| ActiveRun {
                 task,
                 run,
-                checkpoint: String::new(),
+                checkpoint: self.checkpoint.clone(),
                 speed_percent: 100,
                 gauge: 0,
             });
@@ -113,11 +166,7 @@
             self.scheduler.renewal_replied(0, Ok(report), at(now_ms));
         }
         if let Some(batch) = self.scheduler.begin_batch(at(now_ms)) {
-            for (_, progress) in batch.progress {
-                let bytes = rmp_serde::to_vec_named(&progress).unwrap().len();
-                self.largest_bytes = self.largest_bytes.max(bytes);
-                self.progress = progress;
-            }
+            self.store(batch);
             self.scheduler
                 .batch_replied(BatchOutcome::Stored, at(now_ms));
         }
@@ -159,20 +208,17 @@
     );
 
     let middle_ms = 100 + COUNT * INTERVAL_MS / 2;
-    let mut successor = Pool::new(ready_scheduler(&["w1"]));
-    let progress = pool.progress.clone();
-    successor
-        .scheduler
-        .restore(job_id(1), record, spec, Some(&progress), at(middle_ms));
+    let mut successor = pool.successor(record, spec, middle_ms);
     for now_ms in (middle_ms..middle_ms + COUNT * INTERVAL_MS).step_by(5) {
         successor.step(now_ms, |_| false);
     }
     let status = successor.scheduler.status(job_id(1));
     assert_eq!(status, Some(JobStatus::Completed));
     let once = usize::try_from(COUNT).unwrap() * 8;
-    let not_done = pool.progress.steps.iter().map(|step| 8 - step.done.len());
-    let expected = once - done * 8 - (7 * pool.progress.steps.len());
-    assert_eq!(not_done.sum::<usize>(), pool.progress.steps.len());
+    let not_done = pool.blocks.values().map(|block| 8 - block.done.len());
+    let expected = once - done * 8 - (7 * pool.blocks.len());
+    assert_eq!(not_done.sum::<usize>(), pool.blocks.len());
+    assert!(pool.blocks.len() > 5, "{} occurrences", pool.blocks.len());
     assert_eq!(successor.started, expected);
 }
 
@@ -192,7 +238,7 @@
     for now_ms in (50..3000).step_by(5) {
         pool.step(now_ms, runs_on);
     }
-    let done: usize = pool.progress.steps.iter().map(|step| step.done.len()).sum();
+    let done = pool.stored_done();
     assert!(
         done > 5000,
         "{done} tasks are stored as done, {} started",
@@ -205,6 +251,52 @@
     );
 }
 
+/// Guards against ends that are acknowledged though the store has refused their job's
+/// progress, which outgrew a transaction: a successor started the tasks again.
+#[test]
+fn tasks_run_twice_whose_progress_outgrows_a_transaction() {
+    const TASKS: u64 = 3000;
+    const SHORT: usize = 100;
+    let mut pool = Pool::new(ready_scheduler(&["w1"]));
+    pool.checkpoint = "c".repeat(400);
+    let small = RawStep {
+        memory_mb: 0,
+        saves_progress: true,
+        ..step(TASKS, 0)
+    };
+    let (record, spec) = job(vec![small]);
+    let scheduler = &mut pool.scheduler;
+    scheduler.submit_from_inbox(job_id(1), record.clone(), spec.clone(), at(50));
+    let is_short = |task: TaskId| task.index.is_multiple_of(30);
+    for now_ms in (50..4000).step_by(20) {
+        pool.step(now_ms, |task| !is_short(task));
+    }
+    assert_eq!(pool.started as u64, TASKS);
+    assert!(pool.completions.is_empty(), "ends are not acknowledged");
+    assert_eq!(pool.last_sequence, SHORT as u64);
+    assert_eq!(pool.stored_done(), SHORT);
+    let kept = pool.blocks.values().flat_map(|block| &block.tasks);
+    assert_eq!(
+        kept.filter(|task| !task.checkpoint.is_empty()).count() as u64,
+        TASKS - 100
+    );
+
+    let mut successor = pool.successor(record, spec, 4000);
+    for now_ms in (4000..6000).step_by(20) {
+        successor.step(now_ms, |_| true);
+    }
+    assert_eq!(successor.started as u64, TASKS - 100);
+    let ended = successor.running.iter().filter(|(task, _)| is_short(*task));
+    assert_eq!(ended.count(), 0, "tasks that had ended are started again");
+    successor.scheduler.cancel(job_id(1), at(6000));
+    successor.blocks = pool.blocks;
+    for now_ms in (6000..7000).step_by(20) {
+        successor.step(now_ms, |_| true);
+    }
+    assert_eq!(successor.progress.status, JobStatus::Cancelled);
+    assert_eq!(successor.blocks.len(), 0, "blocks of a final job are left");
+}
+
 /// Rows of earlier versions list each task that is done.
 #[test]
 fn progress_that_lists_each_done_task_is_restored() {
