Let calls for advice in flight follow what the service completes

Cause: 24 calls were in flight at a service that handles one at a time, and each was given up after 3 s, mostly in or before its turn. The step asked again at the end of the line. Ruled out: refusals (none) and tickets that expire (steps never got one).

Change: AdviceCalls decides for all pools of a process. As many calls are in flight as the service completes in a second; none is given up for being late, and late answers are used. An overdue call lets a single one try; it is lost once a later one is answered. 429 halves the calls in flight after a pause. Pools that wait take turns, and steps that have waited long go first.

--- a/crates/cornelpoint-manager/src/node/mod.rs
+++ b/crates/cornelpoint-manager/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! State of a manager process (configuration, peers, shard ownership) and the
 //! background tasks that keep it up to date.
 
+mod advice;
 mod call_refusals;
 mod claims;
 mod cluster;
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -25,6 +25,7 @@
 use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
 
+use super::advice::AdviceEndpoint;
 use super::call_refusals::CallRefusals;
 use super::configuration::ConfigurationState;
 use super::listener_refusals::ListenerRefusals;
@@ -93,6 +94,7 @@
     /// The text of the configuration and how recently it was confirmed.
     pub(super) configuration: ConfigurationState,
     pub(super) routes: RouteState,
+    pub(crate) advice: AdviceEndpoint,
     pub(super) call_refusals: CallRefusals,
     pub(crate) waves: RefCell<BTreeMap<u64, WaveOrder>>,
     pub(crate) planner: RefCell<OwnershipPlanner>,
@@ -165,6 +167,7 @@
             least_memory_bytes: Cell::new(settings.memory_bytes),
             configuration: ConfigurationState::default(),
             routes: RouteState::default(),
+            advice: AdviceEndpoint::new(settings.advice_address.as_deref()),
             call_refusals: CallRefusals::default(),
             waves: RefCell::default(),
             planner: RefCell::new(planner),
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -108,6 +108,7 @@
             if let Some(confirmed_ms) = self.configuration_confirmed_ms() {
                 scheduler.confirm_configuration(confirmed_ms);
             }
+            scheduler.set_free_advice_calls(self.node.advice.free(&self.pool));
             scheduler.tick(now);
             actions = scheduler.take_actions();
             batch = scheduler.begin_batch(now);
@@ -116,7 +117,13 @@
         let events = scheduler.take_events();
         let fenced = scheduler.is_fenced();
         let vacated = scheduler.vacated();
-        let next_ms = [scheduler.next_tick_ms(now), scheduler.next_batch_ms()];
+        let waits_for_advice = self.is_confirmed(now) && scheduler.waits_for_advice_call();
+        let advice_ms = self.node.advice.next_overdue_ms();
+        let next_ms = [
+            scheduler.next_tick_ms(now),
+            scheduler.next_batch_ms(),
+            advice_ms.filter(|_| waits_for_advice),
+        ];
         drop(scheduler);
         for event in events {
             self.log_event(event);
@@ -136,6 +143,14 @@
         for action in actions {
             self.execute(action);
         }
+        // After the calls of this pass, which end the pool's turn.
+        self.node.advice.set_waiting(&self.pool, waits_for_advice);
+        if let Some(next) = self.node.advice.next_pool()
+            && next != self.pool
+            && let Some(host) = self.node.host(&next)
+        {
+            host.wake();
+        }
         if let Some(call) = quota_call {
             self.execute_quota_call(call);
         }
@@ -292,9 +307,15 @@
         }
     }
 
+    /// Has a pass run soon.
+    pub(crate) fn wake(&self) {
+        self.wake.notify_one();
+    }
+
     /// Stops the host; no more orders are sent and no more rows are stored.
     pub(crate) fn stop(&self) {
         self.stopped.set(true);
+        self.node.advice.set_waiting(&self.pool, false);
         self.wake.notify_one();
         for (_, waiters) in self.waiters.borrow_mut().drain() {
             for waiter in waiters {
--- a/crates/cornelpoint-manager/src/pool_host/orders.rs
+++ b/crates/cornelpoint-manager/src/pool_host/orders.rs
@@ -32,8 +32,6 @@
 /// Timeout of a lease renewal, in addition to the time that it may wait at the
 /// worker.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(800);
-/// Timeout of a request to the advice service, which handles one at a time.
-const ADVICE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// A call to a worker.
 #[derive(Clone, Copy)]
@@ -151,7 +149,8 @@
                 spawn_local(Rc::clone(self).send_pace(link, incarnation, call, task));
             }
             Action::RequestAdvice { step, incarnations } => {
-                spawn_local(Rc::clone(self).request_advice(step, incarnations));
+                let number = self.node.advice.begin(&self.pool);
+                spawn_local(Rc::clone(self).request_advice(number, step, incarnations));
             }
         }
     }
@@ -288,17 +287,22 @@
         }
     }
 
-    async fn request_advice(self: Rc<Self>, step: StepId, incarnations: Vec<IncarnationIndex>) {
-        let tickets = self.fetch_advice(step, &incarnations).await;
+    async fn request_advice(
+        self: Rc<Self>,
+        number: u64,
+        step: StepId,
+        incarnations: Vec<IncarnationIndex>,
+    ) {
+        let tickets = self.fetch_advice(number, step, &incarnations).await;
         self.apply(|scheduler, now| scheduler.advice_replied(step, tickets, now));
     }
 
     async fn fetch_advice(
         &self,
+        number: u64,
         step: StepId,
         incarnations: &[IncarnationIndex],
     ) -> Option<(Vec<(IncarnationIndex, String)>, u64)> {
-        let address = self.node.settings.advice_address.as_deref()?;
         let incarnations = &incarnations[..incarnations.len().min(workers::MAX_WORKERS_PER_ADVICE)];
         let ids: Vec<(IncarnationIndex, String)> = {
             let scheduler = self.scheduler.borrow();
@@ -310,17 +314,7 @@
         };
         let names: Vec<&str> = ids.iter().map(|(_, id)| id.as_str()).collect();
         let call = workers::advise_call(step, &names);
-        let answer = self.node.peer(address).send(&call, ADVICE_TIMEOUT).await;
-        let answer = match answer {
-            Ok(answer) if answer.status == 200 => answer,
-            other => {
-                info!(self.log, "Request for advice failed."; "step" => %step,
-                    "answer" => ?other.map(|answer| answer.status));
-                // The scheduler requests advice for the step again at its next tick.
-                tokio::time::sleep(Duration::from_millis(200)).await;
-                return None;
-            }
-        };
+        let answer = self.node.call_advice(number, &call).await?;
         match workers::parse_advice(&answer.body) {
             Ok((tickets, valid_ms)) => {
                 let by_incarnation = tickets.into_iter().filter_map(|(worker, ticket)| {
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -13,6 +13,7 @@
 mod moved_routes;
 mod odd_entries;
 mod restarted_workers;
+mod slow_advice;
 mod slow_link;
 mod slow_links;
 
--- a/crates/cornelpoint/src/lib.rs
+++ b/crates/cornelpoint/src/lib.rs
@@ -5,6 +5,7 @@
 //! reads a clock or writes a log, so each can be embedded and tested by itself.
 
 pub mod admission;
+pub mod advice;
 pub mod catalog;
 pub mod claim;
 pub mod configuration;
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -41,6 +41,7 @@
 use super::scheduler_event::SchedulerEvent;
 use super::settings::SchedulerSettings;
 use super::silences::Silences;
+use super::tickets::DEFAULT_ADVICE_CALLS;
 use super::tickets::Tickets;
 use super::unstored_jobs::UnstoredJobs;
 use super::worker_quorum::FencedWorkers;
@@ -100,6 +101,10 @@
     pub(super) silences: Silences,
     pub(super) ready: BTreeMap<ReadyKey, ReadyStep>,
     pub(super) tickets: BTreeMap<StepId, Tickets>,
+    /// Number of requests for advice that may be made now.
+    pub(super) free_advice_calls: usize,
+    /// Whether steps wait until more may be made.
+    pub(super) waits_for_advice_call: bool,
     /// Future occurrences by due time, in milliseconds since 1970.
     pub(super) scheduled_occurrences: BTreeSet<(u64, JobId, u32)>,
     pub(super) unstored: UnstoredJobs,
@@ -214,6 +219,8 @@
             silences: Silences::default(),
             ready: BTreeMap::new(),
             tickets: BTreeMap::new(),
+            free_advice_calls: DEFAULT_ADVICE_CALLS,
+            waits_for_advice_call: false,
             scheduled_occurrences: BTreeSet::new(),
             unstored: UnstoredJobs::default(),
             batch: None,
@@ -285,6 +292,18 @@
         self.changed_workers = WorkerSet::All;
     }
 
+    /// Sets the number of requests for advice that may be made at the next tick.
+    pub fn set_free_advice_calls(&mut self, count: usize) {
+        self.free_advice_calls = count;
+        self.placement_needed |= count > 0 && self.waits_for_advice_call;
+    }
+
+    /// Whether steps wait until more requests for advice may be made.
+    #[must_use]
+    pub fn waits_for_advice_call(&self) -> bool {
+        self.waits_for_advice_call
+    }
+
     /// Updates what the pool's jobs may hold.
     pub fn set_memory_limits(&mut self, limits: MemoryLimits) {
         self.memory_limits = limits;
--- a/crates/cornelpoint/src/scheduler/tickets.rs
+++ b/crates/cornelpoint/src/scheduler/tickets.rs
@@ -8,9 +8,11 @@
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
 
-/// Largest number of requests for advice that wait for an answer at the same time. The
-/// service queues 32 calls of a process, which may own several pools.
-const MAX_REQUESTS_IN_FLIGHT: usize = 24;
+/// Number of requests for advice that may be made before one is set.
+pub(super) const DEFAULT_ADVICE_CALLS: usize = 24;
+/// Time for which a step waits for tickets until only those go before it that have waited
+/// longer.
+const LONG_WAIT_MS: u64 = 3000;
 /// Largest number of workers that one request may name.
 const MAX_WORKERS_PER_REQUEST: usize = 100;
 
@@ -48,12 +50,16 @@
         issued.is_some_and(|issued| issued.valid_until_ms > now.steady_ms)
     }
 
-    /// Requests tickets for steps that have none; those first that have waited longest
-    /// since their last ones, so that steps which fit no worker hold back no others.
+    /// Requests tickets for steps that have none, as far as requests may be made. Those go
+    /// first that have waited long; then those without former tickets, in the order of
+    /// placement, so that steps which fit no worker hold back no others.
     pub(super) fn request_tickets(&mut self, mut steps: Vec<StepId>, now: Instant) {
-        let requested = self.tickets.values().filter(|issued| issued.requested);
-        let free = MAX_REQUESTS_IN_FLIGHT.saturating_sub(requested.count());
-        if steps.is_empty() || free == 0 {
+        steps.retain(|step| {
+            let issued = self.tickets.get(step);
+            issued.is_none_or(|issued| !issued.requested)
+        });
+        self.waits_for_advice_call = !steps.is_empty();
+        if steps.is_empty() || self.free_advice_calls == 0 {
             return;
         }
         let incarnations = self
@@ -63,13 +69,22 @@
         let incarnations: Vec<IncarnationIndex> =
             incarnations.map(|(&incarnation, _)| incarnation).collect();
         if incarnations.is_empty() {
+            self.waits_for_advice_call = false;
             return;
         }
-        let issued = |step: &StepId| self.tickets.get(step);
-        steps.retain(|step| issued(step).is_none_or(|issued| !issued.requested));
-        steps.sort_by_key(|step| issued(step).map_or(0, |issued| issued.valid_until_ms));
-        let mut requests = 0;
+        steps.sort_by_key(|&step| {
+            let last_ms = self.tickets.get(&step);
+            let last_ms = last_ms.map_or(0, |issued| issued.valid_until_ms);
+            let since_ms = match last_ms {
+                0 => self.waiting_since_ms(step).unwrap_or(now.steady_ms),
+                last_ms => last_ms,
+            };
+            let waits_long = since_ms + LONG_WAIT_MS <= now.steady_ms;
+            (!waits_long, if waits_long { since_ms } else { last_ms })
+        });
+        let mut left = steps.len();
         for step in steps {
+            left -= 1;
             let issued = self.tickets.entry(step).or_default();
             let asked = issued.to_ask(&incarnations);
             if asked.is_empty() {
@@ -82,11 +97,17 @@
                 step,
                 incarnations: asked,
             });
-            requests += 1;
-            if requests == free {
+            self.free_advice_calls -= 1;
+            if self.free_advice_calls == 0 {
                 break;
             }
         }
+        self.waits_for_advice_call = left > 0;
+    }
+
+    fn waiting_since_ms(&self, step: StepId) -> Option<u64> {
+        let key = self.ready_key(step)?;
+        Some(self.ready.get(&key)?.since_ms)
     }
 
     /// Applies the answer of the advice service: a ticket for each worker that
