--- a/crates/cornelpoint-manager/src/edge/callers.rs
+++ b/crates/cornelpoint-manager/src/edge/callers.rs
@@ -5,9 +5,11 @@
 use cornelpoint::catalog::Catalog;
 use cornelpoint::catalog::Queue;
 use cornelpoint::job::JobError;
+use cornelpoint::job::JobId;
 use cornelpoint_platform::callers;
 use hyper::Method;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use slog::info;
 
@@ -151,16 +153,36 @@
         {
             return answer;
         }
-        match place.queue {
-            Some(queue) => jobs::submit(&node, queue, place.job, &body, &caller, timeout).await,
-            None => reply(404, ""),
-        }
+        let Some(queue) = place.queue else {
+            return reply(404, "");
+        };
+        let answer = jobs::submit(&node, queue, place.job, &body, &caller, timeout).await;
+        certain(&node, place.job, answer)
     };
     let answer = answer.await;
     record_submission(&node, answer.status().as_u16(), started.elapsed());
     answer
 }
 
+/// Replaces the refusal of a job of which an earlier submission may still be done, and takes
+/// note of one without an outcome.
+fn certain(node: &Node, job: JobId, answer: Reply) -> Reply {
+    let now_ms = clock::now().steady_ms;
+    let mut uncertain = node.uncertain_jobs.borrow_mut();
+    match answer.status() {
+        StatusCode::GATEWAY_TIMEOUT => {
+            uncertain.insert(job, now_ms);
+            answer
+        }
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+            if uncertain.contains(job, now_ms) =>
+        {
+            reply(504, "")
+        }
+        _ => answer,
+    }
+}
+
 async fn is_route_recorded(node: &Rc<Node>, queue: &Queue, limit: Duration) -> bool {
     let limit = limit.min(RECORD_TIMEOUT);
     let recorded = tokio::time::timeout(limit, node.is_route_recorded(queue));
--- a/crates/cornelpoint-manager/src/edge/inbox_writer.rs
+++ b/crates/cornelpoint-manager/src/edge/inbox_writer.rs
@@ -1,17 +1,18 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::hash::DefaultHasher;
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::rc::Rc;
 use std::time::Duration;
 
+use cornelpoint::inbox::InboxConflict;
 use cornelpoint::inbox::InboxKey;
 use cornelpoint::inbox::InboxOutcome;
 use cornelpoint::inbox::InboxQueue;
 use cornelpoint::inbox::InboxWriteResult;
+use cornelpoint::inbox::Withdrawal;
 use cornelpoint::job::JobId;
 use cornelpoint_platform::store::Row;
 use cornelpoint_platform::store::RowKey;
@@ -30,7 +31,7 @@
 
 /// Longest wait for a request to be written: the time-out of a call to the store.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Largest value of a request. Thirty of them, encoded, stay within the store's
+/// Largest value of a request. Two dozen of them, encoded, stay within the store's
 /// limit of 1 MB for a transaction.
 const MAX_VALUE_BYTES: usize = 20_000;
 
@@ -111,9 +112,7 @@
             let transaction = self.transaction(&keys);
             let result = match node.store.transact(&transaction).await {
                 TransactionOutcome::Committed { .. } => InboxWriteResult::Committed,
-                TransactionOutcome::Conflict(rows) => {
-                    InboxWriteResult::Conflict(stored_requests(&rows))
-                }
+                TransactionOutcome::Conflict(rows) => InboxWriteResult::Conflict(conflict(&rows)),
                 TransactionOutcome::Refused | TransactionOutcome::Invalid => {
                     InboxWriteResult::Refused
                 }
@@ -140,11 +139,18 @@
         let mut transaction = Transaction::default();
         for key in keys {
             let row_key = RowKey::new(INBOX_TABLE, &self.pool, key.to_string());
-            if let InboxKey::Submit(job) = key {
+            let key_of = |key: InboxKey| RowKey::new(INBOX_TABLE, &self.pool, key.to_string());
+            let absent = match *key {
+                InboxKey::Submit(job) => vec![row_key.clone(), key_of(InboxKey::Cancel(job))],
+                InboxKey::Withdraw(job) => vec![key_of(InboxKey::Submit(job))],
+                InboxKey::Cancel(_) => Vec::new(),
+            };
+            if let InboxKey::Submit(job) | InboxKey::Withdraw(job) = key {
                 let job_key = RowKey::new(JOB_TABLE, &self.pool, job.to_string());
-                transaction.conditions.push((row_key.clone(), 0));
                 transaction.conditions.push((job_key, 0));
             }
+            let absent = absent.into_iter().map(|key| (key, 0));
+            transaction.conditions.extend(absent);
             let value = requests.get(key).map(|request| request.value.clone());
             transaction
                 .writes
@@ -154,15 +160,24 @@
     }
 }
 
-/// Returns the submissions of which a conflict shows a row.
-fn stored_requests(rows: &[Row]) -> BTreeSet<InboxKey> {
-    let stored = rows.iter().filter(|row| row.version > 0);
-    let keys = stored.filter_map(|row| {
+/// Returns what the rows of a conflict say.
+fn conflict(rows: &[Row]) -> InboxConflict {
+    let mut conflict = InboxConflict::default();
+    for row in rows.iter().filter(|row| row.version > 0) {
         if row.key.table == JOB_TABLE {
-            row.key.key.parse::<JobId>().ok().map(InboxKey::Submit)
-        } else {
-            InboxKey::parse(&row.key.key)
+            conflict.jobs.extend(row.key.key.parse::<JobId>());
+            continue;
+        }
+        match InboxKey::parse(&row.key.key) {
+            Some(InboxKey::Submit(job)) => {
+                conflict.jobs.insert(job);
+            }
+            Some(InboxKey::Cancel(job) | InboxKey::Withdraw(job)) => {
+                let value = row.value.as_deref().unwrap_or_default();
+                conflict.withdrawn.insert(job, Withdrawal::of(value));
+            }
+            None => {}
         }
-    });
-    keys.collect()
+    }
+    conflict
 }
--- a/crates/cornelpoint-manager/src/edge/jobs.rs
+++ b/crates/cornelpoint-manager/src/edge/jobs.rs
@@ -4,6 +4,7 @@
 use cornelpoint::catalog::Queue;
 use cornelpoint::inbox::InboxKey;
 use cornelpoint::inbox::InboxOutcome;
+use cornelpoint::inbox::Withdrawal;
 use cornelpoint::job::JobId;
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobSpec;
@@ -120,7 +121,12 @@
                 "job" => %job);
             rejection(503, STORE_UNAVAILABLE_RETRY_S)
         }
-        InboxOutcome::Refused | InboxOutcome::Uncertain => reply(504, ""),
+        InboxOutcome::Withdrawn(Withdrawal::Cancelled) => reply(410, ""),
+        // Another pool has the job, or may accept it.
+        InboxOutcome::Withdrawn(Withdrawal::Moved)
+        | InboxOutcome::Refused
+        | InboxOutcome::Uncertain
+        | InboxOutcome::JobExists => reply(504, ""),
     }
 }
 
@@ -146,11 +152,29 @@
                 Found::Unknown => reply(504, ""),
             })
         }
-        Found::Nowhere => None,
+        Found::Nowhere => withdraw_from_former_pools(node, place).await,
         Found::Unknown => Some(reply(504, "")),
     }
 }
 
+/// Keeps the pools of earlier routes from accepting a job: a submission to one of them may
+/// still be under way. Returns an answer unless the job may now be accepted elsewhere.
+async fn withdraw_from_former_pools(node: &Rc<Node>, place: &JobPlace<'_>) -> Option<Reply> {
+    for pool in place.former_pools() {
+        let writer = node.inbox_writer(pool);
+        let value = Withdrawal::Moved.value().to_vec();
+        let stored = writer.store(node, InboxKey::Withdraw(place.job), value);
+        match stored.await {
+            InboxOutcome::Stored => {}
+            InboxOutcome::JobExists => return Some(reply(200, "")),
+            InboxOutcome::Refused | InboxOutcome::Uncertain | InboxOutcome::Withdrawn(_) => {
+                return Some(reply(504, ""));
+            }
+        }
+    }
+    None
+}
+
 /// Returns a job's status from its owner, or else from the store.
 pub(super) async fn status(
     node: &Rc<Node>,
@@ -160,12 +184,19 @@
 ) -> Reply {
     match place.find(node, &place.pools, caller, timeout).await {
         Found::At { status, .. } => reply(200, callers::status_body(status)),
+        Found::Nowhere if is_uncertain(node, place.job) => rejection(503, ISOLATED_RETRY_S),
         Found::Nowhere if place.queue.is_none() => reply(404, ""),
         Found::Nowhere => reply(410, ""),
         Found::Unknown => rejection(503, ISOLATED_RETRY_S),
     }
 }
 
+/// Whether a submission of the job by this process may still be done.
+fn is_uncertain(node: &Node, job: JobId) -> bool {
+    let now_ms = clock::now().steady_ms;
+    node.uncertain_jobs.borrow().contains(job, now_ms)
+}
+
 /// Cancels a job through its pool's owner; stores the cancellation in the
 /// owner's inbox if the owner can't be reached or does not know the job.
 pub(super) async fn cancel(
@@ -190,16 +221,47 @@
         }
     }
     let pool = match place.find_stored(node, &place.pools, caller).await {
-        Found::Nowhere => return reply(410, ""),
         Found::At { status, .. } if status.is_final() => return reply(200, ""),
         Found::At { pool, .. } => pool,
+        Found::Nowhere => return withdraw(node, place, caller).await,
         Found::Unknown => return rejection(503, STORE_UNAVAILABLE_RETRY_S),
     };
     let writer = node.inbox_writer(&pool);
     let stored = writer.store(node, InboxKey::Cancel(job), Vec::new());
-    match stored.await {
-        InboxOutcome::Stored => reply(200, ""),
+    cancelled(stored.await, 200)
+}
+
+/// Answers the cancellation of a job that the caller can't see. One that is unknown has to
+/// stay so: a write of its submission may still be done.
+async fn withdraw(node: &Rc<Node>, place: &JobPlace<'_>, caller: &Caller) -> Reply {
+    if !caller.is_unchecked() {
+        let everyone = Caller::Unchecked;
+        match place.find_stored(node, &place.pools, &everyone).await {
+            Found::At { .. } => return reply(410, ""),
+            Found::Nowhere => {}
+            Found::Unknown => return rejection(503, STORE_UNAVAILABLE_RETRY_S),
+        }
+    }
+    for pool in &place.pools {
+        let writer = node.inbox_writer(pool);
+        let value = Withdrawal::Cancelled.value().to_vec();
+        let outcome = writer.store(node, InboxKey::Withdraw(place.job), value);
+        let outcome = outcome.await;
+        if outcome != InboxOutcome::Stored {
+            return cancelled(outcome, 410);
+        }
+    }
+    reply(410, "")
+}
+
+/// Returns the answer to a cancellation, with this status if it is stored.
+fn cancelled(outcome: InboxOutcome, status: u16) -> Reply {
+    match outcome {
+        InboxOutcome::Stored => reply(status, ""),
         InboxOutcome::Refused => rejection(503, STORE_UNAVAILABLE_RETRY_S),
-        InboxOutcome::Uncertain => reply(504, ""),
+        // The job has been submitted meanwhile, or the write may be done later.
+        InboxOutcome::Uncertain | InboxOutcome::Withdrawn(_) | InboxOutcome::JobExists => {
+            reply(504, "")
+        }
     }
 }
--- a/crates/cornelpoint-manager/src/edge/mod.rs
+++ b/crates/cornelpoint-manager/src/edge/mod.rs
@@ -6,9 +6,11 @@
 mod jobs;
 mod keys;
 mod peers;
+mod uncertain_jobs;
 
 pub(crate) use self::callers::handle_balancer;
 pub(crate) use self::callers::handle_caller;
 pub(crate) use self::inbox_writer::InboxWriter;
 pub(crate) use self::peers::CONFIGURATION_PATH;
 pub(crate) use self::peers::handle_peer;
+pub(crate) use self::uncertain_jobs::UncertainJobs;
--- a/crates/cornelpoint-manager/src/fleet_host/host.rs
+++ b/crates/cornelpoint-manager/src/fleet_host/host.rs
@@ -155,7 +155,7 @@
 
     /// Writes the owner's store heartbeat; stops hosting if fenced.
     pub(crate) async fn write_heartbeat(self: Rc<Self>) {
-        if self.writer.write(&self.node.store, &[], &[]).await == WriteOutcome::Fenced {
+        if self.writer.write(&self.node.store, &[], &[], &[]).await == WriteOutcome::Fenced {
             self.node
                 .stop_hosting(FLEET_SHARD, "owned by another process");
             self.stop();
@@ -278,14 +278,14 @@
             if self.stopped.get() {
                 return;
             }
-            match self.writer.write(&self.node.store, &writes, &[]).await {
+            match self.writer.write(&self.node.store, &writes, &[], &[]).await {
                 WriteOutcome::Stored => break,
                 WriteOutcome::Fenced => {
                     self.node
                         .stop_hosting(FLEET_SHARD, "owned by another process");
                     self.stop();
                 }
-                WriteOutcome::Unknown | WriteOutcome::Invalid => {
+                WriteOutcome::Unknown | WriteOutcome::Invalid | WriteOutcome::Blocked(_) => {
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
             }
--- a/crates/cornelpoint-manager/src/node/advice.rs
+++ b/crates/cornelpoint-manager/src/node/advice.rs
@@ -59,8 +59,8 @@
     }
 
     /// Returns when a pool that waits for a call may send one though none is answered.
-    pub(crate) fn next_overdue_ms(&self) -> Option<u64> {
-        self.calls.borrow().next_overdue_ms(clock::now().steady_ms)
+    pub(crate) fn next_free_ms(&self) -> Option<u64> {
+        self.calls.borrow().next_free_ms(clock::now().steady_ms)
     }
 
     /// Records that a pool is about to send a call; returns the call's number.
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -33,6 +33,7 @@
 use crate::clock;
 use crate::edge;
 use crate::edge::InboxWriter;
+use crate::edge::UncertainJobs;
 use crate::fleet_host::FleetHost;
 use crate::http::BodyTimeouts;
 use crate::http::HttpEndpoint;
@@ -94,6 +95,7 @@
     /// The text of the configuration and how recently it was confirmed.
     pub(super) configuration: ConfigurationState,
     pub(super) routes: RouteState,
+    pub(crate) uncertain_jobs: RefCell<UncertainJobs>,
     pub(crate) advice: AdviceEndpoint,
     pub(super) call_refusals: CallRefusals,
     pub(crate) waves: RefCell<BTreeMap<u64, WaveOrder>>,
@@ -167,6 +169,7 @@
             least_memory_bytes: Cell::new(settings.memory_bytes),
             configuration: ConfigurationState::default(),
             routes: RouteState::default(),
+            uncertain_jobs: RefCell::default(),
             advice: AdviceEndpoint::new(settings.advice_address.as_deref()),
             call_refusals: CallRefusals::default(),
             waves: RefCell::default(),
--- a/crates/cornelpoint-manager/src/pool_host/commits.rs
+++ b/crates/cornelpoint-manager/src/pool_host/commits.rs
@@ -2,10 +2,14 @@
 use std::time::Duration;
 
 use cornelpoint::inbox::InboxKey;
+use cornelpoint::inbox::Withdrawal;
+use cornelpoint::job::JobId;
 use cornelpoint::job::JobStatus;
 use cornelpoint::scheduler::Batch;
 use cornelpoint::scheduler::BatchOutcome;
 use cornelpoint::scheduler::EndedJob;
+use cornelpoint::scheduler::StoredJobs;
+use cornelpoint_platform::store::Row;
 use cornelpoint_platform::store::RowKey;
 use cornelpoint_platform::store::Transaction;
 use slog::info;
@@ -37,9 +41,15 @@
     pub(super) async fn commit(self: Rc<Self>, batch: Batch) {
         let transaction = self.build_transaction(&batch);
         let requested_ms = clock::now().steady_ms;
-        let written =
-            self.writer
-                .write(&self.node.store, &transaction.writes, &transaction.removals);
+        let absent = batch.absent.iter();
+        let absent = absent.map(|key| RowKey::new(INBOX_TABLE, &self.pool, key.to_string()));
+        let absent: Vec<RowKey> = absent.collect();
+        let Transaction {
+            writes, removals, ..
+        } = &transaction;
+        let written = self
+            .writer
+            .write(&self.node.store, writes, removals, &absent);
         let written = written.await;
         let took_ms = clock::now().steady_ms.saturating_sub(requested_ms);
         if took_ms >= SLOW_COMMIT_MS {
@@ -47,6 +57,12 @@
                 "outcome" => ?written);
         }
         let outcome = match written {
+            WriteOutcome::Blocked(rows) => {
+                let withdrawn = rows.iter().filter_map(withdrawn_job).collect();
+                let stored = self.apply(|scheduler, now| scheduler.batch_withdrawn(withdrawn, now));
+                self.answer_waiters(stored);
+                return;
+            }
             WriteOutcome::Stored => {
                 self.heartbeat_stored_ms.set(requested_ms);
                 BatchOutcome::Stored
@@ -62,7 +78,19 @@
             }
         };
         let stored = self.apply(|scheduler, now| scheduler.batch_replied(outcome, now));
+        self.answer_waiters(stored);
+    }
+
+    /// Answers the callers that have waited for the store.
+    fn answer_waiters(&self, stored: StoredJobs) {
         let mut waiters = self.waiters.borrow_mut();
+        for (id, withdrawal) in stored.withdrawn {
+            info!(self.log, "Job not accepted: it is withdrawn."; "job" => %id,
+                "pool" => &self.pool, "why" => ?withdrawal);
+            for waiter in waiters.remove(&InboxKey::Submit(id)).unwrap_or_default() {
+                let _ = waiter.send(withdrawn_response(withdrawal));
+            }
+        }
         for id in stored.accepted {
             info!(self.log, "Job accepted."; "job" => %id, "pool" => &self.pool);
             for waiter in waiters.remove(&InboxKey::Submit(id)).unwrap_or_default() {
@@ -100,14 +128,14 @@
     /// Writes the owner's store heartbeat; stops hosting if fenced.
     pub(crate) async fn write_heartbeat(self: Rc<Self>) {
         let requested_ms = clock::now().steady_ms;
-        match self.writer.write(&self.node.store, &[], &[]).await {
+        match self.writer.write(&self.node.store, &[], &[], &[]).await {
             WriteOutcome::Stored => self.heartbeat_stored_ms.set(requested_ms),
             WriteOutcome::Fenced => {
                 self.node
                     .stop_hosting(&self.pool, "owned by another process");
                 self.stop();
             }
-            WriteOutcome::Unknown | WriteOutcome::Invalid => {}
+            WriteOutcome::Unknown | WriteOutcome::Invalid | WriteOutcome::Blocked(_) => {}
         }
     }
 
@@ -147,6 +175,26 @@
     }
 }
 
+/// Returns the job that a row of the inbox keeps the pool from accepting.
+fn withdrawn_job(row: &Row) -> Option<(JobId, Withdrawal)> {
+    match InboxKey::parse(&row.key.key)? {
+        InboxKey::Cancel(id) => {
+            let value = row.value.as_deref().unwrap_or_default();
+            Some((id, Withdrawal::of(value)))
+        }
+        InboxKey::Submit(_) | InboxKey::Withdraw(_) => None,
+    }
+}
+
+/// Returns the response to the submission of a job that must not be accepted.
+fn withdrawn_response(withdrawal: Withdrawal) -> PoolResponse {
+    match withdrawal {
+        Withdrawal::Cancelled => PoolResponse::UnknownJob,
+        // Another pool has the job, or may accept it.
+        Withdrawal::Moved => PoolResponse::Uncertain,
+    }
+}
+
 fn status_label(status: JobStatus) -> &'static str {
     match status {
         JobStatus::Pending => "pending",
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -118,7 +118,7 @@
         let fenced = scheduler.is_fenced();
         let vacated = scheduler.vacated();
         let waits_for_advice = self.is_confirmed(now) && scheduler.waits_for_advice_call();
-        let advice_ms = self.node.advice.next_overdue_ms();
+        let advice_ms = self.node.advice.next_free_ms();
         let next_ms = [
             scheduler.next_tick_ms(now),
             scheduler.next_batch_ms(),
--- a/crates/cornelpoint-manager/src/pool_host/inbox.rs
+++ b/crates/cornelpoint-manager/src/pool_host/inbox.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use cornelpoint::inbox::InboxKey;
+use cornelpoint::inbox::Withdrawal;
 use cornelpoint::job::JobRecord;
 use cornelpoint::job::JobSpec;
 use cornelpoint::scheduler::Instant;
@@ -27,11 +28,16 @@
 /// plus the call timeout.
 const INBOX_WAIT_MS: u64 = 500;
 
+/// Memory of submissions from which a new owner reads the rest of the inbox later.
+const MANY_BYTES: usize = 4 << 20;
+
 /// A request that another process has stored for the owner.
 struct InboxRequest {
     key: InboxKey,
     /// The job, if it is a submission.
-    job: Option<(JobRecord, JobSpec)>,
+    job: Option<Box<(JobRecord, JobSpec)>>,
+    /// Why the pool must not accept the job, otherwise.
+    withdrawal: Withdrawal,
 }
 
 impl PoolHost {
@@ -93,6 +99,8 @@
             if page.has_more && self.deferred_bytes.get().is_none() {
                 continue;
             }
+            // Cancellations sort first.
+            self.apply(|scheduler, _| scheduler.confirm_inbox(requested_ms));
             info!(self.log, "Inbox read in full."; "pool" => &self.pool,
                 "fencing_token" => self.fencing_token, "version" => page.version,
                 "rows" => count, "deferred_bytes" => self.deferred_bytes.get(),
@@ -114,6 +122,9 @@
             let deferred = self.apply(|scheduler, now| apply_inbox(scheduler, requests, now));
             self.defer(deferred);
         }
+        if !rows.has_more {
+            self.apply(|scheduler, _| scheduler.confirm_inbox(requested_ms));
+        }
         if !rows.has_more && self.deferred_bytes.get().is_none() {
             // The response may have been delayed; it is at least as new as its
             // request.
@@ -159,17 +170,43 @@
     }
 }
 
-/// Applies the rows of a pool's inbox before its scheduling starts; returns their number,
-/// and the memory that the smallest submission needs which is left there.
-pub(super) fn restore_inbox(
-    scheduler: &mut PoolScheduler,
-    log: &Logger,
-    pool: &str,
-    rows: &Rows,
-) -> (usize, Option<usize>) {
-    let requests = parse_inbox(log, pool, &rows.rows, "takeover", None);
-    let count = requests.len();
-    (count, apply_inbox(scheduler, requests, clock::now()))
+/// The rows of a pool's inbox that are read before its scheduling starts.
+#[derive(Default)]
+pub(super) struct InboxRequests {
+    requests: Vec<InboxRequest>,
+    /// Version as of the first page.
+    version: Option<u64>,
+    submission_bytes: usize,
+}
+
+impl InboxRequests {
+    /// Adds the rows of a page.
+    pub(super) fn add(&mut self, log: &Logger, page: &Rows) {
+        self.version.get_or_insert(page.version);
+        let pool = page.rows.first().map_or("", |row| row.key.part.as_str());
+        let requests = parse_inbox(log, pool, &page.rows, "takeover", None);
+        let submissions = requests.iter().filter_map(|request| request.job.as_ref());
+        let bytes = submissions.map(|job| job.1.held_bytes());
+        self.submission_bytes += bytes.sum::<usize>();
+        self.requests.extend(requests);
+    }
+
+    /// Whether the rest is to be read once the pool is scheduled. Cancellations are read by
+    /// then: their keys sort first.
+    pub(super) fn are_many(&self) -> bool {
+        self.submission_bytes >= MANY_BYTES
+    }
+
+    pub(super) fn version(&self) -> u64 {
+        self.version.unwrap_or(0)
+    }
+
+    /// Applies the rows; returns their number, and the memory that the smallest submission
+    /// needs which is left in the inbox.
+    pub(super) fn apply(self, scheduler: &mut PoolScheduler) -> (usize, Option<usize>) {
+        let count = self.requests.len();
+        (count, apply_inbox(scheduler, self.requests, clock::now()))
+    }
 }
 
 /// Applies requests, but for submissions for which there is no memory. Returns what the
@@ -182,8 +219,11 @@
     let mut deferred: Option<usize> = None;
     for request in requests {
         match (request.key, request.job) {
-            (InboxKey::Cancel(id), _) => scheduler.cancel_from_inbox(id, now),
-            (InboxKey::Submit(id), Some((record, spec))) => {
+            (InboxKey::Cancel(id) | InboxKey::Withdraw(id), _) => {
+                scheduler.withdraw_from_inbox(id, request.withdrawal, now);
+            }
+            (InboxKey::Submit(id), Some(job)) => {
+                let (record, spec) = *job;
                 let bytes = spec.held_bytes();
                 let is_known = scheduler.job_record(id).is_some();
                 if is_known || scheduler.has_memory_of(bytes) {
@@ -218,7 +258,7 @@
         };
         let mut age_ms = None;
         let job = match key {
-            InboxKey::Cancel(_) => None,
+            InboxKey::Cancel(_) | InboxKey::Withdraw(_) => None,
             InboxKey::Submit(id) => {
                 let record = decode::<JobRecord>(value);
                 let spec = record
@@ -229,17 +269,22 @@
                     continue;
                 };
                 age_ms = Some(now_unix_ms.saturating_sub(record.accepted_unix_ms));
-                Some((record, spec))
+                Some(Box::new((record, spec)))
             }
         };
         let (kind, id) = match key {
             InboxKey::Submit(id) => ("submit", id),
-            InboxKey::Cancel(id) => ("cancel", id),
+            InboxKey::Cancel(id) | InboxKey::Withdraw(id) => ("cancel", id),
         };
         info!(log, "Applying an inbox row."; "kind" => kind, "job" => %id,
             "read" => read, "version" => row.version, "age_ms" => age_ms,
             "unread_ms" => unread_ms);
-        requests.push(InboxRequest { key, job });
+        let withdrawal = Withdrawal::of(value);
+        requests.push(InboxRequest {
+            key,
+            job,
+            withdrawal,
+        });
     }
     requests
 }
--- a/crates/cornelpoint-manager/src/pool_host/orders.rs
+++ b/crates/cornelpoint-manager/src/pool_host/orders.rs
@@ -394,7 +394,10 @@
             } else {
                 self.is_confirmed(now)
             };
-            let may_start = |task| self.scheduler.borrow().may_send_start(task, now);
+            let may_start = |task| {
+                let scheduler = self.scheduler.borrow();
+                scheduler.may_send_start(task, now) && scheduler.knows_cancellations(now)
+            };
             may_send && outgoing.starts.is_none_or(may_start) && !self.stopped.get()
         };
         endpoint
--- a/crates/cornelpoint-manager/src/pool_host/requests.rs
+++ b/crates/cornelpoint-manager/src/pool_host/requests.rs
@@ -83,6 +83,7 @@
         let answer = self.apply(|scheduler, now| scheduler.submit(id, record, spec, now));
         match answer {
             SubmitAnswer::Accepted => PoolResponse::Accepted,
+            SubmitAnswer::Moved => PoolResponse::Uncertain,
             SubmitAnswer::Storing => {
                 if self.scheduler.borrow().is_overloaded(crate::clock::now()) {
                     self.node.report_load();
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -25,7 +25,7 @@
 use tokio::task::spawn_local;
 
 use super::host::PoolHost;
-use super::inbox::restore_inbox;
+use super::inbox::InboxRequests;
 use super::registry_view::RegistryView;
 use crate::clock;
 use crate::node::Node;
@@ -48,8 +48,6 @@
 const BUSY_REGISTRY_INTERVAL: Duration = Duration::from_millis(120);
 /// Estimated wait of the accepted work above which the pool counts as busy.
 const BUSY_THRESHOLD_MS: u64 = 300;
-/// Size of the inbox from which the rest is read once the pool is scheduled.
-const FULL_INBOX_BYTES: usize = 4 << 20;
 /// Time after a store outage within which workers restore their entries.
 const REGISTRY_SETTLE_MS: u64 = 2500;
 /// Interval between checks whether the predecessor's process has ended.
@@ -63,6 +61,7 @@
     progress: PartitionReader,
     blocks: PartitionReader,
     inbox: PartitionReader,
+    inbox_requests: InboxRequests,
 }
 
 /// A pool's values in the store.
@@ -71,9 +70,7 @@
     records: Rows,
     progress: Rows,
     blocks: Rows,
-    inbox: Rows,
-    /// Whether the inbox has been read to its end.
-    is_inbox_complete: bool,
+    inbox: InboxRequests,
 }
 
 /// What a new owner knows of the inbox before it starts to schedule.
@@ -104,6 +101,7 @@
             max_lease_ms: node.settings.bounds.max_lease_ms,
             stop_ms: node.settings.bounds.stop_ms,
             row_bytes: node.settings.row_bytes,
+            max_inbox_age_ms: Some(max_inbox_age_ms(node.settings.bounds.cancel_ms)),
             weighs_loss: node.settings.weighs_loss,
             ..SchedulerSettings::default()
         };
@@ -137,8 +135,8 @@
                 for values in values.into_iter().chain([&stored.blocks]) {
                     writer.values_read(&values.rows);
                 }
-                let version = stored.inbox.version;
-                let is_complete = stored.is_inbox_complete;
+                let version = stored.inbox.version();
+                let is_complete = !stored.inbox.are_many();
                 let (rows, deferred_bytes) =
                     restore(node, &claim.shard, &mut scheduler, stored, leases_end_ms);
                 let bounding = predecessor.as_ref().filter(|row| row.grants_by_quorum);
@@ -165,6 +163,7 @@
         };
         let host = Rc::new(Self::new(node, &claim.shard, writer, scheduler));
         host.deferred_bytes.set(inbox.deferred_bytes);
+        host.apply(|scheduler, _| scheduler.confirm_inbox(inbox.requested_ms));
         if inbox.deferred_bytes.is_none() {
             host.inbox_read_ms.set(inbox.requested_ms);
         }
@@ -250,6 +249,12 @@
     scheduler.set_limits(catalog.version, catalog.tenants.as_ref(), pools);
 }
 
+/// Returns the largest age of what is known of the inbox with which tasks may be started:
+/// with it, a start is no later than it may be after a cancellation was confirmed.
+fn max_inbox_age_ms(cancel_ms: u64) -> u64 {
+    cancel_ms - (cancel_ms / 6)
+}
+
 /// Converts a time of the store's clock to one of the local monotonic clock.
 fn to_steady_ms(node: &Rc<Node>, store_ms: u64) -> u64 {
     clock::now().steady_ms + store_ms.saturating_sub(node.store.clock_ms())
@@ -262,7 +267,8 @@
             records: PartitionReader::new(JOB_TABLE, pool),
             progress: PartitionReader::new(PROGRESS_TABLE, pool),
             blocks: PartitionReader::new(TASK_TABLE, pool),
-            inbox: PartitionReader::new(INBOX_TABLE, pool).with_full_bytes(FULL_INBOX_BYTES),
+            inbox: PartitionReader::new(INBOX_TABLE, pool),
+            inbox_requests: InboxRequests::default(),
         }
     }
 
@@ -279,7 +285,19 @@
             && self.records.read(store).await
             && self.progress.read(store).await
             && self.blocks.read(store).await
-            && self.inbox.read(store).await
+            && self.read_inbox(node).await
+    }
+
+    /// Reads the inbox page by page, at least up to the last cancellation: no job may start
+    /// whose cancellation was confirmed.
+    async fn read_inbox(&mut self, node: &Rc<Node>) -> bool {
+        while !self.inbox.is_complete() && !self.inbox_requests.are_many() {
+            let Some(page) = self.inbox.read_page(&node.store).await else {
+                return false;
+            };
+            self.inbox_requests.add(&node.pool_log, &page);
+        }
+        true
     }
 
     fn row_count(&self) -> usize {
@@ -294,8 +312,7 @@
             records: self.records.into_values(),
             progress: self.progress.into_values(),
             blocks: self.blocks.into_values(),
-            is_inbox_complete: self.inbox.is_complete(),
-            inbox: self.inbox.into_rows(),
+            inbox: self.inbox_requests,
         }
     }
 }
@@ -354,5 +371,5 @@
     }
     info!(node.pool_log, "Restored a pool's jobs."; "pool" => pool, "jobs" => count,
         "workers" => worker_count);
-    restore_inbox(scheduler, &node.pool_log, pool, &stored.inbox)
+    stored.inbox.apply(scheduler)
 }
--- a/crates/cornelpoint-manager/src/store/partition_reader.rs
+++ b/crates/cornelpoint-manager/src/store/partition_reader.rs
@@ -22,8 +22,6 @@
     from: String,
     rows_per_read: u32,
     complete: bool,
-    /// Size of the values from which no further page is read.
-    full_bytes: usize,
 }
 
 impl PartitionReader {
@@ -36,15 +34,9 @@
             from: String::new(),
             rows_per_read: MAX_ROWS_PER_READ,
             complete: false,
-            full_bytes: usize::MAX,
         }
     }
 
-    /// Stops once the values that have been read take this many bytes.
-    pub(crate) fn with_full_bytes(self, full_bytes: usize) -> Self {
-        Self { full_bytes, ..self }
-    }
-
     /// Reads the next page; `None` if the read fails. Its rows are not kept.
     pub(crate) async fn read_page(&mut self, store: &StoreClient) -> Option<Rows> {
         if !self.read_next(store).await {
@@ -65,7 +57,7 @@
 
     /// Reads the pages that are left. Returns `false` if a read fails.
     pub(crate) async fn read(&mut self, store: &StoreClient) -> bool {
-        while !self.complete && self.held_bytes() < self.full_bytes {
+        while !self.complete {
             if !self.read_next(store).await {
                 return false;
             }
@@ -73,11 +65,6 @@
         true
     }
 
-    fn held_bytes(&self) -> usize {
-        let values = self.rows.iter().filter_map(|row| row.value.as_ref());
-        values.map(Vec::len).sum()
-    }
-
     /// Reads the next page. Returns `false` if the read fails.
     async fn read_next(&mut self, store: &StoreClient) -> bool {
         let call = read_call(self.table, &self.part, &self.from, self.rows_per_read);
--- a/crates/cornelpoint-manager/src/store/shard_writer.rs
+++ b/crates/cornelpoint-manager/src/store/shard_writer.rs
@@ -26,7 +26,7 @@
 const MAX_ATTEMPTS: u32 = 4;
 
 /// Outcome of a write.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum WriteOutcome {
     /// The write is committed.
     Stored,
@@ -36,6 +36,8 @@
     /// The store rejects the write as invalid, and would reject any repeat; nothing was
     /// written.
     Invalid,
+    /// Nothing was written, because of rows that must not be there.
+    Blocked(Vec<Row>),
     /// Another process owns the shard.
     Fenced,
 }
@@ -80,12 +82,13 @@
     }
 
     /// Writes and removes values in one transaction that also renews the store
-    /// heartbeat.
+    /// heartbeat, unless a row of `absent` is there.
     pub(crate) async fn write(
         &self,
         store: &StoreClient,
         writes: &[(RowKey, Vec<u8>)],
         removals: &[RowKey],
+        absent: &[RowKey],
     ) -> WriteOutcome {
         let _guard = self.write_lock.lock().await;
         let (row_writes, row_removals) = self.rows_of(writes, removals);
@@ -105,6 +108,8 @@
                 writes: vec![(heartbeat.clone(), encode(&store.clock_ms()))],
                 removals: row_removals.clone(),
             };
+            let conditions = absent.iter().map(|key| (key.clone(), 0));
+            transaction.conditions.extend(conditions);
             transaction.writes.extend_from_slice(&row_writes);
             match store.transact(&transaction).await {
                 TransactionOutcome::Committed { version } => {
@@ -116,6 +121,11 @@
                     if self.conflict_outcome(&rows) == ConflictOutcome::Fenced {
                         return WriteOutcome::Fenced;
                     }
+                    let mut rows = rows;
+                    rows.retain(|row| row.version > 0 && absent.contains(&row.key));
+                    if !rows.is_empty() {
+                        return WriteOutcome::Blocked(rows);
+                    }
                 }
                 TransactionOutcome::Invalid => return WriteOutcome::Invalid,
                 TransactionOutcome::Refused | TransactionOutcome::Unknown => {
--- a/crates/cornelpoint-manager/tests/takeover/keys.rs
+++ b/crates/cornelpoint-manager/tests/takeover/keys.rs
@@ -100,7 +100,7 @@
         assert_eq!(south.get_status(&job(2).to_string()), Some(200));
         assert_eq!(south.get_status(&job(3).to_string()), Some(410));
         let north = keyed(&fleet, instance, NORTH);
-        assert_eq!(north.get_status(&id), Some(200));
+        assert_eq!(north.status(job(1)).as_deref(), Some("pending"));
     }
 }
 
@@ -119,6 +119,11 @@
     let south = keyed(&fleet, other, SOUTH);
     assert_eq!(south.get_status(&id), Some(410));
     assert_eq!(south.cancel_status(job(1)), Some(410));
+    wait_until("the job is still there", || {
+        north
+            .status(job(1))
+            .is_some_and(|status| status != "cancelled")
+    });
     wait_until("the job is cancelled", || north.cancel(job(1)));
 }
 
--- a/crates/cornelpoint-manager/tests/takeover/main.rs
+++ b/crates/cornelpoint-manager/tests/takeover/main.rs
@@ -16,6 +16,7 @@
 mod slow_advice;
 mod slow_link;
 mod slow_links;
+mod unknown_jobs;
 
 use std::thread;
 use std::time::Duration;
--- a/crates/cornelpoint/src/advice/advice_calls.rs
+++ b/crates/cornelpoint/src/advice/advice_calls.rs
@@ -171,11 +171,13 @@
         }
     }
 
-    /// Returns when a call without an answer stops to keep others from being sent.
+    /// Returns when a call may be sent though none is answered before: after a pause, or once
+    /// one in flight is overdue.
     #[must_use]
-    pub fn next_overdue_ms(&self, now_ms: u64) -> Option<u64> {
+    pub fn next_free_ms(&self, now_ms: u64) -> Option<u64> {
         let overdue = self.in_flight.values().map(|call| call.overdue_ms);
-        overdue.filter(|overdue_ms| *overdue_ms > now_ms).min()
+        let times = overdue.chain([self.resume_ms]);
+        times.filter(|at_ms| *at_ms > now_ms).min()
     }
 
     fn learn(&mut self, call: Call, now_ms: u64) {
--- a/crates/cornelpoint/src/inbox/inbox_key.rs
+++ b/crates/cornelpoint/src/inbox/inbox_key.rs
@@ -23,6 +23,8 @@
     Submit(JobId),
     /// The cancellation of a job.
     Cancel(JobId),
+    /// The same row, unless the pool has the job.
+    Withdraw(JobId),
 }
 
 impl InboxKey {
@@ -41,7 +43,7 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Submit(job) => write!(formatter, "{SUBMIT_PREFIX}{job}"),
-            Self::Cancel(job) => write!(formatter, "{CANCEL_PREFIX}{job}"),
+            Self::Cancel(job) | Self::Withdraw(job) => write!(formatter, "{CANCEL_PREFIX}{job}"),
         }
     }
 }
--- a/crates/cornelpoint/src/inbox/inbox_queue.rs
+++ b/crates/cornelpoint/src/inbox/inbox_queue.rs
@@ -1,14 +1,17 @@
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use rand_chacha::ChaCha8Rng;
 
 use super::inbox_key::InboxKey;
+use super::withdrawal::Withdrawal;
+use crate::job::JobId;
 use crate::retry::Backoff;
 
-/// Most requests in one transaction. A submission takes three of the 100
-/// entries that the store allows: two conditions and a row.
-const MAX_BATCH: usize = 30;
+/// Most requests in one transaction. A submission takes four of the 100
+/// entries that the store allows: three conditions and a row.
+const MAX_BATCH: usize = 24;
 /// Most requests that wait for the next transactions. More would wait longer
 /// than their callers do.
 const MAX_WAITING: usize = 2 * MAX_BATCH;
@@ -17,13 +20,37 @@
 /// Upper bound of any pause, below the usual deadline of a caller.
 const MAX_BACKOFF_MS: u64 = 1000;
 
+/// Rows for which the store refuses to write a batch.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct InboxConflict {
+    /// Jobs that the pool has, or that are submitted to it.
+    pub jobs: BTreeSet<JobId>,
+    /// Jobs that the pool must not accept.
+    pub withdrawn: BTreeMap<JobId, Withdrawal>,
+}
+
+impl InboxConflict {
+    /// Returns the outcome of a request that the conflict decides.
+    fn outcome(&self, key: InboxKey) -> Option<InboxOutcome> {
+        match key {
+            InboxKey::Submit(job) if self.jobs.contains(&job) => Some(InboxOutcome::Stored),
+            InboxKey::Submit(job) => {
+                let withdrawal = self.withdrawn.get(&job)?;
+                Some(InboxOutcome::Withdrawn(*withdrawal))
+            }
+            InboxKey::Withdraw(job) if self.jobs.contains(&job) => Some(InboxOutcome::JobExists),
+            InboxKey::Withdraw(_) | InboxKey::Cancel(_) => None,
+        }
+    }
+}
+
 /// Result of writing a batch of requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum InboxWriteResult {
     /// All rows are written.
     Committed,
-    /// Nothing is written, because these requests are stored already.
-    Conflict(BTreeSet<InboxKey>),
+    /// Nothing is written, because rows of some requests are there already.
+    Conflict(InboxConflict),
     /// Nothing is written.
     Refused,
     /// The rows may be written, now or later.
@@ -39,6 +66,10 @@
     Refused,
     /// The request may be stored.
     Uncertain,
+    /// The submission is not stored: the pool must not accept the job.
+    Withdrawn(Withdrawal),
+    /// The job is not withdrawn: the pool has it.
+    JobExists,
 }
 
 /// Requests of one process to the inbox of one pool, and when they are written.
@@ -128,17 +159,20 @@
         let outcome = match result {
             InboxWriteResult::Committed => InboxOutcome::Stored,
             InboxWriteResult::Refused => InboxOutcome::Refused,
-            InboxWriteResult::Conflict(existing) if !existing.is_empty() => {
-                let (stored, others): (Vec<_>, Vec<_>) =
-                    written.into_iter().partition(|key| existing.contains(key));
-                for key in others.into_iter().rev() {
+            InboxWriteResult::Conflict(conflict) => {
+                let decided = |key: &InboxKey| Some((*key, conflict.outcome(*key)?));
+                let outcomes: Vec<_> = written.iter().filter_map(decided).collect();
+                if outcomes.is_empty() {
+                    // A conflict that names no row doesn't tell which requests are stored.
+                    return pair_with(written, InboxOutcome::Uncertain);
+                }
+                let others = written.into_iter().rev();
+                for key in others.filter(|key| conflict.outcome(*key).is_none()) {
                     self.waiting.push_front(key);
                 }
-                return pair_with(stored, InboxOutcome::Stored);
+                return outcomes;
             }
-            // A conflict that names no row doesn't tell which requests are
-            // stored.
-            InboxWriteResult::Conflict(_) | InboxWriteResult::Unknown => InboxOutcome::Uncertain,
+            InboxWriteResult::Unknown => InboxOutcome::Uncertain,
         };
         pair_with(written, outcome)
     }
--- a/crates/cornelpoint/src/inbox/mod.rs
+++ b/crates/cornelpoint/src/inbox/mod.rs
@@ -9,9 +9,12 @@
 mod inbox_key;
 mod inbox_queue;
 mod owner_contact;
+mod withdrawal;
 
 pub use self::inbox_key::InboxKey;
+pub use self::inbox_queue::InboxConflict;
 pub use self::inbox_queue::InboxOutcome;
 pub use self::inbox_queue::InboxQueue;
 pub use self::inbox_queue::InboxWriteResult;
 pub use self::owner_contact::OwnerContact;
+pub use self::withdrawal::Withdrawal;
--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -2,6 +2,7 @@
 use serde::Serialize;
 
 use crate::inbox::InboxKey;
+use crate::inbox::Withdrawal;
 use crate::job::BlockKey;
 use crate::job::BlockProgress;
 use crate::job::JobId;
@@ -68,6 +69,9 @@
     /// Rows of the owner's inbox that are to be deleted, because the store has
     /// what they ask for.
     pub inbox: Vec<InboxKey>,
+    /// Rows of the owner's inbox without which alone the batch may be written: another
+    /// process may have confirmed that a new job is unknown or cancelled.
+    pub absent: Vec<InboxKey>,
     /// Workers that may run tasks from now on, if they have changed.
     pub workers: Option<Vec<WorkerRecord>>,
 }
@@ -92,6 +96,8 @@
     pub accepted: Vec<JobId>,
     /// Jobs that are rejected, since the store refuses their rows.
     pub rejected: Vec<JobId>,
+    /// Jobs that are not accepted, since they are withdrawn.
+    pub withdrawn: Vec<(JobId, Withdrawal)>,
     /// Jobs whose final status is now visible.
     pub ended: Vec<EndedJob>,
 }
@@ -233,7 +239,9 @@
         let stored = |id| self.jobs.get(&id).and_then(|job| job.stored_status);
         match key {
             InboxKey::Submit(id) => stored(id).is_some(),
-            InboxKey::Cancel(id) => stored(id).is_some_and(JobStatus::is_final),
+            InboxKey::Cancel(id) | InboxKey::Withdraw(id) => {
+                stored(id).is_some_and(JobStatus::is_final)
+            }
         }
     }
 
@@ -267,6 +275,9 @@
         // A successor reads the rows of final jobs, too, until they expire.
         let ends = job.status.is_final() && !job.stored_status.is_some_and(JobStatus::is_final);
         let is_shortened = ends && job.held_bytes > MAX_FINAL_RECORD_BYTES;
+        if job.stored_status.is_none() && !job.status.is_final() {
+            batch.absent.push(InboxKey::Cancel(id));
+        }
         if job.stored_status.is_none() || is_shortened {
             let mut record = job.record.clone();
             if is_shortened {
@@ -346,6 +357,32 @@
         }
     }
 
+    /// Applies the store's refusal of the batch in flight because of rows that are in the
+    /// inbox. The jobs that they name are not accepted.
+    pub fn batch_withdrawn(
+        &mut self,
+        withdrawn: Vec<(JobId, Withdrawal)>,
+        now: Instant,
+    ) -> StoredJobs {
+        let Some(in_flight) = self.batch.take() else {
+            return StoredJobs::default();
+        };
+        self.committing_since_ms = None;
+        self.restore_batch(in_flight);
+        self.urgent = true;
+        for &(id, withdrawal) in &withdrawn {
+            let job = self.jobs.get(&id);
+            if job.is_some_and(|job| !job.accepted) {
+                self.remove_unstored_job(id);
+            }
+            self.withdraw_from_inbox(id, withdrawal, now);
+        }
+        StoredJobs {
+            withdrawn,
+            ..StoredJobs::default()
+        }
+    }
+
     /// Puts back what was to be stored.
     fn restore_batch(&mut self, in_flight: BatchInFlight) {
         for (block, job) in in_flight.blocks {
@@ -401,7 +438,7 @@
     }
 
     /// Removes a job that was never stored, so that nothing of it has started.
-    fn remove_unstored_job(&mut self, id: JobId) {
+    pub(super) fn remove_unstored_job(&mut self, id: JobId) {
         self.remove_ready_of_job(id);
         self.scheduled_occurrences.retain(|&(_, job, _)| job != id);
         self.retained_final_jobs.retain(|&(_, job)| job != id);
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::ShareClass;
 use crate::inbox::InboxKey;
+use crate::inbox::Withdrawal;
 use crate::job::BlockProgress;
 use crate::job::IndexSet;
 use crate::job::JobId;
@@ -33,6 +34,8 @@
         /// Time after which the caller may retry.
         retry_after_ms: u64,
     },
+    /// The job must not be accepted here: another pool has it, or may accept it.
+    Moved,
 }
 
 /// Answer to a cancellation.
@@ -62,6 +65,9 @@
                 SubmitAnswer::Storing
             };
         }
+        if self.withdrawn.get(id) == Some(Withdrawal::Moved) {
+            return SubmitAnswer::Moved;
+        }
         let work = self.expected_work_core_ms(&record, &spec);
         if spec.schedule.is_none() {
             self.admission.record_offered(id, work, now.steady_ms);
@@ -103,7 +109,7 @@
 
     /// Cancels a job whose cancellation was read before the job itself.
     fn apply_earlier_cancellation(&mut self, id: JobId, now: Instant) {
-        if self.cancelled_before_submit.remove(&id) {
+        if self.withdrawn.remove(id) {
             self.finish(id, JobStatus::Cancelled, now);
         }
     }
@@ -111,9 +117,30 @@
     /// Applies a cancellation that another process has stored in the owner's
     /// inbox. It may arrive before the job itself.
     pub fn cancel_from_inbox(&mut self, id: JobId, now: Instant) {
+        self.withdraw_from_inbox(id, Withdrawal::Cancelled, now);
+    }
+
+    /// Applies a row of the owner's inbox that keeps the pool from accepting a job.
+    pub fn withdraw_from_inbox(&mut self, id: JobId, withdrawal: Withdrawal, now: Instant) {
         self.inbox_row_read(InboxKey::Cancel(id));
+        let job = self.jobs.get(&id);
+        if withdrawal == Withdrawal::Moved && job.is_some_and(|job| !job.accepted) {
+            // The store has refused, or will refuse, to write it.
+            self.remove_unstored_job(id);
+        }
         if self.cancel(id, now) == CancelAnswer::Unknown {
-            self.cancelled_before_submit.insert(id);
+            self.withdrawn.insert(id, withdrawal, now.steady_ms);
+        }
+    }
+
+    /// Removes rows that have kept the pool from accepting jobs for long enough.
+    fn expire_withdrawn_jobs(&mut self, now: Instant) {
+        let kept_ms = self.settings.status_kept_ms;
+        let before_ms = now.steady_ms.saturating_sub(kept_ms);
+        for id in self.withdrawn.take_old(before_ms) {
+            let key = InboxKey::Cancel(id);
+            self.inbox.remove(&key);
+            self.settled_inbox.insert(key);
         }
     }
 
@@ -427,6 +454,7 @@
 
     /// Marks final jobs past their retention period for deletion.
     pub(super) fn expire_final_jobs(&mut self, now: Instant) {
+        self.expire_withdrawn_jobs(now);
         let kept_ms = self.settings.status_kept_ms;
         let expired = self
             .retained_final_jobs
--- a/crates/cornelpoint/src/scheduler/job_rows.rs
+++ b/crates/cornelpoint/src/scheduler/job_rows.rs
@@ -135,6 +135,10 @@
             rows.size
                 .add_value(record_bytes(&job.record.job), row_bytes);
         }
+        if job.stored_status.is_none() && !job.status.is_final() {
+            // The condition that the job is not withdrawn.
+            rows.size.rows += 1;
+        }
         let progress = job.progress();
         if job.stored_status.is_some() || progress != JobProgress::default() {
             rows.size.add_value(progress_bytes(&progress), row_bytes);
--- a/crates/cornelpoint/src/scheduler/mod.rs
+++ b/crates/cornelpoint/src/scheduler/mod.rs
@@ -42,6 +42,7 @@
 mod unlisted_runs;
 mod unstored_jobs;
 mod waiting_tasks;
+mod withdrawn_jobs;
 mod worker_choice;
 mod worker_quorum;
 mod worker_set;
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -44,6 +44,7 @@
 use super::tickets::DEFAULT_ADVICE_CALLS;
 use super::tickets::Tickets;
 use super::unstored_jobs::UnstoredJobs;
+use super::withdrawn_jobs::WithdrawnJobs;
 use super::worker_quorum::FencedWorkers;
 use super::worker_quorum::StoredRows;
 use super::worker_set::WorkerSet;
@@ -160,8 +161,9 @@
     /// Workers whose machines are due for maintenance.
     pub(super) due: BTreeSet<String>,
     pub(super) retained_final_jobs: Vec<(u64, JobId)>,
-    /// Cancelled jobs that have not arrived yet.
-    pub(super) cancelled_before_submit: BTreeSet<JobId>,
+    pub(super) withdrawn: WithdrawnJobs,
+    /// When the last read was sent that returned all cancellations, by the monotonic clock.
+    pub(super) inbox_read_ms: u64,
     /// Rows read from the owner's inbox whose jobs are not stored yet.
     pub(super) inbox: BTreeSet<InboxKey>,
     /// Rows of the inbox to remove: the store has what they ask for.
@@ -255,7 +257,8 @@
             vacating: BTreeSet::new(),
             due: BTreeSet::new(),
             retained_final_jobs: Vec::new(),
-            cancelled_before_submit: BTreeSet::new(),
+            withdrawn: WithdrawnJobs::default(),
+            inbox_read_ms: 0,
             inbox: BTreeSet::new(),
             settled_inbox: BTreeSet::new(),
             orphaned_tasks: Vec::new(),
@@ -304,6 +307,20 @@
         self.waits_for_advice_call
     }
 
+    /// Records that a read which returned all cancellations in the inbox was sent at
+    /// `sent_ms`.
+    pub fn confirm_inbox(&mut self, sent_ms: u64) {
+        self.inbox_read_ms = self.inbox_read_ms.max(sent_ms);
+    }
+
+    /// Whether the cancellations are known that have been confirmed so long ago that no
+    /// task of their jobs may be started any more. The process may have been paused.
+    #[must_use]
+    pub fn knows_cancellations(&self, now: Instant) -> bool {
+        let max_age_ms = self.settings.max_inbox_age_ms;
+        max_age_ms.is_none_or(|max_ms| now.steady_ms <= self.inbox_read_ms + max_ms)
+    }
+
     /// Updates what the pool's jobs may hold.
     pub fn set_memory_limits(&mut self, limits: MemoryLimits) {
         self.memory_limits = limits;
@@ -490,7 +507,7 @@
         self.release_withheld_tasks(now);
         self.last_tick_ms = now.steady_ms;
         let is_pass_due = self.placement_needed || self.is_tenant_wait_due(now);
-        if is_pass_due && self.may_grant_leases(0, now) {
+        if is_pass_due && self.may_grant_leases(0, now) && self.knows_cancellations(now) {
             self.place_ready_steps(now);
         }
         self.preempt(now);
--- a/crates/cornelpoint/tests/advice.rs
+++ b/crates/cornelpoint/tests/advice.rs
@@ -39,7 +39,7 @@
     let mut calls = AdviceCalls::default();
     let lost = [calls.begin(POOL, 0), calls.begin(POOL, 0)];
     assert_eq!(calls.free(POOL, 2000), 0);
-    assert_eq!(calls.next_overdue_ms(2000), Some(3000));
+    assert_eq!(calls.next_free_ms(2000), Some(3000));
     assert_eq!(calls.free(POOL, 3000), 1);
     let probe = calls.begin(POOL, 3000);
     assert_eq!(calls.free(POOL, 3100), 0);
--- a/crates/cornelpoint/tests/inbox.rs
+++ b/crates/cornelpoint/tests/inbox.rs
@@ -1,12 +1,15 @@
 //! Requests that a process stores for an owner that it can't reach: how they
 //! share transactions, and what happens if the store is overloaded.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use cornelpoint::inbox::InboxConflict;
 use cornelpoint::inbox::InboxKey;
 use cornelpoint::inbox::InboxOutcome;
 use cornelpoint::inbox::InboxQueue;
 use cornelpoint::inbox::InboxWriteResult;
+use cornelpoint::inbox::Withdrawal;
 use cornelpoint::job::JobId;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -15,9 +18,12 @@
     InboxQueue::new(ChaCha8Rng::seed_from_u64(seed))
 }
 
+fn job(number: u64) -> JobId {
+    format!("{number:016x}").parse().expect("a valid job ID")
+}
+
 fn submission(number: u64) -> InboxKey {
-    let id: JobId = format!("{number:016x}").parse().expect("a valid job ID");
-    InboxKey::Submit(id)
+    InboxKey::Submit(job(number))
 }
 
 #[test]
@@ -51,18 +57,46 @@
         assert!(queue.push(submission(number)));
     }
     queue.begin_write(0);
-    let existing = BTreeSet::from([submission(2)]);
-    let outcomes = queue.write_replied(&InboxWriteResult::Conflict(existing), 8);
+    let conflict = InboxConflict {
+        jobs: BTreeSet::from([job(2)]),
+        ..InboxConflict::default()
+    };
+    let outcomes = queue.write_replied(&InboxWriteResult::Conflict(conflict), 8);
     assert_eq!(outcomes, [(submission(2), InboxOutcome::Stored)]);
     assert_eq!(queue.begin_write(8), [submission(1), submission(3)]);
 }
 
+/// Guards against a submission that is written after its job was shown as unknown.
+#[test]
+fn a_withdrawn_job_is_submitted_and_a_submitted_one_withdrawn() {
+    let mut queue = queue(1);
+    let withdraw = InboxKey::Withdraw(job(2));
+    for key in [submission(1), withdraw, submission(3)] {
+        assert!(queue.push(key));
+    }
+    queue.begin_write(0);
+    let conflict = InboxConflict {
+        jobs: BTreeSet::from([job(2)]),
+        withdrawn: BTreeMap::from([(job(1), Withdrawal::Cancelled)]),
+    };
+    let outcomes = queue.write_replied(&InboxWriteResult::Conflict(conflict), 8);
+    let withdrawn = InboxOutcome::Withdrawn(Withdrawal::Cancelled);
+    assert_eq!(
+        outcomes,
+        [
+            (submission(1), withdrawn),
+            (withdraw, InboxOutcome::JobExists)
+        ]
+    );
+    assert_eq!(queue.begin_write(8), [submission(3)]);
+}
+
 #[test]
 fn a_conflict_that_names_no_request_ends_in_uncertainty() {
     let mut queue = queue(1);
     assert!(queue.push(submission(1)));
     queue.begin_write(0);
-    let outcomes = queue.write_replied(&InboxWriteResult::Conflict(BTreeSet::new()), 8);
+    let outcomes = queue.write_replied(&InboxWriteResult::Conflict(InboxConflict::default()), 8);
     assert_eq!(outcomes, [(submission(1), InboxOutcome::Uncertain)]);
 }
 
--- a/crates/cornelpoint/tests/scheduler/inbox.rs
+++ b/crates/cornelpoint/tests/scheduler/inbox.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 
 use cornelpoint::inbox::InboxKey;
+use cornelpoint::inbox::Withdrawal;
 use cornelpoint::job::JobId;
 use cornelpoint::job::JobProgress;
 use cornelpoint::job::JobRecord;
@@ -29,9 +30,11 @@
 use crate::support::job_id;
 use crate::support::queue;
 use crate::support::ready_scheduler;
+use crate::support::ready_scheduler_with;
 use crate::support::starts;
 use crate::support::step;
 use crate::support::store_batches;
+use crate::support::submit;
 
 /// Inbox of one pool. The transaction that stores a batch also removes the rows
 /// that the batch names.
@@ -57,7 +60,9 @@
         for key in &batch.inbox {
             match key {
                 InboxKey::Submit(id) => drop(self.submissions.remove(id)),
-                InboxKey::Cancel(id) => drop(self.cancellations.remove(id)),
+                InboxKey::Cancel(id) | InboxKey::Withdraw(id) => {
+                    self.cancellations.remove(id);
+                }
             }
         }
     }
@@ -183,6 +188,61 @@
     assert_eq!(scheduler.status(job_id(1)), Some(JobStatus::Cancelled));
 }
 
+/// Guards against a frozen owner that accepts a job which another process has shown as
+/// unknown meanwhile: it has not read its inbox yet, but the store has the row.
+#[test]
+fn a_withdrawn_job_is_accepted_by_an_owner_that_has_not_read_its_inbox() {
+    for (number, withdrawal) in [(1, Withdrawal::Cancelled), (2, Withdrawal::Moved)] {
+        let mut scheduler = ready_scheduler(&["w1"]);
+        for number in [number, 3] {
+            let (record, spec) = job(vec![step(1, 1000)]);
+            scheduler.submit(job_id(number), record, spec, at(100));
+        }
+        let batch = scheduler.begin_batch(at(110)).expect("a batch is due");
+        assert_eq!(
+            batch.absent,
+            [number, 3].map(|number| InboxKey::Cancel(job_id(number)))
+        );
+        let stored = scheduler.batch_withdrawn(vec![(job_id(number), withdrawal)], at(120));
+        assert_eq!(stored.withdrawn, [(job_id(number), withdrawal)]);
+        store_batches(&mut scheduler, 130);
+        let started = starts(&mut scheduler, 200);
+        assert_eq!(started.len(), 1, "{started:?}");
+        assert!(started[0].1.starts_with(&job_id(3).to_string()));
+        assert_eq!(scheduler.status(job_id(number)), None);
+    }
+}
+
+/// Guards against a frozen owner that starts a job whose cancellation it has not read.
+#[test]
+fn a_job_starts_though_its_cancellation_may_be_unread() {
+    let settings = SchedulerSettings {
+        max_inbox_age_ms: Some(2500),
+        ..SchedulerSettings::default()
+    };
+    let mut scheduler = ready_scheduler_with(&["w1"], settings);
+    submit(&mut scheduler, 1, vec![step(1, 1000)], 100);
+    scheduler.confirm_ownership(5000);
+    assert_eq!(starts(&mut scheduler, 5000), []);
+    scheduler.confirm_inbox(4000);
+    assert_eq!(starts(&mut scheduler, 5100).len(), 1);
+}
+
+/// Guards against rows of withdrawn jobs that are kept for ever.
+#[test]
+fn rows_of_withdrawn_jobs_are_removed_like_those_of_final_ones() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    scheduler.cancel_from_inbox(job_id(1), at(100));
+    let kept_ms = SchedulerSettings::default().status_kept_ms;
+    scheduler.tick(at(100 + kept_ms));
+    assert!(scheduler.begin_batch(at(100 + kept_ms)).is_none());
+    scheduler.tick(at(101 + kept_ms));
+    let batch = scheduler
+        .begin_batch(at(200 + kept_ms))
+        .expect("a batch is due");
+    assert_eq!(batch.inbox, [InboxKey::Cancel(job_id(1))]);
+}
+
 #[test]
 fn a_cancellation_read_from_the_inbox_applies_to_a_job_that_is_restored_later() {
     let mut scheduler = ready_scheduler(&["w1"]);
--- a/crates/cornelpoint/tests/scheduler/support.rs
+++ b/crates/cornelpoint/tests/scheduler/support.rs
@@ -100,7 +100,12 @@
 /// Returns a scheduler whose workers are recorded in the store and have
 /// reported once.
 pub(crate) fn ready_scheduler(ids: &[&str]) -> PoolScheduler {
-    let mut scheduler = PoolScheduler::new(POOL, 1, SchedulerSettings::default());
+    ready_scheduler_with(ids, SchedulerSettings::default())
+}
+
+/// The same with these settings.
+pub(crate) fn ready_scheduler_with(ids: &[&str], settings: SchedulerSettings) -> PoolScheduler {
+    let mut scheduler = PoolScheduler::new(POOL, 1, settings);
     let queue = queue();
     scheduler.set_queues(std::iter::once(&queue));
     let entries: Vec<RegistryEntry> = ids.iter().map(|id| entry(id, 5)).collect();
