Record all targets of routes at once, and read cancellations when the feed is late

A submission is uncertain only after a write to an inbox without an answer: an owner that answers a repeat has decided on the job, and its Retry-After says more than 504. Types of a batch have a file of their own.

--- a/crates/cornelpoint-manager/src/edge/callers.rs
+++ b/crates/cornelpoint-manager/src/edge/callers.rs
@@ -164,18 +164,11 @@
     answer
 }
 
-/// Replaces the refusal of a job of which an earlier submission may still be done, and takes
-/// note of one without an outcome.
+/// Replaces the refusal of a job of which an earlier submission may still be written.
 fn certain(node: &Node, job: JobId, answer: Reply) -> Reply {
-    let now_ms = clock::now().steady_ms;
-    let mut uncertain = node.uncertain_jobs.borrow_mut();
     match answer.status() {
-        StatusCode::GATEWAY_TIMEOUT => {
-            uncertain.insert(job, now_ms);
-            answer
-        }
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
-            if uncertain.contains(job, now_ms) =>
+            if node.is_uncertain(job) =>
         {
             reply(504, "")
         }
--- a/crates/cornelpoint-manager/src/edge/jobs.rs
+++ b/crates/cornelpoint-manager/src/edge/jobs.rs
@@ -122,10 +122,14 @@
             rejection(503, STORE_UNAVAILABLE_RETRY_S)
         }
         InboxOutcome::Withdrawn(Withdrawal::Cancelled) => reply(410, ""),
+        InboxOutcome::Uncertain => {
+            let now_ms = clock::now().steady_ms;
+            node.uncertain_jobs.borrow_mut().insert(job, now_ms);
+            reply(504, "")
+        }
         // Another pool has the job, or may accept it.
         InboxOutcome::Withdrawn(Withdrawal::Moved)
         | InboxOutcome::Refused
-        | InboxOutcome::Uncertain
         | InboxOutcome::JobExists => reply(504, ""),
     }
 }
@@ -184,19 +188,13 @@
 ) -> Reply {
     match place.find(node, &place.pools, caller, timeout).await {
         Found::At { status, .. } => reply(200, callers::status_body(status)),
-        Found::Nowhere if is_uncertain(node, place.job) => rejection(503, ISOLATED_RETRY_S),
+        Found::Nowhere if node.is_uncertain(place.job) => rejection(503, ISOLATED_RETRY_S),
         Found::Nowhere if place.queue.is_none() => reply(404, ""),
         Found::Nowhere => reply(410, ""),
         Found::Unknown => rejection(503, ISOLATED_RETRY_S),
     }
 }
 
-/// Whether a submission of the job by this process may still be done.
-fn is_uncertain(node: &Node, job: JobId) -> bool {
-    let now_ms = clock::now().steady_ms;
-    node.uncertain_jobs.borrow().contains(job, now_ms)
-}
-
 /// Cancels a job through its pool's owner; stores the cancellation in the
 /// owner's inbox if the owner can't be reached or does not know the job.
 pub(super) async fn cancel(
--- a/crates/cornelpoint-manager/src/edge/uncertain_jobs.rs
+++ b/crates/cornelpoint-manager/src/edge/uncertain_jobs.rs
@@ -9,16 +9,16 @@
 /// Most jobs that are kept.
 const MAX_JOBS: usize = 10_000;
 
-/// Jobs whose submission by this process may still be done: none of them may be refused, or
-/// shown as unknown.
+/// Jobs whose submission by this process to an inbox may still be written: none of them may be
+/// refused, or shown as unknown.
 #[derive(Debug, Default)]
 pub(crate) struct UncertainJobs {
-    /// When the outcome was found to be uncertain, by the monotonic clock.
+    /// When the write got no response, by the monotonic clock.
     since_ms: BTreeMap<JobId, u64>,
 }
 
 impl UncertainJobs {
-    /// Records a submission without an outcome.
+    /// Records a submission whose write got no response.
     pub(crate) fn insert(&mut self, job: JobId, now_ms: u64) {
         if self.since_ms.len() >= MAX_JOBS {
             self.since_ms
@@ -29,7 +29,7 @@
         }
     }
 
-    /// Whether a submission of the job may still be done.
+    /// Whether a submission of the job may still be written.
     pub(crate) fn contains(&self, job: JobId, now_ms: u64) -> bool {
         let since_ms = self.since_ms.get(&job);
         since_ms.is_some_and(|since_ms| is_uncertain(*since_ms, now_ms))
--- a/crates/cornelpoint-manager/src/node/routes.rs
+++ b/crates/cornelpoint-manager/src/node/routes.rs
@@ -24,8 +24,12 @@
 
 /// Delay before a failed read or write is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Largest number of targets that are recorded before a caller needs them.
-const MAX_EAGER_TARGETS: usize = 64;
+/// Largest number of targets that are recorded before a caller needs them: the size of a
+/// configuration of a large deployment. A configuration that adds more has mostly routes that
+/// are not used at once.
+const MAX_EAGER_TARGETS: usize = 2000;
+/// Targets of a row; some 50 KB.
+const TARGETS_PER_ROW: usize = 400;
 
 /// What this process knows of the targets of routes.
 ///
@@ -129,13 +133,16 @@
         if missing.is_empty() {
             return true;
         }
-        // Rows with equal keys are equal, so that none replaces another one.
-        let value = encode(&missing);
-        let key = format!("{:016x}", xxhash_rust::xxh3::xxh3_64(&value));
+        let rows = missing.chunks(TARGETS_PER_ROW).map(|targets| {
+            // Rows with equal keys are equal, so that none replaces another one.
+            let value = encode(&targets);
+            let key = format!("{:016x}", xxhash_rust::xxh3::xxh3_64(&value));
+            (RowKey::new(ROUTE_TABLE, "", key), value)
+        });
         let configuration = RowKey::new(operator::TABLE, "", operator::CATALOG_KEY);
         let transaction = Transaction {
             conditions: vec![(configuration, row_version)],
-            writes: vec![(RowKey::new(ROUTE_TABLE, "", key), value)],
+            writes: rows.collect(),
             ..Transaction::default()
         };
         let outcome = self.store.transact(&transaction).await;
--- a/crates/cornelpoint-manager/src/node/state.rs
+++ b/crates/cornelpoint-manager/src/node/state.rs
@@ -11,6 +11,7 @@
 use cornelpoint::fleet::PoolReport;
 use cornelpoint::fleet::WaveOrder;
 use cornelpoint::inbox::OwnerContact;
+use cornelpoint::job::JobId;
 use cornelpoint::ownership::HeartbeatSchedule;
 use cornelpoint::ownership::OwnershipPlanner;
 use cornelpoint::ownership::OwnershipSettings;
@@ -243,6 +244,12 @@
         self.catalog.borrow().clone()
     }
 
+    /// Whether a submission of a job by this process may still be written.
+    pub(crate) fn is_uncertain(&self, job: JobId) -> bool {
+        let now_ms = clock::now().steady_ms;
+        self.uncertain_jobs.borrow().contains(job, now_ms)
+    }
+
     /// Returns what the jobs of a pool may hold: they have to fit the smallest process.
     pub(crate) fn memory_limits(&self, catalog: &Catalog) -> MemoryLimits {
         MemoryLimits::new(self.least_memory_bytes.get(), catalog.pools.len())
--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -51,6 +51,8 @@
     /// Memory that the smallest submission needs which was left in the inbox; `None` if
     /// all rows have been applied.
     pub(super) deferred_bytes: Cell<Option<usize>>,
+    /// Whether the cancellations in the inbox are being read beside its feed.
+    pub(super) reads_cancellations: Cell<bool>,
     /// Vacated workers as of the last pass; a change is reported to the fleet's
     /// owner.
     vacated: RefCell<BTreeSet<String>>,
@@ -79,6 +81,7 @@
             waiters: RefCell::default(),
             inbox_read_ms: Cell::new(0),
             deferred_bytes: Cell::new(None),
+            reads_cancellations: Cell::new(false),
             vacated: RefCell::default(),
             log: node.pool_log.clone(),
             stopped: Cell::new(false),
@@ -114,6 +117,7 @@
             batch = scheduler.begin_batch(now);
             quota_call = scheduler.due_quota_call(now);
         }
+        let needs_cancellations = self.is_confirmed(now) && scheduler.needs_cancellations(now);
         let events = scheduler.take_events();
         let fenced = scheduler.is_fenced();
         let vacated = scheduler.vacated();
@@ -151,6 +155,9 @@
         {
             host.wake();
         }
+        if needs_cancellations && !self.reads_cancellations.replace(true) {
+            spawn_local(Rc::clone(self).read_cancellations());
+        }
         if let Some(call) = quota_call {
             self.execute_quota_call(call);
         }
--- a/crates/cornelpoint-manager/src/pool_host/inbox.rs
+++ b/crates/cornelpoint-manager/src/pool_host/inbox.rs
@@ -81,6 +81,27 @@
         }
     }
 
+    /// Reads the cancellations in the inbox, whose feed has not answered for some time: tasks
+    /// may not be started without knowing them. Their keys sort before those of submissions.
+    pub(super) async fn read_cancellations(self: Rc<Self>) {
+        let requested_ms = clock::now().steady_ms;
+        let mut reader = PartitionReader::new(INBOX_TABLE, &self.pool);
+        while let Some(page) = reader.read_page(&self.node.store).await {
+            let mut requests = parse_inbox(&self.log, &self.pool, &page.rows, "late feed", None);
+            let has_submissions = requests.iter().any(|request| request.job.is_some());
+            // The feed brings these.
+            requests.retain(|request| request.job.is_none());
+            self.apply(|scheduler, now| apply_inbox(scheduler, requests, now));
+            if !page.has_more || has_submissions {
+                self.apply(|scheduler, _| scheduler.confirm_inbox(requested_ms));
+                self.reads_cancellations.set(false);
+                return;
+            }
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+        self.reads_cancellations.set(false);
+    }
+
     /// Reads and applies the inbox page by page, up to submissions for which there is no
     /// memory. Returns the version as of the first page; `None` if a read fails.
     async fn read_whole_inbox(
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -30,7 +30,6 @@
 use super::batch::BatchInFlight;
 use super::batch::FULL_BATCH_BYTES;
 use super::batch::MAX_BATCH_ROWS;
-use super::batch::WorkerRecord;
 use super::held_workers::HeldWorkers;
 use super::instant::Instant;
 use super::job_entry::JobEntry;
@@ -41,6 +40,7 @@
 use super::scheduler_event::SchedulerEvent;
 use super::settings::SchedulerSettings;
 use super::silences::Silences;
+use super::stored_batch::WorkerRecord;
 use super::tickets::DEFAULT_ADVICE_CALLS;
 use super::tickets::Tickets;
 use super::unstored_jobs::UnstoredJobs;
@@ -321,6 +321,13 @@
         max_age_ms.is_none_or(|max_ms| now.steady_ms <= self.inbox_read_ms + max_ms)
     }
 
+    /// Whether the cancellations should be read before long, so that starts need not wait.
+    #[must_use]
+    pub fn needs_cancellations(&self, now: Instant) -> bool {
+        let max_age_ms = self.settings.max_inbox_age_ms;
+        max_age_ms.is_some_and(|max_ms| now.steady_ms > self.inbox_read_ms + max_ms / 2)
+    }
+
     /// Updates what the pool's jobs may hold.
     pub fn set_memory_limits(&mut self, limits: MemoryLimits) {
         self.memory_limits = limits;
--- a/crates/cornelpoint/src/scheduler/worker_quorum.rs
+++ b/crates/cornelpoint/src/scheduler/worker_quorum.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeSet;
 
-use super::batch::WorkerRecord;
 use super::instant::Instant;
 use super::pool_scheduler::PoolScheduler;
 use super::scheduler_event::SchedulerEvent;
+use super::stored_batch::WorkerRecord;
 use super::worker_state::Contact;
 
 /// Time after its last confirmation by the store for which an owner grants leases without
--- a/crates/cornelpoint/src/scheduler/worker_state.rs
+++ b/crates/cornelpoint/src/scheduler/worker_state.rs
@@ -10,10 +10,10 @@
 use crate::worker::Completeness;
 use crate::worker::RegistryEntry;
 
-use super::batch::WorkerRecord;
 use super::crashes::LostRun;
 use super::crashes::ON_START_MS;
 use super::settings::SchedulerSettings;
+use super::stored_batch::WorkerRecord;
 
 /// Largest rate error of a slow worker clock, in thousandths, as specified by
 /// the platform (20).
