Count final jobs among the memory of a pool

They count 800 bytes each until they expire, and records are shortened from 4 kB on. The test submits and cancels jobs until there is no memory; before, it ended at its bound of 20,000 jobs.

--- a/crates/cornelpoint/src/scheduler/batch.rs
+++ b/crates/cornelpoint/src/scheduler/batch.rs
@@ -38,7 +38,7 @@
 /// Estimated size of the rows that a batch of several jobs doesn't exceed.
 const MAX_BATCH_BYTES: usize = 600_000;
 /// Size of a job from which its record is replaced by one without its steps when it ends.
-const MAX_FINAL_RECORD_BYTES: usize = 8192;
+const MAX_FINAL_RECORD_BYTES: usize = 4096;
 /// Estimated size of a worker's record besides its identifier.
 const WORKER_BYTES: usize = 120;
 
--- a/crates/cornelpoint/src/scheduler/intake.rs
+++ b/crates/cornelpoint/src/scheduler/intake.rs
@@ -22,6 +22,9 @@
 use super::stored_blocks::StoredBlocks;
 use super::unstored_jobs::Urgency;
 
+/// Estimated memory that a final job takes until it expires.
+const FINAL_JOB_BYTES: usize = 800;
+
 /// Answer to a submitted job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SubmitAnswer {
@@ -434,8 +437,9 @@
             return;
         };
         if job.release() {
-            self.held_job_bytes = self.held_job_bytes.saturating_sub(job.held_bytes);
-            job.held_bytes = 0;
+            let released = job.held_bytes.saturating_sub(FINAL_JOB_BYTES);
+            self.held_job_bytes = self.held_job_bytes.saturating_sub(released);
+            job.held_bytes -= released;
         }
     }
 
--- a/crates/cornelpoint/src/scheduler/memory_limits.rs
+++ b/crates/cornelpoint/src/scheduler/memory_limits.rs
@@ -32,8 +32,8 @@
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemoryLimits {
-    /// Most that jobs which are not final may hold, in bytes, as [`JobSpec::held_bytes`]
-    /// estimates it.
+    /// Most that jobs may hold, in bytes, as [`JobSpec::held_bytes`] estimates it; final ones
+    /// hold 800 until they expire.
     ///
     /// [`JobSpec::held_bytes`]: crate::job::JobSpec::held_bytes
     pub job_bytes: usize,
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -89,7 +89,7 @@
     pub(super) tenant_wait_logged_ms: u64,
     pub(super) jobs: HashMap<JobId, JobEntry>,
     pub(super) memory_limits: MemoryLimits,
-    /// Estimated memory of the jobs that are not released.
+    /// Estimated memory of all jobs.
     pub(super) held_job_bytes: usize,
     /// Jobs that are not final. Final ones are kept for minutes, so that most jobs
     /// are final.
--- a/crates/cornelpoint/tests/scheduler/memory_limits.rs
+++ b/crates/cornelpoint/tests/scheduler/memory_limits.rs
@@ -126,6 +126,24 @@
     submit(&mut scheduler, 2000, vec![step(1, 10)], 500);
     scheduler.cancel(job_id(1), at(600));
     store_batches(&mut scheduler, 600);
-    let (record, spec) = job(large());
-    assert!(scheduler.has_memory_of(spec.held_bytes()), "{record:?}");
+    let (_, spec) = job(large());
+    assert!(scheduler.has_memory_of(spec.held_bytes()));
+}
+
+/// Guards against an owner that holds any number of final jobs.
+#[test]
+fn final_jobs_fill_the_memory_until_they_expire() {
+    let mut scheduler = ready_scheduler(&["w1"]);
+    let mut count = 0;
+    let (record, spec) = job(vec![step(1, 10)]);
+    while scheduler.has_memory_of(spec.held_bytes()) {
+        submit(&mut scheduler, count, vec![step(1, 10)], 100);
+        scheduler.cancel(job_id(count), at(100));
+        store_batches(&mut scheduler, 100);
+        count += 1;
+        assert!(count < 20_000, "nothing bounds the number of final jobs");
+    }
+    assert!(count > 10_000, "{count} final jobs of 800 bytes fill 8 MB");
+    let refused = scheduler.submit(job_id(count), record, spec, at(200));
+    assert!(matches!(refused, SubmitAnswer::Rejected { .. }));
 }
