Have starts wait for the inbox only after a pause of the process

A pause of more than two thirds of cancel_ms is what lets a cancellation pass unseen while the feed works.

--- a/crates/cornelpoint-manager/src/pool_host/host.rs
+++ b/crates/cornelpoint-manager/src/pool_host/host.rs
@@ -117,7 +117,7 @@
             batch = scheduler.begin_batch(now);
             quota_call = scheduler.due_quota_call(now);
         }
-        let needs_cancellations = self.is_confirmed(now) && scheduler.needs_cancellations(now);
+        let needs_cancellations = self.is_confirmed(now) && !scheduler.knows_cancellations(now);
         let events = scheduler.take_events();
         let fenced = scheduler.is_fenced();
         let vacated = scheduler.vacated();
--- a/crates/cornelpoint-manager/src/pool_host/inbox.rs
+++ b/crates/cornelpoint-manager/src/pool_host/inbox.rs
@@ -81,13 +81,13 @@
         }
     }
 
-    /// Reads the cancellations in the inbox, whose feed has not answered for some time: tasks
-    /// may not be started without knowing them. Their keys sort before those of submissions.
+    /// Reads the cancellations in the inbox after a pause: tasks may not be started without
+    /// knowing them. Their keys sort before those of submissions.
     pub(super) async fn read_cancellations(self: Rc<Self>) {
         let requested_ms = clock::now().steady_ms;
         let mut reader = PartitionReader::new(INBOX_TABLE, &self.pool);
         while let Some(page) = reader.read_page(&self.node.store).await {
-            let mut requests = parse_inbox(&self.log, &self.pool, &page.rows, "late feed", None);
+            let mut requests = parse_inbox(&self.log, &self.pool, &page.rows, "resumed", None);
             let has_submissions = requests.iter().any(|request| request.job.is_some());
             // The feed brings these.
             requests.retain(|request| request.job.is_none());
--- a/crates/cornelpoint-manager/src/pool_host/takeover.rs
+++ b/crates/cornelpoint-manager/src/pool_host/takeover.rs
@@ -101,7 +101,7 @@
             max_lease_ms: node.settings.bounds.max_lease_ms,
             stop_ms: node.settings.bounds.stop_ms,
             row_bytes: node.settings.row_bytes,
-            max_inbox_age_ms: Some(max_inbox_age_ms(node.settings.bounds.cancel_ms)),
+            max_pause_ms: Some(max_pause_ms(node.settings.bounds.cancel_ms)),
             weighs_loss: node.settings.weighs_loss,
             ..SchedulerSettings::default()
         };
@@ -249,10 +249,10 @@
     scheduler.set_limits(catalog.version, catalog.tenants.as_ref(), pools);
 }
 
-/// Returns the largest age of what is known of the inbox with which tasks may be started:
-/// with it, a start is no later than it may be after a cancellation was confirmed.
-fn max_inbox_age_ms(cancel_ms: u64) -> u64 {
-    cancel_ms - (cancel_ms / 6)
+/// Returns the longest pause after which the inbox need not be read before tasks are started:
+/// its feed shows the cancellations by the time from which their jobs may not start.
+fn max_pause_ms(cancel_ms: u64) -> u64 {
+    cancel_ms * 2 / 3
 }
 
 /// Converts a time of the store's clock to one of the local monotonic clock.
--- a/crates/cornelpoint/src/scheduler/pool_scheduler.rs
+++ b/crates/cornelpoint/src/scheduler/pool_scheduler.rs
@@ -164,6 +164,8 @@
     pub(super) withdrawn: WithdrawnJobs,
     /// When the last read was sent that returned all cancellations, by the monotonic clock.
     pub(super) inbox_read_ms: u64,
+    /// When the process last resumed after a pause.
+    resumed_ms: u64,
     /// Rows read from the owner's inbox whose jobs are not stored yet.
     pub(super) inbox: BTreeSet<InboxKey>,
     /// Rows of the inbox to remove: the store has what they ask for.
@@ -259,6 +261,7 @@
             retained_final_jobs: Vec::new(),
             withdrawn: WithdrawnJobs::default(),
             inbox_read_ms: 0,
+            resumed_ms: 0,
             inbox: BTreeSet::new(),
             settled_inbox: BTreeSet::new(),
             orphaned_tasks: Vec::new(),
@@ -313,19 +316,16 @@
         self.inbox_read_ms = self.inbox_read_ms.max(sent_ms);
     }
 
-    /// Whether the cancellations are known that have been confirmed so long ago that no
-    /// task of their jobs may be started any more. The process may have been paused.
+    /// Whether the cancellations are known that were confirmed while this process was paused.
     #[must_use]
     pub fn knows_cancellations(&self, now: Instant) -> bool {
-        let max_age_ms = self.settings.max_inbox_age_ms;
-        max_age_ms.is_none_or(|max_ms| now.steady_ms <= self.inbox_read_ms + max_ms)
+        self.inbox_read_ms >= self.resumed_ms && !self.was_paused(now)
     }
 
-    /// Whether the cancellations should be read before long, so that starts need not wait.
-    #[must_use]
-    pub fn needs_cancellations(&self, now: Instant) -> bool {
-        let max_age_ms = self.settings.max_inbox_age_ms;
-        max_age_ms.is_some_and(|max_ms| now.steady_ms > self.inbox_read_ms + max_ms / 2)
+    /// Whether the process has been paused since the last tick.
+    fn was_paused(&self, now: Instant) -> bool {
+        let max_pause_ms = self.settings.max_pause_ms;
+        max_pause_ms.is_some_and(|max_ms| now.steady_ms > self.last_tick_ms + max_ms)
     }
 
     /// Updates what the pool's jobs may hold.
@@ -506,6 +506,9 @@
         if self.fenced {
             return;
         }
+        if self.was_paused(now) {
+            self.resumed_ms = now.steady_ms;
+        }
         self.open_due_occurrences(now);
         self.release_expired_leases(now);
         self.requeue_orphaned_tasks(now);
--- a/crates/cornelpoint/src/scheduler/settings.rs
+++ b/crates/cornelpoint/src/scheduler/settings.rs
@@ -29,9 +29,10 @@
     pub max_starts_in_flight: usize,
     /// Time for which a worker that failed a start gets no new tasks.
     pub start_penalty_ms: u64,
-    /// Largest age of the cancellations in the inbox with which tasks may be started; `None`
-    /// where no inbox is read.
-    pub max_inbox_age_ms: Option<u64>,
+    /// Longest pause of the process after which tasks may be started without reading the
+    /// inbox again: another process may have confirmed cancellations meanwhile. `None` where
+    /// no inbox is read.
+    pub max_pause_ms: Option<u64>,
     /// Whether callers compete for too little capacity, so that the loss to callers decides
     /// what is turned away, what waits and when a refused caller may retry.
     pub weighs_loss: bool,
@@ -60,7 +61,7 @@
             // An eighth of a core handles as many within half the timeout of an order.
             max_starts_in_flight: 160,
             start_penalty_ms: 1000,
-            max_inbox_age_ms: None,
+            max_pause_ms: None,
             weighs_loss: false,
         }
     }
